--- /dev/null
+++ b/pkg/cli/cli.go
@@ -0,0 +1,79 @@
+// Package cli defines the commands of the cassiawall binary.
+package cli
+
+import (
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/jessevdk/go-flags"
+
+	"cassiawall.example/cassiawall/pkg/fault"
+)
+
+// Exit codes of the program.
+const (
+	exitOK     = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// streams are where a command writes its results and its diagnostics.
+type streams struct {
+	out, err io.Writer
+}
+
+// Run parses args, runs the command and returns the exit code.
+func Run(args []string, stdout, stderr io.Writer) int {
+	s := streams{out: stdout, err: stderr}
+	parser := flags.NewNamedParser("cassiawall", flags.HelpFlag|flags.PassDoubleDash)
+	for _, c := range commands(s) {
+		command, err := parser.AddCommand(c.name, c.short, c.long, c.data)
+		if err != nil {
+			fmt.Fprintln(stderr, err)
+			return exitFailed
+		}
+		for _, sub := range c.subcommands {
+			if _, err := command.AddCommand(sub.name, sub.short, sub.long, sub.data); err != nil {
+				fmt.Fprintln(stderr, err)
+				return exitFailed
+			}
+		}
+	}
+	_, err := parser.ParseArgs(args)
+	return s.exitCode(err)
+}
+
+func (s streams) exitCode(err error) int {
+	if err == nil {
+		return exitOK
+	}
+	var usage *flags.Error
+	if errors.As(err, &usage) {
+		if usage.Type == flags.ErrHelp {
+			fmt.Fprintln(s.out, usage.Message)
+			return exitOK
+		}
+		fmt.Fprintln(s.err, usage.Message)
+		return exitUsage
+	}
+	fmt.Fprintln(s.err, err)
+	if fault.Is(err, fault.InvalidSettings) || fault.Is(err, fault.InvalidConfiguration) || fault.Is(err, fault.BadRequest) {
+		return exitUsage
+	}
+	return exitFailed
+}
+
+// commandSpec describes one command. Its data implements flags.Commander unless it only
+// groups subcommands.
+type commandSpec struct {
+	name, short, long string
+	data              any
+	subcommands       []commandSpec
+}
+
+func commands(s streams) []commandSpec {
+	return []commandSpec{
+		{name: "version", short: "Print the version", long: "Print the version.\n\nExample: cassiawall version --json", data: &versionCommand{streams: s}},
+	}
+}
--- /dev/null
+++ b/pkg/config/duration.go
@@ -0,0 +1,26 @@
+package config
+
+import (
+	"time"
+
+	"go.yaml.in/yaml/v3"
+)
+
+// Duration is a time span written as in "1.5s" or "20ms".
+type Duration time.Duration
+
+// D returns the span as time.Duration.
+func (d Duration) D() time.Duration { return time.Duration(d) }
+
+// UnmarshalYAML parses a span with its unit. A bare number is refused because its unit is unclear.
+func (d *Duration) UnmarshalYAML(node *yaml.Node) error {
+	span, err := time.ParseDuration(node.Value)
+	if err != nil {
+		return err
+	}
+	*d = Duration(span)
+	return nil
+}
+
+// MarshalYAML writes the span with its unit.
+func (d Duration) MarshalYAML() (any, error) { return time.Duration(d).String(), nil }
--- /dev/null
+++ b/pkg/event/event.go
@@ -0,0 +1,34 @@
+// Package event defines the numbered log events. docs/EVENTS.md lists them with the operator's
+// action, and a test holds the two against each other.
+package event
+
+import (
+	"context"
+	"log/slog"
+)
+
+// Event is one numbered kind of log record.
+type Event struct {
+	Number int
+	Name   string
+	Level  slog.Level
+	// Action tells an operator what to do.
+	Action string
+}
+
+var catalogue []Event
+
+func define(number int, name string, level slog.Level, action string) Event {
+	e := Event{Number: number, Name: name, Level: level, Action: action}
+	catalogue = append(catalogue, e)
+	return e
+}
+
+// Catalogue returns all events in the order of their definition.
+func Catalogue() []Event { return append([]Event(nil), catalogue...) }
+
+// Log writes the event with attributes. Secrets never go into attributes.
+func (e Event) Log(ctx context.Context, l *slog.Logger, attrs ...slog.Attr) {
+	attrs = append([]slog.Attr{slog.Int("event", e.Number)}, attrs...)
+	l.LogAttrs(ctx, e.Level, e.Name, attrs...)
+}
--- /dev/null
+++ b/pkg/prefix/chain.go
@@ -0,0 +1,137 @@
+// Package prefix computes the chained keys that identify prefixes of prompts. It decides
+// nothing and holds no state.
+package prefix
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Salt separates keys that must never match: a prefix of one workspace, model, weights version
+// or adapter is no prefix of another.
+type Salt struct {
+	Workspace      string
+	Model          string
+	WeightsVersion string
+	Adapter        string
+}
+
+// Segment is the text of one level of a prompt.
+type Segment struct {
+	Level string
+	// Shared says that other callers use the same text.
+	Shared bool
+	Text   string
+}
+
+// Geometry tells how a model's cache is cut into pieces.
+type Geometry struct {
+	PieceTokens int
+	// BytesPerToken estimates the tokenizer.
+	BytesPerToken float64
+}
+
+// Piece is one cacheable part of a prompt.
+type Piece struct {
+	// Key is the routing key of the chain up to and including this piece. Keys may collide
+	// and then misroute a request; they never authorize the use of cached data.
+	Key    uint64
+	Tokens int
+	Level  string
+	Shared bool
+	// Start and End are byte offsets into the concatenated text of all segments.
+	Start, End int
+}
+
+// Chain cuts the segments into pieces at level boundaries and every PieceTokens tokens.
+func Chain(salt Salt, geometry Geometry, segments []Segment) []Piece {
+	key := seed(salt)
+	size := max(1, int(float64(geometry.PieceTokens)*geometry.BytesPerToken))
+	pieces := make([]Piece, 0, len(segments)+4)
+	offset := 0
+	for _, segment := range segments {
+		for start := 0; start < len(segment.Text); start += size {
+			end := min(start+size, len(segment.Text))
+			key = next(key, segment.Level, segment.Text[start:end])
+			pieces = append(pieces, Piece{
+				Key:    key,
+				Tokens: tokens(end-start, geometry.BytesPerToken),
+				Level:  segment.Level,
+				Shared: segment.Shared,
+				Start:  offset + start,
+				End:    offset + end,
+			})
+		}
+		offset += len(segment.Text)
+	}
+	return pieces
+}
+
+// Keys returns the routing keys of pieces.
+func Keys(pieces []Piece) []uint64 {
+	keys := make([]uint64, len(pieces))
+	for i, p := range pieces {
+		keys[i] = p.Key
+	}
+	return keys
+}
+
+// Tokens returns the sum of the pieces' tokens.
+func Tokens(pieces []Piece) int {
+	sum := 0
+	for _, p := range pieces {
+		sum += p.Tokens
+	}
+	return sum
+}
+
+// ContentKey is the cryptographic identity of a prefix. Everything that moves cached data
+// between engines uses it instead of the routing key.
+type ContentKey [sha256.Size]byte
+
+// ContentKeys returns the chain of content keys of pieces over text.
+func ContentKeys(salt Salt, text string, pieces []Piece) []ContentKey {
+	keys := make([]ContentKey, len(pieces))
+	previous := sha256.Sum256(appendSalt(nil, salt))
+	for i, p := range pieces {
+		h := sha256.New()
+		h.Write(previous[:])
+		h.Write(appendField(nil, p.Level))
+		h.Write([]byte(text[p.Start:p.End]))
+		h.Sum(previous[:0])
+		keys[i] = previous
+	}
+	return keys
+}
+
+func seed(salt Salt) uint64 { return xxhash.Sum64(appendSalt(nil, salt)) }
+
+func next(previous uint64, level, text string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	var prefix [8]byte
+	binary.LittleEndian.PutUint64(prefix[:], previous)
+	_, _ = d.Write(prefix[:])
+	_, _ = d.Write(appendField(nil, level))
+	_, _ = d.WriteString(text)
+	return d.Sum64()
+}
+
+// appendSalt length-prefixes each field, so that no two salts have the same encoding.
+func appendSalt(b []byte, salt Salt) []byte {
+	b = appendField(b, salt.Workspace)
+	b = appendField(b, salt.Model)
+	b = appendField(b, salt.WeightsVersion)
+	return appendField(b, salt.Adapter)
+}
+
+func appendField(b []byte, field string) []byte {
+	b = binary.AppendUvarint(b, uint64(len(field)))
+	return append(b, field...)
+}
+
+func tokens(bytes int, bytesPerToken float64) int {
+	return max(1, int(float64(bytes)/bytesPerToken+0.5))
+}
