--- /dev/null
+++ b/pkg/stream/stream_test.go
@@ -0,0 +1,127 @@
+package stream
+
+import (
+	"context"
+	"errors"
+	"io"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"cassiawall.example/cassiawall/pkg/engine"
+	"cassiawall.example/cassiawall/pkg/fault"
+)
+
+// scriptedStream yields its chunks and then its error, io.EOF by default.
+type scriptedStream struct {
+	chunks []engine.Chunk
+	err    error
+}
+
+func (s *scriptedStream) Next() (engine.Chunk, error) {
+	if len(s.chunks) == 0 {
+		if s.err != nil {
+			return engine.Chunk{}, s.err
+		}
+		return engine.Chunk{}, io.EOF
+	}
+	c := s.chunks[0]
+	s.chunks = s.chunks[1:]
+	return c, nil
+}
+
+func (s *scriptedStream) Close() error { return nil }
+
+// scriptedSource opens its attempts one after the other and records the positions asked for.
+type scriptedSource struct {
+	attempts  []*scriptedStream
+	positions []Position
+}
+
+func (s *scriptedSource) Open(_ context.Context, from Position) (engine.Stream, error) {
+	s.positions = append(s.positions, from)
+	if len(s.attempts) == 0 {
+		return nil, fault.New(fault.NoEngine, "no engine left")
+	}
+	next := s.attempts[0]
+	s.attempts = s.attempts[1:]
+	return next, nil
+}
+
+func (s *scriptedSource) Retry(err error, _ bool) bool { return !fault.Is(err, fault.NoEngine) }
+
+type collectingSink struct {
+	text string
+	fail error
+}
+
+func (s *collectingSink) Deliver(c engine.Chunk) error {
+	if s.fail != nil {
+		return s.fail
+	}
+	s.text += c.Text
+	return nil
+}
+
+func chunk(id string, seq int, text string) engine.Chunk {
+	return engine.Chunk{RequestID: id, Seq: seq, Text: text, Tokens: 1}
+}
+
+func final(id string, seq int, text string) engine.Chunk {
+	c := chunk(id, seq, text)
+	c.Final, c.FinishReason = true, "stop"
+	return c
+}
+
+// Each case is one way in which an answer arrives cut, late or crossed. Guards against
+// delivering anything but the caller's own whole answer.
+func TestRelayFaults(t *testing.T) {
+	cut := errors.New("connection reset")
+	cases := []struct {
+		name     string
+		attempts []*scriptedStream
+		want     string
+		failure  fault.Kind
+		work     fault.Work
+		resumeAt []int
+	}{
+		{"whole", []*scriptedStream{{chunks: []engine.Chunk{chunk("r", 0, "a"), final("r", 1, "b")}}}, "ab", "", "", []int{0}},
+		{"foreign chunk", []*scriptedStream{{chunks: []engine.Chunk{chunk("r", 0, "a"), chunk("x", 1, "X"), final("r", 1, "b")}}}, "ab", "", "", []int{0}},
+		{"foreign final chunk", []*scriptedStream{{chunks: []engine.Chunk{chunk("r", 0, "a"), final("x", 1, "X")}}, {chunks: []engine.Chunk{final("r", 1, "b")}}}, "ab", "", "", []int{0, 1}},
+		{"repeated chunk", []*scriptedStream{{chunks: []engine.Chunk{chunk("r", 0, "a"), chunk("r", 0, "a"), final("r", 1, "b")}}}, "ab", "", "", []int{0}},
+		{"gap", []*scriptedStream{{chunks: []engine.Chunk{chunk("r", 0, "a"), final("r", 2, "c")}}, {chunks: []engine.Chunk{chunk("r", 1, "b"), final("r", 2, "c")}}}, "abc", "", "", []int{0, 1}},
+		{"early end", []*scriptedStream{{chunks: []engine.Chunk{chunk("r", 0, "a")}}, {chunks: []engine.Chunk{final("r", 1, "b")}}}, "ab", "", "", []int{0, 1}},
+		{"cut before the first chunk", []*scriptedStream{{err: cut}, {chunks: []engine.Chunk{final("r", 0, "a")}}}, "a", "", "", []int{0, 0}},
+		{"cut and no engine left", []*scriptedStream{{chunks: []engine.Chunk{chunk("r", 0, "a")}, err: cut}}, "a", fault.NoEngine, fault.Run, []int{0, 1}},
+		{"no engine at all", nil, "", fault.NoEngine, fault.NotRun, []int{0}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			source := &scriptedSource{attempts: c.attempts}
+			sink := &collectingSink{}
+			_, err := Relay(context.Background(), "r", source, sink)
+			assert.Equal(t, c.want, sink.text)
+			if c.failure == "" {
+				require.NoError(t, err)
+			} else {
+				assert.True(t, fault.Is(err, c.failure), "%v", err)
+				assert.Equal(t, c.work, fault.As(err).Work)
+			}
+			resumed := []int{}
+			for _, p := range source.positions {
+				resumed = append(resumed, p.NextSeq)
+			}
+			assert.Equal(t, c.resumeAt, resumed)
+		})
+	}
+}
+
+// Guards against running a request again for a caller that cannot take the answer.
+func TestRelayStopsOnCallerError(t *testing.T) {
+	source := &scriptedSource{attempts: []*scriptedStream{{chunks: []engine.Chunk{chunk("r", 0, "a")}}, {}}}
+	sink := &collectingSink{fail: fault.New(fault.SlowReader, "caller read nothing for 10s")}
+	_, err := Relay(context.Background(), "r", source, sink)
+	assert.True(t, fault.Is(err, fault.SlowReader))
+	assert.Len(t, source.positions, 1)
+}
