--- /dev/null
+++ b/pkg/entry/generate.go
@@ -0,0 +1,194 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"cassiawall.example/cassiawall/pkg/engine"
+	"cassiawall.example/cassiawall/pkg/event"
+	"cassiawall.example/cassiawall/pkg/fault"
+	"cassiawall.example/cassiawall/pkg/prefix"
+	"cassiawall.example/cassiawall/pkg/routing"
+	"cassiawall.example/cassiawall/pkg/stream"
+
+	"log/slog"
+)
+
+// maxAttempts bounds how many engines work on one answer, so that a request which breaks
+// engines cannot visit all of them.
+const maxAttempts = 3
+
+func (s *Server) chat(w http.ResponseWriter, r *http.Request, id string) error {
+	return s.generate(w, r, id, true)
+}
+
+func (s *Server) completion(w http.ResponseWriter, r *http.Request, id string) error {
+	return s.generate(w, r, id, false)
+}
+
+// generate serves one generation request.
+func (s *Server) generate(w http.ResponseWriter, r *http.Request, id string, chat bool) error {
+	g, err := s.parse(w, r, id, chat)
+	if err != nil {
+		return err
+	}
+	leaveLimits, err := s.admit(g)
+	if err != nil {
+		return err
+	}
+	defer leaveLimits()
+	ctx, cancel := context.WithCancelCause(r.Context())
+	defer cancel(nil)
+	if g.workspace.Supersede && g.caller != "" {
+		key := callerKey{workspace: g.workspace.Name, caller: g.caller}
+		defer s.callers.enter(key, &runningRequest{id: id, cancel: cancel})()
+	}
+	return s.runGeneration(ctx, w, r, g)
+}
+
+// admit takes the request from the workspace's budgets.
+func (s *Server) admit(g *generation) (leave func(), err error) {
+	if s.opt.Limiter == nil {
+		return func() {}, nil
+	}
+	now, name := s.opt.Now(), g.workspace.Name
+	if !s.opt.Limiter.Start(now, name) {
+		return nil, fault.New(fault.RateLimited, "workspace %s has too many requests in progress", name).WithRetryAfter(time.Second)
+	}
+	tokens := prefix.Tokens(g.pieces) + g.maxTokens
+	ok, retryAfter := s.opt.Limiter.Allow(now, name, tokens)
+	if !ok {
+		s.opt.Limiter.Done(now, name)
+		return nil, fault.New(fault.RateLimited, "workspace %s is over its rate", name).WithRetryAfter(retryAfter)
+	}
+	return func() { s.opt.Limiter.Done(s.opt.Now(), name) }, nil
+}
+
+// relayGeneration runs the request on engines and delivers its answer to the sink.
+func (s *Server) relayGeneration(ctx context.Context, g *generation, out responder) error {
+	src := &source{server: s, g: g, failed: map[string]bool{}}
+	timed := &timedSink{responder: out, now: s.opt.Now, arrived: g.arrived, slot: src.reportFirstToken}
+	result, err := stream.Relay(ctx, g.id, src, timed)
+	if cause := context.Cause(ctx); err != nil && cause != nil {
+		err = endingOf(cause, err)
+	}
+	src.finish(err, ctx.Err() != nil)
+	s.record(g, timed, &result, err, ctx.Err() != nil)
+	if err != nil {
+		return err
+	}
+	return out.finish(&result)
+}
+
+// endingOf returns the typed reason of a cancelled request, if there is one.
+func endingOf(cause, err error) error {
+	var typed *fault.Error
+	if errors.As(cause, &typed) {
+		ending := *typed
+		ending.Work = fault.As(err).Work
+		return &ending
+	}
+	return err
+}
+
+func (s *Server) record(g *generation, t *timedSink, result *stream.Result, err error, gone bool) {
+	if s.opt.Recorder == nil {
+		return
+	}
+	o := Outcome{
+		Workspace:        g.workspace.Name,
+		TTFT:             t.ttft,
+		MaxBetweenTokens: t.maxGap,
+		Complete:         err == nil,
+		Abandoned:        err != nil && gone,
+		ReusedTokens:     result.ReusedTokens,
+		ComputedTokens:   result.ComputedTokens,
+	}
+	if err != nil && !gone {
+		o.Cause = fault.As(err).Kind
+	}
+	s.opt.Recorder.GenerationDone(s.opt.Now(), o)
+}
+
+// source routes the attempts of one answer to engines.
+type source struct {
+	server   *Server
+	g        *generation
+	slot     routing.Slot
+	failed   map[string]bool
+	attempts int
+}
+
+// Open implements stream.Source.
+func (src *source) Open(ctx context.Context, from stream.Position) (engine.Stream, error) {
+	src.attempts++
+	slot, err := src.server.opt.Router.Route(ctx, src.work())
+	if err != nil {
+		return nil, err
+	}
+	src.slot = slot
+	target := slot.Target()
+	st, err := src.server.opt.Engines(target.Address).Generate(ctx, src.request(target, from))
+	if err != nil {
+		return nil, err
+	}
+	return st, nil
+}
+
+// Retry implements stream.Source.
+func (src *source) Retry(err error, _ bool) bool {
+	if src.slot == nil {
+		return false
+	}
+	target := src.slot.Target()
+	src.slot.Done(routing.Ending{Failed: true})
+	src.slot = nil
+	src.failed[target.Engine] = true
+	retry := src.attempts < maxAttempts
+	if retry {
+		event.StreamReplayed.Log(context.Background(), src.server.opt.Logger,
+			slog.String("request", src.g.id), slog.String("engine", target.Engine), slog.Any("error", err))
+	}
+	return retry
+}
+
+func (src *source) work() *routing.Work {
+	g := src.g
+	return &routing.Work{
+		RequestID: g.id, Workspace: g.workspace, Model: g.model, Policy: g.config.Policy, Caller: g.caller,
+		Pieces: g.pieces, MaxTokens: g.maxTokens, Arrived: g.arrived, Deadline: g.deadline, Failed: src.failed,
+	}
+}
+
+func (src *source) request(target routing.Target, from stream.Position) *engine.Request {
+	g := src.g
+	pieces := make([]engine.Piece, len(g.pieces))
+	for i, p := range g.pieces {
+		pieces[i] = engine.Piece{Key: p.Key, Tokens: p.Tokens, Bytes: p.End - p.Start}
+	}
+	return &engine.Request{
+		ID: g.id, Workspace: g.workspace.Name, Model: g.model.Name, WeightsVersion: g.model.WeightsVersion,
+		Prompt: g.prompt(), Pieces: pieces, MaxTokens: g.maxTokens, Seed: g.common.Seed,
+		Temperature: g.common.Temperature, ResumeOffset: from.NextSeq, Replay: from.Text,
+		ReplayTokens: from.Tokens, Incarnation: target.Incarnation,
+	}
+}
+
+func (src *source) reportFirstToken(c *engine.Chunk) {
+	if src.slot == nil || c.ReusedTokens+c.ComputedTokens == 0 {
+		return
+	}
+	src.slot.FirstToken(routing.Usage{
+		Incarnation: c.Incarnation, ReusedTokens: c.ReusedTokens, ComputedTokens: c.ComputedTokens,
+		Prefill: time.Duration(c.PrefillMS) * time.Millisecond,
+	})
+}
+
+// finish frees the slot of the last attempt.
+func (src *source) finish(err error, gone bool) {
+	if src.slot != nil {
+		src.slot.Done(routing.Ending{Abandoned: gone, Failed: err != nil && !gone})
+	}
+}
--- /dev/null
+++ b/pkg/entry/parse.go
@@ -0,0 +1,214 @@
+package entry
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"cassiawall.example/cassiawall/pkg/config"
+	"cassiawall.example/cassiawall/pkg/fault"
+	"cassiawall.example/cassiawall/pkg/openai"
+	"cassiawall.example/cassiawall/pkg/prefix"
+)
+
+// Headers of the callers' interface besides the standard ones.
+const (
+	// headerDeadline bounds the time to the first token, in milliseconds.
+	headerDeadline = "X-Deadline-Ms"
+	// headerPrompt names the declared prompt whose levels the messages follow.
+	headerPrompt = "X-Prompt"
+	// headerCaller names the caller inside the workspace, in place of the field user.
+	headerCaller = "X-Caller-Id"
+)
+
+// defaultMaxTokens is the output bound of a request that states none.
+const defaultMaxTokens = 1024
+
+// generation is a parsed generation request.
+type generation struct {
+	id        string
+	chat      bool
+	body      []byte
+	common    *openai.Common
+	config    *config.Config
+	workspace *config.Workspace
+	model     *config.Model
+	caller    string
+	segments  []prefix.Segment
+	pieces    []prefix.Piece
+	maxTokens int
+	arrived   time.Time
+	deadline  time.Time
+}
+
+// prompt returns the text that the engine runs.
+func (g *generation) prompt() string {
+	var b strings.Builder
+	for _, s := range g.segments {
+		b.WriteString(s.Text)
+	}
+	return b.String()
+}
+
+// parse authenticates r and reads it as a generation request.
+func (s *Server) parse(w http.ResponseWriter, r *http.Request, id string, chat bool) (*generation, error) {
+	arrived := s.opt.Now()
+	current, workspace, err := s.authenticate(r)
+	if err != nil {
+		return nil, err
+	}
+	body, err := readBody(w, r, workspace.Limits.BodyBytes)
+	if err != nil {
+		return nil, err
+	}
+	g := &generation{id: id, chat: chat, body: body, config: current, workspace: workspace, arrived: arrived}
+	if chat {
+		err = g.readChat(r)
+	} else {
+		err = g.readCompletion()
+	}
+	if err != nil {
+		return nil, err
+	}
+	if err := g.resolve(r); err != nil {
+		return nil, err
+	}
+	return g, nil
+}
+
+func readBody(w http.ResponseWriter, r *http.Request, bound int64) ([]byte, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bound))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, fault.New(fault.BodyTooLarge, "the body is longer than %d bytes", bound)
+	case err != nil:
+		return nil, fault.Wrap(err, fault.RequestTimeout, "the body did not arrive whole")
+	}
+	return body, nil
+}
+
+func (g *generation) readChat(r *http.Request) error {
+	var request openai.ChatRequest
+	if err := decode(g.body, &request); err != nil {
+		return err
+	}
+	if len(request.Messages) == 0 {
+		return fault.New(fault.BadRequest, "field messages is empty")
+	}
+	g.common = &request.Common
+	if request.MaxCompletionTokens != nil {
+		g.common.MaxTokens = request.MaxCompletionTokens
+	}
+	prompt, err := findPrompt(g.workspace, r.Header.Get(headerPrompt))
+	if err != nil {
+		return err
+	}
+	g.segments = chatSegments(request.Messages, prompt)
+	return nil
+}
+
+func (g *generation) readCompletion() error {
+	var request openai.CompletionRequest
+	if err := decode(g.body, &request); err != nil {
+		return err
+	}
+	if request.Prompt == "" {
+		return fault.New(fault.BadRequest, "field prompt is empty")
+	}
+	g.common = &request.Common
+	g.segments = []prefix.Segment{{Level: levelOwn, Text: request.Prompt}}
+	return nil
+}
+
+func decode(body []byte, into any) error {
+	err := json.Unmarshal(body, into)
+	if err == nil {
+		return nil
+	}
+	var typed *fault.Error
+	if errors.As(err, &typed) {
+		return typed
+	}
+	return fault.Wrap(err, fault.BadRequest, "the body is not a valid request")
+}
+
+// levelOwn is the level of text that belongs to the caller alone.
+const levelOwn = "own"
+
+// findPrompt returns the named prompt of the workspace. Without a name it returns the only
+// prompt, or nil if there is none or more than one.
+func findPrompt(w *config.Workspace, name string) (*config.Prompt, error) {
+	if name == "" {
+		if len(w.Prompts) == 1 {
+			return &w.Prompts[0], nil
+		}
+		return nil, nil
+	}
+	for i := range w.Prompts {
+		if w.Prompts[i].Name == name {
+			return &w.Prompts[i], nil
+		}
+	}
+	return nil, fault.New(fault.NotFound, "prompt %q is not declared in workspace %s", name, w.Name)
+}
+
+// chatSegments assigns message i to level i of the prompt; the rest is the caller's own.
+func chatSegments(messages []openai.Message, prompt *config.Prompt) []prefix.Segment {
+	segments := make([]prefix.Segment, len(messages))
+	for i, m := range messages {
+		segments[i] = prefix.Segment{Level: levelOwn, Text: m.Role + "\n" + string(m.Content) + "\n"}
+		if prompt != nil && i < len(prompt.Levels) {
+			segments[i].Level = prompt.Levels[i].Name
+			segments[i].Shared = prompt.Levels[i].Shared
+		}
+	}
+	return segments
+}
+
+// resolve checks the request against the configuration and cuts the prompt into pieces.
+func (g *generation) resolve(r *http.Request) error {
+	if err := g.common.Validate(); err != nil {
+		return err
+	}
+	model, ok := g.config.Model(g.common.Model)
+	if !ok || !slices.Contains(g.workspace.Models, model.Name) {
+		return fault.New(fault.NotFound, "model %q is not declared in workspace %s", g.common.Model, g.workspace.Name)
+	}
+	g.model = model
+	g.caller = r.Header.Get(headerCaller)
+	if g.caller == "" {
+		g.caller = g.common.User
+	}
+	g.maxTokens = defaultMaxTokens
+	if g.common.MaxTokens != nil {
+		g.maxTokens = *g.common.MaxTokens
+	}
+	deadline, err := readDeadline(r, g.workspace.Limits.Deadline.D())
+	if err != nil {
+		return err
+	}
+	g.deadline = g.arrived.Add(deadline)
+	salt := prefix.Salt{Workspace: g.workspace.Name, Model: model.Name, WeightsVersion: model.WeightsVersion}
+	geometry := prefix.Geometry{PieceTokens: model.PieceTokens, BytesPerToken: model.BytesPerToken}
+	g.pieces = prefix.Chain(salt, geometry, g.segments)
+	return nil
+}
+
+// readDeadline returns the caller's own bound if it is shorter than the workspace's.
+func readDeadline(r *http.Request, bound time.Duration) (time.Duration, error) {
+	text := r.Header.Get(headerDeadline)
+	if text == "" {
+		return bound, nil
+	}
+	ms, err := strconv.Atoi(text)
+	if err != nil || ms < 1 {
+		return 0, fault.New(fault.BadRequest, "header %s must be a positive number of milliseconds", headerDeadline)
+	}
+	return min(bound, time.Duration(ms)*time.Millisecond), nil
+}
--- /dev/null
+++ b/pkg/entry/respond.go
@@ -0,0 +1,231 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"cassiawall.example/cassiawall/pkg/engine"
+	"cassiawall.example/cassiawall/pkg/event"
+	"cassiawall.example/cassiawall/pkg/fault"
+	"cassiawall.example/cassiawall/pkg/openai"
+	"cassiawall.example/cassiawall/pkg/stream"
+)
+
+// responder writes the answer of one request.
+type responder interface {
+	stream.Sink
+	// finish writes the end of a whole answer.
+	finish(result *stream.Result) error
+	// started reports whether a part of the answer was written.
+	started() bool
+	// fail ends a started answer with a typed error.
+	fail(id string, err error)
+}
+
+// runGeneration relays the answer as a stream or whole.
+func (s *Server) runGeneration(ctx context.Context, w http.ResponseWriter, r *http.Request, g *generation) error {
+	var out responder = &wholeResponder{w: w, g: g, now: s.opt.Now}
+	if g.common.Stream {
+		out = &streamResponder{w: w, control: http.NewResponseController(w), g: g, now: s.opt.Now, stall: s.opt.WriteStall}
+	}
+	err := s.relayGeneration(ctx, g, out)
+	if err == nil || !out.started() {
+		return err
+	}
+	s.logFailure(r.Context(), event.RequestFailed, g.id, err)
+	out.fail(g.id, err)
+	return nil
+}
+
+// refuse writes a typed error as the whole answer.
+func (s *Server) refuse(ctx context.Context, w http.ResponseWriter, id string, err error) {
+	typed := fault.As(err)
+	kind := event.RequestRefused
+	if typed.Work != fault.NotRun {
+		kind = event.RequestFailed
+	}
+	s.logFailure(ctx, kind, id, err)
+	fault.WriteHTTP(w, typed, id)
+}
+
+func (s *Server) logFailure(ctx context.Context, e event.Event, id string, err error) {
+	typed := fault.As(err)
+	e.Log(ctx, s.opt.Logger, slog.String("request", id), slog.String("kind", string(typed.Kind)),
+		slog.String("work", string(typed.Work)), slog.String("error", typed.Error()))
+}
+
+// timedSink measures the times between chunks and reports the first one.
+type timedSink struct {
+	responder responder
+	now       func() time.Time
+	arrived   time.Time
+	slot      func(*engine.Chunk)
+	last      time.Time
+	ttft      time.Duration
+	maxGap    time.Duration
+}
+
+// Deliver implements stream.Sink.
+func (t *timedSink) Deliver(c engine.Chunk) error {
+	now := t.now()
+	if t.last.IsZero() {
+		t.ttft = now.Sub(t.arrived)
+	} else {
+		t.maxGap = max(t.maxGap, now.Sub(t.last))
+	}
+	t.last = now
+	t.slot(&c)
+	return t.responder.Deliver(c)
+}
+
+// streamResponder writes server-sent events.
+type streamResponder struct {
+	w       http.ResponseWriter
+	control *http.ResponseController
+	g       *generation
+	now     func() time.Time
+	stall   time.Duration
+	begun   bool
+}
+
+func (o *streamResponder) started() bool { return o.begun }
+
+// Deliver implements stream.Sink. It fails with fault.SlowReader if the caller does not take
+// the chunk within the stall bound.
+func (o *streamResponder) Deliver(c engine.Chunk) error {
+	if !o.begun {
+		o.w.Header().Set("Content-Type", "text/event-stream")
+		o.w.Header().Set("Cache-Control", "no-store")
+		o.begun = true
+	}
+	var reason *string
+	if c.Final {
+		reason = &c.FinishReason
+	}
+	return o.send(o.chunkBody(c.Text, reason, c.Seq == 0))
+}
+
+func (o *streamResponder) chunkBody(text string, reason *string, first bool) any {
+	created := o.g.arrived.Unix()
+	if !o.g.chat {
+		return openai.Completion{ID: "cmpl-" + o.g.id, Object: "text_completion", Created: created, Model: o.g.model.Name,
+			Choices: []openai.CompletionChoice{{Text: text, FinishReason: reason}}}
+	}
+	delta := &openai.ChatMessage{Content: text}
+	if first {
+		delta.Role = "assistant"
+	}
+	return openai.ChatCompletion{ID: "chatcmpl-" + o.g.id, Object: "chat.completion.chunk", Created: created, Model: o.g.model.Name,
+		Choices: []openai.ChatChoice{{Delta: delta, FinishReason: reason}}}
+}
+
+func (o *streamResponder) finish(result *stream.Result) error {
+	if o.g.common.StreamOptions != nil && o.g.common.StreamOptions.IncludeUsage {
+		if err := o.send(o.usageBody(result)); err != nil {
+			return err
+		}
+	}
+	return o.write([]byte("data: [DONE]\n\n"))
+}
+
+func (o *streamResponder) usageBody(result *stream.Result) any {
+	usage := usageOf(o.g, result)
+	created := o.g.arrived.Unix()
+	if !o.g.chat {
+		return openai.Completion{ID: "cmpl-" + o.g.id, Object: "text_completion", Created: created, Model: o.g.model.Name,
+			Choices: []openai.CompletionChoice{}, Usage: usage}
+	}
+	return openai.ChatCompletion{ID: "chatcmpl-" + o.g.id, Object: "chat.completion.chunk", Created: created, Model: o.g.model.Name,
+		Choices: []openai.ChatChoice{}, Usage: usage}
+}
+
+// fail writes the error as an event. Without the end marker no client takes the answer as whole.
+func (o *streamResponder) fail(id string, err error) {
+	_ = o.write(append([]byte("event: error\n"), dataLine(fault.Body(fault.As(err), id))...))
+}
+
+func (o *streamResponder) send(body any) error { return o.write(dataLine(body)) }
+
+func dataLine(body any) []byte {
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		// The wire types hold only strings and numbers.
+		panic(err)
+	}
+	line := make([]byte, 0, len(encoded)+8)
+	line = append(line, "data: "...)
+	line = append(line, encoded...)
+	return append(line, "\n\n"...)
+}
+
+func (o *streamResponder) write(data []byte) error {
+	// A writer without deadlines, as in tests, has no slow reader.
+	_ = o.control.SetWriteDeadline(time.Now().Add(o.stall))
+	if _, err := o.w.Write(data); err != nil {
+		return o.writeError(err)
+	}
+	if err := o.control.Flush(); err != nil {
+		return o.writeError(err)
+	}
+	return nil
+}
+
+func (o *streamResponder) writeError(err error) error {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return fault.Wrap(err, fault.SlowReader, "the caller took nothing for %s", o.stall).WithWork(fault.Run)
+	}
+	return fault.Wrap(err, fault.StreamBroken, "the caller's connection failed").WithWork(fault.Run)
+}
+
+// wholeResponder collects the answer and writes it at the end. The answer's size is bounded by
+// the request's token bound.
+type wholeResponder struct {
+	w    http.ResponseWriter
+	g    *generation
+	now  func() time.Time
+	text strings.Builder
+}
+
+func (o *wholeResponder) started() bool      { return false }
+func (o *wholeResponder) fail(string, error) {}
+
+// Deliver implements stream.Sink.
+func (o *wholeResponder) Deliver(c engine.Chunk) error {
+	o.text.WriteString(c.Text)
+	return nil
+}
+
+func (o *wholeResponder) finish(result *stream.Result) error {
+	o.w.Header().Set("Content-Type", "application/json")
+	reason := result.FinishReason
+	created := o.g.arrived.Unix()
+	var body any
+	if o.g.chat {
+		body = openai.ChatCompletion{ID: "chatcmpl-" + o.g.id, Object: "chat.completion", Created: created, Model: o.g.model.Name,
+			Choices: []openai.ChatChoice{{Message: &openai.ChatMessage{Role: "assistant", Content: o.text.String()}, FinishReason: &reason}},
+			Usage:   usageOf(o.g, result)}
+	} else {
+		body = openai.Completion{ID: "cmpl-" + o.g.id, Object: "text_completion", Created: created, Model: o.g.model.Name,
+			Choices: []openai.CompletionChoice{{Text: o.text.String(), FinishReason: &reason}}, Usage: usageOf(o.g, result)}
+	}
+	// The status line is written with the first byte; a failed write means that the caller is gone.
+	_ = json.NewEncoder(o.w).Encode(body)
+	return nil
+}
+
+func usageOf(g *generation, result *stream.Result) *openai.Usage {
+	prompt := 0
+	for _, p := range g.pieces {
+		prompt += p.Tokens
+	}
+	return &openai.Usage{
+		PromptTokens: prompt, CompletionTokens: result.Tokens, TotalTokens: prompt + result.Tokens,
+		PromptTokensDetails: openai.PromptDetails{CachedTokens: result.ReusedTokens},
+	}
+}
--- /dev/null
+++ b/pkg/routing/baseline.go
@@ -0,0 +1,159 @@
+package routing
+
+import (
+	"context"
+	"math"
+	"slices"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cassiawall.example/cassiawall/pkg/blackboard"
+	"cassiawall.example/cassiawall/pkg/fault"
+)
+
+// Names of the baseline policies.
+const (
+	PolicyRoundRobin     = "round-robin"
+	PolicyLeastLoaded    = "least-loaded"
+	PolicyConsistentHash = "consistent-hash"
+)
+
+// boundedLoadFactor is the load of an engine, as a multiple of the mean, above which consistent
+// hashing passes on to the next engine of the order.
+const boundedLoadFactor = 1.25
+
+// Baseline is a simple policy that the bench compares the system with. It sends at once and
+// leaves queueing to the engine. Loads are the requests in flight over all nodes that share
+// the same Inflight, so a baseline sees loads without lag.
+type Baseline struct {
+	board    *blackboard.Board
+	policy   string
+	inflight *Inflight
+
+	mu   sync.Mutex
+	turn int
+}
+
+// Inflight counts the requests in flight per engine. It is safe for concurrent use.
+type Inflight struct {
+	mu     sync.Mutex
+	counts map[string]int
+}
+
+// NewInflight returns a counter without requests.
+func NewInflight() *Inflight { return &Inflight{counts: map[string]int{}} }
+
+func (i *Inflight) add(engine string, n int) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.counts[engine] += n
+}
+
+func (i *Inflight) get(engine string) int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.counts[engine]
+}
+
+// NewBaseline returns the named policy over the engines of board.
+func NewBaseline(policy string, board *blackboard.Board, inflight *Inflight) (*Baseline, error) {
+	switch policy {
+	case PolicyRoundRobin, PolicyLeastLoaded, PolicyConsistentHash:
+		return &Baseline{board: board, policy: policy, inflight: inflight}, nil
+	}
+	return nil, fault.New(fault.BadRequest, "policy %q is unknown; use %s, %s or %s",
+		policy, PolicyRoundRobin, PolicyLeastLoaded, PolicyConsistentHash)
+}
+
+// Route implements Router.
+func (b *Baseline) Route(_ context.Context, w *Work) (Slot, error) {
+	engines := Candidates(b.board, w)
+	if len(engines) == 0 {
+		return nil, fault.New(fault.NoEngine, "no engine serves model %s version %s", w.Model.Name, w.Model.WeightsVersion)
+	}
+	e := b.pick(engines, w)
+	b.inflight.add(e.ID, 1)
+	return &baselineSlot{target: targetOf(&e), inflight: b.inflight}, nil
+}
+
+func targetOf(e *blackboard.EngineEntry) Target {
+	return Target{Engine: e.ID, Address: e.Address, Incarnation: e.State.Incarnation}
+}
+
+func (b *Baseline) pick(engines []blackboard.EngineEntry, w *Work) blackboard.EngineEntry {
+	switch b.policy {
+	case PolicyLeastLoaded:
+		return b.leastLoaded(engines)
+	case PolicyConsistentHash:
+		return b.consistentHash(engines, w)
+	default:
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.turn++
+		return engines[b.turn%len(engines)]
+	}
+}
+
+// leastLoaded starts its scan at a rotating engine, so that ties are spread.
+func (b *Baseline) leastLoaded(engines []blackboard.EngineEntry) blackboard.EngineEntry {
+	b.mu.Lock()
+	b.turn++
+	start := b.turn % len(engines)
+	b.mu.Unlock()
+	best := engines[start]
+	for i := range engines {
+		e := engines[(start+i)%len(engines)]
+		if b.inflight.get(e.ID) < b.inflight.get(best.ID) {
+			best = e
+		}
+	}
+	return best
+}
+
+// consistentHash keeps all requests of a workspace and first level together, up to the load bound.
+func (b *Baseline) consistentHash(engines []blackboard.EngineEntry, w *Work) blackboard.EngineEntry {
+	key := w.Workspace.Name + "/" + firstLevelKey(w)
+	slices.SortFunc(engines, func(x, y blackboard.EngineEntry) int {
+		if xxhash.Sum64String(key+x.ID) > xxhash.Sum64String(key+y.ID) {
+			return -1
+		}
+		return 1
+	})
+	total := 1
+	for i := range engines {
+		total += b.inflight.get(engines[i].ID)
+	}
+	bound := int(math.Ceil(boundedLoadFactor * float64(total) / float64(len(engines))))
+	for i := range engines {
+		if b.inflight.get(engines[i].ID) < bound {
+			return engines[i]
+		}
+	}
+	return engines[0]
+}
+
+// firstLevelKey identifies the content of the whole first level.
+func firstLevelKey(w *Work) string {
+	key := uint64(0)
+	for _, p := range w.Pieces {
+		if p.Level != w.Pieces[0].Level {
+			break
+		}
+		key = p.Key
+	}
+	return string([]byte{byte(key), byte(key >> 8), byte(key >> 16), byte(key >> 24),
+		byte(key >> 32), byte(key >> 40), byte(key >> 48), byte(key >> 56)})
+}
+
+type baselineSlot struct {
+	target   Target
+	inflight *Inflight
+	once     sync.Once
+}
+
+func (s *baselineSlot) Target() Target   { return s.target }
+func (s *baselineSlot) FirstToken(Usage) {}
+func (s *baselineSlot) Done(Ending) {
+	s.once.Do(func() { s.inflight.add(s.target.Engine, -1) })
+}
--- /dev/null
+++ b/pkg/routing/engines.go
@@ -0,0 +1,37 @@
+package routing
+
+import (
+	"cmp"
+	"slices"
+
+	"cassiawall.example/cassiawall/pkg/blackboard"
+	"cassiawall.example/cassiawall/pkg/config"
+)
+
+// RoleServe is the role of an engine that takes requests. An empty role means the same.
+const RoleServe = "serve"
+
+// Usable reports whether an engine can take new requests of the model version. Engines that
+// have not reported yet, leave, are unreachable or hold other weights cannot.
+func Usable(e *blackboard.EngineEntry, model *config.Model) bool {
+	if !e.Known || e.Leaving || !e.Reachable || e.State.Leaving || e.State.Loading {
+		return false
+	}
+	if e.State.Role != "" && e.State.Role != RoleServe {
+		return false
+	}
+	return e.State.Model == model.Name && e.State.WeightsVersion == model.WeightsVersion
+}
+
+// Candidates returns the usable engines that have not failed the request, ordered by id.
+func Candidates(board *blackboard.Board, w *Work) []blackboard.EngineEntry {
+	var usable []blackboard.EngineEntry
+	for _, entry := range board.Engines.Snapshot() {
+		e := entry.Value
+		if Usable(&e, w.Model) && !w.Failed[e.ID] {
+			usable = append(usable, e)
+		}
+	}
+	slices.SortFunc(usable, func(a, b blackboard.EngineEntry) int { return cmp.Compare(a.ID, b.ID) })
+	return usable
+}
