--- a/pkg/config/duration.go
+++ b/pkg/config/duration.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"fmt"
 	"time"
 
 	"go.yaml.in/yaml/v3"
@@ -12,11 +13,14 @@
 // D returns the span as time.Duration.
 func (d Duration) D() time.Duration { return time.Duration(d) }
 
+// Hint returns how a span is written.
+func (d Duration) Hint() string { return `write a number with its unit, such as "1.5s" or "20ms"` }
+
 // UnmarshalYAML parses a span with its unit. A bare number is refused because its unit is unclear.
 func (d *Duration) UnmarshalYAML(node *yaml.Node) error {
 	span, err := time.ParseDuration(node.Value)
-	if err != nil {
-		return err
+	if err != nil || node.ShortTag() != "!!str" {
+		return fmt.Errorf("%q is not a duration", node.Value)
 	}
 	*d = Duration(span)
 	return nil
--- /dev/null
+++ b/pkg/settings/load.go
@@ -0,0 +1,83 @@
+package settings
+
+import (
+	"bytes"
+	"log/slog"
+	"os"
+
+	"cassiawall.example/cassiawall/pkg/fault"
+	"cassiawall.example/cassiawall/pkg/strictyaml"
+)
+
+// MinPeerKeyBytes is the shortest peer key. HMAC-SHA256 gains nothing from the hash's full length
+// with a shorter key.
+const MinPeerKeyBytes = 32
+
+// maxPeerKeys is the number of keys that are live during a rotation.
+const maxPeerKeys = 2
+
+// Load reads and validates a settings file. The error is of kind fault.InvalidSettings and wraps
+// strictyaml.Problems when the content is at fault.
+func Load(path string) (*Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.InvalidSettings, "cannot read settings file %s", path)
+	}
+	return Parse(text)
+}
+
+// Parse reads a settings document, validates it and fills in defaults. On an error nothing is
+// returned. The error is of kind fault.InvalidSettings and wraps strictyaml.Problems.
+func Parse(text []byte) (*Settings, error) {
+	var s Settings
+	document := strictyaml.Decode(text, &s)
+	s.validate(document)
+	if err := document.Err(); err != nil {
+		return nil, fault.Wrap(err, fault.InvalidSettings, "settings are refused")
+	}
+	s.setDefaults()
+	return &s, nil
+}
+
+// Level returns the log level.
+func (s *Settings) Level() slog.Level {
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(s.LogLevel)); err != nil {
+		return slog.LevelInfo
+	}
+	return level
+}
+
+// LoadPeerKeys reads the peer keys, the signing key first. The error is of kind
+// fault.InvalidSettings and never contains a key.
+func (s *Settings) LoadPeerKeys() ([][]byte, error) {
+	keys := make([][]byte, 0, len(s.PeerKeys))
+	for i, secret := range s.PeerKeys {
+		key, err := secret.Read()
+		if err != nil {
+			return nil, err
+		}
+		if len(key) < MinPeerKeyBytes {
+			return nil, fault.New(fault.InvalidSettings, "peer_keys[%d] has %d bytes; at least %d are needed", i, len(key), MinPeerKeyBytes)
+		}
+		keys = append(keys, key)
+	}
+	return keys, nil
+}
+
+// Read returns the secret without surrounding white space. The error is of kind
+// fault.InvalidSettings.
+func (s Secret) Read() ([]byte, error) {
+	if s.Env != "" {
+		value, ok := os.LookupEnv(s.Env)
+		if !ok {
+			return nil, fault.New(fault.InvalidSettings, "environment variable %s is not set", s.Env)
+		}
+		return bytes.TrimSpace([]byte(value)), nil
+	}
+	text, err := os.ReadFile(s.File)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.InvalidSettings, "cannot read secret file %s", s.File)
+	}
+	return bytes.TrimSpace(text), nil
+}
--- /dev/null
+++ b/pkg/strictyaml/problem.go
@@ -0,0 +1,76 @@
+// Package strictyaml decodes YAML into structs and collects every fault with its line, field and
+// remedy, instead of stopping at the first one. Settings and configuration share it.
+package strictyaml
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Problem is one fault in a document.
+type Problem struct {
+	// Line is the line in the document, counted from 1. 0 means that no line is known.
+	Line int `json:"line"`
+	// Field is the path of the field, as in "workspaces[2].limits.deadline".
+	Field string `json:"field"`
+	// Message says what is wrong.
+	Message string `json:"message"`
+	// Remedy says what to write instead.
+	Remedy string `json:"remedy"`
+}
+
+// String returns the problem on one line.
+func (p Problem) String() string {
+	return fmt.Sprintf("line %d: %s: %s; remedy: %s", p.Line, p.Field, p.Message, p.Remedy)
+}
+
+// Problems are all faults of a document. It implements error.
+type Problems []Problem
+
+// Error returns one line for each problem.
+func (p Problems) Error() string {
+	lines := make([]string, 0, len(p))
+	for _, problem := range p {
+		lines = append(lines, problem.String())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Add records a problem with the field at path. The line is that of the field, or of the nearest
+// enclosing field that the document contains.
+func (d *Document) Add(path, message, remedy string) {
+	d.add(Problem{Line: d.Line(path), Field: path, Message: message, Remedy: remedy})
+}
+
+func (d *Document) add(p Problem) {
+	d.problems = append(d.problems, p)
+	d.faulty[p.Field] = true
+}
+
+// Err returns all problems in the order of their lines as Problems, or nil.
+func (d *Document) Err() error {
+	if len(d.problems) == 0 {
+		return nil
+	}
+	sorted := slices.Clone(d.problems)
+	slices.SortStableFunc(sorted, func(a, b Problem) int { return a.Line - b.Line })
+	return sorted
+}
+
+// Has reports whether the document contains the field at path.
+func (d *Document) Has(path string) bool {
+	_, ok := d.lines[path]
+	return ok
+}
+
+// Line returns the line of the field at path, or of the nearest enclosing field, or 1.
+func (d *Document) Line(path string) int {
+	for path != "" {
+		if line, ok := d.lines[path]; ok {
+			return line
+		}
+		path = path[:max(strings.LastIndexAny(path, ".["), 0)]
+	}
+	return 1
+}
