--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/kataras/iris/v12"
+	iriscontext "github.com/kataras/iris/v12/context"
 
 	"cassiawall.example/cassiawall/pkg/blackboard"
 	"cassiawall.example/cassiawall/pkg/config"
@@ -131,7 +132,7 @@
 func (s *Server) Running() int { return int(s.running.Load()) }
 
 // writer lets http.ResponseController reach the connection's own writer.
-type writer struct{ iris.ResponseWriter }
+type writer struct{ iriscontext.ResponseWriter }
 
 // Unwrap returns the writer below the router library's.
 func (w writer) Unwrap() http.ResponseWriter { return w.Naive() }
--- a/pkg/entry/respond.go
+++ b/pkg/entry/respond.go
@@ -147,7 +147,7 @@
 
 // fail writes the error as an event. Without the end marker no client takes the answer as whole.
 func (o *streamResponder) fail(id string, err error) {
-	_ = o.write(append([]byte("event: error\n"), dataLine(fault.Body(fault.As(err), id))...))
+	_ = o.write(append([]byte("event: error\n"), dataLine(fault.BodyOf(err, id))...))
 }
 
 func (o *streamResponder) send(body any) error { return o.write(dataLine(body)) }
