--- /dev/null
+++ b/pkg/standin/objects/handler.go
@@ -0,0 +1,109 @@
+package objects
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"cassiawall.example/cassiawall/pkg/fault"
+	"cassiawall.example/cassiawall/pkg/objects"
+)
+
+// watchPoll bounds one long poll, so that a vanished watcher does not hold a connection forever.
+const watchPoll = 30 * time.Second
+
+// Handler serves a store with the HTTP interface of the object API, plus GET /admin/counters and
+// POST /admin/faults with a Faults document.
+func Handler(s *Store) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /objects/{name...}", s.serveGet)
+	mux.HandleFunc("PUT /objects/{name...}", s.servePut)
+	mux.HandleFunc("DELETE /objects/{name...}", s.serveDelete)
+	mux.HandleFunc("GET /objects", s.serveList)
+	mux.HandleFunc("GET /watch", s.serveWatch)
+	mux.HandleFunc("GET /admin/counters", func(w http.ResponseWriter, _ *http.Request) { answer(w, s.Counters(), nil) })
+	mux.HandleFunc("POST /admin/faults", s.serveFaults)
+	return mux
+}
+
+func (s *Store) serveGet(w http.ResponseWriter, r *http.Request) {
+	o, err := s.Get(r.Context(), r.PathValue("name"))
+	answer(w, o, err)
+}
+
+func (s *Store) servePut(w http.ResponseWriter, r *http.Request) {
+	ifVersion, err := strconv.ParseUint(r.Header.Get("If-Match"), 10, 64)
+	if err != nil {
+		http.Error(w, "If-Match must hold a version", http.StatusBadRequest)
+		return
+	}
+	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, objects.MaxValueBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+		return
+	}
+	version, err := s.Put(r.Context(), r.PathValue("name"), value, ifVersion)
+	answer(w, objects.Written{Version: version}, err)
+}
+
+func (s *Store) serveDelete(w http.ResponseWriter, r *http.Request) {
+	ifVersion, err := strconv.ParseUint(r.Header.Get("If-Match"), 10, 64)
+	if err != nil {
+		http.Error(w, "If-Match must hold a version", http.StatusBadRequest)
+		return
+	}
+	answer(w, objects.Written{}, s.Delete(r.Context(), r.PathValue("name"), ifVersion))
+}
+
+func (s *Store) serveList(w http.ResponseWriter, r *http.Request) {
+	found, err := s.List(r.Context(), r.URL.Query().Get("prefix"))
+	answer(w, found, err)
+}
+
+func (s *Store) serveWatch(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		http.Error(w, "after must be a version", http.StatusBadRequest)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), watchPoll)
+	defer cancel()
+	found, err := s.Watch(ctx, r.URL.Query().Get("prefix"), after)
+	if ctx.Err() != nil && len(found) == 0 {
+		answer(w, []objects.Object{}, nil)
+		return
+	}
+	answer(w, found, err)
+}
+
+func (s *Store) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, 1<<16)).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetFaults(f)
+	answer(w, f, nil)
+}
+
+// answer writes v as JSON, or the status of err. An answer lost after the write took effect
+// closes the connection without a response.
+func answer(w http.ResponseWriter, v any, err error) {
+	if err == nil {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(v)
+		return
+	}
+	e := fault.As(err)
+	if e.Work == fault.Unknown {
+		panic(http.ErrAbortHandler)
+	}
+	status := e.Status()
+	if e.Kind == fault.PlatformUnavailable && e.RetryAfter > 0 {
+		status = http.StatusTooManyRequests
+	}
+	http.Error(w, e.Message, status)
+}
