--- a/pkg/entry/parse.go
+++ b/pkg/entry/parse.go
@@ -162,7 +162,7 @@
 func chatSegments(messages []openai.Message, prompt *config.Prompt) []prefix.Segment {
 	segments := make([]prefix.Segment, len(messages))
 	for i, m := range messages {
-		segments[i] = prefix.Segment{Level: levelOwn, Text: m.Role + "\n" + string(m.Content) + "\n"}
+		segments[i] = prefix.Segment{Level: levelOwn, Text: m.Text()}
 		if prompt != nil && i < len(prompt.Levels) {
 			segments[i].Level = prompt.Levels[i].Name
 			segments[i].Shared = prompt.Levels[i].Shared
--- /dev/null
+++ b/pkg/loadgen/client.go
@@ -0,0 +1,193 @@
+// Package loadgen calls cassiawall as callers do: it streams chats, leaves early, books through
+// plain services, and checks what it gets back.
+package loadgen
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"cassiawall.example/cassiawall/pkg/fault"
+	"cassiawall.example/cassiawall/pkg/openai"
+)
+
+// Client sends requests to one node.
+type Client struct {
+	// Base is the URL of the node's callers' listener.
+	Base string
+	HTTP *http.Client
+}
+
+// Chat is one chat request.
+type Chat struct {
+	APIKey    string
+	Caller    string
+	Model     string
+	Messages  []openai.Message
+	MaxTokens int
+	Seed      int64
+	// OnFirst is called at the first chunk, if set.
+	OnFirst func()
+}
+
+// Result is what a caller saw of one request.
+type Result struct {
+	// Sent is false when no connection to the node could be made.
+	Sent     bool
+	TTFT     time.Duration
+	Total    time.Duration
+	Text     string
+	Complete bool
+	// CachedTokens and PromptTokens are what the answer's usage says.
+	CachedTokens int
+	PromptTokens int
+	// Kind and Work are of the typed error, if there was one.
+	Kind fault.Kind
+	Work fault.Work
+	// Err is the transport error, if there was one.
+	Err error
+}
+
+// chunk is the part of a streamed chunk that a caller reads.
+type chunk struct {
+	Choices []struct {
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+		FinishReason *string `json:"finish_reason"`
+	} `json:"choices"`
+	Usage *openai.Usage    `json:"usage"`
+	Error *fault.BodyError `json:"error"`
+}
+
+// Stream sends a chat and reads its stream until it ends or ctx ends.
+func (c *Client) Stream(ctx context.Context, chat *Chat) Result {
+	body, err := json.Marshal(openai.ChatRequest{
+		Common: openai.Common{Model: chat.Model, Stream: true, StreamOptions: &openai.StreamOptions{IncludeUsage: true},
+			MaxTokens: &chat.MaxTokens, Seed: chat.Seed, User: chat.Caller},
+		Messages: chat.Messages,
+	})
+	if err != nil {
+		return Result{Err: err}
+	}
+	start := time.Now()
+	response, err := c.send(ctx, http.MethodPost, "/v1/chat/completions", chat.APIKey, body, nil)
+	if err != nil {
+		return Result{Err: err, Total: time.Since(start)}
+	}
+	defer response.Body.Close()
+	result := Result{Sent: true}
+	if response.StatusCode != http.StatusOK {
+		result.readError(response.Body)
+	} else {
+		result.readStream(response.Body, start, chat.OnFirst)
+	}
+	result.Total = time.Since(start)
+	return result
+}
+
+func (c *Client) send(ctx context.Context, method, path, key string, body []byte, header http.Header) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, method, c.Base+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	for name, values := range header {
+		request.Header[name] = values
+	}
+	request.Header.Set("Authorization", "Bearer "+key)
+	request.Header.Set("Content-Type", "application/json")
+	return c.HTTP.Do(request)
+}
+
+func (r *Result) readError(body io.Reader) {
+	var document fault.Body
+	if err := json.NewDecoder(body).Decode(&document); err != nil {
+		r.Err = err
+		return
+	}
+	r.Kind, r.Work = document.Error.Kind, document.Error.Work
+}
+
+// maxLineBytes bounds one line of a stream.
+const maxLineBytes = 1 << 20
+
+func (r *Result) readStream(body io.Reader, start time.Time, onFirst func()) {
+	var text strings.Builder
+	finished := false
+	lines := bufio.NewScanner(body)
+	lines.Buffer(make([]byte, 0, 4096), maxLineBytes)
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			r.Complete = finished
+			break
+		}
+		var c chunk
+		if err := json.Unmarshal([]byte(data), &c); err != nil {
+			r.Err = err
+			break
+		}
+		if c.Error != nil {
+			r.Kind, r.Work = c.Error.Kind, c.Error.Work
+			break
+		}
+		if c.Usage != nil {
+			r.CachedTokens, r.PromptTokens = c.Usage.PromptTokensDetails.CachedTokens, c.Usage.PromptTokens
+		}
+		for _, choice := range c.Choices {
+			if r.TTFT == 0 {
+				r.TTFT = time.Since(start)
+				if onFirst != nil {
+					onFirst()
+				}
+			}
+			text.WriteString(choice.Delta.Content)
+			finished = finished || choice.FinishReason != nil
+		}
+	}
+	r.Text = text.String()
+	if err := lines.Err(); err != nil && r.Err == nil {
+		r.Err = err
+	}
+}
+
+// Call is one call of a plain service.
+type Call struct {
+	APIKey         string
+	Method         string
+	Path           string
+	IdempotencyKey string
+	Body           []byte
+}
+
+// Call sends a call of a plain service. Text is the answer's body and Complete tells that the
+// service answered with a status below 400.
+func (c *Client) Call(ctx context.Context, call *Call) Result {
+	header := http.Header{}
+	if call.IdempotencyKey != "" {
+		header.Set("Idempotency-Key", call.IdempotencyKey)
+	}
+	start := time.Now()
+	response, err := c.send(ctx, call.Method, call.Path, call.APIKey, call.Body, header)
+	if err != nil {
+		return Result{Err: err, Total: time.Since(start)}
+	}
+	defer response.Body.Close()
+	result := Result{Sent: true}
+	if response.StatusCode >= http.StatusBadRequest {
+		result.readError(response.Body)
+	} else {
+		body, err := io.ReadAll(response.Body)
+		result.Text, result.Err, result.Complete = string(body), err, err == nil
+	}
+	result.Total = time.Since(start)
+	return result
+}
--- a/pkg/openai/request.go
+++ b/pkg/openai/request.go
@@ -97,3 +97,15 @@
 }
 
 func isSet(raw json.RawMessage) bool { return len(raw) > 0 && string(raw) != "null" }
+
+// Text returns the text of the message as an engine sees it.
+func (m Message) Text() string { return m.Role + "\n" + string(m.Content) + "\n" }
+
+// ChatText returns the text of a whole chat as an engine sees it.
+func ChatText(messages []Message) string {
+	var b strings.Builder
+	for _, m := range messages {
+		b.WriteString(m.Text())
+	}
+	return b.String()
+}
