--- a/pkg/blackboard/board.go
+++ b/pkg/blackboard/board.go
@@ -35,6 +35,9 @@
 	Doubtful    bool
 	// Version grows with each summary of one owner.
 	Version uint64
+	// Model and WeightsVersion are what the engine serves.
+	Model          string
+	WeightsVersion string
 }
 
 // MemberState is the state of a node in the membership view.
--- /dev/null
+++ b/pkg/controller/discovery/discovery_test.go
@@ -0,0 +1,90 @@
+package discovery
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"cassiawall.example/cassiawall/pkg/blackboard"
+	"cassiawall.example/cassiawall/pkg/config"
+	"cassiawall.example/cassiawall/pkg/vms"
+)
+
+func live(name string) vms.VM {
+	return vms.VM{Name: name, Address: name + ":1", Role: vms.RoleEngine, State: vms.Live}
+}
+
+func leaving(name string) vms.VM {
+	vm := live(name)
+	vm.State = vms.Leaving
+	return vm
+}
+
+// Each case is a sequence of VM lists, one a second. Guards against new work to a leaving engine
+// and against a pool that a wrong list empties.
+func TestLists(t *testing.T) {
+	a, b := live("a"), live("b")
+	cases := []struct {
+		name    string
+		lists   [][]vms.VM
+		known   []string
+		leaving []string
+	}{
+		{"leaving counts at once", [][]vms.VM{{a, b}, {a, leaving("b")}}, []string{"a", "b"}, []string{"b"}},
+		{"one live report does not take leaving back", [][]vms.VM{{a, b}, {a, leaving("b")}, {a, b}}, []string{"a", "b"}, []string{"b"}},
+		{"flapping stays leaving", [][]vms.VM{{leaving("b")}, {b}, {b}, {leaving("b")}, {b}, {b}, {b}, {b}}, []string{"b"}, []string{"b"}},
+		{"steady live returns", [][]vms.VM{{leaving("b")}, {b}, {b}, {b}, {b}, {b}}, []string{"b"}, nil},
+		{"empty list is ignored", [][]vms.VM{{a, b}, {}, {}, {}, {}}, []string{"a", "b"}, nil},
+		{"missing from two lists stays", [][]vms.VM{{a, b}, {a}, {a}}, []string{"a", "b"}, nil},
+		{"missing from three lists goes", [][]vms.VM{{a, b}, {a}, {a}, {a}}, []string{"a"}, nil},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			board := blackboard.New()
+			controller := New(Options{Board: board, Logger: slog.New(slog.DiscardHandler), Now: time.Now})
+			for i, list := range c.lists {
+				controller.Apply(time.Unix(int64(i), 0), list)
+			}
+			var known, gone []string
+			for id, e := range board.Engines.Snapshot() {
+				known = append(known, id)
+				if e.Value.Leaving {
+					gone = append(gone, id)
+				}
+			}
+			assert.ElementsMatch(t, c.known, known)
+			assert.ElementsMatch(t, c.leaving, gone)
+		})
+	}
+}
+
+// Guards against backend servers that stay in use after the configuration dropped them.
+func TestConfiguredBackendServers(t *testing.T) {
+	board := blackboard.New()
+	controller := New(Options{Board: board, Logger: slog.New(slog.DiscardHandler), Now: time.Now})
+	put := func(addresses ...string) {
+		c := &config.Config{Services: []config.Service{{Name: "ratiba", BackendServers: addresses}}}
+		board.Config.Put(blackboard.ConfigKey, blackboard.ConfigEntry{Config: c}, blackboard.Evidence{})
+		controller.Poll(t.Context())
+	}
+	put("r1:1", "r2:1")
+	assert.Equal(t, 2, board.Services.Len())
+	put("r2:1")
+	_, ok := board.Services.Get(blackboard.ServiceKey{Service: "ratiba", Address: "r1:1"})
+	assert.False(t, ok)
+}
+
+// Guards against routing to an engine that only its owner has heard from.
+func TestSummaryMakesEngineKnown(t *testing.T) {
+	board := blackboard.New()
+	controller := New(Options{Board: board, Logger: slog.New(slog.DiscardHandler), Now: time.Now})
+	controller.Apply(time.Unix(0, 0), []vms.VM{live("a")})
+	board.Summaries.Put("a", blackboard.SummaryEntry{Incarnation: "i1", Model: "lugha", WeightsVersion: "v1"},
+		blackboard.Evidence{Writer: "gossip", ObservedAt: time.Unix(1, 0)})
+	controller.applySummaries()
+	e, _ := board.Engines.Get("a")
+	assert.True(t, e.Value.Known)
+	assert.Equal(t, "i1", e.Value.State.Incarnation)
+}
--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -18,5 +18,6 @@
 	EngineReincarnated   = define(302, "engine returned with a new incarnation", slog.LevelWarn, "find out why the engine restarted")
 	EngineEventsLost     = define(303, "cache events lost", slog.LevelInfo, "none; the index is repaired from a snapshot")
 	EngineOwnershipTaken = define(304, "engine ownership taken", slog.LevelInfo, "none")
+	VMListUnavailable    = define(306, "VM list unavailable", slog.LevelWarn, "check the platform's VM list; the last known list stays in use")
 	DirectDispatch       = define(305, "dispatched without the engine's owner", slog.LevelInfo, "check the owner node if it repeats")
 )
