Add engine HTTP adapter and engine stand-in

The stand-in models continuous batching, a block cache in limited memory, late and lossy cache events, lagging load reports, orders with fencing numbers, KV transfer and stream faults.

--- /dev/null
+++ b/pkg/engine/client.go
@@ -0,0 +1,253 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"cassiawall.example/cassiawall/pkg/fault"
+)
+
+const (
+	// maxReplyBytes bounds a reply that is not a stream. A snapshot of 400,000 cache keys
+	// takes about 9 MB.
+	maxReplyBytes = 64 << 20
+	// maxErrorBytes bounds the part of an error reply that goes into the message.
+	maxErrorBytes = 4 << 10
+)
+
+// Client is the HTTP adapter of Engine. It is safe for concurrent use.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+var _ Engine = (*Client)(nil)
+
+// NewClient returns a client of the engine at baseURL. A nil httpClient means
+// http.DefaultClient. The client must not have a total timeout, which would cut streams.
+func NewClient(baseURL string, httpClient *http.Client) *Client {
+	if httpClient == nil {
+		httpClient = http.DefaultClient
+	}
+	return &Client{base: strings.TrimSuffix(baseURL, "/"), http: httpClient}
+}
+
+// Generate implements Generator.
+func (c *Client) Generate(ctx context.Context, r *Request) (Stream, error) {
+	body := CompletionBody{
+		Model:       r.Model,
+		Prompt:      r.Prompt,
+		MaxTokens:   r.MaxTokens,
+		Seed:        r.Seed,
+		Temperature: r.Temperature,
+		Stream:      true,
+		Cassiawall: &Extension{
+			Workspace:    r.Workspace,
+			Adapter:      r.Adapter,
+			Pieces:       r.Pieces,
+			Replay:       r.Replay,
+			ReplayTokens: r.ReplayTokens,
+		},
+	}
+	request, err := c.newRequest(ctx, http.MethodPost, "/v1/completions", body)
+	if err != nil {
+		return nil, err
+	}
+	setGenerateHeaders(request.Header, r)
+	response, err := c.send(request)
+	if err != nil {
+		return nil, err
+	}
+	return newStream(response.Body), nil
+}
+
+func setGenerateHeaders(h http.Header, r *Request) {
+	h.Set(HeaderRequestID, r.ID)
+	h.Set("Accept", "text/event-stream")
+	if r.Priority != 0 {
+		h.Set(HeaderPriority, strconv.Itoa(r.Priority))
+	}
+	if r.ResumeOffset != 0 {
+		h.Set(HeaderResumeOffset, strconv.Itoa(r.ResumeOffset))
+	}
+	if r.WeightsVersion != "" {
+		h.Set(HeaderWeightsVersion, r.WeightsVersion)
+	}
+	if r.Incarnation != "" {
+		h.Set(HeaderIncarnation, r.Incarnation)
+	}
+}
+
+// CancelBody is the body of /v1/cancel.
+type CancelBody struct {
+	RequestID string `json:"request_id"`
+}
+
+// Cancel implements Generator.
+func (c *Client) Cancel(ctx context.Context, requestID string) error {
+	return c.call(ctx, http.MethodPost, "/v1/cancel", CancelBody{RequestID: requestID}, nil)
+}
+
+// State implements Reporter.
+func (c *Client) State(ctx context.Context) (State, error) {
+	var s State
+	return s, c.call(ctx, http.MethodGet, "/v1/state", nil, &s)
+}
+
+// Load implements Reporter.
+func (c *Client) Load(ctx context.Context) (Load, error) {
+	var l Load
+	return l, c.call(ctx, http.MethodGet, "/v1/load", nil, &l)
+}
+
+// Events implements Reporter. The engine may answer with an empty batch after its own limit of
+// waiting.
+func (c *Client) Events(ctx context.Context, after uint64) (EventBatch, error) {
+	var b EventBatch
+	path := "/v1/events?" + url.Values{"after": {strconv.FormatUint(after, 10)}}.Encode()
+	return b, c.call(ctx, http.MethodGet, path, nil, &b)
+}
+
+// Cache implements Reporter.
+func (c *Client) Cache(ctx context.Context) (CacheSnapshot, error) {
+	var s CacheSnapshot
+	return s, c.call(ctx, http.MethodGet, "/v1/cache", nil, &s)
+}
+
+// ExportBody is the body of /v1/kv/export.
+type ExportBody struct {
+	Keys []string `json:"keys"`
+}
+
+// Export implements KVMover.
+func (c *Client) Export(ctx context.Context, keys []string) (KVBlocks, error) {
+	var b KVBlocks
+	return b, c.call(ctx, http.MethodPost, "/v1/kv/export", ExportBody{Keys: keys}, &b)
+}
+
+// Import implements KVMover.
+func (c *Client) Import(ctx context.Context, blocks KVBlocks) error {
+	return c.call(ctx, http.MethodPost, "/v1/kv/import", blocks, nil)
+}
+
+// Order implements OrderTaker. An error of kind fault.EngineRefused means that the engine has
+// seen a higher fencing number.
+func (c *Client) Order(ctx context.Context, o Order) error {
+	request, err := c.newRequest(ctx, http.MethodPost, "/v1/orders", o)
+	if err != nil {
+		return err
+	}
+	request.Header.Set(HeaderFencing, strconv.FormatUint(o.Fencing, 10))
+	return c.exchange(request, nil)
+}
+
+func (c *Client) call(ctx context.Context, method, path string, body, reply any) error {
+	request, err := c.newRequest(ctx, method, path, body)
+	if err != nil {
+		return err
+	}
+	return c.exchange(request, reply)
+}
+
+func (c *Client) newRequest(ctx context.Context, method, path string, body any) (*http.Request, error) {
+	var reader io.Reader
+	if body != nil {
+		encoded, err := json.Marshal(body)
+		if err != nil {
+			return nil, fault.Wrap(err, fault.Internal, "cannot encode the call to the engine")
+		}
+		reader = bytes.NewReader(encoded)
+	}
+	request, err := http.NewRequestWithContext(ctx, method, c.base+path, reader)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Internal, "engine address %q is not valid", c.base)
+	}
+	if body != nil {
+		request.Header.Set("Content-Type", "application/json")
+	}
+	return request, nil
+}
+
+func (c *Client) exchange(request *http.Request, reply any) error {
+	response, err := c.send(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	limited := io.LimitReader(response.Body, maxReplyBytes)
+	if reply == nil {
+		_, _ = io.Copy(io.Discard, limited)
+		return nil
+	}
+	if err := json.NewDecoder(limited).Decode(reply); err != nil {
+		return fault.Wrap(err, fault.EngineFailed, "engine %s sent an unreadable reply", c.base).WithWork(fault.Unknown)
+	}
+	return nil
+}
+
+// send returns the response if its status is 200. The caller closes its body.
+func (c *Client) send(request *http.Request) (*http.Response, error) {
+	response, err := c.http.Do(request)
+	if err != nil {
+		return nil, c.transportError(err)
+	}
+	if response.StatusCode == http.StatusOK {
+		return response, nil
+	}
+	defer response.Body.Close()
+	return nil, c.statusError(response)
+}
+
+// transportError tells a failed dial, after which no byte has reached the engine, from failures
+// on a connection.
+func (c *Client) transportError(err error) error {
+	wrapped := fault.Wrap(err, fault.EngineFailed, "engine %s did not answer", c.base)
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return wrapped
+	}
+	return wrapped.WithWork(fault.Unknown)
+}
+
+func (c *Client) statusError(response *http.Response) error {
+	message := errorMessage(response.Body)
+	status := response.StatusCode
+	switch status {
+	case http.StatusConflict:
+		return fault.New(fault.EngineRefused, "engine %s refused: %s", c.base, message)
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return fault.New(fault.Overloaded, "engine %s is busy: %s", c.base, message).WithRetryAfter(retryAfter(response.Header))
+	case http.StatusNotFound:
+		return fault.New(fault.NotFound, "engine %s: %s", c.base, message)
+	}
+	if status >= 400 && status < 500 {
+		return fault.New(fault.BadRequest, "engine %s answered %d: %s", c.base, status, message)
+	}
+	return fault.New(fault.EngineFailed, "engine %s answered %d: %s", c.base, status, message).WithWork(fault.Unknown)
+}
+
+func errorMessage(body io.Reader) string {
+	data, _ := io.ReadAll(io.LimitReader(body, maxErrorBytes))
+	var e ErrorBody
+	if json.Unmarshal(data, &e) == nil && e.Error.Message != "" {
+		return e.Error.Message
+	}
+	return strings.TrimSpace(string(data))
+}
+
+func retryAfter(h http.Header) time.Duration {
+	seconds, err := strconv.Atoi(h.Get("Retry-After"))
+	if err != nil || seconds < 0 {
+		return 0
+	}
+	return time.Duration(seconds) * time.Second
+}
--- /dev/null
+++ b/pkg/engine/stream.go
@@ -0,0 +1,85 @@
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+
+	"cassiawall.example/cassiawall/pkg/fault"
+)
+
+// maxEventBytes bounds one line of an event stream, and so the memory of a stream.
+const maxEventBytes = 64 << 10
+
+// initialEventBytes holds a usual chunk without growth.
+const initialEventBytes = 4 << 10
+
+var dataField = []byte("data:")
+
+// sseStream reads chunks from a server-sent event stream.
+type sseStream struct {
+	body  io.ReadCloser
+	lines *bufio.Scanner
+	final bool
+	err   error
+}
+
+func newStream(body io.ReadCloser) *sseStream {
+	lines := bufio.NewScanner(body)
+	lines.Buffer(make([]byte, 0, initialEventBytes), maxEventBytes)
+	return &sseStream{body: body, lines: lines}
+}
+
+// Next implements Stream. The chunk with a finish reason is the engine's end marker.
+func (s *sseStream) Next() (Chunk, error) {
+	if s.err != nil {
+		return Chunk{}, s.err
+	}
+	if s.final {
+		s.err = io.EOF
+		return Chunk{}, s.err
+	}
+	chunk, err := s.read()
+	if err != nil {
+		s.err = err
+		return Chunk{}, err
+	}
+	s.final = chunk.Final
+	return chunk, nil
+}
+
+func (s *sseStream) read() (Chunk, error) {
+	for s.lines.Scan() {
+		data, found := bytes.CutPrefix(s.lines.Bytes(), dataField)
+		if !found {
+			continue
+		}
+		data = bytes.TrimSpace(data)
+		if string(data) == EndOfStream {
+			return Chunk{}, broken("the engine closed the stream before the last chunk")
+		}
+		var body ChunkBody
+		if err := json.Unmarshal(data, &body); err != nil {
+			return Chunk{}, fault.Wrap(err, fault.StreamBroken, "unreadable chunk").WithWork(fault.Run)
+		}
+		return body.chunk(), nil
+	}
+	if err := s.lines.Err(); err != nil {
+		return Chunk{}, fault.Wrap(err, fault.StreamBroken, "the stream was cut").WithWork(fault.Run)
+	}
+	return Chunk{}, broken("the stream ended before the last chunk")
+}
+
+func broken(message string) error {
+	return fault.New(fault.StreamBroken, "%s", message).WithWork(fault.Run)
+}
+
+// Close implements Stream. Closing before the last chunk drops the connection, which cancels
+// the work in the engine.
+func (s *sseStream) Close() error {
+	if s.final {
+		_, _ = io.Copy(io.Discard, io.LimitReader(s.body, initialEventBytes))
+	}
+	return s.body.Close()
+}
--- /dev/null
+++ b/pkg/standin/engine/answer.go
@@ -0,0 +1,83 @@
+package enginestandin
+
+import (
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// tokenBytes is the size of an answer token: four letters and a space.
+const tokenBytes = 5
+
+// answer generates the tokens of one answer. Each token depends on the prompt, the seed and all
+// tokens before it, so a replay with wrong text leads to a visibly different answer.
+type answer struct {
+	state    uint64
+	total    int
+	finish   string
+	produced int
+}
+
+// newAnswer starts the answer to a prompt. About three of four answers end before maxTokens.
+func newAnswer(prompt string, seed int64, maxTokens int) *answer {
+	state := mix(xxhash.Sum64String(prompt) ^ uint64(seed)*0x9e3779b97f4a7c15)
+	a := &answer{state: state, total: maxTokens, finish: "length"}
+	if state%4 != 0 && maxTokens > 1 {
+		half := (maxTokens + 1) / 2
+		a.total = half + int(mix(state)%uint64(maxTokens-half+1))
+		a.finish = "stop"
+	}
+	return a
+}
+
+// next returns the next token.
+func (a *answer) next() string {
+	var token [tokenBytes]byte
+	bits := a.state
+	for i := range tokenBytes - 1 {
+		token[i] = 'a' + byte(bits%26)
+		bits /= 26
+	}
+	token[tokenBytes-1] = ' '
+	a.follow(string(token[:]))
+	return string(token[:])
+}
+
+// follow advances over a token, generated or replayed.
+func (a *answer) follow(token string) {
+	a.state = mix(a.state ^ xxhash.Sum64String(token))
+	a.produced++
+}
+
+// replay advances over text that was delivered before.
+func (a *answer) replay(text string) {
+	for len(text) >= tokenBytes {
+		a.follow(text[:tokenBytes])
+		text = text[tokenBytes:]
+	}
+}
+
+func (a *answer) done() bool { return a.produced >= a.total }
+
+// mix is the finalizer of SplitMix64.
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// Answer returns the whole text that any engine gives for a prompt. Tests and the bench compare
+// what a caller received with it.
+func Answer(prompt string, seed int64, maxTokens int) string {
+	a := newAnswer(prompt, seed, maxTokens)
+	var text strings.Builder
+	text.Grow(a.total * tokenBytes)
+	for !a.done() {
+		text.WriteString(a.next())
+	}
+	return text.String()
+}
+
+// ChatPrompt returns the prompt text of a chat, as the engine sees it.
+func ChatPrompt(contents []string) string { return strings.Join(contents, "\n") }
--- /dev/null
+++ b/pkg/standin/engine/cache.go
@@ -0,0 +1,144 @@
+package enginestandin
+
+import "container/list"
+
+// contentKey is the SHA-256 chain key of a block, the only key by which the cache matches.
+type contentKey [32]byte
+
+// block is one cached piece of a prompt.
+type block struct {
+	content contentKey
+	// routing is the key of the request that stored the block; events and snapshots show it.
+	routing uint64
+	tokens  int
+	adapter string
+	// users counts the running requests that need the block.
+	users   int
+	element *list.Element
+}
+
+// blockCache holds blocks in limited memory and evicts the least recently used block that no
+// request uses.
+type blockCache struct {
+	capacity int
+	blocks   map[contentKey]*block
+	// lru orders all blocks, most recent first.
+	lru *list.List
+	// reserved counts the blocks that running requests will fill.
+	reserved int
+	// inUse counts blocks with users.
+	inUse   int
+	onEvent func(kind cacheChange, routing uint64)
+}
+
+type cacheChange int
+
+const (
+	stored cacheChange = iota
+	evicted
+	cleared
+)
+
+func newBlockCache(capacity int, onEvent func(cacheChange, uint64)) *blockCache {
+	return &blockCache{
+		capacity: capacity,
+		blocks:   map[contentKey]*block{},
+		lru:      list.New(),
+		onEvent:  onEvent,
+	}
+}
+
+// match returns the number of leading pieces that are cached.
+func (c *blockCache) match(pieces []piece) int {
+	for i := range pieces {
+		if c.blocks[pieces[i].content] == nil {
+			return i
+		}
+	}
+	return len(pieces)
+}
+
+// available returns the number of blocks that could be reserved now.
+func (c *blockCache) available() int { return c.capacity - c.inUse - c.reserved }
+
+// reserve sets n blocks aside and evicts what must go for them. The caller checks available
+// first unless it accepts an overfull cache.
+func (c *blockCache) reserve(n int) {
+	c.reserved += n
+	c.shrink()
+}
+
+func (c *blockCache) release(n int) { c.reserved -= n }
+
+// shrink evicts unused blocks until the cache fits its capacity.
+func (c *blockCache) shrink() {
+	e := c.lru.Back()
+	for e != nil && len(c.blocks)+c.reserved > c.capacity {
+		previous := e.Prev()
+		if b := e.Value.(*block); b.users == 0 {
+			c.remove(b)
+		}
+		e = previous
+	}
+}
+
+func (c *blockCache) remove(b *block) {
+	c.lru.Remove(b.element)
+	delete(c.blocks, b.content)
+	c.onEvent(evicted, b.routing)
+}
+
+// store turns a reserved block into a cached one and pins it for the caller. If another request
+// has stored the same content since, that block is pinned instead.
+func (c *blockCache) store(p *piece, adapter string) *block {
+	c.reserved--
+	if known := c.blocks[p.content]; known != nil {
+		c.pin(known)
+		return known
+	}
+	b := &block{content: p.content, routing: p.routing, tokens: p.tokens, adapter: adapter}
+	b.element = c.lru.PushFront(b)
+	c.blocks[p.content] = b
+	c.onEvent(stored, b.routing)
+	c.pin(b)
+	return b
+}
+
+func (c *blockCache) pin(b *block) {
+	if b.users == 0 {
+		c.inUse++
+	}
+	b.users++
+}
+
+// unpin ends the use of blocks, which are in chain order. The first block becomes the most
+// recently used one, so that a chain is evicted from its end.
+func (c *blockCache) unpin(chain []*block) {
+	for i := len(chain) - 1; i >= 0; i-- {
+		b := chain[i]
+		b.users--
+		if b.users == 0 {
+			c.inUse--
+		}
+		if c.blocks[b.content] == b {
+			c.lru.MoveToFront(b.element)
+		}
+	}
+	c.shrink()
+}
+
+// clear drops all blocks. Blocks in use stay pinned by their requests but match no more.
+func (c *blockCache) clear() {
+	c.blocks = map[contentKey]*block{}
+	c.lru.Init()
+	c.onEvent(cleared, 0)
+}
+
+// keys returns the routing keys of all blocks.
+func (c *blockCache) keys() []uint64 {
+	keys := make([]uint64, 0, len(c.blocks))
+	for e := c.lru.Front(); e != nil; e = e.Next() {
+		keys = append(keys, e.Value.(*block).routing)
+	}
+	return keys
+}
--- /dev/null
+++ b/pkg/standin/engine/engine.go
@@ -0,0 +1,299 @@
+package enginestandin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// maxExecutions bounds the list of executions; older ones are dropped.
+const maxExecutions = 1 << 16
+
+// Engine is a stand-in engine. All methods are safe for concurrent use.
+type Engine struct {
+	config Config
+	// wake tells the step loop that work has arrived.
+	wake chan struct{}
+	ctx  context.Context
+	stop context.CancelFunc
+	done sync.WaitGroup
+
+	server   *http.Server
+	listener net.Listener
+	conns    connSet
+
+	mu          sync.Mutex
+	random      *rand.Rand
+	faults      Faults
+	faultyLeft  int
+	incarnation string
+	restarts    int
+	downUntil   time.Time
+	leaving     bool
+	weights     weights
+	target      weights
+	loading     bool
+	role        string
+	fencing     uint64
+	batch       *batch
+	events      eventLog
+	loads       loadHistory
+	sequences   map[string]*sequence
+	arrivals    uint64
+	counters    Counters
+	executions  []Execution
+}
+
+// weights is what an engine has loaded.
+type weights struct {
+	model    string
+	version  string
+	adapters []string
+}
+
+// New returns a running engine that does not listen yet. Close ends it.
+func New(config Config) *Engine {
+	config = config.withDefaults()
+	e := &Engine{
+		config:    config,
+		wake:      make(chan struct{}, 1),
+		random:    rand.New(rand.NewPCG(config.Seed, 0x656e67696e65)),
+		sequences: map[string]*sequence{},
+		conns:     connSet{open: map[net.Conn]struct{}{}},
+	}
+	e.ctx, e.stop = context.WithCancel(context.Background())
+	e.reset()
+	e.done.Go(e.stepLoop)
+	return e
+}
+
+// reset gives the engine a new incarnation with an empty cache and the configured weights.
+func (e *Engine) reset() {
+	e.restarts++
+	e.incarnation = fmt.Sprintf("%s-%d-%08x", e.config.ID, e.restarts, e.random.Uint32())
+	e.weights = weights{model: e.config.Model, version: e.config.WeightsVersion, adapters: e.config.Adapters}
+	e.target = e.weights
+	e.loading = false
+	e.role = e.config.Role
+	e.fencing = 0
+	e.events = eventLog{delay: e.config.EventDelay, interval: e.config.EventInterval, changed: e.events.changed}
+	e.loads = loadHistory{}
+	e.batch = &batch{config: &e.config, cache: newBlockCache(e.config.CacheBlocks, e.cacheChanged)}
+}
+
+func (e *Engine) cacheChanged(kind cacheChange, routing uint64) {
+	lost := e.faults.LostEvents > 0 && e.random.Float64() < e.faults.LostEvents
+	e.events.add(time.Now(), kind, routing, lost)
+}
+
+// ID returns the engine's name.
+func (e *Engine) ID() string { return e.config.ID }
+
+// Start listens on a free loopback port.
+func (e *Engine) Start() error { return e.StartOn("127.0.0.1:0") }
+
+// StartOn listens on address.
+func (e *Engine) StartOn(address string) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	e.listener = listener
+	e.server = &http.Server{
+		Handler:           e.Handler(),
+		ReadHeaderTimeout: 10 * time.Second,
+		ConnState:         e.conns.track,
+	}
+	e.done.Go(func() {
+		if err := e.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			e.config.Logger.Error("engine stand-in stopped serving", "error", err)
+		}
+	})
+	return nil
+}
+
+// URL returns the base URL of a started engine.
+func (e *Engine) URL() string { return "http://" + e.listener.Addr().String() }
+
+// Close ends the engine and waits for its goroutines.
+func (e *Engine) Close() error {
+	e.stop()
+	var err error
+	if e.server != nil {
+		err = e.server.Close()
+	}
+	e.done.Wait()
+	return err
+}
+
+// Crash cuts all streams and returns at once with a new incarnation, an empty cache and the
+// weights of the configuration.
+func (e *Engine) Crash() { e.CrashFor(0) }
+
+// CrashFor is Crash with a time during which the engine answers nothing.
+func (e *Engine) CrashFor(down time.Duration) {
+	e.mu.Lock()
+	now := time.Now()
+	for _, s := range e.sequences {
+		e.finish(s, dropped, now)
+	}
+	e.sequences = map[string]*sequence{}
+	e.reset()
+	e.downUntil = now.Add(down)
+	e.mu.Unlock()
+	e.conns.closeAll()
+}
+
+// SetFaults replaces the faults. Stream faults apply to streams that start later.
+func (e *Engine) SetFaults(f Faults) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.faults = f
+	e.faultyLeft = f.Streams
+}
+
+// SetLeaving sets what the engine's state says about leaving.
+func (e *Engine) SetLeaving(leaving bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = leaving
+}
+
+// Counters returns the sums of work so far. Requests still running count with what they have
+// used.
+func (e *Engine) Counters() Counters {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	c := e.counters
+	for _, s := range e.sequences {
+		if !s.ended() {
+			c.add(&s.run)
+		}
+	}
+	return c
+}
+
+func (c *Counters) add(x *Execution) {
+	c.ComputedTokens += x.ComputedTokens
+	c.ReusedTokens += x.ReusedTokens
+	c.DecodedTokens += x.DecodedTokens
+}
+
+// Executions returns the runs of a request in order of their arrival, or all runs if requestID
+// is empty.
+func (e *Engine) Executions(requestID string) []Execution {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var found []Execution
+	for _, x := range e.executions {
+		if requestID == "" || x.RequestID == requestID {
+			found = append(found, x)
+		}
+	}
+	for _, s := range e.sequences {
+		if !s.ended() && (requestID == "" || s.id == requestID) {
+			found = append(found, s.run)
+		}
+	}
+	return found
+}
+
+// stepLoop runs batch steps until Close.
+func (e *Engine) stepLoop() {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for e.ctx.Err() == nil {
+		current, work, d := e.planStep()
+		if len(work) == 0 {
+			select {
+			case <-e.wake:
+			case <-e.ctx.Done():
+			}
+			continue
+		}
+		timer.Reset(d)
+		select {
+		case <-timer.C:
+		case <-e.ctx.Done():
+			return
+		}
+		e.applyStep(current, work, d)
+	}
+}
+
+func (e *Engine) planStep() (*batch, []share, time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	work, d := e.batch.plan(now)
+	e.loads.sample(now, e.batch, len(work) == 0)
+	if e.faults.SlowFactor > 1 {
+		d = time.Duration(float64(d) * e.faults.SlowFactor)
+	}
+	return e.batch, work, d
+}
+
+// applyStep books a step unless the engine crashed meanwhile.
+func (e *Engine) applyStep(planned *batch, work []share, d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.batch != planned {
+		return
+	}
+	now := time.Now()
+	e.counters.BusyTime += d
+	e.batch.apply(work, now, e.config.Ledger)
+	for _, w := range work {
+		if w.s.phase == finished {
+			e.finish(w.s, finished, now)
+		}
+	}
+}
+
+// finish ends a sequence and books its execution. The sequence stays readable to its response.
+func (e *Engine) finish(s *sequence, end phase, now time.Time) {
+	if s.run.Outcome != outcomeRunning {
+		return
+	}
+	s.phase = end
+	s.run.EndedAt = now
+	s.run.Outcome = outcomes[end]
+	e.counters.add(&s.run)
+	if end != finished {
+		e.counters.CancelledTokens += s.run.ComputedTokens + s.run.DecodedTokens
+	}
+	if len(e.executions) >= maxExecutions {
+		e.executions = append(e.executions[:0], e.executions[maxExecutions/2:]...)
+	}
+	e.executions = append(e.executions, s.run)
+	e.batch.remove(s)
+	s.signal()
+}
+
+const outcomeRunning = "running"
+
+var outcomes = map[phase]string{finished: "complete", cancelled: "cancelled", dropped: "crashed"}
+
+// cancel ends the work of a sequence.
+func (e *Engine) cancel(s *sequence) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !s.ended() {
+		e.finish(s, cancelled, time.Now())
+	}
+	if e.sequences[s.id] == s {
+		delete(e.sequences, s.id)
+	}
+}
+
+func (e *Engine) nudge() {
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/pkg/standin/engine/events.go
@@ -0,0 +1,125 @@
+package enginestandin
+
+import (
+	"time"
+
+	"cassiawall.example/cassiawall/pkg/engine"
+)
+
+// maxEvents bounds the event log. A reader that falls further behind sees a gap.
+const maxEvents = 1 << 16
+
+// eventLog holds cache events and shows them late and in batches.
+type eventLog struct {
+	delay, interval time.Duration
+	last            uint64
+	entries         []logEntry
+	// changed is closed when entries are added; nil if nobody waits.
+	changed chan struct{}
+}
+
+type logEntry struct {
+	event   engine.CacheEvent
+	visible time.Time
+}
+
+var eventKinds = map[cacheChange]engine.EventKind{
+	stored:  engine.EventStored,
+	evicted: engine.EventEvicted,
+	cleared: engine.EventCleared,
+}
+
+func (l *eventLog) add(now time.Time, kind cacheChange, key uint64, lost bool) {
+	l.last++
+	if lost {
+		return
+	}
+	visible := now.Add(l.delay + l.interval - 1).Truncate(l.interval)
+	l.entries = append(l.entries, logEntry{
+		event:   engine.CacheEvent{Seq: l.last, Kind: eventKinds[kind], Key: key},
+		visible: visible,
+	})
+	if len(l.entries) > maxEvents {
+		l.entries = append(l.entries[:0], l.entries[maxEvents/2:]...)
+	}
+	if l.changed != nil {
+		close(l.changed)
+		l.changed = nil
+	}
+}
+
+// read returns the visible events after a sequence number. If there are none, it returns the
+// time at which the next one shows, or the zero time.
+func (l *eventLog) read(now time.Time, after uint64) ([]engine.CacheEvent, time.Time) {
+	var events []engine.CacheEvent
+	for i := l.search(after); i < len(l.entries); i++ {
+		if l.entries[i].visible.After(now) {
+			return events, l.entries[i].visible
+		}
+		events = append(events, l.entries[i].event)
+	}
+	return events, time.Time{}
+}
+
+// search returns the index of the first entry after a sequence number.
+func (l *eventLog) search(after uint64) int {
+	low, high := 0, len(l.entries)
+	for low < high {
+		middle := (low + high) / 2
+		if l.entries[middle].event.Seq <= after {
+			low = middle + 1
+		} else {
+			high = middle
+		}
+	}
+	return low
+}
+
+// wait returns a channel that is closed when an entry is added.
+func (l *eventLog) wait() <-chan struct{} {
+	if l.changed == nil {
+		l.changed = make(chan struct{})
+	}
+	return l.changed
+}
+
+const (
+	// loadSampleInterval is the finest resolution of load reports.
+	loadSampleInterval = 20 * time.Millisecond
+	// maxLoadSamples covers lags of about 10 s.
+	maxLoadSamples = 512
+)
+
+// loadHistory keeps recent loads, so that reports can lag.
+type loadHistory struct{ samples []engine.Load }
+
+// sample records the load of b. Idle engines are recorded at once, because no step follows.
+func (h *loadHistory) sample(now time.Time, b *batch, idle bool) {
+	n := len(h.samples)
+	if !idle && n > 0 && now.Sub(h.samples[n-1].ObservedAt) < loadSampleInterval {
+		return
+	}
+	if n >= maxLoadSamples {
+		h.samples = append(h.samples[:0], h.samples[maxLoadSamples/2:]...)
+	}
+	h.samples = append(h.samples, engine.Load{
+		ObservedAt:    now,
+		Running:       len(b.running),
+		Queued:        len(b.waiting),
+		BacklogTokens: b.backlog(),
+		UsedBlocks:    len(b.cache.blocks) + b.cache.reserved,
+	})
+}
+
+// at returns the load as it was at a time. Before the first sample the engine was idle.
+func (h *loadHistory) at(t time.Time) engine.Load {
+	load := engine.Load{}
+	for _, s := range h.samples {
+		if s.ObservedAt.After(t) {
+			break
+		}
+		load = s
+	}
+	load.ObservedAt = t
+	return load
+}
--- /dev/null
+++ b/pkg/standin/engine/sequence.go
@@ -0,0 +1,114 @@
+package enginestandin
+
+import (
+	"time"
+
+	"cassiawall.example/cassiawall/pkg/engine"
+)
+
+// piece is one piece of a prompt as the engine cuts it.
+type piece struct {
+	content contentKey
+	routing uint64
+	tokens  int
+}
+
+// phase is the state of a sequence.
+type phase int
+
+const (
+	queued phase = iota
+	prefilling
+	decoding
+	finished
+	cancelled
+	// dropped sequences were lost in a crash.
+	dropped
+)
+
+// sequence is one request in the engine. The engine's mutex guards it.
+type sequence struct {
+	id       string
+	priority int
+	order    uint64
+	adapter  string
+	pieces   []piece
+	mark     *mark
+	arrived  time.Time
+
+	phase phase
+	// chain holds the pinned blocks; reserved is the number of blocks still to be filled.
+	chain    []*block
+	reserved int
+	// pieceLeft is the prefill left in piece nextPiece, tailLeft the prefill of the replay.
+	nextPiece int
+	pieceLeft int
+	tailLeft  int
+
+	answer      *answer
+	chunkTokens int
+	nextSeq     int
+	// text collects tokens until they make a chunk.
+	text       []byte
+	textTokens int
+	// out holds all chunks of this execution, which starts at sequence number firstSeq.
+	out      []engine.Chunk
+	firstSeq int
+	// wake is signalled when out grows or the phase ends. It has room for one signal.
+	wake chan struct{}
+	// reader numbers the responses that read this sequence; only the latest one counts.
+	reader   int
+	detached time.Time
+
+	run Execution
+}
+
+// prefillLeft returns the tokens that prefill must still compute.
+func (s *sequence) prefillLeft() int {
+	left := s.tailLeft + s.pieceLeft
+	for i := s.nextPiece + 1; i < len(s.pieces); i++ {
+		left += s.pieces[i].tokens
+	}
+	return left
+}
+
+func (s *sequence) ended() bool { return s.phase >= finished }
+
+func (s *sequence) signal() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// decodeOne appends one token and emits a chunk when one is full. The first token of an
+// execution makes a chunk of its own, so that it reaches the caller at once.
+func (s *sequence) decodeOne(now time.Time) {
+	s.text = append(s.text, s.answer.next()...)
+	s.textTokens++
+	s.run.DecodedTokens++
+	first := len(s.out) == 0
+	if first {
+		s.run.FirstTokenAt = now
+	}
+	last := s.answer.done()
+	if first || last || s.textTokens >= s.chunkTokens {
+		s.emit(last)
+	}
+	if last {
+		s.phase = finished
+	}
+}
+
+func (s *sequence) emit(last bool) {
+	c := engine.Chunk{RequestID: s.id, Seq: s.nextSeq, Text: string(s.text), Tokens: s.textTokens}
+	if last {
+		c.Final = true
+		c.FinishReason = s.answer.finish
+	}
+	s.nextSeq++
+	s.text = s.text[:0]
+	s.textTokens = 0
+	s.out = append(s.out, c)
+	s.signal()
+}
