--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -6,135 +6,194 @@
 
 // Config is the whole dynamic configuration.
 type Config struct {
-	// Models are the models that engines serve.
-	Models []Model `yaml:"models"`
-	// Services are the plain services that requests are routed to.
+	// Models are the models that engines serve. Effect: workspaces refer to them by name. Default:
+	// none, required. Unit: none.
+	Models []Model `yaml:"models" required:"true"`
+	// Services are the plain services that requests are routed to. Effect: workspaces refer to them
+	// by name. Default: empty. Unit: none.
 	Services []Service `yaml:"services,omitempty"`
-	// Workspaces are the customers.
-	Workspaces []Workspace `yaml:"workspaces"`
-	// Policy weighs the goals of placement.
+	// Workspaces are the customers. Effect: only their API keys are accepted. Default: none,
+	// required. Unit: none.
+	Workspaces []Workspace `yaml:"workspaces" required:"true"`
+	// Policy weighs the goals of placement. Effect: see its fields. Default: all weights 1. Unit:
+	// none.
 	Policy Policy `yaml:"policy"`
-	// Rollout bounds the loading of weights.
+	// Rollout bounds the loading of weights. Effect: see its fields. Default: see its fields. Unit:
+	// none.
 	Rollout Rollout `yaml:"rollout,omitempty"`
 	// KVStore names the KV cache store. Effect: enables copies of hot prefixes. Default: none.
+	// Unit: none.
 	KVStore string `yaml:"kv_store,omitempty"`
 }
 
 // Model is a model with its tokenizer estimate and cache geometry.
 type Model struct {
-	Name string `yaml:"name"`
-	// WeightsVersion is the version that requests use.
-	WeightsVersion string `yaml:"weights_version"`
-	// PieceTokens is the size of a cache piece. Default 4000. Unit: tokens.
-	PieceTokens int `yaml:"piece_tokens,omitempty"`
-	// BytesPerToken estimates the tokenizer. Default 4. Unit: bytes.
-	BytesPerToken float64 `yaml:"bytes_per_token,omitempty"`
-	// MinServing is the number of engines that a rollout always leaves serving. Default 1.
-	MinServing int `yaml:"min_serving,omitempty"`
+	// Name is the model's name in callers' requests and at the engines. Effect: must be unique.
+	// Default: none, required. Unit: none.
+	Name string `yaml:"name" required:"true"`
+	// WeightsVersion is the version that requests use. Effect: a change starts a rollout. Default:
+	// none, required. Unit: none.
+	WeightsVersion string `yaml:"weights_version" required:"true"`
+	// PieceTokens is the size of a cache piece. Effect: prompts are split into pieces of this size
+	// inside a level. Default: 4000. Unit: tokens.
+	PieceTokens int `yaml:"piece_tokens,omitempty" min:"16" max:"1000000" unit:"tokens"`
+	// BytesPerToken estimates the tokenizer. Effect: token counts are bytes divided by it. Default:
+	// 4. Unit: bytes.
+	BytesPerToken float64 `yaml:"bytes_per_token,omitempty" min:"0.25" max:"64" unit:"bytes"`
+	// MinServing is the number of engines that a rollout always leaves serving. Effect: a rollout
+	// waits rather than go below it. Default: 1. Unit: engines.
+	MinServing int `yaml:"min_serving,omitempty" min:"1" max:"10000" unit:"engines"`
 }
 
 // Service is a plain service beside the engines.
 type Service struct {
-	Name string `yaml:"name"`
-	// BackendServers are the addresses, as host:port. The VM list can add and remove others.
-	BackendServers []string `yaml:"backend_servers"`
-	Routes         []Route  `yaml:"routes"`
-	// Timeout bounds one call. Default 10s.
-	Timeout Duration `yaml:"timeout,omitempty"`
+	// Name identifies the service in workspaces. Effect: must be unique. Default: none, required.
+	// Unit: none.
+	Name string `yaml:"name" required:"true"`
+	// BackendServers are the addresses. Effect: requests go to them; the VM list can add and remove
+	// others. Default: none, required. Unit: host:port.
+	BackendServers []string `yaml:"backend_servers" required:"true"`
+	// Routes are the paths of the service. Effect: the longest matching path wins. Default: none,
+	// required. Unit: none.
+	Routes []Route `yaml:"routes" required:"true"`
+	// Timeout bounds one call. Effect: a call that takes longer fails. Default: 10s. Unit: duration.
+	Timeout Duration `yaml:"timeout,omitempty" min:"1ms" max:"1h"`
 }
 
 // Route maps callers' paths to a service.
 type Route struct {
-	// Path is the path prefix that callers use, below /.
-	Path string `yaml:"path"`
-	// Methods limits the route. Default: all methods.
-	Methods []string `yaml:"methods,omitempty"`
-	// NonIdempotent marks calls that must run at most once.
+	// Path is the path prefix that callers use. Effect: requests below it go to the service.
+	// Default: none, required. Unit: path that starts with /.
+	Path string `yaml:"path" required:"true"`
+	// Methods limits the route. Effect: requests with other methods do not match. Default: all
+	// methods. Unit: HTTP method.
+	Methods []string `yaml:"methods,omitempty" oneof:"GET,HEAD,POST,PUT,PATCH,DELETE,OPTIONS"`
+	// NonIdempotent marks calls that must run at most once. Effect: each call is claimed before it
+	// is sent and never repeated. Default: false. Unit: none.
 	NonIdempotent bool `yaml:"non_idempotent,omitempty"`
-	// DeriveKey derives a missing idempotency key from the request body, for callers that
-	// cannot send one. Default false: a missing key is refused.
+	// DeriveKey derives a missing idempotency key from the request body, for callers that cannot
+	// send one. Effect: two equal bodies in the retry window count as one call. Default: false, a
+	// missing key is refused. Unit: none.
 	DeriveKey bool `yaml:"derive_key,omitempty"`
 }
 
 // Workspace is a customer with its own keys, prompts and limits.
 type Workspace struct {
-	Name string `yaml:"name"`
-	// APIKeyHashes are hex SHA-256 hashes of the keys. Two may be live during a rotation.
-	APIKeyHashes []string `yaml:"api_key_hashes"`
-	Models       []string `yaml:"models"`
-	Services     []string `yaml:"services,omitempty"`
-	Prompts      []Prompt `yaml:"prompts,omitempty"`
-	Limits       Limits   `yaml:"limits,omitempty"`
-	// Weight is the share in fair queueing. Default 1.
-	Weight int `yaml:"weight,omitempty"`
-	// Supersede lets a caller's newer message end the older one. Default false.
+	// Name identifies the workspace. Effect: must be unique; appears in logs and reports. Default:
+	// none, required. Unit: none.
+	Name string `yaml:"name" required:"true"`
+	// APIKeyHashes are SHA-256 hashes of the API keys. Effect: requests with one of these keys
+	// belong to the workspace; two may be live during a rotation. Default: none, required. Unit:
+	// 64 lower-case hexadecimal digits.
+	APIKeyHashes []string `yaml:"api_key_hashes" required:"true"`
+	// Models are the models that the workspace may use. Effect: requests for others are refused.
+	// Default: empty; a workspace needs a model or a service. Unit: none.
+	Models []string `yaml:"models"`
+	// Services are the plain services that the workspace may use. Effect: requests for others are
+	// refused. Default: empty. Unit: none.
+	Services []string `yaml:"services,omitempty"`
+	// Prompts declare how prompts nest. Effect: cache pieces end at their levels. Default: empty,
+	// then prompts are split by size only. Unit: none.
+	Prompts []Prompt `yaml:"prompts,omitempty"`
+	// Limits bound the workspace over all nodes. Effect: see its fields. Default: see its fields.
+	// Unit: none.
+	Limits Limits `yaml:"limits,omitempty"`
+	// Weight is the share in fair queueing. Effect: under load a workspace gets engine time in
+	// proportion to it. Default: 1. Unit: none.
+	Weight int `yaml:"weight,omitempty" min:"1" max:"1000"`
+	// Supersede lets a caller's newer message end the older one. Effect: the older request is
+	// cancelled. Default: false. Unit: none.
 	Supersede bool `yaml:"supersede,omitempty"`
-	// Objectives are the service levels of the burn report.
+	// Objectives are the service levels of the burn report. Effect: see its fields. Default: see
+	// its fields. Unit: none.
 	Objectives Objectives `yaml:"objectives,omitempty"`
-	// RetryWindow is the time in which a caller may repeat a non-idempotent request.
-	// Default 24h.
-	RetryWindow Duration `yaml:"retry_window,omitempty"`
-	// NonIdempotentModels lists models whose requests in this workspace run at most once.
+	// RetryWindow is the time in which a caller may repeat a non-idempotent request. Effect: claims
+	// are kept for this time. Default: 24h. Unit: duration.
+	RetryWindow Duration `yaml:"retry_window,omitempty" min:"1m" max:"168h"`
+	// NonIdempotentModels lists models whose requests in this workspace run at most once. Effect:
+	// each such request is claimed before it is sent. Default: empty. Unit: none.
 	NonIdempotentModels []string `yaml:"non_idempotent_models,omitempty"`
 }
 
 // Prompt declares how prompts nest.
 type Prompt struct {
-	Name string `yaml:"name"`
-	// Levels are the shared prefix levels, outermost first. Message i of a chat belongs to
-	// level i; messages after the last level are the caller's own.
-	Levels []Level `yaml:"levels"`
+	// Name is the prompt's name in requests. Effect: must be unique in the workspace. Default:
+	// none, required. Unit: none.
+	Name string `yaml:"name" required:"true"`
+	// Levels are the prefix levels, outermost first. Effect: message i of a chat belongs to level
+	// i; messages after the last level are the caller's own. Default: none, required. Unit: none.
+	Levels []Level `yaml:"levels" required:"true"`
 }
 
 // Level is one level of a nested prompt.
 type Level struct {
-	Name string `yaml:"name"`
-	// Shared says that several callers use the same text at this level.
+	// Name identifies the level. Effect: must be unique in the prompt; part of the cache key.
+	// Default: none, required. Unit: none.
+	Name string `yaml:"name" required:"true"`
+	// Shared says that several callers use the same text at this level. Effect: its pieces are
+	// placed where other callers find them. Default: false. Unit: none.
 	Shared bool `yaml:"shared,omitempty"`
 }
 
-// Limits bounds a workspace over all nodes. Zero means unlimited.
+// Limits bounds a workspace over all nodes.
 type Limits struct {
-	RequestsPerSecond float64 `yaml:"requests_per_second,omitempty"`
-	// TokensPerSecond counts prompt and output tokens.
-	TokensPerSecond float64 `yaml:"tokens_per_second,omitempty"`
-	Concurrency     int     `yaml:"concurrency,omitempty"`
-	// BodyBytes bounds a request body. Default 4 MiB.
-	BodyBytes int64 `yaml:"body_bytes,omitempty"`
-	// Deadline is the time to the first token after which a request is refused. Default 30s.
-	Deadline Duration `yaml:"deadline,omitempty"`
+	// RequestsPerSecond bounds the rate of requests. Effect: more are refused with rate_limited.
+	// Default: 0, unlimited. Unit: requests per second.
+	RequestsPerSecond float64 `yaml:"requests_per_second,omitempty" min:"0" unit:"requests per second"`
+	// TokensPerSecond bounds prompt and output tokens. Effect: more are refused with rate_limited.
+	// Default: 0, unlimited. Unit: tokens per second.
+	TokensPerSecond float64 `yaml:"tokens_per_second,omitempty" min:"0" unit:"tokens per second"`
+	// Concurrency bounds the requests in progress. Effect: more are refused with rate_limited.
+	// Default: 0, unlimited. Unit: requests.
+	Concurrency int `yaml:"concurrency,omitempty" min:"0" unit:"requests"`
+	// BodyBytes bounds a request body. Effect: a longer body is refused with body_too_large.
+	// Default: 4194304 (4 MiB). Unit: bytes.
+	BodyBytes int64 `yaml:"body_bytes,omitempty" min:"1024" max:"67108864" unit:"bytes"`
+	// Deadline bounds the time to the first token. Effect: a request that cannot meet it is refused
+	// with deadline_unreachable. Default: 30s. Unit: duration.
+	Deadline Duration `yaml:"deadline,omitempty" min:"10ms" max:"1h"`
 }
 
-// Objectives are service-level objectives. Targets are shares between 0 and 1.
+// Objectives are service-level objectives. Targets are shares of requests.
 type Objectives struct {
-	// TTFT is the bound on the time to first token. Default 1.4s.
-	TTFT Duration `yaml:"ttft,omitempty"`
-	// BetweenTokens is the bound on the time between tokens. Default 75ms.
-	BetweenTokens Duration `yaml:"between_tokens,omitempty"`
-	// Target is the share of requests within the bounds. Default 0.95.
-	Target float64 `yaml:"target,omitempty"`
-	// CompleteTarget is the share of wanted streams that end whole. Default 0.999.
-	CompleteTarget float64 `yaml:"complete_target,omitempty"`
-	// OutcomeTarget is the share of non-idempotent requests with a known outcome. Default 0.999.
-	OutcomeTarget float64 `yaml:"outcome_target,omitempty"`
+	// TTFT is the bound on the time to first token. Effect: a later first token uses error budget.
+	// Default: 1.4s. Unit: duration.
+	TTFT Duration `yaml:"ttft,omitempty" min:"1ms" max:"10m"`
+	// BetweenTokens is the bound on the time between tokens. Effect: a longer gap uses error
+	// budget. Default: 75ms. Unit: duration.
+	BetweenTokens Duration `yaml:"between_tokens,omitempty" min:"1ms" max:"1m"`
+	// Target is the share of requests within the two bounds. Effect: the rest is the error budget.
+	// Default: 0.95. Unit: share.
+	Target float64 `yaml:"target,omitempty" min:"0.5" max:"0.99999" unit:"a share of 1"`
+	// CompleteTarget is the share of wanted streams that end whole. Effect: the rest is the error
+	// budget. Default: 0.999. Unit: share.
+	CompleteTarget float64 `yaml:"complete_target,omitempty" min:"0.5" max:"0.99999" unit:"a share of 1"`
+	// OutcomeTarget is the share of non-idempotent requests with a known outcome. Effect: the rest
+	// is the error budget. Default: 0.999. Unit: share.
+	OutcomeTarget float64 `yaml:"outcome_target,omitempty" min:"0.5" max:"0.99999" unit:"a share of 1"`
 }
 
 // Policy weighs the goals of placement.
 type Policy struct {
-	// LatencyWeight weighs predicted time to first token. Default 1.
-	LatencyWeight float64 `yaml:"latency_weight,omitempty"`
-	// RecomputeWeight weighs recomputed and evicted tokens. Default 1.
-	RecomputeWeight float64 `yaml:"recompute_weight,omitempty"`
+	// LatencyWeight weighs predicted time to first token. Effect: a higher value moves requests to
+	// less loaded engines earlier. Default: 1. Unit: none.
+	LatencyWeight float64 `yaml:"latency_weight,omitempty" min:"0.01" max:"100"`
+	// RecomputeWeight weighs recomputed and evicted tokens. Effect: a higher value keeps requests
+	// at engines that hold their prefix. Default: 1. Unit: none.
+	RecomputeWeight float64 `yaml:"recompute_weight,omitempty" min:"0.01" max:"100"`
 }
 
 // Rollout bounds the loading of weights.
 type Rollout struct {
-	// MaxConcurrentLoads is the number of engines that load at once. Default 2.
-	MaxConcurrentLoads int `yaml:"max_concurrent_loads,omitempty"`
-	// CanaryEngines load first. Default 1.
-	CanaryEngines int `yaml:"canary_engines,omitempty"`
-	// MaxErrorShare stops and rolls back the rollout when it is exceeded. Default 0.05.
-	MaxErrorShare float64 `yaml:"max_error_share,omitempty"`
+	// MaxConcurrentLoads is the number of engines that load at once. Effect: more loads wait.
+	// Default: 2. Unit: engines.
+	MaxConcurrentLoads int `yaml:"max_concurrent_loads,omitempty" min:"1" max:"1000" unit:"engines"`
+	// CanaryEngines load first. Effect: the others follow when they serve without errors. Default:
+	// 1. Unit: engines.
+	CanaryEngines int `yaml:"canary_engines,omitempty" min:"1" max:"1000" unit:"engines"`
+	// MaxErrorShare is the share of failed requests on new weights. Effect: a higher share stops
+	// the rollout and rolls it back. Default: 0.05. Unit: share.
+	MaxErrorShare float64 `yaml:"max_error_share,omitempty" min:"0.0001" max:"1" unit:"a share of 1"`
 }
 
 // Default values of settings that a configuration leaves out.
--- a/pkg/config/parse.go
+++ b/pkg/config/parse.go
@@ -1,21 +1,26 @@
 package config
 
 import (
-	"bytes"
-
-	"go.yaml.in/yaml/v3"
+	"fmt"
 
 	"cassiawall.example/cassiawall/pkg/fault"
+	"cassiawall.example/cassiawall/pkg/objects"
+	"cassiawall.example/cassiawall/pkg/strictyaml"
 )
 
-// Parse reads a configuration document, fills in defaults and validates it. The error is of
-// kind fault.InvalidConfiguration.
+// Parse reads a configuration document, validates it and fills in defaults. On an error nothing
+// is returned. The error is of kind fault.InvalidConfiguration and wraps strictyaml.Problems,
+// which holds every fault of the document.
 func Parse(document []byte) (*Config, error) {
 	var c Config
-	decoder := yaml.NewDecoder(bytes.NewReader(document))
-	decoder.KnownFields(true)
-	if err := decoder.Decode(&c); err != nil {
-		return nil, fault.Wrap(err, fault.InvalidConfiguration, "configuration does not parse")
+	d := strictyaml.Decode(document, &c)
+	if len(document) > objects.MaxValueBytes {
+		d.Add("document", fmt.Sprintf("the document has %d bytes", len(document)),
+			fmt.Sprintf("shorten it to at most %d bytes, which is the largest value the object API stores", objects.MaxValueBytes))
+	}
+	c.validate(d)
+	if err := d.Err(); err != nil {
+		return nil, fault.Wrap(err, fault.InvalidConfiguration, "configuration is refused")
 	}
 	c.setDefaults()
 	return &c, nil
