--- a/pkg/entry/parse.go
+++ b/pkg/entry/parse.go
@@ -81,7 +81,15 @@
 	return g, nil
 }
 
+// bodyTimeout bounds the time in which a caller must send the body. A server-wide read timeout
+// would also cancel the context of long streams.
+const bodyTimeout = time.Minute
+
 func readBody(w http.ResponseWriter, r *http.Request, bound int64) ([]byte, error) {
+	control := http.NewResponseController(w)
+	// A writer without deadlines, as in tests, has no slow sender.
+	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
+	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bound))
 	var tooLarge *http.MaxBytesError
 	switch {
--- /dev/null
+++ b/pkg/node/engines.go
@@ -0,0 +1,51 @@
+package node
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"cassiawall.example/cassiawall/pkg/engine"
+)
+
+// Bounds of connections to engines.
+const (
+	engineDialTimeout     = time.Second
+	engineIdleTimeout     = 90 * time.Second
+	engineIdlePerHost     = 64
+	engineResponseHeaders = 2 * time.Minute
+)
+
+// engineClients keeps one client per engine address. It is safe for concurrent use.
+type engineClients struct {
+	http *http.Client
+	mu   sync.Mutex
+	// byAddress is bounded by the number of engines that the node has seen.
+	byAddress map[string]*engine.Client
+}
+
+func newEngineClients() *engineClients {
+	transport := &http.Transport{
+		DialContext:           (&net.Dialer{Timeout: engineDialTimeout}).DialContext,
+		MaxIdleConnsPerHost:   engineIdlePerHost,
+		IdleConnTimeout:       engineIdleTimeout,
+		ResponseHeaderTimeout: engineResponseHeaders,
+		DisableCompression:    true,
+	}
+	return &engineClients{http: &http.Client{Transport: transport}, byAddress: map[string]*engine.Client{}}
+}
+
+// at returns the client of the engine at address (host:port).
+func (e *engineClients) at(address string) *engine.Client {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	c := e.byAddress[address]
+	if c == nil {
+		c = engine.NewClient("http://"+address, e.http)
+		e.byAddress[address] = c
+	}
+	return c
+}
+
+func (e *engineClients) close() { e.http.CloseIdleConnections() }
--- /dev/null
+++ b/pkg/node/node.go
@@ -0,0 +1,206 @@
+// Package node assembles the parts of one cassiawall process and runs them.
+package node
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"cassiawall.example/cassiawall/pkg/blackboard"
+	"cassiawall.example/cassiawall/pkg/controller/discovery"
+	"cassiawall.example/cassiawall/pkg/engine"
+	"cassiawall.example/cassiawall/pkg/entry"
+	"cassiawall.example/cassiawall/pkg/event"
+	"cassiawall.example/cassiawall/pkg/metrics"
+	"cassiawall.example/cassiawall/pkg/routing"
+	"cassiawall.example/cassiawall/pkg/settings"
+	"cassiawall.example/cassiawall/pkg/vms"
+)
+
+// Bounds of callers' connections. Package entry bounds the time of a body.
+const (
+	headerTimeout  = 10 * time.Second
+	idleTimeout    = 2 * time.Minute
+	maxHeaderBytes = 64 << 10
+)
+
+// Options configures a Node.
+type Options struct {
+	Settings *settings.Settings
+	// PeerKeys are the shared keys of the fleet, the signing key first.
+	PeerKeys [][]byte
+	Logger   *slog.Logger
+	// Policy is the name of a baseline policy, or empty for the system's own placement.
+	Policy string
+	// Inflight is shared by nodes with the same baseline policy.
+	Inflight *routing.Inflight
+}
+
+// Node is one process of cassiawall.
+type Node struct {
+	opt       Options
+	board     *blackboard.Board
+	metrics   *metrics.Registry
+	engines   *engineClients
+	discovery *discovery.Controller
+	entry     *entry.Server
+	callers   net.Listener
+	operators net.Listener
+	ready     atomic.Bool
+	stopOnce  sync.Once
+	stop      chan struct{}
+}
+
+// New binds the node's listeners and assembles its parts. The error is of kind
+// fault.InvalidSettings or of the network.
+func New(opt Options) (*Node, error) {
+	n := &Node{opt: opt, board: blackboard.New(), metrics: metrics.New(), engines: newEngineClients(), stop: make(chan struct{})}
+	n.discovery = discovery.New(discovery.Options{
+		Board: n.board, EngineRole: opt.Settings.Engines.VMRole, Static: staticEngines(opt.Settings), Logger: opt.Logger, Now: time.Now,
+	})
+	router, err := n.newRouter()
+	if err != nil {
+		return nil, err
+	}
+	n.entry, err = entry.New(entry.Options{
+		Board: n.board, Router: router, Logger: opt.Logger, Now: time.Now, RequestID: newRequestID,
+		Engines: func(address string) engine.Generator { return n.engines.at(address) },
+	})
+	if err != nil {
+		return nil, err
+	}
+	if err := n.listen(); err != nil {
+		return nil, err
+	}
+	return n, nil
+}
+
+func (n *Node) newRouter() (routing.Router, error) {
+	return routing.NewBaseline(n.opt.Policy, n.board, n.opt.Inflight)
+}
+
+func (n *Node) listen() error {
+	var err error
+	if n.callers, err = net.Listen("tcp", n.opt.Settings.Callers.Address); err != nil {
+		return err
+	}
+	if n.operators, err = net.Listen("tcp", n.opt.Settings.Operators.Address); err != nil {
+		return errors.Join(err, n.callers.Close())
+	}
+	return nil
+}
+
+func staticEngines(s *settings.Settings) []vms.VM {
+	list := make([]vms.VM, len(s.Engines.Static))
+	for i, e := range s.Engines.Static {
+		list[i] = vms.VM{Name: e.ID, Address: e.Address, DataCentre: e.DataCentre, Role: s.Engines.VMRole, State: vms.Live}
+	}
+	return list
+}
+
+// newRequestID returns 16 random bytes in hex.
+func newRequestID() string {
+	var id [16]byte
+	// rand.Read never fails on the supported platforms.
+	_, _ = rand.Read(id[:])
+	return hex.EncodeToString(id[:])
+}
+
+// Board returns the node's blackboard.
+func (n *Node) Board() *blackboard.Board { return n.board }
+
+// CallersURL returns the base URL of the callers' listener.
+func (n *Node) CallersURL() string { return "http://" + n.callers.Addr().String() }
+
+// OperatorsURL returns the base URL of the operators' listener.
+func (n *Node) OperatorsURL() string { return "http://" + n.operators.Addr().String() }
+
+// Ready reports whether the node takes requests.
+func (n *Node) Ready() bool { return n.ready.Load() }
+
+// Shutdown starts a graceful shutdown. Run returns when it is done.
+func (n *Node) Shutdown() { n.stopOnce.Do(func() { close(n.stop) }) }
+
+// Run serves until ctx ends, which stops at once, or Shutdown is called, which lets the running
+// requests finish within the drain bound.
+func (n *Node) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	event.NodeStarted.Log(ctx, n.opt.Logger, slog.String("node", n.opt.Settings.Name))
+	group, groupCtx := errgroup.WithContext(ctx)
+	group.Go(func() error { return n.discovery.Run(groupCtx) })
+	callers := n.callersServer()
+	operators := &http.Server{Handler: n.operatorsHandler(), ReadHeaderTimeout: headerTimeout}
+	group.Go(func() error { return serve(operators, n.operators) })
+	group.Go(func() error {
+		defer cancel()
+		return n.serveCallers(groupCtx, callers)
+	})
+	group.Go(func() error {
+		<-groupCtx.Done()
+		return errors.Join(operators.Close(), callers.Close())
+	})
+	err := group.Wait()
+	n.engines.close()
+	event.NodeStopped.Log(context.Background(), n.opt.Logger, slog.String("node", n.opt.Settings.Name))
+	return err
+}
+
+func (n *Node) callersServer() *http.Server {
+	return &http.Server{
+		Handler: n.entry, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes,
+	}
+}
+
+func serve(s *http.Server, l net.Listener) error {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// serveCallers serves until shutdown and then drains.
+func (n *Node) serveCallers(ctx context.Context, s *http.Server) error {
+	served := make(chan error, 1)
+	go func() { served <- serve(s, n.callers) }()
+	n.ready.Store(true)
+	event.NodeReady.Log(ctx, n.opt.Logger, slog.String("node", n.opt.Settings.Name))
+	select {
+	case err := <-served:
+		return err
+	case <-ctx.Done():
+		return nil
+	case <-n.stop:
+	}
+	n.drain(ctx, s)
+	return <-served
+}
+
+// drain lets the running requests finish within the drain bound and then ends them with a
+// typed error.
+func (n *Node) drain(ctx context.Context, s *http.Server) {
+	n.ready.Store(false)
+	n.entry.Drain()
+	event.NodeDraining.Log(ctx, n.opt.Logger, slog.Int("running", n.entry.Running()))
+	bound, cancel := context.WithTimeout(ctx, n.opt.Settings.DrainBound.D())
+	defer cancel()
+	if s.Shutdown(bound) != nil {
+		n.entry.Stop()
+		last, cancelLast := context.WithTimeout(ctx, lastWordTimeout)
+		defer cancelLast()
+		_ = s.Shutdown(last)
+	}
+}
+
+// lastWordTimeout is the time to write the typed endings after the drain bound.
+const lastWordTimeout = 2 * time.Second
