--- /dev/null
+++ b/pkg/rendezvous/rendezvous.go
@@ -0,0 +1,35 @@
+// Package rendezvous implements highest-random-weight hashing: every node that knows the same
+// candidates puts them into the same order for a key, without any exchange of messages.
+package rendezvous
+
+import "github.com/cespare/xxhash/v2"
+
+// Hash returns the hash of a candidate's name, for use with Score.
+func Hash(name string) uint64 { return xxhash.Sum64String(name) }
+
+// Score returns the weight of a candidate for a key. The candidate with the highest score is the
+// key's first choice.
+func Score(nameHash, key uint64) uint64 {
+	x := nameHash ^ (key * 0x9e3779b97f4a7c15)
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// Best returns the name with the highest score for key, or "" for no names. Equal scores are
+// decided by the smaller name.
+func Best(key string, names []string) string {
+	k := Hash(key)
+	best := ""
+	var bestScore uint64
+	for _, name := range names {
+		s := Score(Hash(name), k)
+		if best == "" || s > bestScore || s == bestScore && name < best {
+			best = name
+			bestScore = s
+		}
+	}
+	return best
+}
