--- a/pkg/admission/curves.go
+++ b/pkg/admission/curves.go
@@ -1,12 +1,15 @@
 package admission
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
 // maxCurves bounds the number of workspaces with their own curve.
 const maxCurves = 20_000
 
-// Curves holds the abandonment curves of the workspaces. Of is safe for concurrent use; a curve
-// itself must be used by one queue at a time.
+// Curves holds the abandonment curves of the workspaces. It is safe for concurrent use, so that
+// the queues of a node share what they learn.
 type Curves struct {
 	mu sync.Mutex
 	m  map[string]*Curve
@@ -15,10 +18,22 @@
 // NewCurves returns an empty set of curves.
 func NewCurves() *Curves { return &Curves{m: map[string]*Curve{}} }
 
-// Of returns the workspace's curve.
-func (c *Curves) Of(workspace string) *Curve {
+// Observe records that a request of the workspace ended at an age.
+func (c *Curves) Observe(workspace string, age time.Duration, abandoned bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.of(workspace).Observe(age, abandoned)
+}
+
+// StillThere returns the probability that a caller of the workspace who waits at an age is still
+// there after a further time.
+func (c *Curves) StillThere(workspace string, age, further time.Duration) float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.of(workspace).StillThere(age, further)
+}
+
+func (c *Curves) of(workspace string) *Curve {
 	curve, ok := c.m[workspace]
 	if ok {
 		return curve
--- a/pkg/admission/limiter.go
+++ b/pkg/admission/limiter.go
@@ -21,10 +21,12 @@
 
 func (l *limiter) current() int { return max(1, int(l.limit)) }
 
-func (l *limiter) observe(load engine.Load, running, waiting int) {
+// observe takes a load report and this queue's own counts. Requests in prefill may count as queued
+// in the engine and say nothing about its capacity.
+func (l *limiter) observe(load engine.Load, running, prefilling, waiting int) {
 	switch {
-	case load.Queued > 1 && load.Running < l.current():
-		l.limit = max(1, l.limit*limitDecrease)
+	case load.Queued > prefilling+1 && load.Running < l.current():
+		l.limit = max(1, float64(load.Running), l.limit*limitDecrease)
 	case load.Queued == 0 && waiting > 0 && running >= l.current():
 		l.limit = min(float64(l.max), l.limit+1)
 	case waiting == 0 && load.Queued == 0:
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -149,7 +149,7 @@
 		if t.ID != ticketID {
 			continue
 		}
-		q.curves.Of(t.Workspace).Observe(now.Sub(t.Arrived), true)
+		q.curves.Observe(t.Workspace, now.Sub(t.Arrived), true)
 		q.remove(i)
 		return true
 	}
@@ -273,7 +273,7 @@
 	if t.Patience > 0 && age+needed > t.Patience {
 		return 0
 	}
-	return q.curves.Of(t.Workspace).StillThere(age, needed)
+	return q.curves.StillThere(t.Workspace, age, needed)
 }
 
 // forgetIdle drops the virtual times of workspaces that have no claim left.
--- a/pkg/admission/slots.go
+++ b/pkg/admission/slots.go
@@ -39,7 +39,7 @@
 	}
 	delete(q.slots, id)
 	if !failed {
-		q.curves.Of(s.ticket.Workspace).Observe(now.Sub(s.ticket.Arrived), abandoned)
+		q.curves.Observe(s.ticket.Workspace, now.Sub(s.ticket.Arrived), abandoned)
 	}
 	if s.firstToken {
 		q.rates.observeDecode(now.Sub(s.firstTokenAt), s.ticket.OutputTokens, abandoned || failed)
@@ -70,7 +70,7 @@
 	if q.foreignRunning > 0 {
 		q.foreignTokens = max(0, l.BacklogTokens-q.prefillingOwn())
 	}
-	q.limit.observe(l, len(q.slots), len(q.waiting))
+	q.limit.observe(l, len(q.slots), q.prefilling(), len(q.waiting))
 	q.ownPeak = len(q.slots)
 }
 
@@ -84,6 +84,16 @@
 	return sum
 }
 
+func (q *Queue) prefilling() int {
+	n := 0
+	for _, s := range q.slots {
+		if !s.firstToken {
+			n++
+		}
+	}
+	return n
+}
+
 func (q *Queue) prefillingTokens() int { return q.prefillingOwn() + q.foreignTokens }
 
 // Waiting returns the number of tickets that wait.
--- /dev/null
+++ b/pkg/placement/fleet.go
@@ -0,0 +1,211 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+
+	"cassiawall.example/cassiawall/pkg/rendezvous"
+)
+
+const (
+	// homeOrder is the length of the rendezvous order that is kept per bucket of keys.
+	homeOrder = 32
+	// homeBuckets is the number of key buckets with their own order. Two hot prefixes share an
+	// order with probability 1 in 4096.
+	homeBuckets = 4096
+)
+
+// engineState is an engine with this node's own corrections.
+type engineState struct {
+	EngineView
+	hash uint64
+	// number is the interned number of the engine's id, stable over changes of the set.
+	number int32
+	// incarnationHash identifies the incarnation in the soft map.
+	incarnationHash uint64
+	// dispatched is the work that this node sent since the last summary.
+	dispatchedTokens   int
+	dispatchedRequests int
+}
+
+// group holds the engines of one model in one region and the rendezvous orders over them. Orders
+// depend only on the set of engines and are computed on first use.
+type group struct {
+	members []int32
+	orders  [homeBuckets][]int32
+}
+
+type groupKey struct {
+	model  string
+	region string
+}
+
+// fleet is the set of engines of this node's view.
+type fleet struct {
+	engines []engineState
+	byID    map[string]int32
+	// byNumber maps an interned number to an index in engines, or to noEngine.
+	byNumber []int32
+	groups   map[groupKey]*group
+}
+
+const noEngine = int32(-1)
+
+// interner gives engine ids small numbers that stay the same when the set of engines changes.
+type interner map[string]int32
+
+func (n interner) number(id string) int32 {
+	i, ok := n[id]
+	if !ok {
+		i = int32(len(n))
+		n[id] = i
+	}
+	return i
+}
+
+func newFleet(views []EngineView, numbers interner, old *fleet) *fleet {
+	f := &fleet{byID: make(map[string]int32, len(views)), groups: map[groupKey]*group{}}
+	sorted := slices.Clone(views)
+	slices.SortFunc(sorted, func(a, b EngineView) int { return cmp.Compare(a.ID, b.ID) })
+	for i, v := range sorted {
+		e := engineState{EngineView: v, hash: rendezvous.Hash(v.ID), number: numbers.number(v.ID)}
+		e.incarnationHash = rendezvous.Hash(v.Incarnation)
+		if old != nil {
+			e.adopt(old)
+		}
+		f.engines = append(f.engines, e)
+		f.byID[v.ID] = int32(i)
+	}
+	f.byNumber = make([]int32, len(numbers))
+	for i := range f.byNumber {
+		f.byNumber[i] = noEngine
+	}
+	for i := range f.engines {
+		f.byNumber[f.engines[i].number] = int32(i)
+	}
+	f.buildGroups()
+	return f
+}
+
+// adopt keeps what this node learned about an engine across a change of the engine set.
+func (e *engineState) adopt(old *fleet) {
+	i, ok := old.byID[e.ID]
+	if !ok {
+		return
+	}
+	previous := &old.engines[i]
+	if previous.Incarnation == e.Incarnation && previous.newerThan(e.Load) {
+		e.Load = previous.Load
+	}
+	e.dispatchedTokens = previous.dispatchedTokens
+	e.dispatchedRequests = previous.dispatchedRequests
+}
+
+func (e *engineState) newerThan(l LoadView) bool {
+	return e.Load.Owner == l.Owner && e.Load.Version > l.Version
+}
+
+// buildGroups lists the engines per model and region. An engine whose model is not known yet may
+// serve any model; it refuses a request for another one.
+func (f *fleet) buildGroups() {
+	models := map[string]bool{"": true}
+	for i := range f.engines {
+		models[f.engines[i].Model] = true
+	}
+	for i := range f.engines {
+		e := &f.engines[i]
+		for m := range models {
+			if e.Model != m && e.Model != "" {
+				continue
+			}
+			f.join(groupKey{m, e.Region}, int32(i))
+			f.join(groupKey{m, ""}, int32(i))
+		}
+	}
+}
+
+func (f *fleet) join(k groupKey, i int32) {
+	g, ok := f.groups[k]
+	if !ok {
+		g = &group{}
+		f.groups[k] = g
+	}
+	if n := len(g.members); n == 0 || g.members[n-1] != i {
+		g.members = append(g.members, i)
+	}
+}
+
+// groupOf returns the engines of a model in a region, or in all regions if the region has none.
+func (f *fleet) groupOf(model, region string) *group {
+	if g, ok := f.groups[groupKey{model, region}]; ok {
+		return g
+	}
+	if g, ok := f.groups[groupKey{model, ""}]; ok {
+		return g
+	}
+	return f.groups[groupKey{"", ""}]
+}
+
+// sameSet reports whether views describe the same engines with the same placement identity, so
+// that only loads need an update.
+func (f *fleet) sameSet(views []EngineView) bool {
+	if len(views) != len(f.engines) {
+		return false
+	}
+	for i := range views {
+		j, ok := f.byID[views[i].ID]
+		if !ok {
+			return false
+		}
+		e := &f.engines[j]
+		if e.Model != views[i].Model || e.Region != views[i].Region {
+			return false
+		}
+	}
+	return true
+}
+
+// update takes the views of an unchanged set.
+func (f *fleet) update(views []EngineView) {
+	for _, v := range views {
+		e := &f.engines[f.byID[v.ID]]
+		if e.Incarnation == v.Incarnation && e.newerThan(v.Load) {
+			v.Load = e.Load
+		}
+		if v.Load.Version != e.Load.Version || v.Load.Owner != e.Load.Owner {
+			e.dispatchedTokens = 0
+			e.dispatchedRequests = 0
+		}
+		e.EngineView = v
+		e.incarnationHash = rendezvous.Hash(v.Incarnation)
+	}
+}
+
+// order returns the engines of a group in the rendezvous order of a key's bucket.
+func (f *fleet) order(g *group, key uint64) []int32 {
+	bucket := key % homeBuckets
+	if o := g.orders[bucket]; o != nil {
+		return o
+	}
+	o := f.computeOrder(g, bucket)
+	g.orders[bucket] = o
+	return o
+}
+
+func (f *fleet) computeOrder(g *group, bucket uint64) []int32 {
+	type scored struct {
+		score uint64
+		index int32
+	}
+	all := make([]scored, len(g.members))
+	for i, m := range g.members {
+		all[i] = scored{rendezvous.Score(f.engines[m].hash, bucket+1), int32(m)}
+	}
+	slices.SortFunc(all, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
+	n := min(homeOrder, len(all))
+	o := make([]int32, n)
+	for i := range o {
+		o[i] = all[i].index
+	}
+	return o
+}
--- /dev/null
+++ b/pkg/placement/observe.go
@@ -0,0 +1,169 @@
+package placement
+
+import (
+	"time"
+
+	"cassiawall.example/cassiawall/pkg/prefix"
+)
+
+// Observe takes the outcome of a prefill. After a success the engine holds all pieces.
+func (p *Placer) Observe(now time.Time, f Feedback) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.demand.observe(sharedKeys(f.Pieces))
+	e := p.engine(f.Engine)
+	if e == nil || f.Failed {
+		return
+	}
+	if f.Incarnation != "" && f.Incarnation != e.Incarnation {
+		return
+	}
+	p.learn(now, e, f.Pieces, reusedPieces(f.Pieces, f.ReusedTokens))
+	p.remember(now, e, f.Pieces, len(f.Pieces))
+}
+
+// ObserveDepth takes the number of cached pieces that an owner stated. Pieces beyond it are
+// forgotten for this engine.
+func (p *Placer) ObserveDepth(now time.Time, engine, incarnation string, pieces []prefix.Piece, cached int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e := p.engine(engine)
+	if e == nil || incarnation != "" && incarnation != e.Incarnation {
+		return
+	}
+	cached = min(cached, len(pieces))
+	p.learn(now, e, pieces, cached)
+	p.remember(now, e, pieces, cached)
+	for i := cached; i < len(pieces); i++ {
+		if entry := p.soft.get(pieces[i].Key); entry != nil {
+			entry.drop(e.number)
+		}
+	}
+}
+
+func (p *Placer) remember(now time.Time, e *engineState, pieces []prefix.Piece, depth int) {
+	for i := range pieces[:depth] {
+		p.soft.touch(pieces[i].Key).add(softPlace{
+			engine:      e.number,
+			depth:       int32(i + 1),
+			incarnation: e.incarnationHash,
+			seen:        now.UnixNano(),
+		})
+	}
+}
+
+// learn compares the pieces that were cached with what the evidence promised.
+func (p *Placer) learn(now time.Time, e *engineState, pieces []prefix.Piece, cached int) {
+	for i := len(pieces) - 1; i >= 0; i-- {
+		place, ok := p.placeOf(pieces[i].Key, e)
+		if !ok {
+			continue
+		}
+		share := 0.0
+		if cached > i {
+			share = 1
+		}
+		p.beliefs.observeAge(time.Duration(max(0, now.UnixNano()-place.seen)), share)
+		return
+	}
+	p.learnRank(e, pieces, cached)
+}
+
+func (p *Placer) placeOf(key uint64, e *engineState) (softPlace, bool) {
+	entry := p.soft.get(key)
+	if entry == nil {
+		return softPlace{}, false
+	}
+	for _, place := range entry.list() {
+		if place.engine == e.number && place.incarnation == e.incarnationHash {
+			return place, true
+		}
+	}
+	return softPlace{}, false
+}
+
+func (p *Placer) learnRank(e *engineState, pieces []prefix.Piece, cached int) {
+	g := p.fleet.groupOf(e.Model, p.options.Region)
+	if g == nil || len(pieces) == 0 {
+		return
+	}
+	h := p.homesOf(g, pieces)
+	for i := range h.count {
+		if p.fleet.engines[h.order[i]].number != e.number {
+			continue
+		}
+		rank := max(0, i-h.width+1)
+		shared := firstPrivate(pieces)
+		if shared > 0 {
+			p.beliefs.observeRank(rank, false, float64(min(cached, shared))/float64(shared))
+		}
+		if private := len(pieces) - shared; private > 0 {
+			p.beliefs.observeRank(rank, true, float64(max(0, cached-shared))/float64(private))
+		}
+		return
+	}
+}
+
+// reusedPieces returns the number of leading pieces within the reused tokens.
+func reusedPieces(pieces []prefix.Piece, tokens int) int {
+	sum := 0
+	for i := range pieces {
+		sum += pieces[i].Tokens
+		if sum > tokens {
+			return i
+		}
+	}
+	return len(pieces)
+}
+
+func sharedKeys(pieces []prefix.Piece) []uint64 {
+	var keys []uint64
+	for i := range pieces {
+		if isBoundary(pieces, i) {
+			keys = append(keys, pieces[i].Key)
+		}
+	}
+	return keys
+}
+
+// SoftPrefixes returns up to limit entries of the soft map, the most recently used keys first.
+func (p *Placer) SoftPrefixes(limit int) []SoftPrefix {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []SoftPrefix
+	p.soft.each(func(entry *softEntry) bool {
+		for _, place := range entry.list() {
+			i := p.current(place)
+			if i == noEngine {
+				continue
+			}
+			e := &p.fleet.engines[i]
+			out = append(out, SoftPrefix{Key: entry.key, Engine: e.ID, Incarnation: e.Incarnation, Depth: int(place.depth)})
+		}
+		return len(out) < limit
+	})
+	return out[:min(limit, len(out))]
+}
+
+// LoadSoft adds the entries of another node's soft map, in the order of SoftPrefixes. Entries of
+// unknown engines or other incarnations are ignored. Own, newer entries are kept.
+func (p *Placer) LoadSoft(now time.Time, entries []SoftPrefix) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i := len(entries) - 1; i >= 0; i-- {
+		s := &entries[i]
+		e := p.engine(s.Engine)
+		if e == nil || e.Incarnation != s.Incarnation {
+			continue
+		}
+		if _, known := p.placeOf(s.Key, e); known {
+			continue
+		}
+		p.soft.touch(s.Key).add(softPlace{
+			engine:      e.number,
+			depth:       int32(s.Depth),
+			incarnation: e.incarnationHash,
+			seen:        now.UnixNano(),
+		})
+	}
+}
--- /dev/null
+++ b/pkg/placement/pick.go
@@ -0,0 +1,23 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+)
+
+// maxAsked is the number of owners that an entry asks at most.
+const maxAsked = 3
+
+// cheapestPicker takes the options with the lowest costs.
+type cheapestPicker struct{}
+
+// Pick implements Picker. Equal costs are decided by the engine id, so that all nodes agree.
+func (cheapestPicker) Pick(options []Option) []Option {
+	slices.SortFunc(options, func(a, b Option) int {
+		if c := cmp.Compare(a.Cost, b.Cost); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.View.ID, b.View.ID)
+	})
+	return options[:min(maxAsked, len(options))]
+}
--- /dev/null
+++ b/pkg/placement/placer.go
@@ -0,0 +1,208 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"cassiawall.example/cassiawall/pkg/prefix"
+	"cassiawall.example/cassiawall/pkg/rendezvous"
+)
+
+// Options configures a Placer. Zero values mean the defaults.
+type Options struct {
+	// Region limits homes to engines of this region while it has any. Empty means all.
+	Region string
+	// SoftEntries bounds the soft map. Default 50,000 keys of about 120 bytes.
+	SoftEntries int
+	// Rand is the source for sampling engines. Default: a fixed seed.
+	Rand *rand.Rand
+	// Filter, Scorer and Picker name the stages. Empty means the defaults.
+	Filter, Scorer, Picker string
+}
+
+// DefaultSoftEntries bounds the soft map to about 8 MB.
+const DefaultSoftEntries = 50_000
+
+const (
+	// maxOptions bounds the candidates of one decision.
+	maxOptions = 24
+	// spareHomes is the number of homes beyond the width of a prefix that are considered, so
+	// that a hot prefix can grow before its demand estimate does.
+	spareHomes = 2
+	// maxHomes bounds the homes that are considered.
+	maxHomes = 10
+	// maxSoft bounds the engines that are taken from the soft map.
+	maxSoft = 8
+	// sampled is the number of random engines that are considered for their low load.
+	sampled = 4
+)
+
+// Placer ranks engines for one entry node. It is safe for concurrent use.
+type Placer struct {
+	mu      sync.Mutex
+	options Options
+	filter  Filter
+	scorer  Scorer
+	picker  Picker
+	numbers interner
+	fleet   *fleet
+	soft    *softMap
+	beliefs beliefs
+	demand  demand
+	rng     *rand.Rand
+	scratch [maxOptions]Option
+}
+
+// New returns a Placer without engines. It fails if a stage's name is unknown.
+func New(options Options) (*Placer, error) {
+	if options.SoftEntries <= 0 {
+		options.SoftEntries = DefaultSoftEntries
+	}
+	if options.Rand == nil {
+		options.Rand = rand.New(rand.NewPCG(1, 2))
+	}
+	p := &Placer{
+		options: options,
+		numbers: interner{},
+		soft:    newSoftMap(options.SoftEntries),
+		beliefs: newBeliefs(),
+		rng:     options.Rand,
+	}
+	p.fleet = newFleet(nil, p.numbers, nil)
+	var err error
+	if p.filter, err = stageOf(filters, options.Filter, DefaultFilter); err != nil {
+		return nil, err
+	}
+	if p.scorer, err = stageOf(scorers, options.Scorer, DefaultScorer); err != nil {
+		return nil, err
+	}
+	if p.picker, err = stageOf(pickers, options.Picker, DefaultPicker); err != nil {
+		return nil, err
+	}
+	return p, nil
+}
+
+// SetEngines sets the engines of this node's view. Loads that are older than those learned from
+// replies are ignored. Call it after changes; Rank itself does not look at all engines.
+func (p *Placer) SetEngines(views []EngineView) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.fleet.sameSet(views) {
+		p.fleet.update(views)
+		return
+	}
+	p.fleet = newFleet(views, p.numbers, p.fleet)
+}
+
+// SetLoad takes the summary that an owner's reply carried.
+func (p *Placer) SetLoad(engine, incarnation string, load LoadView) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e := p.engine(engine)
+	if e == nil || e.newerThan(load) {
+		return
+	}
+	e.Load = load
+	e.dispatchedTokens = 0
+	e.dispatchedRequests = 0
+	if incarnation != "" && incarnation != e.Incarnation {
+		e.Incarnation = incarnation
+		e.incarnationHash = rendezvous.Hash(incarnation)
+	}
+}
+
+// Dispatched notes work that this node sends to an engine, until the next summary shows it.
+func (p *Placer) Dispatched(engine string, missingTokens int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if e := p.engine(engine); e != nil {
+		e.dispatchedTokens += missingTokens
+		e.dispatchedRequests++
+	}
+}
+
+func (p *Placer) engine(id string) *engineState {
+	i, ok := p.fleet.byID[id]
+	if !ok {
+		return nil
+	}
+	return &p.fleet.engines[i]
+}
+
+// Rank returns the engines to ask, best first, at most three. It returns none if no engine can
+// run the request.
+func (p *Placer) Rank(now time.Time, r *Request) []Candidate {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	g := p.fleet.groupOf(r.Model, p.options.Region)
+	if g == nil {
+		return nil
+	}
+	options := p.generate(now, g, r)
+	for i := range options {
+		p.scorer.Score(r, &options[i])
+	}
+	picked := p.picker.Pick(options)
+	return candidates(picked)
+}
+
+// Home returns the first usable home of a prompt, for dispatch without an owner.
+func (p *Placer) Home(r *Request) (Candidate, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	g := p.fleet.groupOf(r.Model, p.options.Region)
+	if g == nil {
+		return Candidate{}, false
+	}
+	h := p.homesOf(g, r.Pieces)
+	total := prefix.Tokens(r.Pieces)
+	for rank, i := range h.order[:h.count] {
+		o := Option{View: &p.fleet.engines[i].EngineView, Rank: rank, TotalTokens: total, engine: i}
+		if !p.filter.Keep(r, o.View) {
+			continue
+		}
+		p.scorer.Score(r, &o)
+		return candidates([]Option{o})[0], true
+	}
+	return Candidate{}, false
+}
+
+func candidates(options []Option) []Candidate {
+	out := make([]Candidate, len(options))
+	for i := range options {
+		o := &options[i]
+		out[i] = Candidate{
+			Engine:        o.View.ID,
+			Address:       o.View.Address,
+			DataCentre:    o.View.DataCentre,
+			Incarnation:   o.View.Incarnation,
+			PredictedTTFT: o.TTFT,
+			CachedPieces:  o.CachedPieces,
+			CachedTokens:  int(o.CachedTokens),
+			MissingTokens: o.TotalTokens - int(o.CachedTokens),
+			NetworkTime:   o.View.NetworkTime,
+			Cost:          o.Cost,
+			Rank:          o.Rank,
+		}
+		if i+1 < len(options) {
+			out[i].DeclineOver = declineOver(o, &options[i+1])
+		}
+	}
+	return out
+}
+
+const (
+	// declineFactor and declineMargin keep small errors of prediction from sending a request
+	// from owner to owner.
+	declineFactor = 1.25
+	declineMargin = 30 * time.Millisecond
+)
+
+// declineOver returns the time to first token at which the first option becomes as costly as the
+// second.
+func declineOver(first, second *Option) time.Duration {
+	advantage := max(0, second.Cost-first.Cost)
+	even := first.TTFT + time.Duration(advantage*float64(time.Millisecond))
+	return time.Duration(declineFactor*float64(even)) + declineMargin
+}
--- /dev/null
+++ b/pkg/placement/score.go
@@ -0,0 +1,92 @@
+package placement
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// defaultPrefillRate is assumed in tokens a second until a rate was fitted.
+	defaultPrefillRate = 20_000.0
+	// defaultMaxBatch is assumed until the engine reports its own.
+	defaultMaxBatch = 16
+	// defaultStep is the assumed time of a decode step.
+	defaultStep = 20 * time.Millisecond
+	// typicalOutput is the assumed number of output tokens where none is stated.
+	typicalOutput = 128
+	// evictionShare is the share of evicted tokens that are needed again. Engines evict their
+	// least recently used blocks, most of which are not.
+	evictionShare = 0.3
+	// rankCost in milliseconds prefers earlier homes among equals, so that a prefix gives up its
+	// further homes when its demand falls.
+	rankCost = 1.0
+)
+
+// costScorer weighs the predicted time to first token and the work that the choice causes, both
+// in milliseconds of the engine.
+type costScorer struct{}
+
+// Score implements Scorer.
+func (costScorer) Score(r *Request, o *Option) {
+	rate := o.View.Load.PrefillRate
+	if rate <= 0 {
+		rate = defaultPrefillRate
+	}
+	missing := max(0, float64(o.TotalTokens)-o.CachedTokens)
+	o.Wait = waitOf(o, rate, r.MaxTokens)
+	prefill := seconds(missing / rate)
+	o.TTFT = o.View.NetworkTime + o.Wait + prefill
+	o.ComputeCost = weight(r.Policy.RecomputeWeight) * millis(prefill) * (1 + evictionShare)
+	o.Cost = weight(r.Policy.LatencyWeight)*millis(o.TTFT) + o.ComputeCost
+	if o.Rank > 0 {
+		o.Cost += rankCost * float64(min(o.Rank, homeOrder))
+	}
+}
+
+// waitOf predicts the time until the engine starts the prefill: the prefill work ahead, or a free
+// place in the batch, whichever takes longer.
+func waitOf(o *Option, rate float64, maxTokens int) time.Duration {
+	load := &o.View.Load
+	wait := seconds(float64(load.BacklogTokens+o.DispatchedTokens) / rate)
+	batch := o.View.MaxBatch
+	if batch <= 0 {
+		batch = defaultMaxBatch
+	}
+	excess := load.Running + load.Queued + o.DispatchedRequests + 1 - batch
+	if excess <= 0 {
+		return wait
+	}
+	step := load.StepTime
+	if step <= 0 {
+		step = defaultStep
+	}
+	output := typicalOutput
+	if maxTokens > 0 {
+		output = min(output, maxTokens)
+	}
+	slot := time.Duration(float64(step) * float64(output) * float64(excess) / float64(batch))
+	return max(wait, slot)
+}
+
+// loadScorer ignores the cache and prefers the engine with the least work.
+type loadScorer struct{}
+
+// Score implements Scorer.
+func (loadScorer) Score(r *Request, o *Option) {
+	costScorer{}.Score(r, o)
+	load := &o.View.Load
+	o.Cost = float64(load.Running + load.Queued + o.DispatchedRequests)
+}
+
+func weight(w float64) float64 {
+	if w <= 0 {
+		return 1
+	}
+	return w
+}
+
+func seconds(s float64) time.Duration {
+	return time.Duration(math.Min(s, 3600) * float64(time.Second))
+}
+
+func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
