--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -175,20 +175,42 @@
 	return t
 }
 
-// Next returns the tickets that start now and those that can no longer meet their deadline.
-func (q *Queue) Next(now time.Time) []Outcome {
-	out := q.dropLate(now)
-	for q.hasRoom() {
-		i := q.best(now)
-		if i < 0 || !q.fits(q.waiting[i]) {
-			break
-		}
-		t := q.take(i)
-		q.virtual = max(q.virtual, t.start)
-		out = append(out, q.grant(now, t))
+// Drop removes and returns the tickets that can no longer meet their deadline.
+func (q *Queue) Drop(now time.Time) []Outcome { return q.dropLate(now) }
+
+// Next grants at most one ticket and reports whether it did. The caller refreshes the waiting
+// tickets before it asks again, because the granted prefill may serve them too.
+func (q *Queue) Next(now time.Time) (Outcome, bool) {
+	if !q.hasRoom() {
+		return Outcome{}, false
+	}
+	i := q.best(now)
+	if i < 0 || !q.fits(q.waiting[i]) {
+		return Outcome{}, false
 	}
+	t := q.take(i)
+	q.virtual = max(q.virtual, t.start)
+	o := q.grant(now, t)
 	q.forgetIdle()
-	return out
+	return o, true
+}
+
+// Refresh lets the caller correct MissingTokens and HeldUntil of each waiting ticket after the
+// engine's cache has changed.
+func (q *Queue) Refresh(correct func(t *Ticket)) {
+	for _, t := range q.waiting {
+		correct(t)
+	}
+}
+
+// Drain removes all waiting tickets and returns their ids.
+func (q *Queue) Drain() []string {
+	var ids []string
+	for _, t := range q.waiting {
+		ids = append(ids, t.ID)
+	}
+	q.waiting = nil
+	return ids
 }
 
 func (q *Queue) grant(now time.Time, t *Ticket) Outcome {
--- a/pkg/admission/slots.go
+++ b/pkg/admission/slots.go
@@ -106,7 +106,7 @@
 func (q *Queue) Backlog() int {
 	sum := q.prefillingTokens()
 	for _, t := range q.waiting {
-		sum += t.MissingTokens
+		sum += t.AddedTokens
 	}
 	return sum
 }
@@ -125,7 +125,7 @@
 	count := 0
 	for _, w := range q.waiting {
 		if w.start <= start {
-			ahead += w.MissingTokens
+			ahead += w.AddedTokens
 			count++
 		}
 	}
@@ -137,5 +137,5 @@
 	if held := t.HeldUntil.Sub(now); held > wait {
 		wait = held
 	}
-	return wait + q.prefillTime(t.MissingTokens)
+	return wait + q.prefillTime(t.AddedTokens)
 }
--- a/pkg/admission/ticket.go
+++ b/pkg/admission/ticket.go
@@ -38,9 +38,14 @@
 	DeclineOver time.Duration
 	// Patience is the age at which the caller is expected to leave; 0 if unknown.
 	Patience time.Duration
-	// MissingTokens must be prefilled; OutputTokens bounds the answer.
+	// MissingTokens are neither cached nor in prefill.
 	MissingTokens int
-	OutputTokens  int
+	// AddedTokens is the part of MissingTokens that no other waiting ticket computes. It counts
+	// for predictions, so that a burst on one new prefix is not predicted to compute it many
+	// times.
+	AddedTokens int
+	// OutputTokens bounds the answer.
+	OutputTokens int
 	// HeldUntil delays the ticket until another request has prefilled the shared prefix; zero
 	// for no delay.
 	HeldUntil time.Time
--- a/pkg/cacheindex/index.go
+++ b/pkg/cacheindex/index.go
@@ -32,11 +32,13 @@
 	// entries maps a key to the epoch in which it was last confirmed.
 	entries map[uint64]uint32
 	// epoch grows with every gap; entries of older epochs are doubtful.
-	epoch      uint32
-	doubtful   bool
-	loaded     bool
-	seq        uint64
-	pending    map[uint64]pendingPrefill
+	epoch    uint32
+	doubtful bool
+	loaded   bool
+	seq      uint64
+	pending  map[uint64]pendingPrefill
+	// planned counts the waiting requests that will compute a key.
+	planned    map[uint64]int
 	lastRepair time.Time
 }
 
@@ -53,6 +55,8 @@
 	Doubtful int
 	// Pending is at least Doubtful; pieces between are being computed by another request.
 	Pending int
+	// Planned is at least Pending; pieces between will be computed by requests that wait.
+	Planned int
 	// PendingReady is when the pending pieces are expected to be cached.
 	PendingReady time.Time
 }
@@ -110,6 +114,7 @@
 	x.incarnation = incarnation
 	x.entries = map[uint64]uint32{}
 	x.pending = map[uint64]pendingPrefill{}
+	x.planned = map[uint64]int{}
 	x.epoch = 1
 	x.seq = 0
 	x.doubtful = false
@@ -226,9 +231,31 @@
 			d.PendingReady = p.readyAt
 		}
 	}
+	d.Planned = d.Pending
+	for d.Planned < len(keys) && x.planned[keys[d.Planned]] > 0 {
+		d.Planned++
+	}
 	return d
 }
 
+// Plan notes that a waiting request needs the keys. Each call needs one Unplan.
+func (x *Index) Plan(keys []uint64) {
+	for _, k := range keys {
+		x.planned[k]++
+	}
+}
+
+// Unplan ends Plan. It ignores keys that a reset has dropped.
+func (x *Index) Unplan(keys []uint64) {
+	for _, k := range keys {
+		if x.planned[k] > 1 {
+			x.planned[k]--
+		} else {
+			delete(x.planned, k)
+		}
+	}
+}
+
 // PrefillStarted notes that the request in a slot computes the keys that are neither cached nor
 // pending yet, until about readyAt.
 func (x *Index) PrefillStarted(slot uint64, keys []uint64, readyAt time.Time) {
--- /dev/null
+++ b/pkg/controller/engineview/view.go
@@ -0,0 +1,151 @@
+// Package engineview turns the board's engines, summaries and members into the engine views that
+// placement ranks.
+package engineview
+
+import (
+	"time"
+
+	"cassiawall.example/cassiawall/pkg/blackboard"
+	"cassiawall.example/cassiawall/pkg/peer/peerpb"
+	"cassiawall.example/cassiawall/pkg/placement"
+)
+
+// Options configures a Feeder.
+type Options struct {
+	Board *blackboard.Board
+	// DataCentre and Region are this node's own.
+	DataCentre string
+	Region     string
+	// SameRegion and OtherRegion are the round trips to engines in other data centres. Defaults
+	// 1 ms and 60 ms.
+	SameRegion  time.Duration
+	OtherRegion time.Duration
+}
+
+// Default round trips between data centres.
+const (
+	DefaultSameRegion  = time.Millisecond
+	DefaultOtherRegion = 60 * time.Millisecond
+)
+
+// Feeder keeps a Placer's engines equal to the board's. Use it from one goroutine.
+type Feeder struct {
+	options   Options
+	placer    *placement.Placer
+	engines   uint64
+	summaries uint64
+	members   uint64
+	started   bool
+}
+
+// New returns a Feeder.
+func New(o Options, p *placement.Placer) *Feeder {
+	if o.SameRegion <= 0 {
+		o.SameRegion = DefaultSameRegion
+	}
+	if o.OtherRegion <= 0 {
+		o.OtherRegion = DefaultOtherRegion
+	}
+	return &Feeder{options: o, placer: p}
+}
+
+// Refresh passes the board's engines to the Placer if anything changed, and reports whether it
+// did.
+func (f *Feeder) Refresh() bool {
+	b := f.options.Board
+	engines := b.Engines.Version()
+	summaries := b.Summaries.Version()
+	members := b.Members.Version()
+	if f.started && engines == f.engines && summaries == f.summaries && members == f.members {
+		return false
+	}
+	f.started = true
+	f.engines = engines
+	f.summaries = summaries
+	f.members = members
+	f.placer.SetEngines(f.views())
+	return true
+}
+
+func (f *Feeder) views() []placement.EngineView {
+	b := f.options.Board
+	regions := f.regions()
+	summaries := b.Summaries.Snapshot()
+	var views []placement.EngineView
+	for id, e := range b.Engines.Snapshot() {
+		v := viewOf(e.Value)
+		v.ID = id
+		v.Region = regions[v.DataCentre]
+		v.NetworkTime = f.networkTime(v.DataCentre, v.Region)
+		if s, ok := summaries[id]; ok {
+			v.Load = loadOf(s.Value)
+			v.Unusable = v.Unusable || s.Value.Leaving
+			if v.Incarnation == "" {
+				v.Incarnation = s.Value.Incarnation
+			}
+		}
+		views = append(views, v)
+	}
+	return views
+}
+
+func viewOf(e blackboard.EngineEntry) placement.EngineView {
+	v := placement.EngineView{
+		Address:    e.Address,
+		DataCentre: e.DataCentre,
+		Unusable:   e.Leaving || !e.Reachable,
+	}
+	if e.Known {
+		v.Incarnation = e.State.Incarnation
+		v.Model = e.State.Model
+		v.WeightsVersion = e.State.WeightsVersion
+		v.MaxBatch = e.State.MaxBatch
+		v.Unusable = v.Unusable || e.State.Loading || e.State.Leaving
+	}
+	return v
+}
+
+func (f *Feeder) regions() map[string]string {
+	regions := map[string]string{f.options.DataCentre: f.options.Region}
+	for _, m := range f.options.Board.Members.Snapshot() {
+		regions[m.Value.DataCentre] = m.Value.Region
+	}
+	return regions
+}
+
+func (f *Feeder) networkTime(dataCentre, region string) time.Duration {
+	switch {
+	case dataCentre == f.options.DataCentre:
+		return 0
+	case region == f.options.Region:
+		return f.options.SameRegion
+	}
+	return f.options.OtherRegion
+}
+
+func loadOf(s blackboard.SummaryEntry) placement.LoadView {
+	return placement.LoadView{
+		Owner:         s.Owner,
+		Version:       s.Version,
+		Running:       s.Running,
+		Queued:        s.Queued,
+		BacklogTokens: s.BacklogTokens,
+		PrefillRate:   s.PrefillRate,
+		StepTime:      s.StepTime,
+		Doubtful:      s.Doubtful,
+	}
+}
+
+// LoadOf converts the summary of an owner's reply.
+func LoadOf(s *peerpb.EngineSummary) placement.LoadView {
+	return placement.LoadView{
+		Owner:         s.GetOwner(),
+		Version:       s.GetVersion(),
+		Running:       int(s.GetRunning()),
+		Queued:        int(s.GetQueued()),
+		BacklogTokens: int(s.GetBacklogTokens()),
+		PrefillRate:   float64(s.GetPrefillRate()),
+		StepTime:      time.Duration(s.GetStepUs()) * time.Microsecond,
+		Doubtful:      s.GetDoubtful(),
+	}
+}
--- /dev/null
+++ b/pkg/controller/owner/convert.go
@@ -0,0 +1,75 @@
+package owner
+
+import (
+	"time"
+
+	"cassiawall.example/cassiawall/pkg/admission"
+	"cassiawall.example/cassiawall/pkg/blackboard"
+	"cassiawall.example/cassiawall/pkg/engine"
+	"cassiawall.example/cassiawall/pkg/peer/peerpb"
+)
+
+// CopyOptions states when copying cached blocks beats computing them.
+type CopyOptions struct {
+	// TokensPerSecond is the rate of an export with import. 0 disables copies.
+	TokensPerSecond float64
+	// Overhead is the fixed time of a copy.
+	Overhead time.Duration
+}
+
+// copyAdvantage is the factor by which a copy must be faster than prefill: a copy also uses the
+// source engine.
+const copyAdvantage = 2
+
+// copyFrom returns the engine to copy a prefix from, or "" if prefill is faster.
+func (e *owned) copyFrom(now time.Time, c *chain) string {
+	o := &e.owner.options
+	if o.Holders == nil || o.Copy.TokensPerSecond <= 0 || c.depth == len(c.keys) {
+		return ""
+	}
+	holder, pieces := o.Holders(now, c.keys, e.id)
+	if holder == "" || pieces <= c.depth {
+		return ""
+	}
+	tokens := float64(c.first(pieces) - c.first(c.depth))
+	prefill := tokens / e.queue.Rates().Prefill()
+	transfer := tokens/o.Copy.TokensPerSecond + o.Copy.Overhead.Seconds()
+	if transfer*copyAdvantage > prefill {
+		return ""
+	}
+	return holder
+}
+
+func verdictOf(v admission.Verdict) peerpb.AcquireReply_Verdict {
+	switch v {
+	case admission.Granted:
+		return peerpb.AcquireReply_GRANTED
+	case admission.Declined:
+		return peerpb.AcquireReply_DECLINED
+	case admission.DeadlineMissed:
+		return peerpb.AcquireReply_DEADLINE
+	case admission.QueueFull:
+		return peerpb.AcquireReply_QUEUE_FULL
+	}
+	return peerpb.AcquireReply_DECLINED
+}
+
+func summaryProto(id string, s blackboard.SummaryEntry, state engine.State) *peerpb.EngineSummary {
+	return &peerpb.EngineSummary{
+		Engine:         id,
+		Incarnation:    s.Incarnation,
+		Owner:          s.Owner,
+		Running:        uint32(s.Running),
+		Queued:         uint32(s.Queued),
+		BacklogTokens:  uint32(s.BacklogTokens),
+		PrefillRate:    uint32(s.PrefillRate),
+		StepUs:         uint32(s.StepTime.Microseconds()),
+		Leaving:        s.Leaving,
+		Doubtful:       s.Doubtful,
+		Version:        s.Version,
+		Model:          state.Model,
+		WeightsVersion: state.WeightsVersion,
+	}
+}
+
+func ms(v uint32) time.Duration { return time.Duration(v) * time.Millisecond }
--- /dev/null
+++ b/pkg/controller/owner/of.go
@@ -0,0 +1,88 @@
+package owner
+
+import (
+	"sync"
+
+	"cassiawall.example/cassiawall/pkg/blackboard"
+	"cassiawall.example/cassiawall/pkg/rendezvous"
+)
+
+// Of returns the member that owns an engine: the first choice of rendezvous hashing over the live
+// members of the engine's data centre, or over all live members if that has none. It reports
+// false if no member is live.
+func Of(engineID, dataCentre string, members []blackboard.MemberEntry) (blackboard.MemberEntry, bool) {
+	local := best(engineID, members, func(m *blackboard.MemberEntry) bool { return m.DataCentre == dataCentre })
+	if local >= 0 {
+		return members[local], true
+	}
+	any := best(engineID, members, func(*blackboard.MemberEntry) bool { return true })
+	if any >= 0 {
+		return members[any], true
+	}
+	return blackboard.MemberEntry{}, false
+}
+
+func best(engineID string, members []blackboard.MemberEntry, wanted func(*blackboard.MemberEntry) bool) int {
+	key := rendezvous.Hash(engineID)
+	found := -1
+	var top uint64
+	for i := range members {
+		m := &members[i]
+		if !live(m) || !wanted(m) {
+			continue
+		}
+		s := rendezvous.Score(rendezvous.Hash(m.Name), key)
+		if found < 0 || s > top || s == top && m.Name < members[found].Name {
+			found = i
+			top = s
+		}
+	}
+	return found
+}
+
+// live reports whether a member may own engines. A suspected member keeps its engines, because
+// most suspicions are refuted.
+func live(m *blackboard.MemberEntry) bool {
+	return !m.Draining && (m.State == blackboard.MemberAlive || m.State == blackboard.MemberSuspect)
+}
+
+// Table caches the owners of engines for one version of the member list. It is safe for
+// concurrent use.
+type Table struct {
+	board   *blackboard.Board
+	mu      sync.Mutex
+	version uint64
+	members []blackboard.MemberEntry
+	owners  map[string]blackboard.MemberEntry
+}
+
+// NewTable returns a table over the board's members.
+func NewTable(board *blackboard.Board) *Table { return &Table{board: board} }
+
+// Of returns the owner of an engine, or false if no member is live.
+func (t *Table) Of(engineID, dataCentre string) (blackboard.MemberEntry, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.refresh()
+	if m, ok := t.owners[engineID]; ok {
+		return m, true
+	}
+	m, ok := Of(engineID, dataCentre, t.members)
+	if ok {
+		t.owners[engineID] = m
+	}
+	return m, ok
+}
+
+func (t *Table) refresh() {
+	version := t.board.Members.Version()
+	if t.owners != nil && version == t.version {
+		return
+	}
+	t.version = version
+	t.members = t.members[:0]
+	for _, e := range t.board.Members.Snapshot() {
+		t.members = append(t.members, e.Value)
+	}
+	t.owners = map[string]blackboard.MemberEntry{}
+}
