--- a/pkg/placement/softmap.go
+++ b/pkg/placement/softmap.go
@@ -38,8 +38,6 @@
 	return &softMap{index: map[uint64]int32{}, head: noEntry, tail: noEntry, limit: limit}
 }
 
-func (m *softMap) len() int { return len(m.index) }
-
 // get returns the entry of a key without changing its age.
 func (m *softMap) get(key uint64) *softEntry {
 	i, ok := m.index[key]
