--- a/pkg/standin/engine/sequence.go
+++ b/pkg/standin/engine/sequence.go
@@ -34,7 +34,6 @@
 	adapter  string
 	pieces   []piece
 	mark     *mark
-	arrived  time.Time
 
 	phase phase
 	// chain holds the pinned blocks; reserved is the number of blocks still to be filled.
