--- a/pkg/controller/owner/owned.go
+++ b/pkg/controller/owner/owned.go
@@ -362,5 +362,8 @@
 		Leaving:       e.state.Leaving || !e.reachable,
 		Doubtful:      e.index.Doubtful(),
 		Version:       e.version,
+
+		Model:          e.state.Model,
+		WeightsVersion: e.state.WeightsVersion,
 	}
 }
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -154,7 +154,8 @@
 		requestCtx, cancel := context.WithCancelCause(r.Context())
 		defer cancel(nil)
 		defer context.AfterFunc(s.stopped, func() { cancel(context.Cause(s.stopped)) })()
-		if err := handle(w, r.WithContext(requestCtx), id); err != nil {
+		err := handle(w, r.WithContext(requestCtx), id)
+		if err != nil && r.Context().Err() == nil {
 			s.refuse(r.Context(), w, id, err)
 		}
 	}
--- a/pkg/fault/fault.go
+++ b/pkg/fault/fault.go
@@ -54,9 +54,14 @@
 	Conflict              Kind = "conflict"
 	InvalidSettings       Kind = "invalid_settings"
 	InvalidConfiguration  Kind = "invalid_configuration"
-	Internal              Kind = "internal"
+	// Abandoned is seen only in logs and metrics, because the caller has left.
+	Abandoned Kind = "abandoned"
+	Internal  Kind = "internal"
 )
 
+// statusClientClosed is the customary status, outside the standard, of a request whose client left.
+const statusClientClosed = 499
+
 // definition is the fixed part of a kind.
 type definition struct {
 	status int
@@ -89,6 +94,7 @@
 	Conflict:              {http.StatusConflict, "read the current version, merge the change and apply again"},
 	InvalidSettings:       {http.StatusBadRequest, "correct the settings file as listed"},
 	InvalidConfiguration:  {http.StatusBadRequest, "correct the configuration file as listed"},
+	Abandoned:             {statusClientClosed, "none"},
 	Internal:              {http.StatusInternalServerError, "report the request id to the operator"},
 }
 
--- /dev/null
+++ b/pkg/routing/direct.go
@@ -0,0 +1,81 @@
+package routing
+
+import (
+	"sync"
+
+	"cassiawall.example/cassiawall/pkg/blackboard"
+	"cassiawall.example/cassiawall/pkg/prefix"
+)
+
+// directFallbackBatch is the assumed batch size of an engine that has not stated one.
+const directFallbackBatch = 16
+
+// directShare counts the requests that this node sends to engines without their owners. The
+// shares of all nodes together are about one batch, so that a lost owner cannot flood an engine.
+type directShare struct {
+	board *blackboard.Board
+	mu    sync.Mutex
+	used  map[string]int
+}
+
+func newDirectShare(board *blackboard.Board) *directShare {
+	return &directShare{board: board, used: map[string]int{}}
+}
+
+// take reserves a place on the engine and returns the function that frees it.
+func (d *directShare) take(engine string) (release func(), ok bool) {
+	bound := d.bound(engine)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.used[engine] >= bound {
+		return nil, false
+	}
+	d.used[engine]++
+	return sync.OnceFunc(func() { d.free(engine) }), true
+}
+
+func (d *directShare) free(engine string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.used[engine]--
+	if d.used[engine] == 0 {
+		delete(d.used, engine)
+	}
+}
+
+// bound is this node's share of the engine's batch, at least one.
+func (d *directShare) bound(engine string) int {
+	batch := directFallbackBatch
+	if e, ok := d.board.Engines.Get(engine); ok && e.Value.State.MaxBatch > 0 {
+		batch = e.Value.State.MaxBatch
+	}
+	live := 0
+	for _, m := range d.board.Members.Snapshot() {
+		if m.Value.State == blackboard.MemberAlive {
+			live++
+		}
+	}
+	return max(1, batch/max(1, live))
+}
+
+// directSlot is a slot without an owner.
+type directSlot struct {
+	router  *OwnerRouter
+	pieces  []prefix.Piece
+	target  Target
+	release func()
+}
+
+// Target implements Slot.
+func (s *directSlot) Target() Target { return s.target }
+
+// FirstToken implements Slot.
+func (s *directSlot) FirstToken(u Usage) { s.router.observe(s.pieces, s.target, u) }
+
+// Done implements Slot.
+func (s *directSlot) Done(e Ending) {
+	if e.Failed {
+		s.router.observeFailure(s.pieces, s.target)
+	}
+	s.release()
+}
--- /dev/null
+++ b/pkg/routing/owner.go
@@ -0,0 +1,268 @@
+package routing
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"cassiawall.example/cassiawall/pkg/blackboard"
+	"cassiawall.example/cassiawall/pkg/controller/engineview"
+	"cassiawall.example/cassiawall/pkg/event"
+	"cassiawall.example/cassiawall/pkg/fault"
+	"cassiawall.example/cassiawall/pkg/peer/peerpb"
+	"cassiawall.example/cassiawall/pkg/placement"
+	"cassiawall.example/cassiawall/pkg/prefix"
+)
+
+// Owners calls the owners of engines. A call to this node's own engines needs no network.
+type Owners interface {
+	Acquire(ctx context.Context, m blackboard.MemberEntry, r *peerpb.AcquireRequest) (*peerpb.AcquireReply, error)
+	Release(ctx context.Context, m blackboard.MemberEntry, r *peerpb.ReleaseRequest) (*peerpb.ReleaseReply, error)
+}
+
+// OwnerTable finds the owner of an engine. Package controller/owner implements it.
+type OwnerTable interface {
+	Of(engineID, dataCentre string) (blackboard.MemberEntry, bool)
+}
+
+// OwnerOptions configures an OwnerRouter.
+type OwnerOptions struct {
+	Board  *blackboard.Board
+	Placer *placement.Placer
+	Owners Owners
+	Table  OwnerTable
+	// Self is this node's member name.
+	Self   string
+	Logger *slog.Logger
+	Now    func() time.Time
+}
+
+// Bounds of calls to owners.
+const (
+	// releaseTimeout bounds a Release. A lost one is made good by the expiry of the slot.
+	releaseTimeout = 2 * time.Second
+	// renewInterval is a third of the time after which an owner frees a slot without renewal.
+	renewInterval = 5 * time.Second
+	// acquireSlack is added to the deadline of a waiting Acquire for the way back.
+	acquireSlack = 200 * time.Millisecond
+)
+
+// OwnerRouter ranks engines at the entry and takes a slot from the owner of the best one.
+type OwnerRouter struct {
+	opt    OwnerOptions
+	direct *directShare
+}
+
+// NewOwnerRouter returns a router.
+func NewOwnerRouter(opt OwnerOptions) *OwnerRouter {
+	return &OwnerRouter{opt: opt, direct: newDirectShare(opt.Board)}
+}
+
+// Route implements Router.
+func (r *OwnerRouter) Route(ctx context.Context, w *Work) (Slot, error) {
+	request := placementRequest(w)
+	candidates := r.opt.Placer.Rank(r.opt.Now(), request)
+	if len(candidates) == 0 {
+		return nil, fault.New(fault.NoEngine, "no engine serves model %s version %s", w.Model.Name, w.Model.WeightsVersion)
+	}
+	var last error
+	for i := range candidates {
+		slot, err := r.try(ctx, w, &candidates[i])
+		if err == nil {
+			return slot, nil
+		}
+		if ctx.Err() != nil {
+			return nil, fault.Wrap(context.Cause(ctx), fault.Abandoned, "the caller left while the request was queued")
+		}
+		last = err
+	}
+	return nil, last
+}
+
+func placementRequest(w *Work) *placement.Request {
+	request := &placement.Request{Pieces: w.Pieces, Model: w.Model.Name, WeightsVersion: w.Model.WeightsVersion,
+		Policy: w.Policy, MaxTokens: w.MaxTokens}
+	for id := range w.Failed {
+		request.Exclude = append(request.Exclude, id)
+	}
+	return request
+}
+
+// try asks the owner of one candidate. Without a working owner it dispatches directly.
+func (r *OwnerRouter) try(ctx context.Context, w *Work, c *placement.Candidate) (Slot, error) {
+	m, ok := r.opt.Table.Of(c.Engine, c.DataCentre)
+	if !ok {
+		return r.dispatchDirect(ctx, w, c)
+	}
+	left := w.Deadline.Sub(r.opt.Now())
+	if left <= 0 {
+		return nil, fault.New(fault.DeadlineUnreachable, "the deadline passed while the request was queued")
+	}
+	callCtx, cancel := context.WithTimeout(ctx, left+acquireSlack)
+	defer cancel()
+	reply, err := r.opt.Owners.Acquire(callCtx, m, r.acquireRequest(w, c, left))
+	if err != nil {
+		if callCtx.Err() != nil {
+			return nil, fault.New(fault.DeadlineUnreachable, "no slot became free within the deadline")
+		}
+		return r.dispatchDirect(ctx, w, c)
+	}
+	r.learn(w, c, reply)
+	return r.judge(ctx, w, c, m, reply)
+}
+
+func (r *OwnerRouter) acquireRequest(w *Work, c *placement.Candidate, left time.Duration) *peerpb.AcquireRequest {
+	tokens := make([]uint32, len(w.Pieces))
+	shared := 0
+	for i, p := range w.Pieces {
+		tokens[i] = uint32(p.Tokens)
+		if p.Shared {
+			shared = i + 1
+		}
+	}
+	return &peerpb.AcquireRequest{
+		RequestId: w.RequestID, Engine: c.Engine, Workspace: w.Workspace.Name, EntryNode: r.opt.Self,
+		Keys: prefix.Keys(w.Pieces), PieceTokens: tokens, SharedPieces: uint32(shared),
+		MaxOutputTokens: uint32(w.MaxTokens), DeadlineMs: uint32(left.Milliseconds()),
+		DeclineOverMs: uint32(c.DeclineOver.Milliseconds()), Weight: uint32(w.Workspace.Weight),
+		AgeMs: uint32(r.opt.Now().Sub(w.Arrived).Milliseconds()),
+	}
+}
+
+// learn passes on what the owner's reply says about its engine.
+func (r *OwnerRouter) learn(w *Work, c *placement.Candidate, reply *peerpb.AcquireReply) {
+	if reply.Summary == nil {
+		return
+	}
+	r.opt.Placer.SetLoad(c.Engine, reply.Incarnation, engineview.LoadOf(reply.Summary))
+	if reply.Verdict == peerpb.AcquireReply_GRANTED || reply.Verdict == peerpb.AcquireReply_DECLINED {
+		r.opt.Placer.ObserveDepth(r.opt.Now(), c.Engine, reply.Incarnation, w.Pieces, int(reply.CachedPieces))
+	}
+}
+
+func (r *OwnerRouter) judge(ctx context.Context, w *Work, c *placement.Candidate, m blackboard.MemberEntry, reply *peerpb.AcquireReply) (Slot, error) {
+	switch reply.Verdict {
+	case peerpb.AcquireReply_GRANTED:
+		return r.granted(w, c, m, reply), nil
+	case peerpb.AcquireReply_NOT_OWNER:
+		return r.dispatchDirect(ctx, w, c)
+	case peerpb.AcquireReply_ENGINE_LEAVING:
+		return nil, fault.New(fault.NoEngine, "engine %s leaves or is unreachable", c.Engine)
+	case peerpb.AcquireReply_DEADLINE:
+		return nil, fault.New(fault.DeadlineUnreachable, "the predicted time to first token is %d ms", reply.PredictedMs).
+			WithRetryAfter(time.Second)
+	case peerpb.AcquireReply_QUEUE_FULL:
+		return nil, fault.New(fault.Overloaded, "the queue of engine %s is full", c.Engine).WithRetryAfter(time.Second)
+	}
+	return nil, fault.New(fault.Overloaded, "engine %s declined", c.Engine).WithRetryAfter(time.Second)
+}
+
+func (r *OwnerRouter) granted(w *Work, c *placement.Candidate, m blackboard.MemberEntry, reply *peerpb.AcquireReply) Slot {
+	r.opt.Placer.Dispatched(c.Engine, c.MissingTokens)
+	s := &ownerSlot{
+		router: r, member: m, pieces: w.Pieces, id: reply.Slot,
+		target:  Target{Engine: c.Engine, Address: c.Address, Incarnation: reply.Incarnation},
+		reports: make(chan *peerpb.ReleaseRequest, maxReports),
+	}
+	go s.report()
+	return s
+}
+
+// dispatchDirect sends to the engine without its owner, under a local share of its capacity.
+func (r *OwnerRouter) dispatchDirect(ctx context.Context, w *Work, c *placement.Candidate) (Slot, error) {
+	release, ok := r.direct.take(c.Engine)
+	if !ok {
+		return nil, fault.New(fault.Overloaded, "engine %s has no owner and this node's share of it is in use", c.Engine).
+			WithRetryAfter(time.Second)
+	}
+	event.DirectDispatch.Log(ctx, r.opt.Logger, slog.String("engine", c.Engine), slog.String("request", w.RequestID))
+	return &directSlot{
+		router: r, pieces: w.Pieces, release: release,
+		target: Target{Engine: c.Engine, Address: c.Address, Incarnation: c.Incarnation},
+	}, nil
+}
+
+func (r *OwnerRouter) observe(pieces []prefix.Piece, target Target, u Usage) {
+	r.opt.Placer.Observe(r.opt.Now(), placement.Feedback{
+		Pieces: pieces, Engine: target.Engine, Incarnation: u.Incarnation,
+		ReusedTokens: u.ReusedTokens, ComputedTokens: u.ComputedTokens, PrefillTime: u.Prefill,
+	})
+}
+
+func (r *OwnerRouter) observeFailure(pieces []prefix.Piece, target Target) {
+	r.opt.Placer.Observe(r.opt.Now(), placement.Feedback{
+		Pieces: pieces, Engine: target.Engine, Incarnation: target.Incarnation, Failed: true,
+	})
+}
+
+// maxReports is the number of reports of one slot besides renewals.
+const maxReports = 2
+
+// ownerSlot is a slot that an owner granted.
+type ownerSlot struct {
+	router *OwnerRouter
+	member blackboard.MemberEntry
+	pieces []prefix.Piece
+	id     uint64
+	target Target
+	// reports carries the first-token report and the final one, in order.
+	reports chan *peerpb.ReleaseRequest
+	once    sync.Once
+	first   sync.Once
+}
+
+// Target implements Slot.
+func (s *ownerSlot) Target() Target { return s.target }
+
+// FirstToken implements Slot.
+func (s *ownerSlot) FirstToken(u Usage) {
+	s.first.Do(func() {
+		s.router.observe(s.pieces, s.target, u)
+		s.reports <- &peerpb.ReleaseRequest{
+			Slot: s.id, Engine: s.target.Engine, Stage: peerpb.ReleaseRequest_FIRST_TOKEN,
+			ReusedTokens: uint32(u.ReusedTokens), ComputedTokens: uint32(u.ComputedTokens), PrefillMs: uint32(u.Prefill.Milliseconds()),
+		}
+	})
+}
+
+// Done implements Slot.
+func (s *ownerSlot) Done(e Ending) {
+	s.once.Do(func() {
+		s.first.Do(func() {})
+		if e.Failed {
+			s.router.observeFailure(s.pieces, s.target)
+		}
+		s.reports <- &peerpb.ReleaseRequest{
+			Slot: s.id, Engine: s.target.Engine, Stage: peerpb.ReleaseRequest_DONE, Abandoned: e.Abandoned, Failed: e.Failed,
+		}
+		close(s.reports)
+	})
+}
+
+// report sends the slot's reports in order and renews the slot in between.
+func (s *ownerSlot) report() {
+	ticker := time.NewTicker(renewInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case r, ok := <-s.reports:
+			if !ok {
+				return
+			}
+			s.send(r)
+		case <-ticker.C:
+			s.send(&peerpb.ReleaseRequest{Slot: s.id, Engine: s.target.Engine, Stage: peerpb.ReleaseRequest_RENEW})
+		}
+	}
+}
+
+// send reports to the owner. A failed report costs accuracy only: the slot expires.
+func (s *ownerSlot) send(r *peerpb.ReleaseRequest) {
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	reply, err := s.router.opt.Owners.Release(ctx, s.member, r)
+	if err == nil && reply.Summary != nil {
+		s.router.opt.Placer.SetLoad(s.target.Engine, reply.Summary.Incarnation, engineview.LoadOf(reply.Summary))
+	}
+}
