peer: authenticate Twirp calls and replies between nodes

Calls carry an HMAC-SHA256 over method, target address, body hash, time and nonce. Two keys are valid at a time. Replies are bound to the call's nonce, so that a configuration is never taken from a process without a key.

--- /dev/null
+++ b/pkg/peer/keyring.go
@@ -0,0 +1,102 @@
+package peer
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/binary"
+	"sync"
+
+	"cassiawall.example/cassiawall/pkg/fault"
+)
+
+// MinSecretBytes is the shortest secret that a keyring takes.
+const MinSecretBytes = 16
+
+// maxKeys is the number of keys that are valid at a time: one signs, the other is accepted
+// while the fleet moves from one to the next.
+const maxKeys = 2
+
+// Key is a secret that all nodes of a fleet share.
+type Key struct {
+	// ID travels with each message and selects the key that verifies it.
+	ID     uint32
+	Secret []byte
+}
+
+// Keyring holds the keys of a node. It is safe for concurrent use.
+type Keyring struct {
+	mu   sync.RWMutex
+	keys []Key
+}
+
+// NewKeyring returns a keyring that signs with the first key and accepts all of them. There are
+// one or two keys. The error is of kind fault.InvalidSettings.
+func NewKeyring(keys ...Key) (*Keyring, error) {
+	k := &Keyring{}
+	if err := k.Replace(keys...); err != nil {
+		return nil, err
+	}
+	return k, nil
+}
+
+// Replace changes the keys as NewKeyring sets them. To rotate without refused messages, first
+// add the new key second on all nodes, then put it first, then remove the old one.
+func (k *Keyring) Replace(keys ...Key) error {
+	if len(keys) == 0 || len(keys) > maxKeys {
+		return fault.New(fault.InvalidSettings, "%d peer keys; state one, or two during a rotation", len(keys))
+	}
+	if len(keys) == maxKeys && keys[0].ID == keys[1].ID {
+		return fault.New(fault.InvalidSettings, "peer key id %d is used twice", keys[0].ID)
+	}
+	for _, key := range keys {
+		if len(key.Secret) < MinSecretBytes {
+			return fault.New(fault.InvalidSettings, "peer key %d has %d bytes; use at least %d", key.ID, len(key.Secret), MinSecretBytes)
+		}
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.keys = append([]Key(nil), keys...)
+	return nil
+}
+
+// sign returns the id of the signing key and the authentication code of the parts.
+func (k *Keyring) sign(parts ...[]byte) (uint32, []byte) {
+	k.mu.RLock()
+	key := k.keys[0]
+	k.mu.RUnlock()
+	return key.ID, code(key.Secret, parts)
+}
+
+// verify reports whether mac is the code of the parts under the key with the given id. A mac
+// that is shorter than a full code is compared with the code's front.
+func (k *Keyring) verify(id uint32, mac []byte, parts ...[]byte) bool {
+	secret := k.secret(id)
+	if secret == nil || len(mac) < sha256.Size/2 || len(mac) > sha256.Size {
+		return false
+	}
+	return hmac.Equal(mac, code(secret, parts)[:len(mac)])
+}
+
+func (k *Keyring) secret(id uint32) []byte {
+	k.mu.RLock()
+	defer k.mu.RUnlock()
+	for _, key := range k.keys {
+		if key.ID == id {
+			return key.Secret
+		}
+	}
+	return nil
+}
+
+// code computes the HMAC-SHA256 of the parts. Each part is preceded by its length, so that
+// bytes cannot move from one part to the next.
+func code(secret []byte, parts [][]byte) []byte {
+	mac := hmac.New(sha256.New, secret)
+	var length [8]byte
+	for _, part := range parts {
+		binary.BigEndian.PutUint64(length[:], uint64(len(part)))
+		mac.Write(length[:])
+		mac.Write(part)
+	}
+	return mac.Sum(nil)
+}
--- /dev/null
+++ b/pkg/peer/pool.go
@@ -0,0 +1,130 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"cassiawall.example/cassiawall/pkg/fault"
+	"cassiawall.example/cassiawall/pkg/peer/peerpb"
+)
+
+// Bounds of calls between nodes.
+const (
+	// DefaultCallTimeout bounds a call whose context has no deadline.
+	DefaultCallTimeout = 2 * time.Second
+	dialTimeout        = time.Second
+	idleTimeout        = 90 * time.Second
+	idlePerNode        = 8
+	// maxReplyBytes bounds a reply. The largest is Bootstrap with a configuration of up to
+	// 1 MB, members, engines and soft prefixes.
+	maxReplyBytes = 16 << 20
+)
+
+// Pool makes clients for the RPC addresses of members and keeps their connections alive. It is
+// safe for concurrent use.
+type Pool struct {
+	transport *http.Transport
+	auth      *Auth
+
+	mu      sync.Mutex
+	clients map[string]peerpb.Peer
+}
+
+// NewPool returns a pool that signs its calls with auth.
+func NewPool(auth *Auth) *Pool {
+	return &Pool{
+		transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			MaxIdleConnsPerHost: idlePerNode,
+			IdleConnTimeout:     idleTimeout,
+			DisableCompression:  true,
+		},
+		auth:    auth,
+		clients: map[string]peerpb.Peer{},
+	}
+}
+
+// Client returns the client for an RPC address (host:port). A call whose context has no
+// deadline ends after DefaultCallTimeout. Cancelling a call's context cancels the call on the
+// callee.
+func (p *Pool) Client(address string) peerpb.Peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c, ok := p.clients[address]; ok {
+		return c
+	}
+	c := peerpb.NewPeerProtobufClient("http://"+address, &caller{transport: p.transport, auth: p.auth})
+	p.clients[address] = c
+	return c
+}
+
+// Retain drops the clients of all other addresses, so that replaced nodes leave nothing behind.
+func (p *Pool) Retain(addresses map[string]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address := range p.clients {
+		if !addresses[address] {
+			delete(p.clients, address)
+		}
+	}
+}
+
+// Close closes idle connections.
+func (p *Pool) Close() { p.transport.CloseIdleConnections() }
+
+// caller implements the HTTP client that Twirp expects.
+type caller struct {
+	transport http.RoundTripper
+	auth      *Auth
+}
+
+// Do signs the call, sends it and checks the reply's signature. The error is of kind
+// fault.Unauthenticated when the reply is not from a node that holds a key.
+func (c *caller) Do(r *http.Request) (*http.Response, error) {
+	ctx, cancel := withDefaultDeadline(r.Context())
+	defer cancel()
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return nil, err
+	}
+	signed := r.Clone(ctx)
+	signed.Body = io.NopCloser(bytes.NewReader(body))
+	signed.ContentLength = int64(len(body))
+	n := c.auth.signCall(signed, r.URL.Host, body)
+	response, err := c.transport.RoundTrip(signed)
+	if err != nil {
+		return nil, err
+	}
+	return c.checked(response, n)
+}
+
+func (c *caller) checked(response *http.Response, n nonce) (*http.Response, error) {
+	defer response.Body.Close()
+	reply, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(reply) > maxReplyBytes {
+		return nil, fault.New(fault.Internal, "reply of a peer is longer than %d bytes", maxReplyBytes).WithWork(fault.Unknown)
+	}
+	response.Body = io.NopCloser(bytes.NewReader(reply))
+	if response.StatusCode == http.StatusUnauthorized {
+		return response, nil
+	}
+	if !c.auth.checkReply(response.Header, n, response.StatusCode, reply) {
+		return nil, fault.New(fault.Unauthenticated, "reply of a peer has no valid signature").WithWork(fault.Unknown)
+	}
+	return response, nil
+}
+
+func withDefaultDeadline(ctx context.Context) (context.Context, context.CancelFunc) {
+	if _, ok := ctx.Deadline(); ok {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, DefaultCallTimeout)
+}
--- /dev/null
+++ b/pkg/peer/server.go
@@ -0,0 +1,65 @@
+package peer
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+
+	"github.com/twitchtv/twirp"
+
+	"cassiawall.example/cassiawall/pkg/peer/peerpb"
+)
+
+// maxCallBytes bounds the body of a call. The largest is RecordOutcome with a backend's answer.
+const maxCallBytes = 4 << 20
+
+// NewServer returns the handler of the node's RPC listener. Calls without a valid signature get
+// the Twirp error "unauthenticated". Replies are signed and bound to the call.
+func NewServer(impl peerpb.Peer, auth *Auth) http.Handler {
+	return &server{next: peerpb.NewPeerServer(impl), auth: auth}
+}
+
+type server struct {
+	next http.Handler
+	auth *Auth
+}
+
+// ServeHTTP checks the call, runs it and signs the reply.
+func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxCallBytes))
+	if err != nil {
+		s.refuse(w, r, "unreadable or too large")
+		return
+	}
+	n, reason := s.auth.checkCall(r, body)
+	if reason != "" {
+		s.refuse(w, r, reason)
+		return
+	}
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	reply := &bufferedReply{header: w.Header(), status: http.StatusOK}
+	s.next.ServeHTTP(reply, r)
+	s.auth.signReply(w.Header(), n, reply.status, reply.body.Bytes())
+	w.WriteHeader(reply.status)
+	// A failed write means that the caller is gone; its context ends the work.
+	_, _ = w.Write(reply.body.Bytes())
+}
+
+func (s *server) refuse(w http.ResponseWriter, r *http.Request, reason string) {
+	s.auth.refusals.add(r.Context(), s.auth.now(), r.RemoteAddr, reason)
+	// A failed write means that the caller is gone.
+	_ = twirp.WriteError(w, twirp.Unauthenticated.Error("call refused: check the peer keys, the clocks and the address of both nodes"))
+}
+
+// bufferedReply holds a reply until it can be signed.
+type bufferedReply struct {
+	header http.Header
+	status int
+	body   bytes.Buffer
+}
+
+func (b *bufferedReply) Header() http.Header { return b.header }
+
+func (b *bufferedReply) WriteHeader(status int) { b.status = status }
+
+func (b *bufferedReply) Write(p []byte) (int, error) { return b.body.Write(p) }
