--- a/Makefile
+++ b/Makefile
@@ -33,3 +33,5 @@
 	$(GO) build -o bin/protoc-gen-twirp github.com/twitchtv/twirp/protoc-gen-twirp
 	PATH="$$PWD/bin:$$PATH" protoc --proto_path=pkg/peer/peerpb --go_out=paths=source_relative:pkg/peer/peerpb \
 		--twirp_out=paths=source_relative:pkg/peer/peerpb pkg/peer/peerpb/peer.proto
+	PATH="$$PWD/bin:$$PATH" protoc --proto_path=pkg/claims/claimspb --go_out=paths=source_relative:pkg/claims/claimspb \
+		pkg/claims/claimspb/journal.proto
--- /dev/null
+++ b/pkg/claims/claimspb/doc.go
@@ -0,0 +1,2 @@
+// Package claimspb holds the generated code of the stored form of claim journals.
+package claimspb
--- /dev/null
+++ b/pkg/claims/journal.go
@@ -0,0 +1,270 @@
+package claims
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"maps"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"cassiawall.example/cassiawall/pkg/claims/claimspb"
+	"cassiawall.example/cassiawall/pkg/fault"
+	"cassiawall.example/cassiawall/pkg/objects"
+)
+
+const journalFormat = 1
+
+// tombstoneKeep is the time for which a claim that was never sent is kept. It only has to
+// outlast a delayed copy of the claim's own message.
+const tombstoneKeep = MinKeep
+
+// Journal is the decoded value of one shard. Its claims are never changed in place.
+type Journal struct {
+	claims map[Key]*claimspb.Claim
+	bytes  int
+}
+
+// NewJournal returns an empty journal.
+func NewJournal() *Journal { return &Journal{claims: map[Key]*claimspb.Claim{}} }
+
+// Len returns the number of claims.
+func (j *Journal) Len() int { return len(j.claims) }
+
+// Decode parses the value of a journal object. An error means that nothing may be granted from
+// this journal.
+func Decode(value []byte) (*Journal, error) {
+	if len(value) > objects.MaxValueBytes {
+		return nil, fault.New(fault.Internal, "claim journal of %d bytes is too large", len(value))
+	}
+	var stored claimspb.Journal
+	if err := proto.Unmarshal(value, &stored); err != nil {
+		return nil, fault.Wrap(err, fault.Internal, "claim journal does not parse")
+	}
+	if stored.Format != journalFormat {
+		return nil, fault.New(fault.Internal, "claim journal has format %d, want %d", stored.Format, journalFormat)
+	}
+	j := NewJournal()
+	for _, c := range stored.Claims {
+		if err := checkStored(c); err != nil {
+			return nil, err
+		}
+		if _, twice := j.claims[Key(c.Key)]; twice {
+			return nil, fault.New(fault.Internal, "claim journal holds key %x twice", c.Key)
+		}
+		j.set(c)
+	}
+	return j, nil
+}
+
+func checkStored(c *claimspb.Claim) error {
+	switch {
+	case len(c.Key) != sha256.Size:
+		return fault.New(fault.Internal, "claim journal holds a key of %d bytes", len(c.Key))
+	case !ValidAttempt(c.Attempt):
+		return fault.New(fault.Internal, "claim journal holds an invalid attempt id")
+	case c.State < claimspb.Claim_PENDING || c.State > claimspb.Claim_UNKNOWN:
+		return fault.New(fault.Internal, "claim journal holds the unknown state %d", c.State)
+	case len(c.BodyHash) != sha256.Size && c.State != claimspb.Claim_NOT_SENT:
+		return fault.New(fault.Internal, "claim journal holds a body hash of %d bytes", len(c.BodyHash))
+	}
+	return nil
+}
+
+// Encode returns the value to store, ordered by key.
+func (j *Journal) Encode() ([]byte, error) {
+	stored := claimspb.Journal{Format: journalFormat}
+	stored.Claims = slices.SortedFunc(maps.Values(j.claims), func(a, b *claimspb.Claim) int {
+		return bytes.Compare(a.Key, b.Key)
+	})
+	value, err := proto.Marshal(&stored)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Internal, "claim journal does not encode")
+	}
+	return value, nil
+}
+
+func (j *Journal) set(c *claimspb.Claim) {
+	key := Key(c.Key)
+	j.drop(key)
+	j.claims[key] = c
+	j.bytes += storedSize(c)
+}
+
+func (j *Journal) drop(key Key) {
+	if old, ok := j.claims[key]; ok {
+		j.bytes -= storedSize(old)
+		delete(j.claims, key)
+	}
+}
+
+// storedSize is the size of a claim in a journal, with its tag and length.
+func storedSize(c *claimspb.Claim) int { return proto.Size(c) + 4 }
+
+func (j *Journal) clone() *Journal { return &Journal{claims: maps.Clone(j.claims), bytes: j.bytes} }
+
+// trim removes the claims whose time to be kept is over by more than the clock skew.
+func (j *Journal) trim(now time.Time) {
+	for key, c := range j.claims {
+		if expired(c, now) {
+			j.drop(key)
+		}
+	}
+}
+
+func expired(c *claimspb.Claim, now time.Time) bool {
+	return now.UnixMilli() > c.KeepUntilMs+ClockSkew.Milliseconds()
+}
+
+// apply evaluates op against the journal and stores what it changes. changed tells whether the
+// reply holds only after the journal has been written.
+func (j *Journal) apply(op Op, now time.Time) (reply Reply, changed bool) {
+	var next *claimspb.Claim
+	if op.Claim != nil {
+		reply, next = j.claim(op.Claim, now)
+	} else {
+		reply, next = j.record(op.Record, now)
+	}
+	reply.Ticket = op.Ticket
+	if next != nil {
+		j.set(next)
+	}
+	return reply, next != nil
+}
+
+// claim returns the verdict on a claim and the stored claim to add, if any.
+func (j *Journal) claim(op *ClaimOp, now time.Time) (Reply, *claimspb.Claim) {
+	held, ok := j.claims[op.Key]
+	if ok && expired(held, now) {
+		ok = false
+	}
+	switch {
+	case !ok:
+		return j.grant(op, now)
+	case held.Attempt == op.Attempt:
+		return ownReply(held), nil
+	case held.State == claimspb.Claim_NOT_SENT:
+		return j.grant(op, now)
+	default:
+		return foreignReply(held, op, now), nil
+	}
+}
+
+func (j *Journal) grant(op *ClaimOp, now time.Time) (Reply, *claimspb.Claim) {
+	if j.bytes > MaxJournalBytes {
+		return Reply{Verdict: Full}, nil
+	}
+	return Reply{Verdict: Granted}, &claimspb.Claim{
+		Key:         op.Key[:],
+		Attempt:     op.Attempt,
+		BodyHash:    op.BodyHash[:],
+		State:       claimspb.Claim_PENDING,
+		ClaimedMs:   now.UnixMilli(),
+		KeepUntilMs: now.Add(max(op.Keep, MinKeep)).UnixMilli(),
+		DeadlineMs:  now.Add(op.Deadline).UnixMilli(),
+	}
+}
+
+// ownReply answers an attempt that asks about its own claim again. A grant is repeated only
+// while the attempt has recorded no outcome.
+func ownReply(held *claimspb.Claim) Reply {
+	if held.State == claimspb.Claim_PENDING {
+		return Reply{Verdict: Granted}
+	}
+	return Reply{Verdict: Recorded, Outcome: outcomeOf(held)}
+}
+
+// foreignReply answers an attempt whose key another attempt holds.
+func foreignReply(held *claimspb.Claim, op *ClaimOp, now time.Time) Reply {
+	switch {
+	case !bytes.Equal(held.BodyHash, op.BodyHash[:]):
+		return Reply{Verdict: BodyConflict}
+	case held.State == claimspb.Claim_COMPLETED:
+		return Reply{Verdict: Recorded, Outcome: outcomeOf(held)}
+	case held.State == claimspb.Claim_PENDING && now.UnixMilli() < held.DeadlineMs:
+		return Reply{Verdict: InProgress}
+	default:
+		return Reply{Verdict: Unknown}
+	}
+}
+
+// record returns the reply to a record and the stored claim to set, if any.
+func (j *Journal) record(op *RecordOp, now time.Time) (Reply, *claimspb.Claim) {
+	held, ok := j.claims[op.Key]
+	switch {
+	case !ok && op.Outcome.State == NotSent:
+		return Reply{Verdict: Granted}, tombstone(op, now)
+	case !ok || held.Attempt != op.Attempt:
+		return Reply{Verdict: Unknown}, nil
+	case stateOf(op.Outcome.State) == held.State:
+		return Reply{Verdict: Granted}, nil
+	case held.State == claimspb.Claim_PENDING,
+		held.State == claimspb.Claim_UNKNOWN && op.Outcome.State == Completed:
+		return Reply{Verdict: Granted}, j.resolved(held, op.Outcome, now)
+	default:
+		return Reply{Verdict: Recorded, Outcome: outcomeOf(held)}, nil
+	}
+}
+
+// tombstone keeps a delayed copy of an abandoned claim from being granted to nobody, which would
+// leave the key without an outcome.
+func tombstone(op *RecordOp, now time.Time) *claimspb.Claim {
+	return &claimspb.Claim{
+		Key:         op.Key[:],
+		Attempt:     op.Attempt,
+		State:       claimspb.Claim_NOT_SENT,
+		ClaimedMs:   now.UnixMilli(),
+		KeepUntilMs: now.Add(tombstoneKeep).UnixMilli(),
+	}
+}
+
+func (j *Journal) resolved(held *claimspb.Claim, o Outcome, now time.Time) *claimspb.Claim {
+	next := proto.CloneOf(held)
+	next.State = stateOf(o.State)
+	if o.State == NotSent {
+		next.KeepUntilMs = now.Add(tombstoneKeep).UnixMilli()
+		return next
+	}
+	limit := MaxOutcomeBody
+	if j.bytes+len(o.Body) > MaxJournalBytes {
+		limit = 0
+	}
+	o = o.bounded(limit)
+	next.Status = uint32(o.Status)
+	next.ContentType = o.ContentType
+	next.Body = o.Body
+	next.BodyDigest = o.BodyDigest
+	next.BodyBytes = uint64(o.BodyBytes)
+	return next
+}
+
+func stateOf(s State) claimspb.Claim_State {
+	switch s {
+	case NotSent:
+		return claimspb.Claim_NOT_SENT
+	case Completed:
+		return claimspb.Claim_COMPLETED
+	default:
+		return claimspb.Claim_UNKNOWN
+	}
+}
+
+func outcomeOf(c *claimspb.Claim) Outcome {
+	o := Outcome{
+		Status:      int(c.Status),
+		ContentType: c.ContentType,
+		Body:        c.Body,
+		BodyDigest:  c.BodyDigest,
+		BodyBytes:   int(c.BodyBytes),
+	}
+	switch c.State {
+	case claimspb.Claim_NOT_SENT:
+		o.State = NotSent
+	case claimspb.Claim_COMPLETED:
+		o.State = Completed
+	default:
+		o.State = UnknownResult
+	}
+	return o
+}
--- /dev/null
+++ b/pkg/claims/writer.go
@@ -0,0 +1,216 @@
+package claims
+
+import (
+	"time"
+
+	"cassiawall.example/cassiawall/pkg/fault"
+	"cassiawall.example/cassiawall/pkg/objects"
+)
+
+// Limits of a writer.
+const (
+	// MaxBatch is the largest number of requests in one conditional update.
+	MaxBatch = 256
+	// RefuseFor is the time for which a writer refuses at once after the object API has failed,
+	// before one request probes it again.
+	RefuseFor = 500 * time.Millisecond
+
+	// maxTries bounds the reads and writes for one batch. Each conflict means that another node
+	// made progress, so a few tries suffice when two nodes take turns.
+	maxTries = 6
+)
+
+// ActionKind is what a writer wants its controller to do.
+type ActionKind int
+
+// Kinds of actions.
+const (
+	None ActionKind = iota
+	Read
+	Write
+)
+
+// Action is one call of the object API. Its result goes to ReadDone or WriteDone.
+type Action struct {
+	Kind      ActionKind
+	Value     []byte
+	IfVersion uint64
+}
+
+// Writer groups the claims of one shard into conditional updates. It is not safe for
+// concurrent use.
+type Writer struct {
+	// known is the last journal read or written; current tells whether it may serve as the base
+	// of an update.
+	known   *Journal
+	version uint64
+	current bool
+
+	queue []Op
+	batch []Op
+	// staged is the journal with the changes of batch, while it is being written.
+	staged  *Journal
+	replies []Reply
+	// fresh tells whether the journal was read for this batch.
+	fresh bool
+	busy  bool
+	tries int
+
+	failing     bool
+	refuseUntil time.Time
+}
+
+// NewWriter returns a writer that has not read its journal yet.
+func NewWriter() *Writer { return &Writer{known: NewJournal()} }
+
+// Submit adds a request. If the object API is known to fail, it answers at once with ok true.
+func (w *Writer) Submit(op Op, now time.Time) (reply Reply, ok bool) {
+	if w.Refusing(now) {
+		return w.answerFromMemory(op, now), true
+	}
+	w.queue = append(w.queue, op)
+	return Reply{}, false
+}
+
+// Refusing reports whether requests are answered without a call: shortly after a failure, and
+// while one request probes the object API.
+func (w *Writer) Refusing(now time.Time) bool {
+	return w.failing && (now.Before(w.refuseUntil) || len(w.batch)+len(w.queue) > 0)
+}
+
+// Idle reports whether the writer waits for requests.
+func (w *Writer) Idle() bool { return !w.busy && len(w.queue) == 0 && len(w.batch) == 0 }
+
+// Next returns the next call of the object API, if any, and the replies that need none. It
+// returns no action while a call is in progress.
+func (w *Writer) Next(now time.Time) (Action, []Reply) {
+	if w.busy {
+		return Action{}, nil
+	}
+	if len(w.batch) == 0 && !w.takeBatch() {
+		return Action{}, nil
+	}
+	if !w.current {
+		return w.read()
+	}
+	staged, replies, changed, doubtful := w.stage(now)
+	switch {
+	case doubtful && !w.fresh:
+		// Another node may have settled these claims since the journal was cached.
+		return w.read()
+	case !changed:
+		return Action{}, w.finish(replies)
+	}
+	value, err := staged.Encode()
+	if err != nil {
+		return Action{}, w.fail(now)
+	}
+	w.busy, w.staged, w.replies = true, staged, replies
+	return Action{Kind: Write, Value: value, IfVersion: w.version}, nil
+}
+
+func (w *Writer) takeBatch() bool {
+	n := min(len(w.queue), MaxBatch)
+	w.batch = w.queue[:n:n]
+	w.queue = w.queue[n:]
+	w.tries, w.fresh = 0, false
+	return n > 0
+}
+
+func (w *Writer) read() (Action, []Reply) {
+	w.busy = true
+	return Action{Kind: Read}, nil
+}
+
+// stage applies the batch to a copy of the journal. doubtful tells whether a reply depends on
+// the journal being current.
+func (w *Writer) stage(now time.Time) (staged *Journal, replies []Reply, changed, doubtful bool) {
+	staged = w.known.clone()
+	for _, op := range w.batch {
+		reply, change := staged.apply(op, now)
+		replies = append(replies, reply)
+		changed = changed || change
+		doubtful = doubtful || reply.Verdict == InProgress || reply.Verdict == Unknown || reply.Verdict == Full
+	}
+	if changed {
+		staged.trim(now)
+	}
+	return staged, replies, changed, doubtful
+}
+
+func (w *Writer) finish(replies []Reply) []Reply {
+	for i := range replies {
+		replies[i].Version = w.version
+	}
+	w.batch, w.staged, w.replies = nil, nil, nil
+	w.failing = false
+	return replies
+}
+
+// fail answers the batch without the object API. A claim that is answered Unavailable may still
+// be in the journal: its attempt never sends and records NotSent later.
+func (w *Writer) fail(now time.Time) []Reply {
+	w.current = false
+	w.failing = true
+	w.refuseUntil = now.Add(RefuseFor)
+	replies := make([]Reply, 0, len(w.batch)+len(w.queue))
+	for _, op := range append(w.batch, w.queue...) {
+		replies = append(replies, w.answerFromMemory(op, now))
+	}
+	w.batch, w.queue, w.staged, w.replies = nil, nil, nil, nil
+	return replies
+}
+
+// answerFromMemory answers from the last journal seen. Outcomes are final and a claim of this
+// very attempt can only be settled by the attempt itself, so an old journal is good evidence
+// for both; everything that would need a write is Unavailable.
+func (w *Writer) answerFromMemory(op Op, now time.Time) Reply {
+	reply, next := Reply{Verdict: Unavailable}, true
+	if op.Claim != nil {
+		r, change := w.known.claim(op.Claim, now)
+		reply, next = r, change != nil || r.Verdict == Full
+	}
+	if next {
+		reply = Reply{Verdict: Unavailable}
+	}
+	reply.Ticket = op.Ticket
+	reply.Version = w.version
+	return reply
+}
+
+// ReadDone takes the result of a Read. decodeErr is set if the journal is damaged; nothing is
+// granted from it.
+func (w *Writer) ReadDone(o objects.Object, err error, now time.Time) (replies []Reply, decodeErr error) {
+	w.busy = false
+	w.tries++
+	if fault.Is(err, fault.NotFound) {
+		w.known, w.version, w.current, w.fresh = NewJournal(), 0, true, true
+		return nil, nil
+	}
+	if err != nil {
+		return w.fail(now), nil
+	}
+	j, decodeErr := Decode(o.Value)
+	if decodeErr != nil {
+		return w.fail(now), decodeErr
+	}
+	w.known, w.version, w.current, w.fresh = j, o.Version, true, true
+	return nil, nil
+}
+
+// WriteDone takes the result of a Write. After a conflict or a lost answer the next action is a
+// read, which shows whether the batch took effect.
+func (w *Writer) WriteDone(version uint64, err error, now time.Time) []Reply {
+	w.busy = false
+	w.tries++
+	if err == nil {
+		w.known, w.version, w.current = w.staged, version, true
+		return w.finish(w.replies)
+	}
+	w.current, w.staged, w.replies = false, nil, nil
+	unsettled := fault.Is(err, fault.Conflict) || fault.As(err).Work == fault.Unknown
+	if unsettled && w.tries < maxTries {
+		return nil
+	}
+	return w.fail(now)
+}
