--- /dev/null
+++ b/pkg/cli/check_test.go
@@ -0,0 +1,70 @@
+package cli
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// run executes a command line and returns its exit code and output.
+func run(args ...string) (code int, out, diagnostics string) {
+	var stdout, stderr bytes.Buffer
+	code = Run(args, &stdout, &stderr)
+	return code, stdout.String(), stderr.String()
+}
+
+func writeFile(t *testing.T, text string) string {
+	path := filepath.Join(t.TempDir(), "file.yaml")
+	require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+	return path
+}
+
+const threeErrors = `models:
+  - name: lugha
+    weights_version: v1
+    piece_tokens: 4k
+workspaces:
+  - name: north
+    api_key_hashes: [aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa]
+    models: [lugah]
+    colour: red
+`
+
+// Guards against a check that names only the first of several errors, or names them without line
+// and remedy, or accepts the file by its exit code.
+func TestCheckNamesAllErrors(t *testing.T) {
+	code, out, _ := run("check", "--json", writeFile(t, threeErrors))
+	assert.Equal(t, exitUsage, code)
+	var r checkResult
+	require.NoError(t, json.Unmarshal([]byte(out), &r))
+	assert.False(t, r.OK)
+	assert.Equal(t, "configuration", r.Kind)
+	require.Len(t, r.Problems, 3)
+	for i, want := range []struct {
+		line  int
+		field string
+	}{{4, "models[0].piece_tokens"}, {8, "workspaces[0].models[0]"}, {9, "workspaces[0].colour"}} {
+		assert.Equal(t, want.line, r.Problems[i].Line)
+		assert.Equal(t, want.field, r.Problems[i].Field)
+		assert.NotEmpty(t, r.Problems[i].Remedy)
+	}
+	code, out, _ = run("check", writeFile(t, threeErrors))
+	assert.Equal(t, exitUsage, code)
+	assert.Contains(t, out, "file.yaml:8: workspaces[0].models[0]")
+}
+
+// Guards against settings that are judged as configuration and the reverse.
+func TestCheckDetectsKind(t *testing.T) {
+	_, out, _ := run("check", "--json", writeFile(t, "name: a\ndata_centre: b\n"))
+	assert.Contains(t, out, `"kind": "settings"`)
+	_, out, _ = run("check", "--json", writeFile(t, "models: []\n"))
+	assert.Contains(t, out, `"kind": "configuration"`)
+	code, _, diagnostics := run("check", filepath.Join(t.TempDir(), "absent.yaml"))
+	assert.Equal(t, exitUsage, code)
+	assert.Contains(t, diagnostics, "remedy")
+}
--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -26,22 +26,29 @@
 // Run parses args, runs the command and returns the exit code.
 func Run(args []string, stdout, stderr io.Writer) int {
 	s := streams{out: stdout, err: stderr}
+	parser, err := newParser(commands(s))
+	if err == nil {
+		_, err = parser.ParseArgs(args)
+	}
+	return s.exitCode(err)
+}
+
+func newParser(specs []commandSpec) (*flags.Parser, error) {
 	parser := flags.NewNamedParser("cassiawall", flags.HelpFlag|flags.PassDoubleDash)
-	for _, c := range commands(s) {
-		command, err := parser.AddCommand(c.name, c.short, c.long, c.data)
+	return parser, addCommands(parser.Command, specs)
+}
+
+func addCommands(parent *flags.Command, specs []commandSpec) error {
+	for _, spec := range specs {
+		command, err := parent.AddCommand(spec.name, spec.short, spec.long, spec.data)
 		if err != nil {
-			fmt.Fprintln(stderr, err)
-			return exitFailed
+			return err
 		}
-		for _, sub := range c.subcommands {
-			if _, err := command.AddCommand(sub.name, sub.short, sub.long, sub.data); err != nil {
-				fmt.Fprintln(stderr, err)
-				return exitFailed
-			}
+		if err := addCommands(command, spec.subcommands); err != nil {
+			return err
 		}
 	}
-	_, err := parser.ParseArgs(args)
-	return s.exitCode(err)
+	return nil
 }
 
 func (s streams) exitCode(err error) int {
@@ -75,5 +82,6 @@
 func commands(s streams) []commandSpec {
 	return []commandSpec{
 		{name: "version", short: "Print the version", long: "Print the version.\n\nExample: cassiawall version --json", data: &versionCommand{streams: s}},
+		checkSpec(s),
 	}
 }
--- a/pkg/strictyaml/decode.go
+++ b/pkg/strictyaml/decode.go
@@ -187,3 +187,19 @@
 	}
 	return 0, false
 }
+
+// KnownFields returns how many top-level keys of text are fields of the struct that into points
+// to. It is 0 for text that is not a YAML mapping.
+func KnownFields(text []byte, into any) int {
+	var root yaml.Node
+	if yaml.Unmarshal(text, &root) != nil || len(root.Content) == 0 || root.Content[0].Kind != yaml.MappingNode {
+		return 0
+	}
+	known := 0
+	for i := 0; i < len(root.Content[0].Content); i += 2 {
+		if _, ok := fieldIndex(reflect.TypeOf(into).Elem(), root.Content[0].Content[i].Value); ok {
+			known++
+		}
+	}
+	return known
+}
