--- /dev/null
+++ b/pkg/cli/demo.go
@@ -0,0 +1,75 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"cassiawall.example/cassiawall/pkg/config"
+	"cassiawall.example/cassiawall/pkg/demo"
+	"cassiawall.example/cassiawall/pkg/fault"
+)
+
+type demoCommand struct {
+	Requests int    `long:"requests" description:"Stop after this number of requests; 0 runs until Ctrl-C" default:"0"`
+	Seed     uint64 `long:"seed" description:"Seed of the workload" default:"1"`
+	Config   string `long:"config" description:"Serve this configuration file in place of the demo's own" value-name:"FILE"`
+	JSON     bool   `long:"json" description:"Print the report as JSON"`
+	streams  streams
+}
+
+// Execute runs the demo.
+func (c *demoCommand) Execute([]string) error {
+	options := demo.Options{Requests: c.Requests, Seed: c.Seed, Logger: slog.New(slog.DiscardHandler)}
+	if !c.JSON {
+		options.Progress = c.streams.err
+	}
+	if c.Config != "" {
+		document, err := os.ReadFile(c.Config)
+		if err != nil {
+			return fault.Wrap(err, fault.BadRequest, "cannot read %s", c.Config)
+		}
+		if options.Config, err = config.Parse(document); err != nil {
+			return err
+		}
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	d, err := demo.Start(ctx, options)
+	if err != nil {
+		return err
+	}
+	c.greet(d)
+	report := d.Run(ctx)
+	if err := d.Close(); err != nil {
+		return err
+	}
+	return c.print(&report)
+}
+
+func (c *demoCommand) greet(d *demo.Demo) {
+	if c.JSON {
+		return
+	}
+	fmt.Fprintf(c.streams.out, "Three nodes and the platform's stand-ins are running. Try:\n\n  %s\n\nOperators' pages: %v\nCtrl-C stops.\n\n",
+		d.CurlLine(), d.OperatorsURLs())
+}
+
+func (c *demoCommand) print(r *demo.Report) error {
+	encoder := json.NewEncoder(c.streams.out)
+	if !c.JSON {
+		encoder.SetIndent("", "  ")
+	}
+	if err := encoder.Encode(r); err != nil {
+		return err
+	}
+	if !r.OK() {
+		return errors.New("an answer was cut, crossed or run twice")
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/demo/run.go
@@ -0,0 +1,195 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"cassiawall.example/cassiawall/pkg/config"
+	"cassiawall.example/cassiawall/pkg/loadgen"
+	"cassiawall.example/cassiawall/pkg/localfleet"
+	enginestandin "cassiawall.example/cassiawall/pkg/standin/engine"
+)
+
+// Sizes of the demo.
+const (
+	nodeCount       = 3
+	enginesPerModel = 3
+	// cacheBlocks is smaller than the working set of one model and larger than a third of it.
+	cacheBlocks  = 64
+	prefillRate  = 200_000
+	stepTime     = 4 * time.Millisecond
+	meanGap      = 40 * time.Millisecond
+	startTimeout = 20 * time.Second
+	// callTimeout bounds a call of the demo's callers.
+	callTimeout = 30 * time.Second
+)
+
+// Options configures a run.
+type Options struct {
+	// Requests bounds the run; 0 runs until the context ends.
+	Requests int
+	Seed     uint64
+	// Config replaces the demo's own configuration.
+	Config *config.Config
+	// Progress receives one-line status texts, if set.
+	Progress io.Writer
+	Logger   *slog.Logger
+}
+
+// Demo is a running demo.
+type Demo struct {
+	opt      Options
+	fleet    *localfleet.Fleet
+	targets  []target
+	workload *workload
+	http     *http.Client
+	tally    *tally
+}
+
+// Start starts the stand-ins and the nodes.
+func Start(ctx context.Context, opt Options) (*Demo, error) {
+	c := opt.Config
+	if c == nil {
+		c = defaultConfig()
+	}
+	targets := targetsOf(c)
+	startCtx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	fleet, err := localfleet.Start(startCtx, localfleet.Options{
+		Nodes: nodeCount, DataCentres: []string{"dar-a", "dar-b", "dar-c"}, Engines: engines(c, opt.Seed), Config: c, Logger: opt.Logger,
+	})
+	if err != nil {
+		return nil, err
+	}
+	random := rand.New(rand.NewPCG(opt.Seed, 0x64656d6f))
+	return &Demo{
+		opt: opt, fleet: fleet, targets: targets, tally: newTally(fleet),
+		workload: &workload{random: random, targets: targets, nodes: nodeCount, meanGap: meanGap},
+		http:     &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{}).DialContext, MaxIdleConnsPerHost: 256}},
+	}, nil
+}
+
+func engines(c *config.Config, seed uint64) []enginestandin.Config {
+	var list []enginestandin.Config
+	for _, m := range c.Models {
+		for i := range enginesPerModel {
+			list = append(list, enginestandin.Config{
+				ID: fmt.Sprintf("%s-%d", m.Name, i+1), Model: m.Name, WeightsVersion: m.WeightsVersion, Seed: seed + uint64(len(list)),
+				CacheBlocks: cacheBlocks, PrefillTokensPerSecond: prefillRate, StepTime: stepTime, BytesPerToken: m.BytesPerToken,
+			})
+		}
+	}
+	return list
+}
+
+// targetsOf returns the workspaces that the workload calls.
+func targetsOf(c *config.Config) []target {
+	vocabularies := [][]string{
+		{"darasa", "saa", "mwalimu", "jumatatu", "nafasi", "shule", "mzazi", "chumba"},
+		{"gutter", "ladder", "district", "visit", "frost", "downpipe", "crew", "gate"},
+	}
+	var targets []target
+	for i := range c.Workspaces {
+		w := &c.Workspaces[i]
+		if len(w.Models) == 0 {
+			continue
+		}
+		targets = append(targets, target{apiKey: apiKeys[w.Name], model: w.Models[0], words: vocabularies[i%len(vocabularies)]})
+	}
+	return targets
+}
+
+// CurlLine returns a command that sends one request to the demo.
+func (d *Demo) CurlLine() string {
+	t := d.targets[0]
+	return fmt.Sprintf(`curl -N %s/v1/chat/completions -H 'Authorization: Bearer %s' -H 'Content-Type: application/json' -d '{"model":"%s","stream":true,"max_tokens":32,"messages":[{"role":"user","content":"Habari, nataka nafasi ya kesho"}]}'`,
+		d.fleet.Nodes()[0].CallersURL(), t.apiKey, t.model)
+}
+
+// OperatorsURLs returns the base URLs of the operators' listeners.
+func (d *Demo) OperatorsURLs() []string {
+	var urls []string
+	for _, n := range d.fleet.Nodes() {
+		urls = append(urls, n.OperatorsURL())
+	}
+	return urls
+}
+
+// Run sends the workload and returns the report.
+func (d *Demo) Run(ctx context.Context) Report {
+	status, stopStatus := context.WithCancel(ctx)
+	var printing sync.WaitGroup
+	printing.Go(func() { d.printStatus(status) })
+	var calls sync.WaitGroup
+	for i := 0; (d.opt.Requests == 0 || i < d.opt.Requests) && ctx.Err() == nil; i++ {
+		a := d.workload.action()
+		calls.Go(func() { d.perform(ctx, &a) })
+		pause(ctx, a.gap)
+	}
+	calls.Wait()
+	stopStatus()
+	printing.Wait()
+	return d.tally.report()
+}
+
+// Close stops the nodes and the stand-ins.
+func (d *Demo) Close() error {
+	d.http.CloseIdleConnections()
+	return d.fleet.Close()
+}
+
+func (d *Demo) client(i int) *loadgen.Client {
+	nodes := d.fleet.Nodes()
+	return &loadgen.Client{Base: nodes[i%len(nodes)].CallersURL(), HTTP: d.http}
+}
+
+func (d *Demo) perform(ctx context.Context, a *action) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if a.patience == 0 {
+		d.tally.chatDone(a.chat, d.client(a.node).Stream(ctx, a.chat), false)
+		return
+	}
+	patient, leave := context.WithTimeout(ctx, a.patience)
+	defer leave()
+	result := d.client(a.node).Stream(patient, a.chat)
+	d.tally.chatDone(a.chat, result, patient.Err() != nil)
+}
+
+func pause(ctx context.Context, span time.Duration) {
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// statusInterval is the time between two status lines.
+const statusInterval = time.Second
+
+func (d *Demo) printStatus(ctx context.Context) {
+	if d.opt.Progress == nil {
+		return
+	}
+	ticker := time.NewTicker(statusInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			fmt.Fprintln(d.opt.Progress)
+			return
+		case <-ticker.C:
+			r := d.tally.report()
+			fmt.Fprintf(d.opt.Progress, "\r%d requests, %d complete, %d abandoned, %d refused, %d errors, hit rate %.2f, TTFT p50 %.0f ms p99 %.0f ms ",
+				r.Requests, r.Complete, r.Abandoned, r.Refused, r.Errors, r.PrefixHitRate, r.TTFT.P50, r.TTFT.P99)
+		}
+	}
+}
--- a/pkg/localfleet/fleet.go
+++ b/pkg/localfleet/fleet.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"cassiawall.example/cassiawall/pkg/blackboard"
 	"cassiawall.example/cassiawall/pkg/config"
 	"cassiawall.example/cassiawall/pkg/fault"
 	"cassiawall.example/cassiawall/pkg/node"
@@ -104,6 +105,9 @@
 	f.mu.Lock()
 	m.node, m.cancel, m.done = n, cancel, make(chan error, 1)
 	f.mu.Unlock()
+	n.Board().Config.Put(blackboard.ConfigKey, blackboard.ConfigEntry{Version: 1, Config: f.opt.Config}, blackboard.Evidence{})
+	n.Board().Members.Put(m.settings.Name, blackboard.MemberEntry{Name: m.settings.Name, DataCentre: m.settings.DataCentre,
+		Region: m.settings.Region, State: blackboard.MemberAlive}, blackboard.Evidence{})
 	go func() { m.done <- n.Run(ctx) }()
 	return nil
 }
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -17,10 +17,14 @@
 
 	"cassiawall.example/cassiawall/pkg/blackboard"
 	"cassiawall.example/cassiawall/pkg/controller/discovery"
+	"cassiawall.example/cassiawall/pkg/controller/engineview"
+	"cassiawall.example/cassiawall/pkg/controller/owner"
 	"cassiawall.example/cassiawall/pkg/engine"
 	"cassiawall.example/cassiawall/pkg/entry"
 	"cassiawall.example/cassiawall/pkg/event"
 	"cassiawall.example/cassiawall/pkg/metrics"
+	"cassiawall.example/cassiawall/pkg/peer"
+	"cassiawall.example/cassiawall/pkg/placement"
 	"cassiawall.example/cassiawall/pkg/routing"
 	"cassiawall.example/cassiawall/pkg/settings"
 	"cassiawall.example/cassiawall/pkg/vms"
@@ -52,8 +56,14 @@
 	metrics   *metrics.Registry
 	engines   *engineClients
 	discovery *discovery.Controller
+	owner     *owner.Owner
+	placer    *placement.Placer
+	feeder    *engineview.Feeder
+	auth      *peer.Auth
+	pool      *peer.Pool
 	entry     *entry.Server
 	callers   net.Listener
+	peers     net.Listener
 	operators net.Listener
 	ready     atomic.Bool
 	stopOnce  sync.Once
@@ -64,28 +74,60 @@
 // fault.InvalidSettings or of the network.
 func New(opt Options) (*Node, error) {
 	n := &Node{opt: opt, board: blackboard.New(), metrics: metrics.New(), engines: newEngineClients(), stop: make(chan struct{})}
+	if err := n.listen(); err != nil {
+		return nil, err
+	}
+	if err := n.assemble(); err != nil {
+		return nil, errors.Join(err, n.callers.Close(), n.peers.Close(), n.operators.Close())
+	}
+	return n, nil
+}
+
+func (n *Node) assemble() error {
+	s := n.opt.Settings
 	n.discovery = discovery.New(discovery.Options{
-		Board: n.board, EngineRole: opt.Settings.Engines.VMRole, Static: staticEngines(opt.Settings), Logger: opt.Logger, Now: time.Now,
+		Board: n.board, EngineRole: s.Engines.VMRole, Static: staticEngines(s), Logger: n.opt.Logger, Now: time.Now,
 	})
+	keys, err := keyring(n.opt.PeerKeys)
+	if err != nil {
+		return err
+	}
+	n.auth = peer.NewAuth(peer.AuthOptions{Keyring: keys, Address: n.peerAddress(), Logger: n.opt.Logger})
+	n.pool = peer.NewPool(n.auth)
+	n.owner = owner.New(owner.Options{Board: n.board, Engines: n.reporter, Self: s.Name, Logger: n.opt.Logger})
+	if n.placer, err = placement.New(placement.Options{Region: s.Region}); err != nil {
+		return err
+	}
+	n.feeder = engineview.New(engineview.Options{Board: n.board, DataCentre: s.DataCentre, Region: s.Region}, n.placer)
 	router, err := n.newRouter()
 	if err != nil {
-		return nil, err
+		return err
 	}
 	n.entry, err = entry.New(entry.Options{
-		Board: n.board, Router: router, Logger: opt.Logger, Now: time.Now, RequestID: newRequestID,
+		Board: n.board, Router: router, Logger: n.opt.Logger, Now: time.Now, RequestID: newRequestID,
 		Engines: func(address string) engine.Generator { return n.engines.at(address) },
 	})
-	if err != nil {
-		return nil, err
-	}
-	if err := n.listen(); err != nil {
-		return nil, err
+	return err
+}
+
+// reporter returns the adapter of an engine, or nil if its address is not known.
+func (n *Node) reporter(id string) engine.Reporter {
+	e, ok := n.board.Engines.Get(id)
+	if !ok {
+		return nil
 	}
-	return n, nil
+	return n.engines.at(e.Value.Address)
 }
 
 func (n *Node) newRouter() (routing.Router, error) {
-	return routing.NewBaseline(n.opt.Policy, n.board, n.opt.Inflight)
+	if n.opt.Policy != "" {
+		return routing.NewBaseline(n.opt.Policy, n.board, n.opt.Inflight)
+	}
+	calls := &ownerCalls{self: n.opt.Settings.Name, local: n.owner, pool: n.pool}
+	return routing.NewOwnerRouter(routing.OwnerOptions{
+		Board: n.board, Placer: n.placer, Owners: calls, Table: owner.NewTable(n.board),
+		Self: n.opt.Settings.Name, Logger: n.opt.Logger, Now: time.Now,
+	}), nil
 }
 
 func (n *Node) listen() error {
@@ -93,12 +135,23 @@
 	if n.callers, err = net.Listen("tcp", n.opt.Settings.Callers.Address); err != nil {
 		return err
 	}
-	if n.operators, err = net.Listen("tcp", n.opt.Settings.Operators.Address); err != nil {
+	if n.peers, err = net.Listen("tcp", n.opt.Settings.Peers.Address); err != nil {
 		return errors.Join(err, n.callers.Close())
 	}
+	if n.operators, err = net.Listen("tcp", n.opt.Settings.Operators.Address); err != nil {
+		return errors.Join(err, n.callers.Close(), n.peers.Close())
+	}
 	return nil
 }
 
+// peerAddress is the address under which the other nodes call this one.
+func (n *Node) peerAddress() string {
+	if n.opt.Settings.Peers.Advertise != "" {
+		return n.opt.Settings.Peers.Advertise
+	}
+	return n.peers.Addr().String()
+}
+
 func staticEngines(s *settings.Settings) []vms.VM {
 	list := make([]vms.VM, len(s.Engines.Static))
 	for i, e := range s.Engines.Static {
@@ -138,6 +191,10 @@
 	event.NodeStarted.Log(ctx, n.opt.Logger, slog.String("node", n.opt.Settings.Name))
 	group, groupCtx := errgroup.WithContext(ctx)
 	group.Go(func() error { return n.discovery.Run(groupCtx) })
+	group.Go(func() error { return n.owner.Run(groupCtx) })
+	group.Go(func() error { return n.feed(groupCtx) })
+	peers := &http.Server{Handler: peer.NewServer(&rpcServer{owner: n.owner}, n.auth), ReadHeaderTimeout: headerTimeout}
+	group.Go(func() error { return serve(peers, n.peers) })
 	callers := n.callersServer()
 	operators := &http.Server{Handler: n.operatorsHandler(), ReadHeaderTimeout: headerTimeout}
 	group.Go(func() error { return serve(operators, n.operators) })
@@ -147,14 +204,32 @@
 	})
 	group.Go(func() error {
 		<-groupCtx.Done()
-		return errors.Join(operators.Close(), callers.Close())
+		return errors.Join(operators.Close(), peers.Close(), callers.Close())
 	})
 	err := group.Wait()
 	n.engines.close()
+	n.pool.Close()
 	event.NodeStopped.Log(context.Background(), n.opt.Logger, slog.String("node", n.opt.Settings.Name))
 	return err
 }
 
+// feedInterval bounds the age of the engine loads that placement sees.
+const feedInterval = 20 * time.Millisecond
+
+// feed passes the board's engines to placement until ctx ends.
+func (n *Node) feed(ctx context.Context) error {
+	ticker := time.NewTicker(feedInterval)
+	defer ticker.Stop()
+	for {
+		n.feeder.Refresh()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
 func (n *Node) callersServer() *http.Server {
 	return &http.Server{
 		Handler: n.entry, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
