Resume cut streams on their engine; wait for all engines before readiness; end-to-end tests

Cause of the refusals in the demo: nodes were ready before their engines were known, and engines in a data centre without members fell out of the region filter. Tests drive the published OpenAI client against three nodes, cancel, and cut streams in six ways.

--- a/pkg/cli/demo.go
+++ b/pkg/cli/demo.go
@@ -20,13 +20,17 @@
 	Seed     uint64 `long:"seed" description:"Seed of the workload" default:"1"`
 	Config   string `long:"config" description:"Serve this configuration file in place of the demo's own" value-name:"FILE"`
 	JSON     bool   `long:"json" description:"Print the report as JSON"`
+	Log      bool   `long:"log" description:"Write the nodes' logs to standard error"`
 	streams  streams
 }
 
 // Execute runs the demo.
 func (c *demoCommand) Execute([]string) error {
 	options := demo.Options{Requests: c.Requests, Seed: c.Seed, Logger: slog.New(slog.DiscardHandler)}
-	if !c.JSON {
+	if c.Log {
+		options.Logger = slog.New(slog.NewTextHandler(c.streams.err, nil))
+	}
+	if !c.JSON && !c.Log {
 		options.Progress = c.streams.err
 	}
 	if c.Config != "" {
--- a/pkg/controller/engineview/view.go
+++ b/pkg/controller/engineview/view.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cassiawall.example/cassiawall/pkg/blackboard"
+	"cassiawall.example/cassiawall/pkg/engine"
 	"cassiawall.example/cassiawall/pkg/peer/peerpb"
 	"cassiawall.example/cassiawall/pkg/placement"
 )
@@ -75,7 +76,7 @@
 	for id, e := range b.Engines.Snapshot() {
 		v := viewOf(e.Value)
 		v.ID = id
-		v.Region = regions[v.DataCentre]
+		v.Region = f.regionOf(v.DataCentre, regions)
 		v.NetworkTime = f.networkTime(v.DataCentre, v.Region)
 		if s, ok := summaries[id]; ok {
 			v.Load = loadOf(s.Value)
@@ -100,7 +101,7 @@
 		v.Model = e.State.Model
 		v.WeightsVersion = e.State.WeightsVersion
 		v.MaxBatch = e.State.MaxBatch
-		v.Unusable = v.Unusable || e.State.Loading || e.State.Leaving
+		v.Unusable = v.Unusable || e.State.Loading || e.State.Leaving || e.State.Role == engine.RoleStandby
 	}
 	return v
 }
@@ -113,6 +114,15 @@
 	return regions
 }
 
+// regionOf returns the region of a data centre. One without any member is taken as this node's
+// region, so that its engines are used before the first member of it is heard of.
+func (f *Feeder) regionOf(dataCentre string, regions map[string]string) string {
+	if region, ok := regions[dataCentre]; ok {
+		return region
+	}
+	return f.options.Region
+}
+
 func (f *Feeder) networkTime(dataCentre, region string) time.Duration {
 	switch {
 	case dataCentre == f.options.DataCentre:
--- a/pkg/engine/engine.go
+++ b/pkg/engine/engine.go
@@ -106,6 +106,9 @@
 	PrefillMS int `json:"prefill_ms,omitempty"`
 }
 
+// RoleStandby is the role of an engine that takes no requests. Engines in all other roles do.
+const RoleStandby = "standby"
+
 // State is an engine's own word about itself.
 type State struct {
 	ID             string   `json:"id"`
--- a/pkg/entry/generate.go
+++ b/pkg/entry/generate.go
@@ -74,8 +74,9 @@
 	if cause := context.Cause(ctx); err != nil && cause != nil {
 		err = endingOf(cause, err)
 	}
-	src.finish(err, ctx.Err() != nil)
-	s.record(g, timed, &result, err, ctx.Err() != nil)
+	unwanted := callerLeft(ctx) || fault.Is(err, fault.Superseded)
+	src.finish(err, unwanted)
+	s.record(g, timed, &result, err, unwanted)
 	if err != nil {
 		return err
 	}
@@ -93,7 +94,7 @@
 	return err
 }
 
-func (s *Server) record(g *generation, t *timedSink, result *stream.Result, err error, gone bool) {
+func (s *Server) record(g *generation, t *timedSink, result *stream.Result, err error, unwanted bool) {
 	if s.opt.Recorder == nil {
 		return
 	}
@@ -102,11 +103,11 @@
 		TTFT:             t.ttft,
 		MaxBetweenTokens: t.maxGap,
 		Complete:         err == nil,
-		Abandoned:        err != nil && gone,
+		Abandoned:        err != nil && unwanted,
 		ReusedTokens:     result.ReusedTokens,
 		ComputedTokens:   result.ComputedTokens,
 	}
-	if err != nil && !gone {
+	if err != nil && !unwanted {
 		o.Cause = fault.As(err).Kind
 	}
 	s.opt.Recorder.GenerationDone(s.opt.Now(), o)
@@ -119,29 +120,36 @@
 	slot     routing.Slot
 	failed   map[string]bool
 	attempts int
+	// resuming makes the next attempt continue on the engine of the cut stream.
+	resuming bool
+	resumed  bool
 }
 
 // Open implements stream.Source.
 func (src *source) Open(ctx context.Context, from stream.Position) (engine.Stream, error) {
 	src.attempts++
-	slot, err := src.server.opt.Router.Route(ctx, src.work())
-	if err != nil {
-		return nil, err
-	}
-	src.slot = slot
-	target := slot.Target()
-	st, err := src.server.opt.Engines(target.Address).Generate(ctx, src.request(target, from))
-	if err != nil {
-		return nil, err
-	}
-	return st, nil
+	if !src.resuming {
+		slot, err := src.server.opt.Router.Route(ctx, src.work())
+		if err != nil {
+			return nil, err
+		}
+		src.slot = slot
+	}
+	src.resuming = false
+	target := src.slot.Target()
+	return src.server.opt.Engines(target.Address).Generate(ctx, src.request(target, from))
 }
 
-// Retry implements stream.Source.
-func (src *source) Retry(err error, _ bool) bool {
+// Retry implements stream.Source. A cut stream is first resumed on its engine, which still holds
+// the work, and then continued on another one.
+func (src *source) Retry(err error, delivered bool) bool {
 	if src.slot == nil {
 		return false
 	}
+	if delivered && !src.resumed && fault.Is(err, fault.StreamBroken) {
+		src.resuming, src.resumed = true, true
+		return true
+	}
 	target := src.slot.Target()
 	src.slot.Done(routing.Ending{Failed: true})
 	src.slot = nil
@@ -187,8 +195,8 @@
 }
 
 // finish frees the slot of the last attempt.
-func (src *source) finish(err error, gone bool) {
+func (src *source) finish(err error, unwanted bool) {
 	if src.slot != nil {
-		src.slot.Done(routing.Ending{Abandoned: gone, Failed: err != nil && !gone})
+		src.slot.Done(routing.Ending{Abandoned: unwanted, Failed: err != nil && !unwanted})
 	}
 }
--- a/pkg/entry/respond.go
+++ b/pkg/entry/respond.go
@@ -38,11 +38,22 @@
 	if err == nil || !out.started() {
 		return err
 	}
+	if callerLeft(ctx) {
+		return nil
+	}
 	s.logFailure(r.Context(), event.RequestFailed, g.id, err)
 	out.fail(g.id, err)
 	return nil
 }
 
+// callerLeft reports whether ctx ended because the caller went away. When the system itself ends a
+// request, the cause is a typed error.
+func callerLeft(ctx context.Context) bool {
+	var own *fault.Error
+	cause := context.Cause(ctx)
+	return cause != nil && !errors.As(cause, &own)
+}
+
 // refuse writes a typed error as the whole answer.
 func (s *Server) refuse(ctx context.Context, w http.ResponseWriter, id string, err error) {
 	typed := fault.As(err)
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -58,6 +58,7 @@
 	discovery *discovery.Controller
 	owner     *owner.Owner
 	placer    *placement.Placer
+	feeding   sync.Mutex
 	feeder    *engineview.Feeder
 	auth      *peer.Auth
 	pool      *peer.Pool
@@ -221,7 +222,7 @@
 	ticker := time.NewTicker(feedInterval)
 	defer ticker.Stop()
 	for {
-		n.feeder.Refresh()
+		n.refreshPlacement()
 		select {
 		case <-ctx.Done():
 			return nil
@@ -230,6 +231,12 @@
 	}
 }
 
+func (n *Node) refreshPlacement() {
+	n.feeding.Lock()
+	defer n.feeding.Unlock()
+	n.feeder.Refresh()
+}
+
 func (n *Node) callersServer() *http.Server {
 	return &http.Server{
 		Handler: n.entry, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
@@ -246,6 +253,7 @@
 
 // serveCallers serves until shutdown and then drains.
 func (n *Node) serveCallers(ctx context.Context, s *http.Server) error {
+	n.waitReady(ctx)
 	served := make(chan error, 1)
 	go func() { served <- serve(s, n.callers) }()
 	n.ready.Store(true)
--- /dev/null
+++ b/pkg/node/ready.go
@@ -0,0 +1,67 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"cassiawall.example/cassiawall/pkg/blackboard"
+	"cassiawall.example/cassiawall/pkg/config"
+	"cassiawall.example/cassiawall/pkg/routing"
+)
+
+const (
+	readyPoll = 10 * time.Millisecond
+	// engineWait bounds the wait for engines of every model. A model without any engine must
+	// not keep the others from being served.
+	engineWait = 5 * time.Second
+)
+
+// waitReady waits until a configuration is in force and its engines are known.
+// Connections of callers wait in the listener's backlog meanwhile, so none is refused.
+func (n *Node) waitReady(ctx context.Context) {
+	ticker := time.NewTicker(readyPoll)
+	defer ticker.Stop()
+	var configured time.Time
+	for ctx.Err() == nil {
+		c := n.board.CurrentConfig()
+		if c != nil && configured.IsZero() {
+			configured = time.Now()
+		}
+		if c != nil && (n.servesAll(c) || time.Since(configured) > engineWait) {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-n.stop:
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// servesAll reports whether all reachable engines have told their state and each model has a
+// usable one. An engine that is left out would lose its cached prefixes to the others.
+func (n *Node) servesAll(c *config.Config) bool {
+	engines := n.board.Engines.Snapshot()
+	for _, e := range engines {
+		if e.Value.Reachable && !e.Value.Known {
+			return false
+		}
+	}
+	for i := range c.Models {
+		if !anyUsable(engines, &c.Models[i]) {
+			return false
+		}
+	}
+	n.refreshPlacement()
+	return true
+}
+
+func anyUsable(engines map[string]blackboard.Entry[blackboard.EngineEntry], model *config.Model) bool {
+	for _, e := range engines {
+		if routing.Usable(&e.Value, model) {
+			return true
+		}
+	}
+	return false
+}
--- a/pkg/routing/engines.go
+++ b/pkg/routing/engines.go
@@ -6,18 +6,16 @@
 
 	"cassiawall.example/cassiawall/pkg/blackboard"
 	"cassiawall.example/cassiawall/pkg/config"
+	"cassiawall.example/cassiawall/pkg/engine"
 )
 
-// RoleServe is the role of an engine that takes requests. An empty role means the same.
-const RoleServe = "serve"
-
 // Usable reports whether an engine can take new requests of the model version. Engines that
 // have not reported yet, leave, are unreachable or hold other weights cannot.
 func Usable(e *blackboard.EngineEntry, model *config.Model) bool {
 	if !e.Known || e.Leaving || !e.Reachable || e.State.Leaving || e.State.Loading {
 		return false
 	}
-	if e.State.Role != "" && e.State.Role != RoleServe {
+	if e.State.Role == engine.RoleStandby {
 		return false
 	}
 	return e.State.Model == model.Name && e.State.WeightsVersion == model.WeightsVersion
--- /dev/null
+++ b/test/e2e/openai_test.go
@@ -0,0 +1,200 @@
+// Package e2e drives whole fleets of nodes and stand-ins over loopback.
+package e2e
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"cassiawall.example/cassiawall/pkg/config"
+	"cassiawall.example/cassiawall/pkg/localfleet"
+	"cassiawall.example/cassiawall/pkg/node"
+	messages "cassiawall.example/cassiawall/pkg/openai"
+	enginestandin "cassiawall.example/cassiawall/pkg/standin/engine"
+)
+
+const (
+	apiKey = "e2e-key"
+	model  = "lugha"
+	// giveUp only ends a test that hangs; no verdict depends on it.
+	giveUp = time.Minute
+)
+
+func fleetConfig() *config.Config {
+	hash := sha256.Sum256([]byte(apiKey))
+	return &config.Config{
+		Models: []config.Model{{Name: model, WeightsVersion: "v1", PieceTokens: 100, BytesPerToken: 4, MinServing: 1}},
+		Workspaces: []config.Workspace{{
+			Name: "shule", APIKeyHashes: []string{hex.EncodeToString(hash[:])}, Models: []string{model}, Weight: 1,
+			Prompts: []config.Prompt{{Name: "slots", Levels: []config.Level{{Name: "school", Shared: true}, {Name: "timetable", Shared: true}}}},
+			Limits:  config.Limits{BodyBytes: 1 << 20, Deadline: config.Duration(giveUp)},
+		}},
+		Policy: config.Policy{LatencyWeight: 1, RecomputeWeight: 1},
+	}
+}
+
+func startFleet(t *testing.T, nodes, engines int) *localfleet.Fleet {
+	t.Helper()
+	var list []enginestandin.Config
+	for i := range engines {
+		list = append(list, enginestandin.Config{ID: fmt.Sprintf("engine-%d", i+1), Model: model, WeightsVersion: "v1", StepTime: time.Millisecond, Seed: uint64(i)})
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), giveUp)
+	defer cancel()
+	f, err := localfleet.Start(ctx, localfleet.Options{Nodes: nodes, DataCentres: []string{"dar-a", "dar-b", "dar-c"}, Engines: list,
+		Config: fleetConfig(), Logger: slog.New(slog.DiscardHandler)})
+	require.NoError(t, err)
+	t.Cleanup(func() { assert.NoError(t, f.Close()) })
+	return f
+}
+
+func client(n *node.Node) openai.Client {
+	return openai.NewClient(option.WithBaseURL(n.CallersURL()+"/v1"), option.WithAPIKey(apiKey), option.WithMaxRetries(0))
+}
+
+// chat returns the parameters of a chat and its expected answer.
+func chat(question string) (openai.ChatCompletionNewParams, string) {
+	const maxTokens, seed = 40, 7
+	texts := []string{strings.Repeat("school ", 200), strings.Repeat("timetable ", 300), question}
+	params := openai.ChatCompletionNewParams{Model: model, MaxTokens: openai.Int(maxTokens), Seed: openai.Int(seed),
+		Messages: []openai.ChatCompletionMessageParamUnion{openai.SystemMessage(texts[0]), openai.SystemMessage(texts[1]), openai.UserMessage(texts[2])}}
+	wire := []messages.Message{{Role: "system", Content: messages.Content(texts[0])}, {Role: "system", Content: messages.Content(texts[1])},
+		{Role: "user", Content: messages.Content(texts[2])}}
+	return params, enginestandin.Answer(messages.ChatText(wire), seed, maxTokens)
+}
+
+// Guards against answers that a published client cannot read, on any node, streamed or whole.
+func TestPublishedClient(t *testing.T) {
+	f := startFleet(t, 3, 4)
+	for i, n := range f.Nodes() {
+		params, want := chat(fmt.Sprint("slot ", i))
+		c := client(n)
+		whole, err := c.Chat.Completions.New(t.Context(), params)
+		require.NoError(t, err)
+		assert.Equal(t, want, whole.Choices[0].Message.Content)
+		stream := c.Chat.Completions.NewStreaming(t.Context(), params)
+		var text strings.Builder
+		finish := ""
+		for stream.Next() {
+			for _, choice := range stream.Current().Choices {
+				text.WriteString(choice.Delta.Content)
+				finish += choice.FinishReason
+			}
+		}
+		require.NoError(t, stream.Err())
+		assert.Equal(t, want, text.String())
+		assert.NotEmpty(t, finish)
+	}
+	c := client(f.Nodes()[0])
+	models, err := c.Models.List(t.Context())
+	require.NoError(t, err)
+	assert.Equal(t, model, models.Data[0].ID)
+}
+
+// Guards against engine work that goes on after a published client cancels its stream.
+func TestPublishedClientCancels(t *testing.T) {
+	f := startFleet(t, 3, 1)
+	f.Engines[0].SetFaults(enginestandin.Faults{SlowFactor: 50})
+	params, _ := chat("slot")
+	ctx, cancel := context.WithCancel(t.Context())
+	c := client(f.Nodes()[1])
+	stream := c.Chat.Completions.NewStreaming(ctx, params)
+	require.True(t, stream.Next())
+	id := stream.Current().ID
+	cancel()
+	require.NoError(t, stream.Close())
+	assert.Equal(t, "cancelled", waitOutcome(t, f, strings.TrimPrefix(id, "chatcmpl-")))
+}
+
+// waitOutcome waits until the request has left its engine and returns how it ended.
+func waitOutcome(t *testing.T, f *localfleet.Fleet, requestID string) string {
+	t.Helper()
+	deadline := time.Now().Add(giveUp)
+	for time.Now().Before(deadline) {
+		for _, e := range f.Engines {
+			for _, x := range e.Executions(requestID) {
+				if x.Outcome != "running" {
+					return x.Outcome
+				}
+			}
+		}
+		time.Sleep(time.Millisecond)
+	}
+	return "running"
+}
+
+// Guards against typed errors that a published client cannot read.
+func TestPublishedClientReadsTypedErrors(t *testing.T) {
+	f := startFleet(t, 1, 1)
+	params, _ := chat("slot")
+	params.Model = "unknown"
+	c := client(f.Nodes()[0])
+	_, err := c.Chat.Completions.New(t.Context(), params)
+	var apiError *openai.Error
+	require.ErrorAs(t, err, &apiError)
+	assert.Equal(t, "not_found", apiError.Code)
+}
+
+// Each case cuts, doubles or crosses chunks in the engine that answers first. Guards against an
+// answer that is not exactly the caller's own.
+func TestEngineStreamFaults(t *testing.T) {
+	cases := map[string]enginestandin.Faults{
+		"cut":      {CutAfter: 2, Streams: 1},
+		"early":    {EndAfter: 2, Streams: 1},
+		"foreign":  {ForeignAfter: 2, Streams: 1},
+		"repeated": {RepeatAfter: 2, Streams: 1},
+		"gap":      {GapAt: 2, Streams: 1},
+		"refusing": {Refuse: true},
+	}
+	for name, faults := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := startFleet(t, 1, 2)
+			f.Engines[0].SetFaults(faults)
+			f.Engines[1].SetFaults(enginestandin.Faults{})
+			for i := range 4 {
+				params, want := chat(fmt.Sprint("slot ", i))
+				c := client(f.Nodes()[0])
+				got, err := c.Chat.Completions.New(t.Context(), params)
+				require.NoError(t, err)
+				assert.Equal(t, want, got.Choices[0].Message.Content)
+			}
+		})
+	}
+}
+
+// Guards against streams that end when their engine crashes although another engine could
+// continue them.
+func TestEngineCrashContinuesElsewhere(t *testing.T) {
+	f := startFleet(t, 2, 2)
+	for _, e := range f.Engines {
+		e.SetFaults(enginestandin.Faults{SlowFactor: 10})
+	}
+	params, want := chat("slot")
+	c := client(f.Nodes()[0])
+	stream := c.Chat.Completions.NewStreaming(t.Context(), params)
+	require.True(t, stream.Next())
+	text := stream.Current().Choices[0].Delta.Content
+	id := strings.TrimPrefix(stream.Current().ID, "chatcmpl-")
+	for _, e := range f.Engines {
+		if len(e.Executions(id)) > 0 {
+			e.Crash()
+		}
+	}
+	for stream.Next() {
+		for _, choice := range stream.Current().Choices {
+			text += choice.Delta.Content
+		}
+	}
+	require.NoError(t, stream.Err())
+	assert.Equal(t, want, text)
+}
