--- a/pkg/claims/claims.go
+++ b/pkg/claims/claims.go
@@ -21,9 +21,13 @@
 	// ShardCount is part of the stored layout: two nodes with different counts would look for
 	// one key in two journals.
 	ShardCount = 256
-	// MaxJournalBytes is the size over which a journal takes no new claims. Outcomes still fit
-	// under the platform's limit of 1 MiB, because they are then recorded without their bodies.
-	MaxJournalBytes = 512 << 10
+	// MaxClaimBytes is the size without outcome bodies over which a journal takes no new claims.
+	// Recorded digests add at most a third, so a full journal stays under 3/4 of the platform's
+	// limit of 1 MiB.
+	MaxClaimBytes = 384 << 10
+	// MaxBodyBytes is the total size of the outcome bodies in a journal. Further outcomes are
+	// recorded as status, size and digest.
+	MaxBodyBytes = 192 << 10
 	// MaxOutcomeBody is the largest body that is recorded for replay. Larger ones are recorded
 	// as size and digest.
 	MaxOutcomeBody = 4 << 10
@@ -36,7 +40,7 @@
 	SendWithin = 30 * time.Second
 
 	maxAttemptBytes     = 64
-	maxContentTypeBytes = 256
+	maxContentTypeBytes = 128
 )
 
 // Key is the SHA-256 of workspace, route and idempotency key.
@@ -166,13 +170,6 @@
 	Record *RecordOp
 }
 
-func (o Op) key() Key {
-	if o.Claim != nil {
-		return o.Claim.Key
-	}
-	return o.Record.Key
-}
-
 // Reply answers an Op. Verdict is Granted for a stored outcome.
 type Reply struct {
 	Ticket  uint64
--- a/pkg/claims/journal.go
+++ b/pkg/claims/journal.go
@@ -23,7 +23,9 @@
 // Journal is the decoded value of one shard. Its claims are never changed in place.
 type Journal struct {
 	claims map[Key]*claimspb.Claim
-	bytes  int
+	// bytes is the stored size without bodies, bodyBytes the size of the bodies.
+	bytes     int
+	bodyBytes int
 }
 
 // NewJournal returns an empty journal.
@@ -90,19 +92,23 @@
 	j.drop(key)
 	j.claims[key] = c
 	j.bytes += storedSize(c)
+	j.bodyBytes += len(c.Body)
 }
 
 func (j *Journal) drop(key Key) {
 	if old, ok := j.claims[key]; ok {
 		j.bytes -= storedSize(old)
+		j.bodyBytes -= len(old.Body)
 		delete(j.claims, key)
 	}
 }
 
-// storedSize is the size of a claim in a journal, with its tag and length.
-func storedSize(c *claimspb.Claim) int { return proto.Size(c) + 4 }
+// storedSize is the size of a claim in a journal without its body, with its tag and length.
+func storedSize(c *claimspb.Claim) int { return proto.Size(c) - len(c.Body) + 4 }
 
-func (j *Journal) clone() *Journal { return &Journal{claims: maps.Clone(j.claims), bytes: j.bytes} }
+func (j *Journal) clone() *Journal {
+	return &Journal{claims: maps.Clone(j.claims), bytes: j.bytes, bodyBytes: j.bodyBytes}
+}
 
 // trim removes the claims whose time to be kept is over by more than the clock skew.
 func (j *Journal) trim(now time.Time) {
@@ -152,7 +158,7 @@
 }
 
 func (j *Journal) grant(op *ClaimOp, now time.Time) (Reply, *claimspb.Claim) {
-	if j.bytes > MaxJournalBytes {
+	if j.bytes > MaxClaimBytes {
 		return Reply{Verdict: Full}, nil
 	}
 	return Reply{Verdict: Granted}, &claimspb.Claim{
@@ -227,10 +233,13 @@
 		return next
 	}
 	limit := MaxOutcomeBody
-	if j.bytes+len(o.Body) > MaxJournalBytes {
+	if j.bodyBytes+len(o.Body) > MaxBodyBytes {
 		limit = 0
 	}
 	o = o.bounded(limit)
+	if o.Body == nil {
+		o.ContentType = ""
+	}
 	next.Status = uint32(o.Status)
 	next.ContentType = o.ContentType
 	next.Body = o.Body
