--- a/pkg/entry/parse.go
+++ b/pkg/entry/parse.go
@@ -81,7 +81,15 @@
 	return g, nil
 }
 
+// bodyTimeout bounds the time in which a caller must send the body. A server-wide read timeout
+// would also cancel the context of long streams.
+const bodyTimeout = time.Minute
+
 func readBody(w http.ResponseWriter, r *http.Request, bound int64) ([]byte, error) {
+	control := http.NewResponseController(w)
+	// A writer without deadlines, as in tests, has no slow sender.
+	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
+	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bound))
 	var tooLarge *http.MaxBytesError
 	switch {
@@ -162,7 +170,7 @@
 func chatSegments(messages []openai.Message, prompt *config.Prompt) []prefix.Segment {
 	segments := make([]prefix.Segment, len(messages))
 	for i, m := range messages {
-		segments[i] = prefix.Segment{Level: levelOwn, Text: m.Role + "\n" + string(m.Content) + "\n"}
+		segments[i] = prefix.Segment{Level: levelOwn, Text: m.Text()}
 		if prompt != nil && i < len(prompt.Levels) {
 			segments[i].Level = prompt.Levels[i].Name
 			segments[i].Shared = prompt.Levels[i].Shared
