--- a/pkg/claims/attempt.go
+++ b/pkg/claims/attempt.go
@@ -29,7 +29,7 @@
 	mayBePending bool
 }
 
-// NewAttempt starts an attempt. now must be read from a monotonic clock.
+// NewAttempt starts an attempt. now must carry a monotonic reading.
 func NewAttempt(op ClaimOp, now time.Time) *Attempt { return &Attempt{op: op, started: now} }
 
 // Op returns the claim that writers are asked for.
@@ -71,19 +71,25 @@
 }
 
 // TakeSend reports whether the attempt may send now. It returns true at most once, only for a
-// granted attempt and only within SendWithin of its start, by the monotonic clock: later the
+// granted attempt and only within SendWithin of its start, by both clocks: later the
 // claim may have been trimmed by a node whose clock runs ahead.
 func (a *Attempt) TakeSend(now time.Time) bool {
 	if a.sent || a.ended || a.reply.Verdict != Granted {
 		return false
 	}
-	if now.Sub(a.started) > SendWithin {
+	if Elapsed(a.started, now) > SendWithin {
 		return false
 	}
 	a.sent = true
 	return true
 }
 
+// Elapsed returns the longer of the times between two instants by the monotonic and by the wall
+// clock. The monotonic clock stands still while a VM is suspended; the wall clock can be set back.
+func Elapsed(from, to time.Time) time.Duration {
+	return max(to.Sub(from), to.Round(0).Sub(from.Round(0)))
+}
+
 // Abandon ends an attempt that has not sent: it never will. It reports whether the writers must
 // be told NotSent, because one of them may hold the claim.
 func (a *Attempt) Abandon() (tell bool) {
--- a/pkg/claims/claims.go
+++ b/pkg/claims/claims.go
@@ -13,7 +13,7 @@
 	"time"
 	"unicode/utf8"
 
-	"github.com/cespare/xxhash/v2"
+	"cassiawall.example/cassiawall/pkg/rendezvous"
 )
 
 // Limits of claims and journals.
@@ -71,14 +71,7 @@
 // UsualWriter returns the node that usually writes a shard, by rendezvous hashing, or "" without
 // nodes. Two nodes may disagree: safety rests on the conditional update alone.
 func UsualWriter(shard int, nodes []string) string {
-	best, bestScore := "", uint64(0)
-	for _, node := range nodes {
-		score := xxhash.Sum64String(fmt.Sprintf("%03d/%s", shard, node))
-		if best == "" || score > bestScore || (score == bestScore && node < best) {
-			best, bestScore = node, score
-		}
-	}
-	return best
+	return rendezvous.Best(ObjectName(shard), nodes)
 }
 
 // Verdict is the answer to a claim.
--- /dev/null
+++ b/pkg/controller/claims/shard.go
@@ -0,0 +1,140 @@
+package claims
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"cassiawall.example/cassiawall/pkg/claims"
+	"cassiawall.example/cassiawall/pkg/event"
+	"cassiawall.example/cassiawall/pkg/objects"
+)
+
+// idleAfter is the time after which an unused shard's journal is dropped from memory.
+const idleAfter = 10 * time.Minute
+
+// shard drives the writer of one journal.
+type shard struct {
+	number int
+
+	mu       sync.Mutex
+	writer   *claims.Writer
+	waiting  map[uint64]chan claims.Reply
+	ticket   uint64
+	driving  bool
+	lastUsed time.Time
+}
+
+// shard returns the driver of a shard and drops those that are out of use.
+func (c *Controller) shard(number int, now time.Time) *shard {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s, ok := c.shards[number]
+	if !ok {
+		c.dropIdleLocked(now)
+		s = &shard{number: number, writer: claims.NewWriter(), waiting: map[uint64]chan claims.Reply{}, lastUsed: now}
+		c.shards[number] = s
+	}
+	return s
+}
+
+func (c *Controller) dropIdleLocked(now time.Time) {
+	for number, s := range c.shards {
+		s.mu.Lock()
+		idle := s.writer.Idle() && now.Sub(s.lastUsed) > idleAfter
+		s.mu.Unlock()
+		if idle {
+			delete(c.shards, number)
+		}
+	}
+}
+
+// submit hands op to the shard's writer and waits for its reply. If ctx ends first, the reply is
+// Unavailable although op may still take effect.
+func (c *Controller) submit(ctx context.Context, key claims.Key, op claims.Op) claims.Reply {
+	now := time.Now()
+	s := c.shard(key.Shard(), now)
+	s.mu.Lock()
+	s.lastUsed = now
+	s.ticket++
+	op.Ticket = s.ticket
+	if reply, answered := s.writer.Submit(op, now); answered {
+		s.mu.Unlock()
+		c.noteReply(reply)
+		return reply
+	}
+	answer := make(chan claims.Reply, 1)
+	s.waiting[op.Ticket] = answer
+	if !s.driving {
+		s.driving = c.startDriver(func() { c.drive(s) })
+	}
+	s.mu.Unlock()
+	reply := claims.Reply{Verdict: claims.Unavailable}
+	select {
+	case reply = <-answer:
+	case <-ctx.Done():
+	case <-c.ctx.Done():
+	}
+	c.noteReply(reply)
+	return reply
+}
+
+// drive makes the calls that the writer asks for until it has no more requests.
+func (c *Controller) drive(s *shard) {
+	for !c.parkIfIdle(s) {
+		// Requests that arrive during the wait join the next conditional update.
+		c.limiter.SetLimit(c.callRate())
+		_ = c.limiter.Wait(c.ctx)
+		s.mu.Lock()
+		action, replies := s.writer.Next(time.Now())
+		s.deliverLocked(replies)
+		s.mu.Unlock()
+		c.call(s, action)
+	}
+}
+
+// parkIfIdle ends the driving of a shard without requests, or of a stopped controller.
+func (c *Controller) parkIfIdle(s *shard) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.driving = !s.writer.Idle() && c.ctx.Err() == nil
+	return !s.driving
+}
+
+func (s *shard) deliverLocked(replies []claims.Reply) {
+	for _, r := range replies {
+		s.waiting[r.Ticket] <- r
+		delete(s.waiting, r.Ticket)
+	}
+}
+
+func (c *Controller) call(s *shard, action claims.Action) {
+	ctx, cancel := context.WithTimeout(c.ctx, storeTimeout)
+	defer cancel()
+	name := claims.ObjectName(s.number)
+	var replies []claims.Reply
+	switch action.Kind {
+	case claims.Read:
+		var damaged error
+		o, err := c.opt.Store.Get(ctx, name)
+		replies, damaged = s.readDone(o, err)
+		if damaged != nil {
+			event.JournalDamaged.Log(c.ctx, c.opt.Logger, slog.String("object", name), slog.Any("error", damaged))
+		}
+	case claims.Write:
+		version, err := c.opt.Store.Put(ctx, name, action.Value, action.IfVersion)
+		s.mu.Lock()
+		replies = s.writer.WriteDone(version, err, time.Now())
+		s.mu.Unlock()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deliverLocked(replies)
+}
+
+func (s *shard) readDone(o objects.Object, err error) ([]claims.Reply, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.writer.ReadDone(o, err, time.Now())
+}
--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -35,4 +35,10 @@
 	ConfigInvalid     = define(503, "configuration refused", slog.LevelError, "apply a configuration that this release accepts")
 	ConfigFetchFailed = define(504, "configuration fetch failed", slog.LevelInfo, "check the peer or the object API if it repeats")
 	ConfigSourceDown  = define(505, "configuration watch interrupted", slog.LevelWarn, "check the object API; the configuration in force stays")
+
+	ClaimsRefused      = define(601, "claims refused, object API unavailable", slog.LevelWarn, "check the object API; the refused requests were not run")
+	ClaimsResumed      = define(602, "claims accepted again", slog.LevelInfo, "none")
+	JournalDamaged     = define(603, "claim journal damaged", slog.LevelError, "restore the named object; its shard refuses non-idempotent requests until then")
+	JournalFull        = define(604, "claim journal full", slog.LevelWarn, "shorten retry_window of the busiest workspace")
+	OutcomeNotRecorded = define(605, "outcome not recorded", slog.LevelWarn, "none; repeats of the request answer outcome_unknown")
 )
