membership: add SWIM state machine

Direct and indirect probes, suspicion shortened by independent accusers, refutation, bounded repetition of updates, probe targets by distance, low-rate probes of dead members and seeds, paged reading of another node's view, leave and draining. The last checks before a death and the node's own state in every answer to a stale report avoid deaths from lost refutations.

--- /dev/null
+++ b/pkg/membership/membership_test.go
@@ -0,0 +1,200 @@
+package membership
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"cassiawall.example/cassiawall/pkg/blackboard"
+	"cassiawall.example/cassiawall/pkg/peer/peerpb"
+)
+
+var threeRegions = [][2]string{{"east", "e1"}, {"east", "e2"}, {"west", "w1"}, {"west", "w2"}, {"north", "n1"}, {"north", "n2"}}
+
+func seeds(t *testing.T, run func(t *testing.T, seed uint64)) {
+	for seed := uint64(1); seed <= 3; seed++ {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { run(t, seed) })
+	}
+}
+
+// Guards against nodes that never learn of each other after all start at once.
+func TestHerdStartConverges(t *testing.T) {
+	seeds(t, func(t *testing.T, seed uint64) {
+		n := newNetwork(t, seed, 100, threeRegions...)
+		t.Log("cold start:", n.runUntil(60*time.Second, n.agreed, "cold start"))
+		for _, x := range n.nodes[:50] {
+			n.start(x)
+		}
+		t.Log("half restarted:", n.runUntil(60*time.Second, n.agreed, "half restarted"))
+		assert.Zero(t, n.deaths(), "a restart within the probe timeout is no death")
+	})
+}
+
+// Guards against a dead node that stays in the view and against a slow view.
+func TestCrashIsNoticedEverywhere(t *testing.T) {
+	seeds(t, func(t *testing.T, seed uint64) {
+		n := newNetwork(t, seed, 60, threeRegions...)
+		n.runUntil(60*time.Second, n.agreed, "cold start")
+		n.nodes[17].down = true
+		n.nodes[42].down = true
+		t.Log("noticed:", n.runUntil(40*time.Second, n.agreed, "crash not noticed"))
+		for _, x := range n.nodes {
+			if !x.down {
+				assert.Equal(t, 2, x.dead, "%s declared others dead", x.name)
+			}
+		}
+		n.start(n.nodes[17])
+		n.runUntil(20*time.Second, n.agreed, "restarted node not taken back")
+	})
+}
+
+// Guards against healthy nodes declared dead when a tenth of the messages is lost.
+func TestNoDeathsUnderLoss(t *testing.T) {
+	seeds(t, func(t *testing.T, seed uint64) {
+		n := newNetwork(t, seed, 40, threeRegions...)
+		n.lost = func(_, _ *node) bool { return n.rand.Float64() < 0.1 }
+		n.runUntil(120*time.Second, n.complete, "no convergence under loss")
+		n.run(5 * time.Minute)
+		assert.Zero(t, n.deaths())
+	})
+}
+
+// Guards against a death when one link is broken in one direction but other nodes reach both.
+func TestAsymmetricLinkKillsNobody(t *testing.T) {
+	seeds(t, func(t *testing.T, seed uint64) {
+		n := newNetwork(t, seed, 30, threeRegions...)
+		n.runUntil(60*time.Second, n.agreed, "cold start")
+		// Data centre e1 cannot send to w1, but w1 can send to e1.
+		n.lost = func(from, to *node) bool { return from.dc == "e1" && to.dc == "w1" }
+		n.run(5 * time.Minute)
+		assert.Zero(t, n.deaths())
+	})
+}
+
+// Guards against a partition that needs an operator to heal, for a rack, a data centre and a
+// region, and against two sides that do not notice each other's absence.
+func TestPartitionsHeal(t *testing.T) {
+	for name, inside := range map[string]func(*node) bool{
+		"rack":        func(x *node) bool { return x.dc == "e1" && x.name < "node-030" },
+		"data centre": func(x *node) bool { return x.dc == "e1" },
+		"region":      func(x *node) bool { return x.region == "west" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := newNetwork(t, 7, 60, threeRegions...)
+			n.runUntil(60*time.Second, n.agreed, "cold start")
+			n.lost = func(from, to *node) bool { return inside(from) != inside(to) }
+			n.run(3 * time.Minute)
+			for _, x := range n.nodes {
+				for _, y := range n.nodes {
+					m, _ := x.Member(y.name)
+					assert.Equal(t, inside(x) != inside(y), m.State == blackboard.MemberDead, "%s sees %s", x.name, y.name)
+				}
+			}
+			n.lost = func(_, _ *node) bool { return false }
+			t.Log("healed:", n.runUntil(90*time.Second, n.agreed, "not healed"))
+		})
+	}
+}
+
+// Guards against a slow or paused process that declares healthy nodes dead.
+func TestPausedNodeBlamesNobody(t *testing.T) {
+	n := newNetwork(t, 3, 30, threeRegions...)
+	n.runUntil(60*time.Second, n.agreed, "cold start")
+	for range 10 {
+		n.nodes[5].paused = true
+		n.run(1500 * time.Millisecond)
+		n.nodes[5].paused = false
+		n.run(3 * time.Second)
+	}
+	assert.Zero(t, n.nodes[5].dead)
+	assert.Zero(t, n.deaths(), "pauses shorter than the suspicion are refuted")
+	n.runUntil(20*time.Second, n.agreed, "suspicions are not refuted")
+}
+
+// Guards against a leaving node that is probed, suspected and reported as dead.
+func TestLeave(t *testing.T) {
+	n := newNetwork(t, 4, 40, threeRegions...)
+	n.runUntil(60*time.Second, n.agreed, "cold start")
+	leaver := n.nodes[11]
+	n.carryOut(leaver, leaver.Leave(n.now))
+	n.run(tick)
+	leaver.down = true
+	n.runUntil(15*time.Second, func() bool { return n.seen(leaver.name, blackboard.MemberLeft) == 39 }, "leave not spread")
+	assert.Zero(t, n.deaths())
+	n.run(DefaultForgetLeft + time.Minute)
+	_, known := n.nodes[0].Member(leaver.name)
+	assert.False(t, known, "a member that left is forgotten")
+}
+
+// Guards against new requests sent to a node that drains.
+func TestDrainingSpreads(t *testing.T) {
+	n := newNetwork(t, 5, 40, threeRegions...)
+	n.runUntil(60*time.Second, n.agreed, "cold start")
+	n.carryOut(n.nodes[9], n.nodes[9].SetDraining(true))
+	n.runUntil(15*time.Second, func() bool {
+		for _, x := range n.nodes {
+			if m, _ := x.Member("node-009"); !m.Draining {
+				return false
+			}
+		}
+		return true
+	}, "draining not spread")
+}
+
+// Guards against traffic per node that grows with the fleet.
+func TestBytesPerNodeAtRestDoNotGrow(t *testing.T) {
+	rate := func(count int) float64 {
+		n := newNetwork(t, 6, count, threeRegions...)
+		n.runUntil(90*time.Second, n.agreed, "cold start")
+		n.run(2 * time.Minute)
+		n.bytes = 0
+		n.run(time.Minute)
+		return float64(n.bytes) / 60 / float64(count)
+	}
+	small, large := rate(12), rate(120)
+	t.Logf("%.0f B/s at 12 nodes, %.0f B/s at 120 nodes", small, large)
+	assert.Less(t, large, 1.2*small)
+	assert.Less(t, large, 500.0)
+}
+
+// Guards against stale reports that undo newer ones, for every pair of states.
+func TestPrecedenceOfUpdates(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, c := range []struct {
+		name                string
+		first, second       peerpb.MemberUpdate_State
+		firstInc, secondInc uint64
+		want                blackboard.MemberState
+		wantInc             uint64
+	}{
+		{"suspect overrides alive", peerpb.MemberUpdate_ALIVE, peerpb.MemberUpdate_SUSPECT, 5, 5, blackboard.MemberSuspect, 5},
+		{"alive does not override suspect", peerpb.MemberUpdate_SUSPECT, peerpb.MemberUpdate_ALIVE, 5, 5, blackboard.MemberSuspect, 5},
+		{"refutation", peerpb.MemberUpdate_SUSPECT, peerpb.MemberUpdate_ALIVE, 5, 6, blackboard.MemberAlive, 6},
+		{"old suspicion", peerpb.MemberUpdate_ALIVE, peerpb.MemberUpdate_SUSPECT, 5, 4, blackboard.MemberAlive, 5},
+		{"newer suspicion", peerpb.MemberUpdate_ALIVE, peerpb.MemberUpdate_SUSPECT, 5, 7, blackboard.MemberSuspect, 7},
+		{"death", peerpb.MemberUpdate_ALIVE, peerpb.MemberUpdate_DEAD, 5, 5, blackboard.MemberDead, 5},
+		{"suspicion of the dead", peerpb.MemberUpdate_DEAD, peerpb.MemberUpdate_SUSPECT, 5, 5, blackboard.MemberDead, 5},
+		{"return of the dead", peerpb.MemberUpdate_DEAD, peerpb.MemberUpdate_ALIVE, 5, 6, blackboard.MemberAlive, 6},
+		{"stale life of the dead", peerpb.MemberUpdate_DEAD, peerpb.MemberUpdate_ALIVE, 5, 5, blackboard.MemberDead, 5},
+		{"left overrides dead", peerpb.MemberUpdate_DEAD, peerpb.MemberUpdate_LEFT, 5, 5, blackboard.MemberLeft, 5},
+		{"dead does not override left", peerpb.MemberUpdate_LEFT, peerpb.MemberUpdate_DEAD, 5, 5, blackboard.MemberLeft, 5},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			m := New(Options{Self: Member{Name: "a", GossipAddress: "a:1"}, Rand: rand.New(rand.NewPCG(1, 1))}, now)
+			update := func(state peerpb.MemberUpdate_State, inc uint64) []*peerpb.MemberUpdate {
+				return []*peerpb.MemberUpdate{{Name: "b", GossipAddress: "b:1", State: state, Incarnation: inc, Accuser: "c"}}
+			}
+			m.Import(now, update(peerpb.MemberUpdate_ALIVE, 1))
+			m.Import(now, update(c.first, c.firstInc))
+			m.Import(now, update(c.second, c.secondInc))
+			got, ok := m.Member("b")
+			require.True(t, ok)
+			assert.Equal(t, c.want, got.State)
+			assert.Equal(t, c.wantInc, got.Incarnation)
+		})
+	}
+}
--- /dev/null
+++ b/pkg/membership/probe.go
@@ -0,0 +1,193 @@
+package membership
+
+import (
+	"slices"
+	"time"
+
+	"cassiawall.example/cassiawall/pkg/blackboard"
+	"cassiawall.example/cassiawall/pkg/peer/peerpb"
+)
+
+// probe is the regular probe in flight. There is one at a time.
+type probe struct {
+	target   string
+	sequence uint64
+	// direct is when helpers are asked, and end when the target becomes suspected.
+	direct time.Time
+	end    time.Time
+	asked  int
+	nacks  int
+}
+
+// relay is an indirect probe that this node runs for another.
+type relay struct {
+	origin         string
+	address        string
+	originSequence uint64
+	sequence       uint64
+	target         string
+	// nackAt is when the origin is told that the target has not answered yet.
+	nackAt time.Time
+	nacked bool
+	end    time.Time
+}
+
+// Tick does what is due at now. The caller calls it every TickInterval.
+func (m *Machine) Tick(now time.Time) Actions {
+	var out Actions
+	m.absorbPause(now)
+	if m.leaving {
+		return out
+	}
+	m.expire(now, &out)
+	m.tickProbe(now, &out)
+	m.tickDead(now, &out)
+	m.tickSeeds(now, &out)
+	m.tickRelays(now, &out)
+	m.tickSync(now, &out)
+	return out
+}
+
+// absorbPause moves all deadlines when this process did not run for a while: answers may have
+// arrived in the meantime, so their lack proves nothing.
+func (m *Machine) absorbPause(now time.Time) {
+	last := m.lastTick
+	m.lastTick = now
+	if last.IsZero() || now.Sub(last) < pauseTicks*m.o.TickInterval {
+		return
+	}
+	pause := now.Sub(last) - m.o.TickInterval
+	m.aware(1)
+	if m.probe != nil {
+		m.probe.direct = m.probe.direct.Add(pause)
+		m.probe.end = m.probe.end.Add(pause)
+	}
+	for _, r := range m.list {
+		if r.suspicion != nil {
+			r.suspicion.started = r.suspicion.started.Add(pause)
+			r.suspicion.earliest = r.suspicion.earliest.Add(pause)
+		}
+	}
+}
+
+func (m *Machine) tickProbe(now time.Time, out *Actions) {
+	if m.probe != nil {
+		m.judge(now, out)
+	}
+	if m.probe != nil || now.Before(m.nextProbe) {
+		return
+	}
+	m.nextProbe = now.Add(m.stretch(m.o.ProbeInterval))
+	target := m.nextTarget()
+	if target == nil {
+		return
+	}
+	m.probe = &probe{
+		target:   target.Name,
+		sequence: m.nextSequence(),
+		direct:   now.Add(m.stretch(m.timeout(target))),
+		end:      m.nextProbe,
+	}
+	m.sendTo(out, target, m.message(peerpb.Gossip_PING, m.probe.sequence))
+}
+
+func (m *Machine) timeout(target *record) time.Duration {
+	if target.Region != m.self.Region {
+		return 2 * m.o.ProbeTimeout
+	}
+	return m.o.ProbeTimeout
+}
+
+// judge moves the probe in flight to its next stage if its time has come.
+func (m *Machine) judge(now time.Time, out *Actions) {
+	p := m.probe
+	target, known := m.members[p.target]
+	if !known || !target.live() {
+		m.probe = nil
+		return
+	}
+	if p.asked == 0 && !now.Before(p.direct) {
+		m.askHelpers(p, target, out)
+	}
+	if now.Before(p.end) {
+		return
+	}
+	m.probe = nil
+	// A helper that is alive answers with a nack when the target does not. Without any nack
+	// the fault may be on this node's side.
+	if p.nacks == 0 {
+		m.aware(1)
+	}
+	if target.State == blackboard.MemberSuspect {
+		m.confirm(now, target, m.self.Name)
+		return
+	}
+	m.setState(now, target, blackboard.MemberSuspect, m.self.Name, out)
+	// The target learns of the suspicion at once, so that it can refute it early.
+	m.sendTo(out, target, m.message(peerpb.Gossip_PING, m.nextSequence()))
+}
+
+func (m *Machine) askHelpers(p *probe, target *record, out *Actions) {
+	for _, helper := range m.helpers(target) {
+		request := m.message(peerpb.Gossip_PING_REQUEST, p.sequence)
+		request.Target = target.Name
+		request.TargetAddress = target.GossipAddress
+		m.sendTo(out, helper, request)
+		p.asked++
+	}
+}
+
+// tickDead probes one dead member, so that partitions heal without anyone's help.
+func (m *Machine) tickDead(now time.Time, out *Actions) {
+	if now.Before(m.nextDead) {
+		return
+	}
+	m.nextDead = now.Add(m.o.DeadInterval/2 + m.jitter(m.o.DeadInterval))
+	for _, r := range m.sample(1, func(r *record) bool { return r.State == blackboard.MemberDead }) {
+		m.introduce(out, r.GossipAddress, r.Name, m.message(peerpb.Gossip_PING, m.nextSequence()))
+	}
+}
+
+// tickSeeds probes one seed that is not the address of a live member.
+func (m *Machine) tickSeeds(now time.Time, out *Actions) {
+	if now.Before(m.nextSeed) {
+		return
+	}
+	interval := m.o.SeedInterval
+	if m.live == 1 {
+		interval = m.o.LoneSeedInterval
+	}
+	m.nextSeed = now.Add(interval/2 + m.jitter(interval))
+	candidates := m.unknownSeeds()
+	if len(candidates) == 0 {
+		return
+	}
+	address := candidates[m.o.Rand.IntN(len(candidates))]
+	m.introduce(out, address, "", m.message(peerpb.Gossip_PING, m.nextSequence()))
+}
+
+func (m *Machine) unknownSeeds() []string {
+	taken := map[string]bool{}
+	for _, r := range m.list {
+		if r.live() {
+			taken[r.GossipAddress] = true
+		}
+	}
+	var unknown []string
+	for _, address := range m.seeds {
+		if !taken[address] {
+			unknown = append(unknown, address)
+		}
+	}
+	return unknown
+}
+
+func (m *Machine) tickRelays(now time.Time, out *Actions) {
+	for _, r := range m.relays {
+		if !r.nacked && !now.Before(r.nackAt) {
+			r.nacked = true
+			m.send(out, r.address, r.origin, m.message(peerpb.Gossip_NACK, r.originSequence))
+		}
+	}
+	m.relays = slices.DeleteFunc(m.relays, func(r *relay) bool { return !now.Before(r.end) })
+}
--- /dev/null
+++ b/pkg/membership/state.go
@@ -0,0 +1,318 @@
+package membership
+
+import (
+	"encoding/binary"
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cassiawall.example/cassiawall/pkg/blackboard"
+	"cassiawall.example/cassiawall/pkg/peer/peerpb"
+)
+
+// suspicion counts the nodes that accuse a member.
+type suspicion struct {
+	started time.Time
+	// earliest leaves time for the last checks when a late accuser shortens the suspicion.
+	earliest time.Time
+	shortest time.Duration
+	longest  time.Duration
+	accusers map[string]struct{}
+	// checks is the number of last checks made.
+	checks int
+}
+
+// checkTime is the time before the deadline over which the last checks are spread.
+func (s *suspicion) checkTime() time.Duration { return s.shortest / 2 }
+
+func (s *suspicion) checkDue(now time.Time) bool {
+	left := s.deadline().Sub(now)
+	return s.checks < lastChecks && left <= s.checkTime()*time.Duration(lastChecks-s.checks)/lastChecks
+}
+
+// deadline returns when the suspected member is declared dead. Further accusers bring it
+// closer, so that one slow accuser alone takes the longest.
+func (s *suspicion) deadline() time.Time {
+	confirmations := float64(len(s.accusers) - 1)
+	part := math.Log(confirmations+1) / math.Log(fullConfirmations+1)
+	wait := s.longest - time.Duration(float64(s.longest-s.shortest)*min(part, 1))
+	if d := s.started.Add(wait); d.After(s.earliest) {
+		return d
+	}
+	return s.earliest
+}
+
+func (m *Machine) newSuspicion(now time.Time, accuser string) *suspicion {
+	intervals := max(minSuspicion, suspicionFactor*math.Log10(float64(m.live+1)))
+	shortest := m.stretch(time.Duration(intervals * float64(m.o.ProbeInterval)))
+	return &suspicion{
+		started:  now,
+		shortest: shortest,
+		longest:  suspicionSpread * shortest,
+		accusers: map[string]struct{}{accuser: {}},
+	}
+}
+
+func (m *Machine) add(now time.Time, member Member) *record {
+	r := &record{Member: member, changedAt: now, index: len(m.list), hash: digestOf(member)}
+	m.members[member.Name] = r
+	m.list = append(m.list, r)
+	if r.live() {
+		m.live++
+		m.digest ^= r.hash
+	}
+	return r
+}
+
+func (m *Machine) forget(r *record) {
+	last := m.list[len(m.list)-1]
+	m.list[r.index] = last
+	last.index = r.index
+	m.list = m.list[:len(m.list)-1]
+	delete(m.members, r.Name)
+	m.queue.remove(r.Name)
+}
+
+// change applies edit to r and keeps the live count and the digest.
+func (m *Machine) change(r *record, edit func()) {
+	if r.live() {
+		m.live--
+		m.digest ^= r.hash
+	}
+	edit()
+	r.hash = digestOf(r.Member)
+	if r.live() {
+		m.live++
+		m.digest ^= r.hash
+	}
+}
+
+func digestOf(member Member) uint64 {
+	b := binary.BigEndian.AppendUint64([]byte(member.Name), member.Incarnation)
+	return xxhash.Sum64(b)
+}
+
+func (m *Machine) setState(now time.Time, r *record, state blackboard.MemberState, accuser string, out *Actions) {
+	previous := r.State
+	m.change(r, func() { r.State = state })
+	r.changedAt = now
+	r.suspicion = nil
+	if state == blackboard.MemberSuspect {
+		r.suspicion = m.newSuspicion(now, accuser)
+	}
+	m.announce(r, accuser)
+	out.Changes = append(out.Changes, Change{Member: r.Member, Previous: previous})
+}
+
+// announce queues the member's state for the other nodes.
+func (m *Machine) announce(r *record, accuser string) {
+	m.queue.put(toUpdate(r.Member, accuser))
+}
+
+// merge takes over what u says if it is news.
+func (m *Machine) merge(now time.Time, u *peerpb.MemberUpdate, out *Actions) {
+	if u.Name == "" || u.State == peerpb.MemberUpdate_STATE_UNSPECIFIED {
+		return
+	}
+	if u.Name == m.self.Name {
+		m.mergeSelf(now, u, out)
+		return
+	}
+	r, known := m.members[u.Name]
+	if !known {
+		m.mergeUnknown(now, u, out)
+		return
+	}
+	switch u.State {
+	case peerpb.MemberUpdate_ALIVE:
+		m.mergeAlive(now, r, u, out)
+	case peerpb.MemberUpdate_SUSPECT:
+		m.mergeSuspect(now, r, u, out)
+	default:
+		m.mergeGone(now, r, u, out)
+	}
+}
+
+// mergeUnknown adds a live member. Reports that an unknown member is gone are no news.
+func (m *Machine) mergeUnknown(now time.Time, u *peerpb.MemberUpdate, out *Actions) {
+	gone := u.State != peerpb.MemberUpdate_ALIVE && u.State != peerpb.MemberUpdate_SUSPECT
+	if gone || u.GossipAddress == "" || len(m.list) >= m.o.MaxMembers {
+		return
+	}
+	member := fromUpdate(u)
+	member.State = blackboard.MemberAlive
+	r := m.add(now, member)
+	m.announce(r, "")
+	out.Changes = append(out.Changes, Change{Member: r.Member})
+	if u.State == peerpb.MemberUpdate_SUSPECT {
+		m.setState(now, r, blackboard.MemberSuspect, u.Accuser, out)
+	}
+}
+
+func (m *Machine) mergeAlive(now time.Time, r *record, u *peerpb.MemberUpdate, out *Actions) {
+	if u.Incarnation < r.Incarnation {
+		return
+	}
+	if u.Incarnation == r.Incarnation {
+		m.noteVersion(r, u.ConfigVersion, out)
+		return
+	}
+	previous := r.State
+	member := fromUpdate(u)
+	member.State = blackboard.MemberAlive
+	member.ConfigVersion = max(member.ConfigVersion, r.ConfigVersion)
+	m.change(r, func() { r.Member = member })
+	r.changedAt = now
+	r.suspicion = nil
+	m.announce(r, "")
+	out.Changes = append(out.Changes, Change{Member: r.Member, Previous: previous})
+}
+
+func (m *Machine) mergeSuspect(now time.Time, r *record, u *peerpb.MemberUpdate, out *Actions) {
+	if u.Incarnation < r.Incarnation {
+		return
+	}
+	if u.Incarnation > r.Incarnation {
+		m.change(r, func() { r.Incarnation = u.Incarnation })
+		m.setState(now, r, blackboard.MemberSuspect, u.Accuser, out)
+		return
+	}
+	switch r.State {
+	case blackboard.MemberAlive:
+		m.setState(now, r, blackboard.MemberSuspect, u.Accuser, out)
+	case blackboard.MemberSuspect:
+		m.confirm(now, r, u.Accuser)
+	}
+}
+
+// confirm adds an accuser. It is passed on only while it shortens the suspicion, which bounds
+// the traffic about one member.
+func (m *Machine) confirm(now time.Time, r *record, accuser string) {
+	if _, ok := r.suspicion.accusers[accuser]; ok || len(r.suspicion.accusers) > fullConfirmations {
+		return
+	}
+	r.suspicion.accusers[accuser] = struct{}{}
+	r.suspicion.earliest = now.Add(r.suspicion.checkTime())
+	m.announce(r, accuser)
+}
+
+func (m *Machine) mergeGone(now time.Time, r *record, u *peerpb.MemberUpdate, out *Actions) {
+	state := blackboard.MemberDead
+	if u.State == peerpb.MemberUpdate_LEFT {
+		state = blackboard.MemberLeft
+	}
+	if u.Incarnation < r.Incarnation || (u.Incarnation == r.Incarnation && r.State >= state) {
+		return
+	}
+	m.change(r, func() { r.Incarnation = u.Incarnation })
+	m.setState(now, r, state, u.Accuser, out)
+}
+
+// mergeSelf refutes what others say of this node unless it is true.
+func (m *Machine) mergeSelf(now time.Time, u *peerpb.MemberUpdate, out *Actions) {
+	own := m.self.Incarnation
+	if m.leaving || u.Incarnation < own {
+		return
+	}
+	if u.State == peerpb.MemberUpdate_ALIVE {
+		// A higher incarnation or another address is from an earlier process with this name.
+		if u.Incarnation > own || u.GossipAddress != m.self.GossipAddress {
+			m.raiseIncarnation(u.Incarnation + 1)
+		}
+		return
+	}
+	m.refuted++
+	m.aware(1)
+	m.raiseIncarnation(u.Incarnation + 1)
+	if now.Before(m.nextPush) {
+		return
+	}
+	m.nextPush = now.Add(m.o.ProbeInterval)
+	m.push(refuteFanout, out)
+}
+
+func (m *Machine) raiseIncarnation(incarnation uint64) {
+	m.change(m.self, func() { m.self.Incarnation = incarnation })
+	m.announce(m.self, "")
+}
+
+func (m *Machine) noteVersion(r *record, version uint64, out *Actions) {
+	if version <= r.ConfigVersion {
+		return
+	}
+	r.ConfigVersion = version
+	out.Changes = append(out.Changes, Change{Member: r.Member, Previous: r.State})
+}
+
+// expire declares suspected members dead and forgets those gone for long.
+func (m *Machine) expire(now time.Time, out *Actions) {
+	for i := len(m.list) - 1; i >= 0; i-- {
+		r := m.list[i]
+		if r == m.self {
+			continue
+		}
+		if r.suspicion != nil {
+			m.expireSuspicion(now, r, out)
+		}
+		if m.outdated(now, r) {
+			m.forget(r)
+			out.Changes = append(out.Changes, Change{Member: r.Member, Previous: r.State, Forgotten: true})
+		}
+	}
+}
+
+// expireSuspicion declares r dead when its time is over. Before that it pings r, because the
+// refutation may have been lost on its way to this node. In a large fleet only some nodes do.
+func (m *Machine) expireSuspicion(now time.Time, r *record, out *Actions) {
+	if !now.Before(r.suspicion.deadline()) {
+		m.setState(now, r, blackboard.MemberDead, m.self.Name, out)
+		return
+	}
+	if !r.suspicion.checkDue(now) {
+		return
+	}
+	r.suspicion.checks++
+	if m.o.Rand.IntN(m.live) < checkers {
+		m.sendTo(out, r, m.message(peerpb.Gossip_PING, m.nextSequence()))
+	}
+}
+
+func (m *Machine) outdated(now time.Time, r *record) bool {
+	switch r.State {
+	case blackboard.MemberDead:
+		return now.Sub(r.changedAt) >= m.o.ForgetDead
+	case blackboard.MemberLeft:
+		return now.Sub(r.changedAt) >= m.o.ForgetLeft
+	}
+	return false
+}
+
+func toUpdate(member Member, accuser string) *peerpb.MemberUpdate {
+	return &peerpb.MemberUpdate{
+		Name:          member.Name,
+		GossipAddress: member.GossipAddress,
+		RpcAddress:    member.RPCAddress,
+		DataCentre:    member.DataCentre,
+		Region:        member.Region,
+		Incarnation:   member.Incarnation,
+		State:         peerpb.MemberUpdate_State(member.State),
+		ConfigVersion: member.ConfigVersion,
+		Draining:      member.Draining,
+		Accuser:       accuser,
+	}
+}
+
+func fromUpdate(u *peerpb.MemberUpdate) Member {
+	return Member{
+		Name:          u.Name,
+		GossipAddress: u.GossipAddress,
+		RPCAddress:    u.RpcAddress,
+		DataCentre:    u.DataCentre,
+		Region:        u.Region,
+		Incarnation:   u.Incarnation,
+		State:         blackboard.MemberState(u.State),
+		ConfigVersion: u.ConfigVersion,
+		Draining:      u.Draining,
+	}
+}
