peer: add authenticated UDP transport

Datagrams carry key id, time, nonce and a 16-byte front of an HMAC-SHA256 that also covers the receiver's address. Dropped datagrams are counted by reason.

--- a/pkg/peer/auth.go
+++ b/pkg/peer/auth.go
@@ -13,10 +13,11 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rcrowley/go-metrics"
+	gometrics "github.com/rcrowley/go-metrics"
 	"golang.org/x/time/rate"
 
 	"cassiawall.example/cassiawall/pkg/event"
+	"cassiawall.example/cassiawall/pkg/metrics"
 )
 
 // Headers of an authenticated call and its reply.
@@ -29,8 +30,9 @@
 
 // Labels keep a code of one use from being valid for another.
 var (
-	labelCall  = []byte("cassiawall call 1")
-	labelReply = []byte("cassiawall reply 1")
+	labelCall     = []byte("cassiawall call 1")
+	labelReply    = []byte("cassiawall reply 1")
+	labelDatagram = []byte("cassiawall datagram 1")
 )
 
 // refusalLogInterval bounds the log when somebody sends many wrong messages.
@@ -44,8 +46,8 @@
 	Address string
 	// Logger receives refusals, at most one record a second. Default: slog.Default().
 	Logger *slog.Logger
-	// Registry receives the counter peer.calls_refused. Default: a registry of its own.
-	Registry metrics.Registry
+	// Metrics receives the counter peer_calls_refused_total. Default: a registry of its own.
+	Metrics *metrics.Registry
 	// Now is the wall clock. Default: time.Now.
 	Now func() time.Time
 }
@@ -68,7 +70,7 @@
 		keyring:  o.Keyring,
 		address:  o.Address,
 		now:      o.Now,
-		refusals: newRefusalLog(event.PeerCallRefused, "peer.calls_refused", o.Logger, o.Registry),
+		refusals: newRefusalLog(event.PeerCallRefused, "peer_calls_refused_total", o.Logger, o.Metrics),
 	}
 }
 
@@ -154,22 +156,22 @@
 type refusalLog struct {
 	event      event.Event
 	logger     *slog.Logger
-	counter    metrics.Counter
+	counter    gometrics.Counter
 	limiter    *rate.Limiter
 	suppressed atomic.Int64
 }
 
-func newRefusalLog(e event.Event, metric string, logger *slog.Logger, registry metrics.Registry) *refusalLog {
+func newRefusalLog(e event.Event, metric string, logger *slog.Logger, registry *metrics.Registry) *refusalLog {
 	if logger == nil {
 		logger = slog.Default()
 	}
 	if registry == nil {
-		registry = metrics.NewRegistry()
+		registry = metrics.New()
 	}
 	return &refusalLog{
 		event:   e,
 		logger:  logger,
-		counter: metrics.GetOrRegisterCounter(metric, registry),
+		counter: registry.Counter(metric),
 		limiter: rate.NewLimiter(rate.Every(refusalLogInterval), 1),
 	}
 }
--- /dev/null
+++ b/pkg/peer/datagram_test.go
@@ -0,0 +1,153 @@
+package peer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"cassiawall.example/cassiawall/pkg/peer/peerpb"
+)
+
+func newCodec(k *Keyring, own string, now *time.Time) *codec {
+	return &codec{keyring: k, own: own, now: func() time.Time { return *now }}
+}
+
+// Guards against datagrams that an outsider makes, alters, repeats, delays or redirects.
+func TestDatagramChecks(t *testing.T) {
+	k := ring(t, keyA)
+	message := &peerpb.Gossip{Kind: peerpb.Gossip_PING, From: "a", Sequence: 7}
+	for name, c := range map[string]struct {
+		alter  func(data []byte) []byte
+		later  time.Duration
+		own    string
+		reason string
+	}{
+		"valid":           {reason: ""},
+		"other node":      {own: "10.0.0.9:1", reason: dropSignature},
+		"too old":         {later: ReplayWindow + time.Second, reason: dropReplay},
+		"from the future": {later: -ReplayWindow - time.Second, reason: dropReplay},
+		"empty":           {alter: func([]byte) []byte { return nil }, reason: dropSize},
+		"too long":        {alter: func(d []byte) []byte { return append(d, make([]byte, MaxDatagramBytes)...) }, reason: dropSize},
+		"appended":        {alter: func(d []byte) []byte { return append(d, 0) }, reason: dropSignature},
+		"other version":   {alter: func(d []byte) []byte { d[0]++; return d }, reason: dropSize},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			data, err := newCodec(k, "10.0.0.1:1", &now).encode("10.0.0.2:1", message)
+			require.NoError(t, err)
+			if c.alter != nil {
+				data = c.alter(data)
+			}
+			now = now.Add(c.later)
+			own := "10.0.0.2:1"
+			if c.own != "" {
+				own = c.own
+			}
+			got, reason := newCodec(k, own, &now).decode(data)
+			assert.Equal(t, c.reason, reason)
+			if reason == "" {
+				assert.True(t, proto.Equal(message, got))
+			}
+		})
+	}
+}
+
+// Guards against a header or message byte that the code does not cover.
+func TestEveryByteOfADatagramIsCovered(t *testing.T) {
+	now := time.Unix(1000, 0)
+	k := ring(t, keyA)
+	data, err := newCodec(k, "a", &now).encode("b", &peerpb.Gossip{From: "a", Sequence: 7})
+	require.NoError(t, err)
+	receiver := newCodec(k, "b", &now)
+	for i := range data {
+		altered := append([]byte(nil), data...)
+		altered[i] ^= 1
+		_, reason := receiver.decode(altered)
+		assert.NotEmpty(t, reason, "byte %d", i)
+	}
+	_, reason := receiver.decode(data)
+	assert.Empty(t, reason)
+	_, reason = receiver.decode(data)
+	assert.Equal(t, dropReplay, reason)
+}
+
+// Guards against a datagram that the network would split.
+func TestTooLongMessageIsNotSent(t *testing.T) {
+	now := time.Unix(1000, 0)
+	_, err := newCodec(ring(t, keyA), "a", &now).encode("b", &peerpb.Gossip{From: string(make([]byte, MaxMessageBytes))})
+	assert.Error(t, err)
+}
+
+// Guards against dropped datagrams that nobody counts, and against a broken UDP path.
+func TestTransportDeliversAndCounts(t *testing.T) {
+	k := ring(t, keyA)
+	a, err := Listen(TransportOptions{Listen: "127.0.0.1:0", Keyring: k, Logger: silent})
+	require.NoError(t, err)
+	defer a.Close()
+	stranger, err := Listen(TransportOptions{Listen: "127.0.0.1:0", Keyring: ring(t, keyB), Logger: silent})
+	require.NoError(t, err)
+	defer stranger.Close()
+	b, err := Listen(TransportOptions{Listen: "127.0.0.1:0", Keyring: k, Logger: silent})
+	require.NoError(t, err)
+	got := make(chan *peerpb.Gossip, 1)
+	go func() { _ = b.Run(t.Context(), func(_ string, m *peerpb.Gossip) { got <- m }) }()
+	require.NoError(t, stranger.Send(b.Address(), &peerpb.Gossip{From: "stranger"}))
+	require.NoError(t, a.Send(b.Address(), &peerpb.Gossip{From: "a"}))
+	assert.Equal(t, "a", (<-got).From)
+	assert.EqualValues(t, 1, b.dropped[dropSignature].Count())
+	assert.EqualValues(t, 1, a.sent.Count())
+}
+
+// Guards against crashes and unbounded memory on any datagram, and against messages accepted
+// without a key.
+func FuzzDecodeDatagram(f *testing.F) {
+	k, err := NewKeyring(keyA)
+	if err != nil {
+		f.Fatal(err)
+	}
+	now := time.Unix(1000, 0)
+	valid, err := newCodec(k, "a", &now).encode("b", &peerpb.Gossip{From: "a", Updates: []*peerpb.MemberUpdate{{Name: "c"}}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(valid)
+	f.Add([]byte{datagramVersion})
+	f.Add(make([]byte, MaxDatagramBytes+1))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		message, reason := newCodec(k, "b", &now).decode(data)
+		if (message == nil) == (reason == "") {
+			t.Fatal("a datagram is either accepted or dropped with a reason")
+		}
+		if reason == "" && string(data) != string(valid) {
+			t.Fatal("datagram accepted without the key")
+		}
+	})
+}
+
+// Guards against crashes on any message that a node with the key sends.
+func FuzzDecodeMessage(f *testing.F) {
+	k, err := NewKeyring(keyA)
+	if err != nil {
+		f.Fatal(err)
+	}
+	now := time.Unix(1000, 0)
+	f.Add([]byte{})
+	f.Add([]byte("\x08\x01\x1a\x01a"))
+	f.Fuzz(func(t *testing.T, payload []byte) {
+		if len(payload) > MaxMessageBytes {
+			return
+		}
+		data := make([]byte, headerBytes, MaxDatagramBytes)
+		data = append(data, payload...)
+		data[0] = datagramVersion
+		sender := newCodec(k, "a", &now)
+		sender.seal("b", data)
+		_, reason := newCodec(k, "b", &now).decode(data)
+		if reason != "" && reason != dropMalformed {
+			t.Fatalf("sealed datagram dropped: %s", reason)
+		}
+	})
+}
