--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -101,7 +101,7 @@
 	switch {
 	case !t.Deadline.IsZero() && now.Add(predicted).After(t.Deadline):
 		o.Verdict = DeadlineMissed
-	case t.DeclineOver > 0 && predicted > t.DeclineOver:
+	case t.DeclineOver > 0 && predicted+q.recompute(&t) > t.DeclineOver:
 		o.Verdict = Declined
 	case len(q.waiting) >= q.options.MaxQueued:
 		o.Verdict = QueueFull
@@ -113,6 +113,10 @@
 	return o
 }
 
+func (q *Queue) recompute(t *Ticket) time.Duration {
+	return time.Duration(t.RecomputeFactor * float64(q.prefillTime(t.AddedTokens)))
+}
+
 func (q *Queue) add(t *Ticket) {
 	q.nextSeq++
 	t.seq = q.nextSeq
--- a/pkg/admission/ticket.go
+++ b/pkg/admission/ticket.go
@@ -34,8 +34,10 @@
 	Arrived time.Time
 	// Deadline is the time after which the first token is worthless.
 	Deadline time.Time
-	// DeclineOver is the longest acceptable predicted time to first token; 0 for any.
-	DeclineOver time.Duration
+	// DeclineOver is the highest acceptable cost: the predicted time to first token plus the
+	// time of the ticket's own prefill times RecomputeFactor. 0 accepts any.
+	DeclineOver     time.Duration
+	RecomputeFactor float64
 	// Patience is the age at which the caller is expected to leave; 0 if unknown.
 	Patience time.Duration
 	// MissingTokens are neither cached nor in prefill.
--- a/pkg/cacheindex/index.go
+++ b/pkg/cacheindex/index.go
@@ -16,6 +16,9 @@
 	RepairInterval time.Duration
 	// RepairKeysPerSecond bounds the mean rate of keys read by snapshots. Default 2000.
 	RepairKeysPerSecond float64
+	// EventLag is the age that events may have. An eviction that arrives within this time of an
+	// answer that proved the key is older than the answer and ignored. Default 500 ms.
+	EventLag time.Duration
 }
 
 // Default values of Options.
@@ -23,14 +26,14 @@
 	DefaultMaxEntries          = 1_000_000
 	DefaultRepairInterval      = time.Second
 	DefaultRepairKeysPerSecond = 2000
+	DefaultEventLag            = 500 * time.Millisecond
 )
 
 // Index is the index of one engine. It is not safe for concurrent use.
 type Index struct {
 	options     Options
 	incarnation string
-	// entries maps a key to the epoch in which it was last confirmed.
-	entries map[uint64]uint32
+	entries     map[uint64]entry
 	// epoch grows with every gap; entries of older epochs are doubtful.
 	epoch    uint32
 	doubtful bool
@@ -42,6 +45,14 @@
 	lastRepair time.Time
 }
 
+// entry tells how a key was confirmed last.
+type entry struct {
+	epoch uint32
+	// answered is the time of the last answer that proved the key, in Unix milliseconds; 0 for
+	// none. Events and snapshots do not set it.
+	answered int64
+}
+
 type pendingPrefill struct {
 	owner   uint64
 	readyAt time.Time
@@ -80,6 +91,9 @@
 	if options.RepairKeysPerSecond <= 0 {
 		options.RepairKeysPerSecond = DefaultRepairKeysPerSecond
 	}
+	if options.EventLag <= 0 {
+		options.EventLag = DefaultEventLag
+	}
 	x := &Index{options: options}
 	x.clear("")
 	return x
@@ -112,7 +126,7 @@
 
 func (x *Index) clear(incarnation string) {
 	x.incarnation = incarnation
-	x.entries = map[uint64]uint32{}
+	x.entries = map[uint64]entry{}
 	x.pending = map[uint64]pendingPrefill{}
 	x.planned = map[uint64]int{}
 	x.epoch = 1
@@ -123,7 +137,7 @@
 
 // Apply takes a batch of events. Events that a snapshot or an earlier batch already covers are
 // ignored. A missing sequence number makes all older entries doubtful.
-func (x *Index) Apply(batch engine.EventBatch) Change {
+func (x *Index) Apply(now time.Time, batch engine.EventBatch) Change {
 	change := Change{Reincarnated: x.Reset(batch.Incarnation)}
 	for _, e := range batch.Events {
 		if e.Seq <= x.seq {
@@ -134,17 +148,19 @@
 			x.markDoubtful()
 		}
 		x.seq = e.Seq
-		x.applyOne(e)
+		x.applyOne(now, e)
 	}
 	return change
 }
 
-func (x *Index) applyOne(e engine.CacheEvent) {
+func (x *Index) applyOne(now time.Time, e engine.CacheEvent) {
 	switch e.Kind {
 	case engine.EventStored:
-		x.put(e.Key)
+		x.put(e.Key, x.entries[e.Key].answered)
 	case engine.EventEvicted:
-		delete(x.entries, e.Key)
+		if now.Sub(time.UnixMilli(x.entries[e.Key].answered)) > x.options.EventLag {
+			delete(x.entries, e.Key)
+		}
 	case engine.EventCleared:
 		clear(x.entries)
 	}
@@ -155,11 +171,11 @@
 	x.epoch++
 }
 
-func (x *Index) put(key uint64) {
+func (x *Index) put(key uint64, answered int64) {
 	if _, ok := x.entries[key]; !ok && len(x.entries) >= x.options.MaxEntries {
 		x.dropOne()
 	}
-	x.entries[key] = x.epoch
+	x.entries[key] = entry{epoch: x.epoch, answered: answered}
 }
 
 // dropOne removes some entry. A missing entry costs accuracy only.
@@ -178,10 +194,10 @@
 	if x.loaded && s.Seq < x.seq {
 		return change
 	}
-	x.entries = make(map[uint64]uint32, len(s.Keys))
+	x.entries = make(map[uint64]entry, len(s.Keys))
 	x.epoch++
 	for _, k := range s.Keys {
-		x.put(k)
+		x.put(k, 0)
 	}
 	x.seq = s.Seq
 	x.doubtful = false
@@ -209,11 +225,11 @@
 	var d Depth
 	certain := true
 	for i, k := range keys {
-		epoch, ok := x.entries[k]
+		known, ok := x.entries[k]
 		if !ok {
 			break
 		}
-		certain = certain && epoch == x.epoch
+		certain = certain && known.epoch == x.epoch
 		d.Doubtful = i + 1
 		if certain {
 			d.Certain = i + 1
@@ -272,13 +288,13 @@
 
 // PrefillEnded ends the pending prefill of a slot. If done, the engine holds all keys now;
 // this knowledge does not depend on events, which may be lost.
-func (x *Index) PrefillEnded(slot uint64, keys []uint64, done bool) {
+func (x *Index) PrefillEnded(now time.Time, slot uint64, keys []uint64, done bool) {
 	for _, k := range keys {
 		if p, ok := x.pending[k]; ok && p.owner == slot {
 			delete(x.pending, k)
 		}
 		if done {
-			x.put(k)
+			x.put(k, now.UnixMilli())
 		}
 	}
 }
--- /dev/null
+++ b/pkg/controller/owner/fake_test.go
@@ -0,0 +1,262 @@
+package owner
+
+import (
+	"container/list"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"cassiawall.example/cassiawall/pkg/engine"
+)
+
+// fakeEngine models an engine with continuous batching and a block cache. It runs in the fake time
+// of a synctest bubble.
+type fakeEngine struct {
+	mu          sync.Mutex
+	id          string
+	incarnation string
+	capacity    int
+	maxBatch    int
+	rate        float64
+	blocks      map[uint64]*list.Element
+	lru         *list.List
+	events      []engine.CacheEvent
+	seq         uint64
+	lost        float64
+	rng         *rand.Rand
+	waiting     []*fakeRun
+	running     []*fakeRun
+	down        bool
+	busy        time.Duration
+	computed    int
+	wasted      int
+	lagged      []engine.Load
+}
+
+type fakeRun struct {
+	keys     []uint64
+	tokens   []int
+	left     int
+	computed int
+	reused   int
+	output   int
+	started  time.Time
+	first    chan struct{}
+	done     chan struct{}
+	cancel   bool
+}
+
+func newFakeEngine(id string, capacity int) *fakeEngine {
+	return &fakeEngine{id: id, incarnation: id + "-1", capacity: capacity, maxBatch: 16, rate: 20_000,
+		blocks: map[uint64]*list.Element{}, lru: list.New(), rng: rand.New(rand.NewPCG(7, 7))}
+}
+
+func (f *fakeEngine) submit(keys []uint64, tokens []int, output int) *fakeRun {
+	r := &fakeRun{keys: keys, tokens: tokens, output: output, first: make(chan struct{}), done: make(chan struct{})}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.waiting = append(f.waiting, r)
+	return r
+}
+
+func (f *fakeEngine) stopRun(r *fakeRun) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r.cancel = true
+}
+
+// run executes steps as the stand-in does: up to 2048 prefill tokens in order of arrival, and a
+// token of each decoding request.
+func (f *fakeEngine) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		d := f.step()
+		if d == 0 {
+			time.Sleep(time.Millisecond)
+			continue
+		}
+		time.Sleep(d)
+		f.apply(d)
+	}
+}
+
+func (f *fakeEngine) step() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for len(f.running) < f.maxBatch && len(f.waiting) > 0 {
+		r := f.waiting[0]
+		f.waiting = f.waiting[1:]
+		f.start(r)
+	}
+	if len(f.running) == 0 {
+		return 0
+	}
+	budget, decodes := 2048, 0
+	for _, r := range f.running {
+		if r.left == 0 {
+			decodes++
+			continue
+		}
+		budget -= min(budget, r.left)
+	}
+	prefill := float64(2048-budget) / f.rate * float64(time.Second)
+	return 10*time.Millisecond + time.Duration(decodes)*200*time.Microsecond + time.Duration(prefill)
+}
+
+func (f *fakeEngine) start(r *fakeRun) {
+	r.started = time.Now()
+	for i, k := range r.keys {
+		if f.blocks[k] == nil {
+			break
+		}
+		r.reused += r.tokens[i]
+	}
+	total := 0
+	for _, t := range r.tokens {
+		total += t
+	}
+	r.left = max(1, total-r.reused)
+	f.running = append(f.running, r)
+}
+
+func (f *fakeEngine) apply(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.busy += d
+	budget := 2048
+	kept := f.running[:0]
+	for _, r := range f.running {
+		if r.cancel {
+			// The step that was under way is lost.
+			f.wasted += min(budget, r.left)
+			f.computed += min(budget, r.left)
+			budget -= min(budget, r.left)
+			close(r.done)
+			continue
+		}
+		if r.left > 0 {
+			n := min(budget, r.left)
+			budget -= n
+			r.left -= n
+			r.computed += n
+			f.computed += n
+			if r.left > 0 {
+				kept = append(kept, r)
+				continue
+			}
+			f.store(r.keys)
+			close(r.first)
+		}
+		r.output--
+		if r.output <= 0 {
+			f.store(r.keys)
+			close(r.done)
+			continue
+		}
+		kept = append(kept, r)
+	}
+	f.running = kept
+	f.sample()
+}
+
+func (f *fakeEngine) store(keys []uint64) {
+	for i := len(keys) - 1; i >= 0; i-- {
+		if e := f.blocks[keys[i]]; e != nil {
+			f.lru.MoveToFront(e)
+			continue
+		}
+		f.blocks[keys[i]] = f.lru.PushFront(keys[i])
+		f.emit(engine.EventStored, keys[i])
+	}
+	for f.lru.Len() > f.capacity {
+		k := f.lru.Remove(f.lru.Back()).(uint64)
+		delete(f.blocks, k)
+		f.emit(engine.EventEvicted, k)
+	}
+}
+
+func (f *fakeEngine) emit(kind engine.EventKind, key uint64) {
+	f.seq++
+	if f.rng.Float64() >= f.lost {
+		f.events = append(f.events, engine.CacheEvent{Seq: f.seq, Kind: kind, Key: key})
+	}
+}
+
+func (f *fakeEngine) sample() {
+	backlog := 0
+	for _, r := range f.running {
+		backlog += r.left
+	}
+	f.lagged = append(f.lagged, engine.Load{Incarnation: f.incarnation, ObservedAt: time.Now(),
+		Running: len(f.running), Queued: len(f.waiting), BacklogTokens: backlog})
+	if len(f.lagged) > 64 {
+		f.lagged = append(f.lagged[:0], f.lagged[32:]...)
+	}
+}
+
+// crash empties the engine and gives it a new incarnation.
+func (f *fakeEngine) crash() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.incarnation += "+"
+	f.blocks = map[uint64]*list.Element{}
+	f.lru.Init()
+	f.events = nil
+	f.seq = 0
+}
+
+func (f *fakeEngine) failure() error {
+	if f.down {
+		return fmt.Errorf("engine %s is down", f.id)
+	}
+	return nil
+}
+
+func (f *fakeEngine) State(context.Context) (engine.State, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return engine.State{ID: f.id, Incarnation: f.incarnation, Model: "m", WeightsVersion: "v1",
+		MaxBatch: f.maxBatch, CacheBlocks: f.capacity}, f.failure()
+}
+
+func (f *fakeEngine) Load(context.Context) (engine.Load, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i := len(f.lagged) - 1; i >= 0; i-- {
+		if time.Since(f.lagged[i].ObservedAt) >= 250*time.Millisecond {
+			return f.lagged[i], f.failure()
+		}
+	}
+	return engine.Load{Incarnation: f.incarnation}, f.failure()
+}
+
+func (f *fakeEngine) Events(ctx context.Context, after uint64) (engine.EventBatch, error) {
+	select {
+	case <-ctx.Done():
+		return engine.EventBatch{}, ctx.Err()
+	case <-time.After(200 * time.Millisecond):
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	b := engine.EventBatch{Incarnation: f.incarnation, Last: f.seq}
+	for _, e := range f.events {
+		if e.Seq > after {
+			b.Events = append(b.Events, e)
+		}
+	}
+	if len(f.events) > 2000 {
+		f.events = append(f.events[:0], f.events[1000:]...)
+	}
+	return b, f.failure()
+}
+
+func (f *fakeEngine) Cache(context.Context) (engine.CacheSnapshot, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := engine.CacheSnapshot{Incarnation: f.incarnation, Seq: f.seq}
+	for k := range f.blocks {
+		s.Keys = append(s.Keys, k)
+	}
+	return s, f.failure()
+}
--- a/pkg/controller/owner/loops.go
+++ b/pkg/controller/owner/loops.go
@@ -105,7 +105,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	wasDoubtful := e.index.Doubtful()
-	change := e.index.Apply(batch)
+	change := e.index.Apply(e.now(), batch)
 	e.noteChange(ctx, change, batch.Incarnation)
 	if change.Gap && !wasDoubtful {
 		event.EngineEventsLost.Log(ctx, e.owner.options.Logger, slog.String("engine", e.id))
--- a/pkg/controller/owner/owned.go
+++ b/pkg/controller/owner/owned.go
@@ -8,8 +8,10 @@
 	"cassiawall.example/cassiawall/pkg/admission"
 	"cassiawall.example/cassiawall/pkg/blackboard"
 	"cassiawall.example/cassiawall/pkg/cacheindex"
+	"cassiawall.example/cassiawall/pkg/config"
 	"cassiawall.example/cassiawall/pkg/engine"
 	"cassiawall.example/cassiawall/pkg/peer/peerpb"
+	"cassiawall.example/cassiawall/pkg/placement"
 )
 
 // owned is one engine that this node owns.
@@ -41,7 +43,7 @@
 	total  int
 	// reply receives the outcome of a waiting ticket.
 	reply chan *peerpb.AcquireReply
-	// depth is the number of pieces stated as cached.
+	// depth is the number of pieces stated as cached, or as planned when the owner declines.
 	depth int
 }
 
@@ -201,12 +203,21 @@
 	if r.GetDeadlineMs() > 0 {
 		t.Deadline = now.Add(ms(r.GetDeadlineMs()))
 	}
+	policy := defaultPolicy
+	if current := e.owner.options.Board.CurrentConfig(); current != nil {
+		policy = current.Policy
+	}
+	t.RecomputeFactor = placement.RecomputeFactor(policy)
 	e.correct(now, &t, c)
-	planned := e.index.Depth(now, c.keys).Planned
-	t.AddedTokens = c.total - c.first(planned)
+	// Pieces that other requests compute first are not computed again for this one.
+	c.depth = e.index.Depth(now, c.keys).Planned
+	t.AddedTokens = c.total - c.first(c.depth)
 	return t
 }
 
+// defaultPolicy holds until the first configuration.
+var defaultPolicy config.Policy
+
 // holdSlack allows a pending prefill to be late before its followers stop waiting for it.
 const holdSlack = 100 * time.Millisecond
 
@@ -319,11 +330,12 @@
 	}
 	delete(e.bySlot, id)
 	reused := 0
-	for reused < len(c.tokens) && c.first(reused+1) <= int(r.GetReusedTokens()) {
+	// An engine computes the last token of a prompt even if all of it is cached.
+	for reused < len(c.tokens) && c.first(reused+1) <= int(r.GetReusedTokens())+1 {
 		reused++
 	}
 	e.index.Missed(c.keys, reused)
-	e.index.PrefillEnded(id, c.keys, true)
+	e.index.PrefillEnded(now, id, c.keys, true)
 	e.dirty = true
 }
 
@@ -339,7 +351,7 @@
 		return
 	}
 	delete(e.bySlot, id)
-	e.index.PrefillEnded(id, c.keys, false)
+	e.index.PrefillEnded(e.now(), id, c.keys, false)
 	e.dirty = true
 }
 
--- /dev/null
+++ b/pkg/placement/attempt.go
@@ -0,0 +1,118 @@
+package placement
+
+import (
+	"time"
+
+	"cassiawall.example/cassiawall/pkg/config"
+	"cassiawall.example/cassiawall/pkg/prefix"
+)
+
+const (
+	// declineFactor and declineMargin keep small errors of prediction from sending a request
+	// from owner to owner.
+	declineFactor = 1.25
+	declineMargin = 30 * time.Millisecond
+	// rankShare is added to the cost of an answer per rank, so that cold prefixes stay at their
+	// first homes unless another is clearly better.
+	rankShare = 0.1
+)
+
+// RecomputeFactor is the cost of a second of recomputation, in seconds of latency. Owners use it
+// to compare a prediction with DeclineOver.
+func RecomputeFactor(policy config.Policy) float64 {
+	return weight(policy.RecomputeWeight) / weight(policy.LatencyWeight) * (1 + sideCost)
+}
+
+// Attempt asks the owners of the candidates of one request, one after the other:
+//
+//	a := placer.Begin(now, request)
+//	for c, ok := a.Next(); ok; c, ok = a.Next() {
+//		reply := acquire(c.Engine, c.DeclineOver)
+//		if granted { break }
+//		a.Declined(reply.Predicted, reply.CachedPieces)
+//	}
+//
+// After all have declined, Next returns the best answer's candidate once more, without a bound.
+type Attempt struct {
+	placer     *Placer
+	request    *Request
+	candidates []Candidate
+	next       int
+	best       int
+	bestCost   time.Duration
+	last       int
+	ended      bool
+}
+
+// Begin ranks the engines for a request.
+func (p *Placer) Begin(now time.Time, r *Request) *Attempt {
+	return &Attempt{placer: p, request: r, candidates: p.Rank(now, r), best: -1}
+}
+
+// Next returns the next candidate to ask, or false when there is none left.
+func (a *Attempt) Next() (Candidate, bool) {
+	if a.next < len(a.candidates) {
+		a.last = a.next
+		a.next++
+		c := a.candidates[a.last]
+		c.DeclineOver = a.bound(&c)
+		return c, true
+	}
+	if a.ended || a.best < 0 {
+		return Candidate{}, false
+	}
+	a.ended = true
+	a.last = a.best
+	return a.candidates[a.best], true
+}
+
+// bound lets an owner decline when its engine does not hold the shared pieces, because another ask
+// costs a round trip and a needless prefill a thousand times that. Later owners must also clearly
+// beat the best answer so far: if cold prefixes followed small differences of load, they would
+// scatter over engines on which other nodes do not look for them.
+func (a *Attempt) bound(c *Candidate) time.Duration {
+	if len(a.candidates) == 1 {
+		return 0
+	}
+	pieces := a.request.Pieces
+	missing := prefix.Tokens(pieces[max(c.CachedPieces, firstPrivate(pieces)):])
+	expected := c.NetworkTime + c.Wait
+	expected += a.placer.prefillCost(a.request, c.Engine, missing)
+	bound := time.Duration(declineFactor*float64(expected)) + declineMargin
+	if a.best < 0 {
+		return bound
+	}
+	better := time.Duration(float64(a.bestCost)/declineFactor) - declineMargin
+	return max(time.Millisecond, min(bound, better))
+}
+
+// Declined takes the answer of the owner that was asked last: its predicted time to first token
+// and the cached pieces.
+func (a *Attempt) Declined(predicted time.Duration, cachedPieces int) {
+	pieces := a.request.Pieces
+	missing := prefix.Tokens(pieces[min(cachedPieces, len(pieces)):])
+	c := &a.candidates[a.last]
+	extra := a.placer.prefillCost(a.request, c.Engine, missing) - a.placer.prefillTime(c.Engine, missing)
+	cost := predicted + c.NetworkTime + extra
+	cost += time.Duration(rankShare * float64(max(0, c.Rank)) * float64(cost))
+	if a.best < 0 || cost < a.bestCost {
+		a.best = a.last
+		a.bestCost = cost
+	}
+}
+
+// prefillCost is the time of a prefill with its weighted recomputation, in time of latency.
+func (p *Placer) prefillCost(r *Request, engine string, tokens int) time.Duration {
+	d := p.prefillTime(engine, tokens)
+	return d + time.Duration(RecomputeFactor(r.Policy)*float64(d))
+}
+
+func (p *Placer) prefillTime(engine string, tokens int) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	rate := defaultPrefillRate
+	if e := p.engine(engine); e != nil && e.Load.PrefillRate > 0 {
+		rate = e.Load.PrefillRate
+	}
+	return seconds(float64(tokens) / rate)
+}
--- a/pkg/placement/beliefs.go
+++ b/pkg/placement/beliefs.go
@@ -73,3 +73,5 @@
 	p := &b.ofRank(private)[rank]
 	*p += beliefGain * (share - *p)
 }
+
+func (p *Placer) DebugBeliefs() any { return p.beliefs }
--- a/pkg/placement/homes.go
+++ b/pkg/placement/homes.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"math"
+
 	"cassiawall.example/cassiawall/pkg/prefix"
 	"cassiawall.example/cassiawall/pkg/rendezvous"
 )
@@ -17,23 +19,27 @@
 	width int
 }
 
-// homesOf narrows the homes level by level. The first shared level chooses a set of engines whose
-// size follows its demand; each deeper level orders the engines inside the set of the level above
-// it. Nested prefixes therefore stay inside their parent's homes, so a shared level is computed
-// on few engines, and a parent with much demand gets more engines instead of overloading one.
+// homesOf narrows the homes level by level. The first shared level chooses a set of engines; each
+// deeper level chooses inside the set of the level above it, down to one engine for the deepest
+// one. Nested prefixes therefore stay inside their parent's homes: a shared level is computed on
+// few engines, and its children spread over them instead of piling up on one. A level whose
+// demand needs more engines gets more.
 func (p *Placer) homesOf(g *group, pieces []prefix.Piece) homes {
 	var h homes
 	if g == nil || len(pieces) == 0 {
 		return h
 	}
+	levels := sharedLevels(pieces)
+	level := 0
 	started := false
 	for i := range pieces {
 		if !isBoundary(pieces, i) {
 			continue
 		}
-		width := p.widthOf(g, pieces[i].Key)
+		level++
+		width := p.widthOf(g, pieces[i].Key, levels-level, levels)
 		switch {
-		case !started && width > homeOrder && i < lastShared(pieces):
+		case !started && width > homeOrder && level < levels:
 			continue
 		case !started:
 			h.start(p.fleet.order(g, pieces[i].Key), width)
@@ -73,10 +79,32 @@
 	h.width = min(width, h.width)
 }
 
-// widthOf returns the number of homes that the demand on a key needs.
-func (p *Placer) widthOf(g *group, key uint64) int {
-	needed := p.demand.share(key) * float64(len(g.members)) * homeHeadroom
-	return 1 + int(needed)
+// fanOut is the exponent of the number of engines that are homes of an outermost level. At 0.6, 20
+// engines give 7 homes and 130 engines 19: enough to spread the children of one parent, and few
+// enough to keep copies of the parent rare.
+const fanOut = 0.6
+
+// widthOf returns the number of homes of a shared level with a number of levels below it. The
+// part that does not depend on demand makes a node without state find the same engines.
+func (p *Placer) widthOf(g *group, key uint64, below, levels int) int {
+	n := float64(len(g.members))
+	fixed := 1.0
+	if below > 0 {
+		fixed = math.Ceil(math.Pow(n, fanOut*float64(below)/float64(levels-1)))
+	}
+	needed := 1 + math.Floor(p.demand.share(key)*n*homeHeadroom)
+	return int(max(fixed, needed))
+}
+
+// sharedLevels returns the number of shared levels.
+func sharedLevels(pieces []prefix.Piece) int {
+	n := 0
+	for i := range pieces {
+		if isBoundary(pieces, i) {
+			n++
+		}
+	}
+	return n
 }
 
 // isBoundary reports whether piece i ends a shared level.
@@ -96,6 +124,3 @@
 	}
 	return len(pieces)
 }
-
-// lastShared returns the index of the last shared piece, or -1.
-func lastShared(pieces []prefix.Piece) int { return firstPrivate(pieces) - 1 }
--- a/pkg/placement/observe.go
+++ b/pkg/placement/observe.go
@@ -18,7 +18,9 @@
 	if f.Incarnation != "" && f.Incarnation != e.Incarnation {
 		return
 	}
-	p.learn(now, e, f.Pieces, reusedPieces(f.Pieces, f.ReusedTokens))
+	if f.Direct {
+		p.learn(now, e, f.Pieces, reusedPieces(f.Pieces, f.ReusedTokens))
+	}
 	p.remember(now, e, f.Pieces, len(f.Pieces))
 }
 
@@ -104,12 +106,13 @@
 	}
 }
 
-// reusedPieces returns the number of leading pieces within the reused tokens.
+// reusedPieces returns the number of leading pieces within the reused tokens. An engine computes
+// the last token of a prompt even if all of it is cached.
 func reusedPieces(pieces []prefix.Piece, tokens int) int {
 	sum := 0
 	for i := range pieces {
 		sum += pieces[i].Tokens
-		if sum > tokens {
+		if sum > tokens+1 {
 			return i
 		}
 	}
--- a/pkg/placement/placer.go
+++ b/pkg/placement/placer.go
@@ -35,7 +35,7 @@
 	// maxSoft bounds the engines that are taken from the soft map.
 	maxSoft = 8
 	// sampled is the number of random engines that are considered for their low load.
-	sampled = 4
+	sampled = 0
 )
 
 // Placer ranks engines for one entry node. It is safe for concurrent use.
@@ -131,7 +131,7 @@
 }
 
 // Rank returns the engines to ask, best first, at most three. It returns none if no engine can
-// run the request.
+// run the request. Begin wraps it with the bounds for asking.
 func (p *Placer) Rank(now time.Time, r *Request) []Candidate {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -182,27 +182,10 @@
 			CachedTokens:  int(o.CachedTokens),
 			MissingTokens: o.TotalTokens - int(o.CachedTokens),
 			NetworkTime:   o.View.NetworkTime,
+			Wait:          o.Wait,
 			Cost:          o.Cost,
 			Rank:          o.Rank,
 		}
-		if i+1 < len(options) {
-			out[i].DeclineOver = declineOver(o, &options[i+1])
-		}
 	}
 	return out
 }
-
-const (
-	// declineFactor and declineMargin keep small errors of prediction from sending a request
-	// from owner to owner.
-	declineFactor = 1.25
-	declineMargin = 30 * time.Millisecond
-)
-
-// declineOver returns the time to first token at which the first option becomes as costly as the
-// second.
-func declineOver(first, second *Option) time.Duration {
-	advantage := max(0, second.Cost-first.Cost)
-	even := first.TTFT + time.Duration(advantage*float64(time.Millisecond))
-	return time.Duration(declineFactor*float64(even)) + declineMargin
-}
--- a/pkg/placement/score.go
+++ b/pkg/placement/score.go
@@ -14,9 +14,10 @@
 	defaultStep = 20 * time.Millisecond
 	// typicalOutput is the assumed number of output tokens where none is stated.
 	typicalOutput = 128
-	// evictionShare is the share of evicted tokens that are needed again. Engines evict their
-	// least recently used blocks, most of which are not.
-	evictionShare = 0.3
+	// sideCost is the cost of a recomputed token to others, relative to its own prefill: it
+	// evicts a block and delays the requests behind it. At 70% load each second of work delays
+	// later requests by 1/(1-0.7) - 1 = 2.3 seconds in total.
+	sideCost = 2
 	// rankCost in milliseconds prefers earlier homes among equals, so that a prefix gives up its
 	// further homes when its demand falls.
 	rankCost = 1.0
@@ -36,7 +37,7 @@
 	o.Wait = waitOf(o, rate, r.MaxTokens)
 	prefill := seconds(missing / rate)
 	o.TTFT = o.View.NetworkTime + o.Wait + prefill
-	o.ComputeCost = weight(r.Policy.RecomputeWeight) * millis(prefill) * (1 + evictionShare)
+	o.ComputeCost = weight(r.Policy.RecomputeWeight) * millis(prefill) * (1 + sideCost)
 	o.Cost = weight(r.Policy.LatencyWeight)*millis(o.TTFT) + o.ComputeCost
 	if o.Rank > 0 {
 		o.Cost += rankCost * float64(min(o.Rank, homeOrder))
--- a/pkg/placement/types.go
+++ b/pkg/placement/types.go
@@ -68,9 +68,12 @@
 	// MissingTokens is the expected number of tokens to prefill.
 	MissingTokens int
 	NetworkTime   time.Duration
+	// Wait is the predicted time until the engine starts the prefill.
+	Wait time.Duration
 	// Cost is the weighted sum that ordered the candidates, in milliseconds.
 	Cost float64
-	// DeclineOver is the prediction above which the next candidate is better; 0 for the last.
+	// DeclineOver is the cost above which the owner should decline; 0 for none. The cost is the
+	// time to first token plus the time of recomputation by its weight.
 	DeclineOver time.Duration
 	// Rank is the engine's place among the prefix's homes, from 0; -1 for other candidates.
 	Rank int
@@ -84,6 +87,8 @@
 	ReusedTokens   int
 	ComputedTokens int
 	PrefillTime    time.Duration
+	// Direct is set when no owner stated the depth before, so that the beliefs learn from it.
+	Direct bool
 	// Failed is set when the engine failed before the first token.
 	Failed bool
 }
