--- a/pkg/controller/owner/pool_test.go
+++ b/pkg/controller/owner/pool_test.go
@@ -59,6 +59,7 @@
 	asked               float64
 	ranks               [6]int
 	believed, actual    int
+	verdicts, declined  [8]int
 }
 
 func (r result) String() string {
