--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -14,7 +14,7 @@
 	// HoldTime is how long a slot lives without renewal. Default 15 s.
 	HoldTime time.Duration
 	// PrefillWindow is the amount of prefill work, as time, that is handed to the engine ahead of
-	// its need. Default 60 ms.
+	// its need. Default 150 ms.
 	PrefillWindow time.Duration
 	// PrefillRate is the initial rate in tokens a second. Default 20,000.
 	PrefillRate float64
@@ -25,7 +25,7 @@
 	DefaultMaxQueued     = 1000
 	DefaultMaxBatch      = 16
 	DefaultHoldTime      = 15 * time.Second
-	DefaultPrefillWindow = 60 * time.Millisecond
+	DefaultPrefillWindow = 150 * time.Millisecond
 	DefaultPrefillRate   = 20_000.0
 )
 
@@ -220,7 +220,8 @@
 func (q *Queue) grant(now time.Time, t *Ticket) Outcome {
 	predicted := q.prefillTime(q.prefillingTokens() + t.MissingTokens)
 	q.nextSlot++
-	q.slots[q.nextSlot] = &slot{id: q.nextSlot, ticket: *t, grantedAt: now, renewedAt: now}
+	alone := q.prefillingTokens() == 0
+	q.slots[q.nextSlot] = &slot{id: q.nextSlot, ticket: *t, grantedAt: now, renewedAt: now, alone: alone}
 	q.ownPeak = max(q.ownPeak, len(q.slots))
 	return Outcome{TicketID: t.ID, Verdict: Granted, Slot: q.nextSlot, Predicted: predicted}
 }
--- a/pkg/admission/rates.go
+++ b/pkg/admission/rates.go
@@ -1,13 +1,19 @@
 package admission
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
-// rateGain is the weight of a new observation in the fitted rates.
+// rateGain is the weight of a new observation in the fitted service and step times.
 const rateGain = 0.1
 
-// minRateTokens is the smallest prefill that tells something about the rate; shorter ones are
-// dominated by fixed costs.
-const minRateTokens = 200
+// prefillMemory is the number of prefilled tokens after which an observation of the prefill rate
+// has lost half its weight.
+const prefillMemory = 100_000.0
+
+// priorTokens is the weight of the initial prefill rate.
+const priorTokens = 4_000.0
 
 // defaultService is the assumed time that a request occupies a slot before any was observed.
 const defaultService = 2 * time.Second
@@ -17,22 +23,25 @@
 
 // Rates are fitted online from the outcomes of one engine's requests.
 type Rates struct {
-	// secondsPerToken is averaged instead of its inverse, because times add up over requests.
-	secondsPerToken float64
-	service         float64
-	step            float64
+	// tokens and seconds are decaying sums over observed prefills; their ratio weighs long
+	// prefills more, so that the fixed cost of a step does not distort the rate.
+	tokens  float64
+	seconds float64
+	service float64
+	step    float64
 }
 
 func newRates(prefillRate float64) Rates {
 	return Rates{
-		secondsPerToken: 1 / prefillRate,
-		service:         defaultService.Seconds(),
-		step:            defaultStep.Seconds(),
+		tokens:  priorTokens,
+		seconds: priorTokens / prefillRate,
+		service: defaultService.Seconds(),
+		step:    defaultStep.Seconds(),
 	}
 }
 
 // Prefill returns the prefill rate in tokens a second.
-func (r *Rates) Prefill() float64 { return 1 / r.secondsPerToken }
+func (r *Rates) Prefill() float64 { return r.tokens / r.seconds }
 
 // Service returns the mean time from first token to the end of a request.
 func (r *Rates) Service() time.Duration { return time.Duration(r.service * float64(time.Second)) }
@@ -43,15 +52,18 @@
 // SetPrefill replaces the fitted prefill rate, for a new owner that learns it from the last one.
 func (r *Rates) SetPrefill(tokensPerSecond float64) {
 	if tokensPerSecond > 0 {
-		r.secondsPerToken = 1 / tokensPerSecond
+		r.tokens = priorTokens
+		r.seconds = priorTokens / tokensPerSecond
 	}
 }
 
 func (r *Rates) observePrefill(tokens int, d time.Duration) {
-	if tokens < minRateTokens || d <= 0 {
+	if tokens <= 0 || d <= 0 {
 		return
 	}
-	r.secondsPerToken += rateGain * (d.Seconds()/float64(tokens) - r.secondsPerToken)
+	keep := math.Exp2(-float64(tokens) / prefillMemory)
+	r.tokens = r.tokens*keep + float64(tokens)
+	r.seconds = r.seconds*keep + d.Seconds()
 }
 
 func (r *Rates) observeDecode(d time.Duration, outputTokens int, cut bool) {
--- a/pkg/admission/slots.go
+++ b/pkg/admission/slots.go
@@ -18,7 +18,9 @@
 	}
 	s.firstToken = true
 	s.firstTokenAt = now
-	q.rates.observePrefill(computedTokens, prefill)
+	if s.alone {
+		q.rates.observePrefill(computedTokens, prefill)
+	}
 	return true
 }
 
--- a/pkg/admission/ticket.go
+++ b/pkg/admission/ticket.go
@@ -72,6 +72,9 @@
 	ticket    Ticket
 	grantedAt time.Time
 	renewedAt time.Time
+	// alone is set when no other prefill was under way; only then does the prefill time tell
+	// the engine's rate.
+	alone bool
 	// firstToken is set when prefill is done.
 	firstToken   bool
 	firstTokenAt time.Time
--- a/pkg/controller/owner/convert.go
+++ b/pkg/controller/owner/convert.go
@@ -22,12 +22,12 @@
 const copyAdvantage = 2
 
 // copyFrom returns the engine to copy a prefix from, or "" if prefill is faster.
-func (e *owned) copyFrom(now time.Time, c *chain) string {
+func (e *owned) copyFrom(c *chain) string {
 	o := &e.owner.options
-	if o.Holders == nil || o.Copy.TokensPerSecond <= 0 || c.depth == len(c.keys) {
+	if o.Holder == nil || o.Copy.TokensPerSecond <= 0 || c.depth == len(c.keys) {
 		return ""
 	}
-	holder, pieces := o.Holders(now, c.keys, e.id)
+	holder, pieces := o.Holder(c.keys, e.id)
 	if holder == "" || pieces <= c.depth {
 		return ""
 	}
--- a/pkg/controller/owner/owned.go
+++ b/pkg/controller/owner/owned.go
@@ -265,7 +265,7 @@
 	c.depth = e.index.Depth(now, c.keys).Doubtful
 	reply := e.refusal(peerpb.AcquireReply_GRANTED, o, c.depth)
 	reply.Slot = o.Slot
-	reply.CopyFrom = e.copyFrom(now, c)
+	reply.CopyFrom = e.copyFrom(c)
 	e.bySlot[o.Slot] = c
 	e.finish(o.TicketID, reply)
 	e.index.PrefillStarted(o.Slot, c.keys, now.Add(o.Predicted))
--- a/pkg/controller/owner/owner.go
+++ b/pkg/controller/owner/owner.go
@@ -26,9 +26,9 @@
 	Logger *slog.Logger
 	// Now is the clock. Default time.Now.
 	Now func() time.Time
-	// Holders returns another engine that holds more leading pieces of the chain, if any.
-	// Default: none, which disables copies.
-	Holders func(now time.Time, keys []uint64, except string) (engineID string, pieces int)
+	// Holder returns another engine that holds leading pieces of the chain, and their number;
+	// see placement.Placer.Holder. Default: none, which disables copies.
+	Holder func(keys []uint64, except string) (engineID string, pieces int)
 	// Copy states when a copy is suggested.
 	Copy CopyOptions
 	// Index and Queue bound the parts of each engine.
--- a/pkg/controller/owner/pool_test.go
+++ b/pkg/controller/owner/pool_test.go
@@ -70,24 +70,23 @@
 
 // pool is a fleet of fake engines with one owner and several entry nodes.
 type pool struct {
-	w       workload
-	engines []*fakeEngine
-	owner   *Owner
-	board   *blackboard.Board
-	policy  string
-	mu      sync.Mutex
-	placers []*placement.Placer
-	feeders []*engineview.Feeder
-	inUse   map[string]int
-	turn    int
-	ttft    []time.Duration
-	result  result
-	started time.Time
-	prompt, reused, ideal, idealPrompt,
-	first int
-	reusedBy [2][2]int
-	seen     map[uint64]bool
-	asks     int
+	w                     workload
+	engines               []*fakeEngine
+	owner                 *Owner
+	board                 *blackboard.Board
+	policy                string
+	mu                    sync.Mutex
+	placers               []*placement.Placer
+	feeders               []*engineview.Feeder
+	inUse                 map[string]int
+	turn                  int
+	ttft                  []time.Duration
+	result                result
+	started               time.Time
+	prompt, reused, ideal int
+	reusedBy              [2][2]int
+	seen                  map[uint64]bool
+	asks                  int
 }
 
 const warmUp = 12 * time.Second
@@ -153,7 +152,6 @@
 	workspace string
 	pieces    []prefix.Piece
 	leaves    time.Duration
-	seconds   time.Duration
 }
 
 func (p *pool) make(rng *rand.Rand, at time.Duration, zipf *rand.Zipf) request {
--- a/pkg/placement/attempt.go
+++ b/pkg/placement/attempt.go
@@ -111,8 +111,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	rate := defaultPrefillRate
-	if e := p.engine(engine); e != nil && e.Load.PrefillRate > 0 {
-		rate = e.Load.PrefillRate
+	if e := p.engine(engine); e != nil {
+		rate = rateOf(&e.EngineView)
 	}
 	return seconds(float64(tokens) / rate)
 }
--- a/pkg/placement/generate.go
+++ b/pkg/placement/generate.go
@@ -6,8 +6,8 @@
 	"cassiawall.example/cassiawall/pkg/prefix"
 )
 
-// generate lists the engines worth scoring: homes, engines from the soft map and a few random
-// ones. Its cost does not depend on the number of engines.
+// generate lists the engines worth scoring: homes, engines from the soft map and, if those have
+// long queues, a few random ones. Its cost does not depend on the number of engines.
 func (p *Placer) generate(now time.Time, g *group, r *Request) []Option {
 	options := p.scratch[:0]
 	total := prefix.Tokens(r.Pieces)
@@ -19,7 +19,9 @@
 		wanted -= len(options) - before
 	}
 	options = p.addSoft(options, r, total)
-	options = p.addSampled(options, g, r, total)
+	if len(options) < maxAsked || overloaded(r, options) {
+		options = p.addSampled(options, g, r, total)
+	}
 	p.believe(now, r.Pieces, options)
 	return options
 }
@@ -84,6 +86,22 @@
 	return i
 }
 
+// overloadFactor is the wait, in prefills of the whole prompt, above which engines without the
+// prefix are considered. Below it they would only scatter the prefix.
+const overloadFactor = 2
+
+// overloaded reports whether every option has a long wait.
+func overloaded(r *Request, options []Option) bool {
+	for i := range options {
+		o := &options[i]
+		rate := rateOf(o.View)
+		if waitOf(o, rate, r.MaxTokens) <= seconds(overloadFactor*float64(o.TotalTokens)/rate) {
+			return false
+		}
+	}
+	return true
+}
+
 func (p *Placer) addSampled(options []Option, g *group, r *Request, total int) []Option {
 	for range min(sampled, len(g.members)) {
 		i := g.members[p.rng.IntN(len(g.members))]
--- a/pkg/placement/observe.go
+++ b/pkg/placement/observe.go
@@ -129,6 +129,35 @@
 	return keys
 }
 
+// Holder returns the engine other than except that was last seen to hold the most leading pieces
+// of a chain, and their number. It returns "" if this node knows none. Owners use it to suggest
+// the source of a copy.
+func (p *Placer) Holder(keys []uint64, except string) (engine string, pieces int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i := len(keys) - 1; i >= 0; i-- {
+		entry := p.soft.get(keys[i])
+		if entry == nil {
+			continue
+		}
+		var newest softPlace
+		for _, place := range entry.list() {
+			index := p.current(place)
+			if index == noEngine || p.fleet.engines[index].ID == except || p.fleet.engines[index].Unusable {
+				continue
+			}
+			if engine == "" || place.seen > newest.seen {
+				newest = place
+				engine = p.fleet.engines[index].ID
+			}
+		}
+		if engine != "" {
+			return engine, i + 1
+		}
+	}
+	return "", 0
+}
+
 // SoftPrefixes returns up to limit entries of the soft map, the most recently used keys first.
 func (p *Placer) SoftPrefixes(limit int) []SoftPrefix {
 	p.mu.Lock()
--- a/pkg/placement/placer.go
+++ b/pkg/placement/placer.go
@@ -35,7 +35,7 @@
 	// maxSoft bounds the engines that are taken from the soft map.
 	maxSoft = 8
 	// sampled is the number of random engines that are considered for their low load.
-	sampled = 0
+	sampled = 3
 )
 
 // Placer ranks engines for one entry node. It is safe for concurrent use.
--- a/pkg/placement/score.go
+++ b/pkg/placement/score.go
@@ -29,10 +29,7 @@
 
 // Score implements Scorer.
 func (costScorer) Score(r *Request, o *Option) {
-	rate := o.View.Load.PrefillRate
-	if rate <= 0 {
-		rate = defaultPrefillRate
-	}
+	rate := rateOf(o.View)
 	missing := max(0, float64(o.TotalTokens)-o.CachedTokens)
 	o.Wait = waitOf(o, rate, r.MaxTokens)
 	prefill := seconds(missing / rate)
@@ -44,6 +41,13 @@
 	}
 }
 
+func rateOf(v *EngineView) float64 {
+	if v.Load.PrefillRate > 0 {
+		return v.Load.PrefillRate
+	}
+	return defaultPrefillRate
+}
+
 // waitOf predicts the time until the engine starts the prefill: the prefill work ahead, or a free
 // place in the batch, whichever takes longer.
 func waitOf(o *Option, rate float64, maxTokens int) time.Duration {
