--- a/pkg/routing/direct.go
+++ b/pkg/routing/direct.go
@@ -70,7 +70,7 @@
 func (s *directSlot) Target() Target { return s.target }
 
 // FirstToken implements Slot.
-func (s *directSlot) FirstToken(u Usage) { s.router.observe(s.pieces, s.target, u) }
+func (s *directSlot) FirstToken(u Usage) { s.router.observe(s.pieces, s.target, u, true) }
 
 // Done implements Slot.
 func (s *directSlot) Done(e Ending) {
--- a/pkg/routing/owner.go
+++ b/pkg/routing/owner.go
@@ -61,14 +61,10 @@
 
 // Route implements Router.
 func (r *OwnerRouter) Route(ctx context.Context, w *Work) (Slot, error) {
-	request := placementRequest(w)
-	candidates := r.opt.Placer.Rank(r.opt.Now(), request)
-	if len(candidates) == 0 {
-		return nil, fault.New(fault.NoEngine, "no engine serves model %s version %s", w.Model.Name, w.Model.WeightsVersion)
-	}
+	attempt := r.opt.Placer.Begin(r.opt.Now(), placementRequest(w))
 	var last error
-	for i := range candidates {
-		slot, err := r.try(ctx, w, &candidates[i])
+	for c, ok := attempt.Next(); ok; c, ok = attempt.Next() {
+		slot, err := r.try(ctx, w, &c, attempt)
 		if err == nil {
 			return slot, nil
 		}
@@ -77,6 +73,9 @@
 		}
 		last = err
 	}
+	if last == nil {
+		return nil, fault.New(fault.NoEngine, "no engine serves model %s version %s", w.Model.Name, w.Model.WeightsVersion)
+	}
 	return nil, last
 }
 
@@ -90,7 +89,7 @@
 }
 
 // try asks the owner of one candidate. Without a working owner it dispatches directly.
-func (r *OwnerRouter) try(ctx context.Context, w *Work, c *placement.Candidate) (Slot, error) {
+func (r *OwnerRouter) try(ctx context.Context, w *Work, c *placement.Candidate, attempt *placement.Attempt) (Slot, error) {
 	m, ok := r.opt.Table.Of(c.Engine, c.DataCentre)
 	if !ok {
 		return r.dispatchDirect(ctx, w, c)
@@ -101,6 +100,7 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, left+acquireSlack)
 	defer cancel()
+	r.opt.Placer.Dispatched(c.Engine, c.MissingTokens)
 	reply, err := r.opt.Owners.Acquire(callCtx, m, r.acquireRequest(w, c, left))
 	if err != nil {
 		if callCtx.Err() != nil {
@@ -109,6 +109,9 @@
 		return r.dispatchDirect(ctx, w, c)
 	}
 	r.learn(w, c, reply)
+	if reply.Verdict == peerpb.AcquireReply_DECLINED {
+		attempt.Declined(time.Duration(reply.PredictedMs)*time.Millisecond, int(reply.CachedPieces))
+	}
 	return r.judge(ctx, w, c, m, reply)
 }
 
@@ -159,7 +162,6 @@
 }
 
 func (r *OwnerRouter) granted(w *Work, c *placement.Candidate, m blackboard.MemberEntry, reply *peerpb.AcquireReply) Slot {
-	r.opt.Placer.Dispatched(c.Engine, c.MissingTokens)
 	s := &ownerSlot{
 		router: r, member: m, pieces: w.Pieces, id: reply.Slot,
 		target:  Target{Engine: c.Engine, Address: c.Address, Incarnation: reply.Incarnation},
@@ -183,10 +185,11 @@
 	}, nil
 }
 
-func (r *OwnerRouter) observe(pieces []prefix.Piece, target Target, u Usage) {
+func (r *OwnerRouter) observe(pieces []prefix.Piece, target Target, u Usage, direct bool) {
 	r.opt.Placer.Observe(r.opt.Now(), placement.Feedback{
 		Pieces: pieces, Engine: target.Engine, Incarnation: u.Incarnation,
 		ReusedTokens: u.ReusedTokens, ComputedTokens: u.ComputedTokens, PrefillTime: u.Prefill,
+		Direct: direct,
 	})
 }
 
@@ -218,7 +221,7 @@
 // FirstToken implements Slot.
 func (s *ownerSlot) FirstToken(u Usage) {
 	s.first.Do(func() {
-		s.router.observe(s.pieces, s.target, u)
+		s.router.observe(s.pieces, s.target, u, false)
 		s.reports <- &peerpb.ReleaseRequest{
 			Slot: s.id, Engine: s.target.Engine, Stage: peerpb.ReleaseRequest_FIRST_TOKEN,
 			ReusedTokens: uint32(u.ReusedTokens), ComputedTokens: uint32(u.ComputedTokens), PrefillMs: uint32(u.Prefill.Milliseconds()),
