--- a/pkg/controller/owner/pool_test.go
+++ b/pkg/controller/owner/pool_test.go
@@ -21,30 +21,38 @@
 	"cassiawall.example/cassiawall/pkg/rendezvous"
 )
 
-// workload describes the requests of a trial.
+// workload describes the requests of a trial: three nested levels, of which two are shared.
 type workload struct {
 	engines, blocks, entries int
-	// outers share the first level, inners the second; inner i belongs to outer i mod outers.
-	outers, inners, innerPieces int
-	tailTokens                  int
-	families                    int
-	rate                        float64
-	output                      int
-	duration                    time.Duration
-	shiftEvery                  time.Duration
-	lostEvents                  float64
-	// restartAt replaces half of the entries' placers; 0 for never.
+	// counts are the texts per text of the level above, the first one per workspace.
+	counts [3]int
+	skew   [3]float64
+	// pieces are the pieces of a shared text; tailTokens the size of the caller's own text.
+	pieces     [2]int
+	tailTokens int
+	rate       float64
+	output     int
+	patience   time.Duration
+	duration   time.Duration
+	lostEvents float64
+	// restartAt replaces half of the entries' placers and the owner; 0 for never.
 	restartAt time.Duration
 }
 
+// workspaceShares has three large and five small workspaces.
+var workspaceShares = []float64{0.30, 0.22, 0.16, 0.08, 0.07, 0.06, 0.06, 0.05}
+
+// shiftEvery is the time between shifts of the hot prefixes.
+const shiftEvery = 10 * time.Second
+
 func kilele() workload {
-	return workload{engines: 20, blocks: 64, entries: 15, outers: 60, inners: 120, innerPieces: 5,
-		tailTokens: 600, families: 30, rate: 40, output: 128, duration: 40 * time.Second, shiftEvery: 10 * time.Second}
+	return workload{engines: 20, blocks: 48, entries: 6, counts: [3]int{5, 4, 30}, skew: [3]float64{1.3, 1.2, 1.05},
+		pieces: [2]int{2, 3}, tailTokens: 1600, rate: 28, output: 100, patience: 1200 * time.Millisecond, duration: 40 * time.Second}
 }
 
 func tuul() workload {
-	return workload{engines: 10, blocks: 64, entries: 15, outers: 8, inners: 100, innerPieces: 4,
-		tailTokens: 800, families: 20, rate: 18, output: 128, duration: 40 * time.Second, shiftEvery: 10 * time.Second}
+	return workload{engines: 10, blocks: 48, entries: 4, counts: [3]int{3, 12, 12}, skew: [3]float64{1.3, 1.1, 1.05},
+		pieces: [2]int{1, 2}, tailTokens: 2000, rate: 14, output: 75, patience: 1500 * time.Millisecond, duration: 40 * time.Second}
 }
 
 // result is what a trial measured after its warm-up.
@@ -70,9 +78,12 @@
 
 // pool is a fleet of fake engines with one owner and several entry nodes.
 type pool struct {
-	w                     workload
-	engines               []*fakeEngine
-	owner                 *Owner
+	w       workload
+	engines []*fakeEngine
+	byID    map[string]*fakeEngine
+	owner   *Owner
+	// stopOwner ends the current owner.
+	stopOwner             func()
 	board                 *blackboard.Board
 	policy                string
 	mu                    sync.Mutex
@@ -117,8 +128,8 @@
 		p.board.Engines.Put(f.id, blackboard.EngineEntry{ID: f.id, DataCentre: "a", Reachable: true}, blackboard.Evidence{})
 		go f.run(ctx)
 	}
-	p.owner = New(Options{Board: p.board, Self: "n", Engines: func(id string) engine.Reporter { return byID[id] }})
-	go func() { _ = p.owner.Run(ctx) }()
+	p.byID = byID
+	p.startOwner(ctx)
 	for i := range w.entries {
 		p.placers = append(p.placers, nil)
 		p.feeders = append(p.feeders, nil)
@@ -129,6 +140,23 @@
 	return p
 }
 
+// startOwner replaces the owner by one without state.
+func (p *pool) startOwner(ctx context.Context) {
+	if p.stopOwner != nil {
+		p.stopOwner()
+	}
+	ctx, p.stopOwner = context.WithCancel(ctx)
+	o := New(Options{Board: p.board, Self: "n", Engines: func(id string) engine.Reporter { return p.byID[id] }})
+	p.owner = o
+	go func() { _ = o.Run(ctx) }()
+}
+
+func (p *pool) currentOwner() *Owner {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.owner
+}
+
 func (p *pool) restart(i int) {
 	placer, err := placement.New(placement.Options{Region: "r", Rand: rand.New(rand.NewPCG(uint64(i), 3))})
 	if err != nil {
@@ -154,29 +182,35 @@
 	leaves    time.Duration
 }
 
-func (p *pool) make(rng *rand.Rand, at time.Duration, zipf *rand.Zipf) request {
-	shift := uint64(at/p.w.shiftEvery) * 37
-	inner := (zipf.Uint64() + shift) % uint64(p.w.inners)
-	outer := inner % uint64(p.w.outers)
-	family := rng.IntN(p.w.families)
-	r := request{workspace: fmt.Sprint(outer % 8)}
-	key := rendezvous.Hash(fmt.Sprint("outer", outer))
-	r.pieces = append(r.pieces, prefix.Piece{Key: key, Tokens: 4000, Level: "outer", Shared: true})
-	for i := range p.w.innerPieces {
-		key = rendezvous.Hash(fmt.Sprint(key, "inner", inner, i))
-		r.pieces = append(r.pieces, prefix.Piece{Key: key, Tokens: 4000, Level: "inner", Shared: true})
+func (p *pool) make(rng *rand.Rand, at time.Duration) request {
+	workspace := 0
+	for u := rng.Float64(); workspace < len(workspaceShares)-1 && u > workspaceShares[workspace]; workspace++ {
+		u -= workspaceShares[workspace]
+	}
+	r := request{workspace: fmt.Sprint(workspace), leaves: time.Hour}
+	path := r.workspace
+	for level := range 3 {
+		zipf := rand.NewZipf(rng, p.w.skew[level], 1, uint64(p.w.counts[level]-1))
+		text := (int(zipf.Uint64()) + int(at/shiftEvery)) % p.w.counts[level]
+		path += fmt.Sprint("/", text)
+		piece := prefix.Piece{Tokens: p.w.tailTokens, Level: fmt.Sprint(level)}
+		n := 1
+		if level < 2 {
+			piece.Tokens, piece.Shared = 4000, true
+			n = p.w.pieces[level]
+		}
+		for i := range n {
+			piece.Key = rendezvous.Hash(fmt.Sprint(path, "#", i))
+			r.pieces = append(r.pieces, piece)
+		}
 	}
-	key = rendezvous.Hash(fmt.Sprint(key, "family", family))
-	r.pieces = append(r.pieces, prefix.Piece{Key: key, Tokens: p.w.tailTokens, Level: "family"})
-	r.leaves = time.Hour
 	if rng.Float64() < 0.6 {
-		r.leaves = time.Duration(float64(300*time.Millisecond) + rng.ExpFloat64()*float64(1500*time.Millisecond))
+		r.leaves = time.Duration(rng.ExpFloat64()*float64(p.w.patience)) + time.Millisecond
 	}
 	return r
 }
 
 func (p *pool) drive(ctx context.Context, rng *rand.Rand) {
-	zipf := rand.NewZipf(rng, 1.1, 4, uint64(p.w.inners-1))
 	start := time.Now()
 	restarted := false
 	var all sync.WaitGroup
@@ -189,9 +223,10 @@
 			for i := range p.w.entries / 2 {
 				p.restart(i)
 			}
+			p.startOwner(ctx)
 			p.mu.Unlock()
 		}
-		r := p.make(rng, at, zipf)
+		r := p.make(rng, at)
 		entry := rng.IntN(p.w.entries)
 		id := fmt.Sprint(at.Nanoseconds())
 		all.Go(func() { p.serve(ctx, id, entry, r, at) })
@@ -306,6 +341,9 @@
 		if reply.GetVerdict() == peerpb.AcquireReply_GRANTED {
 			return p.use(placer, c, r, reply)
 		}
+		if reply.GetVerdict() != peerpb.AcquireReply_DECLINED {
+			continue
+		}
 		attempt.Declined(time.Duration(reply.GetPredictedMs())*time.Millisecond, int(reply.GetCachedPieces()))
 	}
 	p.mu.Lock()
@@ -322,7 +360,7 @@
 		request.PieceTokens = append(request.PieceTokens, uint32(piece.Tokens))
 	}
 	placer.Dispatched(c.Engine, c.MissingTokens)
-	reply, err := p.owner.Acquire(ctx, request)
+	reply, err := p.currentOwner().Acquire(ctx, request)
 	if time.Since(p.started) > warmUp+time.Second {
 		p.mu.Lock()
 		p.asks++
@@ -335,6 +373,9 @@
 	if err != nil {
 		return nil
 	}
+	if reply.GetSummary() == nil {
+		return reply
+	}
 	placer.SetLoad(c.Engine, reply.GetIncarnation(), engineview.LoadOf(reply.GetSummary()))
 	placer.ObserveDepth(time.Now(), c.Engine, reply.GetIncarnation(), r.pieces, int(reply.GetCachedPieces()))
 	return reply
@@ -359,7 +400,10 @@
 				ReusedTokens: run.reused, ComputedTokens: run.computed, PrefillTime: prefill})
 		}
 		time.Sleep(500 * time.Microsecond)
-		done, _ := p.owner.Release(context.Background(), release)
+		done, _ := p.currentOwner().Release(context.Background(), release)
+		if done.GetSummary() == nil {
+			return
+		}
 		placer.SetLoad(c.Engine, done.GetSummary().GetIncarnation(), engineview.LoadOf(done.GetSummary()))
 	}
 }
@@ -370,7 +414,7 @@
 	defer p.mu.Unlock()
 	order := slices.Clone(p.engines)
 	p.turn++
-	key := r.pieces[0].Key
+	key := r.pieces[p.w.pieces[0]-1].Key
 	bound := math.MaxInt
 	if p.policy == "consistent-hash" {
 		total := 1
@@ -409,6 +453,14 @@
 	policyOurs = "cassiawall"
 )
 
+func TestPolicyTrial(t *testing.T) {
+	for name, w := range map[string]workload{"kilele": kilele(), "tuul": tuul()} {
+		for _, policy := range []string{policyLoad, policyHash, "home", policyOurs} {
+			t.Logf("trial %s %-16s %s", name, policy, runTrial(t, policy, w, 1))
+		}
+	}
+}
+
 func TestFaultTrial(t *testing.T) {
 	for name, w := range map[string]workload{"kilele": kilele(), "tuul": tuul()} {
 		none := runTrial(t, policyOurs, w, 1)
