--- a/pkg/placement/observe.go
+++ b/pkg/placement/observe.go
@@ -18,7 +18,9 @@
 	if f.Incarnation != "" && f.Incarnation != e.Incarnation {
 		return
 	}
-	p.learn(now, e, f.Pieces, reusedPieces(f.Pieces, f.ReusedTokens))
+	if f.Direct {
+		p.learn(now, e, f.Pieces, reusedPieces(f.Pieces, f.ReusedTokens))
+	}
 	p.remember(now, e, f.Pieces, len(f.Pieces))
 }
 
@@ -104,12 +106,13 @@
 	}
 }
 
-// reusedPieces returns the number of leading pieces within the reused tokens.
+// reusedPieces returns the number of leading pieces within the reused tokens. An engine computes
+// the last token of a prompt even if all of it is cached.
 func reusedPieces(pieces []prefix.Piece, tokens int) int {
 	sum := 0
 	for i := range pieces {
 		sum += pieces[i].Tokens
-		if sum > tokens {
+		if sum > tokens+1 {
 			return i
 		}
 	}
@@ -126,6 +129,35 @@
 	return keys
 }
 
+// Holder returns the engine other than except that was last seen to hold the most leading pieces
+// of a chain, and their number. It returns "" if this node knows none. Owners use it to suggest
+// the source of a copy.
+func (p *Placer) Holder(keys []uint64, except string) (engine string, pieces int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i := len(keys) - 1; i >= 0; i-- {
+		entry := p.soft.get(keys[i])
+		if entry == nil {
+			continue
+		}
+		var newest softPlace
+		for _, place := range entry.list() {
+			index := p.current(place)
+			if index == noEngine || p.fleet.engines[index].ID == except || p.fleet.engines[index].Unusable {
+				continue
+			}
+			if engine == "" || place.seen > newest.seen {
+				newest = place
+				engine = p.fleet.engines[index].ID
+			}
+		}
+		if engine != "" {
+			return engine, i + 1
+		}
+	}
+	return "", 0
+}
+
 // SoftPrefixes returns up to limit entries of the soft map, the most recently used keys first.
 func (p *Placer) SoftPrefixes(limit int) []SoftPrefix {
 	p.mu.Lock()
