--- /dev/null
+++ b/pkg/auth/auth_test.go
@@ -0,0 +1,37 @@
+package auth
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"cassiawall.example/cassiawall/pkg/config"
+)
+
+// Guards against a key that opens another workspace, an old key that stops during a rotation, and
+// a stored hash that works as a key.
+func TestIndex(t *testing.T) {
+	old, next, other := GenerateKey(), GenerateKey(), GenerateKey()
+	assert.NotEqual(t, old, next)
+	index := NewIndex(&config.Config{Workspaces: []config.Workspace{
+		{Name: "north", APIKeyHashes: []string{Hash(old), Hash(next)}},
+		{Name: "south", APIKeyHashes: []string{Hash(other), "not-a-hash"}},
+	}})
+	for key, want := range map[string]string{old: "north", next: "north", other: "south"} {
+		name, ok := index.Workspace(key)
+		assert.True(t, ok)
+		assert.Equal(t, want, name)
+	}
+	for _, key := range []string{"", old + "x", Hash(old), "not-a-hash"} {
+		_, ok := index.Workspace(key)
+		assert.False(t, ok, key)
+	}
+}
+
+// Guards against other authentication schemes that are read as keys.
+func TestBearerKey(t *testing.T) {
+	assert.Equal(t, "k", BearerKey("Bearer k"))
+	assert.Equal(t, "k", BearerKey("bearer  k "))
+	assert.Empty(t, BearerKey("Basic k"))
+	assert.Empty(t, BearerKey("k"))
+}
--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
 
 	"github.com/jessevdk/go-flags"
 
@@ -18,14 +19,15 @@
 	exitUsage  = 2
 )
 
-// streams are where a command writes its results and its diagnostics.
+// streams are where a command reads its input and writes its results and its diagnostics.
 type streams struct {
+	in       io.Reader
 	out, err io.Writer
 }
 
 // Run parses args, runs the command and returns the exit code.
 func Run(args []string, stdout, stderr io.Writer) int {
-	s := streams{out: stdout, err: stderr}
+	s := streams{in: os.Stdin, out: stdout, err: stderr}
 	parser, err := newParser(commands(s))
 	if err == nil {
 		_, err = parser.ParseArgs(args)
@@ -83,5 +85,6 @@
 	return []commandSpec{
 		{name: "version", short: "Print the version", long: "Print the version.\n\nExample: cassiawall version --json", data: &versionCommand{streams: s}},
 		checkSpec(s),
+		initSpec(s),
 	}
 }
--- /dev/null
+++ b/pkg/cli/init_test.go
@@ -0,0 +1,38 @@
+package cli
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against keys that end up in the configuration, an overwritten file, and output that
+// 'check' refuses.
+func TestInitWritesNewFile(t *testing.T) {
+	output := filepath.Join(t.TempDir(), "configuration.yaml")
+	args := []string{"init", "--answers", "../../examples/kilele/answers.yaml", "--output", output}
+	code, out, diagnostics := run(args...)
+	require.Equal(t, exitOK, code, diagnostics)
+	assert.Equal(t, 8, strings.Count(out, "cw_example_"))
+	document, err := os.ReadFile(output)
+	require.NoError(t, err)
+	assert.NotContains(t, string(document), "cw_example_")
+	code, _, _ = run("check", output)
+	assert.Equal(t, exitOK, code)
+	code, _, diagnostics = run(args...)
+	assert.Equal(t, exitUsage, code)
+	assert.Contains(t, diagnostics, "cannot create")
+}
+
+// Guards against refused answers that still write a file.
+func TestInitRefusesAnswers(t *testing.T) {
+	output := filepath.Join(t.TempDir(), "configuration.yaml")
+	code, _, diagnostics := run("init", "--answers", writeFile(t, "team: x\n"), "--output", output)
+	assert.Equal(t, exitUsage, code)
+	assert.Contains(t, diagnostics, "how many requests arrive")
+	assert.NoFileExists(t, output)
+}
--- /dev/null
+++ b/pkg/questionnaire/writer.go
@@ -0,0 +1,70 @@
+package questionnaire
+
+import (
+	"bytes"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"go.yaml.in/yaml/v3"
+)
+
+// writer writes YAML with a comment after each value. Depths count levels of two spaces.
+type writer struct {
+	text bytes.Buffer
+}
+
+func (w *writer) line(depth int, text string) {
+	fmt.Fprintf(&w.text, "%s%s\n", strings.Repeat("  ", depth), text)
+}
+
+func (w *writer) heading(depth int, text string) { w.line(depth, "# "+oneLine(text)) }
+
+func (w *writer) key(depth int, key string) { w.line(depth, key+":") }
+
+// value writes a field with the answer that it came from and, if not empty, how.
+func (w *writer) value(depth int, key string, value any, answer, how string) {
+	w.line(depth, key+": "+scalarText(value)+comment(answer, how))
+}
+
+// entry writes the first field of a list entry. The other fields stand one level deeper.
+func (w *writer) entry(depth int, key string, value any, answer, how string) {
+	w.line(depth, "- "+key+": "+scalarText(value)+comment(answer, how))
+}
+
+// item writes a list entry that is a single value.
+func (w *writer) item(depth int, value any, answer string) {
+	w.line(depth, "- "+scalarText(value)+comment(answer, ""))
+}
+
+func comment(answer, how string) string {
+	if how != "" {
+		how = " (" + how + ")"
+	}
+	return " # from " + oneLine(answer) + how
+}
+
+// oneLine keeps answers from ending a comment.
+func oneLine(text string) string { return strings.Join(strings.Fields(text), " ") }
+
+// scalarText returns a value in YAML, quoted where needed.
+func scalarText(value any) string {
+	switch v := value.(type) {
+	case time.Duration:
+		return durationText(v)
+	case string:
+		return quoted(v)
+	}
+	return fmt.Sprint(value)
+}
+
+// quoted returns text in YAML. Text that would read as another type or span lines is quoted.
+func quoted(text string) string {
+	encoded, err := yaml.Marshal(text)
+	result := strings.TrimSuffix(string(encoded), "\n")
+	if err != nil || strings.Contains(result, "\n") {
+		return strconv.Quote(text)
+	}
+	return result
+}
--- a/pkg/strictyaml/problem.go
+++ b/pkg/strictyaml/problem.go
@@ -64,6 +64,9 @@
 	return ok
 }
 
+// Faulty reports whether a problem with the field at path is recorded.
+func (d *Document) Faulty(path string) bool { return d.faulty[path] }
+
 // Line returns the line of the field at path, or of the nearest enclosing field, or 1.
 func (d *Document) Line(path string) int {
 	for path != "" {
