--- a/pkg/auth/auth.go
+++ b/pkg/auth/auth.go
@@ -43,7 +43,7 @@
 
 type entry struct {
 	hash      [sha256.Size]byte
-	workspace string
+	workspace *config.Workspace
 }
 
 // Index finds workspaces by API key. It is immutable and safe for concurrent use.
@@ -57,13 +57,13 @@
 	index := &Index{buckets: map[bucket][]entry{}}
 	for i := range c.Workspaces {
 		for _, text := range c.Workspaces[i].APIKeyHashes {
-			index.add(text, c.Workspaces[i].Name)
+			index.add(text, &c.Workspaces[i])
 		}
 	}
 	return index
 }
 
-func (x *Index) add(text, workspace string) {
+func (x *Index) add(text string, workspace *config.Workspace) {
 	raw, err := hex.DecodeString(text)
 	if err != nil || len(raw) != sha256.Size {
 		return
@@ -73,18 +73,18 @@
 	x.buckets[b] = append(x.buckets[b], e)
 }
 
-// Workspace returns the name of the workspace that key belongs to. The hash is compared in
+// Workspace returns the workspace that key belongs to, or nil. The hash is compared in
 // constant time. The choice of the bucket is not constant in time, but depends only on a hash
 // that a client cannot steer towards a stored one.
-func (x *Index) Workspace(key string) (string, bool) {
+func (x *Index) Workspace(key string) *config.Workspace {
 	hash := sha256.Sum256([]byte(key))
-	name, found := "", false
+	var found *config.Workspace
 	for _, e := range x.buckets[bucket(hash[:bucketBytes])] {
 		if subtle.ConstantTimeCompare(hash[:], e.hash[:]) == 1 {
-			name, found = e.workspace, true
+			found = e.workspace
 		}
 	}
-	return name, found
+	return found
 }
 
 // BearerKey returns the key in an Authorization header, or "" if there is none.
--- a/pkg/auth/auth_test.go
+++ b/pkg/auth/auth_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"cassiawall.example/cassiawall/pkg/config"
 )
@@ -18,13 +19,12 @@
 		{Name: "south", APIKeyHashes: []string{Hash(other), "not-a-hash"}},
 	}})
 	for key, want := range map[string]string{old: "north", next: "north", other: "south"} {
-		name, ok := index.Workspace(key)
-		assert.True(t, ok)
-		assert.Equal(t, want, name)
+		found := index.Workspace(key)
+		require.NotNil(t, found)
+		assert.Equal(t, want, found.Name)
 	}
 	for _, key := range []string{"", old + "x", Hash(old), "not-a-hash"} {
-		_, ok := index.Workspace(key)
-		assert.False(t, ok, key)
+		assert.Nil(t, index.Workspace(key), key)
 	}
 }
 
--- a/pkg/questionnaire/questionnaire_test.go
+++ b/pkg/questionnaire/questionnaire_test.go
@@ -168,9 +168,9 @@
 	_, _, again := generated(t, answers)
 	index := auth.NewIndex(c)
 	for i, k := range keys {
-		name, ok := index.Workspace(k.Key)
-		assert.True(t, ok)
-		assert.Equal(t, k.Workspace, name)
+		found := index.Workspace(k.Key)
+		require.NotNil(t, found)
+		assert.Equal(t, k.Workspace, found.Name)
 		assert.NotContains(t, document, k.Key)
 		assert.NotEqual(t, again[i].Key, k.Key)
 	}
