--- /dev/null
+++ b/pkg/burn/burn_test.go
@@ -0,0 +1,279 @@
+package burn
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"cassiawall.example/cassiawall/pkg/config"
+)
+
+var start = time.Date(2026, 1, 1, 12, 0, 0, 0, time.UTC)
+
+func configOf(names ...string) *config.Config {
+	c := &config.Config{}
+	for _, name := range names {
+		c.Workspaces = append(c.Workspaces, config.Workspace{Name: name, Objectives: config.Objectives{
+			TTFT: config.Duration(time.Second), BetweenTokens: config.Duration(100 * time.Millisecond),
+			Target: 0.99, CompleteTarget: 0.999, OutcomeTarget: 0.999,
+		}})
+	}
+	return c
+}
+
+func recorderOf(c *config.Config, node string) *Recorder {
+	r := NewRecorder(node, start)
+	r.SetConfig(c)
+	return r
+}
+
+var (
+	good = Outcome{TTFT: 500 * time.Millisecond, MaxBetweenTokens: 50 * time.Millisecond, Complete: true}
+	late = Outcome{TTFT: 3 * time.Second, MaxBetweenTokens: 50 * time.Millisecond, Complete: true, Cause: "overloaded"}
+)
+
+// reportOf sends the recorders' sketches through their wire form and merges them.
+func reportOf(t *testing.T, c *config.Config, now time.Time, recorders ...*Recorder) Report {
+	m := NewMerger(c)
+	for _, r := range recorders {
+		s, err := Decode(r.Sketch(now).Encode())
+		require.NoError(t, err)
+		require.NoError(t, m.Add(s))
+	}
+	return m.Report(now, nil)
+}
+
+func burnOf(r Report, objective string) ObjectiveReport {
+	for _, o := range r.Workspaces[0].Objectives {
+		if o.Objective == objective {
+			return o
+		}
+	}
+	return ObjectiveReport{}
+}
+
+// Guards against outcomes that count towards the wrong objective, above all callers who left: they
+// must not hide a late answer, and not count as a failure when nothing was late.
+func TestJudge(t *testing.T) {
+	levels := configOf("w").Workspaces[0].Objectives
+	miss, ok, none := Tally{1, 1}, Tally{0, 1}, Tally{}
+	for name, c := range map[string]struct {
+		outcome Outcome
+		want    tallies
+		cause   string
+	}{
+		"good":              {good, tallies{ok, ok, ok, none}, ""},
+		"late":              {late, tallies{miss, ok, ok, none}, causeSlowStart},
+		"no first token":    {Outcome{}, tallies{miss, none, miss, none}, causeCutStream},
+		"slow stream":       {Outcome{TTFT: 1, MaxBetweenTokens: time.Second, Complete: true}, tallies{ok, miss, ok, none}, causeSlowStream},
+		"left early":        {Outcome{TTFT: 100, Abandoned: true}, tallies{none, none, none, none}, ""},
+		"left after delay":  {Outcome{TTFT: 2 * time.Second, Abandoned: true}, tallies{miss, none, none, none}, causeSlowStart},
+		"left while read":   {Outcome{TTFT: 100, MaxBetweenTokens: 1, Abandoned: true}, tallies{ok, ok, none, none}, ""},
+		"booking known":     {Outcome{Plain: true, Complete: true, NonIdempotent: true, OutcomeKnown: true}, tallies{none, none, ok, ok}, ""},
+		"booking not known": {Outcome{Plain: true, NonIdempotent: true}, tallies{none, none, miss, miss}, causeUnknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			counts, cause := judge(c.outcome, levels)
+			assert.Equal(t, c.want, counts)
+			assert.Equal(t, c.cause, cause)
+		})
+	}
+}
+
+// Guards against a burn rate over the wrong window, and a budget that ignores one of the nodes.
+func TestReportOverWindowsAndNodes(t *testing.T) {
+	c := configOf("w")
+	a, b := recorderOf(c, "a"), recorderOf(c, "b")
+	for i := range 120 {
+		at := start.Add(time.Duration(i) * time.Minute)
+		a.RequestDone(at, "w", good)
+		if i >= 90 {
+			b.RequestDone(at, "w", late)
+		}
+	}
+	now := start.Add(119*time.Minute + time.Second)
+	r := reportOf(t, c, now, a, b)
+	ttft := burnOf(r, "ttft")
+	assert.EqualValues(t, 150, ttft.Requests)
+	assert.EqualValues(t, 30, ttft.Bad)
+	assert.InDelta(t, 1-0.2/0.01, ttft.BudgetLeft, 1e-9)
+	assert.InDelta(t, 0.5/0.01, ttft.Burn[window5m].Rate, 1e-9)
+	assert.InDelta(t, 30.0/91/0.01, ttft.Burn[window1h].Rate, 1e-9)
+	assert.InDelta(t, 0.2/0.01, ttft.Burn[window6h].Rate, 1e-9)
+	assert.Equal(t, AlertPage, ttft.Alert)
+	assert.Equal(t, []CauseReport{{"overloaded", 30}}, r.Workspaces[0].Causes)
+	assert.Equal(t, "b", r.Workspaces[0].WorstNode)
+	assert.Equal(t, AlertNone, burnOf(r, "complete_streams").Alert)
+	assert.Equal(t, 2, r.Nodes)
+}
+
+// Guards against an alert for a loss that is over, and for one that has just begun: both windows
+// must exceed the rate.
+func TestAlertNeedsBothWindows(t *testing.T) {
+	c := configOf("w")
+	r := recorderOf(c, "a")
+	for i := range 60 {
+		at := start.Add(time.Duration(i) * time.Minute)
+		for range 20 {
+			r.RequestDone(at, "w", map[bool]Outcome{true: late, false: good}[i < 20])
+		}
+	}
+	now := start.Add(time.Hour - time.Second)
+	assert.Greater(t, burnOf(reportOf(t, c, now, r), "ttft").Burn[window1h].Rate, float64(PageRate))
+	assert.Equal(t, AlertNone, burnOf(reportOf(t, c, now, r), "ttft").Alert)
+	for range 60 {
+		r.RequestDone(now, "w", late)
+	}
+	assert.Equal(t, AlertPage, burnOf(reportOf(t, c, now, r), "ttft").Alert)
+}
+
+// Guards against a low target that can never raise an alert, because its burn rate is bounded.
+func TestAlertWithLowTarget(t *testing.T) {
+	c := configOf("w")
+	c.Workspaces[0].Objectives.Target = 0.9
+	r := recorderOf(c, "a")
+	for range 20 {
+		r.RequestDone(start, "w", late)
+	}
+	assert.Equal(t, AlertPage, burnOf(reportOf(t, c, start, r), "ttft").Alert)
+}
+
+// Guards against counts that stay for ever or vanish too early.
+func TestCountsExpire(t *testing.T) {
+	c := configOf("w")
+	r := recorderOf(c, "a")
+	r.RequestDone(start, "w", late)
+	for _, step := range []struct {
+		after    time.Duration
+		requests uint64
+	}{{23 * time.Hour, 1}, {26 * time.Hour, 0}} {
+		s := r.Sketch(start.Add(step.after))
+		var total uint64
+		for _, w := range s.Workspaces {
+			total += w.Counts[window24h][TTFT].Total
+		}
+		assert.Equal(t, step.requests, total, step.after)
+	}
+	r.SetConfig(configOf("other"))
+	assert.Empty(t, r.workspaces)
+}
+
+// Guards against merged quantiles that differ from those of one histogram over all requests, and
+// from the true ones by more than the stated precision.
+func TestMergedQuantiles(t *testing.T) {
+	c := configOf("w")
+	random := rand.New(rand.NewPCG(1, 2))
+	nodes := []*Recorder{recorderOf(c, "a"), recorderOf(c, "b"), recorderOf(c, "c")}
+	for i := range 30_000 {
+		o := good
+		o.TTFT = time.Duration(1+i%10_000) * time.Millisecond
+		nodes[random.IntN(len(nodes))].RequestDone(start, "w", o)
+	}
+	r := reportOf(t, c, start, nodes...)
+	assert.EqualValues(t, 30_000, r.TTFT.Count)
+	assert.InEpsilon(t, 5000, r.TTFT.P50, 0.01)
+	assert.InEpsilon(t, 9900, r.TTFT.P99, 0.01)
+	assert.Equal(t, r.TTFT, r.Workspaces[0].TTFT)
+}
+
+// Guards against sketches beyond the byte bound at the target size, and against a truncation that
+// loses the workspaces with the most misses or does not say what it left out.
+func TestSketchStaysBounded(t *testing.T) {
+	names := make([]string, 18_000)
+	for i := range names {
+		names[i] = fmt.Sprintf("workspace-%05d", i)
+	}
+	c := configOf(names...)
+	r := recorderOf(c, "node-1")
+	random := rand.New(rand.NewPCG(1, 2))
+	for i := range 50_000 {
+		o := good
+		o.TTFT = time.Duration(random.IntN(2000)) * time.Millisecond
+		r.RequestDone(start.Add(time.Duration(i)*72*time.Millisecond), names[random.IntN(len(names))], o)
+	}
+	for range 100 {
+		r.RequestDone(start.Add(time.Hour), names[17_000], late)
+	}
+	assert.LessOrEqual(t, r.histograms, maxHistograms)
+	encoded := r.Sketch(start.Add(time.Hour)).Encode()
+	assert.LessOrEqual(t, len(encoded), MaxEncodedBytes)
+	s, err := Decode(encoded)
+	require.NoError(t, err)
+	assert.Equal(t, names[17_000], s.Workspaces[0].Name)
+	assert.Positive(t, s.Omitted)
+	assert.Positive(t, s.OmittedBad)
+	t.Logf("%d of %d workspaces in %d bytes", len(s.Workspaces), len(s.Workspaces)+s.Omitted, len(encoded))
+}
+
+// Guards against memory that grows without bound with causes from requests.
+func TestCausesStayBounded(t *testing.T) {
+	c := configOf("w")
+	r := recorderOf(c, "a")
+	for i := range 1000 {
+		o := late
+		o.Cause = fmt.Sprint("cause ", i)
+		r.RequestDone(start, "w", o)
+	}
+	assert.LessOrEqual(t, len(r.workspaces["w"].causes.counts), maxCauses+1)
+}
+
+// Guards against a malformed sketch of another node that crashes the merge or changes its sums.
+func FuzzDecode(f *testing.F) {
+	c := configOf("w")
+	r := recorderOf(c, "a")
+	r.RequestDone(start, "w", late)
+	f.Add(r.Sketch(start).Encode())
+	f.Add([]byte{})
+	f.Fuzz(func(_ *testing.T, encoded []byte) {
+		s, err := Decode(encoded)
+		if err != nil {
+			return
+		}
+		m := NewMerger(c)
+		_ = m.Add(s)
+		m.Report(start, nil)
+	})
+}
+
+// Guards against counts from another node that are out of range.
+func TestMergeRefusesBadCounts(t *testing.T) {
+	for name, s := range map[string]Sketch{
+		"odd pairs":      {TTFT: sparse{1}},
+		"negative":       {TTFT: sparse{-1, 1}},
+		"too far":        {Gap: sparse{1 << 40, 1}},
+		"distance wraps": {Gap: sparse{1, 1, 1<<63 - 1, 1}},
+		"more bad":       {Workspaces: []workspaceSketch{{Counts: [windowCount]tallies{{{Bad: 2, Total: 1}}}}}},
+		"overflow":       {Workspaces: []workspaceSketch{{Counts: [windowCount]tallies{{{Bad: 1, Total: 1 << 63}}}}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := NewMerger(configOf("w"))
+			assert.Error(t, m.Add(s))
+			assert.Zero(t, m.nodes)
+		})
+	}
+}
+
+func BenchmarkRequestDone(b *testing.B) {
+	r := recorderOf(configOf("w"), "a")
+	for b.Loop() {
+		r.RequestDone(start, "w", good)
+	}
+}
+
+func BenchmarkEncode(b *testing.B) {
+	names := make([]string, 18_000)
+	for i := range names {
+		names[i] = fmt.Sprintf("workspace-%05d", i)
+	}
+	r := recorderOf(configOf(names...), "a")
+	for i := range 50_000 {
+		r.RequestDone(start, names[i%len(names)], late)
+	}
+	for b.Loop() {
+		r.Sketch(start).Encode()
+	}
+}
--- /dev/null
+++ b/pkg/burn/histogram.go
@@ -0,0 +1,97 @@
+package burn
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Range and precision of the histograms. Two significant digits keep quantiles within 1%.
+const (
+	lowestMillis       = 1
+	highestMillis      = int64(10 * time.Minute / time.Millisecond)
+	significantFigures = 2
+)
+
+// Histogram counts times in milliseconds. Its zero value is empty and takes no memory for counts.
+type Histogram struct {
+	counts *hdrhistogram.Histogram
+}
+
+func (h *Histogram) record(d time.Duration) {
+	h.allocate()
+	millis := min(max(d.Milliseconds(), lowestMillis), highestMillis)
+	// A value in range is always recorded.
+	_ = h.counts.RecordValue(millis)
+}
+
+func (h *Histogram) allocate() {
+	if h.counts == nil {
+		h.counts = hdrhistogram.New(lowestMillis, highestMillis, significantFigures)
+	}
+}
+
+func (h *Histogram) merge(other *Histogram) {
+	if other.counts == nil {
+		return
+	}
+	h.allocate()
+	h.counts.Merge(other.counts)
+}
+
+// Count returns the number of recorded times.
+func (h *Histogram) Count() int64 {
+	if h.counts == nil {
+		return 0
+	}
+	return h.counts.TotalCount()
+}
+
+// Quantile returns the time in milliseconds that the share q of the times does not exceed, or 0
+// without times.
+func (h *Histogram) Quantile(q float64) int64 {
+	if h.counts == nil {
+		return 0
+	}
+	return h.counts.ValueAtPercentile(q * 100)
+}
+
+// sparse is the wire form of a histogram: pairs of a bucket's distance from the one before and its
+// count.
+type sparse []int64
+
+func (h *Histogram) sparse() sparse {
+	if h.counts == nil {
+		return nil
+	}
+	var pairs sparse
+	last := 0
+	for i, count := range h.counts.Export().Counts {
+		if count > 0 {
+			pairs = append(pairs, int64(i-last), count)
+			last = i
+		}
+	}
+	return pairs
+}
+
+// expand returns the histogram that s encodes. It reports false for pairs out of range.
+func (s sparse) expand() (Histogram, bool) {
+	if len(s) == 0 {
+		return Histogram{}, true
+	}
+	snapshot := hdrhistogram.New(lowestMillis, highestMillis, significantFigures).Export()
+	index := int64(0)
+	for i := 0; i+1 < len(s); i += 2 {
+		distance, count := s[i], s[i+1]
+		if distance < 0 || count < 0 || count > maxCount || distance >= int64(len(snapshot.Counts))-index {
+			return Histogram{}, false
+		}
+		index += distance
+		snapshot.Counts[index] += count
+	}
+	return Histogram{counts: hdrhistogram.Import(snapshot)}, len(s)%2 == 0
+}
+
+// maxCount bounds a count from another node, so that sums cannot overflow.
+const maxCount = 1 << 40
--- /dev/null
+++ b/pkg/burn/merge.go
@@ -0,0 +1,122 @@
+package burn
+
+import (
+	"time"
+
+	"cassiawall.example/cassiawall/pkg/config"
+	"cassiawall.example/cassiawall/pkg/fault"
+)
+
+// Merger adds up sketches. It keeps only the sums, so its memory grows with the number of
+// workspaces in the configuration and not with the number of nodes.
+type Merger struct {
+	config     *config.Config
+	known      map[string]bool
+	nodes      int
+	since      time.Time
+	ttft, gap  Histogram
+	workspaces map[string]*merged
+	// omittedNodes and omittedBad describe sketches in which workspaces are left out.
+	omittedNodes int
+	omittedBad   uint64
+}
+
+// merged is the sum over all nodes for one workspace.
+type merged struct {
+	counts    [windowCount]tallies
+	causes    map[string]uint64
+	ttft, gap Histogram
+	// nodes and largest tell how many nodes reported the workspace and the largest contribution.
+	nodes   int
+	largest largestNode
+}
+
+// largestNode is the node with the most misses of a workspace.
+type largestNode struct {
+	name string
+	bad  uint64
+}
+
+// NewMerger returns an empty merger for the workspaces of c.
+func NewMerger(c *config.Config) *Merger {
+	m := &Merger{config: c, known: make(map[string]bool, len(c.Workspaces)), workspaces: map[string]*merged{}}
+	for i := range c.Workspaces {
+		m.known[c.Workspaces[i].Name] = true
+	}
+	return m
+}
+
+// Add adds a node's sketch. Workspaces that the configuration does not contain are ignored. The
+// error is of kind fault.BadRequest; nothing is added then.
+func (m *Merger) Add(s Sketch) error {
+	ttft, okTTFT := s.TTFT.expand()
+	gap, okGap := s.Gap.expand()
+	if !okTTFT || !okGap || !s.valid() {
+		return fault.New(fault.BadRequest, "the sketch of node %q has counts out of range", s.Node)
+	}
+	m.nodes++
+	if since := time.Unix(s.Since, 0); m.since.IsZero() || since.Before(m.since) {
+		m.since = since
+	}
+	m.ttft.merge(&ttft)
+	m.gap.merge(&gap)
+	if s.Omitted > 0 {
+		m.omittedNodes++
+		m.omittedBad += s.OmittedBad
+	}
+	for i := range s.Workspaces {
+		if m.known[s.Workspaces[i].Name] {
+			m.addWorkspace(s.Node, &s.Workspaces[i])
+		}
+	}
+	return nil
+}
+
+// valid checks counts, because a sum that overflows would hide misses.
+func (s *Sketch) valid() bool {
+	if s.OmittedBad > maxCount {
+		return false
+	}
+	for i := range s.Workspaces {
+		w := &s.Workspaces[i]
+		_, okTTFT := w.TTFT.expand()
+		_, okGap := w.Gap.expand()
+		if !okTTFT || !okGap || len(w.Causes) > 2*maxCauses+1 {
+			return false
+		}
+		for _, counts := range w.Counts {
+			for _, t := range counts {
+				if t.Bad > t.Total || t.Total > maxCount {
+					return false
+				}
+			}
+		}
+	}
+	return true
+}
+
+func (m *Merger) addWorkspace(node string, w *workspaceSketch) {
+	sum, ok := m.workspaces[w.Name]
+	if !ok {
+		sum = &merged{causes: map[string]uint64{}}
+		m.workspaces[w.Name] = sum
+	}
+	sum.nodes++
+	for i := range w.Counts {
+		sum.counts[i].add(w.Counts[i])
+	}
+	for cause, count := range w.Causes {
+		if _, known := sum.causes[cause]; !known && len(sum.causes) >= 2*maxCauses {
+			cause = otherCauses
+		}
+		sum.causes[cause] += min(count, maxCount)
+	}
+	if bad := w.misses(); bad > sum.largest.bad {
+		sum.largest = largestNode{name: node, bad: bad}
+	}
+	// Pairs out of range have been refused by valid.
+	ttft, _ := w.TTFT.expand()
+	gap, _ := w.Gap.expand()
+	sum.ttft.merge(&ttft)
+	sum.gap.merge(&gap)
+}
--- /dev/null
+++ b/pkg/burn/report.go
@@ -0,0 +1,209 @@
+package burn
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"cassiawall.example/cassiawall/pkg/config"
+)
+
+// Report is the state of all error budgets over the fleet.
+type Report struct {
+	At time.Time `json:"at"`
+	// Since is the start of the longest-running node. Budgets cover at most the time since then.
+	Since time.Time `json:"since"`
+	// Nodes is the number of nodes in the report.
+	Nodes int `json:"nodes"`
+	// MissingNodes are live nodes that did not answer.
+	MissingNodes []string `json:"missing_nodes"`
+	// TruncatedNodes is the number of nodes that left out workspaces with few misses. A workspace
+	// can have up to UncountedMisses more than stated.
+	TruncatedNodes  int               `json:"truncated_nodes"`
+	UncountedMisses uint64            `json:"uncounted_misses"`
+	TTFT            Quantiles         `json:"ttft_ms"`
+	BetweenTokens   Quantiles         `json:"between_tokens_ms"`
+	Workspaces      []WorkspaceReport `json:"workspaces"`
+}
+
+// Quantiles are of the last one to two hours, in milliseconds.
+type Quantiles struct {
+	Count int64 `json:"count"`
+	P50   int64 `json:"p50"`
+	P95   int64 `json:"p95"`
+	P99   int64 `json:"p99"`
+}
+
+// WorkspaceReport is the state of one workspace's budgets.
+type WorkspaceReport struct {
+	Name          string            `json:"name"`
+	Alert         Alert             `json:"alert"`
+	Objectives    []ObjectiveReport `json:"objectives"`
+	Causes        []CauseReport     `json:"top_causes"`
+	WorstNode     string            `json:"worst_node,omitempty"`
+	TTFT          Quantiles         `json:"ttft_ms"`
+	BetweenTokens Quantiles         `json:"between_tokens_ms"`
+}
+
+// ObjectiveReport is the state of one error budget.
+type ObjectiveReport struct {
+	Objective string  `json:"objective"`
+	Target    float64 `json:"target"`
+	// Bound is the limit that a request must keep, in milliseconds. 0 means that there is none.
+	Bound int64 `json:"bound_ms,omitempty"`
+	// Requests and Bad count the budget period.
+	Requests uint64 `json:"requests"`
+	Bad      uint64 `json:"bad"`
+	// BudgetLeft is the unused share of the budget. It is negative when the objective is missed.
+	BudgetLeft float64 `json:"budget_left"`
+	// Burn is the burn rate in each window: 1 uses the budget exactly in the budget period.
+	Burn  []BurnRate `json:"burn"`
+	Alert Alert      `json:"alert"`
+}
+
+// BurnRate is the burn rate in one window.
+type BurnRate struct {
+	WindowSeconds int64   `json:"window_s"`
+	Rate          float64 `json:"rate"`
+}
+
+// CauseReport is a cause of missed objectives in the last one to two hours.
+type CauseReport struct {
+	Cause string `json:"cause"`
+	Count uint64 `json:"count"`
+}
+
+// Alert is the suggested reaction to a burn rate.
+type Alert string
+
+// Alerts, from none to the most urgent.
+const (
+	AlertNone Alert = "none"
+	// AlertTicket asks for a look within a working day.
+	AlertTicket Alert = "ticket"
+	// AlertPage asks for a look at once.
+	AlertPage Alert = "page"
+)
+
+func (a Alert) severity() int { return slices.Index([]Alert{AlertNone, AlertTicket, AlertPage}, a) }
+
+// Burn rates that raise an alert. Both windows of a pair must exceed the rate: the long one shows
+// that the loss matters, the short one that it is still going on. The rates are the usual ones for
+// a budget of 30 days, in which PageRate uses 2% in an hour and TicketRate 5% in six hours.
+const (
+	PageRate   = 14.4
+	TicketRate = 6
+)
+
+// Shares of bad requests that raise an alert even if the burn rate is lower. A low target allows
+// so many bad requests that the rates above are never reached: at a target of 0.9 the highest
+// burn rate is 10.
+const (
+	PageShare   = 0.5
+	TicketShare = 0.25
+)
+
+// minRequests keeps a single bad request among a few from raising an alert.
+const minRequests = 10
+
+// topCauses is the number of causes in a report.
+const topCauses = 5
+
+// Report returns the report over the sketches added so far.
+func (m *Merger) Report(now time.Time, missing []string) Report {
+	r := Report{
+		At: now.UTC(), Since: m.since.UTC(), Nodes: m.nodes, MissingNodes: append([]string{}, missing...),
+		TruncatedNodes: m.omittedNodes, UncountedMisses: m.omittedBad,
+		TTFT: quantiles(&m.ttft), BetweenTokens: quantiles(&m.gap), Workspaces: []WorkspaceReport{},
+	}
+	for i := range m.config.Workspaces {
+		w := &m.config.Workspaces[i]
+		if sum, ok := m.workspaces[w.Name]; ok {
+			r.Workspaces = append(r.Workspaces, sum.report(w))
+		}
+	}
+	slices.SortStableFunc(r.Workspaces, func(a, b WorkspaceReport) int {
+		return cmp.Or(b.Alert.severity()-a.Alert.severity(), cmp.Compare(a.leastBudget(), b.leastBudget()))
+	})
+	return r
+}
+
+func (w *WorkspaceReport) leastBudget() float64 {
+	least := 1.0
+	for _, o := range w.Objectives {
+		least = min(least, o.BudgetLeft)
+	}
+	return least
+}
+
+func quantiles(h *Histogram) Quantiles {
+	return Quantiles{Count: h.Count(), P50: h.Quantile(0.5), P95: h.Quantile(0.95), P99: h.Quantile(0.99)}
+}
+
+func (s *merged) report(w *config.Workspace) WorkspaceReport {
+	r := WorkspaceReport{
+		Name: w.Name, Alert: AlertNone, Causes: s.topCauses(), WorstNode: s.largest.name,
+		TTFT: quantiles(&s.ttft), BetweenTokens: quantiles(&s.gap),
+	}
+	for o := range objectiveCount {
+		if s.counts[window24h][o].Total == 0 {
+			continue
+		}
+		objective := s.objective(o, w.Objectives)
+		if objective.Alert.severity() > r.Alert.severity() {
+			r.Alert = objective.Alert
+		}
+		r.Objectives = append(r.Objectives, objective)
+	}
+	return r
+}
+
+func (s *merged) objective(o Objective, levels config.Objectives) ObjectiveReport {
+	budget := s.counts[window24h][o]
+	r := ObjectiveReport{Objective: o.String(), Target: o.target(levels), Requests: budget.Total, Bad: budget.Bad}
+	switch o {
+	case TTFT:
+		r.Bound = levels.TTFT.D().Milliseconds()
+	case BetweenTokens:
+		r.Bound = levels.BetweenTokens.D().Milliseconds()
+	}
+	r.BudgetLeft = 1 - rate(budget, r.Target)
+	for i, window := range Windows {
+		r.Burn = append(r.Burn, BurnRate{WindowSeconds: int64(window / time.Second), Rate: rate(s.counts[i][o], r.Target)})
+	}
+	r.Alert = s.alert(o, r.Target)
+	return r
+}
+
+// rate is the share of bad requests relative to the share that the target allows.
+func rate(t Tally, target float64) float64 {
+	if t.Total == 0 || target >= 1 {
+		return 0
+	}
+	return float64(t.Bad) / float64(t.Total) / (1 - target)
+}
+
+func (s *merged) alert(o Objective, target float64) Alert {
+	exceeds := func(window int, limit, share float64) bool {
+		t := s.counts[window][o]
+		return t.Total >= minRequests && rate(t, target) >= min(limit, share/(1-target))
+	}
+	switch {
+	case exceeds(window1h, PageRate, PageShare) && exceeds(window5m, PageRate, PageShare):
+		return AlertPage
+	case exceeds(window6h, TicketRate, TicketShare) && exceeds(window30m, TicketRate, TicketShare):
+		return AlertTicket
+	}
+	return AlertNone
+}
+
+func (s *merged) topCauses() []CauseReport {
+	list := make([]CauseReport, 0, len(s.causes))
+	for cause, count := range s.causes {
+		list = append(list, CauseReport{Cause: cause, Count: count})
+	}
+	slices.SortFunc(list, func(a, b CauseReport) int {
+		return cmp.Or(cmp.Compare(b.Count, a.Count), cmp.Compare(a.Cause, b.Cause))
+	})
+	return list[:min(len(list), topCauses)]
+}
--- /dev/null
+++ b/pkg/burn/sketch.go
@@ -0,0 +1,157 @@
+package burn
+
+import (
+	"bytes"
+	"cmp"
+	"compress/flate"
+	"encoding/json"
+	"io"
+	"slices"
+	"sort"
+	"time"
+
+	"cassiawall.example/cassiawall/pkg/fault"
+)
+
+// MaxEncodedBytes bounds an encoded sketch. The control budget of a node is 9 KB/s for everything;
+// at this size even a report over 400 nodes moves 1.6 MB.
+const MaxEncodedBytes = 4 << 10
+
+// maxDecodedBytes bounds a sketch after decompression.
+const maxDecodedBytes = 1 << 20
+
+// Sketch is what a node tells about its requests.
+type Sketch struct {
+	Node string `json:"n"`
+	// Since and At are the start of the recorder and the time of the sketch, in Unix seconds.
+	Since int64 `json:"s"`
+	At    int64 `json:"a"`
+	// TTFT and Gap are the distributions over all workspaces.
+	TTFT sparse `json:"f,omitempty"`
+	Gap  sparse `json:"g,omitempty"`
+	// Workspaces are those with the most misses.
+	Workspaces []workspaceSketch `json:"w"`
+	// Omitted is the number of workspaces that did not fit. Each of them has at most OmittedBad
+	// misses in the budget period.
+	Omitted    int    `json:"o,omitempty"`
+	OmittedBad uint64 `json:"b,omitempty"`
+}
+
+// workspaceSketch is a node's counts of one workspace.
+type workspaceSketch struct {
+	Name   string               `json:"n"`
+	Counts [windowCount]tallies `json:"c"`
+	Causes map[string]uint64    `json:"x,omitempty"`
+	TTFT   sparse               `json:"f,omitempty"`
+	Gap    sparse               `json:"g,omitempty"`
+}
+
+// misses returns the number of missed objectives in the budget period.
+func (w *workspaceSketch) misses() uint64 { return w.Counts[window24h].bad() }
+
+// maxCandidates is the number of workspaces that are considered for a sketch. More never fit into
+// MaxEncodedBytes, and encoding them would cost time.
+const maxCandidates = 512
+
+// candidate is a workspace with requests in the budget period.
+type candidate struct {
+	name          string
+	bad, requests uint64
+}
+
+// Sketch returns the recorder's state at now, workspaces with the most misses first.
+func (r *Recorder) Sketch(now time.Time) Sketch {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := Sketch{Node: r.node, Since: r.started.Unix(), At: now.Unix()}
+	ttft, gap := r.fleet.current(now)
+	s.TTFT, s.Gap = ttft.sparse(), gap.sparse()
+	candidates := r.candidates(now)
+	if len(candidates) > maxCandidates {
+		s.Omitted = len(candidates) - maxCandidates
+		s.OmittedBad = candidates[maxCandidates].bad
+		candidates = candidates[:maxCandidates]
+	}
+	for _, c := range candidates {
+		s.Workspaces = append(s.Workspaces, r.workspaces[c.name].sketch(now, c.name))
+	}
+	return s
+}
+
+// candidates returns the workspaces with requests in the budget period, the ones with the most
+// misses and then the most requests first.
+func (r *Recorder) candidates(now time.Time) []candidate {
+	list := make([]candidate, 0, len(r.workspaces))
+	for name, a := range r.workspaces {
+		counts := a.history.coarse.sum(now, Windows[window24h])
+		if counts != (tallies{}) {
+			list = append(list, candidate{name: name, bad: counts.bad(), requests: counts[CompleteStreams].Total})
+		}
+	}
+	slices.SortFunc(list, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(b.bad, a.bad), cmp.Compare(b.requests, a.requests), cmp.Compare(a.name, b.name))
+	})
+	return list
+}
+
+func (a *account) sketch(now time.Time, name string) workspaceSketch {
+	w := workspaceSketch{Name: name, Counts: a.history.sums(now), Causes: a.causes.current(now)}
+	if a.spread != nil {
+		ttft, gap := a.spread.current(now)
+		w.TTFT, w.Gap = ttft.sparse(), gap.sparse()
+	}
+	return w
+}
+
+// Encode returns s in at most MaxEncodedBytes. To fit, it first leaves out the histograms of the
+// workspaces with the fewest misses and then these workspaces.
+func (s Sketch) Encode() []byte {
+	if encoded := s.compress(); len(encoded) <= MaxEncodedBytes {
+		return encoded
+	}
+	if encoded := s.cut(0, len(s.Workspaces)).compress(); len(encoded) <= MaxEncodedBytes {
+		return s.longest(func(n int) Sketch { return s.cut(n, len(s.Workspaces)) })
+	}
+	return s.longest(func(n int) Sketch { return s.cut(0, n) })
+}
+
+// longest returns the encoding of the largest sketch of cut that fits. cut(0) always fits.
+func (s Sketch) longest(cut func(n int) Sketch) []byte {
+	n := sort.Search(len(s.Workspaces), func(n int) bool { return len(cut(n+1).compress()) > MaxEncodedBytes })
+	return cut(n).compress()
+}
+
+// cut returns s with the first workspaces only, of which the first detailed have histograms.
+func (s Sketch) cut(detailed, workspaces int) Sketch {
+	if workspaces < len(s.Workspaces) {
+		s.Omitted += len(s.Workspaces) - workspaces
+		s.OmittedBad = max(s.OmittedBad, s.Workspaces[workspaces].misses())
+	}
+	s.Workspaces = slices.Clone(s.Workspaces[:workspaces])
+	for i := detailed; i < workspaces; i++ {
+		s.Workspaces[i].TTFT, s.Workspaces[i].Gap = nil, nil
+	}
+	return s
+}
+
+func (s Sketch) compress() []byte {
+	var out bytes.Buffer
+	// Neither the compressor's level, nor writing to memory, nor encoding these types can fail.
+	w, _ := flate.NewWriter(&out, flate.DefaultCompression)
+	_ = json.NewEncoder(w).Encode(s)
+	_ = w.Close()
+	return out.Bytes()
+}
+
+// Decode reads an encoded sketch. The error is of kind fault.BadRequest.
+func Decode(encoded []byte) (Sketch, error) {
+	var s Sketch
+	if len(encoded) > MaxEncodedBytes {
+		return s, fault.New(fault.BadRequest, "the sketch has %d bytes; at most %d are allowed", len(encoded), MaxEncodedBytes)
+	}
+	reader := flate.NewReader(bytes.NewReader(encoded))
+	if err := json.NewDecoder(io.LimitReader(reader, maxDecodedBytes)).Decode(&s); err != nil {
+		return Sketch{}, fault.Wrap(err, fault.BadRequest, "the sketch does not decode")
+	}
+	return s, nil
+}
