--- a/pkg/burn/burn_test.go
+++ b/pkg/burn/burn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -277,3 +278,28 @@
 		r.Sketch(start).Encode()
 	}
 }
+
+// Guards against histograms that alone exceed the byte bound when times spread over the whole
+// range.
+func TestWidestHistogramsFit(t *testing.T) {
+	c := configOf("w")
+	r := recorderOf(c, "a")
+	random := rand.New(rand.NewPCG(1, 2))
+	wide := func() time.Duration {
+		return time.Duration(float64(time.Millisecond) * math.Exp(random.Float64()*math.Log(600_000)))
+	}
+	for range 500_000 {
+		r.RequestDone(start, "w", Outcome{TTFT: wide(), MaxBetweenTokens: wide(), Complete: true})
+	}
+	encoded := r.Sketch(start).Encode()
+	s, err := Decode(encoded)
+	require.NoError(t, err)
+	t.Logf("%d bytes, %d workspaces", len(encoded), len(s.Workspaces))
+	assert.LessOrEqual(t, len(encoded), MaxEncodedBytes)
+	assert.Len(t, s.Workspaces, 1)
+	merged, ok := s.TTFT.expand()
+	require.True(t, ok)
+	for _, q := range []float64{0.5, 0.95, 0.99} {
+		assert.InEpsilon(t, r.fleet.ttft.Quantile(q), merged.Quantile(q), 0.04)
+	}
+}
--- a/pkg/burn/histogram.go
+++ b/pkg/burn/histogram.go
@@ -75,6 +75,27 @@
 	return pairs
 }
 
+// coarseGroup is the number of neighbouring buckets that coarsen joins, a power of two.
+const coarseGroup = 4
+
+// coarsen joins neighbouring buckets into the highest of each group. Times grow by at most 3% or
+// 3 ms, whichever is more.
+func (s sparse) coarsen() sparse {
+	var pairs sparse
+	index, last := int64(0), int64(0)
+	for i := 0; i+1 < len(s); i += 2 {
+		index += s[i]
+		group := index | (coarseGroup - 1)
+		if len(pairs) > 0 && group == last {
+			pairs[len(pairs)-1] += s[i+1]
+			continue
+		}
+		pairs = append(pairs, group-last, s[i+1])
+		last = group
+	}
+	return pairs
+}
+
 // expand returns the histogram that s encodes. It reports false for pairs out of range.
 func (s sparse) expand() (Histogram, bool) {
 	if len(s) == 0 {
--- a/pkg/burn/sketch.go
+++ b/pkg/burn/sketch.go
@@ -104,8 +104,12 @@
 }
 
 // Encode returns s in at most MaxEncodedBytes. To fit, it first leaves out the histograms of the
-// workspaces with the fewest misses and then these workspaces.
+// workspaces with the fewest misses and then these workspaces. Histograms over all workspaces that
+// take more than half of the bytes are made coarser.
 func (s Sketch) Encode() []byte {
+	if len(s.cut(0, 0).compress()) > MaxEncodedBytes/2 {
+		s.TTFT, s.Gap = s.TTFT.coarsen(), s.Gap.coarsen()
+	}
 	if encoded := s.compress(); len(encoded) <= MaxEncodedBytes {
 		return encoded
 	}
