--- /dev/null
+++ b/pkg/report/collector.go
@@ -0,0 +1,149 @@
+// Package report collects the burn report over the fleet and renders it as HTML, JSON and text.
+package report
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/singleflight"
+	"golang.org/x/time/rate"
+
+	"cassiawall.example/cassiawall/pkg/blackboard"
+	"cassiawall.example/cassiawall/pkg/burn"
+	"cassiawall.example/cassiawall/pkg/config"
+	"cassiawall.example/cassiawall/pkg/fault"
+	"cassiawall.example/cassiawall/pkg/peer/peerpb"
+)
+
+// Bounds on the traffic of a collection. A node's control budget is 9 KB/s for everything, so a
+// collection takes less than half of it. The burst lets a small fleet answer at once.
+const (
+	bytesPerSecond = 4 << 10
+	burstBytes     = 64 << 10
+)
+
+// reuseFor is the age up to which a report is served again, so that several readers cost one
+// collection.
+const reuseFor = 30 * time.Second
+
+// fetchTimeout bounds the call of one node.
+const fetchTimeout = 2 * time.Second
+
+// Options configures a Collector.
+type Options struct {
+	// Self is this node's name. Its own recorder is read without a call.
+	Self     string
+	Board    *blackboard.Board
+	Recorder *burn.Recorder
+	// Client returns the client for the RPC address of a node.
+	Client func(address string) peerpb.Peer
+	Now    func() time.Time
+}
+
+// Collector fetches the sketches of all live nodes one after the other and merges each at once, so
+// that no node holds more than the sums. It is safe for concurrent use.
+type Collector struct {
+	opt     Options
+	limiter *rate.Limiter
+	running singleflight.Group
+
+	mu   sync.Mutex
+	last burn.Report
+}
+
+// NewCollector returns a collector.
+func NewCollector(opt Options) *Collector {
+	return &Collector{opt: opt, limiter: rate.NewLimiter(bytesPerSecond, burstBytes)}
+}
+
+// Collect returns a report that is at most half a minute old. It blocks until all nodes have
+// answered or failed; callers at the same time share one collection. The error is of kind
+// fault.PlatformUnavailable before a configuration is in force, or that of ctx.
+func (c *Collector) Collect(ctx context.Context) (burn.Report, error) {
+	c.mu.Lock()
+	last := c.last
+	c.mu.Unlock()
+	if !last.At.IsZero() && c.opt.Now().Sub(last.At) < reuseFor {
+		return last, nil
+	}
+	// The collection does not end with the first of several readers.
+	result := c.running.DoChan("", func() (any, error) { return c.collect(context.WithoutCancel(ctx)) })
+	select {
+	case <-ctx.Done():
+		return burn.Report{}, ctx.Err()
+	case r := <-result:
+		if r.Err != nil {
+			return burn.Report{}, r.Err
+		}
+		return r.Val.(burn.Report), nil
+	}
+}
+
+func (c *Collector) collect(ctx context.Context) (burn.Report, error) {
+	current := c.opt.Board.CurrentConfig()
+	if current == nil {
+		return burn.Report{}, fault.New(fault.PlatformUnavailable, "no configuration is in force yet")
+	}
+	merger, missing := c.merge(ctx, current)
+	r := merger.Report(c.opt.Now(), missing)
+	c.mu.Lock()
+	c.last = r
+	c.mu.Unlock()
+	return r, nil
+}
+
+func (c *Collector) merge(ctx context.Context, current *config.Config) (*burn.Merger, []string) {
+	merger := burn.NewMerger(current)
+	// The node's own sketch is always in range.
+	_ = merger.Add(c.opt.Recorder.Sketch(c.opt.Now()))
+	var missing []string
+	for _, m := range c.others() {
+		if err := c.add(ctx, merger, m); err != nil {
+			missing = append(missing, m.Name)
+		}
+	}
+	return merger, missing
+}
+
+// others returns the live nodes except this one, in the order of their names.
+func (c *Collector) others() []blackboard.MemberEntry {
+	var live []blackboard.MemberEntry
+	for name, m := range c.opt.Board.Members.Snapshot() {
+		if name != c.opt.Self && (m.Value.State == blackboard.MemberAlive || m.Value.State == blackboard.MemberSuspect) {
+			live = append(live, m.Value)
+		}
+	}
+	slices.SortFunc(live, func(a, b blackboard.MemberEntry) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return live
+}
+
+func (c *Collector) add(ctx context.Context, merger *burn.Merger, m blackboard.MemberEntry) error {
+	callCtx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	period := burn.Windows[len(burn.Windows)-1]
+	reply, err := c.opt.Client(m.RPCAddress).FetchBurn(callCtx, &peerpb.FetchBurnRequest{WindowSeconds: uint32(period / time.Second)})
+	if err != nil {
+		return err
+	}
+	sketch, err := burn.Decode(reply.Sketches)
+	if err != nil {
+		return err
+	}
+	if err := merger.Add(sketch); err != nil {
+		return err
+	}
+	return c.limiter.WaitN(ctx, len(reply.Sketches))
+}
+
+// FetchBurn answers the collection of another node with this node's sketch. Node servers forward
+// the call of the peer protocol to it.
+func (c *Collector) FetchBurn(context.Context, *peerpb.FetchBurnRequest) (*peerpb.FetchBurnReply, error) {
+	return &peerpb.FetchBurnReply{Sketches: c.opt.Recorder.Sketch(c.opt.Now()).Encode()}, nil
+}
--- /dev/null
+++ b/pkg/report/report_test.go
@@ -0,0 +1,151 @@
+package report
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"cassiawall.example/cassiawall/pkg/blackboard"
+	"cassiawall.example/cassiawall/pkg/burn"
+	"cassiawall.example/cassiawall/pkg/config"
+	"cassiawall.example/cassiawall/pkg/peer/peerpb"
+)
+
+// fakePeer answers FetchBurn of one node.
+type fakePeer struct {
+	peerpb.Peer
+	sketch []byte
+	calls  *atomic.Int64
+	bytes  *atomic.Int64
+}
+
+func (p *fakePeer) FetchBurn(context.Context, *peerpb.FetchBurnRequest) (*peerpb.FetchBurnReply, error) {
+	p.calls.Add(1)
+	p.bytes.Add(int64(len(p.sketch)))
+	if p.sketch == nil {
+		return nil, errors.New("unreachable")
+	}
+	return &peerpb.FetchBurnReply{Sketches: p.sketch}, nil
+}
+
+func testConfig(workspaces int) *config.Config {
+	c := &config.Config{}
+	for i := range workspaces {
+		c.Workspaces = append(c.Workspaces, config.Workspace{Name: fmt.Sprintf("w%d", i), Objectives: config.Objectives{
+			TTFT: config.Duration(time.Second), BetweenTokens: config.Duration(100 * time.Millisecond),
+			Target: 0.95, CompleteTarget: 0.999, OutcomeTarget: 0.999,
+		}})
+	}
+	return c
+}
+
+func recorder(c *config.Config, node string, now time.Time) *burn.Recorder {
+	r := burn.NewRecorder(node, now.Add(-time.Minute))
+	r.SetConfig(c)
+	for i := range 20 * len(c.Workspaces) {
+		ttft := time.Duration(1+i%37*53) * time.Millisecond
+		r.RequestDone(now, c.Workspaces[i%len(c.Workspaces)].Name, burn.Outcome{TTFT: ttft, MaxBetweenTokens: ttft / 20, Complete: i%50 > 0, Cause: "<late>"})
+	}
+	return r
+}
+
+// fleet returns a collector on a board with the given number of nodes, of which the last does not
+// answer.
+func fleet(nodes, workspaces int) (*Collector, *atomic.Int64, *atomic.Int64) {
+	now := time.Now()
+	c := testConfig(workspaces)
+	board := blackboard.New()
+	board.Config.Put(blackboard.ConfigKey, blackboard.ConfigEntry{Version: 1, Config: c}, blackboard.Evidence{})
+	var calls, received atomic.Int64
+	peers := map[string]peerpb.Peer{}
+	for i := range nodes {
+		name := fmt.Sprintf("n%03d", i)
+		board.Members.Put(name, blackboard.MemberEntry{Name: name, RPCAddress: name, State: blackboard.MemberAlive}, blackboard.Evidence{})
+		peer := &fakePeer{calls: &calls, bytes: &received}
+		if i < nodes-1 {
+			peer.sketch = recorder(c, name, now).Sketch(now).Encode()
+		}
+		peers[name] = peer
+	}
+	return NewCollector(Options{Self: "n000", Board: board, Recorder: recorder(c, "n000", now), Now: time.Now,
+		Client: func(address string) peerpb.Peer { return peers[address] }}), &calls, &received
+}
+
+// Guards against a report that leaves out nodes silently, counts this node twice, or is collected
+// again for each reader.
+func TestCollect(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, calls, _ := fleet(5, 3)
+		r, err := c.Collect(t.Context())
+		require.NoError(t, err)
+		assert.Equal(t, 4, r.Nodes)
+		assert.Equal(t, []string{"n004"}, r.MissingNodes)
+		assert.EqualValues(t, 4*20, r.Workspaces[0].Objectives[0].Requests)
+		_, err = c.Collect(t.Context())
+		require.NoError(t, err)
+		assert.EqualValues(t, 4, calls.Load())
+		time.Sleep(reuseFor)
+		_, err = c.Collect(t.Context())
+		require.NoError(t, err)
+		assert.EqualValues(t, 8, calls.Load())
+	})
+}
+
+// Guards against a report over a large fleet that takes more than its part of the node's control
+// bandwidth.
+func TestCollectionIsPaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, _, received := fleet(100, 200)
+		start := time.Now()
+		_, err := c.Collect(t.Context())
+		require.NoError(t, err)
+		seconds := time.Since(start).Seconds()
+		assert.LessOrEqual(t, float64(received.Load()), burstBytes+seconds*bytesPerSecond+burn.MaxEncodedBytes)
+		assert.Greater(t, received.Load(), int64(burstBytes), "the test must exceed the burst")
+		t.Logf("%d bytes in %.0f s", received.Load(), seconds)
+	})
+}
+
+// Guards against a page that does not render: each format must show the workspaces, and text from
+// requests must not become markup.
+func TestHandlerFormats(t *testing.T) {
+	c, _, _ := fleet(3, 30)
+	for path, want := range map[string]string{PathHTML: "<svg", PathJSON: `"workspaces"`, PathText: "budget left"} {
+		w := httptest.NewRecorder()
+		c.ServeHTTP(w, httptest.NewRequest("GET", path, nil))
+		assert.Equal(t, 200, w.Code)
+		assert.Contains(t, w.Body.String(), want)
+		assert.Contains(t, w.Body.String(), "w7")
+		if path == PathHTML {
+			assert.NotContains(t, w.Body.String(), "<late>")
+			assert.Equal(t, 3, bytes.Count(w.Body.Bytes(), []byte("<svg")))
+		}
+	}
+	var r burn.Report
+	w := httptest.NewRecorder()
+	c.ServeHTTP(w, httptest.NewRequest("GET", PathJSON, nil))
+	require.NoError(t, json.Unmarshal(w.Body.Bytes(), &r))
+	assert.Len(t, r.Workspaces, 30)
+}
+
+// Guards against a page that fails while nothing has happened yet, and a missing configuration
+// that looks like an empty report.
+func TestEmptyReport(t *testing.T) {
+	var page bytes.Buffer
+	require.NoError(t, HTML(&page, burn.NewMerger(testConfig(1)).Report(time.Now(), nil)))
+	c := NewCollector(Options{Board: blackboard.New(), Now: time.Now})
+	w := httptest.NewRecorder()
+	c.ServeHTTP(w, httptest.NewRequest("GET", PathHTML, nil))
+	assert.Equal(t, 503, w.Code)
+	assert.Contains(t, w.Body.String(), "platform_unavailable")
+}
