--- /dev/null
+++ b/pkg/status/status.go
@@ -0,0 +1,265 @@
+// Package status describes what one node sees of the fleet: nodes, engines, the configuration in
+// force per node, leases, shares of limits and engines whose owner is in doubt. All of it comes
+// from the node's own blackboard, so a request costs no call to another node.
+package status
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"net/http"
+	"slices"
+	"time"
+
+	"cassiawall.example/cassiawall/pkg/blackboard"
+	"cassiawall.example/cassiawall/pkg/config"
+)
+
+// Path is the status page on the operators' listener.
+const Path = "/status"
+
+// Document is the status as one node sees it. It contains no secrets.
+type Document struct {
+	Node string    `json:"node"`
+	At   time.Time `json:"at"`
+	// ConfigVersion is the version in force on the node. 0 means none.
+	ConfigVersion uint64 `json:"config_version"`
+	// OtherConfigVersion lists live nodes with another version in force.
+	OtherConfigVersion []string        `json:"other_config_version"`
+	Nodes              []Node          `json:"nodes"`
+	Engines            []Engine        `json:"engines"`
+	Services           []BackendServer `json:"backend_servers"`
+	Leases             []Lease         `json:"leases"`
+	Limits             []LimitShare    `json:"limits"`
+	DoubtfulOwners     []DoubtfulOwner `json:"doubtful_owners"`
+}
+
+// Node is a node of the fleet.
+type Node struct {
+	Name          string `json:"name"`
+	DataCentre    string `json:"data_centre"`
+	Region        string `json:"region"`
+	State         string `json:"state"`
+	Draining      bool   `json:"draining"`
+	ConfigVersion uint64 `json:"config_version"`
+	// EvidenceAgeSeconds is the age of what the reporting node knows.
+	EvidenceAgeSeconds float64 `json:"evidence_age_s"`
+}
+
+// Engine is a model engine.
+type Engine struct {
+	ID             string `json:"id"`
+	DataCentre     string `json:"data_centre"`
+	Model          string `json:"model"`
+	WeightsVersion string `json:"weights_version"`
+	Incarnation    string `json:"incarnation"`
+	Reachable      bool   `json:"reachable"`
+	Leaving        bool   `json:"leaving"`
+	Owner          string `json:"owner"`
+	Running        int    `json:"running"`
+	Queued         int    `json:"queued"`
+	BacklogTokens  int    `json:"backlog_tokens"`
+}
+
+// BackendServer is a server of a plain service.
+type BackendServer struct {
+	Service   string `json:"service"`
+	Address   string `json:"address"`
+	Reachable bool   `json:"reachable"`
+	Leaving   bool   `json:"leaving"`
+}
+
+// Lease is a lease in the object API.
+type Lease struct {
+	Name    string `json:"name"`
+	Holder  string `json:"holder"`
+	Fencing uint64 `json:"fencing"`
+	// LeftSeconds is the time left for the reporting node as the holder, else 0.
+	LeftSeconds float64 `json:"left_s"`
+}
+
+// LimitShare is this node's part of a workspace's limits. A limit of 0 means unlimited.
+type LimitShare struct {
+	Workspace         string  `json:"workspace"`
+	RequestsPerSecond float64 `json:"requests_per_second"`
+	// DemandRequestsPerSecond is the demand that all nodes report.
+	DemandRequestsPerSecond float64 `json:"demand_requests_per_second"`
+	// ShareRequestsPerSecond is this node's share. It is 0 when the node holds none.
+	ShareRequestsPerSecond float64 `json:"share_requests_per_second"`
+	Concurrency            int     `json:"concurrency"`
+	DemandConcurrency      int     `json:"demand_concurrency"`
+}
+
+// DoubtfulOwner is an engine that may have no owner or more than one.
+type DoubtfulOwner struct {
+	Engine string `json:"engine"`
+	Owner  string `json:"owner"`
+	Reason string `json:"reason"`
+}
+
+// Options configures a Reporter.
+type Options struct {
+	Self  string
+	Board *blackboard.Board
+	Now   func() time.Time
+	// Share returns the node's share of a workspace's request rate, in requests per second. Nil
+	// leaves shares out.
+	Share func(workspace string) float64
+}
+
+// Reporter builds and serves the status. It is safe for concurrent use.
+type Reporter struct{ opt Options }
+
+// NewReporter returns a reporter.
+func NewReporter(opt Options) *Reporter { return &Reporter{opt: opt} }
+
+// ServeHTTP writes the status as JSON.
+func (r *Reporter) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	// A failed write means that the client has gone.
+	_ = json.NewEncoder(w).Encode(r.Document())
+}
+
+// JSON returns the encoded status for the peer protocol.
+func (r *Reporter) JSON() ([]byte, error) { return json.Marshal(r.Document()) }
+
+// Document returns the current status.
+func (r *Reporter) Document() Document {
+	now, board := r.opt.Now(), r.opt.Board
+	current, _ := board.Config.Get(blackboard.ConfigKey)
+	d := Document{Node: r.opt.Self, At: now.UTC(), ConfigVersion: current.Value.Version, OtherConfigVersion: []string{}}
+	members := board.Members.Snapshot()
+	d.Nodes = sorted(members, func(name string, e blackboard.Entry[blackboard.MemberEntry]) Node { return r.node(name, e, now) })
+	for _, n := range d.Nodes {
+		if n.State == "alive" && n.ConfigVersion != d.ConfigVersion {
+			d.OtherConfigVersion = append(d.OtherConfigVersion, n.Name)
+		}
+	}
+	summaries := board.Summaries.Snapshot()
+	engines := board.Engines.Snapshot()
+	d.Engines = sorted(engines, func(id string, e blackboard.Entry[blackboard.EngineEntry]) Engine {
+		return engineOf(id, e.Value, summaries[id].Value)
+	})
+	d.DoubtfulOwners = doubtfulOwners(d.Engines, summaries, members)
+	d.Leases = sorted(board.Leases.Snapshot(), func(name string, e blackboard.Entry[blackboard.LeaseEntry]) Lease {
+		return Lease{Name: name, Holder: e.Value.Holder, Fencing: e.Value.Fencing, LeftSeconds: max(0, e.Value.HeldUntil.Sub(now).Seconds())}
+	})
+	d.Services = services(board)
+	d.Limits = r.limits(current.Value.Config)
+	return d
+}
+
+// sorted converts the entries of a section in the order of their keys.
+func sorted[V, T any](entries map[string]blackboard.Entry[V], convert func(string, blackboard.Entry[V]) T) []T {
+	list := make([]T, 0, len(entries))
+	for _, key := range slices.Sorted(maps.Keys(entries)) {
+		list = append(list, convert(key, entries[key]))
+	}
+	return list
+}
+
+var stateNames = map[blackboard.MemberState]string{
+	blackboard.MemberAlive: "alive", blackboard.MemberSuspect: "suspect", blackboard.MemberDead: "dead", blackboard.MemberLeft: "left",
+}
+
+func (r *Reporter) node(name string, e blackboard.Entry[blackboard.MemberEntry], now time.Time) Node {
+	n := Node{
+		Name: name, DataCentre: e.Value.DataCentre, Region: e.Value.Region, State: stateNames[e.Value.State],
+		Draining: e.Value.Draining, ConfigVersion: e.Value.ConfigVersion,
+	}
+	if !e.Evidence.ObservedAt.IsZero() {
+		n.EvidenceAgeSeconds = e.Evidence.Age(now).Seconds()
+	}
+	if name == r.opt.Self {
+		current, _ := r.opt.Board.Config.Get(blackboard.ConfigKey)
+		n.ConfigVersion, n.EvidenceAgeSeconds = current.Value.Version, 0
+	}
+	return n
+}
+
+func engineOf(id string, e blackboard.EngineEntry, s blackboard.SummaryEntry) Engine {
+	return Engine{
+		ID: id, DataCentre: e.DataCentre, Model: e.State.Model, WeightsVersion: e.State.WeightsVersion, Incarnation: e.State.Incarnation,
+		Reachable: e.Reachable, Leaving: e.Leaving || s.Leaving, Owner: s.Owner,
+		Running: s.Running, Queued: s.Queued, BacklogTokens: s.BacklogTokens,
+	}
+}
+
+// doubtfulOwners lists engines whose owner is not known, not alive or itself in doubt about the
+// engine's cache.
+func doubtfulOwners(engines []Engine, summaries map[string]blackboard.Entry[blackboard.SummaryEntry], members map[string]blackboard.Entry[blackboard.MemberEntry]) []DoubtfulOwner {
+	list := []DoubtfulOwner{}
+	for _, e := range engines {
+		s, known := summaries[e.ID]
+		member, isMember := members[s.Value.Owner]
+		reason := ""
+		switch {
+		case !known:
+			reason = "no owner has reported"
+		case !isMember:
+			reason = "the owner is not a member"
+		case member.Value.State != blackboard.MemberAlive:
+			reason = "the owner is " + stateNames[member.Value.State]
+		case s.Value.Doubtful:
+			reason = "the owner doubts its view of the cache"
+		default:
+			continue
+		}
+		list = append(list, DoubtfulOwner{Engine: e.ID, Owner: s.Value.Owner, Reason: reason})
+	}
+	return list
+}
+
+func services(board *blackboard.Board) []BackendServer {
+	list := []BackendServer{}
+	for key, e := range board.Services.Snapshot() {
+		list = append(list, BackendServer{Service: key.Service, Address: key.Address, Reachable: e.Value.Reachable, Leaving: e.Value.Leaving})
+	}
+	slices.SortFunc(list, func(a, b BackendServer) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Address, b.Address))
+	})
+	return list
+}
+
+// limits lists the workspaces with a limit or demand.
+func (r *Reporter) limits(c *config.Config) []LimitShare {
+	list := []LimitShare{}
+	if c == nil {
+		return list
+	}
+	demands := map[string]blackboard.DemandEntry{}
+	for key, e := range r.opt.Board.Demands.Snapshot() {
+		sum := demands[key.Workspace]
+		sum.RequestsPerSecond += e.Value.RequestsPerSecond
+		sum.Running += e.Value.Running
+		demands[key.Workspace] = sum
+	}
+	for i := range c.Workspaces {
+		w := &c.Workspaces[i]
+		demand, active := demands[w.Name]
+		if !active {
+			continue
+		}
+		share := LimitShare{
+			Workspace: w.Name, RequestsPerSecond: w.Limits.RequestsPerSecond, DemandRequestsPerSecond: demand.RequestsPerSecond,
+			Concurrency: w.Limits.Concurrency, DemandConcurrency: demand.Running,
+		}
+		if r.opt.Share != nil {
+			share.ShareRequestsPerSecond = r.opt.Share(w.Name)
+		}
+		list = append(list, share)
+	}
+	return list
+}
+
+// Behind returns the live nodes that do not enforce at least a configuration version.
+func (d *Document) Behind(version uint64) []string {
+	var names []string
+	for _, n := range d.Nodes {
+		if n.State == "alive" && n.ConfigVersion < version {
+			names = append(names, fmt.Sprintf("%s (version %d)", n.Name, n.ConfigVersion))
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/pkg/status/status_test.go
@@ -0,0 +1,71 @@
+package status
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"cassiawall.example/cassiawall/pkg/blackboard"
+	"cassiawall.example/cassiawall/pkg/config"
+)
+
+// Guards against a status that hides a node with an old configuration, an engine without a live
+// owner, or the demand of other nodes.
+func TestDocument(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 10, 0, time.UTC)
+	seen := blackboard.Evidence{ObservedAt: now.Add(-2 * time.Second)}
+	b := blackboard.New()
+	c := &config.Config{Workspaces: []config.Workspace{{Name: "north", Limits: config.Limits{RequestsPerSecond: 10}}, {Name: "idle"}}}
+	b.Config.Put(blackboard.ConfigKey, blackboard.ConfigEntry{Version: 7, Config: c}, seen)
+	b.Members.Put("a", blackboard.MemberEntry{Name: "a", State: blackboard.MemberAlive}, seen)
+	b.Members.Put("b", blackboard.MemberEntry{Name: "b", State: blackboard.MemberAlive, ConfigVersion: 6}, seen)
+	b.Members.Put("c", blackboard.MemberEntry{Name: "c", State: blackboard.MemberDead, ConfigVersion: 5}, seen)
+	for _, id := range []string{"e1", "e2", "e3", "e4", "e5"} {
+		b.Engines.Put(id, blackboard.EngineEntry{ID: id, Reachable: true}, seen)
+	}
+	b.Summaries.Put("e1", blackboard.SummaryEntry{Owner: "a", Queued: 3}, seen)
+	b.Summaries.Put("e2", blackboard.SummaryEntry{Owner: "a", Doubtful: true}, seen)
+	b.Summaries.Put("e3", blackboard.SummaryEntry{Owner: "c"}, seen)
+	b.Summaries.Put("e4", blackboard.SummaryEntry{Owner: "gone"}, seen)
+	b.Leases.Put("engines/0", blackboard.LeaseEntry{Holder: "a", Fencing: 4, HeldUntil: now.Add(5 * time.Second)}, seen)
+	b.Demands.Put(blackboard.DemandKey{Node: "a", Workspace: "north"}, blackboard.DemandEntry{RequestsPerSecond: 2, Running: 1}, seen)
+	b.Demands.Put(blackboard.DemandKey{Node: "b", Workspace: "north"}, blackboard.DemandEntry{RequestsPerSecond: 3, Running: 2}, seen)
+	r := NewReporter(Options{Self: "a", Board: b, Now: func() time.Time { return now }, Share: func(string) float64 { return 4 }})
+
+	w := httptest.NewRecorder()
+	r.ServeHTTP(w, nil)
+	var d Document
+	require.NoError(t, json.Unmarshal(w.Body.Bytes(), &d))
+	assert.EqualValues(t, 7, d.ConfigVersion)
+	assert.Equal(t, []string{"b"}, d.OtherConfigVersion)
+	assert.Equal(t, []string{"b (version 6)"}, d.Behind(7))
+	assert.InDelta(t, 2, d.Nodes[1].EvidenceAgeSeconds, 1e-9)
+	assert.Equal(t, 3, d.Engines[0].Queued)
+	doubtful := map[string]string{}
+	for _, o := range d.DoubtfulOwners {
+		doubtful[o.Engine] = o.Reason
+	}
+	assert.Equal(t, map[string]string{
+		"e2": "the owner doubts its view of the cache", "e3": "the owner is dead", "e4": "the owner is not a member", "e5": "no owner has reported",
+	}, doubtful)
+	assert.Equal(t, []Lease{{Name: "engines/0", Holder: "a", Fencing: 4, LeftSeconds: 5}}, d.Leases)
+	assert.Equal(t, []LimitShare{{Workspace: "north", RequestsPerSecond: 10, DemandRequestsPerSecond: 5, ShareRequestsPerSecond: 4, DemandConcurrency: 3}}, d.Limits)
+
+	var text bytes.Buffer
+	require.NoError(t, d.Text(&text))
+	for _, want := range []string{"configuration version 7", "other configuration version on: b", "the owner is dead", "engines/0"} {
+		assert.Contains(t, text.String(), want)
+	}
+}
+
+// Guards against a crash before the first configuration and the first member.
+func TestEmptyDocument(t *testing.T) {
+	d := NewReporter(Options{Board: blackboard.New(), Now: time.Now}).Document()
+	assert.Zero(t, d.ConfigVersion)
+	assert.Empty(t, d.Limits)
+}
