--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -86,6 +86,9 @@
 		{name: "version", short: "Print the version", long: "Print the version.\n\nExample: cassiawall version --json", data: &versionCommand{streams: s}},
 		checkSpec(s),
 		initSpec(s),
+		statusSpec(s),
+		reportSpec(s),
+		standinSpec(s),
 		{name: "demo", short: "Run three nodes and stand-ins on loopback", long: "Run three nodes and stand-ins of the platform on loopback with a mixed load.\n\nExample: cassiawall demo --requests 200 --seed 1 --json", data: &demoCommand{streams: s}},
 	}
 }
--- /dev/null
+++ b/pkg/cli/nodeclient.go
@@ -0,0 +1,85 @@
+package cli
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"io"
+	"net/http"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"cassiawall.example/cassiawall/pkg/fault"
+)
+
+// nodeOptions say how a command reaches a node's operators' listener.
+type nodeOptions struct {
+	Node        string `long:"node" value-name:"URL" description:"URL of a node's operators' listener" default:"http://127.0.0.1:8083"`
+	CA          string `long:"ca" value-name:"FILE" description:"Authorities of the node's certificate, in PEM; default: those of the system"`
+	Certificate string `long:"certificate" value-name:"FILE" description:"Client certificate for mutual TLS, in PEM"`
+	Key         string `long:"key" value-name:"FILE" description:"Private key of the client certificate, in PEM"`
+}
+
+// maxNodeResponseBytes bounds what a node can make a command read.
+const maxNodeResponseBytes = 64 << 20
+
+func (o *nodeOptions) client() (*http.Client, error) {
+	tlsConfig := &tls.Config{MinVersion: tls.VersionTLS12}
+	if o.CA != "" {
+		text, err := os.ReadFile(o.CA)
+		if err != nil {
+			return nil, fault.Wrap(err, fault.BadRequest, "cannot read the authorities")
+		}
+		tlsConfig.RootCAs = x509.NewCertPool()
+		if !tlsConfig.RootCAs.AppendCertsFromPEM(text) {
+			return nil, fault.New(fault.BadRequest, "%s contains no certificate", o.CA)
+		}
+	}
+	if o.Certificate != "" || o.Key != "" {
+		certificate, err := tls.LoadX509KeyPair(o.Certificate, o.Key)
+		if err != nil {
+			return nil, fault.Wrap(err, fault.BadRequest, "cannot load the client certificate")
+		}
+		tlsConfig.Certificates = []tls.Certificate{certificate}
+	}
+	return &http.Client{Transport: &http.Transport{TLSClientConfig: tlsConfig}}, nil
+}
+
+// getJSON reads the JSON document at path into v. timeout bounds the call. The error is of kind
+// fault.BackendUnavailable if the node does not answer.
+func (o *nodeOptions) getJSON(ctx context.Context, path string, timeout time.Duration, v any) error {
+	client, err := o.client()
+	if err != nil {
+		return err
+	}
+	defer client.CloseIdleConnections()
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, strings.TrimRight(o.Node, "/")+path, nil)
+	if err != nil {
+		return fault.Wrap(err, fault.BadRequest, "--node is not a URL")
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return fault.Wrap(err, fault.BackendUnavailable, "the node at %s does not answer", o.Node)
+	}
+	defer response.Body.Close()
+	body := io.LimitReader(response.Body, maxNodeResponseBytes)
+	if response.StatusCode != http.StatusOK {
+		message, _ := io.ReadAll(io.LimitReader(body, 1<<10))
+		return fault.New(fault.BackendFailed, "the node answers %s: %s", response.Status, strings.TrimSpace(string(message)))
+	}
+	if err := json.NewDecoder(body).Decode(v); err != nil {
+		return fault.Wrap(err, fault.BackendFailed, "the node's answer is not the expected JSON")
+	}
+	return nil
+}
+
+// interruptible returns a context that ends with the process's interrupt and termination signals.
+func interruptible() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+}
--- /dev/null
+++ b/pkg/cli/status_test.go
@@ -0,0 +1,74 @@
+package cli
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"cassiawall.example/cassiawall/pkg/blackboard"
+	"cassiawall.example/cassiawall/pkg/burn"
+	"cassiawall.example/cassiawall/pkg/config"
+	"cassiawall.example/cassiawall/pkg/report"
+	"cassiawall.example/cassiawall/pkg/status"
+)
+
+// operators serves the status and burn pages of a node with one workspace.
+func operators(t *testing.T) string {
+	c := &config.Config{Workspaces: []config.Workspace{{Name: "north", Objectives: config.Objectives{
+		TTFT: config.Duration(time.Second), BetweenTokens: config.Duration(time.Second), Target: 0.95, CompleteTarget: 0.999, OutcomeTarget: 0.999,
+	}}}}
+	board := blackboard.New()
+	board.Config.Put(blackboard.ConfigKey, blackboard.ConfigEntry{Version: 3, Config: c}, blackboard.Evidence{})
+	recorder := burn.NewRecorder("a", time.Now())
+	recorder.SetConfig(c)
+	recorder.RequestDone(time.Now(), "north", burn.Outcome{TTFT: 2 * time.Second, Complete: true, Cause: "overloaded"})
+	mux := http.NewServeMux()
+	mux.Handle(status.Path, status.NewReporter(status.Options{Self: "a", Board: board, Now: time.Now}))
+	mux.Handle(report.PathJSON, report.NewCollector(report.Options{Self: "a", Board: board, Recorder: recorder, Now: time.Now}))
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	return server.URL
+}
+
+// Guards against commands that cannot read what the node serves.
+func TestStatusAndReport(t *testing.T) {
+	node := operators(t)
+	code, out, diagnostics := run("status", "--node", node)
+	assert.Equal(t, exitOK, code, diagnostics)
+	assert.Contains(t, out, "configuration version 3")
+	_, out, _ = run("status", "--json", "--node", node)
+	var d status.Document
+	require.NoError(t, json.Unmarshal([]byte(out), &d))
+	assert.Equal(t, "a", d.Node)
+
+	code, out, diagnostics = run("report", "burn", "--node", node)
+	assert.Equal(t, exitOK, code, diagnostics)
+	assert.Contains(t, out, "overloaded (1)")
+	page := filepath.Join(t.TempDir(), "burn.html")
+	code, out, _ = run("report", "burn", "--json", "--html", page, "--node", node)
+	assert.Equal(t, exitOK, code)
+	var r burn.Report
+	require.NoError(t, json.Unmarshal([]byte(out), &r))
+	text, err := os.ReadFile(page)
+	require.NoError(t, err)
+	assert.Contains(t, string(text), "<svg")
+}
+
+// Guards against a silent success when no node answers.
+func TestStatusWithoutNode(t *testing.T) {
+	server := httptest.NewServer(http.NotFoundHandler())
+	code, _, diagnostics := run("status", "--node", server.URL)
+	assert.Equal(t, exitFailed, code)
+	assert.Contains(t, diagnostics, "404")
+	server.Close()
+	code, _, diagnostics = run("status", "--node", server.URL)
+	assert.Equal(t, exitFailed, code)
+	assert.Contains(t, diagnostics, "does not answer")
+}
