--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -35,4 +35,7 @@
 	ConfigInvalid     = define(503, "configuration refused", slog.LevelError, "apply a configuration that this release accepts")
 	ConfigFetchFailed = define(504, "configuration fetch failed", slog.LevelInfo, "check the peer or the object API if it repeats")
 	ConfigSourceDown  = define(505, "configuration watch interrupted", slog.LevelWarn, "check the object API; the configuration in force stays")
+
+	CertificateLoaded  = define(801, "certificate loaded", slog.LevelInfo, "none")
+	CertificateRefused = define(802, "changed certificate refused", slog.LevelError, "correct the certificate, key and authorities files; the old ones stay in use")
 )
--- /dev/null
+++ b/pkg/logging/logging.go
@@ -0,0 +1,107 @@
+// Package logging builds the process's logger. It removes secrets from every record, whatever part
+// of the program writes it.
+package logging
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"regexp"
+	"strings"
+)
+
+// redacted stands in place of a secret.
+const redacted = "[redacted]"
+
+// secretNames are parts of attribute names whose values are never logged.
+var secretNames = []string{"authorization", "api_key", "apikey", "password", "secret", "credential", "cookie"}
+
+// secretForms match secrets inside other text: API keys, values of Authorization headers and
+// private keys in PEM.
+var secretForms = regexp.MustCompile(`cw_[A-Za-z0-9_-]{6,}|(?i:bearer)\s+\S+|(?s:-----BEGIN [A-Z ]*PRIVATE KEY-----.*?(?:-----END [A-Z ]*PRIVATE KEY-----|$))`)
+
+// Redactor removes secrets from text. It is immutable and safe for concurrent use.
+type Redactor struct {
+	known *strings.Replacer
+}
+
+// minKnownBytes keeps short strings, which are no secrets, from erasing ordinary text.
+const minKnownBytes = 8
+
+// NewRedactor returns a redactor that removes the given secrets in addition to everything in the
+// form of one.
+func NewRedactor(secrets ...[]byte) *Redactor {
+	var pairs []string
+	for _, s := range secrets {
+		if len(s) >= minKnownBytes {
+			pairs = append(pairs, string(s), redacted)
+		}
+	}
+	return &Redactor{known: strings.NewReplacer(pairs...)}
+}
+
+// Text returns text without secrets.
+func (r *Redactor) Text(text string) string {
+	return secretForms.ReplaceAllString(r.known.Replace(text), redacted)
+}
+
+// Attr returns an attribute without secrets, for slog.HandlerOptions.ReplaceAttr.
+func (r *Redactor) Attr(_ []string, a slog.Attr) slog.Attr {
+	if isSecretName(a.Key) {
+		return slog.String(a.Key, redacted)
+	}
+	switch a.Value.Kind() {
+	case slog.KindString:
+		a.Value = slog.StringValue(r.Text(a.Value.String()))
+	case slog.KindAny:
+		a.Value = r.any(a.Value)
+	}
+	return a
+}
+
+// any redacts a value of another type. Values without secrets keep their type.
+func (r *Redactor) any(v slog.Value) slog.Value {
+	if _, isLevel := v.Any().(slog.Level); isLevel {
+		return v
+	}
+	text := textOf(v.Any())
+	clean := r.Text(text)
+	_, isError := v.Any().(error)
+	if clean != text || isError {
+		return slog.StringValue(clean)
+	}
+	return v
+}
+
+// textOf returns what a handler would write for v.
+func textOf(v any) string {
+	switch typed := v.(type) {
+	case error:
+		return typed.Error()
+	case []byte:
+		return string(typed)
+	}
+	encoded, err := json.Marshal(v)
+	if err != nil {
+		return fmt.Sprintf("%+v", v)
+	}
+	return string(encoded)
+}
+
+func isSecretName(name string) bool {
+	name = strings.ToLower(name)
+	for _, part := range secretNames {
+		if strings.Contains(name, part) {
+			return true
+		}
+	}
+	return false
+}
+
+// New returns a logger that writes JSON lines to w, from level upwards and without the given
+// secrets.
+func New(w io.Writer, level slog.Level, secrets ...[]byte) *slog.Logger {
+	options := &slog.HandlerOptions{Level: level, ReplaceAttr: NewRedactor(secrets...).Attr}
+	return slog.New(slog.NewJSONHandler(w, options))
+}
--- a/pkg/report/handler.go
+++ b/pkg/report/handler.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"net/http"
 
 	"cassiawall.example/cassiawall/pkg/fault"
@@ -30,17 +29,10 @@
 		err = render(&page, collected)
 	}
 	if err != nil {
-		writeError(w, err)
+		fault.WriteHTTP(w, err, "")
 		return
 	}
 	w.Header().Set("Content-Type", contentType)
 	// A failed write means that the client has gone.
 	_, _ = w.Write(page.Bytes())
 }
-
-func writeError(w http.ResponseWriter, err error) {
-	typed := fault.As(err)
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(typed.Status())
-	_ = json.NewEncoder(w).Encode(map[string]string{"kind": string(typed.Kind), "message": typed.Message, "remedy": typed.Remedy()})
-}
