--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -41,4 +41,7 @@
 	JournalDamaged     = define(603, "claim journal damaged", slog.LevelError, "restore the named object; its shard refuses non-idempotent requests until then")
 	JournalFull        = define(604, "claim journal full", slog.LevelWarn, "shorten retry_window of the busiest workspace")
 	OutcomeNotRecorded = define(605, "outcome not recorded", slog.LevelWarn, "none; repeats of the request answer outcome_unknown")
+
+	CertificateLoaded  = define(801, "certificate loaded", slog.LevelInfo, "none")
+	CertificateRefused = define(802, "changed certificate refused", slog.LevelError, "correct the certificate, key and authorities files; the old ones stay in use")
 )
