--- /dev/null
+++ b/pkg/health/breaker.go
@@ -0,0 +1,106 @@
+// Package health decides which backends get work: circuit breakers, outlier ejection, slow start
+// and detection of backends that leave. It does no I/O and takes the time as an argument.
+package health
+
+import "time"
+
+// BreakerConfig sets a circuit breaker. Zero values take the defaults stated at each field.
+type BreakerConfig struct {
+	// Failures is the number of consecutive failures that open the breaker. Default 5.
+	Failures int
+	// OpenFor is the first time that the breaker stays open. It doubles with each failed
+	// probe up to MaxOpenFor. Defaults 1 s and 30 s.
+	OpenFor    time.Duration
+	MaxOpenFor time.Duration
+	// ProbeTimeout frees the place of a probe that never reported. Default 10 s.
+	ProbeTimeout time.Duration
+}
+
+func (c BreakerConfig) withDefaults() BreakerConfig {
+	setDefault(&c.Failures, 5)
+	setDefault(&c.OpenFor, time.Second)
+	setDefault(&c.MaxOpenFor, 30*time.Second)
+	setDefault(&c.ProbeTimeout, 10*time.Second)
+	return c
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// BreakerState is the state of a breaker.
+type BreakerState int
+
+// States of a breaker. A half-open breaker lets one probe through.
+const (
+	Closed BreakerState = iota
+	Open
+	HalfOpen
+)
+
+// String returns the state's name for logs and reports.
+func (s BreakerState) String() string { return [...]string{"closed", "open", "half-open"}[s] }
+
+// Breaker stops work to one backend after consecutive failures. It is not safe for concurrent
+// use.
+type Breaker struct {
+	config   BreakerConfig
+	state    BreakerState
+	failures int
+	openFor  time.Duration
+	// until is the end of the open state, or of the wait for a probe's result.
+	until time.Time
+}
+
+// NewBreaker returns a closed breaker.
+func NewBreaker(config BreakerConfig) *Breaker { return &Breaker{config: config.withDefaults()} }
+
+// State returns the state at now.
+func (b *Breaker) State(now time.Time) BreakerState {
+	if b.state == Open && !now.Before(b.until) {
+		return HalfOpen
+	}
+	return b.state
+}
+
+// Allow reports whether a request may be sent, and counts it as the probe if the breaker is half
+// open. The sender reports the result with Record.
+func (b *Breaker) Allow(now time.Time) bool {
+	if b.state == Closed {
+		return true
+	}
+	if now.Before(b.until) {
+		return false
+	}
+	b.state = HalfOpen
+	b.until = now.Add(b.config.ProbeTimeout)
+	return true
+}
+
+// Record notes the result of a request. Results that arrive while the breaker is open belong to
+// earlier requests and change nothing.
+func (b *Breaker) Record(now time.Time, ok bool) {
+	switch {
+	case b.state == Open:
+	case ok:
+		b.state = Closed
+		b.failures = 0
+		b.openFor = 0
+	case b.state == HalfOpen:
+		b.open(now)
+	default:
+		b.failures++
+		if b.failures >= b.config.Failures {
+			b.open(now)
+		}
+	}
+}
+
+func (b *Breaker) open(now time.Time) {
+	b.openFor = min(max(b.config.OpenFor, 2*b.openFor), b.config.MaxOpenFor)
+	b.state = Open
+	b.until = now.Add(b.openFor)
+}
--- /dev/null
+++ b/pkg/health/pool.go
@@ -0,0 +1,305 @@
+package health
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+// PoolConfig sets the health rules of a pool. Zero values take the defaults stated at each field.
+type PoolConfig struct {
+	Breaker BreakerConfig
+	// MaxEjectedShare bounds the share of the pool that breakers and outlier ejection may take
+	// out together, rounded down but at least one backend of two or more. Default 0.3.
+	MaxEjectedShare float64
+	// HalfLife is the time in which an old result loses half its weight. Default 10 s.
+	HalfLife time.Duration
+	// MinVolume is the weight of results below which a backend is not judged. Default 5.
+	MinVolume float64
+	// Margin is how far a failure rate must exceed the pool's median to be an outlier, so that
+	// a fault that all backends share ejects none. Default 0.3.
+	Margin float64
+	// EjectFor is the time of a first ejection. It doubles with each further one up to
+	// MaxEjectFor. Defaults 5 s and 2 min.
+	EjectFor    time.Duration
+	MaxEjectFor time.Duration
+	// SlowStart is the time in which the weight of a returning backend rises from
+	// SlowStartWeight to 1. Defaults 10 s and 0.1.
+	SlowStart       time.Duration
+	SlowStartWeight float64
+}
+
+func (c PoolConfig) withDefaults() PoolConfig {
+	setDefault(&c.MaxEjectedShare, 0.3)
+	setDefault(&c.HalfLife, 10*time.Second)
+	setDefault(&c.MinVolume, 5)
+	setDefault(&c.Margin, 0.3)
+	setDefault(&c.EjectFor, 5*time.Second)
+	setDefault(&c.MaxEjectFor, 2*time.Minute)
+	setDefault(&c.SlowStart, 10*time.Second)
+	setDefault(&c.SlowStartWeight, 0.1)
+	return c
+}
+
+// Reason tells why a backend gets no work.
+type Reason string
+
+// Reasons of a verdict.
+const (
+	Healthy     Reason = "healthy"
+	BreakerOpen Reason = "breaker_open"
+	Outlier     Reason = "outlier"
+)
+
+// Verdict tells whether a backend gets work.
+type Verdict struct {
+	ID     string
+	Usable bool
+	// Weight scales the share of work of a usable backend, above 0 and up to 1.
+	Weight float64
+	Reason Reason
+	// Breaker is the state of the backend's circuit breaker.
+	Breaker BreakerState
+	// FailureRate is the weighted share of failed requests, 0 to 1.
+	FailureRate float64
+}
+
+// Pool judges the backends of one pool by the results of their requests. It is not safe for
+// concurrent use.
+type Pool struct {
+	config  PoolConfig
+	breaker BreakerConfig
+	members map[string]*member
+	order   []string
+}
+
+type member struct {
+	id      string
+	breaker *Breaker
+	// ok and failed are weighted counts as of updated.
+	ok, failed float64
+	updated    time.Time
+
+	ejections    int
+	ejectedUntil time.Time
+	// out says that the last verdict took the backend out, and spared that only the cap kept
+	// it in.
+	out, spared bool
+	// returned is the start of the slow start; zero means that there is none.
+	returned time.Time
+}
+
+// NewPool returns a pool without members.
+func NewPool(config PoolConfig) *Pool {
+	config = config.withDefaults()
+	return &Pool{config: config, breaker: config.Breaker, members: map[string]*member{}}
+}
+
+// SetMembers replaces the members. Backends that join a pool with members get a slow start.
+func (p *Pool) SetMembers(now time.Time, ids []string) {
+	initial := len(p.members) == 0
+	kept := make(map[string]*member, len(ids))
+	for _, id := range ids {
+		m := p.members[id]
+		if m == nil {
+			m = &member{id: id, breaker: NewBreaker(p.breaker)}
+			if !initial {
+				m.returned = now
+			}
+		}
+		kept[id] = m
+	}
+	p.members = kept
+	p.order = slices.Sorted(maps.Keys(kept))
+}
+
+// Restarted notes a new incarnation of a backend: its past counts no more and it starts slowly.
+func (p *Pool) Restarted(now time.Time, id string) {
+	if p.members[id] != nil {
+		p.members[id] = &member{id: id, breaker: NewBreaker(p.breaker), returned: now}
+	}
+}
+
+// Returned gives a backend a slow start, for example after it stopped leaving.
+func (p *Pool) Returned(now time.Time, id string) {
+	if m := p.members[id]; m != nil {
+		m.returned = now
+	}
+}
+
+// Report notes the result of a request. Unknown backends are ignored.
+func (p *Pool) Report(now time.Time, id string, ok bool) {
+	m := p.members[id]
+	if m == nil {
+		return
+	}
+	m.decay(now, p.config.HalfLife)
+	if ok {
+		m.ok++
+	} else {
+		m.failed++
+	}
+	m.breaker.Record(now, ok)
+}
+
+// Allow reports whether a request may go to a backend whose verdict is usable. It counts the
+// probe of a half-open breaker.
+func (p *Pool) Allow(now time.Time, id string) bool {
+	m := p.members[id]
+	if m == nil {
+		return false
+	}
+	return m.spared || m.breaker.Allow(now)
+}
+
+func (m *member) decay(now time.Time, halfLife time.Duration) {
+	if elapsed := now.Sub(m.updated); elapsed > 0 && !m.updated.IsZero() {
+		factor := math.Exp2(-float64(elapsed) / float64(halfLife))
+		m.ok *= factor
+		m.failed *= factor
+	}
+	m.updated = now
+}
+
+func (m *member) rate() float64 {
+	if m.ok+m.failed == 0 {
+		return 0
+	}
+	return m.failed / (m.ok + m.failed)
+}
+
+// Assess judges all members and returns their verdicts in order of their ids.
+func (p *Pool) Assess(now time.Time) []Verdict {
+	for _, m := range p.members {
+		m.decay(now, p.config.HalfLife)
+	}
+	taken := p.takeOut(now)
+	verdicts := make([]Verdict, 0, len(p.order))
+	for _, id := range p.order {
+		m := p.members[id]
+		reason, out := taken[id]
+		if m.out && !out {
+			m.returned = now
+		}
+		m.out = out
+		verdicts = append(verdicts, p.verdict(now, m, reason))
+	}
+	return verdicts
+}
+
+func (p *Pool) verdict(now time.Time, m *member, reason Reason) Verdict {
+	v := Verdict{ID: m.id, Breaker: m.breaker.State(now), FailureRate: m.rate(), Reason: reason}
+	if reason == "" {
+		v.Reason = Healthy
+		v.Usable = true
+		v.Weight = p.weight(now, m)
+	}
+	return v
+}
+
+// weight rises linearly over the slow start.
+func (p *Pool) weight(now time.Time, m *member) float64 {
+	if m.returned.IsZero() {
+		return 1
+	}
+	done := float64(now.Sub(m.returned)) / float64(p.config.SlowStart)
+	if done >= 1 {
+		m.returned = time.Time{}
+		return 1
+	}
+	return p.config.SlowStartWeight + (1-p.config.SlowStartWeight)*max(0, done)
+}
+
+// takeOut returns the backends that get no work. The cap spares the least bad ones.
+func (p *Pool) takeOut(now time.Time) map[string]Reason {
+	median := p.medianRate()
+	var bad []*member
+	reasons := map[string]Reason{}
+	for _, id := range p.order {
+		m := p.members[id]
+		m.spared = false
+		if reason := p.judge(now, m, median); reason != "" {
+			reasons[id] = reason
+			bad = append(bad, m)
+		}
+	}
+	slices.SortStableFunc(bad, worseFirst)
+	limit := min(len(bad), p.maxEjected())
+	for _, m := range bad[limit:] {
+		delete(reasons, m.id)
+		m.spared = true
+		m.ejectedUntil = time.Time{}
+	}
+	for _, m := range bad[:limit] {
+		if reasons[m.id] == Outlier && !now.Before(m.ejectedUntil) {
+			p.eject(now, m)
+		}
+	}
+	return reasons
+}
+
+// worseFirst orders members by failure rate. Members that are out already come first, so that
+// the cap does not alternate between equally bad ones.
+func worseFirst(a, b *member) int {
+	if a.out != b.out {
+		if a.out {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Compare(b.rate(), a.rate())
+}
+
+func (p *Pool) maxEjected() int {
+	n := len(p.members)
+	limit := int(float64(n) * p.config.MaxEjectedShare)
+	if n >= 2 {
+		return max(1, limit)
+	}
+	return 0
+}
+
+// judge returns why a backend should get no work, or "".
+func (p *Pool) judge(now time.Time, m *member, median float64) Reason {
+	if m.breaker.State(now) == Open {
+		return BreakerOpen
+	}
+	if now.Before(m.ejectedUntil) {
+		return Outlier
+	}
+	enough := m.ok+m.failed >= p.config.MinVolume
+	if enough && m.rate() > median+p.config.Margin {
+		return Outlier
+	}
+	return ""
+}
+
+// eject starts an ejection. It drops the results that led to it, so that they do not lead to the
+// next one.
+func (p *Pool) eject(now time.Time, m *member) {
+	if now.Sub(m.ejectedUntil) > p.config.MaxEjectFor {
+		m.ejections = 0
+	}
+	d := p.config.EjectFor << min(m.ejections, 16)
+	m.ejections++
+	m.ejectedUntil = now.Add(min(d, p.config.MaxEjectFor))
+	m.ok, m.failed = 0, 0
+}
+
+// medianRate returns the median failure rate of the members with enough results.
+func (p *Pool) medianRate() float64 {
+	var rates []float64
+	for _, id := range p.order {
+		m := p.members[id]
+		if m.ok+m.failed >= p.config.MinVolume {
+			rates = append(rates, m.rate())
+		}
+	}
+	if len(rates) == 0 {
+		return 0
+	}
+	slices.Sort(rates)
+	return rates[(len(rates)-1)/2]
+}
--- /dev/null
+++ b/pkg/retry/retry_test.go
@@ -0,0 +1,115 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func at(seconds float64) time.Time {
+	return epoch.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+// Guards against retries that exceed their share of the traffic, or that quiet traffic never
+// gets.
+func TestBudget(t *testing.T) {
+	cases := []struct {
+		name    string
+		firsts  int
+		seconds float64
+		retries int
+	}{
+		{"no traffic still gets one", 0, 0, 1},
+		{"a share of steady traffic", 48, 0, 7},
+		{"not more than the burst", 100_000, 0, 10},
+		{"not more than the burst, less the loss of the last second", 2000, 2000, 9},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			b := NewBudget(at(0), BudgetConfig{Share: 0.125, Burst: 10, Window: 1000 * time.Second})
+			for i := range tc.firsts {
+				b.First(at(tc.seconds * float64(i) / float64(tc.firsts)))
+			}
+			granted := 0
+			for range 1000 {
+				if b.Take(at(tc.seconds)) {
+					granted++
+				}
+			}
+			assert.Equal(t, tc.retries, granted)
+			assert.Equal(t, uint64(1000-tc.retries), b.Refused())
+		})
+	}
+}
+
+// Guards against a total outage in which every first attempt is retried.
+func TestBudgetHoldsShareInAnOutage(t *testing.T) {
+	b := NewBudget(at(0), BudgetConfig{Share: 0.1})
+	granted := 0
+	for i := range 10_000 {
+		now := at(float64(i) / 100)
+		b.First(now)
+		if b.Take(now) {
+			granted++
+		}
+	}
+	assert.InDelta(t, 1000, granted, 2)
+}
+
+// Guards against old savings that allow a burst of retries after a quiet time.
+func TestUnusedBudgetExpires(t *testing.T) {
+	b := NewBudget(at(0), BudgetConfig{Share: 0.1, Burst: 10, Window: 10 * time.Second})
+	for range 1000 {
+		b.First(at(0))
+	}
+	granted := 0
+	for b.Take(at(60)) {
+		granted++
+	}
+	assert.Equal(t, 1, granted)
+}
+
+// Guards against retries of retries, unsafe retries and retries that come too late.
+func TestNext(t *testing.T) {
+	cases := []struct {
+		name    string
+		attempt Attempt
+		want    bool
+	}{
+		{"first attempt", Attempt{Retriable: true}, true},
+		{"a retry is not retried", Attempt{Retriable: true, IsRetry: true}, false},
+		{"not retriable", Attempt{}, false},
+		{"deadline before the wait asked for", Attempt{Retriable: true, RetryAfter: time.Second, Deadline: at(0.5)}, false},
+		{"deadline after the longest wait", Attempt{Retriable: true, RetryAfter: time.Second, Deadline: at(1.1)}, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(1, 1))
+			b := NewBudget(at(0), BudgetConfig{})
+			wait, ok := Next(at(0), tc.attempt, b, Backoff{}, random)
+			assert.Equal(t, tc.want, ok)
+			if ok {
+				assert.GreaterOrEqual(t, wait, tc.attempt.RetryAfter)
+				return
+			}
+			assert.True(t, b.Take(at(0)), "a refused retry costs nothing")
+		})
+	}
+}
+
+// Guards against waits that cluster, which would send retries in waves.
+func TestWaitHasFullJitter(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	var quarters [4]int
+	for range 4000 {
+		wait := Backoff{Max: time.Second}.Wait(random, 0)
+		quarters[min(3, int(4*wait/time.Second))]++
+	}
+	for _, n := range quarters {
+		assert.InDelta(t, 1000, n, 100)
+	}
+}
