--- a/pkg/standin/engine/batch.go
+++ b/pkg/standin/engine/batch.go
@@ -50,13 +50,13 @@
 	return work, d
 }
 
-// admit moves sequences into the batch while slots and cache blocks last. The first sequence
+// admit moves sequences into the batch while slots and cache memory last. The first sequence
 // of an empty batch always gets in, even if its prompt exceeds the cache.
 func (b *batch) admit(now time.Time) {
 	for len(b.running) < b.config.MaxBatch && len(b.waiting) > 0 {
 		s := b.waiting[0]
 		matched := b.cache.match(s.pieces)
-		if len(b.running) > 0 && b.shortOfBlocks(s, matched) {
+		if len(b.running) > 0 && b.shortOfMemory(s, matched) {
 			return
 		}
 		heap.Pop(&b.waiting)
@@ -64,13 +64,13 @@
 	}
 }
 
-// shortOfBlocks reports whether the pieces of s do not fit. Matched blocks without users count,
+// shortOfMemory reports whether the pieces of s do not fit. Matched blocks without users count,
 // because pinning them takes them from the available ones.
-func (b *batch) shortOfBlocks(s *sequence, matched int) bool {
-	need := len(s.pieces) - matched
-	for _, p := range s.pieces[:matched] {
-		if b.cache.blocks[p.content].users == 0 {
-			need++
+func (b *batch) shortOfMemory(s *sequence, matched int) bool {
+	need := 0
+	for i, p := range s.pieces {
+		if i >= matched || b.cache.blocks[p.content].users == 0 {
+			need += p.tokens
 		}
 	}
 	return need > b.cache.available()
@@ -83,7 +83,9 @@
 		s.chain = append(s.chain, known)
 		s.run.ReusedTokens += p.tokens
 	}
-	s.reserved = len(s.pieces) - matched
+	for _, p := range s.pieces[matched:] {
+		s.reserved += p.tokens
+	}
 	b.cache.reserve(s.reserved)
 	s.nextPiece = matched
 	if matched < len(s.pieces) {
@@ -139,7 +141,7 @@
 	p := &s.pieces[s.nextPiece]
 	ledger.stored(p)
 	s.chain = append(s.chain, b.cache.store(p, s.adapter))
-	s.reserved--
+	s.reserved -= p.tokens
 	s.nextPiece++
 	if s.nextPiece < len(s.pieces) {
 		s.pieceLeft = s.pieces[s.nextPiece].tokens
--- a/pkg/standin/engine/batch_test.go
+++ b/pkg/standin/engine/batch_test.go
@@ -15,8 +15,9 @@
 )
 
 func newTestBatch(config Config) *batch {
+	config.BlockTokens = 1000
 	config = config.withDefaults()
-	return &batch{config: &config, cache: newBlockCache(config.CacheBlocks, func(cacheChange, uint64) {})}
+	return &batch{config: &config, cache: newBlockCache(config.CacheBlocks*config.BlockTokens, func(cacheChange, uint64) {})}
 }
 
 // sequenceOf returns a sequence with pieces of 1,000 tokens named by contents.
--- a/pkg/standin/engine/cache.go
+++ b/pkg/standin/engine/cache.go
@@ -18,15 +18,16 @@
 }
 
 // blockCache holds blocks in limited memory and evicts the least recently used block that no
-// request uses.
+// request uses. All sizes are in tokens.
 type blockCache struct {
 	capacity int
+	used     int
 	blocks   map[contentKey]*block
 	// lru orders all blocks, most recent first.
 	lru *list.List
-	// reserved counts the blocks that running requests will fill.
+	// reserved is the memory that running requests will fill.
 	reserved int
-	// inUse counts blocks with users.
+	// inUse is the size of blocks with users.
 	inUse   int
 	onEvent func(kind cacheChange, routing uint64)
 }
@@ -58,10 +59,10 @@
 	return len(pieces)
 }
 
-// available returns the number of blocks that could be reserved now.
+// available returns the tokens that could be reserved now.
 func (c *blockCache) available() int { return c.capacity - c.inUse - c.reserved }
 
-// reserve sets n blocks aside and evicts what must go for them. The caller checks available
+// reserve sets memory for n tokens aside and evicts what must go for them. The caller checks available
 // first unless it accepts an overfull cache.
 func (c *blockCache) reserve(n int) {
 	c.reserved += n
@@ -73,7 +74,7 @@
 // shrink evicts unused blocks until the cache fits its capacity.
 func (c *blockCache) shrink() {
 	e := c.lru.Back()
-	for e != nil && len(c.blocks)+c.reserved > c.capacity {
+	for e != nil && c.used+c.reserved > c.capacity {
 		previous := e.Prev()
 		if b := e.Value.(*block); b.users == 0 {
 			c.remove(b)
@@ -85,13 +86,14 @@
 func (c *blockCache) remove(b *block) {
 	c.lru.Remove(b.element)
 	delete(c.blocks, b.content)
+	c.used -= b.tokens
 	c.onEvent(evicted, b.routing)
 }
 
 // store turns a reserved block into a cached one and pins it for the caller. If another request
 // has stored the same content since, that block is pinned instead.
 func (c *blockCache) store(p *piece, adapter string) *block {
-	c.reserved--
+	c.reserved -= p.tokens
 	if known := c.blocks[p.content]; known != nil {
 		c.pin(known)
 		return known
@@ -99,6 +101,7 @@
 	b := &block{content: p.content, routing: p.routing, tokens: p.tokens, adapter: adapter}
 	b.element = c.lru.PushFront(b)
 	c.blocks[p.content] = b
+	c.used += b.tokens
 	c.onEvent(stored, b.routing)
 	c.pin(b)
 	return b
@@ -106,7 +109,7 @@
 
 func (c *blockCache) pin(b *block) {
 	if b.users == 0 {
-		c.inUse++
+		c.inUse += b.tokens
 	}
 	b.users++
 }
@@ -118,7 +121,7 @@
 		b := chain[i]
 		b.users--
 		if b.users == 0 {
-			c.inUse--
+			c.inUse -= b.tokens
 		}
 		if c.blocks[b.content] == b {
 			c.lru.MoveToFront(b.element)
@@ -131,6 +134,7 @@
 func (c *blockCache) clear() {
 	c.blocks = map[contentKey]*block{}
 	c.lru.Init()
+	c.used = 0
 	c.onEvent(cleared, 0)
 }
 
--- a/pkg/standin/engine/config.go
+++ b/pkg/standin/engine/config.go
@@ -17,13 +17,16 @@
 	Model          string
 	WeightsVersion string
 	Adapters       []string
-	// Role is "mixed" (default), "prefill" or "decode". The stand-in serves in every role.
+	// Role is the role at start. The stand-in serves in every role. Default "serve".
 	Role string
 	// Seed feeds the incarnation names and the choice of lost events.
 	Seed uint64
 
-	// CacheBlocks is the number of prompt pieces that the cache holds. Default 64.
+	// CacheBlocks is the number of blocks that the cache holds and BlockTokens the size of a
+	// block. A piece takes as many blocks, or such a part of one, as its tokens need.
+	// Defaults 64 and 4,000.
 	CacheBlocks int
+	BlockTokens int
 	// MaxBatch is the number of requests that run at once. Default 16.
 	MaxBatch int
 	// MaxQueue is the number of requests that may wait; more are refused. Default 1024.
@@ -74,8 +77,9 @@
 	setDefault(&c.ID, "engine")
 	setDefault(&c.Model, "model")
 	setDefault(&c.WeightsVersion, "v1")
-	setDefault(&c.Role, "mixed")
+	setDefault(&c.Role, "serve")
 	setDefault(&c.CacheBlocks, 64)
+	setDefault(&c.BlockTokens, 4000)
 	setDefault(&c.MaxBatch, 16)
 	setDefault(&c.MaxQueue, 1024)
 	setDefault(&c.BytesPerToken, 4)
--- a/pkg/standin/engine/contract_test.go
+++ b/pkg/standin/engine/contract_test.go
@@ -27,6 +27,7 @@
 		Model:                  "m",
 		WeightsVersion:         "v1",
 		CacheBlocks:            8,
+		BlockTokens:            100,
 		StepTime:               time.Microsecond,
 		DecodeTime:             time.Nanosecond,
 		PrefillTokensPerSecond: 1e12,
--- a/pkg/standin/engine/engine.go
+++ b/pkg/standin/engine/engine.go
@@ -83,7 +83,7 @@
 	e.fencing = 0
 	e.events = eventLog{delay: e.config.EventDelay, interval: e.config.EventInterval, changed: e.events.changed}
 	e.loads = loadHistory{}
-	e.batch = &batch{config: &e.config, cache: newBlockCache(e.config.CacheBlocks, e.cacheChanged)}
+	e.batch = &batch{config: &e.config, cache: newBlockCache(e.config.CacheBlocks*e.config.BlockTokens, e.cacheChanged)}
 }
 
 func (e *Engine) cacheChanged(kind cacheChange, routing uint64) {
--- a/pkg/standin/engine/events.go
+++ b/pkg/standin/engine/events.go
@@ -107,7 +107,7 @@
 		Running:       len(b.running),
 		Queued:        len(b.waiting),
 		BacklogTokens: b.backlog(),
-		UsedBlocks:    len(b.cache.blocks) + b.cache.reserved,
+		UsedBlocks:    (b.cache.used + b.cache.reserved + b.config.BlockTokens - 1) / b.config.BlockTokens,
 	})
 }
 
--- a/pkg/standin/engine/kv.go
+++ b/pkg/standin/engine/kv.go
@@ -62,10 +62,13 @@
 		if !bytes.Equal(b.Data, blockData(key, e.weights, in.Adapter)) {
 			return fault.New(fault.BadRequest, "data of block %s is not valid", b.ContentKey)
 		}
-		if e.batch.cache.available() < 1 {
+		if b.Tokens <= 0 {
+			return fault.New(fault.BadRequest, "block %s has no tokens", b.ContentKey)
+		}
+		if e.batch.cache.available() < b.Tokens {
 			return nil
 		}
-		e.batch.cache.reserve(1)
+		e.batch.cache.reserve(b.Tokens)
 		p := piece{content: key, routing: b.Key, tokens: b.Tokens}
 		chain = append(chain, e.batch.cache.store(&p, in.Adapter))
 	}
--- a/pkg/standin/engine/sequence.go
+++ b/pkg/standin/engine/sequence.go
@@ -36,7 +36,7 @@
 	mark     *mark
 
 	phase phase
-	// chain holds the pinned blocks; reserved is the number of blocks still to be filled.
+	// chain holds the pinned blocks; reserved is the memory still to be filled, in tokens.
 	chain    []*block
 	reserved int
 	// pieceLeft is the prefill left in piece nextPiece, tailLeft the prefill of the replay.
