--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -84,6 +84,7 @@
 func commands(s streams) []commandSpec {
 	return []commandSpec{
 		{name: "version", short: "Print the version", long: "Print the version.\n\nExample: cassiawall version --json", data: &versionCommand{streams: s}},
+		serveSpec(s),
 		checkSpec(s),
 		initSpec(s),
 		statusSpec(s),
--- /dev/null
+++ b/pkg/cli/serve.go
@@ -0,0 +1,54 @@
+package cli
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"cassiawall.example/cassiawall/pkg/logging"
+	"cassiawall.example/cassiawall/pkg/node"
+	"cassiawall.example/cassiawall/pkg/settings"
+)
+
+func serveSpec(s streams) commandSpec {
+	return commandSpec{
+		name: "serve", short: "Run a node",
+		long: "Run a node: entry for callers, peer of the other nodes and controller. The first SIGTERM or SIGINT starts a graceful shutdown that lets running requests finish; the second stops at once.\n\n" +
+			"Example: cassiawall serve --settings /etc/cassiawall/settings.yaml",
+		data: &serveCommand{streams: s},
+	}
+}
+
+type serveCommand struct {
+	Settings string `long:"settings" value-name:"FILE" description:"Settings of this process, in YAML" required:"true"`
+	streams  streams
+}
+
+// Execute runs the node until it is told to stop.
+func (c *serveCommand) Execute([]string) error {
+	s, err := settings.Load(c.Settings)
+	if err != nil {
+		return err
+	}
+	keys, err := s.LoadPeerKeys()
+	if err != nil {
+		return err
+	}
+	n, err := node.New(node.Options{Settings: s, PeerKeys: keys, Logger: logging.New(c.streams.err, s.Level(), keys...)})
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	defer signal.Stop(signals)
+	go func() {
+		<-signals
+		n.Shutdown()
+		<-signals
+		cancel()
+	}()
+	return n.Run(ctx)
+}
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -53,6 +53,9 @@
 	Abandoned        bool
 	ReusedTokens     int
 	ComputedTokens   int
+	NonIdempotent    bool
+	// OutcomeKnown tells that the caller of a non-idempotent request learned whether it ran.
+	OutcomeKnown bool
 	// Cause is the kind of the failure, or empty.
 	Cause fault.Kind
 }
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"cassiawall.example/cassiawall/pkg/blackboard"
+	"cassiawall.example/cassiawall/pkg/burn"
 	"cassiawall.example/cassiawall/pkg/controller/discovery"
 	"cassiawall.example/cassiawall/pkg/controller/engineview"
 	"cassiawall.example/cassiawall/pkg/controller/owner"
@@ -25,8 +26,10 @@
 	"cassiawall.example/cassiawall/pkg/metrics"
 	"cassiawall.example/cassiawall/pkg/peer"
 	"cassiawall.example/cassiawall/pkg/placement"
+	"cassiawall.example/cassiawall/pkg/report"
 	"cassiawall.example/cassiawall/pkg/routing"
 	"cassiawall.example/cassiawall/pkg/settings"
+	"cassiawall.example/cassiawall/pkg/status"
 	"cassiawall.example/cassiawall/pkg/vms"
 )
 
@@ -62,10 +65,11 @@
 	feeder    *engineview.Feeder
 	auth      *peer.Auth
 	pool      *peer.Pool
+	recorder  *burn.Recorder
+	report    *report.Collector
+	status    *status.Reporter
 	entry     *entry.Server
-	callers   net.Listener
-	peers     net.Listener
-	operators net.Listener
+	listeners listeners
 	ready     atomic.Bool
 	stopOnce  sync.Once
 	stop      chan struct{}
@@ -75,11 +79,12 @@
 // fault.InvalidSettings or of the network.
 func New(opt Options) (*Node, error) {
 	n := &Node{opt: opt, board: blackboard.New(), metrics: metrics.New(), engines: newEngineClients(), stop: make(chan struct{})}
-	if err := n.listen(); err != nil {
+	var err error
+	if n.listeners, err = listen(opt.Settings, opt.Logger); err != nil {
 		return nil, err
 	}
 	if err := n.assemble(); err != nil {
-		return nil, errors.Join(err, n.callers.Close(), n.peers.Close(), n.operators.Close())
+		return nil, errors.Join(err, n.listeners.close())
 	}
 	return n, nil
 }
@@ -93,7 +98,7 @@
 	if err != nil {
 		return err
 	}
-	n.auth = peer.NewAuth(peer.AuthOptions{Keyring: keys, Address: n.peerAddress(), Logger: n.opt.Logger})
+	n.auth = peer.NewAuth(peer.AuthOptions{Keyring: keys, Address: advertised(&s.Peers, n.listeners.peers), Logger: n.opt.Logger})
 	n.pool = peer.NewPool(n.auth)
 	n.owner = owner.New(owner.Options{Board: n.board, Engines: n.reporter, Self: s.Name, Logger: n.opt.Logger})
 	if n.placer, err = placement.New(placement.Options{Region: s.Region}); err != nil {
@@ -104,9 +109,13 @@
 	if err != nil {
 		return err
 	}
+	n.recorder = burn.NewRecorder(s.Name, time.Now())
+	n.report = report.NewCollector(report.Options{Self: s.Name, Board: n.board, Recorder: n.recorder, Client: n.pool.Client, Now: time.Now})
+	n.status = status.NewReporter(status.Options{Self: s.Name, Board: n.board, Now: time.Now})
 	n.entry, err = entry.New(entry.Options{
 		Board: n.board, Router: router, Logger: n.opt.Logger, Now: time.Now, RequestID: newRequestID,
-		Engines: func(address string) engine.Generator { return n.engines.at(address) },
+		Recorder: &observer{burn: n.recorder, metrics: n.metrics},
+		Engines:  func(address string) engine.Generator { return n.engines.at(address) },
 	})
 	return err
 }
@@ -131,28 +140,6 @@
 	}), nil
 }
 
-func (n *Node) listen() error {
-	var err error
-	if n.callers, err = net.Listen("tcp", n.opt.Settings.Callers.Address); err != nil {
-		return err
-	}
-	if n.peers, err = net.Listen("tcp", n.opt.Settings.Peers.Address); err != nil {
-		return errors.Join(err, n.callers.Close())
-	}
-	if n.operators, err = net.Listen("tcp", n.opt.Settings.Operators.Address); err != nil {
-		return errors.Join(err, n.callers.Close(), n.peers.Close())
-	}
-	return nil
-}
-
-// peerAddress is the address under which the other nodes call this one.
-func (n *Node) peerAddress() string {
-	if n.opt.Settings.Peers.Advertise != "" {
-		return n.opt.Settings.Peers.Advertise
-	}
-	return n.peers.Addr().String()
-}
-
 func staticEngines(s *settings.Settings) []vms.VM {
 	list := make([]vms.VM, len(s.Engines.Static))
 	for i, e := range s.Engines.Static {
@@ -173,10 +160,10 @@
 func (n *Node) Board() *blackboard.Board { return n.board }
 
 // CallersURL returns the base URL of the callers' listener.
-func (n *Node) CallersURL() string { return "http://" + n.callers.Addr().String() }
+func (n *Node) CallersURL() string { return baseURL(&n.opt.Settings.Callers, n.listeners.callers) }
 
 // OperatorsURL returns the base URL of the operators' listener.
-func (n *Node) OperatorsURL() string { return "http://" + n.operators.Addr().String() }
+func (n *Node) OperatorsURL() string { return baseURL(&n.opt.Settings.Operators, n.listeners.operators) }
 
 // Ready reports whether the node takes requests.
 func (n *Node) Ready() bool { return n.ready.Load() }
@@ -194,11 +181,12 @@
 	group.Go(func() error { return n.discovery.Run(groupCtx) })
 	group.Go(func() error { return n.owner.Run(groupCtx) })
 	group.Go(func() error { return n.feed(groupCtx) })
-	peers := &http.Server{Handler: peer.NewServer(&rpcServer{owner: n.owner}, n.auth), ReadHeaderTimeout: headerTimeout}
-	group.Go(func() error { return serve(peers, n.peers) })
+	group.Go(func() error { return n.followConfig(groupCtx) })
+	peers := &http.Server{Handler: peer.NewServer(&rpcServer{node: n}, n.auth), ReadHeaderTimeout: headerTimeout}
+	group.Go(func() error { return serve(peers, n.listeners.peers) })
 	callers := n.callersServer()
 	operators := &http.Server{Handler: n.operatorsHandler(), ReadHeaderTimeout: headerTimeout}
-	group.Go(func() error { return serve(operators, n.operators) })
+	group.Go(func() error { return serve(operators, n.listeners.operators) })
 	group.Go(func() error {
 		defer cancel()
 		return n.serveCallers(groupCtx, callers)
@@ -231,6 +219,22 @@
 	}
 }
 
+// followConfig passes each new configuration to the parts that keep state by workspace.
+func (n *Node) followConfig(ctx context.Context) error {
+	changes, cancel := n.board.Config.Subscribe()
+	defer cancel()
+	for {
+		if c := n.board.CurrentConfig(); c != nil {
+			n.recorder.SetConfig(c)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changes:
+		}
+	}
+}
+
 func (n *Node) refreshPlacement() {
 	n.feeding.Lock()
 	defer n.feeding.Unlock()
@@ -255,7 +259,7 @@
 func (n *Node) serveCallers(ctx context.Context, s *http.Server) error {
 	n.waitReady(ctx)
 	served := make(chan error, 1)
-	go func() { served <- serve(s, n.callers) }()
+	go func() { served <- serve(s, n.listeners.callers) }()
 	n.ready.Store(true)
 	event.NodeReady.Log(ctx, n.opt.Logger, slog.String("node", n.opt.Settings.Name))
 	select {
--- /dev/null
+++ b/pkg/node/observe.go
@@ -0,0 +1,53 @@
+package node
+
+import (
+	"time"
+
+	"cassiawall.example/cassiawall/pkg/burn"
+	"cassiawall.example/cassiawall/pkg/entry"
+	"cassiawall.example/cassiawall/pkg/fault"
+	"cassiawall.example/cassiawall/pkg/metrics"
+)
+
+// observer passes the outcomes of requests to the burn report and the metrics.
+type observer struct {
+	burn    *burn.Recorder
+	metrics *metrics.Registry
+}
+
+// GenerationDone implements entry.Recorder.
+func (o *observer) GenerationDone(now time.Time, g entry.Outcome) {
+	o.metrics.Counter("generation_requests", "result", resultOf(&g)).Inc(1)
+	o.metrics.Counter("prompt_tokens", "source", "cache").Inc(int64(g.ReusedTokens))
+	o.metrics.Counter("prompt_tokens", "source", "computed").Inc(int64(g.ComputedTokens))
+	if g.TTFT > 0 {
+		o.metrics.Histogram("ttft_ms").Update(g.TTFT.Milliseconds())
+	}
+	if callerFault(g.Cause) {
+		return
+	}
+	o.burn.RequestDone(now, g.Workspace, burn.Outcome{
+		TTFT: g.TTFT, MaxBetweenTokens: g.MaxBetweenTokens, Complete: g.Complete, Abandoned: g.Abandoned,
+		NonIdempotent: g.NonIdempotent, OutcomeKnown: g.OutcomeKnown, Cause: string(g.Cause),
+	})
+}
+
+func resultOf(g *entry.Outcome) string {
+	switch {
+	case g.Complete:
+		return "complete"
+	case g.Abandoned:
+		return "abandoned"
+	}
+	return string(g.Cause)
+}
+
+// callerFault reports whether the caller or the workspace's own limits caused a failure, which
+// does not count against the system's objectives.
+func callerFault(k fault.Kind) bool {
+	switch k {
+	case fault.RateLimited, fault.BadRequest, fault.SlowReader, fault.Superseded:
+		return true
+	}
+	return false
+}
--- a/pkg/node/operators.go
+++ b/pkg/node/operators.go
@@ -2,6 +2,9 @@
 
 import (
 	"net/http"
+
+	"cassiawall.example/cassiawall/pkg/report"
+	"cassiawall.example/cassiawall/pkg/status"
 )
 
 // operatorsHandler serves health, readiness and metrics.
@@ -10,6 +13,10 @@
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", n.serveReady)
 	mux.Handle("GET /metrics", n.metrics)
+	mux.Handle("GET "+status.Path, n.status)
+	for _, path := range []string{report.PathHTML, report.PathJSON, report.PathText} {
+		mux.Handle("GET "+path, n.report)
+	}
 	return mux
 }
 
--- a/pkg/node/peers.go
+++ b/pkg/node/peers.go
@@ -48,15 +48,26 @@
 // rpcServer answers the other nodes.
 type rpcServer struct {
 	peerpb.Peer
-	owner *owner.Owner
+	node *Node
 }
 
 // Acquire implements peerpb.Peer.
 func (s *rpcServer) Acquire(ctx context.Context, r *peerpb.AcquireRequest) (*peerpb.AcquireReply, error) {
-	return s.owner.Acquire(ctx, r)
+	return s.node.owner.Acquire(ctx, r)
 }
 
 // Release implements peerpb.Peer.
 func (s *rpcServer) Release(ctx context.Context, r *peerpb.ReleaseRequest) (*peerpb.ReleaseReply, error) {
-	return s.owner.Release(ctx, r)
+	return s.node.owner.Release(ctx, r)
+}
+
+// FetchBurn implements peerpb.Peer.
+func (s *rpcServer) FetchBurn(ctx context.Context, r *peerpb.FetchBurnRequest) (*peerpb.FetchBurnReply, error) {
+	return s.node.report.FetchBurn(ctx, r)
+}
+
+// Status implements peerpb.Peer.
+func (s *rpcServer) Status(context.Context, *peerpb.StatusRequest) (*peerpb.StatusReply, error) {
+	document, err := s.node.status.JSON()
+	return &peerpb.StatusReply{Document: document}, err
 }
