--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -163,7 +163,9 @@
 func (n *Node) CallersURL() string { return baseURL(&n.opt.Settings.Callers, n.listeners.callers) }
 
 // OperatorsURL returns the base URL of the operators' listener.
-func (n *Node) OperatorsURL() string { return baseURL(&n.opt.Settings.Operators, n.listeners.operators) }
+func (n *Node) OperatorsURL() string {
+	return baseURL(&n.opt.Settings.Operators, n.listeners.operators)
+}
 
 // Ready reports whether the node takes requests.
 func (n *Node) Ready() bool { return n.ready.Load() }
