--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -41,4 +41,9 @@
 	JournalDamaged     = define(603, "claim journal damaged", slog.LevelError, "restore the named object; its shard refuses non-idempotent requests until then")
 	JournalFull        = define(604, "claim journal full", slog.LevelWarn, "shorten retry_window of the busiest workspace")
 	OutcomeNotRecorded = define(605, "outcome not recorded", slog.LevelWarn, "none; repeats of the request answer outcome_unknown")
+
+	BackendUnreachable = define(701, "backend server unreachable", slog.LevelWarn, "check the backend server and the network to it")
+	BackendReachable   = define(702, "backend server reachable again", slog.LevelInfo, "none")
+	OutcomeLost        = define(703, "answer to a non-idempotent request lost", slog.LevelWarn, "check the state of the work at the service before ordering it again")
+	AnswerReplayed     = define(704, "answer replayed from the record", slog.LevelInfo, "none")
 )
--- /dev/null
+++ b/pkg/service/client.go
@@ -0,0 +1,135 @@
+// Package service routes calls of plain services to their backend servers. Idempotent calls may
+// be tried again where that is safe; non-idempotent ones are claimed first and sent once.
+package service
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"cassiawall.example/cassiawall/pkg/fault"
+)
+
+// Bounds of the adapter.
+const (
+	dialTimeout     = time.Second
+	idleConnTimeout = 30 * time.Second
+	idlePerBackend  = 16
+)
+
+// Request is a call of a backend server. Its body is held in memory so that it can be sent again.
+type Request struct {
+	Method string
+	// Target is the path with the query, as in "/book?slot=3".
+	Target string
+	Header http.Header
+	Body   []byte
+}
+
+// Client is the HTTP adapter for backend servers. Errors are of kind fault.BackendUnavailable
+// with fault.NotRun if no byte was sent, else of kind fault.BackendFailed with fault.Unknown.
+type Client struct {
+	shared http.RoundTripper
+	dialer net.Dialer
+}
+
+// NewClient returns an adapter with its own pool of connections.
+func NewClient() *Client {
+	c := &Client{dialer: net.Dialer{Timeout: dialTimeout}}
+	c.shared = &http.Transport{
+		DialContext:         c.dialer.DialContext,
+		MaxIdleConnsPerHost: idlePerBackend,
+		IdleConnTimeout:     idleConnTimeout,
+		DisableCompression:  true,
+	}
+	return c
+}
+
+// Probe connects to a backend server and closes the connection.
+func (c *Client) Probe(ctx context.Context, address string) error {
+	conn, err := c.dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	return conn.Close()
+}
+
+func (c *Client) dial(ctx context.Context, address string) (net.Conn, error) {
+	conn, err := c.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.BackendUnavailable, "backend server is unreachable")
+	}
+	return conn, nil
+}
+
+// Send sends a request whose repetition is harmless over a kept connection. The transport may
+// repeat it when the backend server closes that connection.
+func (c *Client) Send(ctx context.Context, address string, r *Request) (*http.Response, error) {
+	q, err := newHTTPRequest(ctx, address, r)
+	if err != nil {
+		return nil, err
+	}
+	return roundTrip(c.shared, q)
+}
+
+// SendOnce sends a request at most once over a new connection. ready is called after the
+// connection is made and before the first byte; its error ends the call with nothing sent.
+//
+// A kept connection is no option: net/http repeats requests with an Idempotency-Key header when
+// a kept connection breaks. Redirects are not followed for the same reason.
+func (c *Client) SendOnce(ctx context.Context, address string, r *Request, ready func() error) (*http.Response, error) {
+	q, err := newHTTPRequest(ctx, address, r)
+	if err != nil {
+		return nil, err
+	}
+	conn, err := c.dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	if err := ready(); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	dialled := false
+	once := &http.Transport{
+		DisableKeepAlives:  true,
+		DisableCompression: true,
+		DialContext: func(context.Context, string, string) (net.Conn, error) {
+			if dialled {
+				return nil, fault.New(fault.Internal, "a request was about to be sent twice")
+			}
+			dialled = true
+			return conn, nil
+		},
+	}
+	return roundTrip(once, q)
+}
+
+func newHTTPRequest(ctx context.Context, address string, r *Request) (*http.Request, error) {
+	q, err := http.NewRequestWithContext(ctx, r.Method, "http://"+address+r.Target, bytes.NewReader(r.Body))
+	if err != nil {
+		return nil, fault.Wrap(err, fault.BadRequest, "request cannot be passed on")
+	}
+	q.Header = r.Header.Clone()
+	return q, nil
+}
+
+func roundTrip(t http.RoundTripper, q *http.Request) (*http.Response, error) {
+	response, err := t.RoundTrip(q)
+	if err == nil {
+		return response, nil
+	}
+	if isDialError(err) {
+		return nil, fault.Wrap(err, fault.BackendUnavailable, "backend server is unreachable")
+	}
+	return nil, fault.Wrap(err, fault.BackendFailed, "backend server did not answer").WithWork(fault.Unknown)
+}
+
+// readBounded reads a body of at most limit bytes. complete is false if it was longer or cut.
+func readBounded(body io.Reader, limit int64) (content []byte, complete bool) {
+	content, err := io.ReadAll(io.LimitReader(body, limit+1))
+	return content, err == nil && int64(len(content)) <= limit
+}
--- /dev/null
+++ b/pkg/service/dispatch.go
@@ -0,0 +1,243 @@
+package service
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"cassiawall.example/cassiawall/pkg/blackboard"
+	"cassiawall.example/cassiawall/pkg/controller/claims"
+	"cassiawall.example/cassiawall/pkg/entry"
+	"cassiawall.example/cassiawall/pkg/event"
+	"cassiawall.example/cassiawall/pkg/fault"
+	"cassiawall.example/cassiawall/pkg/metrics"
+)
+
+const (
+	writer = "service"
+	// maxTries bounds the backend servers that one call is tried at.
+	maxTries = 3
+	// probeInterval is the time between probes of unreachable backend servers.
+	probeInterval = time.Second
+	// unavailableRetry is the pause that callers are told to make when no backend server answers.
+	unavailableRetry = time.Second
+)
+
+// Options configures a Dispatcher.
+type Options struct {
+	DataCentre string
+	Board      *blackboard.Board
+	// Guard keeps non-idempotent calls at most once.
+	Guard   *claims.Controller
+	Metrics *metrics.Registry
+	Logger  *slog.Logger
+	// AllowRetry is asked before a call is tried again after bytes were sent. Nil allows it.
+	AllowRetry func() bool
+	// Seed starts the random choice among equal backend servers.
+	Seed uint64
+}
+
+// Dispatcher serves calls of plain services. It implements entry.Services and is safe for
+// concurrent use.
+type Dispatcher struct {
+	opt    Options
+	client *Client
+
+	mu     sync.Mutex
+	random *rand.Rand
+}
+
+var _ entry.Services = (*Dispatcher)(nil)
+
+// New returns a dispatcher. Run keeps its view of unreachable backend servers up to date.
+func New(opt Options) *Dispatcher {
+	if opt.AllowRetry == nil {
+		opt.AllowRetry = func() bool { return true }
+	}
+	return &Dispatcher{opt: opt, client: NewClient(), random: rand.New(rand.NewPCG(opt.Seed, 0))}
+}
+
+// Dispatch serves r, whose caller is authenticated and may use the route. Errors are written as
+// typed JSON documents.
+func (d *Dispatcher) Dispatch(w http.ResponseWriter, r *http.Request, call entry.ServiceCall) {
+	request, err := readRequest(r, call)
+	if err == nil && call.Route.NonIdempotent {
+		err = d.once(w, r, call, request)
+	} else if err == nil {
+		err = d.relay(w, r, call, request)
+	}
+	outcome := "answered"
+	if err != nil {
+		outcome = string(fault.As(err).Kind)
+		fault.WriteHTTP(w, err, call.RequestID)
+	}
+	d.opt.Metrics.Counter("service_calls_total", "service", call.Service.Name, "outcome", outcome).Inc(1)
+}
+
+func readRequest(r *http.Request, call entry.ServiceCall) (*Request, error) {
+	body, err := io.ReadAll(r.Body)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, fault.Wrap(err, fault.BodyTooLarge, "request body is over %d bytes", tooLarge.Limit)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, fault.Wrap(err, fault.RequestTimeout, "request body did not arrive in time")
+	case err != nil:
+		return nil, fault.Wrap(err, fault.BadRequest, "request body was cut")
+	}
+	return &Request{
+		Method: r.Method,
+		Target: r.URL.RequestURI(),
+		Header: backendHeader(r, call.RequestID),
+		Body:   body,
+	}, nil
+}
+
+func (d *Dispatcher) candidates(call entry.ServiceCall) []candidate {
+	entries := d.opt.Board.Services.Snapshot()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	found := pick(entries, call.Service.Name, d.opt.DataCentre, d.random)
+	return found[:min(len(found), maxTries)]
+}
+
+// relay serves an idempotent call. It is tried at another backend server if nothing was sent, or
+// if the method itself is idempotent and no part of an answer has arrived.
+func (d *Dispatcher) relay(w http.ResponseWriter, r *http.Request, call entry.ServiceCall, q *Request) error {
+	ctx, cancel := context.WithTimeout(r.Context(), call.Service.Timeout.D())
+	defer cancel()
+	failure := noBackend(call)
+	for _, c := range d.candidates(call) {
+		response, err := d.send(ctx, c.address, q)
+		if err == nil {
+			defer response.Body.Close()
+			return copyAnswer(w, response, call.RequestID)
+		}
+		failure = mergeFailure(failure, fault.As(err))
+		d.noteFailure(call, c.address, err)
+		if !d.mayRetry(ctx, q, failure) {
+			break
+		}
+	}
+	return failure
+}
+
+func (d *Dispatcher) send(ctx context.Context, address string, q *Request) (*http.Response, error) {
+	if repeatable(q.Method) {
+		return d.client.Send(ctx, address, q)
+	}
+	return d.client.SendOnce(ctx, address, q, func() error { return nil })
+}
+
+func (d *Dispatcher) mayRetry(ctx context.Context, q *Request, failure *fault.Error) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	return failure.Work == fault.NotRun || repeatable(q.Method) && d.opt.AllowRetry()
+}
+
+// repeatable lists the methods that RFC 9110, section 9.2.2, defines as idempotent.
+func repeatable(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodPut, http.MethodDelete:
+		return true
+	}
+	return false
+}
+
+func noBackend(call entry.ServiceCall) *fault.Error {
+	return fault.New(fault.BackendUnavailable, "no backend server of %s is reachable", call.Service.Name).WithRetryAfter(unavailableRetry)
+}
+
+// mergeFailure keeps the first failure after which the work may have run.
+func mergeFailure(old, failure *fault.Error) *fault.Error {
+	if old.Work != fault.NotRun {
+		return old
+	}
+	if failure.Work == fault.NotRun {
+		failure = failure.WithRetryAfter(unavailableRetry)
+	}
+	return failure
+}
+
+// copyAnswer relays an answer. If the backend server cuts it, the caller's connection is cut too,
+// so that the caller does not take the part for the whole.
+func copyAnswer(w http.ResponseWriter, response *http.Response, requestID string) error {
+	copyAnswerHeader(w.Header(), response.Header, requestID)
+	w.WriteHeader(response.StatusCode)
+	if _, err := io.Copy(flushWriter{w, http.NewResponseController(w)}, response.Body); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	return nil
+}
+
+// flushWriter passes each part on at once, for answers that arrive over a long time.
+type flushWriter struct {
+	http.ResponseWriter
+	control *http.ResponseController
+}
+
+func (f flushWriter) Write(p []byte) (int, error) {
+	n, err := f.ResponseWriter.Write(p)
+	if err == nil {
+		// A writer that cannot flush still delivers at the end.
+		_ = f.control.Flush()
+	}
+	return n, err
+}
+
+// noteFailure marks an unreachable backend server on the board. A caller that left is no evidence.
+func (d *Dispatcher) noteFailure(call entry.ServiceCall, address string, err error) {
+	if errors.Is(err, context.Canceled) {
+		return
+	}
+	if fault.Is(err, fault.BackendUnavailable) && d.setReachable(call.Service.Name, address, false) {
+		event.BackendUnreachable.Log(context.Background(), d.opt.Logger, slog.String("service", call.Service.Name),
+			slog.String("address", address), slog.Any("error", err))
+	}
+}
+
+func (d *Dispatcher) setReachable(service, address string, reachable bool) (changed bool) {
+	key := blackboard.ServiceKey{Service: service, Address: address}
+	ev := blackboard.Evidence{Writer: writer, Source: "connection", ObservedAt: time.Now()}
+	return d.opt.Board.Services.Update(key, ev, func(old blackboard.Entry[blackboard.ServiceEntry], ok bool) (blackboard.ServiceEntry, bool) {
+		next := old.Value
+		next.Reachable = reachable
+		return next, ok && next != old.Value
+	})
+}
+
+// Run probes unreachable backend servers until ctx ends.
+func (d *Dispatcher) Run(ctx context.Context) error {
+	ticker := time.NewTicker(probeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			d.probeUnreachable(ctx)
+		}
+	}
+}
+
+func (d *Dispatcher) probeUnreachable(ctx context.Context) {
+	var probes sync.WaitGroup
+	for key, e := range d.opt.Board.Services.Snapshot() {
+		if e.Value.Reachable {
+			continue
+		}
+		probes.Go(func() {
+			if d.client.Probe(ctx, key.Address) == nil && d.setReachable(key.Service, key.Address, true) {
+				event.BackendReachable.Log(ctx, d.opt.Logger, slog.String("service", key.Service), slog.String("address", key.Address))
+			}
+		})
+	}
+	probes.Wait()
+}
--- /dev/null
+++ b/pkg/service/dispatch_test.go
@@ -0,0 +1,325 @@
+package service
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"cassiawall.example/cassiawall/pkg/blackboard"
+	"cassiawall.example/cassiawall/pkg/config"
+	"cassiawall.example/cassiawall/pkg/controller/claims"
+	"cassiawall.example/cassiawall/pkg/entry"
+	"cassiawall.example/cassiawall/pkg/fault"
+	"cassiawall.example/cassiawall/pkg/metrics"
+	"cassiawall.example/cassiawall/pkg/standin/objects"
+	standin "cassiawall.example/cassiawall/pkg/standin/service"
+)
+
+// bed is a dispatcher with two backend servers on loopback and an in-process object API.
+type bed struct {
+	t          *testing.T
+	board      *blackboard.Board
+	store      *objects.Store
+	ledger     *standin.Ledger
+	backends   []*standin.Server
+	listeners  []*httptest.Server
+	dispatcher *Dispatcher
+	call       entry.ServiceCall
+	requests   int
+}
+
+func newBed(t *testing.T) *bed {
+	b := &bed{t: t, board: blackboard.New(), store: objects.NewStore(1), ledger: standin.NewLedger()}
+	for i := range 2 {
+		backend := standin.New(b.ledger, uint64(i))
+		b.backends = append(b.backends, backend)
+		b.addBackend(backend)
+	}
+	log, registry := slog.New(slog.DiscardHandler), metrics.New()
+	guard := claims.New(claims.Options{Node: "n", Board: b.board, Store: b.store, Metrics: registry, Logger: log})
+	// The test's context has ended by then, so outcomes that wait for an outage are given up.
+	t.Cleanup(func() { guard.Close(t.Context()) })
+	b.dispatcher = New(Options{DataCentre: "dar-a", Board: b.board, Guard: guard, Metrics: registry, Logger: log})
+	b.call = entry.ServiceCall{
+		Workspace: &config.Workspace{Name: "school"},
+		Service:   &config.Service{Name: "ratiba", Timeout: config.Duration(10 * time.Second)},
+		Route:     &config.Route{Path: "/book", NonIdempotent: true},
+	}
+	return b
+}
+
+func (b *bed) addBackend(h http.Handler) {
+	server := httptest.NewServer(h)
+	b.t.Cleanup(server.Close)
+	b.listeners = append(b.listeners, server)
+	key := blackboard.ServiceKey{Service: "ratiba", Address: server.Listener.Addr().String()}
+	b.board.Services.Put(key, blackboard.ServiceEntry{DataCentre: "dar-a", Reachable: true}, blackboard.Evidence{})
+}
+
+func (b *bed) setFaults(f standin.Faults) {
+	for _, s := range b.backends {
+		s.SetFaults(f)
+	}
+}
+
+func (b *bed) do(method, path, key, body string) *httptest.ResponseRecorder {
+	return b.doWith(b.t.Context(), method, path, key, body)
+}
+
+func (b *bed) doWith(ctx context.Context, method, path, key, body string) *httptest.ResponseRecorder {
+	r := httptest.NewRequestWithContext(ctx, method, path, strings.NewReader(body))
+	r.Header.Set("Authorization", "Bearer secret")
+	if key != "" {
+		r.Header.Set(HeaderIdempotencyKey, key)
+	}
+	b.requests++
+	call := b.call
+	call.RequestID = "req-" + string(rune('a'+b.requests))
+	w := httptest.NewRecorder()
+	b.dispatcher.Dispatch(w, r, call)
+	assert.Equal(b.t, call.RequestID, w.Header().Get(fault.HeaderRequestID))
+	return w
+}
+
+func (b *bed) book(key string) *httptest.ResponseRecorder {
+	return b.do(http.MethodPost, "/book?slot=3", key, `{"teacher":"asha"}`)
+}
+
+func assertRefused(t *testing.T, w *httptest.ResponseRecorder, kind fault.Kind, work fault.Work) {
+	t.Helper()
+	var body fault.Body
+	require.NoError(t, json.Unmarshal(w.Body.Bytes(), &body), w.Body.String())
+	assert.Equal(t, kind, body.Error.Kind, body.Error.Message)
+	assert.Equal(t, work, body.Error.Work, body.Error.Message)
+}
+
+func assertAnswer(t *testing.T, w *httptest.ResponseRecorder, replayed string) {
+	t.Helper()
+	assert.Equal(t, http.StatusOK, w.Code, w.Body.String())
+	assert.Equal(t, replayed, w.Header().Get(HeaderReplayed))
+}
+
+// Guards against a booking that runs twice, is lost, or is refused with a wrong statement about
+// its work. runs is the number of runs of all keys at the end.
+func TestNonIdempotentCalls(t *testing.T) {
+	cases := map[string]struct {
+		runs int
+		do   func(t *testing.T, b *bed)
+		// doubles counts the keys that the backend servers saw twice.
+		doubles int
+	}{
+		"repeat reads the record": {1, func(t *testing.T, b *bed) {
+			first := b.book("k")
+			assertAnswer(t, first, "")
+			second := b.book("k")
+			assertAnswer(t, second, "true")
+			assert.Equal(t, first.Body.String(), second.Body.String())
+		}, 0},
+		"missing key": {0, func(t *testing.T, b *bed) {
+			assertRefused(t, b.book(""), fault.IdempotencyKeyMissing, fault.NotRun)
+		}, 0},
+		"malformed key": {0, func(t *testing.T, b *bed) {
+			assertRefused(t, b.book("two words"), fault.BadRequest, fault.NotRun)
+		}, 0},
+		"key derived from the body": {2, func(t *testing.T, b *bed) {
+			b.call.Route.DeriveKey = true
+			assertAnswer(t, b.book(""), "")
+			assertAnswer(t, b.book(""), "true")
+			assertAnswer(t, b.do(http.MethodPost, "/book?slot=4", "", `{"teacher":"asha"}`), "")
+		}, 0},
+		"key used for another path": {1, func(t *testing.T, b *bed) {
+			b.book("k")
+			assertRefused(t, b.do(http.MethodPost, "/book?slot=4", "k", `{"teacher":"asha"}`), fault.IdempotencyConflict, fault.NotRun)
+		}, 0},
+		"keys of two workspaces": {2, func(t *testing.T, b *bed) {
+			b.book("k")
+			b.call.Workspace = &config.Workspace{Name: "other"}
+			assertAnswer(t, b.book("k"), "")
+		}, 1},
+		"answer lost": {1, func(t *testing.T, b *bed) {
+			b.setFaults(standin.Faults{LoseAnswer: 1})
+			assertRefused(t, b.book("k"), fault.OutcomeUnknown, fault.Unknown)
+			b.setFaults(standin.Faults{})
+			assertRefused(t, b.book("k"), fault.OutcomeUnknown, fault.Unknown)
+		}, 0},
+		"backend crashes after the run": {2, func(t *testing.T, b *bed) {
+			assertAnswer(t, b.book("before"), "")
+			b.setFaults(standin.Faults{CrashAfterRun: 1, CrashFor: time.Hour})
+			assertRefused(t, b.book("k"), fault.OutcomeUnknown, fault.Unknown)
+			b.setFaults(standin.Faults{})
+			assertRefused(t, b.book("k"), fault.OutcomeUnknown, fault.Unknown)
+		}, 0},
+		"backend refuses and says so": {1, func(t *testing.T, b *bed) {
+			b.setFaults(standin.Faults{Refuse: 1})
+			assertRefused(t, b.book("k"), fault.BackendUnavailable, fault.NotRun)
+			b.setFaults(standin.Faults{})
+			assertAnswer(t, b.book("k"), "")
+		}, 0},
+		"backend answers 503 without saying whether it ran": {0, func(t *testing.T, b *bed) {
+			b.setFaults(standin.Faults{RefuseSilently: 1})
+			assert.Equal(t, http.StatusServiceUnavailable, b.book("k").Code)
+			b.setFaults(standin.Faults{})
+			assert.Equal(t, http.StatusServiceUnavailable, b.book("k").Code, "the record is kept, the work is not sent again")
+		}, 0},
+		"one backend down": {3, func(t *testing.T, b *bed) {
+			b.listeners[0].Close()
+			for _, key := range []string{"k1", "k2", "k3"} {
+				assertAnswer(t, b.book(key), "")
+			}
+		}, 0},
+		"all backends down": {0, func(t *testing.T, b *bed) {
+			b.listeners[0].Close()
+			b.listeners[1].Close()
+			w := b.book("k")
+			assertRefused(t, w, fault.BackendUnavailable, fault.NotRun)
+			assert.NotEmpty(t, w.Header().Get(fault.HeaderRetryAfter))
+		}, 0},
+		"object API down": {0, func(t *testing.T, b *bed) {
+			b.store.SetFaults(objects.Faults{Outage: true})
+			assertRefused(t, b.book("k"), fault.PlatformUnavailable, fault.NotRun)
+		}, 0},
+		"answer of the object API lost": {1, func(t *testing.T, b *bed) {
+			b.store.SetFaults(objects.Faults{LostAnswers: 1})
+			assertAnswer(t, b.book("k"), "")
+			assertAnswer(t, b.book("k"), "true")
+		}, 0},
+		"answer too large to record": {1, func(t *testing.T, b *bed) {
+			b.setFaults(standin.Faults{AnswerBytes: 100_000})
+			assertAnswer(t, b.book("k"), "")
+			assertRefused(t, b.book("k"), fault.OutcomeUnknown, fault.Run)
+		}, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := newBed(t)
+			c.do(t, b)
+			assert.Equal(t, c.runs, b.ledger.Runs().Total)
+			assert.Equal(t, c.doubles, b.ledger.DoubleRuns())
+		})
+	}
+}
+
+// Guards against an outcome that is unknown only because the caller left.
+func TestCallGoesOnWhenItsCallerLeaves(t *testing.T) {
+	b := newBed(t)
+	b.board = blackboard.New()
+	b.dispatcher.opt.Board = b.board
+	started, release := make(chan struct{}), make(chan struct{})
+	b.addBackend(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		close(started)
+		<-release
+		_, _ = io.WriteString(w, "booked")
+	}))
+	ctx, leave := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		b.doWith(ctx, http.MethodPost, "/book", "k", "")
+	}()
+	<-started
+	leave()
+	close(release)
+	<-done
+	again := b.do(http.MethodPost, "/book", "k", "")
+	assertAnswer(t, again, "true")
+	assert.Equal(t, "booked", again.Body.String())
+}
+
+// Guards against repeating a call where that can run it twice, against not repeating it where
+// that is safe, and against passing the caller's API key on.
+func TestIdempotentCalls(t *testing.T) {
+	seen := make(chan http.Header, 10)
+	lossy := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		seen <- r.Header
+		panic(http.ErrAbortHandler)
+	})
+	cases := map[string]struct {
+		method string
+		sent   int
+		work   fault.Work
+	}{
+		"a lost GET is tried elsewhere": {http.MethodGet, 2, fault.Unknown},
+		"a lost POST is not":            {http.MethodPost, 1, fault.Unknown},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := newBed(t)
+			b.call.Route = &config.Route{Path: "/slots"}
+			b.board = blackboard.New()
+			b.dispatcher.opt.Board = b.board
+			b.addBackend(lossy)
+			b.addBackend(lossy)
+			w := b.do(c.method, "/slots", "kept-key", "")
+			assertRefused(t, w, fault.BackendFailed, c.work)
+			assert.Len(t, seen, c.sent)
+			for range len(seen) {
+				h := <-seen
+				assert.Empty(t, h.Get("Authorization"))
+				assert.NotEmpty(t, h.Get(fault.HeaderRequestID))
+			}
+		})
+	}
+}
+
+// Guards against an answer that was cut and looks complete to the caller.
+func TestCutAnswerCutsTheCaller(t *testing.T) {
+	b := newBed(t)
+	b.call.Route = &config.Route{Path: "/slots"}
+	b.board = blackboard.New()
+	b.dispatcher.opt.Board = b.board
+	b.addBackend(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "100")
+		_, _ = io.WriteString(w, "part")
+	}))
+	assert.PanicsWithValue(t, http.ErrAbortHandler, func() { b.do(http.MethodGet, "/slots", "", "") })
+}
+
+// Guards against work for a leaving or unreachable backend server while others are left, and
+// against a pool that a wrong VM list empties.
+func TestPick(t *testing.T) {
+	type entries map[string]blackboard.ServiceEntry
+	cases := map[string]struct {
+		entries entries
+		want    []string
+	}{
+		"own data centre first": {entries{"far": {DataCentre: "dar-b", Reachable: true}, "near": {DataCentre: "dar-a", Reachable: true}}, []string{"near", "far"}},
+		"unreachable last":      {entries{"near": {DataCentre: "dar-a"}, "far": {DataCentre: "dar-b", Reachable: true}}, []string{"far", "near"}},
+		"leaving left out":      {entries{"a": {DataCentre: "dar-a", Reachable: true, Leaving: true}, "b": {DataCentre: "dar-b", Reachable: true}}, []string{"b"}},
+		"all leaving":           {entries{"a": {DataCentre: "dar-a", Reachable: true, Leaving: true}}, []string{"a"}},
+		"none":                  {entries{}, nil},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			board := blackboard.New()
+			for address, e := range c.entries {
+				board.Services.Put(blackboard.ServiceKey{Service: "s", Address: address}, e, blackboard.Evidence{})
+			}
+			board.Services.Put(blackboard.ServiceKey{Service: "other", Address: "x"}, blackboard.ServiceEntry{Reachable: true}, blackboard.Evidence{})
+			var got []string
+			for _, found := range pick(board.Services.Snapshot(), "s", "dar-a", rand.New(rand.NewPCG(1, 0))) {
+				got = append(got, found.address)
+			}
+			assert.Equal(t, c.want, got)
+		})
+	}
+}
+
+// Guards against a backend server that stays out of use after it has come back.
+func TestProbeBringsBackendBack(t *testing.T) {
+	b := newBed(t)
+	address := b.listeners[0].Listener.Addr().String()
+	b.dispatcher.setReachable("ratiba", address, false)
+	b.dispatcher.probeUnreachable(t.Context())
+	e, _ := b.board.Services.Get(blackboard.ServiceKey{Service: "ratiba", Address: address})
+	assert.True(t, e.Value.Reachable)
+}
--- /dev/null
+++ b/pkg/service/headers.go
@@ -0,0 +1,86 @@
+package service
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+
+	"cassiawall.example/cassiawall/pkg/fault"
+)
+
+// Headers of plain services.
+const (
+	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderReplayed marks an answer that comes from the record of an earlier request.
+	HeaderReplayed = "Idempotent-Replayed"
+	// HeaderWork is how a backend server says with 429 or 503 that it has not run the request:
+	// its value is "not_run".
+	HeaderWork = "X-Work"
+)
+
+// hopHeaders belong to one connection (RFC 9110, section 7.6.1).
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+func removeHopHeaders(h http.Header) {
+	for _, field := range h.Values("Connection") {
+		for name := range strings.SplitSeq(field, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		h.Del(name)
+	}
+}
+
+// backendHeader returns the header for a backend server. The caller's API key stays here.
+func backendHeader(r *http.Request, requestID string) http.Header {
+	h := r.Header.Clone()
+	removeHopHeaders(h)
+	h.Del("Authorization")
+	h.Del("Expect")
+	h.Set(fault.HeaderRequestID, requestID)
+	return h
+}
+
+// copyAnswerHeader copies a backend server's header to the caller's answer.
+func copyAnswerHeader(to, from http.Header, requestID string) {
+	from = from.Clone()
+	removeHopHeaders(from)
+	for name, values := range from {
+		to[name] = values
+	}
+	to.Set(fault.HeaderRequestID, requestID)
+}
+
+// saysNotRun reports whether an answer is the backend server's own refusal: 429 or 503 with the
+// header X-Work: not_run, with Retry-After, or with an error document whose work is not_run.
+// Any other answer may come from a request that ran in part.
+func saysNotRun(status int, h http.Header, body []byte) bool {
+	if status != http.StatusTooManyRequests && status != http.StatusServiceUnavailable {
+		return false
+	}
+	if h.Get(HeaderWork) != "" {
+		return h.Get(HeaderWork) == string(fault.NotRun)
+	}
+	var document fault.Body
+	if json.Unmarshal(body, &document) == nil && document.Error.Work != "" {
+		return document.Error.Work == fault.NotRun
+	}
+	return h.Get(fault.HeaderRetryAfter) != ""
+}
+
+// validKey accepts 1 to 255 visible ASCII characters.
+func validKey(key string) bool {
+	if key == "" || len(key) > 255 {
+		return false
+	}
+	for i := range len(key) {
+		if key[i] <= ' ' || key[i] > '~' {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/pkg/service/pick.go
@@ -0,0 +1,67 @@
+package service
+
+import (
+	"cmp"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"slices"
+
+	"cassiawall.example/cassiawall/pkg/blackboard"
+)
+
+// Preference of a backend server, lower first.
+const (
+	tierLocal = iota
+	tierRemote
+	tierUnreachable
+)
+
+// candidate is a backend server with its preference.
+type candidate struct {
+	address string
+	tier    int
+}
+
+// pick returns the backend servers of a service in the order in which to try them: reachable
+// ones of the own data centre, other reachable ones, unreachable ones; at random within each
+// group. Leaving ones are left out, unless all are marked: then the VM list is taken as wrong.
+func pick(entries map[blackboard.ServiceKey]blackboard.Entry[blackboard.ServiceEntry], service, dataCentre string, random *rand.Rand) []candidate {
+	var staying, leaving []candidate
+	for key, e := range entries {
+		if key.Service != service {
+			continue
+		}
+		c := candidate{address: key.Address, tier: tierOf(e.Value, dataCentre)}
+		if e.Value.Leaving {
+			leaving = append(leaving, c)
+			continue
+		}
+		staying = append(staying, c)
+	}
+	if len(staying) == 0 {
+		staying = leaving
+	}
+	// Map order differs between runs; sorting first makes the shuffle follow the seed.
+	slices.SortFunc(staying, func(a, b candidate) int { return cmp.Compare(a.address, b.address) })
+	random.Shuffle(len(staying), func(i, j int) { staying[i], staying[j] = staying[j], staying[i] })
+	slices.SortStableFunc(staying, func(a, b candidate) int { return cmp.Compare(a.tier, b.tier) })
+	return staying
+}
+
+func tierOf(e blackboard.ServiceEntry, dataCentre string) int {
+	switch {
+	case !e.Reachable:
+		return tierUnreachable
+	case e.DataCentre == dataCentre:
+		return tierLocal
+	default:
+		return tierRemote
+	}
+}
+
+// isDialError reports whether err arose before a connection existed, so that nothing was sent.
+func isDialError(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
--- /dev/null
+++ b/pkg/vms/client.go
@@ -0,0 +1,48 @@
+package vms
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+
+	"cassiawall.example/cassiawall/pkg/fault"
+)
+
+// maxListBytes bounds a list: several thousand VMs of a few hundred bytes each.
+const maxListBytes = 16 << 20
+
+// Client is the HTTP adapter of the VM list. It implements Lister.
+type Client struct {
+	url  string
+	http *http.Client
+}
+
+var _ Lister = (*Client)(nil)
+
+// NewClient returns an adapter for the VM list at baseURL, for example "http://10.0.0.6:7001".
+func NewClient(baseURL string, c *http.Client) *Client {
+	return &Client{url: strings.TrimRight(baseURL, "/") + "/vms", http: c}
+}
+
+// List reads the VM list.
+func (c *Client) List(ctx context.Context) ([]VM, error) {
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url, nil)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.PlatformUnavailable, "address of the VM list is malformed")
+	}
+	response, err := c.http.Do(q)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.PlatformUnavailable, "VM list did not answer")
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return nil, fault.New(fault.PlatformUnavailable, "VM list answered with status %d", response.StatusCode)
+	}
+	var list []VM
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxListBytes)).Decode(&list); err != nil {
+		return nil, fault.Wrap(err, fault.PlatformUnavailable, "VM list does not parse")
+	}
+	return list, nil
+}
--- /dev/null
+++ b/pkg/weights/weights.go
@@ -0,0 +1,85 @@
+// Package weights defines the interface to the platform's weight store and its HTTP adapter.
+package weights
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"cassiawall.example/cassiawall/pkg/fault"
+)
+
+// Manifest describes the stored weights of a model version.
+type Manifest struct {
+	Model   string `json:"model"`
+	Version string `json:"version"`
+	// Bytes is the size of the weights and SHA256 their digest in hex.
+	Bytes  int64  `json:"bytes"`
+	SHA256 string `json:"sha256"`
+}
+
+// Store is the weight store. Errors are of kind fault.NotFound, fault.RateLimited with the time
+// after which to retry, or fault.PlatformUnavailable.
+type Store interface {
+	// Fetch reads the manifest of a version. The store counts it against its rate.
+	Fetch(ctx context.Context, model, version string) (Manifest, error)
+}
+
+const (
+	maxManifestBytes = 1 << 16
+	// defaultRetryAfter is used when the store does not state a time.
+	defaultRetryAfter = time.Second
+)
+
+// Client is the HTTP adapter of the weight store. It implements Store.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+var _ Store = (*Client)(nil)
+
+// NewClient returns an adapter for the weight store at baseURL.
+func NewClient(baseURL string, c *http.Client) *Client {
+	return &Client{base: strings.TrimRight(baseURL, "/"), http: c}
+}
+
+// Fetch reads the manifest of a version.
+func (c *Client) Fetch(ctx context.Context, model, version string) (Manifest, error) {
+	address := c.base + "/weights/" + url.PathEscape(model) + "/" + url.PathEscape(version)
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
+	if err != nil {
+		return Manifest{}, fault.Wrap(err, fault.PlatformUnavailable, "address of the weight store is malformed")
+	}
+	response, err := c.http.Do(q)
+	if err != nil {
+		return Manifest{}, fault.Wrap(err, fault.PlatformUnavailable, "weight store did not answer")
+	}
+	defer response.Body.Close()
+	switch response.StatusCode {
+	case http.StatusOK:
+		var m Manifest
+		if err := json.NewDecoder(io.LimitReader(response.Body, maxManifestBytes)).Decode(&m); err != nil {
+			return Manifest{}, fault.Wrap(err, fault.PlatformUnavailable, "manifest does not parse")
+		}
+		return m, nil
+	case http.StatusNotFound:
+		return Manifest{}, fault.New(fault.NotFound, "weight store has no %s version %s", model, version)
+	case http.StatusTooManyRequests:
+		return Manifest{}, fault.New(fault.RateLimited, "weight store is over its rate").WithRetryAfter(retryAfter(response.Header))
+	default:
+		return Manifest{}, fault.New(fault.PlatformUnavailable, "weight store answered with status %d", response.StatusCode)
+	}
+}
+
+func retryAfter(h http.Header) time.Duration {
+	d, err := time.ParseDuration(h.Get(fault.HeaderRetryAfter) + "s")
+	if err != nil || d <= 0 {
+		return defaultRetryAfter
+	}
+	return d
+}
