--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -47,8 +47,8 @@
 	// DrainBound is the time that a graceful shutdown waits for running requests. Effect: streams
 	// still running afterwards are ended with a typed error. Default: 10m. Unit: duration.
 	DrainBound config.Duration `yaml:"drain_bound,omitempty" min:"1s" max:"24h"`
-	// LogLevel is the least severe level that is logged. Effect: debug also logs every placement
-	// decision. Default: info. Unit: one of debug, info, warn, error.
+	// LogLevel is the least severe level that is logged. Effect: less severe records are dropped.
+	// Default: info. Unit: none.
 	LogLevel string `yaml:"log_level,omitempty" oneof:"debug,info,warn,error"`
 }
 
