--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -33,6 +33,11 @@
 // shared with the other requests of the batch.
 const outputCost = 4.0
 
+// burstCredit is the engine time that a workspace may use ahead of the others after it used less
+// than its share. It covers the bursts of random arrivals; a longer credit would let a flood start
+// at the cost of the others.
+const burstCredit = 2 * time.Second
+
 // abandonPenalty moves a ticket back in its workspace's order by this time when its caller is
 // certainly gone, and proportionally less when the caller may have left.
 const abandonPenalty = 2 * time.Second
@@ -120,11 +125,22 @@
 func (q *Queue) add(t *Ticket) {
 	q.nextSeq++
 	t.seq = q.nextSeq
-	t.start = max(q.virtual, q.finish[t.Workspace])
+	t.start = q.startOf(t)
 	q.finish[t.Workspace] = t.start + t.cost()/float64(t.Weight)
 	q.waiting = append(q.waiting, t)
 }
 
+// startOf returns the virtual start time of a new ticket. A workspace that used less than its share
+// keeps a bounded credit, so that its short bursts pass the backlog of a workspace that uses more.
+func (q *Queue) startOf(t *Ticket) float64 {
+	credit := q.rates.Prefill() * burstCredit.Seconds()
+	finish, ok := q.finish[t.Workspace]
+	if !ok {
+		return q.virtual - credit
+	}
+	return max(q.virtual-credit, finish)
+}
+
 func (t *Ticket) cost() float64 {
 	return float64(t.MissingTokens) + outputCost*float64(t.OutputTokens) + 1
 }
@@ -308,8 +324,9 @@
 	if len(q.waiting) > 0 {
 		return
 	}
+	credit := q.rates.Prefill() * burstCredit.Seconds()
 	for w, f := range q.finish {
-		if f <= q.virtual {
+		if f <= q.virtual-credit {
 			delete(q.finish, w)
 		}
 	}
--- a/pkg/admission/slots.go
+++ b/pkg/admission/slots.go
@@ -122,7 +122,7 @@
 // Predict returns the expected time to first token of a ticket that arrives now. Work of
 // workspaces that fair queueing puts behind the ticket is not counted.
 func (q *Queue) Predict(now time.Time, t *Ticket) time.Duration {
-	start := max(q.virtual, q.finish[t.Workspace])
+	start := q.startOf(t)
 	ahead := q.prefillingTokens()
 	count := 0
 	for _, w := range q.waiting {
