--- /dev/null
+++ b/pkg/bench/result.go
@@ -0,0 +1,164 @@
+package bench
+
+import (
+	"math"
+	"time"
+
+	"cassiawall.example/cassiawall/pkg/fault"
+)
+
+// Result is the outcome of a bench.
+type Result struct {
+	Profile  string                  `json:"profile"`
+	Seed     uint64                  `json:"seed"`
+	Duration string                  `json:"duration"`
+	Load     float64                 `json:"load"`
+	Faults   []string                `json:"faults"`
+	Policies map[string]PolicyResult `json:"policies"`
+	Limit    Limit                   `json:"limit"`
+}
+
+// PolicyResult holds the figures of one policy. Shares are between 0 and 1.
+type PolicyResult struct {
+	Requests  int `json:"requests"`
+	Complete  int `json:"complete"`
+	Abandoned int `json:"abandoned"`
+	// Refused counts requests that were refused and not run, Errors other failures.
+	Refused int `json:"refused"`
+	Errors  int `json:"errors"`
+	// Crossed counts complete answers with the text of another request.
+	Crossed int                `json:"crossed"`
+	Kinds   map[fault.Kind]int `json:"kinds,omitempty"`
+	// TTFT is over the callers who stay until the answer ends.
+	TTFT Quantiles `json:"ttft_ms"`
+	// PrefixHitRate is the share of prompt tokens that came from a cache.
+	PrefixHitRate float64 `json:"prefix_hit_rate"`
+	// WastedTokensShare is the share of engine tokens spent on requests that did not end whole.
+	WastedTokensShare float64 `json:"wasted_tokens_share"`
+	// WastedAbandonedShare is the share spent after the caller had left.
+	WastedAbandonedShare float64 `json:"wasted_abandoned_share"`
+	// RecomputedShare is the share of prompt tokens that an engine computed although some
+	// engine of the pool had computed them before.
+	RecomputedShare float64 `json:"recomputed_share"`
+	// EngineLoad is the mean load of the engines and EngineLoadCV its coefficient of variation.
+	EngineLoad   float64 `json:"engine_load"`
+	EngineLoadCV float64 `json:"engine_load_cv"`
+	// HitRateAfterFault is the hit rate in the 5 s after the last fault relative to the 5 s
+	// before it, or 0 without a fault at a point in time.
+	HitRateAfterFault float64  `json:"hit_rate_after_fault,omitempty"`
+	Samples           []Sample `json:"samples"`
+
+	bars []histogramBar
+}
+
+// histogramBar is one bar of the TTFT distribution.
+type histogramBar struct{ fromMS, toMS, share float64 }
+
+func (r *policyRun) result(faultAt time.Duration) PolicyResult {
+	now := r.figures()
+	f := now.minus(&r.before)
+	spent := f.computed + f.decoded
+	mean, cv := loadOf(f.work, r.active.Seconds())
+	out := PolicyResult{
+		Requests:             r.counts.requests,
+		Complete:             r.counts.complete,
+		Abandoned:            r.counts.abandoned,
+		Refused:              r.counts.refused,
+		Errors:               r.counts.errors,
+		Crossed:              r.counts.crossed,
+		Kinds:                r.counts.kinds,
+		TTFT:                 quantilesOf(r.ttft),
+		PrefixHitRate:        ratio(f.reused, f.reused+f.computed),
+		WastedTokensShare:    ratio(f.cancelled, spent),
+		WastedAbandonedShare: ratio(f.ledger.AfterAbandonment, f.ledger.Total),
+		RecomputedShare:      ratio(f.ledger.Recomputed, int64(f.reused+f.computed)),
+		EngineLoad:           mean,
+		EngineLoadCV:         cv,
+		Samples:              r.samples,
+		bars:                 r.bars(),
+	}
+	if faultAt > 0 {
+		out.HitRateAfterFault = hitRateChange(r.samples, faultAt)
+	}
+	return out
+}
+
+func (f *figures) minus(earlier *figures) figures {
+	out := figures{
+		computed:  f.computed - earlier.computed,
+		reused:    f.reused - earlier.reused,
+		decoded:   f.decoded - earlier.decoded,
+		cancelled: f.cancelled - earlier.cancelled,
+	}
+	out.ledger.Total = f.ledger.Total - earlier.ledger.Total
+	out.ledger.Recomputed = f.ledger.Recomputed - earlier.ledger.Recomputed
+	out.ledger.AfterAbandonment = f.ledger.AfterAbandonment - earlier.ledger.AfterAbandonment
+	for i, w := range f.work {
+		if i < len(earlier.work) {
+			w -= earlier.work[i]
+		}
+		out.work = append(out.work, w)
+	}
+	return out
+}
+
+// loadOf returns the mean load of engines over a time in seconds and its coefficient of
+// variation.
+func loadOf(work []float64, seconds float64) (mean, cv float64) {
+	if len(work) == 0 || seconds == 0 {
+		return 0, 0
+	}
+	sum := 0.0
+	for _, w := range work {
+		sum += w / seconds
+	}
+	mean = sum / float64(len(work))
+	squares := 0.0
+	for _, w := range work {
+		squares += (w/seconds - mean) * (w/seconds - mean)
+	}
+	return mean, ratio(math.Sqrt(squares/float64(len(work))), mean)
+}
+
+// faultWindow is the time before and after a fault over which hit rates are compared.
+const faultWindow = 5 * time.Second
+
+// hitRateChange returns the hit rate in the window after a time relative to the one before.
+func hitRateChange(samples []Sample, at time.Duration) float64 {
+	var before, after Sample
+	for i := range samples {
+		s := &samples[i]
+		switch {
+		case s.At > at-faultWindow && s.At <= at:
+			before.Reused += s.Reused
+			before.Computed += s.Computed
+		case s.At > at && s.At <= at+faultWindow:
+			after.Reused += s.Reused
+			after.Computed += s.Computed
+		}
+	}
+	return ratio(after.HitRate(), before.HitRate())
+}
+
+// bars returns the TTFT distribution in logarithmic bars.
+func (r *policyRun) bars() []histogramBar {
+	const base = 1.25
+	var bars []histogramBar
+	total := float64(r.ttft.TotalCount())
+	it := r.ttft.LogarithmicBuckets()
+	_ = it
+	for from := 1.0; from < 100_000; from *= base {
+		to := from * base
+		n := 0.0
+		for _, b := range r.ttft.Distribution() {
+			ms := float64(b.From) / 1000
+			if ms >= from && ms < to {
+				n += float64(b.Count)
+			}
+		}
+		if total > 0 {
+			bars = append(bars, histogramBar{fromMS: from, toMS: to, share: n / total})
+		}
+	}
+	return bars
+}
--- a/pkg/standin/engine/config.go
+++ b/pkg/standin/engine/config.go
@@ -93,7 +93,7 @@
 	setDefault(&c.LoadLag, 250*time.Millisecond)
 	setDefault(&c.DetachGrace, 2*time.Second)
 	if c.Loader == nil {
-		c.Loader = NewLoader(1, defaultLoadTime)
+		c.Loader = NewLoader(1, LoadTime)
 	}
 	if c.Logger == nil {
 		c.Logger = slog.New(slog.DiscardHandler)
--- /dev/null
+++ b/pkg/standin/engine/idle.go
@@ -0,0 +1,34 @@
+package enginestandin
+
+import "time"
+
+// IdleTTFT returns the time from arrival to first token of a request on an engine that runs
+// nothing else and must compute the given number of prompt tokens. Zero fields of c mean the
+// defaults. Network time is not included.
+func (c Config) IdleTTFT(computed int) time.Duration {
+	c = c.withDefaults()
+	b := &batch{config: &c, cache: newBlockCache(computed, func(cacheChange, uint64) {})}
+	s := &sequence{
+		pieces:      []piece{{tokens: max(1, computed)}},
+		answer:      newAnswer("", 0, 1),
+		chunkTokens: 1,
+		wake:        make(chan struct{}, 1),
+	}
+	b.waiting = waitingQueue{s}
+	var sum time.Duration
+	for len(s.out) == 0 {
+		work, d := b.plan(time.Time{})
+		b.apply(work, time.Time{}, nil)
+		sum += d
+	}
+	return sum
+}
+
+// Work returns the engine time that prefill and decode of the given tokens take in a full batch.
+// The ratio of work to wall time is the load of an engine.
+func (c Config) Work(computed, decoded int) time.Duration {
+	c = c.withDefaults()
+	prefill := float64(computed) / c.PrefillTokensPerSecond * float64(time.Second)
+	token := c.StepTime/time.Duration(c.MaxBatch) + c.DecodeTime
+	return time.Duration(prefill) + time.Duration(decoded)*token
+}
--- a/pkg/standin/engine/loader.go
+++ b/pkg/standin/engine/loader.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// defaultLoadTime is the platform's time to load weights when few engines load at once.
-const defaultLoadTime = 500 * time.Millisecond
+// LoadTime is the platform's time to load weights when few engines load at once.
+const LoadTime = 500 * time.Millisecond
 
 // Loader models the weight loading of a pool: more loads at once than the limit slow down.
 type Loader struct {
