--- a/pkg/bench/limit.go
+++ b/pkg/bench/limit.go
@@ -52,8 +52,8 @@
 // pieces cuts a request as an entry node does.
 func (t *trace) pieces(a *arrival) []prefix.Piece {
 	var segments []prefix.Segment
-	for i, text := range t.messages(a) {
-		s := prefix.Segment{Text: text}
+	for i, m := range t.messages(a) {
+		s := prefix.Segment{Text: m.Text()}
 		if i < levels {
 			s.Level = t.profile.Levels[i].Name
 		}
--- a/pkg/bench/result.go
+++ b/pkg/bench/result.go
@@ -41,8 +41,9 @@
 	// engine of the pool had computed them before.
 	RecomputedShare float64 `json:"recomputed_share"`
 	// EngineLoad is the mean load of the engines and EngineLoadCV its coefficient of variation.
-	EngineLoad   float64 `json:"engine_load"`
-	EngineLoadCV float64 `json:"engine_load_cv"`
+	EngineLoad   float64   `json:"engine_load"`
+	EngineLoadCV float64   `json:"engine_load_cv"`
+	EngineLoads  []float64 `json:"engine_loads"`
 	// HitRateAfterFault is the hit rate in the 5 s after the last fault relative to the 5 s
 	// before it, or 0 without a fault at a point in time.
 	HitRateAfterFault float64  `json:"hit_rate_after_fault,omitempty"`
@@ -58,7 +59,8 @@
 	now := r.figures()
 	f := now.minus(&r.before)
 	spent := f.computed + f.decoded
-	mean, cv := loadOf(f.work, r.active.Seconds())
+	loads := loadsOf(f.work, r.active.Seconds())
+	mean, cv := spread(loads)
 	out := PolicyResult{
 		Requests:             r.counts.requests,
 		Complete:             r.counts.complete,
@@ -74,6 +76,7 @@
 		RecomputedShare:      ratio(f.ledger.Recomputed, int64(f.reused+f.computed)),
 		EngineLoad:           mean,
 		EngineLoadCV:         cv,
+		EngineLoads:          loads,
 		Samples:              r.samples,
 		bars:                 r.bars(),
 	}
@@ -102,22 +105,28 @@
 	return out
 }
 
-// loadOf returns the mean load of engines over a time in seconds and its coefficient of
-// variation.
-func loadOf(work []float64, seconds float64) (mean, cv float64) {
-	if len(work) == 0 || seconds == 0 {
+// loadsOf returns the loads of engines that worked for some seconds out of a time.
+func loadsOf(work []float64, seconds float64) []float64 {
+	loads := make([]float64, len(work))
+	for i, w := range work {
+		loads[i] = ratio(w, seconds)
+	}
+	return loads
+}
+
+// spread returns the mean and the coefficient of variation.
+func spread(values []float64) (mean, cv float64) {
+	if len(values) == 0 {
 		return 0, 0
 	}
-	sum := 0.0
-	for _, w := range work {
-		sum += w / seconds
+	for _, v := range values {
+		mean += v / float64(len(values))
 	}
-	mean = sum / float64(len(work))
 	squares := 0.0
-	for _, w := range work {
-		squares += (w/seconds - mean) * (w/seconds - mean)
+	for _, v := range values {
+		squares += (v - mean) * (v - mean)
 	}
-	return mean, ratio(math.Sqrt(squares/float64(len(work))), mean)
+	return mean, ratio(math.Sqrt(squares/float64(len(values))), mean)
 }
 
 // faultWindow is the time before and after a fault over which hit rates are compared.
@@ -140,25 +149,26 @@
 	return ratio(after.HitRate(), before.HitRate())
 }
 
+// barRatio is the ratio of the ends of a bar in the TTFT distribution, and firstBar the end of
+// the first one.
+const (
+	barRatio = 1.25
+	firstBar = time.Millisecond
+)
+
 // bars returns the TTFT distribution in logarithmic bars.
 func (r *policyRun) bars() []histogramBar {
-	const base = 1.25
 	var bars []histogramBar
-	total := float64(r.ttft.TotalCount())
-	it := r.ttft.LogarithmicBuckets()
-	_ = it
-	for from := 1.0; from < 100_000; from *= base {
-		to := from * base
-		n := 0.0
-		for _, b := range r.ttft.Distribution() {
-			ms := float64(b.From) / 1000
-			if ms >= from && ms < to {
-				n += float64(b.Count)
-			}
-		}
-		if total > 0 {
-			bars = append(bars, histogramBar{fromMS: from, toMS: to, share: n / total})
+	total := r.ttft.TotalCount()
+	limit := float64(firstBar.Microseconds())
+	bar := histogramBar{toMS: limit / 1000}
+	for _, b := range r.ttft.Distribution() {
+		for float64(b.From) >= limit {
+			bars = append(bars, bar)
+			limit *= barRatio
+			bar = histogramBar{fromMS: bar.toMS, toMS: limit / 1000}
 		}
+		bar.share += ratio(b.Count, total)
 	}
-	return bars
+	return append(bars, bar)
 }
--- a/pkg/bench/run.go
+++ b/pkg/bench/run.go
@@ -132,14 +132,14 @@
 }
 
 // request sends one request as its caller does and notes what the caller saw.
-func (r *policyRun) request(ctx context.Context, a *arrival, messages []string) {
+func (r *policyRun) request(ctx context.Context, a *arrival, messages []openai.Message) {
 	limit := requestTimeout
 	if a.patience > 0 {
 		limit = a.patience
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	text := prompt(messages)
+	text := openai.ChatText(messages)
 	if a.patience > 0 {
 		stop := context.AfterFunc(ctx, func() { r.ledger.Abandon(text) })
 		defer stop()
@@ -153,16 +153,14 @@
 
 // send tries the nodes in the order of the load balancer, which passes over nodes that refuse
 // connections.
-func (r *policyRun) send(ctx context.Context, a *arrival, messages []string) loadgen.Result {
+func (r *policyRun) send(ctx context.Context, a *arrival, messages []openai.Message) loadgen.Result {
 	chat := &loadgen.Chat{
 		APIKey:    apiKey(a.workspace),
 		Caller:    fmt.Sprintf("caller-%v", a.path),
 		Model:     r.trace.profile.Model,
 		MaxTokens: a.maxTokens,
 		Seed:      a.seed,
-	}
-	for _, m := range messages {
-		chat.Messages = append(chat.Messages, openai.Message{Role: "user", Content: openai.Content(m)})
+		Messages:  messages,
 	}
 	nodes := r.fleet.Nodes()
 	var result loadgen.Result
--- a/pkg/bench/trace.go
+++ b/pkg/bench/trace.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"cassiawall.example/cassiawall/pkg/openai"
 )
 
 // arrival is one request of a trace. All policies see the same arrivals.
@@ -27,7 +29,8 @@
 type trace struct {
 	profile  *Profile
 	arrivals []arrival
-	texts    map[string]string
+	// messagesByName caches the messages that requests share.
+	messagesByName map[string]openai.Message
 }
 
 // traceOptions sets the length of a trace and when its hot set shifts.
@@ -42,7 +45,7 @@
 // newTrace draws a trace. Equal options give equal traces.
 func newTrace(p *Profile, o traceOptions) *trace {
 	g := &generator{
-		trace:   &trace{profile: p, texts: map[string]string{}},
+		trace:   &trace{profile: p, messagesByName: map[string]openai.Message{}},
 		options: o,
 		random:  rand.New(rand.NewPCG(o.seed, 0x62656e6368)),
 	}
@@ -118,28 +121,31 @@
 	return rank % l.Count
 }
 
-// messages returns the texts of a request: one per level and the caller's own question, which
+// messages returns the chat of a request: a message per level and the caller's own question, which
 // makes the prompt unique in its trace.
-func (t *trace) messages(a *arrival) []string {
-	out := make([]string, 0, levels+1)
+func (t *trace) messages(a *arrival) []openai.Message {
+	out := make([]openai.Message, 0, levels+1)
 	name := fmt.Sprintf("w%d", a.workspace)
 	for i, l := range t.profile.Levels {
 		name = fmt.Sprintf("%s %s%d", name, l.Name, a.path[i])
-		out = append(out, t.textOf(name, l.Tokens))
+		out = append(out, t.message(name, l.Tokens))
 	}
-	return append(out, fmt.Sprintf("ask %06d.", a.number))
+	question := fmt.Sprintf("ask %06d.", a.number)
+	return append(out, openai.Message{Role: role, Content: openai.Content(question)})
 }
 
-// textOf returns the text with a name, which starts with the name and has the given size.
-func (t *trace) textOf(name string, tokens int) string {
-	if text, ok := t.texts[name]; ok {
-		return text
+// role is the role of all messages.
+const role = "user"
+
+// message returns the message with a name. Its text as an engine sees it has the given size.
+func (t *trace) message(name string, tokens int) openai.Message {
+	if m, ok := t.messagesByName[name]; ok {
+		return m
 	}
-	size := int(float64(tokens) * bytesPerToken)
+	empty := openai.Message{Role: role}
+	size := int(float64(tokens)*bytesPerToken) - len(empty.Text())
 	text := strings.Repeat(name+" ", size/(len(name)+1)+1)[:size]
-	t.texts[name] = text
-	return text
+	m := openai.Message{Role: role, Content: openai.Content(text)}
+	t.messagesByName[name] = m
+	return m
 }
-
-// prompt returns the text that an engine sees for messages.
-func prompt(messages []string) string { return strings.Join(messages, "") }
--- /dev/null
+++ b/pkg/cli/bench.go
@@ -0,0 +1,93 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"cassiawall.example/cassiawall/pkg/bench"
+	"cassiawall.example/cassiawall/pkg/fault"
+)
+
+type benchCommand struct {
+	Profile  string        `long:"profile" description:"Deployment to model" choice:"kilele" choice:"tuul" default:"kilele"`
+	Policy   string        `long:"policy" description:"Policies to compare, separated by commas" default:"cassiawall,round-robin,least-loaded,consistent-hash"`
+	Seed     uint64        `long:"seed" description:"Seed of the arrivals" default:"1"`
+	Duration time.Duration `long:"duration" description:"Measured time per policy" default:"40s"`
+	Load     float64       `long:"load" description:"Factor on the profile's rate of arrivals" default:"1"`
+	Nodes    int           `long:"nodes" description:"Number of nodes; 0 means the profile's own" default:"0"`
+	Fault    []string      `long:"fault" description:"Add a fault: engine-crash, event-gaps, load-lag, herd-restart or objects-outage; may be repeated or separated by commas"`
+	JSON     bool          `long:"json" description:"Print the result as JSON"`
+	Report   string        `long:"report" description:"Write a report with plots to this HTML file" value-name:"FILE"`
+	streams  streams
+}
+
+// Execute runs the bench. Results of a run that failed half-way are not printed.
+func (c *benchCommand) Execute([]string) error {
+	options, err := c.options()
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	result, err := bench.Run(ctx, options)
+	if err != nil {
+		return err
+	}
+	if err := c.writeReport(result); err != nil {
+		return err
+	}
+	if c.JSON {
+		return printJSON(c.streams.out, result)
+	}
+	return bench.WriteTable(c.streams.out, result)
+}
+
+func (c *benchCommand) options() (bench.Options, error) {
+	profile, err := bench.ProfileByName(c.Profile)
+	if err != nil {
+		return bench.Options{}, err
+	}
+	if c.Nodes > 0 {
+		profile.Nodes = c.Nodes
+	}
+	return bench.Options{
+		Profile:  profile,
+		Policies: splitList([]string{c.Policy}),
+		Seed:     c.Seed,
+		Duration: c.Duration,
+		Load:     c.Load,
+		Faults:   splitList(c.Fault),
+		Progress: c.streams.err,
+		Logger:   slog.New(slog.DiscardHandler),
+	}, nil
+}
+
+// splitList splits values at commas and drops empty parts.
+func splitList(values []string) []string {
+	parts := []string{}
+	for _, v := range values {
+		for _, part := range strings.Split(v, ",") {
+			if part = strings.TrimSpace(part); part != "" {
+				parts = append(parts, part)
+			}
+		}
+	}
+	return parts
+}
+
+func (c *benchCommand) writeReport(result bench.Result) error {
+	if c.Report == "" {
+		return nil
+	}
+	file, err := os.Create(c.Report)
+	if err != nil {
+		return fault.Wrap(err, fault.BadRequest, "cannot write %s", c.Report)
+	}
+	return errors.Join(bench.WriteReport(file, result), file.Close())
+}
--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -84,5 +84,6 @@
 		{name: "version", short: "Print the version", long: "Print the version.\n\nExample: cassiawall version --json", data: &versionCommand{streams: s}},
 		checkSpec(s),
 		{name: "demo", short: "Run three nodes and stand-ins on loopback", long: "Run three nodes and stand-ins of the platform on loopback with a mixed load.\n\nExample: cassiawall demo --requests 200 --seed 1 --json", data: &demoCommand{streams: s}},
+		{name: "bench", short: "Compare policies under load", long: "Run the same load against the system and baseline policies on loopback and compare them.\n\nExample: cassiawall bench --profile tuul --duration 40s --report bench.html", data: &benchCommand{streams: s}},
 	}
 }
--- a/pkg/standin/engine/batch.go
+++ b/pkg/standin/engine/batch.go
@@ -101,11 +101,13 @@
 	b.running = append(b.running, s)
 }
 
-// apply books the work of a step that ended at now.
-func (b *batch) apply(work []share, now time.Time, ledger *Ledger) {
+// apply books the work of a step that ended at now. It returns the tokens spent on sequences
+// that ended during the step.
+func (b *batch) apply(work []share, now time.Time, ledger *Ledger) (late Counters) {
 	for _, w := range work {
 		s := w.s
 		if s.ended() {
+			late.addLate(&w, ledger)
 			continue
 		}
 		if w.prefill > 0 {
@@ -119,6 +121,19 @@
 		s.decodeOne(now)
 	}
 	b.retire()
+	return late
+}
+
+// addLate books a share of a step whose sequence was cancelled during the step.
+func (c *Counters) addLate(w *share, ledger *Ledger) {
+	c.ComputedTokens += w.prefill
+	c.CancelledTokens += w.prefill
+	if w.decode {
+		c.DecodedTokens++
+		c.CancelledTokens++
+		ledger.decoded(w.s.mark)
+	}
+	ledger.prefilled(w.s.mark, w.prefill)
 }
 
 // prefill computes n tokens of s and stores the pieces that are complete.
--- a/pkg/standin/engine/batch_test.go
+++ b/pkg/standin/engine/batch_test.go
@@ -190,6 +190,21 @@
 	})
 }
 
+// Guards against free work on a request that is cancelled during a step.
+func TestStepOfCancelledRequestCounts(t *testing.T) {
+	b := newTestBatch(Config{StepPrefillTokens: 100})
+	l := NewLedger()
+	s := sequenceOf("s", 1, 1)
+	s.mark = l.markOf("prompt")
+	b.push(s)
+	work, _ := b.plan(time.Time{})
+	l.Abandon("prompt")
+	s.phase = cancelled
+	late := b.apply(work, time.Time{}, l)
+	assert.Equal(t, Counters{ComputedTokens: 100, CancelledTokens: 100}, late)
+	assert.Equal(t, LedgerTotals{Total: 100, AfterAbandonment: 100}, l.Totals())
+}
+
 // Guards against a ledger that misses work for callers who have left or pieces computed twice.
 func TestLedgerCountsWaste(t *testing.T) {
 	l := NewLedger()
--- a/pkg/standin/engine/config.go
+++ b/pkg/standin/engine/config.go
@@ -38,7 +38,7 @@
 	StepTime time.Duration
 	// PrefillTokensPerSecond is the rate of prefill. Default 20,000.
 	PrefillTokensPerSecond float64
-	// StepPrefillTokens bounds the prefill of one step. Default 2,048.
+	// StepPrefillTokens bounds the prefill of one step. Default 512.
 	StepPrefillTokens int
 	// DecodeTime is what one decoding request adds to a step. Default 0.2 ms.
 	DecodeTime time.Duration
@@ -85,7 +85,7 @@
 	setDefault(&c.BytesPerToken, 4)
 	setDefault(&c.StepTime, 10*time.Millisecond)
 	setDefault(&c.PrefillTokensPerSecond, 20_000)
-	setDefault(&c.StepPrefillTokens, 2048)
+	setDefault(&c.StepPrefillTokens, 512)
 	setDefault(&c.DecodeTime, 200*time.Microsecond)
 	setDefault(&c.ChunkTokens, 8)
 	setDefault(&c.EventDelay, 200*time.Millisecond)
--- a/pkg/standin/engine/engine.go
+++ b/pkg/standin/engine/engine.go
@@ -247,7 +247,10 @@
 	}
 	now := time.Now()
 	e.counters.BusyTime += d
-	e.batch.apply(work, now, e.config.Ledger)
+	late := e.batch.apply(work, now, e.config.Ledger)
+	e.counters.ComputedTokens += late.ComputedTokens
+	e.counters.DecodedTokens += late.DecodedTokens
+	e.counters.CancelledTokens += late.CancelledTokens
 	for _, w := range work {
 		if w.s.phase == finished {
 			e.finish(w.s, finished, now)
