--- a/pkg/claims/claims.go
+++ b/pkg/claims/claims.go
@@ -13,7 +13,7 @@
 	"time"
 	"unicode/utf8"
 
-	"github.com/cespare/xxhash/v2"
+	"cassiawall.example/cassiawall/pkg/rendezvous"
 )
 
 // Limits of claims and journals.
@@ -21,9 +21,13 @@
 	// ShardCount is part of the stored layout: two nodes with different counts would look for
 	// one key in two journals.
 	ShardCount = 256
-	// MaxJournalBytes is the size over which a journal takes no new claims. Outcomes still fit
-	// under the platform's limit of 1 MiB, because they are then recorded without their bodies.
-	MaxJournalBytes = 512 << 10
+	// MaxClaimBytes is the size without outcome bodies over which a journal takes no new claims.
+	// Recorded digests add at most a third, so a full journal stays under 3/4 of the platform's
+	// limit of 1 MiB.
+	MaxClaimBytes = 384 << 10
+	// MaxBodyBytes is the total size of the outcome bodies in a journal. Further outcomes are
+	// recorded as status, size and digest.
+	MaxBodyBytes = 192 << 10
 	// MaxOutcomeBody is the largest body that is recorded for replay. Larger ones are recorded
 	// as size and digest.
 	MaxOutcomeBody = 4 << 10
@@ -36,7 +40,7 @@
 	SendWithin = 30 * time.Second
 
 	maxAttemptBytes     = 64
-	maxContentTypeBytes = 256
+	maxContentTypeBytes = 128
 )
 
 // Key is the SHA-256 of workspace, route and idempotency key.
@@ -67,14 +71,7 @@
 // UsualWriter returns the node that usually writes a shard, by rendezvous hashing, or "" without
 // nodes. Two nodes may disagree: safety rests on the conditional update alone.
 func UsualWriter(shard int, nodes []string) string {
-	best, bestScore := "", uint64(0)
-	for _, node := range nodes {
-		score := xxhash.Sum64String(fmt.Sprintf("%03d/%s", shard, node))
-		if best == "" || score > bestScore || (score == bestScore && node < best) {
-			best, bestScore = node, score
-		}
-	}
-	return best
+	return rendezvous.Best(ObjectName(shard), nodes)
 }
 
 // Verdict is the answer to a claim.
@@ -166,13 +163,6 @@
 	Record *RecordOp
 }
 
-func (o Op) key() Key {
-	if o.Claim != nil {
-		return o.Claim.Key
-	}
-	return o.Record.Key
-}
-
 // Reply answers an Op. Verdict is Granted for a stored outcome.
 type Reply struct {
 	Ticket  uint64
--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
 
 	"github.com/jessevdk/go-flags"
 
@@ -18,14 +19,15 @@
 	exitUsage  = 2
 )
 
-// streams are where a command writes its results and its diagnostics.
+// streams are where a command reads its input and writes its results and its diagnostics.
 type streams struct {
+	in       io.Reader
 	out, err io.Writer
 }
 
 // Run parses args, runs the command and returns the exit code.
 func Run(args []string, stdout, stderr io.Writer) int {
-	s := streams{out: stdout, err: stderr}
+	s := streams{in: os.Stdin, out: stdout, err: stderr}
 	parser, err := newParser(commands(s))
 	if err == nil {
 		_, err = parser.ParseArgs(args)
@@ -83,6 +85,10 @@
 	return []commandSpec{
 		{name: "version", short: "Print the version", long: "Print the version.\n\nExample: cassiawall version --json", data: &versionCommand{streams: s}},
 		checkSpec(s),
+		initSpec(s),
+		statusSpec(s),
+		reportSpec(s),
+		standinSpec(s),
 		{name: "demo", short: "Run three nodes and stand-ins on loopback", long: "Run three nodes and stand-ins of the platform on loopback with a mixed load.\n\nExample: cassiawall demo --requests 200 --seed 1 --json", data: &demoCommand{streams: s}},
 		{name: "bench", short: "Compare policies under load", long: "Run the same load against the system and baseline policies on loopback and compare them.\n\nExample: cassiawall bench --profile tuul --duration 40s --report bench.html", data: &benchCommand{streams: s}},
 	}
