--- a/pkg/demo/run.go
+++ b/pkg/demo/run.go
@@ -8,10 +8,12 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
 	"cassiawall.example/cassiawall/pkg/config"
+	"cassiawall.example/cassiawall/pkg/fault"
 	"cassiawall.example/cassiawall/pkg/loadgen"
 	"cassiawall.example/cassiawall/pkg/localfleet"
 	enginestandin "cassiawall.example/cassiawall/pkg/standin/engine"
@@ -63,7 +65,7 @@
 	startCtx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	fleet, err := localfleet.Start(startCtx, localfleet.Options{
-		Nodes: nodeCount, DataCentres: []string{"dar-a", "dar-b", "dar-c"}, Engines: engines(c, opt.Seed), Config: c, Logger: opt.Logger,
+		Nodes: nodeCount, DataCentres: []string{"dar-a", "dar-b", "dar-c"}, Engines: engines(c, opt.Seed), Config: c, Logger: opt.Logger, Seed: opt.Seed,
 	})
 	if err != nil {
 		return nil, err
@@ -101,11 +103,27 @@
 		if len(w.Models) == 0 {
 			continue
 		}
-		targets = append(targets, target{apiKey: apiKeys[w.Name], model: w.Models[0], words: vocabularies[i%len(vocabularies)]})
+		targets = append(targets, target{apiKey: apiKeys[w.Name], model: w.Models[0], bookingPath: bookingPath(c, w), words: vocabularies[i%len(vocabularies)]})
 	}
 	return targets
 }
 
+// bookingPath returns a path whose calls run at most once, or "".
+func bookingPath(c *config.Config, w *config.Workspace) string {
+	for _, name := range w.Services {
+		service, ok := c.Service(name)
+		if !ok {
+			continue
+		}
+		for _, route := range service.Routes {
+			if route.NonIdempotent && (len(route.Methods) == 0 || slices.Contains(route.Methods, http.MethodPost)) {
+				return route.Path
+			}
+		}
+	}
+	return ""
+}
+
 // CurlLine returns a command that sends one request to the demo.
 func (d *Demo) CurlLine() string {
 	t := d.targets[0]
@@ -153,6 +171,10 @@
 func (d *Demo) perform(ctx context.Context, a *action) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	if a.booking != nil {
+		d.book(ctx, a)
+		return
+	}
 	if a.patience == 0 {
 		d.tally.chatDone(a.chat, d.client(a.node).Stream(ctx, a.chat), false)
 		return
@@ -163,6 +185,34 @@
 	d.tally.chatDone(a.chat, result, patient.Err() != nil)
 }
 
+// book sends a booking, and if the caller repeats it, sends it through another node at the same
+// time.
+func (d *Demo) book(ctx context.Context, a *action) {
+	var calls sync.WaitGroup
+	results := make([]loadgen.Result, 1, 2)
+	if a.repeat {
+		results = results[:2]
+	}
+	for i := range results {
+		calls.Go(func() { results[i] = d.bookOnce(ctx, a, a.node+i) })
+	}
+	calls.Wait()
+	d.tally.bookingDone(results)
+}
+
+// repeatPause is the time after which a caller repeats a booking that is in progress.
+const repeatPause = 50 * time.Millisecond
+
+func (d *Demo) bookOnce(ctx context.Context, a *action, node int) loadgen.Result {
+	for {
+		result := d.client(node).Call(ctx, a.booking)
+		if result.Kind != fault.InProgress || ctx.Err() != nil {
+			return result
+		}
+		pause(ctx, repeatPause)
+	}
+}
+
 func pause(ctx context.Context, span time.Duration) {
 	timer := time.NewTimer(span)
 	defer timer.Stop()
--- a/pkg/demo/tally.go
+++ b/pkg/demo/tally.go
@@ -6,6 +6,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"cassiawall.example/cassiawall/pkg/fault"
 	"cassiawall.example/cassiawall/pkg/loadgen"
 	"cassiawall.example/cassiawall/pkg/localfleet"
 	"cassiawall.example/cassiawall/pkg/openai"
@@ -84,6 +85,34 @@
 	}
 }
 
+// bookingDone counts a booking by the calls that its caller made. It is complete if each call got
+// the service's answer, and crossed if the answers differ.
+func (t *tally) bookingDone(results []loadgen.Result) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sum.Requests++
+	answered, refused := 0, 0
+	for _, r := range results {
+		switch {
+		case r.Complete:
+			answered++
+		case r.Work == fault.NotRun:
+			refused++
+		}
+		if r.Complete && results[0].Complete && r.Text != results[0].Text {
+			t.sum.Crossed++
+		}
+	}
+	switch {
+	case answered == len(results):
+		t.sum.Complete++
+	case answered+refused == len(results):
+		t.sum.Refused++
+	default:
+		t.sum.Errors++
+	}
+}
+
 // report returns the counts so far.
 func (t *tally) report() Report {
 	t.mu.Lock()
@@ -101,6 +130,9 @@
 		wasted += c.CancelledTokens
 		total += c.ComputedTokens + c.DecodedTokens
 	}
+	for _, ledger := range t.fleet.Platform.Services {
+		r.DoubleRuns += ledger.DoubleRuns()
+	}
 	r.PrefixHitRate = share(reused, reused+computed)
 	r.WastedTokensShare = share(wasted, total)
 	return r
--- a/pkg/demo/workload.go
+++ b/pkg/demo/workload.go
@@ -20,12 +20,14 @@
 
 // Shape of the demo's callers.
 const (
-	abandonShare = 0.6
+	// abandonShare of the chats have a limited patience. Some of these answers end earlier, so
+	// about 60% of the requests are abandoned.
+	abandonShare = 0.75
 	// bookingShare is the share of requests that book through the plain service.
 	bookingShare = 0.1
 	// repeatShare is the share of bookings that the caller sends twice, through another node.
 	repeatShare  = 0.5
-	meanPatience = 400 * time.Millisecond
+	meanPatience = 150 * time.Millisecond
 	outerCount   = 3
 	innerCount   = 4
 	leafCount    = 40
--- a/pkg/localfleet/fleet.go
+++ b/pkg/localfleet/fleet.go
@@ -11,6 +11,8 @@
 	"sync"
 	"time"
 
+	"go.yaml.in/yaml/v3"
+
 	"cassiawall.example/cassiawall/pkg/blackboard"
 	"cassiawall.example/cassiawall/pkg/config"
 	"cassiawall.example/cassiawall/pkg/fault"
@@ -18,6 +20,7 @@
 	"cassiawall.example/cassiawall/pkg/routing"
 	"cassiawall.example/cassiawall/pkg/settings"
 	enginestandin "cassiawall.example/cassiawall/pkg/standin/engine"
+	"cassiawall.example/cassiawall/pkg/vms"
 )
 
 // Options describes a fleet.
@@ -32,12 +35,16 @@
 	Config *config.Config
 	// Policy names a baseline policy; empty means the system's own placement.
 	Policy string
+	// Seed starts the random faults of the stand-ins.
+	Seed   uint64
 	Logger *slog.Logger
 }
 
 // Fleet is a running fleet.
 type Fleet struct {
-	Engines []*enginestandin.Engine
+	Engines  []*enginestandin.Engine
+	Platform *Platform
+
 	opt     Options
 	keys    [][]byte
 	flights *routing.Inflight
@@ -54,7 +61,13 @@
 	done     chan error
 }
 
-const loopback = "127.0.0.1:0"
+const (
+	loopback = "127.0.0.1:0"
+	// headerTimeout bounds the reading of a request's headers by the stand-ins.
+	headerTimeout = 10 * time.Second
+	// configObject is the name of the configuration in the object API.
+	configObject = "config/current"
+)
 
 // drainBound is the drain bound of local nodes; their streams last seconds.
 const drainBound = 20 * time.Second
@@ -64,13 +77,18 @@
 	f := &Fleet{opt: opt, flights: routing.NewInflight(), keys: [][]byte{make([]byte, settings.MinPeerKeyBytes)}}
 	// rand.Read never fails on the supported platforms.
 	_, _ = rand.Read(f.keys[0])
-	for _, c := range opt.Engines {
-		e := enginestandin.New(c)
-		f.Engines = append(f.Engines, e)
-		if err := e.Start(); err != nil {
+	var err error
+	if f.Platform, err = startPlatform(opt.Config, opt.DataCentres, opt.Seed); err != nil {
+		return nil, err
+	}
+	for i, c := range opt.Engines {
+		if err := f.startEngine(i, c); err != nil {
 			return nil, errors.Join(err, f.Close())
 		}
 	}
+	if err := f.applyConfig(ctx); err != nil {
+		return nil, errors.Join(err, f.Close())
+	}
 	for i := range opt.Nodes {
 		m := &member{settings: f.nodeSettings(i)}
 		f.members = append(f.members, m)
@@ -81,6 +99,24 @@
 	return f, f.waitReady(ctx)
 }
 
+func (f *Fleet) startEngine(i int, c enginestandin.Config) error {
+	e := enginestandin.New(c)
+	f.Engines = append(f.Engines, e)
+	if err := e.Start(); err != nil {
+		return err
+	}
+	f.Platform.publish(vms.VM{Name: e.ID(), Address: hostPort(e.URL()), DataCentre: f.dataCentre(i), Role: vms.RoleEngine, State: vms.Live})
+	return nil
+}
+
+func (f *Fleet) applyConfig(ctx context.Context) error {
+	document, err := yaml.Marshal(f.opt.Config)
+	if err != nil {
+		return err
+	}
+	return f.Platform.apply(ctx, document)
+}
+
 func (f *Fleet) dataCentre(i int) string { return f.opt.DataCentres[i%len(f.opt.DataCentres)] }
 
 func (f *Fleet) nodeSettings(i int) *settings.Settings {
@@ -89,9 +125,8 @@
 		Name: fmt.Sprintf("node-%d", i+1), DataCentre: f.dataCentre(i), Region: "local",
 		Callers: listener, Peers: listener, Operators: listener, Gossip: settings.Gossip{Address: loopback},
 		DrainBound: config.Duration(drainBound),
-	}
-	for j, e := range f.Engines {
-		s.Engines.Static = append(s.Engines.Static, settings.StaticEngine{ID: e.ID(), Address: e.URL()[len("http://"):], DataCentre: f.dataCentre(j)})
+		Platform:   settings.Platform{Objects: f.Platform.objectsURL, VMs: f.Platform.vmsURL},
+		Engines:    settings.Engines{VMRole: vms.RoleEngine},
 	}
 	return s
 }
@@ -102,6 +137,7 @@
 		return err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
+	m.fixAddresses(n)
 	f.mu.Lock()
 	m.node, m.cancel, m.done = n, cancel, make(chan error, 1)
 	f.mu.Unlock()
@@ -112,6 +148,42 @@
 	return nil
 }
 
+// fixAddresses keeps the node on its addresses over restarts, as a VM's node does.
+func (m *member) fixAddresses(n *node.Node) {
+	m.settings.Callers.Address, m.settings.Peers.Address, m.settings.Operators.Address = n.Addresses()
+}
+
+// Restart stops a node as a crash does and starts it again on the same addresses. It waits until
+// the node is ready or ctx ends.
+func (f *Fleet) Restart(ctx context.Context, i int) error {
+	m := f.members[i]
+	m.cancel()
+	if err := <-m.done; err != nil {
+		return err
+	}
+	if err := f.startNode(m); err != nil {
+		return err
+	}
+	return f.waitNode(ctx, m)
+}
+
+// RestartGracefully drains a node, as a replacement of its VM does, and starts it again on the
+// same addresses.
+func (f *Fleet) RestartGracefully(ctx context.Context, i int) error {
+	m := f.members[i]
+	m.node.Shutdown()
+	if err := <-m.done; err != nil {
+		return err
+	}
+	if err := f.startNode(m); err != nil {
+		return err
+	}
+	return f.waitNode(ctx, m)
+}
+
+// SetObjectsDown starts or ends an outage of the object API.
+func (f *Fleet) SetObjectsDown(down bool) { f.Platform.SetObjectsDown(down) }
+
 // readyPoll is the interval at which waiting calls look again.
 const readyPoll = 5 * time.Millisecond
 
@@ -160,5 +232,8 @@
 	for _, e := range f.Engines {
 		errs = append(errs, e.Close())
 	}
+	if f.Platform != nil {
+		errs = append(errs, f.Platform.close())
+	}
 	return errors.Join(errs...)
 }
--- /dev/null
+++ b/pkg/localfleet/platform.go
@@ -0,0 +1,110 @@
+package localfleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+
+	"cassiawall.example/cassiawall/pkg/config"
+	objectstandin "cassiawall.example/cassiawall/pkg/standin/objects"
+	servicestandin "cassiawall.example/cassiawall/pkg/standin/service"
+	vmstandin "cassiawall.example/cassiawall/pkg/standin/vms"
+	"cassiawall.example/cassiawall/pkg/vms"
+)
+
+// backendsPerService is the number of backend servers of each plain service.
+const backendsPerService = 3
+
+// Platform is the stand-in platform of a fleet.
+type Platform struct {
+	Objects *objectstandin.Store
+	VMs     *vmstandin.List
+	// Services holds the run counts by service.
+	Services map[string]*servicestandin.Ledger
+	// Backends holds the backend servers by service.
+	Backends map[string][]*servicestandin.Server
+
+	objectsURL string
+	vmsURL     string
+	list       []vms.VM
+	servers    []*http.Server
+}
+
+// startPlatform starts the object API, the VM list and the backend servers of the services.
+func startPlatform(c *config.Config, dataCentres []string, seed uint64) (*Platform, error) {
+	p := &Platform{Objects: objectstandin.NewStore(seed), VMs: vmstandin.New(nil),
+		Services: map[string]*servicestandin.Ledger{}, Backends: map[string][]*servicestandin.Server{}}
+	var err error
+	if p.objectsURL, err = p.serve(objectstandin.Handler(p.Objects)); err != nil {
+		return nil, err
+	}
+	if p.vmsURL, err = p.serve(vmstandin.Handler(p.VMs)); err != nil {
+		return nil, errors.Join(err, p.close())
+	}
+	for i := range c.Services {
+		if err := p.startService(c.Services[i].Name, dataCentres, seed); err != nil {
+			return nil, errors.Join(err, p.close())
+		}
+	}
+	return p, nil
+}
+
+func (p *Platform) startService(name string, dataCentres []string, seed uint64) error {
+	ledger := servicestandin.NewLedger()
+	p.Services[name] = ledger
+	for i := range backendsPerService {
+		server := servicestandin.New(ledger, seed+uint64(i))
+		url, err := p.serve(server)
+		if err != nil {
+			return err
+		}
+		p.Backends[name] = append(p.Backends[name], server)
+		p.list = append(p.list, vms.VM{Name: fmt.Sprintf("%s-%d", name, i+1), Address: hostPort(url), Role: vms.RoleService,
+			Service: name, State: vms.Live, DataCentre: dataCentres[i%len(dataCentres)]})
+	}
+	return nil
+}
+
+func (p *Platform) serve(h http.Handler) (url string, err error) {
+	l, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return "", err
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	p.servers = append(p.servers, server)
+	// Serve returns when close closes the server.
+	go func() { _ = server.Serve(l) }()
+	return "http://" + l.Addr().String(), nil
+}
+
+// publish adds VMs to the list and shows it.
+func (p *Platform) publish(list ...vms.VM) {
+	p.list = append(p.list, list...)
+	p.VMs.Set(p.list)
+}
+
+// SetObjectsDown starts or ends an outage of the object API.
+func (p *Platform) SetObjectsDown(down bool) {
+	faults := p.Objects.Faults()
+	faults.Outage = down
+	p.Objects.SetFaults(faults)
+}
+
+func (p *Platform) close() error {
+	var errs []error
+	for _, s := range p.servers {
+		errs = append(errs, s.Close())
+	}
+	return errors.Join(errs...)
+}
+
+// apply stores the configuration as an operator does.
+func (p *Platform) apply(ctx context.Context, document []byte) error {
+	_, err := p.Objects.Put(ctx, configObject, document, 0)
+	return err
+}
+
+func hostPort(url string) string { return strings.TrimPrefix(url, "http://") }
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -3,10 +3,11 @@
 
 import (
 	"context"
-	"crypto/rand"
+	crand "crypto/rand"
 	"encoding/hex"
 	"errors"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -17,6 +18,7 @@
 
 	"cassiawall.example/cassiawall/pkg/blackboard"
 	"cassiawall.example/cassiawall/pkg/burn"
+	"cassiawall.example/cassiawall/pkg/controller/claims"
 	"cassiawall.example/cassiawall/pkg/controller/discovery"
 	"cassiawall.example/cassiawall/pkg/controller/engineview"
 	"cassiawall.example/cassiawall/pkg/controller/owner"
@@ -24,10 +26,12 @@
 	"cassiawall.example/cassiawall/pkg/entry"
 	"cassiawall.example/cassiawall/pkg/event"
 	"cassiawall.example/cassiawall/pkg/metrics"
+	"cassiawall.example/cassiawall/pkg/objects"
 	"cassiawall.example/cassiawall/pkg/peer"
 	"cassiawall.example/cassiawall/pkg/placement"
 	"cassiawall.example/cassiawall/pkg/report"
 	"cassiawall.example/cassiawall/pkg/routing"
+	"cassiawall.example/cassiawall/pkg/service"
 	"cassiawall.example/cassiawall/pkg/settings"
 	"cassiawall.example/cassiawall/pkg/status"
 	"cassiawall.example/cassiawall/pkg/vms"
@@ -65,6 +69,9 @@
 	feeder    *engineview.Feeder
 	auth      *peer.Auth
 	pool      *peer.Pool
+	store     objects.Store
+	claims    *claims.Controller
+	services  *service.Dispatcher
 	recorder  *burn.Recorder
 	report    *report.Collector
 	status    *status.Reporter
@@ -91,9 +98,7 @@
 
 func (n *Node) assemble() error {
 	s := n.opt.Settings
-	n.discovery = discovery.New(discovery.Options{
-		Board: n.board, EngineRole: s.Engines.VMRole, Static: staticEngines(s), Logger: n.opt.Logger, Now: time.Now,
-	})
+	n.connectPlatform()
 	keys, err := keyring(n.opt.PeerKeys)
 	if err != nil {
 		return err
@@ -109,17 +114,38 @@
 	if err != nil {
 		return err
 	}
+	n.claims = claims.New(claims.Options{
+		Node: s.Name, Board: n.board, Store: n.store, Peer: &claimCalls{board: n.board, pool: n.pool}, Metrics: n.metrics, Logger: n.opt.Logger,
+	})
+	n.services = service.New(service.Options{
+		DataCentre: s.DataCentre, Board: n.board, Guard: n.claims, Metrics: n.metrics, Logger: n.opt.Logger, Seed: rand.Uint64(),
+	})
 	n.recorder = burn.NewRecorder(s.Name, time.Now())
 	n.report = report.NewCollector(report.Options{Self: s.Name, Board: n.board, Recorder: n.recorder, Client: n.pool.Client, Now: time.Now})
 	n.status = status.NewReporter(status.Options{Self: s.Name, Board: n.board, Now: time.Now})
 	n.entry, err = entry.New(entry.Options{
 		Board: n.board, Router: router, Logger: n.opt.Logger, Now: time.Now, RequestID: newRequestID,
-		Recorder: &observer{burn: n.recorder, metrics: n.metrics},
-		Engines:  func(address string) engine.Generator { return n.engines.at(address) },
+		Services: n.services, Recorder: &observer{burn: n.recorder, metrics: n.metrics},
+		Engines: func(address string) engine.Generator { return n.engines.at(address) },
 	})
 	return err
 }
 
+// connectPlatform makes the adapters of the platform.
+func (n *Node) connectPlatform() {
+	s := n.opt.Settings
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: platformIdlePerHost, IdleConnTimeout: engineIdleTimeout}}
+	n.store = objects.NewClient(s.Platform.Objects, client)
+	options := discovery.Options{Board: n.board, EngineRole: s.Engines.VMRole, Static: staticEngines(s), Logger: n.opt.Logger, Now: time.Now}
+	if s.Platform.VMs != "" {
+		options.VMs = vms.NewClient(s.Platform.VMs, client)
+	}
+	n.discovery = discovery.New(options)
+}
+
+// platformIdlePerHost is the number of connections to the object API that are kept.
+const platformIdlePerHost = 16
+
 // reporter returns the adapter of an engine, or nil if its address is not known.
 func (n *Node) reporter(id string) engine.Reporter {
 	e, ok := n.board.Engines.Get(id)
@@ -152,13 +178,19 @@
 func newRequestID() string {
 	var id [16]byte
 	// rand.Read never fails on the supported platforms.
-	_, _ = rand.Read(id[:])
+	_, _ = crand.Read(id[:])
 	return hex.EncodeToString(id[:])
 }
 
 // Board returns the node's blackboard.
 func (n *Node) Board() *blackboard.Board { return n.board }
 
+// Addresses returns the bound addresses of the listeners as host:port.
+func (n *Node) Addresses() (callers, peers, operators string) {
+	l := &n.listeners
+	return l.callers.Addr().String(), l.peers.Addr().String(), l.operators.Addr().String()
+}
+
 // CallersURL returns the base URL of the callers' listener.
 func (n *Node) CallersURL() string { return baseURL(&n.opt.Settings.Callers, n.listeners.callers) }
 
@@ -183,6 +215,7 @@
 	group.Go(func() error { return n.discovery.Run(groupCtx) })
 	group.Go(func() error { return n.owner.Run(groupCtx) })
 	group.Go(func() error { return n.feed(groupCtx) })
+	group.Go(func() error { return n.services.Run(groupCtx) })
 	group.Go(func() error { return n.followConfig(groupCtx) })
 	peers := &http.Server{Handler: peer.NewServer(&rpcServer{node: n}, n.auth), ReadHeaderTimeout: headerTimeout}
 	group.Go(func() error { return serve(peers, n.listeners.peers) })
@@ -272,6 +305,7 @@
 	case <-n.stop:
 	}
 	n.drain(ctx, s)
+	n.claims.Close(ctx)
 	return <-served
 }
 
--- a/pkg/node/peers.go
+++ b/pkg/node/peers.go
@@ -7,6 +7,7 @@
 
 	"cassiawall.example/cassiawall/pkg/blackboard"
 	"cassiawall.example/cassiawall/pkg/controller/owner"
+	"cassiawall.example/cassiawall/pkg/fault"
 	"cassiawall.example/cassiawall/pkg/peer"
 	"cassiawall.example/cassiawall/pkg/peer/peerpb"
 )
@@ -34,6 +35,38 @@
 	return o.pool.Client(m.RPCAddress).Release(ctx, r)
 }
 
+// claimCalls reaches the usual writers of claim shards.
+type claimCalls struct {
+	board *blackboard.Board
+	pool  *peer.Pool
+}
+
+// Claim implements claims.Peer.
+func (c *claimCalls) Claim(ctx context.Context, node string, r *peerpb.ClaimRequest) (*peerpb.ClaimReply, error) {
+	client, err := c.client(node)
+	if err != nil {
+		return nil, err
+	}
+	return client.Claim(ctx, r)
+}
+
+// RecordOutcome implements claims.Peer.
+func (c *claimCalls) RecordOutcome(ctx context.Context, node string, r *peerpb.RecordOutcomeRequest) (*peerpb.RecordOutcomeReply, error) {
+	client, err := c.client(node)
+	if err != nil {
+		return nil, err
+	}
+	return client.RecordOutcome(ctx, r)
+}
+
+func (c *claimCalls) client(node string) (peerpb.Peer, error) {
+	m, ok := c.board.Members.Get(node)
+	if !ok {
+		return nil, fault.New(fault.BackendUnavailable, "node %s is not a member", node)
+	}
+	return c.pool.Client(m.Value.RPCAddress), nil
+}
+
 // keyring builds the keys of the fleet from the secrets of the settings, the signing key first.
 // A key's id is taken from its hash, so that the order of two live keys does not matter.
 func keyring(secrets [][]byte) (*peer.Keyring, error) {
@@ -71,3 +104,13 @@
 	document, err := s.node.status.JSON()
 	return &peerpb.StatusReply{Document: document}, err
 }
+
+// Claim implements peerpb.Peer.
+func (s *rpcServer) Claim(ctx context.Context, r *peerpb.ClaimRequest) (*peerpb.ClaimReply, error) {
+	return s.node.claims.Claim(ctx, r)
+}
+
+// RecordOutcome implements peerpb.Peer.
+func (s *rpcServer) RecordOutcome(ctx context.Context, r *peerpb.RecordOutcomeRequest) (*peerpb.RecordOutcomeReply, error) {
+	return s.node.claims.RecordOutcome(ctx, r)
+}
