--- /dev/null
+++ b/pkg/cli/apply_test.go
@@ -0,0 +1,78 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"cassiawall.example/cassiawall/pkg/objects"
+	objectstandin "cassiawall.example/cassiawall/pkg/standin/objects"
+	"cassiawall.example/cassiawall/pkg/status"
+)
+
+// storeDocument stands in for the function of the configuration controller.
+func storeDocument(ctx context.Context, store objects.Store, document []byte, ifVersion uint64) (uint64, error) {
+	return store.Put(ctx, configObject, document, ifVersion)
+}
+
+// applyFixture is an object API and a node whose peers enforce the given versions.
+func applyFixture(t *testing.T, versions ...uint64) (store *objectstandin.Store, run func(wait time.Duration, args ...string) (int, string, string)) {
+	store = objectstandin.NewStore(1)
+	api := httptest.NewServer(objectstandin.Handler(store))
+	t.Cleanup(api.Close)
+	d := status.Document{}
+	for i, v := range versions {
+		d.Nodes = append(d.Nodes, status.Node{Name: string(rune('a' + i)), State: "alive", ConfigVersion: v})
+	}
+	node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(d) }))
+	t.Cleanup(node.Close)
+	return store, func(wait time.Duration, args ...string) (int, string, string) {
+		var out, diagnostics bytes.Buffer
+		s := streams{out: &out, err: &diagnostics}
+		parser, err := newParser([]commandSpec{applySpec(s, storeDocument)})
+		require.NoError(t, err)
+		_, err = parser.ParseArgs(append([]string{"apply", "--objects", api.URL, "--node", node.URL, "--wait", wait.String()}, args...))
+		return s.exitCode(err), out.String(), diagnostics.String()
+	}
+}
+
+const exampleConfiguration = "../../examples/kilele/configuration.yaml"
+
+// Guards against an apply that reports success while a live node enforces an older version.
+func TestApplyNamesNodesBehind(t *testing.T) {
+	_, apply := applyFixture(t, 1, 0)
+	code, out, diagnostics := apply(time.Millisecond, "--json", exampleConfiguration)
+	assert.Equal(t, exitFailed, code)
+	assert.Contains(t, diagnostics, "b (version 0)")
+	var r applyResult
+	require.NoError(t, json.Unmarshal([]byte(out), &r))
+	assert.Equal(t, applyResult{Version: 1, Behind: []string{"b (version 0)"}}, r)
+	_, apply = applyFixture(t, 1, 1)
+	code, out, diagnostics = apply(time.Minute, exampleConfiguration)
+	assert.Equal(t, exitOK, code, diagnostics)
+	assert.Contains(t, out, "in force on all live nodes")
+}
+
+// Guards against an apply that overwrites another operator's change, and one that stores a document
+// which the nodes refuse.
+func TestApplyChangesNothingWhenRefused(t *testing.T) {
+	store, apply := applyFixture(t, 1)
+	code, _, diagnostics := apply(time.Millisecond, writeFile(t, threeErrors))
+	assert.Equal(t, exitUsage, code)
+	assert.Contains(t, diagnostics, "3 problems; nothing was applied")
+	_, err := store.Put(t.Context(), configObject, []byte("other"), 0)
+	require.NoError(t, err)
+	code, _, diagnostics = apply(time.Millisecond, "--if-version", "0", exampleConfiguration)
+	assert.Equal(t, exitFailed, code)
+	assert.Contains(t, diagnostics, "conflict")
+	o, err := store.Get(t.Context(), configObject)
+	require.NoError(t, err)
+	assert.Equal(t, "other", string(o.Value))
+}
--- a/pkg/config/parse_test.go
+++ b/pkg/config/parse_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"strings"
 	"testing"
 
@@ -129,3 +130,17 @@
 		}
 	})
 }
+
+func BenchmarkParse(b *testing.B) {
+	var text strings.Builder
+	text.WriteString("models: [{name: m, weights_version: v1}]\nworkspaces:\n")
+	for i := range 5000 {
+		fmt.Fprintf(&text, "  - {name: w%d, api_key_hashes: [%064x], models: [m], limits: {concurrency: 5, deadline: 3s}}\n", i, i)
+	}
+	b.SetBytes(int64(text.Len()))
+	for b.Loop() {
+		if _, err := Parse([]byte(text.String())); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
