--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -44,4 +44,9 @@
 
 	CertificateLoaded  = define(801, "certificate loaded", slog.LevelInfo, "none")
 	CertificateRefused = define(802, "changed certificate refused", slog.LevelError, "correct the certificate, key and authorities files; the old ones stay in use")
+
+	BackendUnreachable = define(701, "backend server unreachable", slog.LevelWarn, "check the backend server and the network to it")
+	BackendReachable   = define(702, "backend server reachable again", slog.LevelInfo, "none")
+	OutcomeLost        = define(703, "answer to a non-idempotent request lost", slog.LevelWarn, "check the state of the work at the service before ordering it again")
+	AnswerReplayed     = define(704, "answer replayed from the record", slog.LevelInfo, "none")
 )
