--- a/pkg/cli/standin.go
+++ b/pkg/cli/standin.go
@@ -1,16 +1,23 @@
 package cli
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"time"
 
 	"cassiawall.example/cassiawall/pkg/fault"
 	enginestandin "cassiawall.example/cassiawall/pkg/standin/engine"
 	objectstandin "cassiawall.example/cassiawall/pkg/standin/objects"
+	servicestandin "cassiawall.example/cassiawall/pkg/standin/service"
+	vmstandin "cassiawall.example/cassiawall/pkg/standin/vms"
+	weightstandin "cassiawall.example/cassiawall/pkg/standin/weights"
+	"cassiawall.example/cassiawall/pkg/vms"
 )
 
 func standinSpec(s streams) commandSpec {
@@ -30,6 +37,24 @@
 					"Example: cassiawall standin objects --listen 127.0.0.1:9000",
 				data: &standinObjectsCommand{streams: s},
 			},
+			{
+				name: "vms", short: "Run a stand-in for the VM list",
+				long: "Run a stand-in for the VM list. POST /admin/vms replaces the list.\n\n" +
+					"Example: cassiawall standin vms --listen 127.0.0.1:9001 --list vms.json",
+				data: &standinVMsCommand{streams: s},
+			},
+			{
+				name: "weights", short: "Run a stand-in for the weight store",
+				long: "Run a stand-in for the weight store, which has every version and limits its rate.\n\n" +
+					"Example: cassiawall standin weights --listen 127.0.0.1:9002 --fetches-per-second 5",
+				data: &standinWeightsCommand{streams: s},
+			},
+			{
+				name: "service", short: "Run a stand-in for a backend server",
+				long: "Run a stand-in for a backend server of a plain service. GET /admin/runs tells how often each request ran.\n\n" +
+					"Example: cassiawall standin service --listen 127.0.0.1:9200",
+				data: &standinServiceCommand{streams: s},
+			},
 		},
 	}
 }
@@ -78,6 +103,59 @@
 	return serveStandin(c.streams, "object API", c.Listen, objectstandin.Handler(store))
 }
 
+type standinVMsCommand struct {
+	Listen  string        `long:"listen" description:"Address to listen on" default:"127.0.0.1:9001"`
+	List    string        `long:"list" value-name:"FILE" description:"VMs at the start, as a JSON list of name, address, data_centre, role, service and state"`
+	Lag     time.Duration `long:"lag" description:"Age of the state that answers show" default:"0s"`
+	streams streams
+}
+
+// Execute runs the stand-in until it is interrupted.
+func (c *standinVMsCommand) Execute([]string) error {
+	var list []vms.VM
+	if c.List != "" {
+		text, err := os.ReadFile(c.List)
+		if err != nil {
+			return fault.Wrap(err, fault.BadRequest, "cannot read the list of VMs")
+		}
+		decoder := json.NewDecoder(bytes.NewReader(text))
+		decoder.DisallowUnknownFields()
+		if err := decoder.Decode(&list); err != nil {
+			return fault.Wrap(err, fault.BadRequest, "%s is not a JSON list of VMs", c.List)
+		}
+	}
+	store := vmstandin.New(list)
+	store.SetFaults(vmstandin.Faults{Lag: c.Lag})
+	return serveStandin(c.streams, "VM list", c.Listen, vmstandin.Handler(store))
+}
+
+type standinWeightsCommand struct {
+	Listen  string  `long:"listen" description:"Address to listen on" default:"127.0.0.1:9002"`
+	Fetches float64 `long:"fetches-per-second" description:"Rate over which fetches are refused; 0 means no limit" default:"0"`
+	streams streams
+}
+
+// Execute runs the stand-in until it is interrupted.
+func (c *standinWeightsCommand) Execute([]string) error {
+	store := weightstandin.New()
+	store.SetFaults(weightstandin.Faults{FetchesPerSecond: c.Fetches})
+	return serveStandin(c.streams, "weight store", c.Listen, weightstandin.Handler(store))
+}
+
+type standinServiceCommand struct {
+	Listen  string        `long:"listen" description:"Address to listen on" default:"127.0.0.1:9200"`
+	Delay   time.Duration `long:"delay" description:"Time that a request takes" default:"0s"`
+	Seed    uint64        `long:"seed" description:"Seed of random faults" default:"1"`
+	streams streams
+}
+
+// Execute runs the stand-in until it is interrupted.
+func (c *standinServiceCommand) Execute([]string) error {
+	server := servicestandin.New(servicestandin.NewLedger(), c.Seed)
+	server.SetFaults(servicestandin.Faults{Delay: c.Delay})
+	return serveStandin(c.streams, "backend server", c.Listen, server)
+}
+
 // standinHeaderTimeout bounds the reading of a request's headers.
 const standinHeaderTimeout = 10 * time.Second
 
