--- a/pkg/cli/nodeclient.go
+++ b/pkg/cli/nodeclient.go
@@ -70,8 +70,7 @@
 	defer response.Body.Close()
 	body := io.LimitReader(response.Body, maxNodeResponseBytes)
 	if response.StatusCode != http.StatusOK {
-		message, _ := io.ReadAll(io.LimitReader(body, 1<<10))
-		return fault.New(fault.BackendFailed, "the node answers %s: %s", response.Status, strings.TrimSpace(string(message)))
+		return nodeError(response.Status, body)
 	}
 	if err := json.NewDecoder(body).Decode(v); err != nil {
 		return fault.Wrap(err, fault.BackendFailed, "the node's answer is not the expected JSON")
@@ -79,6 +78,19 @@
 	return nil
 }
 
+// maxErrorBytes bounds how much of an error document is read.
+const maxErrorBytes = 16 << 10
+
+// nodeError returns the typed error that a node answered with, or one of kind fault.BackendFailed.
+func nodeError(status string, body io.Reader) error {
+	text, _ := io.ReadAll(io.LimitReader(body, maxErrorBytes))
+	var typed fault.Body
+	if json.Unmarshal(text, &typed) == nil && typed.Error.Kind != "" {
+		return fault.New(typed.Error.Kind, "the node answers: %s", typed.Error.Message)
+	}
+	return fault.New(fault.BackendFailed, "the node answers %s: %s", status, strings.TrimSpace(string(text)))
+}
+
 // interruptible returns a context that ends with the process's interrupt and termination signals.
 func interruptible() (context.Context, context.CancelFunc) {
 	return signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
--- a/pkg/cli/status_test.go
+++ b/pkg/cli/status_test.go
@@ -61,6 +61,15 @@
 	assert.Contains(t, string(text), "<svg")
 }
 
+// Guards against an error document of a node that is printed raw, without kind and remedy.
+func TestNodeErrorIsTyped(t *testing.T) {
+	server := httptest.NewServer(report.NewCollector(report.Options{Board: blackboard.New(), Now: time.Now}))
+	t.Cleanup(server.Close)
+	code, _, diagnostics := run("report", "burn", "--node", server.URL)
+	assert.Equal(t, exitFailed, code)
+	assert.Contains(t, diagnostics, "platform_unavailable: the node answers: no configuration is in force yet; remedy")
+}
+
 // Guards against a silent success when no node answers.
 func TestStatusWithoutNode(t *testing.T) {
 	server := httptest.NewServer(http.NotFoundHandler())
--- a/pkg/report/plot.go
+++ b/pkg/report/plot.go
@@ -66,9 +66,20 @@
 	}
 	if len(names) > 0 {
 		p.NominalX(names...)
+		leaveLegendRoom(p, len(names))
 	}
 }
 
+// legendRoom is the share of the width that is kept free for the legend.
+const legendRoom = 0.25
+
+// leaveLegendRoom widens the axis beyond the last of count positions, because the legend is drawn
+// over the right end of the plot.
+func leaveLegendRoom(p *plot.Plot, count int) {
+	p.X.Min = -0.5
+	p.X.Max = float64(count)*(1+legendRoom) - 0.5
+}
+
 // addBars adds one group of bars, moved aside by a number of bar widths.
 func addBars(p *plot.Plot, name string, values plotter.Values, index int, offset float64) error {
 	if len(values) == 0 {
@@ -151,6 +162,8 @@
 			lines++
 		}
 	}
+	leaveLegendRoom(p, len(labels))
+	p.Y.Min = 0
 	return p, nil
 }
 
