--- /dev/null
+++ b/pkg/controller/owner/choose_test.go
@@ -0,0 +1,130 @@
+package owner
+
+import (
+	"cmp"
+	"context"
+	"math"
+	"slices"
+	"time"
+
+	"cassiawall.example/cassiawall/pkg/controller/engineview"
+	"cassiawall.example/cassiawall/pkg/peer/peerpb"
+	"cassiawall.example/cassiawall/pkg/placement"
+	"cassiawall.example/cassiawall/pkg/prefix"
+	"cassiawall.example/cassiawall/pkg/rendezvous"
+)
+
+type doneFunc func(run *fakeRun, abandoned bool)
+
+func (p *pool) choose(ctx context.Context, id string, entry int, r request, began time.Time) (*fakeEngine, doneFunc) {
+	if p.policy != policyOurs {
+		return p.baseline(r)
+	}
+	p.mu.Lock()
+	placer := p.placers[entry]
+	p.mu.Unlock()
+	q := &placement.Request{Pieces: r.pieces, Model: "m", MaxTokens: p.w.output}
+	attempt := placer.Begin(time.Now(), q)
+	for c, ok := attempt.Next(); ok; c, ok = attempt.Next() {
+		reply := p.ask(ctx, id, placer, c, r, began, uint32(c.DeclineOver.Milliseconds()))
+		if reply == nil {
+			return nil, nil
+		}
+		if reply.GetVerdict() == peerpb.AcquireReply_GRANTED {
+			return p.use(placer, c, r, reply)
+		}
+		if reply.GetVerdict() != peerpb.AcquireReply_DECLINED {
+			continue
+		}
+		attempt.Declined(time.Duration(reply.GetPredictedMs())*time.Millisecond, int(reply.GetCachedPieces()))
+	}
+	p.mu.Lock()
+	p.result.refused++
+	p.mu.Unlock()
+	return nil, nil
+}
+
+func (p *pool) ask(ctx context.Context, id string, placer *placement.Placer, c placement.Candidate, r request, began time.Time, decline uint32) *peerpb.AcquireReply {
+	time.Sleep(time.Millisecond)
+	request := &peerpb.AcquireRequest{RequestId: id, Engine: c.Engine, Workspace: r.workspace, Keys: prefix.Keys(r.pieces),
+		MaxOutputTokens: uint32(p.w.output), DeadlineMs: 30_000, DeclineOverMs: decline, AgeMs: uint32(time.Since(began).Milliseconds())}
+	for _, piece := range r.pieces {
+		request.PieceTokens = append(request.PieceTokens, uint32(piece.Tokens))
+	}
+	placer.Dispatched(c.Engine, c.MissingTokens)
+	reply, err := p.currentOwner().Acquire(ctx, request)
+	if time.Since(p.started) > warmUp+time.Second {
+		p.mu.Lock()
+		p.asks++
+		p.mu.Unlock()
+	}
+	if err != nil {
+		return nil
+	}
+	if reply.GetSummary() == nil {
+		return reply
+	}
+	placer.SetLoad(c.Engine, reply.GetIncarnation(), engineview.LoadOf(reply.GetSummary()))
+	placer.ObserveDepth(time.Now(), c.Engine, reply.GetIncarnation(), r.pieces, int(reply.GetCachedPieces()))
+	return reply
+}
+
+func (p *pool) use(placer *placement.Placer, c placement.Candidate, r request, reply *peerpb.AcquireReply) (*fakeEngine, doneFunc) {
+	i := slices.IndexFunc(p.engines, func(f *fakeEngine) bool { return f.id == c.Engine })
+	return p.engines[i], func(run *fakeRun, abandoned bool) {
+		release := &peerpb.ReleaseRequest{Slot: reply.GetSlot(), Engine: c.Engine, Stage: peerpb.ReleaseRequest_DONE, Abandoned: abandoned}
+		if run != nil {
+			prefill := time.Since(run.started)
+			release.Stage = peerpb.ReleaseRequest_FIRST_TOKEN
+			release.ReusedTokens = uint32(run.reused)
+			release.ComputedTokens = uint32(run.computed)
+			release.PrefillMs = uint32(prefill.Milliseconds())
+			placer.Observe(time.Now(), placement.Feedback{Pieces: r.pieces, Engine: c.Engine, Incarnation: reply.GetIncarnation(),
+				ReusedTokens: run.reused, ComputedTokens: run.computed, PrefillTime: prefill})
+		}
+		time.Sleep(500 * time.Microsecond)
+		done, _ := p.currentOwner().Release(context.Background(), release)
+		if done.GetSummary() == nil {
+			return
+		}
+		placer.SetLoad(c.Engine, done.GetSummary().GetIncarnation(), engineview.LoadOf(done.GetSummary()))
+	}
+}
+
+// baseline chooses with exact knowledge of all requests in flight.
+func (p *pool) baseline(r request) (*fakeEngine, doneFunc) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	order := slices.Clone(p.engines)
+	p.turn++
+	key := r.pieces[p.w.pieces[0]-1].Key
+	bound := math.MaxInt
+	if p.policy == policyHash {
+		total := 1
+		for _, n := range p.inUse {
+			total += n
+		}
+		bound = int(math.Ceil(1.25 * float64(total) / float64(len(order))))
+		slices.SortFunc(order, func(a, b *fakeEngine) int {
+			return cmp.Compare(rendezvous.Score(rendezvous.Hash(b.id), key), rendezvous.Score(rendezvous.Hash(a.id), key))
+		})
+	} else {
+		slices.SortStableFunc(order, func(a, b *fakeEngine) int { return cmp.Compare(p.inUse[a.id], p.inUse[b.id]) })
+	}
+	f := order[0]
+	for _, e := range order {
+		if p.inUse[e.id] < bound {
+			f = e
+			break
+		}
+	}
+	p.inUse[f.id]++
+	return f, func(run *fakeRun, _ bool) {
+		if run != nil {
+			return
+		}
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.inUse[f.id]--
+	}
+}
--- /dev/null
+++ b/pkg/placement/placer_test.go
@@ -0,0 +1,304 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"cassiawall.example/cassiawall/pkg/prefix"
+)
+
+var start = time.Unix(1000, 0)
+
+func requestFor(pieces []prefix.Piece) *Request {
+	return &Request{Pieces: pieces, Model: "m", WeightsVersion: "v1", MaxTokens: 128}
+}
+
+// learned returns a placer that saw a prompt computed on an engine.
+func learned(t *testing.T, engine string) (*Placer, *Request) {
+	p := newTestPlacer(t, 20)
+	r := requestFor(chainOf(1, 1, 1))
+	p.Observe(start, Feedback{Pieces: r.Pieces, Engine: engine, Incarnation: "1", ComputedTokens: 40_000})
+	return p, r
+}
+
+func awayFromHome(t *testing.T, r *Request) string {
+	home, ok := newTestPlacer(t, 20).Home(r)
+	require.True(t, ok)
+	if home.Engine == "e003" {
+		return "e004"
+	}
+	return "e003"
+}
+
+// Guards against a filter that keeps engines which cannot run the request, or drops those that can.
+func TestFilter(t *testing.T) {
+	base := EngineView{ID: "e", Model: "m", WeightsVersion: "v1"}
+	cases := []struct {
+		name   string
+		change func(e *EngineView, r *Request)
+		keep   bool
+	}{
+		{"serving", func(*EngineView, *Request) {}, true},
+		{"unusable", func(e *EngineView, _ *Request) { e.Unusable = true }, false},
+		{"other model", func(e *EngineView, _ *Request) { e.Model = "x" }, false},
+		{"other weights", func(e *EngineView, _ *Request) { e.WeightsVersion = "v0" }, false},
+		{"unknown model", func(e *EngineView, _ *Request) { e.Model, e.WeightsVersion = "", "" }, true},
+		{"excluded", func(_ *EngineView, r *Request) { r.Exclude = []string{"e"} }, false},
+	}
+	for _, tc := range cases {
+		e, r := base, Request{Model: "m", WeightsVersion: "v1"}
+		tc.change(&e, &r)
+		assert.Equal(t, tc.keep, servingFilter{}.Keep(&r, &e), tc.name)
+	}
+}
+
+// Guards against predictions that leave out a part of the wait, and against weights without effect.
+func TestCostScorer(t *testing.T) {
+	base := func() Option {
+		return Option{View: &EngineView{ID: "e", MaxBatch: 4, Load: LoadView{PrefillRate: 10_000}}, TotalTokens: 10_000, CachedTokens: 9_000}
+	}
+	cases := []struct {
+		name    string
+		change  func(o *Option, r *Request)
+		ttft    time.Duration
+		latency float64
+	}{
+		{"prefill of missing tokens", func(*Option, *Request) {}, 100 * time.Millisecond, 100},
+		{"backlog", func(o *Option, _ *Request) { o.View.Load.BacklogTokens = 5000 }, 600 * time.Millisecond, 600},
+		{"own work that no summary shows", func(o *Option, _ *Request) { o.DispatchedTokens = 5000 }, 600 * time.Millisecond, 600},
+		{"full batch", func(o *Option, _ *Request) { o.View.Load.Running = 7; o.View.Load.StepTime = 10 * time.Millisecond }, 1380 * time.Millisecond, 1380},
+		{"network", func(o *Option, _ *Request) { o.View.NetworkTime = time.Millisecond }, 101 * time.Millisecond, 101},
+		{"recompute weight", func(_ *Option, r *Request) { r.Policy.RecomputeWeight = 2 }, 100 * time.Millisecond, 100},
+		{"latency weight", func(_ *Option, r *Request) { r.Policy.LatencyWeight = 2 }, 100 * time.Millisecond, 200},
+		{"later home", func(o *Option, _ *Request) { o.Rank = 2 }, 100 * time.Millisecond, 102},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			o, r := base(), Request{}
+			tc.change(&o, &r)
+			costScorer{}.Score(&r, &o)
+			assert.Equal(t, tc.ttft, o.TTFT)
+			prefill := 100 * (1 + sideCost) * weight(r.Policy.RecomputeWeight)
+			assert.InDelta(t, tc.latency+prefill, o.Cost, 0.01)
+		})
+	}
+}
+
+// Guards against an order of candidates that differs between nodes.
+func TestPickerOrdersByCostThenID(t *testing.T) {
+	option := func(id string, cost float64) Option { return Option{View: &EngineView{ID: id}, Cost: cost} }
+	picked := cheapestPicker{}.Pick([]Option{option("d", 4), option("c", 1), option("a", 2), option("b", 1)})
+	var ids []string
+	for _, o := range picked {
+		ids = append(ids, o.View.ID)
+	}
+	assert.Equal(t, []string{"b", "c", "a"}, ids)
+}
+
+// Guards against a misspelt stage name that silently runs the default.
+func TestStagesByName(t *testing.T) {
+	_, err := New(Options{Scorer: "no-such"})
+	require.Error(t, err)
+	p, err := New(Options{Region: "r", Scorer: "least-loaded"})
+	require.NoError(t, err)
+	busy := views(3)
+	busy[0].Load.Running, busy[2].Load.Running = 5, 5
+	p.SetEngines(busy)
+	assert.Equal(t, "e001", p.Rank(start, requestFor(chainOf(1, 1, 1)))[0].Engine)
+}
+
+// Guards against a restarted node that looks for warm prefixes on other engines than its peers.
+func TestNodesWithoutStateAgree(t *testing.T) {
+	for i := range 50 {
+		r := requestFor(chainOf(i%5, i, i))
+		var first []Candidate
+		for range 3 {
+			p := newTestPlacer(t, 20)
+			got := p.Rank(start, r)
+			if first == nil {
+				first = got
+			}
+			assert.Equal(t, first, got)
+			home, ok := p.Home(r)
+			assert.True(t, ok)
+			assert.Equal(t, first[0].Engine, home.Engine)
+		}
+	}
+}
+
+// Guards against nested prefixes that pile up on one engine or spread their parent over all.
+func TestHomesNestByLevel(t *testing.T) {
+	p := newTestPlacer(t, 20)
+	perEngine := map[string]int{}
+	for outer := range 40 {
+		engines := map[string]bool{}
+		for inner := range 12 {
+			byFamily := map[string]bool{}
+			for family := range 5 {
+				home, _ := p.Home(requestFor(chainOf(outer, inner, family)))
+				engines[home.Engine] = true
+				byFamily[home.Engine] = true
+				perEngine[home.Engine]++
+			}
+			assert.Len(t, byFamily, 1, "families of one timetable share its home")
+		}
+		assert.LessOrEqual(t, len(engines), 7, "a school stays within its fan-out")
+		assert.GreaterOrEqual(t, len(engines), 3, "timetables of a school spread")
+	}
+	for id, n := range perEngine {
+		assert.Less(t, n, 3*40*12*5/20, "engine %s", id)
+	}
+}
+
+// Guards against a hot prefix that overloads its home, and one that keeps its extra homes.
+func TestHotPrefixGainsAndLosesHomes(t *testing.T) {
+	p := newTestPlacer(t, 20)
+	hot := requestFor(chainOf(1, 1, 1))
+	width := func() int {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		h := p.homesOf(p.fleet.groupOf("m", "r"), hot.Pieces)
+		return h.width
+	}
+	cold, _ := p.Home(hot)
+	assert.Equal(t, 1, width())
+	for i := range 400 {
+		r := requestFor(chainOf(2+i%20, i%200, i))
+		if i%4 == 0 {
+			r = hot
+		}
+		p.Observe(start, Feedback{Pieces: r.Pieces, Engine: cold.Engine, Incarnation: "1"})
+	}
+	assert.GreaterOrEqual(t, width(), 5, "a quarter of the load of 20 engines needs five")
+	for i := range 3 * demandHalfEvery {
+		p.Observe(start, Feedback{Pieces: chainOf(2+i%20, i%200, i), Engine: cold.Engine, Incarnation: "1"})
+	}
+	assert.LessOrEqual(t, width(), 2)
+}
+
+// Guards against soft state that outlives the cache it describes.
+func TestSoftMapFollowsIncarnation(t *testing.T) {
+	r := requestFor(chainOf(1, 1, 1))
+	away := awayFromHome(t, r)
+	p, _ := learned(t, away)
+	best := p.Rank(start, r)[0]
+	assert.Equal(t, away, best.Engine)
+	assert.Equal(t, 10, best.CachedPieces)
+	engine, pieces := p.Holder(prefix.Keys(r.Pieces), "other")
+	assert.Equal(t, away, engine)
+	assert.Equal(t, 10, pieces)
+	restarted := views(20)
+	for i := range restarted {
+		if restarted[i].ID == away {
+			restarted[i].Incarnation = "2"
+		}
+	}
+	p.SetEngines(restarted)
+	assert.NotEqual(t, away, p.Rank(start, r)[0].Engine)
+	assert.Empty(t, p.SoftPrefixes(100))
+}
+
+// Guards against a belief that an owner's answer has disproved.
+func TestOwnerAnswerCorrectsSoftMap(t *testing.T) {
+	r := requestFor(chainOf(1, 1, 1))
+	away := awayFromHome(t, r)
+	p, _ := learned(t, away)
+	p.ObserveDepth(start, away, "1", r.Pieces, 2)
+	engine, pieces := p.Holder(prefix.Keys(r.Pieces), "")
+	assert.Equal(t, away, engine)
+	assert.Equal(t, 2, pieces)
+	p.ObserveDepth(start, away, "other incarnation", r.Pieces, 9)
+	_, pieces = p.Holder(prefix.Keys(r.Pieces), "")
+	assert.Equal(t, 2, pieces)
+}
+
+// Guards against a bootstrap that loses prefixes or brings in those of dead engines.
+func TestBootstrap(t *testing.T) {
+	r := requestFor(chainOf(1, 1, 1))
+	away := awayFromHome(t, r)
+	p, _ := learned(t, away)
+	soft := p.SoftPrefixes(100)
+	require.Len(t, soft, 10)
+	soft = append(soft, SoftPrefix{Key: 1, Engine: away, Incarnation: "old", Depth: 1}, SoftPrefix{Key: 2, Engine: "gone"})
+	fresh := newTestPlacer(t, 20)
+	fresh.LoadSoft(start, soft)
+	assert.Equal(t, away, fresh.Rank(start, r)[0].Engine)
+	assert.Len(t, fresh.SoftPrefixes(100), 10)
+	assert.Len(t, fresh.SoftPrefixes(3), 3)
+}
+
+// Guards against a summary that arrives late and replaces a newer one.
+func TestOldLoadsAreIgnored(t *testing.T) {
+	p := newTestPlacer(t, 3)
+	p.SetLoad("e001", "1", LoadView{Owner: "n", Version: 9, Running: 7})
+	p.SetLoad("e001", "1", LoadView{Owner: "n", Version: 8, Running: 1})
+	p.SetEngines(views(3))
+	assert.Equal(t, 7, p.fleet.engines[1].Load.Running)
+	p.Dispatched("e001", 100)
+	p.SetEngines(append(views(3), EngineView{ID: "new", Region: "r", Model: "m"}))
+	assert.Equal(t, 7, p.engine("e001").Load.Running)
+	assert.Equal(t, 100, p.engine("e001").dispatchedTokens)
+	p.SetLoad("e001", "1", LoadView{Owner: "other", Version: 1, Running: 2})
+	assert.Equal(t, 2, p.engine("e001").Load.Running, "versions of two owners do not compare")
+	assert.Zero(t, p.engine("e001").dispatchedTokens)
+}
+
+// Guards against more than three owners, and against a cold answer that is taken although another
+// engine holds the prefix.
+func TestAttemptAsksUntilItFindsThePrefix(t *testing.T) {
+	p := newTestPlacer(t, 20)
+	r := requestFor(chainOf(1, 1, 1))
+	a := p.Begin(start, r)
+	asked := map[string]bool{}
+	var bounds []time.Duration
+	for range 3 {
+		c, ok := a.Next()
+		require.True(t, ok)
+		asked[c.Engine] = true
+		bounds = append(bounds, c.DeclineOver)
+		a.Declined(time.Duration(2+len(asked))*time.Second, 0)
+	}
+	assert.Len(t, asked, 3)
+	assert.Less(t, bounds[0], 2*time.Second, "the first engine is asked for its cache")
+	last, ok := a.Next()
+	require.True(t, ok)
+	assert.Zero(t, last.DeclineOver)
+	assert.Equal(t, a.candidates[0].Engine, last.Engine, "the best answer is taken")
+	_, ok = a.Next()
+	assert.False(t, ok)
+}
+
+// Guards against a pool of one engine, where declining helps nobody, and against none at all.
+func TestAttemptWithFewEngines(t *testing.T) {
+	p := newTestPlacer(t, 1)
+	c, ok := p.Begin(start, requestFor(chainOf(1, 1, 1))).Next()
+	assert.True(t, ok)
+	assert.Zero(t, c.DeclineOver)
+	_, ok = newTestPlacer(t, 0).Begin(start, requestFor(chainOf(1, 1, 1))).Next()
+	assert.False(t, ok)
+	_, ok = p.Begin(start, &Request{Model: "other"}).Next()
+	assert.False(t, ok)
+	_, ok = p.Begin(start, requestFor(nil)).Next()
+	assert.True(t, ok, "a prompt without pieces has no home but can run")
+}
+
+// Guards against requests that wait at overloaded homes while other engines idle.
+func TestOverloadedHomesOpenOtherEngines(t *testing.T) {
+	p := newTestPlacer(t, 20)
+	r := requestFor(chainOf(1, 1, 1))
+	loaded := views(20)
+	for _, c := range p.Rank(start, r) {
+		for i := range loaded {
+			if loaded[i].ID == c.Engine {
+				loaded[i].Load = LoadView{Owner: "n", Version: 2, PrefillRate: 20_000, BacklogTokens: 400_000}
+			}
+		}
+	}
+	p.SetEngines(loaded)
+	best := p.Rank(start, r)[0]
+	assert.Less(t, best.Wait, time.Second, fmt.Sprint(best))
+}
