--- /dev/null
+++ b/pkg/controller/owner/owner_test.go
@@ -0,0 +1,297 @@
+package owner
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"cassiawall.example/cassiawall/pkg/blackboard"
+	"cassiawall.example/cassiawall/pkg/engine"
+	"cassiawall.example/cassiawall/pkg/peer/peerpb"
+)
+
+// bed is one node that owns one engine.
+type bed struct {
+	ctx   context.Context
+	board *blackboard.Board
+	f     *fakeEngine
+	o     *Owner
+}
+
+// inBed runs a test in fake time against an engine that holds keys 1 and 2.
+func inBed(t *testing.T, change func(o *Options), test func(t *testing.T, b *bed)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		b := &bed{ctx: ctx, board: blackboard.New(), f: newFakeEngine("e", 64)}
+		b.f.store([]uint64{1, 2})
+		b.member("n", blackboard.MemberAlive)
+		b.board.Engines.Put("e", blackboard.EngineEntry{ID: "e", DataCentre: "a", Reachable: true}, blackboard.Evidence{})
+		options := Options{Board: b.board, Self: "n", Engines: func(string) engine.Reporter { return b.f }}
+		if change != nil {
+			change(&options)
+		}
+		b.o = New(options)
+		go b.f.run(ctx)
+		go func() { _ = b.o.Run(ctx) }()
+		synctest.Wait()
+		test(t, b)
+		cancel()
+		time.Sleep(time.Minute)
+	})
+}
+
+func (b *bed) member(name string, state blackboard.MemberState) {
+	b.board.Members.Put(name, blackboard.MemberEntry{Name: name, DataCentre: "a", State: state}, blackboard.Evidence{})
+}
+
+func ask(id string, keys ...uint64) *peerpb.AcquireRequest {
+	r := &peerpb.AcquireRequest{RequestId: id, Engine: "e", Workspace: "w", Keys: keys, DeadlineMs: 60_000, MaxOutputTokens: 10}
+	for range keys {
+		r.PieceTokens = append(r.PieceTokens, 4000)
+	}
+	return r
+}
+
+func (b *bed) acquire(t *testing.T, r *peerpb.AcquireRequest) *peerpb.AcquireReply {
+	reply, err := b.o.Acquire(b.ctx, r)
+	require.NoError(t, err)
+	return reply
+}
+
+func (b *bed) release(slot uint64, stage peerpb.ReleaseRequest_Stage, reused uint32) *peerpb.EngineSummary {
+	reply, _ := b.o.Release(b.ctx, &peerpb.ReleaseRequest{Slot: slot, Engine: "e", Stage: stage, ReusedTokens: reused})
+	return reply.GetSummary()
+}
+
+// Guards against an owner that answers before it knows the cache, and against slots that are not
+// freed.
+func TestAcquireAndRelease(t *testing.T) {
+	inBed(t, nil, func(t *testing.T, b *bed) {
+		reply := b.acquire(t, ask("r", 1, 2, 3))
+		assert.Equal(t, peerpb.AcquireReply_GRANTED, reply.GetVerdict())
+		assert.EqualValues(t, 2, reply.GetCachedPieces())
+		assert.EqualValues(t, 200, reply.GetPredictedMs(), "4000 tokens at 20,000 a second")
+		assert.Equal(t, "e-1", reply.GetIncarnation())
+		assert.EqualValues(t, 1, reply.GetSummary().GetRunning())
+		b.release(reply.GetSlot(), peerpb.ReleaseRequest_FIRST_TOKEN, 8000)
+		assert.EqualValues(t, 3, b.acquire(t, ask("r2", 1, 2, 3)).GetCachedPieces())
+		s := b.release(reply.GetSlot(), peerpb.ReleaseRequest_DONE, 0)
+		assert.EqualValues(t, 1, s.GetRunning())
+		assert.Greater(t, s.GetVersion(), reply.GetSummary().GetVersion())
+		other := ask("r3", 1)
+		other.Engine = "unknown"
+		assert.Equal(t, peerpb.AcquireReply_NOT_OWNER, b.acquire(t, other).GetVerdict())
+	})
+}
+
+// Guards against a caller who left but keeps a place in the queue or a slot.
+func TestCancelledAcquireHoldsNothing(t *testing.T) {
+	inBed(t, nil, func(t *testing.T, b *bed) {
+		first := b.acquire(t, ask("first", 10))
+		ctx, cancel := context.WithCancel(b.ctx)
+		var waiting sync.WaitGroup
+		for i := range 5 {
+			waiting.Go(func() {
+				_, err := b.o.Acquire(ctx, ask(fmt.Sprint("gone", i), uint64(100+i)))
+				assert.ErrorIs(t, err, context.Canceled)
+			})
+		}
+		synctest.Wait()
+		assert.EqualValues(t, 5, b.release(first.GetSlot(), peerpb.ReleaseRequest_RENEW, 0).GetQueued())
+		cancel()
+		waiting.Wait()
+		s := b.release(first.GetSlot(), peerpb.ReleaseRequest_DONE, 0)
+		assert.Zero(t, s.GetQueued())
+		assert.Zero(t, s.GetRunning())
+		assert.Zero(t, s.GetBacklogTokens())
+	})
+}
+
+// Guards against concurrent misses of one prefix that each compute it, and against followers that
+// wait forever for a prefill that failed.
+func TestConcurrentMissesShareOnePrefill(t *testing.T) {
+	for _, fails := range []bool{false, true} {
+		inBed(t, nil, func(t *testing.T, b *bed) {
+			first := b.acquire(t, ask("first", 11, 12, 13, 21))
+			var mu sync.Mutex
+			var depths []uint32
+			var followers sync.WaitGroup
+			for i := range 3 {
+				followers.Go(func() {
+					reply := b.acquire(t, ask(fmt.Sprint("f", i), 11, 12, 13, uint64(31+i)))
+					mu.Lock()
+					depths = append(depths, reply.GetCachedPieces())
+					mu.Unlock()
+					b.release(reply.GetSlot(), peerpb.ReleaseRequest_FIRST_TOKEN, reply.GetCachedPieces()*4000)
+				})
+			}
+			synctest.Wait()
+			assert.Empty(t, depths, "the followers wait for the first prefill")
+			if fails {
+				b.release(first.GetSlot(), peerpb.ReleaseRequest_DONE, 0)
+			} else {
+				b.release(first.GetSlot(), peerpb.ReleaseRequest_FIRST_TOKEN, 0)
+			}
+			followers.Wait()
+			want := []uint32{3, 3, 3}
+			if fails {
+				want = []uint32{0, 3, 3}
+			}
+			slices.Sort(depths)
+			assert.Equal(t, want, depths)
+		})
+	}
+}
+
+// Guards against use of cache entries of an engine that has restarted.
+func TestNewIncarnationDropsIndexAndSlots(t *testing.T) {
+	inBed(t, nil, func(t *testing.T, b *bed) {
+		b.acquire(t, ask("r", 1, 2))
+		b.f.crash()
+		time.Sleep(2 * time.Second)
+		reply := b.acquire(t, ask("r2", 1, 2))
+		assert.Zero(t, reply.GetCachedPieces())
+		assert.Equal(t, "e-1+", reply.GetIncarnation())
+		assert.EqualValues(t, 1, reply.GetSummary().GetRunning())
+		entry, _ := b.board.Engines.Get("e")
+		assert.Equal(t, "e-1+", entry.Value.State.Incarnation)
+	})
+}
+
+// Guards against requests that wait at an engine that does not answer, and against an engine that
+// stays excluded after it answers again.
+func TestUnreachableEngine(t *testing.T) {
+	inBed(t, nil, func(t *testing.T, b *bed) {
+		b.acquire(t, ask("r", 10))
+		done := make(chan *peerpb.AcquireReply, 1)
+		go func() { done <- b.acquire(t, ask("waiting", 11)) }()
+		synctest.Wait()
+		b.setDown(true)
+		assert.Equal(t, peerpb.AcquireReply_ENGINE_LEAVING, (<-done).GetVerdict())
+		assert.Equal(t, peerpb.AcquireReply_ENGINE_LEAVING, b.acquire(t, ask("r2", 1)).GetVerdict())
+		entry, _ := b.board.Engines.Get("e")
+		assert.False(t, entry.Value.Reachable)
+		b.setDown(false)
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, peerpb.AcquireReply_GRANTED, b.acquire(t, ask("r3", 1)).GetVerdict())
+		entry, _ = b.board.Engines.Get("e")
+		assert.True(t, entry.Value.Reachable)
+	})
+}
+
+func (b *bed) setDown(down bool) {
+	b.f.mu.Lock()
+	defer b.f.mu.Unlock()
+	b.f.down = down
+}
+
+// Guards against requests that wait at a former owner, and against an owner that keeps a member
+// list of the past.
+func TestHandOff(t *testing.T) {
+	inBed(t, nil, func(t *testing.T, b *bed) {
+		other := ""
+		for i := range 20 {
+			name := fmt.Sprint("m", i)
+			if m, _ := Of("e", "a", []blackboard.MemberEntry{{Name: "n", DataCentre: "a", State: blackboard.MemberAlive},
+				{Name: name, DataCentre: "a", State: blackboard.MemberAlive}}); m.Name == name {
+				other = name
+			}
+		}
+		require.NotEmpty(t, other)
+		b.acquire(t, ask("r", 10))
+		done := make(chan *peerpb.AcquireReply, 1)
+		go func() { done <- b.acquire(t, ask("waiting", 11)) }()
+		synctest.Wait()
+		b.member(other, blackboard.MemberAlive)
+		assert.Equal(t, peerpb.AcquireReply_NOT_OWNER, (<-done).GetVerdict())
+		assert.Empty(t, b.o.Owned())
+		b.member(other, blackboard.MemberSuspect)
+		synctest.Wait()
+		assert.Empty(t, b.o.Owned(), "a suspected member keeps its engines")
+		b.member(other, blackboard.MemberDead)
+		synctest.Wait()
+		assert.EqualValues(t, 2, b.acquire(t, ask("r2", 1, 2, 3)).GetCachedPieces(), "the snapshot is read before the answer")
+	})
+}
+
+// Guards against entries that stay hidden or wrong after events were lost.
+func TestLostEventsAreRepaired(t *testing.T) {
+	inBed(t, nil, func(t *testing.T, b *bed) {
+		b.f.mu.Lock()
+		b.f.lost = 1
+		b.f.store([]uint64{41, 42})
+		b.f.lost = 0
+		b.f.store([]uint64{43})
+		b.f.mu.Unlock()
+		time.Sleep(3 * time.Second)
+		reply := b.acquire(t, ask("r", 41, 42))
+		assert.EqualValues(t, 2, reply.GetCachedPieces())
+		assert.False(t, reply.GetSummary().GetDoubtful())
+	})
+}
+
+// Guards against slots of a lost entry node that block the engine for good.
+func TestSlotsWithoutRenewalExpire(t *testing.T) {
+	inBed(t, nil, func(t *testing.T, b *bed) {
+		reply := b.acquire(t, ask("r", 10))
+		time.Sleep(10 * time.Second)
+		assert.EqualValues(t, 1, b.release(reply.GetSlot(), peerpb.ReleaseRequest_RENEW, 0).GetRunning())
+		time.Sleep(10 * time.Second)
+		assert.EqualValues(t, 1, b.release(0, peerpb.ReleaseRequest_RENEW, 0).GetRunning())
+		time.Sleep(10 * time.Second)
+		assert.Zero(t, b.release(0, peerpb.ReleaseRequest_RENEW, 0).GetRunning())
+	})
+}
+
+// Guards against copies that are slower than prefill.
+func TestCopyFromIsSuggestedWhereFaster(t *testing.T) {
+	cases := []struct {
+		name string
+		rate float64
+		want string
+	}{{"fast copy", 200_000, "other"}, {"slow copy", 30_000, ""}, {"no copies", 0, ""}}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			inBed(t, func(o *Options) {
+				o.Copy = CopyOptions{TokensPerSecond: tc.rate}
+				o.Holder = func([]uint64, string) (string, int) { return "other", 5 }
+			}, func(t *testing.T, b *bed) {
+				assert.Equal(t, tc.want, b.acquire(t, ask("r", 1, 2, 3, 4, 5)).GetCopyFrom())
+			})
+		})
+	}
+}
+
+// Guards against two nodes that choose different owners, and against owners that are not live.
+func TestOf(t *testing.T) {
+	member := func(name, dataCentre string, state blackboard.MemberState) blackboard.MemberEntry {
+		return blackboard.MemberEntry{Name: name, DataCentre: dataCentre, State: state}
+	}
+	draining := member("d", "a", blackboard.MemberAlive)
+	draining.Draining = true
+	cases := []struct {
+		name    string
+		members []blackboard.MemberEntry
+		want    string
+	}{
+		{"own data centre first", []blackboard.MemberEntry{member("x", "b", blackboard.MemberAlive), member("y", "a", blackboard.MemberAlive)}, "y"},
+		{"suspect counts", []blackboard.MemberEntry{member("y", "a", blackboard.MemberSuspect)}, "y"},
+		{"other data centre if none is left", []blackboard.MemberEntry{member("x", "b", blackboard.MemberAlive), member("y", "a", blackboard.MemberDead), draining}, "x"},
+		{"none", []blackboard.MemberEntry{member("y", "a", blackboard.MemberLeft)}, ""},
+	}
+	for _, tc := range cases {
+		m, ok := Of("e", "a", tc.members)
+		assert.Equal(t, tc.want, m.Name, tc.name)
+		assert.Equal(t, tc.want != "", ok)
+		slices.Reverse(tc.members)
+		again, _ := Of("e", "a", tc.members)
+		assert.Equal(t, m.Name, again.Name, "the order of members does not matter")
+	}
+}
