--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -51,8 +51,8 @@
 	// Unit: none.
 	Name string `yaml:"name" required:"true"`
 	// BackendServers are the addresses. Effect: requests go to them; the VM list can add and remove
-	// others. Default: none, required. Unit: host:port.
-	BackendServers []string `yaml:"backend_servers" required:"true"`
+	// others. Default: empty, then all come from the VM list. Unit: host:port.
+	BackendServers []string `yaml:"backend_servers,omitempty"`
 	// Routes are the paths of the service. Effect: the longest matching path wins. Default: none,
 	// required. Unit: none.
 	Routes []Route `yaml:"routes" required:"true"`
