--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -41,6 +41,14 @@
 	JournalDamaged     = define(603, "claim journal damaged", slog.LevelError, "restore the named object; its shard refuses non-idempotent requests until then")
 	JournalFull        = define(604, "claim journal full", slog.LevelWarn, "shorten retry_window of the busiest workspace")
 	OutcomeNotRecorded = define(605, "outcome not recorded", slog.LevelWarn, "none; repeats of the request answer outcome_unknown")
+	LeaseTaken         = define(606, "lease taken", slog.LevelInfo, "none")
+	LeaseLost          = define(607, "lease lost", slog.LevelInfo, "check the load of this VM and the object API if it repeats")
+	OrderRefused       = define(608, "order refused by the engine", slog.LevelWarn, "none; a newer lease holder is at work")
+	OrderFailed        = define(609, "order failed", slog.LevelWarn, "check the engine; the order is repeated")
+	RolloutStarted     = define(610, "rollout started", slog.LevelInfo, "none")
+	RolloutDone        = define(611, "rollout complete", slog.LevelInfo, "none")
+	RolloutStopped     = define(612, "rollout stopped, rolling back", slog.LevelError, "check the new weights; apply another weights_version to try again")
+	RolloutBlocked     = define(613, "rollout waits for serving engines", slog.LevelWarn, "bring engines back or lower min_serving")
 
 	CertificateLoaded  = define(801, "certificate loaded", slog.LevelInfo, "none")
 	CertificateRefused = define(802, "changed certificate refused", slog.LevelError, "correct the certificate, key and authorities files; the old ones stay in use")
@@ -49,4 +57,7 @@
 	BackendReachable   = define(702, "backend server reachable again", slog.LevelInfo, "none")
 	OutcomeLost        = define(703, "answer to a non-idempotent request lost", slog.LevelWarn, "check the state of the work at the service before ordering it again")
 	AnswerReplayed     = define(704, "answer replayed from the record", slog.LevelInfo, "none")
+
+	CertificateLoaded  = define(801, "certificate loaded", slog.LevelInfo, "none")
+	CertificateRefused = define(802, "changed certificate refused", slog.LevelError, "correct the certificate, key and authorities files; the old ones stay in use")
 )
