--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -18,8 +18,8 @@
 	EngineReincarnated   = define(302, "engine returned with a new incarnation", slog.LevelWarn, "find out why the engine restarted")
 	EngineEventsLost     = define(303, "cache events lost", slog.LevelInfo, "none; the index is repaired from a snapshot")
 	EngineOwnershipTaken = define(304, "engine ownership taken", slog.LevelInfo, "none")
-	VMListUnavailable    = define(306, "VM list unavailable", slog.LevelWarn, "check the platform's VM list; the last known list stays in use")
 	DirectDispatch       = define(305, "dispatched without the engine's owner", slog.LevelInfo, "check the owner node if it repeats")
+	VMListUnavailable    = define(306, "VM list unavailable", slog.LevelWarn, "check the platform's VM list; the last known list stays in use")
 
 	PeerCallRefused = define(401, "peer call refused", slog.LevelWarn, "check the peer keys and the clocks of both nodes")
 	DatagramRefused = define(402, "datagram refused", slog.LevelWarn, "check the peer keys, the clocks and who can reach the gossip port")
@@ -50,9 +50,6 @@
 	RolloutStopped     = define(612, "rollout stopped, rolling back", slog.LevelError, "check the new weights; apply another weights_version to try again")
 	RolloutBlocked     = define(613, "rollout waits for serving engines", slog.LevelWarn, "bring engines back or lower min_serving")
 
-	CertificateLoaded  = define(801, "certificate loaded", slog.LevelInfo, "none")
-	CertificateRefused = define(802, "changed certificate refused", slog.LevelError, "correct the certificate, key and authorities files; the old ones stay in use")
-
 	BackendUnreachable = define(701, "backend server unreachable", slog.LevelWarn, "check the backend server and the network to it")
 	BackendReachable   = define(702, "backend server reachable again", slog.LevelInfo, "none")
 	OutcomeLost        = define(703, "answer to a non-idempotent request lost", slog.LevelWarn, "check the state of the work at the service before ordering it again")
