Apply engine health, slow start and a retry budget; one decision for leaving VMs

Discovery used its own count of live lists beside package health; it now uses health.Leaving, whose return takes 10 s of steady lists in place of 5 lists. A request moves to a second engine at most once and within a budget of a tenth of the traffic.

--- a/pkg/controller/discovery/discovery.go
+++ b/pkg/controller/discovery/discovery.go
@@ -5,12 +5,14 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
 	"cassiawall.example/cassiawall/pkg/blackboard"
 	"cassiawall.example/cassiawall/pkg/config"
 	"cassiawall.example/cassiawall/pkg/event"
+	"cassiawall.example/cassiawall/pkg/health"
 	"cassiawall.example/cassiawall/pkg/vms"
 )
 
@@ -21,9 +23,6 @@
 	// missingPolls is the number of lists in a row that must lack a VM before it counts as gone.
 	// A single list can be incomplete.
 	missingPolls = 3
-	// returnPolls is the number of lists in a row that must show a VM live before a leaving mark
-	// is taken back. A flapping list does not reach it.
-	returnPolls = 5
 )
 
 // Options configures a Controller.
@@ -43,18 +42,17 @@
 type Controller struct {
 	opt Options
 	mu  sync.Mutex
-	// seen is the evidence about each VM of the list by name.
-	seen  map[string]*evidence
-	nodes []string
-	down  bool
+	// seen holds the VMs of the list by name.
+	seen    map[string]*listed
+	leaving *health.Leaving
+	nodes   []string
+	down    bool
 }
 
-// evidence counts what successive lists said about a VM.
-type evidence struct {
+// listed is a VM and the number of lists in a row that lack it.
+type listed struct {
 	vm      vms.VM
 	missing int
-	live    int
-	leaving bool
 }
 
 // New returns a controller.
@@ -62,7 +60,7 @@
 	if opt.EngineRole == "" {
 		opt.EngineRole = vms.RoleEngine
 	}
-	return &Controller{opt: opt, seen: map[string]*evidence{}}
+	return &Controller{opt: opt, seen: map[string]*listed{}, leaving: health.NewLeaving(health.LeavingConfig{})}
 }
 
 // Run polls the VM list and follows the board's summaries until ctx ends.
@@ -133,52 +131,48 @@
 	c.nodes = c.nodes[:0]
 	for _, vm := range list {
 		present[vm.Name] = true
-		c.note(vm)
+		c.seen[vm.Name] = &listed{vm: vm}
+		c.leaving.Observe(now, vm.Name, health.FromList, vm.State == vms.Leaving)
 		if vm.Role == vms.RoleNode && vm.State == vms.Live {
 			c.nodes = append(c.nodes, vm.Address)
 		}
 	}
-	for name, e := range c.seen {
+	for name, l := range c.seen {
 		if !present[name] {
-			e.missing++
-			e.live = 0
+			l.missing++
 		}
-		if e.missing >= missingPolls {
-			c.forget(e)
+		if l.missing >= missingPolls {
+			c.forget(l)
 			delete(c.seen, name)
-			continue
 		}
-		c.publish(now, e)
 	}
+	c.publishAll(now)
 }
 
-// note counts a leaving mark at once and takes it back only after steady evidence.
-func (c *Controller) note(vm vms.VM) {
-	e := c.seen[vm.Name]
-	if e == nil {
-		e = &evidence{}
-		c.seen[vm.Name] = e
+// publishAll writes the VMs to the board, pool by pool: the list alone never takes out a whole pool.
+func (c *Controller) publishAll(now time.Time) {
+	pools := map[string][]string{}
+	for name, l := range c.seen {
+		pool := l.vm.Role + "/" + l.vm.Service
+		pools[pool] = append(pools[pool], name)
 	}
-	e.vm = vm
-	e.missing = 0
-	if vm.State == vms.Leaving {
-		e.leaving, e.live = true, 0
-		return
-	}
-	e.live++
-	if e.live >= returnPolls {
-		e.leaving = false
+	for _, ids := range pools {
+		slices.Sort(ids)
+		usable := c.leaving.Usable(now, ids)
+		for _, id := range ids {
+			c.publish(now, c.seen[id], !slices.Contains(usable, id))
+		}
 	}
 }
 
-func (c *Controller) publish(now time.Time, e *evidence) {
+func (c *Controller) publish(now time.Time, l *listed, leaving bool) {
 	ev := blackboard.Evidence{Writer: writer, Source: "vm list", ObservedAt: now}
-	switch e.vm.Role {
+	switch l.vm.Role {
 	case c.opt.EngineRole:
-		c.putEngine(e.vm, e.leaving, ev)
+		c.putEngine(l.vm, leaving, ev)
 	case vms.RoleService:
-		key := blackboard.ServiceKey{Service: e.vm.Service, Address: e.vm.Address}
-		c.putService(key, e.vm.DataCentre, e.leaving, ev)
+		key := blackboard.ServiceKey{Service: l.vm.Service, Address: l.vm.Address}
+		c.putService(key, l.vm.DataCentre, leaving, ev)
 	}
 }
 
@@ -205,12 +199,13 @@
 	})
 }
 
-func (c *Controller) forget(e *evidence) {
-	switch e.vm.Role {
+func (c *Controller) forget(l *listed) {
+	c.leaving.Forget(l.vm.Name)
+	switch l.vm.Role {
 	case c.opt.EngineRole:
-		c.opt.Board.Engines.Delete(e.vm.Name)
+		c.opt.Board.Engines.Delete(l.vm.Name)
 	case vms.RoleService:
-		c.opt.Board.Services.Delete(blackboard.ServiceKey{Service: e.vm.Service, Address: e.vm.Address})
+		c.opt.Board.Services.Delete(blackboard.ServiceKey{Service: l.vm.Service, Address: l.vm.Address})
 	}
 }
 
@@ -252,12 +247,12 @@
 func (c *Controller) dropUndeclared(declared map[blackboard.ServiceKey]bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	listed := map[blackboard.ServiceKey]bool{}
-	for _, e := range c.seen {
-		listed[blackboard.ServiceKey{Service: e.vm.Service, Address: e.vm.Address}] = true
+	known := map[blackboard.ServiceKey]bool{}
+	for _, l := range c.seen {
+		known[blackboard.ServiceKey{Service: l.vm.Service, Address: l.vm.Address}] = true
 	}
 	for key := range c.opt.Board.Services.Snapshot() {
-		if !declared[key] && !listed[key] {
+		if !declared[key] && !known[key] {
 			c.opt.Board.Services.Delete(key)
 		}
 	}
--- a/pkg/controller/discovery/discovery_test.go
+++ b/pkg/controller/discovery/discovery_test.go
@@ -22,6 +22,15 @@
 	return vm
 }
 
+// steady returns n equal lists.
+func steady(n int, list ...vms.VM) [][]vms.VM {
+	lists := make([][]vms.VM, n)
+	for i := range lists {
+		lists[i] = list
+	}
+	return lists
+}
+
 // Each case is a sequence of VM lists, one a second. Guards against new work to a leaving engine
 // and against a pool that a wrong list empties.
 func TestLists(t *testing.T) {
@@ -34,8 +43,8 @@
 	}{
 		{"leaving counts at once", [][]vms.VM{{a, b}, {a, leaving("b")}}, []string{"a", "b"}, []string{"b"}},
 		{"one live report does not take leaving back", [][]vms.VM{{a, b}, {a, leaving("b")}, {a, b}}, []string{"a", "b"}, []string{"b"}},
-		{"flapping stays leaving", [][]vms.VM{{leaving("b")}, {b}, {b}, {leaving("b")}, {b}, {b}, {b}, {b}}, []string{"b"}, []string{"b"}},
-		{"steady live returns", [][]vms.VM{{leaving("b")}, {b}, {b}, {b}, {b}, {b}}, []string{"b"}, nil},
+		{"flapping stays leaving", append([][]vms.VM{{a, leaving("b")}, {a, b}, {a, b}, {a, leaving("b")}}, steady(9, a, b)...), []string{"a", "b"}, []string{"b"}},
+		{"steady live returns", append([][]vms.VM{{a, leaving("b")}}, steady(12, a, b)...), []string{"a", "b"}, nil},
 		{"empty list is ignored", [][]vms.VM{{a, b}, {}, {}, {}, {}}, []string{"a", "b"}, nil},
 		{"missing from two lists stays", [][]vms.VM{{a, b}, {a}, {a}}, []string{"a", "b"}, nil},
 		{"missing from three lists goes", [][]vms.VM{{a, b}, {a}, {a}, {a}}, []string{"a"}, nil},
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -95,6 +95,7 @@
 	draining atomic.Bool
 	running  atomic.Int64
 	callers  *callerTable
+	retries  *retries
 	// stopped ends all requests; its cause is told to the callers.
 	stopped context.Context
 	stop    context.CancelCauseFunc
@@ -105,7 +106,7 @@
 	if opt.WriteStall == 0 {
 		opt.WriteStall = defaultWriteStall
 	}
-	s := &Server{opt: opt, app: iris.New(), callers: newCallerTable()}
+	s := &Server{opt: opt, app: iris.New(), callers: newCallerTable(), retries: newRetries(opt.Now())}
 	s.stopped, s.stop = context.WithCancelCause(context.Background())
 	s.app.Logger().SetLevel("disable")
 	s.app.Post("/v1/chat/completions", s.handler(s.chat))
--- a/pkg/entry/generate.go
+++ b/pkg/entry/generate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"net/http"
 	"time"
 
@@ -12,14 +13,8 @@
 	"cassiawall.example/cassiawall/pkg/prefix"
 	"cassiawall.example/cassiawall/pkg/routing"
 	"cassiawall.example/cassiawall/pkg/stream"
-
-	"log/slog"
 )
 
-// maxAttempts bounds how many engines work on one answer, so that a request which breaks
-// engines cannot visit all of them.
-const maxAttempts = 3
-
 func (s *Server) chat(w http.ResponseWriter, r *http.Request, id string) error {
 	return s.generate(w, r, id, true)
 }
@@ -115,11 +110,15 @@
 
 // source routes the attempts of one answer to engines.
 type source struct {
-	server   *Server
-	g        *generation
-	slot     routing.Slot
-	failed   map[string]bool
-	attempts int
+	server *Server
+	g      *generation
+	slot   routing.Slot
+	failed map[string]bool
+	// wait is the pause before the next attempt.
+	wait time.Duration
+	// retried is set when the answer moves to a second engine. It never moves to a third, so
+	// that a request which breaks engines cannot visit all of them.
+	retried bool
 	// resuming makes the next attempt continue on the engine of the cut stream.
 	resuming bool
 	resumed  bool
@@ -127,8 +126,10 @@
 
 // Open implements stream.Source.
 func (src *source) Open(ctx context.Context, from stream.Position) (engine.Stream, error) {
-	src.attempts++
 	if !src.resuming {
+		if err := src.pause(ctx); err != nil {
+			return nil, err
+		}
 		slot, err := src.server.opt.Router.Route(ctx, src.work())
 		if err != nil {
 			return nil, err
@@ -154,12 +155,31 @@
 	src.slot.Done(routing.Ending{Failed: true})
 	src.slot = nil
 	src.failed[target.Engine] = true
-	retry := src.attempts < maxAttempts
-	if retry {
-		event.StreamReplayed.Log(context.Background(), src.server.opt.Logger,
-			slog.String("request", src.g.id), slog.String("engine", target.Engine), slog.Any("error", err))
+	wait, ok := src.server.retries.next(src.server.opt.Now(), src.retried, fault.As(err).RetryAfter)
+	if !ok {
+		return false
+	}
+	src.retried, src.wait = true, wait
+	event.StreamReplayed.Log(context.Background(), src.server.opt.Logger,
+		slog.String("request", src.g.id), slog.String("engine", target.Engine), slog.Any("error", err))
+	return true
+}
+
+// pause waits before a retry.
+func (src *source) pause(ctx context.Context) error {
+	if src.wait == 0 {
+		src.server.retries.first(src.server.opt.Now())
+		return nil
+	}
+	timer := time.NewTimer(src.wait)
+	defer timer.Stop()
+	src.wait = 0
+	select {
+	case <-ctx.Done():
+		return fault.Wrap(context.Cause(ctx), fault.Abandoned, "the caller left before a retry")
+	case <-timer.C:
+		return nil
 	}
-	return retry
 }
 
 func (src *source) work() *routing.Work {
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -160,10 +160,11 @@
 		return routing.NewBaseline(n.opt.Policy, n.board, n.opt.Inflight)
 	}
 	calls := &ownerCalls{self: n.opt.Settings.Name, local: n.owner, pool: n.pool}
-	return routing.NewOwnerRouter(routing.OwnerOptions{
+	router := routing.NewOwnerRouter(routing.OwnerOptions{
 		Board: n.board, Placer: n.placer, Owners: calls, Table: owner.NewTable(n.board),
 		Self: n.opt.Settings.Name, Logger: n.opt.Logger, Now: time.Now,
-	}), nil
+	})
+	return routing.NewHealthRouter(router, n.board, time.Now, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))), nil
 }
 
 func staticEngines(s *settings.Settings) []vms.VM {
