--- a/pkg/burn/burn_test.go
+++ b/pkg/burn/burn_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"cassiawall.example/cassiawall/pkg/config"
+	"cassiawall.example/cassiawall/pkg/fault"
 )
 
 var start = time.Date(2026, 1, 1, 12, 0, 0, 0, time.UTC)
@@ -303,3 +304,26 @@
 		assert.InEpsilon(t, r.fleet.ttft.Quantile(q), merged.Quantile(q), 0.04)
 	}
 }
+
+// Guards against plain calls that count for the wrong objective: above all a caller who is not told
+// whether an order ran.
+func TestServiceOutcome(t *testing.T) {
+	levels := configOf("w").Workspaces[0].Objectives
+	miss, ok, none := Tally{1, 1}, Tally{0, 1}, Tally{}
+	for name, c := range map[string]struct {
+		err  error
+		want tallies
+	}{
+		"answered":       {nil, tallies{none, none, ok, ok}},
+		"refused":        {fault.New(fault.PlatformUnavailable, ""), tallies{none, none, miss, ok}},
+		"outcome lost":   {fault.New(fault.OutcomeUnknown, "").WithWork(fault.Unknown), tallies{none, none, miss, miss}},
+		"caller's fault": {fault.New(fault.IdempotencyKeyMissing, ""), tallies{}},
+	} {
+		o, counted := ServiceOutcome(true, c.err, false)
+		counts := tallies{}
+		if counted {
+			counts, _ = judge(o, levels)
+		}
+		assert.Equal(t, c.want, counts, name)
+	}
+}
--- a/pkg/service/dispatch.go
+++ b/pkg/service/dispatch.go
@@ -39,10 +39,22 @@
 	Logger  *slog.Logger
 	// AllowRetry is asked before a call is tried again after bytes were sent. Nil allows it.
 	AllowRetry func() bool
+	// Done is told what became of each call. Nil switches it off.
+	Done func(Result)
 	// Seed starts the random choice among equal backend servers.
 	Seed uint64
 }
 
+// Result is what became of one call.
+type Result struct {
+	Workspace     string
+	NonIdempotent bool
+	// Err is the typed error that the caller was told, or nil for a whole answer.
+	Err error
+	// Abandoned says that the caller left before the end.
+	Abandoned bool
+}
+
 // Dispatcher serves calls of plain services. It implements entry.Services and is safe for
 // concurrent use.
 type Dispatcher struct {
@@ -66,6 +78,18 @@
 // Dispatch serves r, whose caller is authenticated and may use the route. Errors are written as
 // typed JSON documents.
 func (d *Dispatcher) Dispatch(w http.ResponseWriter, r *http.Request, call entry.ServiceCall) {
+	// Stays when an answer is cut, which ends the handler by a panic.
+	var result error = fault.New(fault.BackendFailed, "the answer was cut").WithWork(fault.Unknown)
+	if d.opt.Done != nil {
+		defer func() {
+			d.opt.Done(Result{Workspace: call.Workspace.Name, NonIdempotent: call.Route.NonIdempotent, Err: result, Abandoned: r.Context().Err() != nil})
+		}()
+	}
+	result = d.serve(w, r, call)
+}
+
+// serve returns the error that it has told the caller, or nil.
+func (d *Dispatcher) serve(w http.ResponseWriter, r *http.Request, call entry.ServiceCall) error {
 	request, err := readRequest(r, call)
 	if err == nil && call.Route.NonIdempotent {
 		err = d.once(w, r, call, request)
@@ -78,6 +102,7 @@
 		fault.WriteHTTP(w, err, call.RequestID)
 	}
 	d.opt.Metrics.Counter("service_calls_total", "service", call.Service.Name, "outcome", outcome).Inc(1)
+	return err
 }
 
 func readRequest(r *http.Request, call entry.ServiceCall) (*Request, error) {
