--- a/pkg/cli/init.go
+++ b/pkg/cli/init.go
@@ -23,6 +23,7 @@
 type initCommand struct {
 	Answers     string `long:"answers" value-name:"FILE" description:"Read the answers from FILE instead of asking"`
 	Output      string `long:"output" value-name:"FILE" description:"Write the configuration to FILE, which must not exist, instead of standard output"`
+	JSON        bool   `long:"json" description:"Print the API keys as JSON"`
 	SaveAnswers string `long:"save-answers" value-name:"FILE" description:"Write the answers of a dialogue to FILE, which must not exist"`
 	streams     streams
 }
@@ -47,7 +48,7 @@
 	if err != nil {
 		return err
 	}
-	return printKeys(keysTo, keys)
+	return c.printKeys(keysTo, keys)
 }
 
 func (c *initCommand) answers() (*questionnaire.Answers, error) {
@@ -79,7 +80,10 @@
 	return file.Close()
 }
 
-func printKeys(w io.Writer, keys []questionnaire.IssuedKey) error {
+func (c *initCommand) printKeys(w io.Writer, keys []questionnaire.IssuedKey) error {
+	if c.JSON {
+		return printJSON(w, keys)
+	}
 	fmt.Fprintln(w, "API keys, shown only now. Hand each to its workspace:")
 	for _, k := range keys {
 		if _, err := fmt.Fprintf(w, "  %s: %s\n", k.Workspace, k.Key); err != nil {
--- a/pkg/metrics/metrics_test.go
+++ b/pkg/metrics/metrics_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -35,3 +36,13 @@
 cassiawall_wait_ms{quantile="0.99"} 99
 `, w.Body.String())
 }
+
+// Guards against measurements that this release of Go does not have.
+func TestProcessGauges(t *testing.T) {
+	r := New()
+	r.AddProcess()
+	var out strings.Builder
+	r.Write(&out)
+	assert.Equal(t, len(processGauges), strings.Count(out.String(), "# TYPE cassiawall_process_"))
+	assert.NotContains(t, out.String(), "NaN")
+}
