--- a/pkg/claims/attempt.go
+++ b/pkg/claims/attempt.go
@@ -1,6 +1,10 @@
 package claims
 
-import "time"
+import (
+	"time"
+
+	"cassiawall.example/cassiawall/pkg/clock"
+)
 
 // AttemptStep is what an entry node does next with an attempt.
 type AttemptStep int
@@ -77,19 +81,13 @@
 	if a.sent || a.ended || a.reply.Verdict != Granted {
 		return false
 	}
-	if Elapsed(a.started, now) > SendWithin {
+	if clock.Elapsed(a.started, now) > SendWithin {
 		return false
 	}
 	a.sent = true
 	return true
 }
 
-// Elapsed returns the longer of the times between two instants by the monotonic and by the wall
-// clock. The monotonic clock stands still while a VM is suspended; the wall clock can be set back.
-func Elapsed(from, to time.Time) time.Duration {
-	return max(to.Sub(from), to.Round(0).Sub(from.Round(0)))
-}
-
 // Abandon ends an attempt that has not sent: it never will. It reports whether the writers must
 // be told NotSent, because one of them may hold the claim.
 func (a *Attempt) Abandon() (tell bool) {
