--- /dev/null
+++ b/pkg/limits/limits_test.go
@@ -0,0 +1,322 @@
+package limits
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	step      = 50 * time.Millisecond
+	workspace = "w"
+)
+
+// fleet runs limiters with one allocator. Reports and shares take a random time and can be lost.
+type fleet struct {
+	rand     *rand.Rand
+	now      time.Time
+	budget   Budget
+	nodes    []*Limiter
+	weights  []float64
+	shared   *Allocator
+	inFlight []share
+	maxDelay time.Duration
+	loss     float64
+	// running holds the ends of running requests by node.
+	running [][]time.Time
+}
+
+type share struct {
+	at    time.Time
+	node  int
+	share Share
+}
+
+func newFleet(seed uint64, nodes int, budget Budget) *fleet {
+	f := &fleet{
+		rand: rand.New(rand.NewPCG(seed, 2)), now: time.Unix(1000, 0), budget: budget,
+		shared: NewAllocator(), maxDelay: 500 * time.Millisecond, loss: 0.05,
+		running: make([][]time.Time, nodes),
+	}
+	for range nodes {
+		l := NewLimiter()
+		l.SetBudgets(map[string]Budget{workspace: budget})
+		l.SetLive(nodes)
+		f.nodes = append(f.nodes, l)
+	}
+	f.reweigh()
+	return f
+}
+
+// reweigh spreads the arrivals unevenly: node k of a random order gets a part of about 1/k.
+func (f *fleet) reweigh() {
+	f.weights = make([]float64, len(f.nodes))
+	sum := 0.0
+	for rank, i := range f.rand.Perm(len(f.nodes)) {
+		f.weights[i] = 1 / float64(rank+1)
+		sum += f.weights[i]
+	}
+	for i := range f.weights {
+		f.weights[i] /= sum
+	}
+}
+
+func (f *fleet) poisson(mean float64) int {
+	n := 0
+	for p := f.rand.Float64(); p > math.Exp(-mean); p *= f.rand.Float64() {
+		n++
+	}
+	return n
+}
+
+// run advances time; perNode is called for each node in each step with its mean arrivals.
+func (f *fleet) run(d time.Duration, offered float64, perNode func(node, arrivals int)) {
+	for end := f.now.Add(d); f.now.Before(end); {
+		f.now = f.now.Add(step)
+		f.deliver()
+		for i, l := range f.nodes {
+			perNode(i, f.poisson(offered*f.weights[i]*step.Seconds()))
+			// Nodes report at different times.
+			if (f.now.UnixMilli()/step.Milliseconds()+int64(i))%(ReportInterval/step).Nanoseconds() == 0 {
+				f.report(i, l)
+			}
+		}
+	}
+}
+
+func (f *fleet) report(i int, l *Limiter) {
+	for _, r := range l.Demand(f.now) {
+		if f.rand.Float64() < f.loss {
+			continue
+		}
+		granted := f.shared.Report(f.now, fmt.Sprint(i), r.Workspace, r.Demand, f.budget)
+		f.inFlight = append(f.inFlight, share{f.now.Add(time.Duration(f.rand.Int64N(int64(f.maxDelay)))), i, granted})
+	}
+}
+
+func (f *fleet) deliver() {
+	var later []share
+	for _, s := range f.inFlight {
+		if s.at.After(f.now) {
+			later = append(later, s)
+			continue
+		}
+		f.nodes[s.node].SetShare(f.now, workspace, s.share)
+	}
+	f.inFlight = later
+}
+
+// Guards against budgets that are exceeded or left unused when arrivals are uneven, change
+// their place and reports are late or lost.
+func TestRatesHoldUnderUnevenArrivals(t *testing.T) {
+	const measured = 40 * time.Second
+	for seed := uint64(1); seed <= 4; seed++ {
+		for _, nodes := range []int{3, 20, 100} {
+			for _, load := range []float64{0.6, 1.3, 3} {
+				for _, unit := range []float64{1, 1000} {
+					f := newFleet(seed, nodes, rateBudget(200, unit))
+					admitted, offered := 0, 0
+					arrive := func(node, arrivals int) {
+						for range arrivals {
+							offered++
+							if ok, _ := f.nodes[node].Allow(f.now, workspace, int(unit)); ok {
+								admitted++
+							}
+						}
+					}
+					f.run(10*time.Second, 200*load, arrive)
+					admitted, offered = 0, 0
+					f.run(measured/2, 200*load, arrive)
+					f.reweigh()
+					f.run(measured/2, 200*load, arrive)
+					name := fmt.Sprintf("seed %d, %d nodes, load %.1f, %v tokens: %d of %d", seed, nodes, load, unit, admitted, offered)
+					assert.LessOrEqual(t, float64(admitted), 1.05*200*measured.Seconds(), name)
+					assert.GreaterOrEqual(t, float64(admitted), 0.95*min(200*measured.Seconds(), float64(offered)), name)
+				}
+			}
+		}
+	}
+}
+
+// rateBudget limits requests for single tokens and tokens for larger ones.
+func rateBudget(perSecond, unit float64) Budget {
+	if unit == 1 {
+		return Budget{Requests: perSecond}
+	}
+	return Budget{Tokens: perSecond * unit}
+}
+
+// Guards against a concurrency limit that is exceeded or left unused, with five slots or more
+// for each node.
+func TestConcurrencyHoldsUnderUnevenArrivals(t *testing.T) {
+	for seed := uint64(1); seed <= 4; seed++ {
+		for _, nodes := range []int{3, 20, 100} {
+			limit := max(100, 5*nodes)
+			f := newFleet(seed, nodes, Budget{Concurrency: limit})
+			sum, samples, worst := 0.0, 0, 0
+			arrive := func(node, arrivals int) {
+				f.finish(node)
+				for range arrivals {
+					if f.nodes[node].Start(f.now, workspace) {
+						f.running[node] = append(f.running[node], f.now.Add(time.Duration(f.rand.ExpFloat64()*float64(2*time.Second))))
+					}
+				}
+				if node == nodes-1 {
+					inUse := f.inUse()
+					sum += float64(inUse)
+					samples++
+					worst = max(worst, inUse)
+				}
+			}
+			f.run(10*time.Second, 1.5*float64(limit), arrive)
+			sum, samples, worst = 0, 0, 0
+			f.run(40*time.Second, 1.5*float64(limit), arrive)
+			name := fmt.Sprintf("seed %d, %d nodes: mean %.1f, worst %d", seed, nodes, sum/float64(samples), worst)
+			t.Log(name)
+			assert.LessOrEqual(t, sum/float64(samples), 1.05*float64(limit), name)
+			assert.GreaterOrEqual(t, sum/float64(samples), 0.95*float64(limit), name)
+			assert.LessOrEqual(t, worst, limit*11/10, name)
+		}
+	}
+}
+
+func (f *fleet) finish(node int) {
+	kept := f.running[node][:0]
+	for _, end := range f.running[node] {
+		if end.After(f.now) {
+			kept = append(kept, end)
+			continue
+		}
+		f.nodes[node].Done(f.now, workspace)
+	}
+	f.running[node] = kept
+}
+
+func (f *fleet) inUse() int {
+	n := 0
+	for _, r := range f.running {
+		n += len(r)
+	}
+	return n
+}
+
+// Guards against nodes that refuse everything, or admit everything, when peers are silent.
+func TestFallbackWithoutPeers(t *testing.T) {
+	now := time.Unix(1000, 0)
+	l := NewLimiter()
+	l.SetBudgets(map[string]Budget{workspace: {Requests: 100, Concurrency: 40}})
+	l.SetLive(10)
+	started := 0
+	for l.Start(now, workspace) {
+		started++
+	}
+	assert.Equal(t, 4, started)
+	l.SetShare(now, workspace, Share{Requests: 90, Concurrency: 30})
+	admittedIn(l, &now, time.Second, 1000)
+	assert.InDelta(t, 180, admittedIn(l, &now, 2*time.Second, 1000), 1, "share during its lease")
+	admittedIn(l, &now, ShareLease-3*time.Second, 1000)
+	assert.InDelta(t, 50, admittedIn(l, &now, 5*time.Second, 1000), 1, "even part after the lease")
+}
+
+func admittedIn(l *Limiter, now *time.Time, d time.Duration, perSecond int) int {
+	admitted := 0
+	for end := now.Add(d); now.Before(end); {
+		*now = now.Add(time.Second / time.Duration(perSecond))
+		if ok, _ := l.Allow(*now, workspace, 1); ok {
+			admitted++
+		}
+	}
+	return admitted
+}
+
+// Guards against a retry time at which the request is refused again.
+func TestRetryAfterIsEnough(t *testing.T) {
+	now := time.Unix(1000, 0)
+	l := NewLimiter()
+	l.SetBudgets(map[string]Budget{workspace: {Requests: 2, Tokens: 100}})
+	for range 50 {
+		ok, wait := l.Allow(now, workspace, 70)
+		if !ok {
+			now = now.Add(wait)
+			ok, _ = l.Allow(now, workspace, 70)
+			require.True(t, ok)
+		}
+	}
+}
+
+// Guards against memory that grows with all workspaces ever seen.
+func TestIdleWorkspacesAreForgotten(t *testing.T) {
+	now := time.Unix(1000, 0)
+	l := NewLimiter()
+	budgets := map[string]Budget{}
+	for i := range 18_000 {
+		budgets[fmt.Sprint("w", i)] = Budget{Requests: 10}
+	}
+	l.SetBudgets(budgets)
+	for name := range budgets {
+		l.Allow(now, name, 1)
+	}
+	assert.Equal(t, 18_000, l.Len())
+	assert.LessOrEqual(t, len(l.Demand(now)), MaxReports)
+	l.Demand(now.Add(idleTime))
+	assert.Zero(t, l.Len())
+	a := NewAllocator()
+	for name := range budgets {
+		a.Report(now, "n", name, Demand{Requests: 1}, budgets[name])
+	}
+	a.Report(now.Add(2*demandLease), "n", "w1", Demand{}, Budget{})
+	assert.Equal(t, 1, a.Len())
+}
+
+// Guards against slots that two nodes hold at a time and against slots that nobody gets.
+func TestSlotsAreNeverHeldTwice(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 1))
+	for range 50 {
+		limit := 1 + r.IntN(60)
+		a := NewAllocator()
+		now := time.Unix(1000, 0)
+		held := make([]int, 1+r.IntN(12))
+		for range 100 {
+			now = now.Add(ReportInterval / 2)
+			sum := 0
+			for i := range held {
+				running := r.IntN(held[i] + 1)
+				demand := Demand{Running: running, Wanted: running + limit + r.IntN(20)}
+				held[i] = max(a.Report(now, fmt.Sprint(i), workspace, demand, Budget{Concurrency: limit}).Concurrency, running)
+				sum += held[i]
+			}
+			require.LessOrEqual(t, sum, limit+limit/20)
+		}
+		// Demands are smoothed, so the slots take some rounds to settle.
+		for range 40 {
+			now = now.Add(ReportInterval)
+			for i := range held {
+				held[i] = a.Report(now, fmt.Sprint(i), workspace, Demand{Wanted: limit}, Budget{Concurrency: limit}).Concurrency
+			}
+		}
+		sum := 0
+		for _, h := range held {
+			sum += h
+		}
+		require.Equal(t, limit+limit/20, sum)
+	}
+}
+
+// Guards against refused first requests at quiet nodes while the budget is free.
+func TestQuietNodesGetASlot(t *testing.T) {
+	a := NewAllocator()
+	now := time.Unix(1000, 0)
+	for i := range 30 {
+		demand := Demand{}
+		if i == 0 {
+			demand = Demand{Running: 6, Wanted: 6}
+		}
+		share := a.Report(now, fmt.Sprint(i), workspace, demand, Budget{Concurrency: 10})
+		assert.GreaterOrEqual(t, share.Concurrency, 1)
+	}
+}
