Run generations with an idempotency key at most once; end-to-end tests of at-most-once

Tests repeat bookings through three nodes at once, lose the backend's answer and take the object API down; each request runs at most once and refusals that say not_run are true.

--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -74,6 +74,8 @@
 	Limiter Limiter
 	// Services may be nil: no plain services.
 	Services Services
+	// Guard may be nil: requests that run at most once are refused.
+	Guard Guard
 	// Recorder may be nil.
 	Recorder Recorder
 	Logger   *slog.Logger
--- a/pkg/entry/generate.go
+++ b/pkg/entry/generate.go
@@ -34,13 +34,17 @@
 		return err
 	}
 	defer leaveLimits()
+	if runsOnce(g, r) {
+		return s.generateOnce(w, r, g)
+	}
 	ctx, cancel := context.WithCancelCause(r.Context())
 	defer cancel(nil)
 	if g.workspace.Supersede && g.caller != "" {
 		key := callerKey{workspace: g.workspace.Name, caller: g.caller}
 		defer s.callers.enter(key, &runningRequest{id: id, cancel: cancel})()
 	}
-	return s.runGeneration(ctx, w, r, g)
+	out := s.responder(w, g)
+	return s.endGeneration(ctx, id, out, s.relayGeneration(ctx, g, out, nil))
 }
 
 // admit takes the request from the workspace's budgets.
@@ -61,9 +65,13 @@
 	return func() { s.opt.Limiter.Done(s.opt.Now(), name) }, nil
 }
 
-// relayGeneration runs the request on engines and delivers its answer to the sink.
-func (s *Server) relayGeneration(ctx context.Context, g *generation, out responder) error {
-	src := &source{server: s, g: g, failed: map[string]bool{}}
+// sendPermit is the right to send a request once.
+type sendPermit interface{ TakeSend() error }
+
+// relayGeneration runs the request on engines and delivers its answer. With a permit, the request
+// is sent once.
+func (s *Server) relayGeneration(ctx context.Context, g *generation, out responder, permit sendPermit) error {
+	src := &source{server: s, g: g, failed: map[string]bool{}, permit: permit}
 	timed := &timedSink{responder: out, now: s.opt.Now, arrived: g.arrived, slot: src.reportFirstToken}
 	result, err := stream.Relay(ctx, g.id, src, timed)
 	if cause := context.Cause(ctx); err != nil && cause != nil {
@@ -114,6 +122,8 @@
 	g      *generation
 	slot   routing.Slot
 	failed map[string]bool
+	// permit is set for a request that must be sent only once.
+	permit sendPermit
 	// wait is the pause before the next attempt.
 	wait time.Duration
 	// retried is set when the answer moves to a second engine. It never moves to a third, so
@@ -135,6 +145,11 @@
 			return nil, err
 		}
 		src.slot = slot
+		if src.permit != nil {
+			if err := src.permit.TakeSend(); err != nil {
+				return nil, err
+			}
+		}
 	}
 	src.resuming = false
 	target := src.slot.Target()
@@ -142,18 +157,22 @@
 }
 
 // Retry implements stream.Source. A cut stream is first resumed on its engine, which still holds
-// the work, and then continued on another one.
+// the work, and then continued on another one. A request that must be sent once is neither: an
+// engine that has dropped the work would run it again.
 func (src *source) Retry(err error, delivered bool) bool {
 	if src.slot == nil {
 		return false
 	}
-	if delivered && !src.resumed && fault.Is(err, fault.StreamBroken) {
+	if delivered && !src.resumed && src.permit == nil && fault.Is(err, fault.StreamBroken) {
 		src.resuming, src.resumed = true, true
 		return true
 	}
 	target := src.slot.Target()
 	src.slot.Done(routing.Ending{Failed: true})
 	src.slot = nil
+	if src.permit != nil {
+		return false
+	}
 	src.failed[target.Engine] = true
 	wait, ok := src.server.retries.next(src.server.opt.Now(), src.retried, fault.As(err).RetryAfter)
 	if !ok {
--- a/pkg/entry/respond.go
+++ b/pkg/entry/respond.go
@@ -28,21 +28,25 @@
 	fail(id string, err error)
 }
 
-// runGeneration relays the answer as a stream or whole.
-func (s *Server) runGeneration(ctx context.Context, w http.ResponseWriter, r *http.Request, g *generation) error {
-	var out responder = &wholeResponder{w: w, g: g, now: s.opt.Now}
+// responder returns the writer of the kind of answer that the request asks for.
+func (s *Server) responder(w http.ResponseWriter, g *generation) responder {
 	if g.common.Stream {
-		out = &streamResponder{w: w, control: http.NewResponseController(w), g: g, now: s.opt.Now, stall: s.opt.WriteStall}
+		return &streamResponder{w: w, control: http.NewResponseController(w), g: g, now: s.opt.Now, stall: s.opt.WriteStall}
 	}
-	err := s.relayGeneration(ctx, g, out)
+	return &wholeResponder{w: w, g: g, now: s.opt.Now}
+}
+
+// endGeneration ends a started answer with its error. It returns the error of an answer that was
+// not started, to be written as a refusal.
+func (s *Server) endGeneration(ctx context.Context, id string, out responder, err error) error {
 	if err == nil || !out.started() {
 		return err
 	}
 	if callerLeft(ctx) {
 		return nil
 	}
-	s.logFailure(r.Context(), event.RequestFailed, g.id, err)
-	out.fail(g.id, err)
+	s.logFailure(ctx, event.RequestFailed, id, err)
+	out.fail(id, err)
 	return nil
 }
 
--- a/pkg/localfleet/fleet.go
+++ b/pkg/localfleet/fleet.go
@@ -114,6 +114,9 @@
 	if err != nil {
 		return err
 	}
+	if f.opt.Config, err = config.Parse(document); err != nil {
+		return err
+	}
 	return f.Platform.apply(ctx, document)
 }
 
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -125,7 +125,7 @@
 	n.status = status.NewReporter(status.Options{Self: s.Name, Board: n.board, Now: time.Now})
 	n.entry, err = entry.New(entry.Options{
 		Board: n.board, Router: router, Logger: n.opt.Logger, Now: time.Now, RequestID: newRequestID,
-		Services: n.services, Recorder: &observer{burn: n.recorder, metrics: n.metrics},
+		Services: n.services, Guard: n.claims, Recorder: &observer{burn: n.recorder, metrics: n.metrics},
 		Engines: func(address string) engine.Generator { return n.engines.at(address) },
 	})
 	return err
--- /dev/null
+++ b/test/e2e/once_test.go
@@ -0,0 +1,96 @@
+package e2e
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"cassiawall.example/cassiawall/pkg/config"
+	"cassiawall.example/cassiawall/pkg/fault"
+	"cassiawall.example/cassiawall/pkg/loadgen"
+	"cassiawall.example/cassiawall/pkg/localfleet"
+	servicestandin "cassiawall.example/cassiawall/pkg/standin/service"
+)
+
+const bookings = "ratiba"
+
+// startBookings starts a fleet whose workspace books through a plain service.
+func startBookings(t *testing.T, nodes int) *localfleet.Fleet {
+	t.Helper()
+	c := fleetConfig()
+	c.Services = []config.Service{{Name: bookings, Routes: []config.Route{{Path: "/book", NonIdempotent: true}, {Path: "/slots"}}}}
+	c.Workspaces[0].Services = []string{bookings}
+	return startFleetWith(t, c, nodes, 1)
+}
+
+func book(ctx context.Context, f *localfleet.Fleet, node int, key string) loadgen.Result {
+	c := &loadgen.Client{Base: f.Nodes()[node].CallersURL(), HTTP: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	return c.Call(ctx, &loadgen.Call{APIKey: apiKey, Method: http.MethodPost, Path: "/book", IdempotencyKey: key, Body: []byte(`{"slot":3}`)})
+}
+
+// Guards against a booking that runs once for each node that a caller repeats it through.
+func TestRepeatedBookingRunsOnce(t *testing.T) {
+	f := startBookings(t, 3)
+	results := make([]loadgen.Result, 9)
+	var calls sync.WaitGroup
+	for i := range results {
+		calls.Go(func() { results[i] = book(t.Context(), f, i%3, "key") })
+	}
+	calls.Wait()
+	for _, r := range results {
+		assert.True(t, r.Complete || r.Kind == fault.InProgress, "%+v", r)
+	}
+	again := book(t.Context(), f, 2, "key")
+	assert.True(t, again.Complete)
+	assert.Equal(t, 1, f.Platform.Services[bookings].Runs().Total)
+}
+
+// Guards against a booking that is sent again after its answer was lost.
+func TestLostAnswerOfBookingIsUnknown(t *testing.T) {
+	f := startBookings(t, 2)
+	for _, b := range f.Platform.Backends[bookings] {
+		b.SetFaults(servicestandin.Faults{LoseAnswer: 1})
+	}
+	first := book(t.Context(), f, 0, "key")
+	assert.Equal(t, fault.OutcomeUnknown, first.Kind)
+	assert.Equal(t, fault.Unknown, first.Work)
+	again := book(t.Context(), f, 1, "key")
+	assert.Equal(t, fault.OutcomeUnknown, again.Kind)
+	assert.Equal(t, 1, f.Platform.Services[bookings].Runs().Total)
+}
+
+// Guards against a refusal that hides a run, and against generation that stops with the object API.
+func TestObjectAPIDown(t *testing.T) {
+	f := startBookings(t, 2)
+	f.SetObjectsDown(true)
+	r := book(t.Context(), f, 0, "key")
+	assert.Equal(t, fault.PlatformUnavailable, r.Kind)
+	assert.Equal(t, fault.NotRun, r.Work)
+	assert.Zero(t, f.Platform.Services[bookings].Runs().Total)
+	params, want := chat("slot")
+	c := client(f.Nodes()[1])
+	got, err := c.Chat.Completions.New(t.Context(), params)
+	require.NoError(t, err)
+	assert.Equal(t, want, got.Choices[0].Message.Content)
+	f.SetObjectsDown(false)
+	require.Eventually(t, func() bool { return book(t.Context(), f, 0, "key").Complete }, giveUp, poll)
+	assert.Equal(t, 1, f.Platform.Services[bookings].Runs().Total)
+}
+
+// Guards against a generation with an idempotency key that runs once for each repeat.
+func TestRepeatedGenerationRunsOnce(t *testing.T) {
+	f := startBookings(t, 2)
+	send := func(node int) loadgen.Result {
+		c := &loadgen.Client{Base: f.Nodes()[node].CallersURL(), HTTP: http.DefaultClient}
+		return c.Call(t.Context(), &loadgen.Call{APIKey: apiKey, Method: http.MethodPost, Path: "/v1/completions", IdempotencyKey: "once",
+			Body: []byte(`{"model":"lugha","prompt":"book it","max_tokens":8}`)})
+	}
+	first, second := send(0), send(1)
+	require.True(t, first.Complete, "%+v", first)
+	require.True(t, second.Complete, "%+v", second)
+	assert.Equal(t, 1, f.Engines[0].Counters().Requests)
+}
--- a/test/e2e/openai_test.go
+++ b/test/e2e/openai_test.go
@@ -28,6 +28,7 @@
 	model  = "lugha"
 	// giveUp only ends a test that hangs; no verdict depends on it.
 	giveUp = time.Minute
+	poll   = 5 * time.Millisecond
 )
 
 func fleetConfig() *config.Config {
@@ -44,6 +45,11 @@
 }
 
 func startFleet(t *testing.T, nodes, engines int) *localfleet.Fleet {
+	t.Helper()
+	return startFleetWith(t, fleetConfig(), nodes, engines)
+}
+
+func startFleetWith(t *testing.T, c *config.Config, nodes, engines int) *localfleet.Fleet {
 	t.Helper()
 	var list []enginestandin.Config
 	for i := range engines {
@@ -52,7 +58,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), giveUp)
 	defer cancel()
 	f, err := localfleet.Start(ctx, localfleet.Options{Nodes: nodes, DataCentres: []string{"dar-a", "dar-b", "dar-c"}, Engines: list,
-		Config: fleetConfig(), Logger: slog.New(slog.DiscardHandler)})
+		Config: c, Logger: slog.New(slog.DiscardHandler)})
 	require.NoError(t, err)
 	t.Cleanup(func() { assert.NoError(t, f.Close()) })
 	return f
