--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -14,7 +14,7 @@
 	// HoldTime is how long a slot lives without renewal. Default 15 s.
 	HoldTime time.Duration
 	// PrefillWindow is the amount of prefill work, as time, that is handed to the engine ahead of
-	// its need. Default 60 ms.
+	// its need. Default 150 ms.
 	PrefillWindow time.Duration
 	// PrefillRate is the initial rate in tokens a second. Default 20,000.
 	PrefillRate float64
@@ -25,7 +25,7 @@
 	DefaultMaxQueued     = 1000
 	DefaultMaxBatch      = 16
 	DefaultHoldTime      = 15 * time.Second
-	DefaultPrefillWindow = 60 * time.Millisecond
+	DefaultPrefillWindow = 150 * time.Millisecond
 	DefaultPrefillRate   = 20_000.0
 )
 
@@ -33,6 +33,11 @@
 // shared with the other requests of the batch.
 const outputCost = 4.0
 
+// burstCredit is the engine time that a workspace may use ahead of the others after it used less
+// than its share. It covers the bursts of random arrivals; a longer credit would let a flood start
+// at the cost of the others.
+const burstCredit = 2 * time.Second
+
 // abandonPenalty moves a ticket back in its workspace's order by this time when its caller is
 // certainly gone, and proportionally less when the caller may have left.
 const abandonPenalty = 2 * time.Second
@@ -101,7 +106,7 @@
 	switch {
 	case !t.Deadline.IsZero() && now.Add(predicted).After(t.Deadline):
 		o.Verdict = DeadlineMissed
-	case t.DeclineOver > 0 && predicted > t.DeclineOver:
+	case t.DeclineOver > 0 && predicted+q.recompute(&t) > t.DeclineOver:
 		o.Verdict = Declined
 	case len(q.waiting) >= q.options.MaxQueued:
 		o.Verdict = QueueFull
@@ -113,14 +118,29 @@
 	return o
 }
 
+func (q *Queue) recompute(t *Ticket) time.Duration {
+	return time.Duration(t.RecomputeFactor * float64(q.prefillTime(t.AddedTokens)))
+}
+
 func (q *Queue) add(t *Ticket) {
 	q.nextSeq++
 	t.seq = q.nextSeq
-	t.start = max(q.virtual, q.finish[t.Workspace])
+	t.start = q.startOf(t)
 	q.finish[t.Workspace] = t.start + t.cost()/float64(t.Weight)
 	q.waiting = append(q.waiting, t)
 }
 
+// startOf returns the virtual start time of a new ticket. A workspace that used less than its share
+// keeps a bounded credit, so that its short bursts pass the backlog of a workspace that uses more.
+func (q *Queue) startOf(t *Ticket) float64 {
+	credit := q.rates.Prefill() * burstCredit.Seconds()
+	finish, ok := q.finish[t.Workspace]
+	if !ok {
+		return q.virtual - credit
+	}
+	return max(q.virtual-credit, finish)
+}
+
 func (t *Ticket) cost() float64 {
 	return float64(t.MissingTokens) + outputCost*float64(t.OutputTokens) + 1
 }
@@ -216,7 +236,8 @@
 func (q *Queue) grant(now time.Time, t *Ticket) Outcome {
 	predicted := q.prefillTime(q.prefillingTokens() + t.MissingTokens)
 	q.nextSlot++
-	q.slots[q.nextSlot] = &slot{id: q.nextSlot, ticket: *t, grantedAt: now, renewedAt: now}
+	alone := q.prefillingTokens() == 0
+	q.slots[q.nextSlot] = &slot{id: q.nextSlot, ticket: *t, grantedAt: now, renewedAt: now, alone: alone}
 	q.ownPeak = max(q.ownPeak, len(q.slots))
 	return Outcome{TicketID: t.ID, Verdict: Granted, Slot: q.nextSlot, Predicted: predicted}
 }
@@ -303,8 +324,9 @@
 	if len(q.waiting) > 0 {
 		return
 	}
+	credit := q.rates.Prefill() * burstCredit.Seconds()
 	for w, f := range q.finish {
-		if f <= q.virtual {
+		if f <= q.virtual-credit {
 			delete(q.finish, w)
 		}
 	}
--- a/pkg/claims/attempt.go
+++ b/pkg/claims/attempt.go
@@ -1,6 +1,10 @@
 package claims
 
-import "time"
+import (
+	"time"
+
+	"cassiawall.example/cassiawall/pkg/clock"
+)
 
 // AttemptStep is what an entry node does next with an attempt.
 type AttemptStep int
@@ -29,7 +33,7 @@
 	mayBePending bool
 }
 
-// NewAttempt starts an attempt. now must be read from a monotonic clock.
+// NewAttempt starts an attempt. now must carry a monotonic reading.
 func NewAttempt(op ClaimOp, now time.Time) *Attempt { return &Attempt{op: op, started: now} }
 
 // Op returns the claim that writers are asked for.
@@ -71,13 +75,13 @@
 }
 
 // TakeSend reports whether the attempt may send now. It returns true at most once, only for a
-// granted attempt and only within SendWithin of its start, by the monotonic clock: later the
+// granted attempt and only within SendWithin of its start, by both clocks: later the
 // claim may have been trimmed by a node whose clock runs ahead.
 func (a *Attempt) TakeSend(now time.Time) bool {
 	if a.sent || a.ended || a.reply.Verdict != Granted {
 		return false
 	}
-	if now.Sub(a.started) > SendWithin {
+	if clock.Elapsed(a.started, now) > SendWithin {
 		return false
 	}
 	a.sent = true
--- /dev/null
+++ b/pkg/controller/owner/pool_test.go
@@ -0,0 +1,245 @@
+package owner
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cassiawall.example/cassiawall/pkg/blackboard"
+	"cassiawall.example/cassiawall/pkg/controller/engineview"
+	"cassiawall.example/cassiawall/pkg/engine"
+	"cassiawall.example/cassiawall/pkg/placement"
+	"cassiawall.example/cassiawall/pkg/prefix"
+)
+
+// result is what a trial measured after its warm-up.
+type result struct {
+	p50, p99            time.Duration
+	hit, limit          float64
+	recomputed          float64
+	wasted              float64
+	load                float64
+	requests, refused   int
+	hitBefore, hitAfter float64
+	asked               float64
+}
+
+func (r result) String() string {
+	return fmt.Sprintf("p50=%v p99=%v hit=%.3f limit=%.3f recomputed=%.3f wasted=%.3f load=%.2f n=%d refused=%d before=%.3f after=%.3f asked=%.2f",
+		r.p50.Round(time.Millisecond), r.p99.Round(time.Millisecond), r.hit, r.limit, r.recomputed, r.wasted, r.load,
+		r.requests, r.refused, r.hitBefore, r.hitAfter, r.asked)
+}
+
+// pool is a fleet of fake engines with one owner and several entry nodes.
+type pool struct {
+	w       workload
+	engines []*fakeEngine
+	byID    map[string]*fakeEngine
+	owner   *Owner
+	// stopOwner ends the current owner.
+	stopOwner             func()
+	board                 *blackboard.Board
+	policy                string
+	mu                    sync.Mutex
+	placers               []*placement.Placer
+	feeders               []*engineview.Feeder
+	inUse                 map[string]int
+	turn                  int
+	ttft                  []time.Duration
+	result                result
+	started               time.Time
+	prompt, reused, ideal int
+	reusedBy              [2][2]int
+	seen                  map[uint64]bool
+	asks                  int
+}
+
+const warmUp = 12 * time.Second
+
+func runTrial(t *testing.T, policy string, w workload, seed uint64) result {
+	var r result
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		p := newPool(ctx, policy, w)
+		p.drive(ctx, rand.New(rand.NewPCG(seed, 1)))
+		r = p.finish()
+		cancel()
+		// Lets loops that sleep notice the end.
+		time.Sleep(time.Minute)
+	})
+	return r
+}
+
+func newPool(ctx context.Context, policy string, w workload) *pool {
+	p := &pool{w: w, policy: policy, board: blackboard.New(), inUse: map[string]int{}, seen: map[uint64]bool{}, started: time.Now()}
+	byID := map[string]*fakeEngine{}
+	p.board.Members.Put("n", blackboard.MemberEntry{Name: "n", DataCentre: "a", Region: "r", State: blackboard.MemberAlive}, blackboard.Evidence{})
+	for i := range w.engines {
+		f := newFakeEngine(fmt.Sprintf("e%02d", i), w.blocks)
+		f.lost = w.lostEvents
+		p.engines = append(p.engines, f)
+		byID[f.id] = f
+		p.board.Engines.Put(f.id, blackboard.EngineEntry{ID: f.id, DataCentre: "a", Reachable: true}, blackboard.Evidence{})
+		go f.run(ctx)
+	}
+	p.byID = byID
+	p.startOwner(ctx)
+	for i := range w.entries {
+		p.placers = append(p.placers, nil)
+		p.feeders = append(p.feeders, nil)
+		p.restart(i)
+	}
+	go every(ctx, 250*time.Millisecond, func(context.Context) { p.refresh() })
+	time.Sleep(time.Second)
+	return p
+}
+
+// startOwner replaces the owner by one without state.
+func (p *pool) startOwner(ctx context.Context) {
+	if p.stopOwner != nil {
+		p.stopOwner()
+	}
+	ctx, p.stopOwner = context.WithCancel(ctx)
+	o := New(Options{Board: p.board, Self: "n", Engines: func(id string) engine.Reporter { return p.byID[id] }})
+	p.owner = o
+	go func() { _ = o.Run(ctx) }()
+}
+
+func (p *pool) currentOwner() *Owner {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.owner
+}
+
+func (p *pool) restart(i int) {
+	placer, err := placement.New(placement.Options{Region: "r", Rand: rand.New(rand.NewPCG(uint64(i), 3))})
+	if err != nil {
+		panic(err)
+	}
+	p.placers[i] = placer
+	p.feeders[i] = engineview.New(engineview.Options{Board: p.board, DataCentre: "a", Region: "r"}, placer)
+	p.feeders[i].Refresh()
+}
+
+func (p *pool) refresh() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, f := range p.feeders {
+		f.Refresh()
+	}
+}
+
+func (p *pool) drive(ctx context.Context, rng *rand.Rand) {
+	start := time.Now()
+	restarted := false
+	var all sync.WaitGroup
+	for time.Since(start) < p.w.duration {
+		time.Sleep(time.Duration(rng.ExpFloat64() / p.w.rate * float64(time.Second)))
+		at := time.Since(start)
+		if p.w.restartAt > 0 && at > p.w.restartAt && !restarted {
+			restarted = true
+			p.mu.Lock()
+			for i := range p.w.entries / 2 {
+				p.restart(i)
+			}
+			p.startOwner(ctx)
+			p.mu.Unlock()
+		}
+		r := p.make(rng, at)
+		entry := rng.IntN(p.w.entries)
+		id := fmt.Sprint(at.Nanoseconds())
+		all.Go(func() { p.serve(ctx, id, entry, r, at) })
+	}
+	all.Wait()
+}
+
+func (p *pool) serve(ctx context.Context, id string, entry int, r request, at time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, r.leaves)
+	defer cancel()
+	began := time.Now()
+	f, done := p.choose(ctx, id, entry, r, began)
+	if f == nil {
+		return
+	}
+	time.Sleep(500 * time.Microsecond)
+	tokens := make([]int, len(r.pieces))
+	for i := range tokens {
+		tokens[i] = r.pieces[i].Tokens
+	}
+	run := f.submit(prefix.Keys(r.pieces), tokens, p.w.output)
+	select {
+	case <-run.first:
+	case <-ctx.Done():
+		time.Sleep(time.Millisecond)
+		f.stopRun(run)
+		done(nil, true)
+		return
+	}
+	p.record(run, r, at, time.Since(began))
+	done(run, false)
+	select {
+	case <-run.done:
+		done(nil, false)
+	case <-ctx.Done():
+		f.stopRun(run)
+		done(nil, true)
+	}
+}
+
+func (p *pool) record(run *fakeRun, r request, at, ttft time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	total := prefix.Tokens(r.pieces)
+	ideal := 0
+	for _, piece := range r.pieces {
+		if p.seen[piece.Key] {
+			ideal += piece.Tokens
+		}
+		p.seen[piece.Key] = true
+	}
+	if at < warmUp {
+		return
+	}
+	if p.w.restartAt > 0 && at > p.w.restartAt-5*time.Second && at < p.w.restartAt+5*time.Second {
+		after := 0
+		if at > p.w.restartAt {
+			after = 1
+		}
+		p.reusedBy[after][0] += run.reused
+		p.reusedBy[after][1] += total
+	}
+	p.ttft = append(p.ttft, ttft)
+	p.prompt += total
+	p.reused += run.reused
+	p.ideal += ideal
+}
+
+func (p *pool) finish() result {
+	r := p.result
+	slices.Sort(p.ttft)
+	n := len(p.ttft)
+	r.requests = n
+	r.p50 = p.ttft[n/2]
+	r.p99 = p.ttft[int(math.Ceil(float64(n)*0.99))-1]
+	r.hit = float64(p.reused) / float64(p.prompt)
+	r.limit = float64(p.ideal) / float64(p.prompt)
+	r.recomputed = float64(p.ideal-p.reused) / float64(p.prompt)
+	busy, computed, wasted := time.Duration(0), 0, 0
+	for _, f := range p.engines {
+		busy += f.busy
+		computed += f.computed
+		wasted += f.wasted
+	}
+	r.wasted = float64(wasted) / float64(max(1, computed))
+	r.load = float64(busy) / float64(time.Since(p.started)) / float64(len(p.engines))
+	r.asked = float64(p.asks) / float64(n)
+	r.hitBefore = float64(p.reusedBy[0][0]) / float64(max(1, p.reusedBy[0][1]))
+	r.hitAfter = float64(p.reusedBy[1][0]) / float64(max(1, p.reusedBy[1][1]))
+	return r
+}
--- a/pkg/entry/generate.go
+++ b/pkg/entry/generate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"net/http"
 	"time"
 
@@ -12,14 +13,8 @@
 	"cassiawall.example/cassiawall/pkg/prefix"
 	"cassiawall.example/cassiawall/pkg/routing"
 	"cassiawall.example/cassiawall/pkg/stream"
-
-	"log/slog"
 )
 
-// maxAttempts bounds how many engines work on one answer, so that a request which breaks
-// engines cannot visit all of them.
-const maxAttempts = 3
-
 func (s *Server) chat(w http.ResponseWriter, r *http.Request, id string) error {
 	return s.generate(w, r, id, true)
 }
@@ -74,8 +69,9 @@
 	if cause := context.Cause(ctx); err != nil && cause != nil {
 		err = endingOf(cause, err)
 	}
-	src.finish(err, ctx.Err() != nil)
-	s.record(g, timed, &result, err, ctx.Err() != nil)
+	unwanted := callerLeft(ctx) || fault.Is(err, fault.Superseded)
+	src.finish(err, unwanted)
+	s.record(g, timed, &result, err, unwanted)
 	if err != nil {
 		return err
 	}
@@ -93,7 +89,7 @@
 	return err
 }
 
-func (s *Server) record(g *generation, t *timedSink, result *stream.Result, err error, gone bool) {
+func (s *Server) record(g *generation, t *timedSink, result *stream.Result, err error, unwanted bool) {
 	if s.opt.Recorder == nil {
 		return
 	}
@@ -102,11 +98,11 @@
 		TTFT:             t.ttft,
 		MaxBetweenTokens: t.maxGap,
 		Complete:         err == nil,
-		Abandoned:        err != nil && gone,
+		Abandoned:        err != nil && unwanted,
 		ReusedTokens:     result.ReusedTokens,
 		ComputedTokens:   result.ComputedTokens,
 	}
-	if err != nil && !gone {
+	if err != nil && !unwanted {
 		o.Cause = fault.As(err).Kind
 	}
 	s.opt.Recorder.GenerationDone(s.opt.Now(), o)
@@ -114,44 +110,76 @@
 
 // source routes the attempts of one answer to engines.
 type source struct {
-	server   *Server
-	g        *generation
-	slot     routing.Slot
-	failed   map[string]bool
-	attempts int
+	server *Server
+	g      *generation
+	slot   routing.Slot
+	failed map[string]bool
+	// wait is the pause before the next attempt.
+	wait time.Duration
+	// retried is set when the answer moves to a second engine. It never moves to a third, so
+	// that a request which breaks engines cannot visit all of them.
+	retried bool
+	// resuming makes the next attempt continue on the engine of the cut stream.
+	resuming bool
+	resumed  bool
 }
 
 // Open implements stream.Source.
 func (src *source) Open(ctx context.Context, from stream.Position) (engine.Stream, error) {
-	src.attempts++
-	slot, err := src.server.opt.Router.Route(ctx, src.work())
-	if err != nil {
-		return nil, err
-	}
-	src.slot = slot
-	target := slot.Target()
-	st, err := src.server.opt.Engines(target.Address).Generate(ctx, src.request(target, from))
-	if err != nil {
-		return nil, err
-	}
-	return st, nil
+	if !src.resuming {
+		if err := src.pause(ctx); err != nil {
+			return nil, err
+		}
+		slot, err := src.server.opt.Router.Route(ctx, src.work())
+		if err != nil {
+			return nil, err
+		}
+		src.slot = slot
+	}
+	src.resuming = false
+	target := src.slot.Target()
+	return src.server.opt.Engines(target.Address).Generate(ctx, src.request(target, from))
 }
 
-// Retry implements stream.Source.
-func (src *source) Retry(err error, _ bool) bool {
+// Retry implements stream.Source. A cut stream is first resumed on its engine, which still holds
+// the work, and then continued on another one.
+func (src *source) Retry(err error, delivered bool) bool {
 	if src.slot == nil {
 		return false
 	}
+	if delivered && !src.resumed && fault.Is(err, fault.StreamBroken) {
+		src.resuming, src.resumed = true, true
+		return true
+	}
 	target := src.slot.Target()
 	src.slot.Done(routing.Ending{Failed: true})
 	src.slot = nil
 	src.failed[target.Engine] = true
-	retry := src.attempts < maxAttempts
-	if retry {
-		event.StreamReplayed.Log(context.Background(), src.server.opt.Logger,
-			slog.String("request", src.g.id), slog.String("engine", target.Engine), slog.Any("error", err))
+	wait, ok := src.server.retries.next(src.server.opt.Now(), src.retried, fault.As(err).RetryAfter)
+	if !ok {
+		return false
+	}
+	src.retried, src.wait = true, wait
+	event.StreamReplayed.Log(context.Background(), src.server.opt.Logger,
+		slog.String("request", src.g.id), slog.String("engine", target.Engine), slog.Any("error", err))
+	return true
+}
+
+// pause waits before a retry.
+func (src *source) pause(ctx context.Context) error {
+	if src.wait == 0 {
+		src.server.retries.first(src.server.opt.Now())
+		return nil
+	}
+	timer := time.NewTimer(src.wait)
+	defer timer.Stop()
+	src.wait = 0
+	select {
+	case <-ctx.Done():
+		return fault.Wrap(context.Cause(ctx), fault.Abandoned, "the caller left before a retry")
+	case <-timer.C:
+		return nil
 	}
-	return retry
 }
 
 func (src *source) work() *routing.Work {
@@ -187,8 +215,8 @@
 }
 
 // finish frees the slot of the last attempt.
-func (src *source) finish(err error, gone bool) {
+func (src *source) finish(err error, unwanted bool) {
 	if src.slot != nil {
-		src.slot.Done(routing.Ending{Abandoned: gone, Failed: err != nil && !gone})
+		src.slot.Done(routing.Ending{Abandoned: unwanted, Failed: err != nil && !unwanted})
 	}
 }
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -3,10 +3,11 @@
 
 import (
 	"context"
-	"crypto/rand"
+	crand "crypto/rand"
 	"encoding/hex"
 	"errors"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -16,6 +17,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"cassiawall.example/cassiawall/pkg/blackboard"
+	"cassiawall.example/cassiawall/pkg/burn"
+	"cassiawall.example/cassiawall/pkg/controller/claims"
 	"cassiawall.example/cassiawall/pkg/controller/discovery"
 	"cassiawall.example/cassiawall/pkg/controller/engineview"
 	"cassiawall.example/cassiawall/pkg/controller/owner"
@@ -23,10 +26,14 @@
 	"cassiawall.example/cassiawall/pkg/entry"
 	"cassiawall.example/cassiawall/pkg/event"
 	"cassiawall.example/cassiawall/pkg/metrics"
+	"cassiawall.example/cassiawall/pkg/objects"
 	"cassiawall.example/cassiawall/pkg/peer"
 	"cassiawall.example/cassiawall/pkg/placement"
+	"cassiawall.example/cassiawall/pkg/report"
 	"cassiawall.example/cassiawall/pkg/routing"
+	"cassiawall.example/cassiawall/pkg/service"
 	"cassiawall.example/cassiawall/pkg/settings"
+	"cassiawall.example/cassiawall/pkg/status"
 	"cassiawall.example/cassiawall/pkg/vms"
 )
 
@@ -58,13 +65,18 @@
 	discovery *discovery.Controller
 	owner     *owner.Owner
 	placer    *placement.Placer
+	feeding   sync.Mutex
 	feeder    *engineview.Feeder
 	auth      *peer.Auth
 	pool      *peer.Pool
+	store     objects.Store
+	claims    *claims.Controller
+	services  *service.Dispatcher
+	recorder  *burn.Recorder
+	report    *report.Collector
+	status    *status.Reporter
 	entry     *entry.Server
-	callers   net.Listener
-	peers     net.Listener
-	operators net.Listener
+	listeners listeners
 	ready     atomic.Bool
 	stopOnce  sync.Once
 	stop      chan struct{}
@@ -74,25 +86,24 @@
 // fault.InvalidSettings or of the network.
 func New(opt Options) (*Node, error) {
 	n := &Node{opt: opt, board: blackboard.New(), metrics: metrics.New(), engines: newEngineClients(), stop: make(chan struct{})}
-	if err := n.listen(); err != nil {
+	var err error
+	if n.listeners, err = listen(opt.Settings, opt.Logger); err != nil {
 		return nil, err
 	}
 	if err := n.assemble(); err != nil {
-		return nil, errors.Join(err, n.callers.Close(), n.peers.Close(), n.operators.Close())
+		return nil, errors.Join(err, n.listeners.close())
 	}
 	return n, nil
 }
 
 func (n *Node) assemble() error {
 	s := n.opt.Settings
-	n.discovery = discovery.New(discovery.Options{
-		Board: n.board, EngineRole: s.Engines.VMRole, Static: staticEngines(s), Logger: n.opt.Logger, Now: time.Now,
-	})
+	n.connectPlatform()
 	keys, err := keyring(n.opt.PeerKeys)
 	if err != nil {
 		return err
 	}
-	n.auth = peer.NewAuth(peer.AuthOptions{Keyring: keys, Address: n.peerAddress(), Logger: n.opt.Logger})
+	n.auth = peer.NewAuth(peer.AuthOptions{Keyring: keys, Address: advertised(&s.Peers, n.listeners.peers), Logger: n.opt.Logger})
 	n.pool = peer.NewPool(n.auth)
 	n.owner = owner.New(owner.Options{Board: n.board, Engines: n.reporter, Self: s.Name, Logger: n.opt.Logger})
 	if n.placer, err = placement.New(placement.Options{Region: s.Region}); err != nil {
@@ -103,13 +114,38 @@
 	if err != nil {
 		return err
 	}
+	n.claims = claims.New(claims.Options{
+		Node: s.Name, Board: n.board, Store: n.store, Peer: &claimCalls{board: n.board, pool: n.pool}, Metrics: n.metrics, Logger: n.opt.Logger,
+	})
+	n.services = service.New(service.Options{
+		DataCentre: s.DataCentre, Board: n.board, Guard: n.claims, Metrics: n.metrics, Logger: n.opt.Logger, Seed: rand.Uint64(),
+	})
+	n.recorder = burn.NewRecorder(s.Name, time.Now())
+	n.report = report.NewCollector(report.Options{Self: s.Name, Board: n.board, Recorder: n.recorder, Client: n.pool.Client, Now: time.Now})
+	n.status = status.NewReporter(status.Options{Self: s.Name, Board: n.board, Now: time.Now})
 	n.entry, err = entry.New(entry.Options{
 		Board: n.board, Router: router, Logger: n.opt.Logger, Now: time.Now, RequestID: newRequestID,
+		Services: n.services, Recorder: &observer{burn: n.recorder, metrics: n.metrics},
 		Engines: func(address string) engine.Generator { return n.engines.at(address) },
 	})
 	return err
 }
 
+// connectPlatform makes the adapters of the platform.
+func (n *Node) connectPlatform() {
+	s := n.opt.Settings
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: platformIdlePerHost, IdleConnTimeout: engineIdleTimeout}}
+	n.store = objects.NewClient(s.Platform.Objects, client)
+	options := discovery.Options{Board: n.board, EngineRole: s.Engines.VMRole, Static: staticEngines(s), Logger: n.opt.Logger, Now: time.Now}
+	if s.Platform.VMs != "" {
+		options.VMs = vms.NewClient(s.Platform.VMs, client)
+	}
+	n.discovery = discovery.New(options)
+}
+
+// platformIdlePerHost is the number of connections to the object API that are kept.
+const platformIdlePerHost = 16
+
 // reporter returns the adapter of an engine, or nil if its address is not known.
 func (n *Node) reporter(id string) engine.Reporter {
 	e, ok := n.board.Engines.Get(id)
@@ -124,32 +160,11 @@
 		return routing.NewBaseline(n.opt.Policy, n.board, n.opt.Inflight)
 	}
 	calls := &ownerCalls{self: n.opt.Settings.Name, local: n.owner, pool: n.pool}
-	return routing.NewOwnerRouter(routing.OwnerOptions{
+	router := routing.NewOwnerRouter(routing.OwnerOptions{
 		Board: n.board, Placer: n.placer, Owners: calls, Table: owner.NewTable(n.board),
 		Self: n.opt.Settings.Name, Logger: n.opt.Logger, Now: time.Now,
-	}), nil
-}
-
-func (n *Node) listen() error {
-	var err error
-	if n.callers, err = net.Listen("tcp", n.opt.Settings.Callers.Address); err != nil {
-		return err
-	}
-	if n.peers, err = net.Listen("tcp", n.opt.Settings.Peers.Address); err != nil {
-		return errors.Join(err, n.callers.Close())
-	}
-	if n.operators, err = net.Listen("tcp", n.opt.Settings.Operators.Address); err != nil {
-		return errors.Join(err, n.callers.Close(), n.peers.Close())
-	}
-	return nil
-}
-
-// peerAddress is the address under which the other nodes call this one.
-func (n *Node) peerAddress() string {
-	if n.opt.Settings.Peers.Advertise != "" {
-		return n.opt.Settings.Peers.Advertise
-	}
-	return n.peers.Addr().String()
+	})
+	return routing.NewHealthRouter(router, n.board, time.Now, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))), nil
 }
 
 func staticEngines(s *settings.Settings) []vms.VM {
@@ -164,18 +179,26 @@
 func newRequestID() string {
 	var id [16]byte
 	// rand.Read never fails on the supported platforms.
-	_, _ = rand.Read(id[:])
+	_, _ = crand.Read(id[:])
 	return hex.EncodeToString(id[:])
 }
 
 // Board returns the node's blackboard.
 func (n *Node) Board() *blackboard.Board { return n.board }
 
+// Addresses returns the bound addresses of the listeners as host:port.
+func (n *Node) Addresses() (callers, peers, operators string) {
+	l := &n.listeners
+	return l.callers.Addr().String(), l.peers.Addr().String(), l.operators.Addr().String()
+}
+
 // CallersURL returns the base URL of the callers' listener.
-func (n *Node) CallersURL() string { return "http://" + n.callers.Addr().String() }
+func (n *Node) CallersURL() string { return baseURL(&n.opt.Settings.Callers, n.listeners.callers) }
 
 // OperatorsURL returns the base URL of the operators' listener.
-func (n *Node) OperatorsURL() string { return "http://" + n.operators.Addr().String() }
+func (n *Node) OperatorsURL() string {
+	return baseURL(&n.opt.Settings.Operators, n.listeners.operators)
+}
 
 // Ready reports whether the node takes requests.
 func (n *Node) Ready() bool { return n.ready.Load() }
@@ -193,11 +216,13 @@
 	group.Go(func() error { return n.discovery.Run(groupCtx) })
 	group.Go(func() error { return n.owner.Run(groupCtx) })
 	group.Go(func() error { return n.feed(groupCtx) })
-	peers := &http.Server{Handler: peer.NewServer(&rpcServer{owner: n.owner}, n.auth), ReadHeaderTimeout: headerTimeout}
-	group.Go(func() error { return serve(peers, n.peers) })
+	group.Go(func() error { return n.services.Run(groupCtx) })
+	group.Go(func() error { return n.followConfig(groupCtx) })
+	peers := &http.Server{Handler: peer.NewServer(&rpcServer{node: n}, n.auth), ReadHeaderTimeout: headerTimeout}
+	group.Go(func() error { return serve(peers, n.listeners.peers) })
 	callers := n.callersServer()
 	operators := &http.Server{Handler: n.operatorsHandler(), ReadHeaderTimeout: headerTimeout}
-	group.Go(func() error { return serve(operators, n.operators) })
+	group.Go(func() error { return serve(operators, n.listeners.operators) })
 	group.Go(func() error {
 		defer cancel()
 		return n.serveCallers(groupCtx, callers)
@@ -221,7 +246,7 @@
 	ticker := time.NewTicker(feedInterval)
 	defer ticker.Stop()
 	for {
-		n.feeder.Refresh()
+		n.refreshPlacement()
 		select {
 		case <-ctx.Done():
 			return nil
@@ -230,6 +255,28 @@
 	}
 }
 
+// followConfig passes each new configuration to the parts that keep state by workspace.
+func (n *Node) followConfig(ctx context.Context) error {
+	changes, cancel := n.board.Config.Subscribe()
+	defer cancel()
+	for {
+		if c := n.board.CurrentConfig(); c != nil {
+			n.recorder.SetConfig(c)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changes:
+		}
+	}
+}
+
+func (n *Node) refreshPlacement() {
+	n.feeding.Lock()
+	defer n.feeding.Unlock()
+	n.feeder.Refresh()
+}
+
 func (n *Node) callersServer() *http.Server {
 	return &http.Server{
 		Handler: n.entry, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
@@ -246,8 +293,9 @@
 
 // serveCallers serves until shutdown and then drains.
 func (n *Node) serveCallers(ctx context.Context, s *http.Server) error {
+	n.waitReady(ctx)
 	served := make(chan error, 1)
-	go func() { served <- serve(s, n.callers) }()
+	go func() { served <- serve(s, n.listeners.callers) }()
 	n.ready.Store(true)
 	event.NodeReady.Log(ctx, n.opt.Logger, slog.String("node", n.opt.Settings.Name))
 	select {
@@ -258,6 +306,7 @@
 	case <-n.stop:
 	}
 	n.drain(ctx, s)
+	n.claims.Close(ctx)
 	return <-served
 }
 
--- a/pkg/standin/engine/config.go
+++ b/pkg/standin/engine/config.go
@@ -17,13 +17,16 @@
 	Model          string
 	WeightsVersion string
 	Adapters       []string
-	// Role is "mixed" (default), "prefill" or "decode". The stand-in serves in every role.
+	// Role is the role at start. The stand-in serves in every role. Default "serve".
 	Role string
 	// Seed feeds the incarnation names and the choice of lost events.
 	Seed uint64
 
-	// CacheBlocks is the number of prompt pieces that the cache holds. Default 64.
+	// CacheBlocks is the number of blocks that the cache holds and BlockTokens the size of a
+	// block. A piece takes as many blocks, or such a part of one, as its tokens need.
+	// Defaults 64 and 4,000.
 	CacheBlocks int
+	BlockTokens int
 	// MaxBatch is the number of requests that run at once. Default 16.
 	MaxBatch int
 	// MaxQueue is the number of requests that may wait; more are refused. Default 1024.
@@ -35,7 +38,7 @@
 	StepTime time.Duration
 	// PrefillTokensPerSecond is the rate of prefill. Default 20,000.
 	PrefillTokensPerSecond float64
-	// StepPrefillTokens bounds the prefill of one step. Default 2,048.
+	// StepPrefillTokens bounds the prefill of one step. Default 512.
 	StepPrefillTokens int
 	// DecodeTime is what one decoding request adds to a step. Default 0.2 ms.
 	DecodeTime time.Duration
@@ -74,14 +77,15 @@
 	setDefault(&c.ID, "engine")
 	setDefault(&c.Model, "model")
 	setDefault(&c.WeightsVersion, "v1")
-	setDefault(&c.Role, "mixed")
+	setDefault(&c.Role, "serve")
 	setDefault(&c.CacheBlocks, 64)
+	setDefault(&c.BlockTokens, 4000)
 	setDefault(&c.MaxBatch, 16)
 	setDefault(&c.MaxQueue, 1024)
 	setDefault(&c.BytesPerToken, 4)
 	setDefault(&c.StepTime, 10*time.Millisecond)
 	setDefault(&c.PrefillTokensPerSecond, 20_000)
-	setDefault(&c.StepPrefillTokens, 2048)
+	setDefault(&c.StepPrefillTokens, 512)
 	setDefault(&c.DecodeTime, 200*time.Microsecond)
 	setDefault(&c.ChunkTokens, 8)
 	setDefault(&c.EventDelay, 200*time.Millisecond)
@@ -89,7 +93,7 @@
 	setDefault(&c.LoadLag, 250*time.Millisecond)
 	setDefault(&c.DetachGrace, 2*time.Second)
 	if c.Loader == nil {
-		c.Loader = NewLoader(1, defaultLoadTime)
+		c.Loader = NewLoader(1, LoadTime)
 	}
 	if c.Logger == nil {
 		c.Logger = slog.New(slog.DiscardHandler)
--- a/pkg/standin/engine/engine.go
+++ b/pkg/standin/engine/engine.go
@@ -83,7 +83,7 @@
 	e.fencing = 0
 	e.events = eventLog{delay: e.config.EventDelay, interval: e.config.EventInterval, changed: e.events.changed}
 	e.loads = loadHistory{}
-	e.batch = &batch{config: &e.config, cache: newBlockCache(e.config.CacheBlocks, e.cacheChanged)}
+	e.batch = &batch{config: &e.config, cache: newBlockCache(e.config.CacheBlocks*e.config.BlockTokens, e.cacheChanged)}
 }
 
 func (e *Engine) cacheChanged(kind cacheChange, routing uint64) {
@@ -247,7 +247,10 @@
 	}
 	now := time.Now()
 	e.counters.BusyTime += d
-	e.batch.apply(work, now, e.config.Ledger)
+	late := e.batch.apply(work, now, e.config.Ledger)
+	e.counters.ComputedTokens += late.ComputedTokens
+	e.counters.DecodedTokens += late.DecodedTokens
+	e.counters.CancelledTokens += late.CancelledTokens
 	for _, w := range work {
 		if w.s.phase == finished {
 			e.finish(w.s, finished, now)
