configwatch: keep the configuration in force from the object API and peers

Two nodes per data centre watch the object API, the rest fetch from peers that announce a higher version. Apply reports conflicts with what changed.

--- /dev/null
+++ b/pkg/configsync/configsync_test.go
@@ -0,0 +1,111 @@
+package configsync
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"cassiawall.example/cassiawall/pkg/blackboard"
+)
+
+func fleet(count int) []blackboard.MemberEntry {
+	members := make([]blackboard.MemberEntry, count)
+	for i := range members {
+		members[i] = blackboard.MemberEntry{
+			Name: fmt.Sprint("n", i), RPCAddress: fmt.Sprint("rpc", i), DataCentre: fmt.Sprint("dc", i%3),
+			Region: fmt.Sprint("r", i%3/2), State: blackboard.MemberAlive,
+		}
+	}
+	return members
+}
+
+func watchers(members []blackboard.MemberEntry) map[string][]string {
+	chosen := map[string][]string{}
+	for _, m := range members {
+		if usable(m) && IsWatcher(m.Name, m.DataCentre, members) {
+			chosen[m.DataCentre] = append(chosen[m.DataCentre], m.Name)
+		}
+	}
+	return chosen
+}
+
+// Guards against data centres that nobody watches for, and against object API calls that grow
+// with the fleet.
+func TestTwoWatchersPerDataCentre(t *testing.T) {
+	members := fleet(60)
+	first := watchers(members)
+	for dc := range 3 {
+		assert.Len(t, first[fmt.Sprint("dc", dc)], WatchersPerDataCentre)
+	}
+	gone := map[string]blackboard.MemberState{first["dc0"][0]: blackboard.MemberDead, first["dc1"][0]: blackboard.MemberLeft}
+	for i := range members {
+		if state, ok := gone[members[i].Name]; ok {
+			members[i].State = state
+		}
+		members[i].Draining = members[i].Name == first["dc2"][0]
+	}
+	for dc, names := range watchers(members) {
+		assert.Len(t, names, WatchersPerDataCentre, dc)
+		assert.Contains(t, names, first[dc][1], "the other watcher stays")
+	}
+}
+
+// Guards against a configuration that goes back.
+func TestVersionRule(t *testing.T) {
+	assert.Equal(t, Newer, Judge(5, 6))
+	assert.Equal(t, Same, Judge(5, 5))
+	assert.Equal(t, Stale, Judge(5, 4))
+}
+
+// Guards against fetches from peers that have nothing newer, that failed, or that are far away
+// while a near one has it.
+func TestSource(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 1))
+	never := func(string) bool { return false }
+	self := fleet(1)[0]
+	members := fleet(9)
+	_, ok := Source(r, self, 4, members, never)
+	assert.False(t, ok)
+	members[1].ConfigVersion = 5 // same region, other data centre
+	members[2].ConfigVersion = 9 // other region
+	m, ok := Source(r, self, 4, members, never)
+	assert.True(t, ok)
+	assert.Equal(t, "n1", m.Name)
+	m, _ = Source(r, self, 4, members, func(name string) bool { return name == "n1" })
+	assert.Equal(t, "n2", m.Name)
+	members[3].ConfigVersion = 5
+	members[6].ConfigVersion = 5
+	seen := map[string]bool{}
+	for range 50 {
+		m, _ = Source(r, self, 4, members, never)
+		seen[m.Name] = true
+	}
+	assert.Equal(t, map[string]bool{"n3": true, "n6": true}, seen, "load is spread over the near ones")
+	members[3].State = blackboard.MemberDead
+	m, _ = Source(r, self, 4, members, never)
+	assert.Equal(t, "n6", m.Name)
+}
+
+// Guards against a restarted node that serves with an old configuration or never serves.
+func TestReadiness(t *testing.T) {
+	start := time.Unix(1000, 0)
+	for name, c := range map[string]struct {
+		startup Startup
+		after   time.Duration
+		ready   bool
+	}{
+		"nothing in force":             {Startup{StoreAnswered: true, PeersAnswered: 3}, time.Hour, false},
+		"a peer offered":               {Startup{InForce: 3, PeersAnswered: 2, PeersOffered: 1}, 0, true},
+		"others still asked":           {Startup{InForce: 3, PeersAnswered: 2, PeersOffered: 1, Asking: true}, 0, false},
+		"only the API, peers unknown":  {Startup{InForce: 3, StoreAnswered: true}, PeerGrace - 1, false},
+		"only the API, no peers found": {Startup{InForce: 3, StoreAnswered: true}, PeerGrace, true},
+		"API, peers have nothing":      {Startup{InForce: 3, StoreAnswered: true, PeersAnswered: 1}, 0, true},
+		"nobody answered":              {Startup{InForce: 3}, time.Hour, false},
+	} {
+		c.startup.Started = start
+		assert.Equal(t, c.ready, c.startup.Ready(start.Add(c.after)), name)
+	}
+}
--- /dev/null
+++ b/pkg/controller/configwatch/configwatch_test.go
@@ -0,0 +1,308 @@
+package configwatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"cassiawall.example/cassiawall/pkg/blackboard"
+	"cassiawall.example/cassiawall/pkg/configsync"
+	"cassiawall.example/cassiawall/pkg/fault"
+	"cassiawall.example/cassiawall/pkg/peer"
+	"cassiawall.example/cassiawall/pkg/peer/peerpb"
+	standin "cassiawall.example/cassiawall/pkg/standin/objects"
+)
+
+// document returns a valid configuration with one workspace for each name.
+func document(names ...string) []byte {
+	var b strings.Builder
+	b.WriteString("models:\n  - {name: m, weights_version: v1}\nworkspaces:\n")
+	for i, name := range names {
+		fmt.Fprintf(&b, "  - name: %s\n    api_key_hashes: [%064x]\n    models: [m]\n", name, i+1)
+	}
+	return []byte(b.String())
+}
+
+// cluster runs controllers whose members learn of each other's versions once a second.
+type cluster struct {
+	t      *testing.T
+	mu     sync.Mutex
+	store  *standin.Store
+	boards map[string]*blackboard.Board
+	nodes  map[string]*Controller
+	cancel map[string]context.CancelFunc
+	// silent nodes do not answer calls.
+	silent map[string]bool
+}
+
+type answering struct {
+	peerpb.Peer
+	cluster *cluster
+	name    string
+}
+
+func (a answering) board() (*blackboard.Board, error) {
+	a.cluster.mu.Lock()
+	defer a.cluster.mu.Unlock()
+	board, ok := a.cluster.boards[a.name]
+	if !ok || a.cluster.silent[a.name] {
+		return nil, errors.New("connection refused")
+	}
+	return board, nil
+}
+
+func (a answering) FetchConfig(_ context.Context, r *peerpb.FetchConfigRequest) (*peerpb.FetchConfigReply, error) {
+	board, err := a.board()
+	if err != nil {
+		return nil, err
+	}
+	return peer.ConfigReply(board, r.HaveVersion), nil
+}
+
+func (a answering) Bootstrap(_ context.Context, _ *peerpb.BootstrapRequest) (*peerpb.BootstrapReply, error) {
+	board, err := a.board()
+	if err != nil {
+		return nil, err
+	}
+	return peer.Bootstrap(board, nil), nil
+}
+
+func newCluster(t *testing.T, count int) *cluster {
+	c := &cluster{
+		t: t, store: standin.NewStore(1), boards: map[string]*blackboard.Board{},
+		nodes: map[string]*Controller{}, cancel: map[string]context.CancelFunc{}, silent: map[string]bool{},
+	}
+	for i := range count {
+		c.start(i)
+	}
+	go c.gossip(t.Context())
+	return c
+}
+
+func (c *cluster) start(i int) {
+	ctx, cancel := context.WithCancel(c.t.Context())
+	name := fmt.Sprint("n", i)
+	board := blackboard.New()
+	x := New(Options{
+		Name: name, DataCentre: fmt.Sprint("dc", i%3), Region: "r", Board: board, Store: c.store,
+		Peers:  func(address string) peerpb.Peer { return answering{cluster: c, name: address} },
+		Logger: slog.New(slog.DiscardHandler), Rand: rand.New(rand.NewPCG(uint64(i), 1)),
+	})
+	c.mu.Lock()
+	c.boards[name], c.nodes[name], c.cancel[name] = board, x, cancel
+	c.mu.Unlock()
+	go func() { _ = x.Run(ctx) }()
+}
+
+func (c *cluster) gossip(ctx context.Context) {
+	for pause(ctx, time.Second) {
+		c.mu.Lock()
+		for _, to := range c.boards {
+			for i := range len(c.boards) {
+				name := fmt.Sprint("n", i)
+				entry, _ := c.boards[name].Config.Get(blackboard.ConfigKey)
+				to.Members.Put(name, blackboard.MemberEntry{
+					Name: name, RPCAddress: name, DataCentre: fmt.Sprint("dc", i%3), Region: "r",
+					State: blackboard.MemberAlive, ConfigVersion: entry.Value.Version,
+				}, blackboard.Evidence{})
+			}
+		}
+		c.mu.Unlock()
+	}
+}
+
+func (c *cluster) stop() {
+	for _, cancel := range c.cancel {
+		cancel()
+	}
+}
+
+func (c *cluster) versions() map[uint64]int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	counts := map[uint64]int{}
+	for _, x := range c.nodes {
+		counts[x.version()]++
+	}
+	return counts
+}
+
+func (c *cluster) apply(ifVersion uint64, names ...string) uint64 {
+	version, err := Apply(c.t.Context(), c.store, document(names...), ifVersion)
+	require.NoError(c.t, err)
+	return version
+}
+
+// Guards against changes that take too long to reach all nodes, and against object API calls
+// that grow with the fleet.
+func TestChangeReachesAllNodesWithFewCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 20)
+		defer c.stop()
+		first := c.apply(0, "a")
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, map[uint64]int{first: 20}, c.versions())
+		for name, x := range c.nodes {
+			assert.True(t, x.Ready(), name)
+		}
+		before := c.store.Counters()
+		time.Sleep(10 * time.Minute)
+		after := c.store.Counters()
+		calls := float64(after.Calls()-before.Calls()) / 600
+		t.Logf("%.2f calls/s and %d waiting watches at rest", calls, after.Waiting)
+		assert.LessOrEqual(t, calls+float64(after.Waiting), 10.0)
+		assert.Equal(t, 3*configsync.WatchersPerDataCentre, after.Waiting)
+		second := c.apply(first, "a", "b")
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, map[uint64]int{second: 20}, c.versions())
+	})
+}
+
+// Guards against a configuration that is lost or reverted in an outage of the object API, and
+// against a node that cannot restart during one.
+func TestOutageKeepsTheConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 12)
+		defer c.stop()
+		version := c.apply(0, "a")
+		time.Sleep(10 * time.Second)
+		c.store.SetFaults(standin.Faults{Outage: true})
+		for i := range 10 {
+			c.cancel[fmt.Sprint("n", i)]()
+			c.start(i)
+			time.Sleep(time.Minute)
+			assert.True(t, c.nodes[fmt.Sprint("n", i)].Ready())
+		}
+		assert.Equal(t, map[uint64]int{version: 12}, c.versions())
+		c.store.SetFaults(standin.Faults{})
+		next := c.apply(version, "a", "b")
+		time.Sleep(maxRetry + 10*time.Second)
+		assert.Equal(t, map[uint64]int{next: 12}, c.versions(), "the watch recovers")
+	})
+}
+
+// Guards against a revert when the object API or a watch answers with an older version.
+func TestStaleAnswersNeverRevert(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 6)
+		defer c.stop()
+		version := c.apply(0, "a")
+		time.Sleep(10 * time.Second)
+		c.store.SetFaults(standin.Faults{StaleReads: 0.7, StaleWatches: 0.7})
+		highest := map[string]uint64{}
+		for i := range 30 {
+			version = c.apply(version, "a", fmt.Sprint("b", i))
+			for range 20 {
+				time.Sleep(250 * time.Millisecond)
+				for name, x := range c.nodes {
+					require.GreaterOrEqual(t, x.version(), highest[name])
+					highest[name] = x.version()
+				}
+			}
+		}
+		x := c.nodes["n0"]
+		x.store(t.Context(), version-1, document("a"), "test", "test")
+		assert.Equal(t, highest["n0"], x.version())
+		assert.Positive(t, x.Stale())
+		c.store.SetFaults(standin.Faults{})
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, map[uint64]int{version: 6}, c.versions())
+	})
+}
+
+// Guards against an invalid document in force and against calls that repeat for it.
+func TestInvalidConfigurationIsNotTaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 6)
+		defer c.stop()
+		version := c.apply(0, "a")
+		time.Sleep(10 * time.Second)
+		broken, err := c.store.Put(t.Context(), configsync.Object, []byte("models: 7"), version)
+		require.NoError(t, err)
+		before := c.store.Counters().Calls()
+		time.Sleep(time.Minute)
+		assert.Equal(t, map[uint64]int{version: 6}, c.versions())
+		assert.Less(t, c.store.Counters().Calls()-before, uint64(30))
+		fixed := c.apply(broken, "a", "b")
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, map[uint64]int{fixed: 6}, c.versions())
+	})
+}
+
+// Guards against a node that serves before it has asked, and one that waits without need.
+func TestFirstNodeIsReadyWithTheObjectAPIAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1)
+		defer c.stop()
+		time.Sleep(10 * time.Second)
+		assert.False(t, c.nodes["n0"].Ready(), "no configuration yet")
+		c.apply(0, "a")
+		time.Sleep(5 * time.Second)
+		assert.True(t, c.nodes["n0"].Ready())
+	})
+}
+
+// Guards against an operator's change that another one overwrites unnoticed.
+func TestApplyConflictSaysWhatChanged(t *testing.T) {
+	ctx := t.Context()
+	store := standin.NewStore(1)
+	first, err := Apply(ctx, store, document("a", "b"), 0)
+	require.NoError(t, err)
+	second, err := Apply(ctx, store, document("a", "c"), first)
+	require.NoError(t, err)
+	_, err = Apply(ctx, store, document("a", "b"), first)
+	require.True(t, fault.Is(err, fault.Conflict))
+	var details *ConflictError
+	require.ErrorAs(t, err, &details)
+	assert.Equal(t, second, details.Current)
+	assert.Equal(t, []string{"workspaces added: c", "workspaces removed: b"}, details.Changes)
+	_, err = Apply(ctx, store, []byte("models: 7"), second)
+	assert.True(t, fault.Is(err, fault.InvalidConfiguration))
+}
+
+// Guards against a repeated or forgotten change when the answer of a write is lost.
+func TestApplyWithLostAnswer(t *testing.T) {
+	ctx := t.Context()
+	store := standin.NewStore(1)
+	store.SetFaults(standin.Faults{LostAnswers: 1})
+	version, err := Apply(ctx, store, document("a"), 0)
+	require.NoError(t, err)
+	_, err = Apply(ctx, store, document("b"), version-1)
+	assert.True(t, fault.Is(err, fault.Conflict))
+	current, err := store.Get(ctx, configsync.Object)
+	require.NoError(t, err)
+	assert.Equal(t, version, current.Version)
+}
+
+// Guards against "in force everywhere" while a node lags.
+func TestWaitEnforcedNamesLaggingNodes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 9)
+		defer c.stop()
+		version := c.apply(0, "a")
+		time.Sleep(10 * time.Second)
+		c.mu.Lock()
+		c.silent["n4"] = true
+		c.mu.Unlock()
+		c.cancel["n4"]()
+		version = c.apply(version, "a", "b")
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		assert.Equal(t, []string{"n4"}, c.nodes["n1"].WaitEnforced(ctx, version))
+		c.mu.Lock()
+		delete(c.silent, "n4")
+		c.mu.Unlock()
+		c.start(4)
+		assert.Empty(t, c.nodes["n1"].WaitEnforced(t.Context(), version))
+	})
+}
--- a/pkg/controller/gossip/gossip.go
+++ b/pkg/controller/gossip/gossip.go
@@ -187,7 +187,10 @@
 		c.sendDemands(now)
 	}
 	c.ticks++
-	c.machine.SetConfigVersion(c.configVersion())
+	if version := c.configVersion(); version > c.machine.Self().ConfigVersion {
+		c.machine.SetConfigVersion(version)
+		c.putMember(now, c.machine.Self())
+	}
 	c.carryOut(ctx, now, c.machine.Tick(now))
 }
 
--- a/pkg/controller/gossip/gossip_test.go
+++ b/pkg/controller/gossip/gossip_test.go
@@ -153,14 +153,8 @@
 			assert.True(t, get("n4").Draining, "node %d", i)
 			assert.Equal(t, blackboard.MemberLeft, get("n5").State, "node %d", i)
 			assert.Equal(t, "rpc6", get("n6").RPCAddress)
+			assert.EqualValues(t, 7, get("n3").ConfigVersion, "node %d", i)
 		}
-		known := 0
-		for _, n := range nodes {
-			if e, _ := n.board.Members.Get("n3"); e.Value.ConfigVersion == 7 {
-				known++
-			}
-		}
-		assert.Greater(t, known, 1, "the version travels with the messages of its node")
 	})
 }
 
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -59,6 +59,9 @@
 	// dead, and checkers the expected number of nodes that send them.
 	lastChecks = 8
 	checkers   = 64
+	// versionFleet is the number of nodes up to which each node's configuration version spreads
+	// to all others. With 400 nodes and 1,500 changes a day that would take 6 KB/s a node.
+	versionFleet = 64
 	// leaveFanout is the number of nodes told directly when this node leaves, and
 	// refuteFanout when it refutes its own suspicion. Half of them are in its data centre.
 	leaveFanout  = 8
@@ -240,8 +243,15 @@
 func (m *Machine) SetSeeds(addresses []string) { m.seeds = addresses }
 
 // SetConfigVersion sets the configuration version that this node announces. It never goes down.
+// Every message carries it; in a small fleet it also spreads as an update.
 func (m *Machine) SetConfigVersion(version uint64) {
-	m.self.ConfigVersion = max(m.self.ConfigVersion, version)
+	if version <= m.self.ConfigVersion {
+		return
+	}
+	m.self.ConfigVersion = version
+	if m.live <= versionFleet {
+		m.announce(m.self, "")
+	}
 }
 
 // SetDraining announces whether this node is draining.
--- a/pkg/membership/state.go
+++ b/pkg/membership/state.go
@@ -155,7 +155,9 @@
 		return
 	}
 	if u.Incarnation == r.Incarnation {
-		m.noteVersion(r, u.ConfigVersion, out)
+		if m.noteVersion(r, u.ConfigVersion, out) && m.isAlive(r) && m.live <= versionFleet {
+			m.announce(r, "")
+		}
 		return
 	}
 	previous := r.State
@@ -237,12 +239,14 @@
 	m.announce(m.self, "")
 }
 
-func (m *Machine) noteVersion(r *record, version uint64, out *Actions) {
+// noteVersion reports whether the member's configuration version is news.
+func (m *Machine) noteVersion(r *record, version uint64, out *Actions) bool {
 	if version <= r.ConfigVersion {
-		return
+		return false
 	}
 	r.ConfigVersion = version
 	out.Changes = append(out.Changes, Change{Member: r.Member, Previous: r.State})
+	return true
 }
 
 // expire declares suspected members dead and forgets those gone for long.
--- a/pkg/peer/state.go
+++ b/pkg/peer/state.go
@@ -104,96 +104,11 @@
 	return stale, nil
 }
 
-// Status is what a node reports about itself and its view, as JSON.
-type Status struct {
-	Node          string         `json:"node"`
-	Ready         bool           `json:"ready"`
-	ConfigVersion uint64         `json:"config_version"`
-	Members       []MemberStatus `json:"members"`
-	Engines       []EngineStatus `json:"engines"`
-}
-
-// MemberStatus is a member in a Status.
-type MemberStatus struct {
-	Name          string `json:"name"`
-	RPCAddress    string `json:"rpc_address"`
-	DataCentre    string `json:"data_centre"`
-	Region        string `json:"region"`
-	State         string `json:"state"`
-	Draining      bool   `json:"draining"`
-	ConfigVersion uint64 `json:"config_version"`
-}
-
-// EngineStatus is an engine in a Status.
-type EngineStatus struct {
-	ID             string `json:"id"`
-	Owner          string `json:"owner"`
-	DataCentre     string `json:"data_centre"`
-	Model          string `json:"model"`
-	WeightsVersion string `json:"weights_version"`
-	Running        int    `json:"running"`
-	Queued         int    `json:"queued"`
-	BacklogTokens  int    `json:"backlog_tokens"`
-	Leaving        bool   `json:"leaving"`
-	Reachable      bool   `json:"reachable"`
-}
-
-// NewStatus builds a node's status from its blackboard.
-func NewStatus(board *blackboard.Board, node string, ready bool) Status {
-	status := Status{Node: node, Ready: ready}
-	if entry, ok := board.Config.Get(blackboard.ConfigKey); ok {
-		status.ConfigVersion = entry.Value.Version
-	}
-	for _, entry := range board.Members.Snapshot() {
-		status.Members = append(status.Members, memberStatus(entry.Value))
-	}
-	engines := board.Engines.Snapshot()
-	for id, entry := range board.Summaries.Snapshot() {
-		status.Engines = append(status.Engines, engineStatus(id, entry.Value, engines[id].Value))
-	}
-	slices.SortFunc(status.Members, func(a, b MemberStatus) int { return strings.Compare(a.Name, b.Name) })
-	slices.SortFunc(status.Engines, func(a, b EngineStatus) int { return strings.Compare(a.ID, b.ID) })
-	return status
-}
-
-// StatusReply answers Status from the blackboard.
-func StatusReply(board *blackboard.Board, node string, ready bool) (*peerpb.StatusReply, error) {
-	document, err := json.Marshal(NewStatus(board, node, ready))
+// StatusReply answers Status with the node's status document.
+func StatusReply(status any) (*peerpb.StatusReply, error) {
+	document, err := json.Marshal(status)
 	if err != nil {
 		return nil, fault.Wrap(err, fault.Internal, "encode status")
 	}
 	return &peerpb.StatusReply{Document: document}, nil
 }
-
-func memberStatus(m blackboard.MemberEntry) MemberStatus {
-	states := map[blackboard.MemberState]string{
-		blackboard.MemberAlive:   "alive",
-		blackboard.MemberSuspect: "suspect",
-		blackboard.MemberDead:    "dead",
-		blackboard.MemberLeft:    "left",
-	}
-	return MemberStatus{
-		Name:          m.Name,
-		RPCAddress:    m.RPCAddress,
-		DataCentre:    m.DataCentre,
-		Region:        m.Region,
-		State:         states[m.State],
-		Draining:      m.Draining,
-		ConfigVersion: m.ConfigVersion,
-	}
-}
-
-func engineStatus(id string, s blackboard.SummaryEntry, e blackboard.EngineEntry) EngineStatus {
-	return EngineStatus{
-		ID:             id,
-		Owner:          s.Owner,
-		DataCentre:     e.DataCentre,
-		Model:          s.Model,
-		WeightsVersion: s.WeightsVersion,
-		Running:        s.Running,
-		Queued:         s.Queued,
-		BacklogTokens:  s.BacklogTokens,
-		Leaving:        s.Leaving || e.Leaving,
-		Reachable:      e.Reachable,
-	}
-}
