--- a/pkg/questionnaire/generate.go
+++ b/pkg/questionnaire/generate.go
@@ -46,7 +46,7 @@
 		w.value(2, "weights_version", m.Version, answer+".version", "")
 		w.value(2, "piece_tokens", a.pieceTokens(), "prompts.kinds", fmt.Sprintf("the longest layer, at most %d", fullPieceTokens))
 		w.value(2, "bytes_per_token", bytesPerToken[a.Prompts.Writing], "prompts.writing: "+a.Prompts.Writing, "an estimate")
-		w.value(2, "min_serving", minServing(m), fmt.Sprintf("%s.machines: %d", answer, m.Machines), "two thirds keep serving")
+		w.value(2, "min_serving", minServing(m), fmt.Sprintf("%s.machines: %d", answer, m.Machines), "two thirds keep serving, rounded down")
 	}
 }
 
