--- a/pkg/report/report_test.go
+++ b/pkg/report/report_test.go
@@ -67,13 +67,14 @@
 	board := blackboard.New()
 	board.Config.Put(blackboard.ConfigKey, blackboard.ConfigEntry{Version: 1, Config: c}, blackboard.Evidence{})
 	var calls, received atomic.Int64
+	sketch := recorder(c, "other", now).Sketch(now).Encode()
 	peers := map[string]peerpb.Peer{}
 	for i := range nodes {
 		name := fmt.Sprintf("n%03d", i)
 		board.Members.Put(name, blackboard.MemberEntry{Name: name, RPCAddress: name, State: blackboard.MemberAlive}, blackboard.Evidence{})
 		peer := &fakePeer{calls: &calls, bytes: &received}
 		if i < nodes-1 {
-			peer.sketch = recorder(c, name, now).Sketch(now).Encode()
+			peer.sketch = sketch
 		}
 		peers[name] = peer
 	}
