--- a/pkg/burn/histogram.go
+++ b/pkg/burn/histogram.go
@@ -96,22 +96,47 @@
 	return pairs
 }
 
-// expand returns the histogram that s encodes. It reports false for pairs out of range.
-func (s sparse) expand() (Histogram, bool) {
-	if len(s) == 0 {
-		return Histogram{}, true
-	}
-	snapshot := hdrhistogram.New(lowestMillis, highestMillis, significantFigures).Export()
+// bucketCount is the number of buckets of a histogram.
+var bucketCount = int64(len(hdrhistogram.New(lowestMillis, highestMillis, significantFigures).Export().Counts))
+
+// valid reports whether all pairs are in range.
+func (s sparse) valid() bool {
 	index := int64(0)
 	for i := 0; i+1 < len(s); i += 2 {
 		distance, count := s[i], s[i+1]
-		if distance < 0 || count < 0 || count > maxCount || distance >= int64(len(snapshot.Counts))-index {
-			return Histogram{}, false
+		if distance < 0 || count < 0 || count > maxCount || distance >= bucketCount-index {
+			return false
 		}
 		index += distance
-		snapshot.Counts[index] += count
 	}
-	return Histogram{counts: hdrhistogram.Import(snapshot)}, len(s)%2 == 0
+	return len(s)%2 == 0
+}
+
+// total adds up sparse histograms. Its zero value is empty.
+type total struct {
+	counts []int64
+}
+
+// add adds a valid histogram.
+func (t *total) add(s sparse) {
+	if len(s) > 0 && t.counts == nil {
+		t.counts = make([]int64, bucketCount)
+	}
+	index := int64(0)
+	for i := 0; i+1 < len(s); i += 2 {
+		index += s[i]
+		t.counts[index] += s[i+1]
+	}
+}
+
+// histogram returns the sum as a histogram.
+func (t *total) histogram() Histogram {
+	if t.counts == nil {
+		return Histogram{}
+	}
+	snapshot := hdrhistogram.New(lowestMillis, highestMillis, significantFigures).Export()
+	copy(snapshot.Counts, t.counts)
+	return Histogram{counts: hdrhistogram.Import(snapshot)}
 }
 
 // maxCount bounds a count from another node, so that sums cannot overflow.
--- a/pkg/burn/merge.go
+++ b/pkg/burn/merge.go
@@ -14,7 +14,7 @@
 	known      map[string]bool
 	nodes      int
 	since      time.Time
-	ttft, gap  Histogram
+	ttft, gap  total
 	workspaces map[string]*merged
 	// omittedNodes and omittedBad describe sketches in which workspaces are left out.
 	omittedNodes int
@@ -25,7 +25,7 @@
 type merged struct {
 	counts    [windowCount]tallies
 	causes    map[string]uint64
-	ttft, gap Histogram
+	ttft, gap total
 	// nodes and largest tell how many nodes reported the workspace and the largest contribution.
 	nodes   int
 	largest largestNode
@@ -49,17 +49,15 @@
 // Add adds a node's sketch. Workspaces that the configuration does not contain are ignored. The
 // error is of kind fault.BadRequest; nothing is added then.
 func (m *Merger) Add(s Sketch) error {
-	ttft, okTTFT := s.TTFT.expand()
-	gap, okGap := s.Gap.expand()
-	if !okTTFT || !okGap || !s.valid() {
+	if !s.valid() {
 		return fault.New(fault.BadRequest, "the sketch of node %q has counts out of range", s.Node)
 	}
 	m.nodes++
 	if since := time.Unix(s.Since, 0); m.since.IsZero() || since.Before(m.since) {
 		m.since = since
 	}
-	m.ttft.merge(&ttft)
-	m.gap.merge(&gap)
+	m.ttft.add(s.TTFT)
+	m.gap.add(s.Gap)
 	if s.Omitted > 0 {
 		m.omittedNodes++
 		m.omittedBad += s.OmittedBad
@@ -74,14 +72,12 @@
 
 // valid checks counts, because a sum that overflows would hide misses.
 func (s *Sketch) valid() bool {
-	if s.OmittedBad > maxCount {
+	if s.OmittedBad > maxCount || !s.TTFT.valid() || !s.Gap.valid() {
 		return false
 	}
 	for i := range s.Workspaces {
 		w := &s.Workspaces[i]
-		_, okTTFT := w.TTFT.expand()
-		_, okGap := w.Gap.expand()
-		if !okTTFT || !okGap || len(w.Causes) > 2*maxCauses+1 {
+		if !w.TTFT.valid() || !w.Gap.valid() || len(w.Causes) > 2*maxCauses+1 {
 			return false
 		}
 		for _, counts := range w.Counts {
@@ -114,9 +110,6 @@
 	if bad := w.misses(); bad > sum.largest.bad {
 		sum.largest = largestNode{name: node, bad: bad}
 	}
-	// Pairs out of range have been refused by valid.
-	ttft, _ := w.TTFT.expand()
-	gap, _ := w.Gap.expand()
-	sum.ttft.merge(&ttft)
-	sum.gap.merge(&gap)
+	sum.ttft.add(w.TTFT)
+	sum.gap.add(w.Gap)
 }
--- a/pkg/burn/report.go
+++ b/pkg/burn/report.go
@@ -136,7 +136,8 @@
 	return least
 }
 
-func quantiles(h *Histogram) Quantiles {
+func quantiles(t *total) Quantiles {
+	h := t.histogram()
 	return Quantiles{Count: h.Count(), P50: h.Quantile(0.5), P95: h.Quantile(0.95), P99: h.Quantile(0.99)}
 }
 
