--- a/pkg/burn/burn.go
+++ b/pkg/burn/burn.go
@@ -78,8 +78,8 @@
 
 // Tally counts requests against one objective.
 type Tally struct {
-	Bad   uint64 `json:"b"`
-	Total uint64 `json:"t"`
+	Bad   uint64
+	Total uint64
 }
 
 func (t *Tally) add(other Tally) {
--- a/pkg/burn/burn_test.go
+++ b/pkg/burn/burn_test.go
@@ -156,7 +156,7 @@
 		s := r.Sketch(start.Add(step.after))
 		var total uint64
 		for _, w := range s.Workspaces {
-			total += w.Counts[window24h][TTFT].Total
+			total += w.Counts.window(window24h)[TTFT].Total
 		}
 		assert.Equal(t, step.requests, total, step.after)
 	}
@@ -248,8 +248,8 @@
 		"negative":       {TTFT: sparse{-1, 1}},
 		"too far":        {Gap: sparse{1 << 40, 1}},
 		"distance wraps": {Gap: sparse{1, 1, 1<<63 - 1, 1}},
-		"more bad":       {Workspaces: []workspaceSketch{{Counts: [windowCount]tallies{{{Bad: 2, Total: 1}}}}}},
-		"overflow":       {Workspaces: []workspaceSketch{{Counts: [windowCount]tallies{{{Bad: 1, Total: 1 << 63}}}}}},
+		"more bad":       {Workspaces: []workspaceSketch{{Counts: wireCounts{{{2, 1}}}}}},
+		"overflow":       {Workspaces: []workspaceSketch{{Counts: wireCounts{{{1, 1 << 63}}}}}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			m := NewMerger(configOf("w"))
--- a/pkg/burn/merge.go
+++ b/pkg/burn/merge.go
@@ -80,8 +80,8 @@
 		if !w.TTFT.valid() || !w.Gap.valid() || len(w.Causes) > 2*maxCauses+1 {
 			return false
 		}
-		for _, counts := range w.Counts {
-			for _, t := range counts {
+		for i := range w.Counts {
+			for _, t := range w.Counts.window(i) {
 				if t.Bad > t.Total || t.Total > maxCount {
 					return false
 				}
@@ -99,7 +99,7 @@
 	}
 	sum.nodes++
 	for i := range w.Counts {
-		sum.counts[i].add(w.Counts[i])
+		sum.counts[i].add(w.Counts.window(i))
 	}
 	for cause, count := range w.Causes {
 		if _, known := sum.causes[cause]; !known && len(sum.causes) >= 2*maxCauses {
--- a/pkg/burn/sketch.go
+++ b/pkg/burn/sketch.go
@@ -39,15 +39,40 @@
 
 // workspaceSketch is a node's counts of one workspace.
 type workspaceSketch struct {
-	Name   string               `json:"n"`
-	Counts [windowCount]tallies `json:"c"`
-	Causes map[string]uint64    `json:"x,omitempty"`
-	TTFT   sparse               `json:"f,omitempty"`
-	Gap    sparse               `json:"g,omitempty"`
+	Name   string            `json:"n"`
+	Counts wireCounts        `json:"c"`
+	Causes map[string]uint64 `json:"x,omitempty"`
+	TTFT   sparse            `json:"f,omitempty"`
+	Gap    sparse            `json:"g,omitempty"`
+}
+
+// wireCounts is the wire form of the counts by window and objective: pairs of bad requests and all
+// requests. Arrays decode faster than objects and take fewer bytes.
+type wireCounts [windowCount][objectiveCount][2]uint64
+
+func toWire(sums [windowCount]tallies) wireCounts {
+	var w wireCounts
+	for i := range sums {
+		for j, t := range sums[i] {
+			w[i][j] = [2]uint64{t.Bad, t.Total}
+		}
+	}
+	return w
+}
+
+func (w *wireCounts) window(i int) tallies {
+	var counts tallies
+	for j, pair := range w[i] {
+		counts[j] = Tally{Bad: pair[0], Total: pair[1]}
+	}
+	return counts
 }
 
 // misses returns the number of missed objectives in the budget period.
-func (w *workspaceSketch) misses() uint64 { return w.Counts[window24h].bad() }
+func (w *workspaceSketch) misses() uint64 {
+	counts := w.Counts.window(window24h)
+	return counts.bad()
+}
 
 // maxCandidates is the number of workspaces that are considered for a sketch. More never fit into
 // MaxEncodedBytes, and encoding them would cost time.
@@ -95,7 +120,7 @@
 }
 
 func (a *account) sketch(now time.Time, name string) workspaceSketch {
-	w := workspaceSketch{Name: name, Counts: a.history.sums(now), Causes: a.causes.current(now)}
+	w := workspaceSketch{Name: name, Counts: toWire(a.history.sums(now)), Causes: a.causes.current(now)}
 	if a.spread != nil {
 		ttft, gap := a.spread.current(now)
 		w.TTFT, w.Gap = ttft.sparse(), gap.sparse()
