--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -98,13 +98,16 @@
 
 func (n *Node) assemble() error {
 	s := n.opt.Settings
+	n.metrics.AddProcess()
 	n.connectPlatform()
 	keys, err := keyring(n.opt.PeerKeys)
 	if err != nil {
 		return err
 	}
 	n.auth = peer.NewAuth(peer.AuthOptions{Keyring: keys, Address: advertised(&s.Peers, n.listeners.peers), Logger: n.opt.Logger})
-	n.pool = peer.NewPool(n.auth)
+	if n.pool, err = peerPool(s.Peers.TLS, n.auth, n.opt.Logger); err != nil {
+		return err
+	}
 	n.owner = owner.New(owner.Options{Board: n.board, Engines: n.reporter, Self: s.Name, Logger: n.opt.Logger})
 	if n.placer, err = placement.New(placement.Options{Region: s.Region}); err != nil {
 		return err
@@ -119,6 +122,7 @@
 	})
 	n.services = service.New(service.Options{
 		DataCentre: s.DataCentre, Board: n.board, Guard: n.claims, Metrics: n.metrics, Logger: n.opt.Logger, Seed: rand.Uint64(),
+		Done: n.serviceDone,
 	})
 	n.recorder = burn.NewRecorder(s.Name, time.Now())
 	n.report = report.NewCollector(report.Options{Self: s.Name, Board: n.board, Recorder: n.recorder, Client: n.pool.Client, Now: time.Now})
--- a/pkg/node/observe.go
+++ b/pkg/node/observe.go
@@ -7,6 +7,7 @@
 	"cassiawall.example/cassiawall/pkg/entry"
 	"cassiawall.example/cassiawall/pkg/fault"
 	"cassiawall.example/cassiawall/pkg/metrics"
+	"cassiawall.example/cassiawall/pkg/service"
 )
 
 // observer passes the outcomes of requests to the burn report and the metrics.
@@ -51,3 +52,10 @@
 	}
 	return false
 }
+
+// serviceDone passes the outcome of a call of a plain service to the burn report.
+func (n *Node) serviceDone(r service.Result) {
+	if o, counted := burn.ServiceOutcome(r.NonIdempotent, r.Err, r.Abandoned); counted {
+		n.recorder.RequestDone(time.Now(), r.Workspace, o)
+	}
+}
--- a/pkg/node/peers.go
+++ b/pkg/node/peers.go
@@ -4,12 +4,16 @@
 	"context"
 	"crypto/sha256"
 	"encoding/binary"
+	"log/slog"
+	"time"
 
 	"cassiawall.example/cassiawall/pkg/blackboard"
 	"cassiawall.example/cassiawall/pkg/controller/owner"
 	"cassiawall.example/cassiawall/pkg/fault"
 	"cassiawall.example/cassiawall/pkg/peer"
 	"cassiawall.example/cassiawall/pkg/peer/peerpb"
+	"cassiawall.example/cassiawall/pkg/settings"
+	"cassiawall.example/cassiawall/pkg/tlsconfig"
 )
 
 // ownerCalls reaches the owners of engines: this node's own without the network.
@@ -114,3 +118,16 @@
 func (s *rpcServer) RecordOutcome(ctx context.Context, r *peerpb.RecordOutcomeRequest) (*peerpb.RecordOutcomeReply, error) {
 	return s.node.claims.RecordOutcome(ctx, r)
 }
+
+// peerPool returns the pool of clients of the other nodes. All nodes use TLS on their peers'
+// listeners, or none does.
+func peerPool(files settings.TLS, auth *peer.Auth, logger *slog.Logger) (*peer.Pool, error) {
+	if !files.Enabled() {
+		return peer.NewPool(auth), nil
+	}
+	source, err := tlsconfig.New(files, logger, time.Now)
+	if err != nil {
+		return nil, err
+	}
+	return peer.NewTLSPool(auth, source.Client()), nil
+}
--- a/pkg/peer/pool.go
+++ b/pkg/peer/pool.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
@@ -28,6 +29,7 @@
 // Pool makes clients for the RPC addresses of members and keeps their connections alive. It is
 // safe for concurrent use.
 type Pool struct {
+	scheme    string
 	transport *http.Transport
 	auth      *Auth
 
@@ -35,9 +37,18 @@
 	clients map[string]peerpb.Peer
 }
 
+// NewTLSPool returns a pool that signs its calls with auth and makes them over TLS.
+func NewTLSPool(auth *Auth, config *tls.Config) *Pool {
+	p := NewPool(auth)
+	p.scheme = "https"
+	p.transport.TLSClientConfig = config
+	return p
+}
+
 // NewPool returns a pool that signs its calls with auth.
 func NewPool(auth *Auth) *Pool {
 	return &Pool{
+		scheme: "http",
 		transport: &http.Transport{
 			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 			MaxIdleConnsPerHost: idlePerNode,
@@ -58,7 +69,7 @@
 	if c, ok := p.clients[address]; ok {
 		return c
 	}
-	c := peerpb.NewPeerProtobufClient("http://"+address, &caller{transport: p.transport, auth: p.auth})
+	c := peerpb.NewPeerProtobufClient(p.scheme+"://"+address, &caller{transport: p.transport, auth: p.auth})
 	p.clients[address] = c
 	return c
 }
--- a/pkg/tlsconfig/tlsconfig.go
+++ b/pkg/tlsconfig/tlsconfig.go
@@ -74,7 +74,8 @@
 
 // Client returns the configuration for calls to listeners of the same kind: it presents this
 // node's certificate and accepts servers whose certificates come from the authorities file, or
-// from the system's authorities without one. The server's name is that of the called address.
+// from the system's authorities without one. The server's name is that of the called address. A
+// renewed certificate is used at once; the authorities are those of the time of the call to Client.
 func (s *Source) Client() *tls.Config {
 	m := s.latest(context.Background())
 	return &tls.Config{
