--- a/pkg/controller/owner/loops.go
+++ b/pkg/controller/owner/loops.go
@@ -281,12 +281,13 @@
 }
 
 // tick frees expired slots and grants held tickets whose time has come.
-func (e *owned) tick(context.Context) {
+func (e *owned) tick(ctx context.Context) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.now()
 	for _, id := range e.queue.Expire(now) {
 		e.endPrefill(id)
+		event.SlotExpired.Log(ctx, e.owner.options.Logger, slog.String("engine", e.id), slog.Uint64("slot", id))
 	}
 	if e.queue.Waiting() > 0 {
 		e.pump(now)
