--- a/pkg/controller/owner/choose_test.go
+++ b/pkg/controller/owner/choose_test.go
@@ -23,7 +23,7 @@
 	p.mu.Lock()
 	placer := p.placers[entry]
 	p.mu.Unlock()
-	q := &placement.Request{Pieces: r.pieces, Model: "m", MaxTokens: p.w.output}
+	q := &placement.Request{Pieces: r.pieces, Model: "m", MaxTokens: p.w.output, Policy: p.w.policy}
 	attempt := placer.Begin(time.Now(), q)
 	for c, ok := attempt.Next(); ok; c, ok = attempt.Next() {
 		reply := p.ask(ctx, id, placer, c, r, began, uint32(c.DeclineOver.Milliseconds()))
--- a/pkg/controller/owner/pool_test.go
+++ b/pkg/controller/owner/pool_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"cassiawall.example/cassiawall/pkg/blackboard"
+	"cassiawall.example/cassiawall/pkg/config"
 	"cassiawall.example/cassiawall/pkg/controller/engineview"
 	"cassiawall.example/cassiawall/pkg/engine"
 	"cassiawall.example/cassiawall/pkg/placement"
@@ -89,6 +90,7 @@
 		go f.run(ctx)
 	}
 	p.byID = byID
+	p.board.Config.Put(blackboard.ConfigKey, blackboard.ConfigEntry{Config: &config.Config{Policy: w.policy}}, blackboard.Evidence{})
 	p.startOwner(ctx)
 	for i := range w.entries {
 		p.placers = append(p.placers, nil)
--- a/pkg/controller/owner/workload_test.go
+++ b/pkg/controller/owner/workload_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"cassiawall.example/cassiawall/pkg/config"
 	"cassiawall.example/cassiawall/pkg/prefix"
 	"cassiawall.example/cassiawall/pkg/rendezvous"
 )
@@ -23,6 +24,8 @@
 	patience   time.Duration
 	duration   time.Duration
 	lostEvents float64
+	// policy holds the weights that the questionnaire gives this deployment.
+	policy config.Policy
 	// restartAt replaces half of the entries' placers and the owner; 0 for never.
 	restartAt time.Duration
 }
@@ -35,12 +38,14 @@
 
 func kilele() workload {
 	return workload{engines: 20, blocks: 48, entries: 6, counts: [3]int{5, 4, 30}, skew: [3]float64{1.3, 1.2, 1.05},
-		pieces: [2]int{2, 3}, tailTokens: 1600, rate: 28, output: 100, patience: 1200 * time.Millisecond, duration: 40 * time.Second}
+		pieces: [2]int{2, 3}, tailTokens: 1600, rate: 28, output: 100, patience: 1200 * time.Millisecond, duration: 40 * time.Second,
+		policy: config.Policy{LatencyWeight: 2, RecomputeWeight: 1}}
 }
 
 func tuul() workload {
 	return workload{engines: 10, blocks: 48, entries: 4, counts: [3]int{3, 12, 12}, skew: [3]float64{1.3, 1.1, 1.05},
-		pieces: [2]int{1, 2}, tailTokens: 2000, rate: 14, output: 75, patience: 1500 * time.Millisecond, duration: 40 * time.Second}
+		pieces: [2]int{1, 2}, tailTokens: 2000, rate: 14, output: 75, patience: 1500 * time.Millisecond, duration: 40 * time.Second,
+		policy: config.Policy{LatencyWeight: 0.5, RecomputeWeight: 2}}
 }
 
 // request is a prompt of three levels and its caller's patience.
