--- /dev/null
+++ b/pkg/bench/bench_test.go
@@ -0,0 +1,246 @@
+package bench
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"cassiawall.example/cassiawall/pkg/fault"
+	"cassiawall.example/cassiawall/pkg/openai"
+	enginestandin "cassiawall.example/cassiawall/pkg/standin/engine"
+)
+
+func testTrace(t *testing.T, name string) *trace {
+	t.Helper()
+	p, err := ProfileByName(name)
+	require.NoError(t, err)
+	return newTrace(&p, traceOptions{seed: 1, duration: 4 * time.Minute, shiftAt: 2 * time.Minute, load: 1})
+}
+
+// Guards against policies that see different loads, and against loads without the shape that the
+// profiles promise.
+func TestTraceIsReproducibleAndShaped(t *testing.T) {
+	for _, p := range profiles {
+		t.Run(p.Name, func(t *testing.T) {
+			one, two := testTrace(t, p.Name), testTrace(t, p.Name)
+			assert.Equal(t, one.arrivals, two.arrivals)
+			leaving := 0
+			prompts := map[string]bool{}
+			perWorkspace := make([]int, len(p.Workspaces))
+			for i := range one.arrivals {
+				a := &one.arrivals[i]
+				if a.patience > 0 {
+					leaving++
+				}
+				perWorkspace[a.workspace]++
+				prompts[openai.ChatText(one.messages(a))] = true
+			}
+			n := len(one.arrivals)
+			assert.InDelta(t, abandonShare, float64(leaving)/float64(n), 0.02)
+			assert.Len(t, prompts, n, "prompts are unique")
+			for i, share := range p.Workspaces {
+				assert.InDelta(t, share, float64(perWorkspace[i])/float64(n), 0.03)
+			}
+		})
+	}
+}
+
+// Guards against a hot set that stays the same over the whole bench.
+func TestHotSetShifts(t *testing.T) {
+	tr := testTrace(t, "kilele")
+	hottest := func(from, to time.Duration) [levels]int {
+		counts := map[[levels]int]int{}
+		best := [levels]int{}
+		for _, a := range tr.arrivals {
+			key := [levels]int{a.workspace, a.path[0], a.path[1]}
+			if a.at >= from && a.at < to {
+				counts[key]++
+				if counts[key] > counts[best] {
+					best = key
+				}
+			}
+		}
+		return best
+	}
+	assert.NotEqual(t, hottest(0, 2*time.Minute), hottest(2*time.Minute, 4*time.Minute))
+	assert.Equal(t, hottest(0, time.Minute), hottest(time.Minute, 2*time.Minute))
+}
+
+// Guards against a working set that fits one engine or exceeds the pool, with which placement
+// makes no difference.
+func TestWorkingSetLiesBetweenOneEngineAndThePool(t *testing.T) {
+	for _, p := range profiles {
+		tr := testTrace(t, p.Name)
+		seen := map[uint64]int{}
+		for i := range tr.arrivals {
+			for _, piece := range tr.pieces(&tr.arrivals[i]) {
+				if piece.Shared {
+					seen[piece.Key] = piece.Tokens
+				}
+			}
+		}
+		tokens := 0
+		for _, n := range seen {
+			tokens += n
+		}
+		one := p.CacheBlocks * pieceTokens
+		assert.Greater(t, tokens, one, p.Name)
+		assert.Less(t, tokens, one*p.Engines, p.Name)
+	}
+}
+
+// Guards against pieces at the engine that differ from those of the limit.
+func TestLevelsEndAtPieces(t *testing.T) {
+	for _, p := range profiles {
+		tr := testTrace(t, p.Name)
+		pieces := tr.pieces(&tr.arrivals[0])
+		tokens := map[string]int{}
+		for _, piece := range pieces {
+			tokens[piece.Level] += piece.Tokens
+			assert.LessOrEqual(t, piece.Tokens, pieceTokens)
+		}
+		for _, l := range p.Levels {
+			assert.Equal(t, l.Tokens, tokens[l.Name])
+		}
+	}
+}
+
+// Guards against a limit that a policy could beat.
+func TestLimit(t *testing.T) {
+	tr := testTrace(t, "kilele")
+	cold, warm := limitOf(tr, 0), limitOf(tr, 2*time.Minute)
+	assert.Greater(t, warm.PrefixHitRate, cold.PrefixHitRate)
+	assert.Less(t, warm.PrefixHitRate, 1.0)
+	config := tr.profile.engineConfig(0)
+	assert.Equal(t, config.IdleTTFT(21_640).Milliseconds(), int64(1082+43*10))
+	assert.LessOrEqual(t, warm.TTFT.P99, 1.01*float64(config.IdleTTFT(21_640).Milliseconds()))
+}
+
+// Guards against arrivals that no slice or two slices hold.
+func TestCutTraceKeepsAllArrivals(t *testing.T) {
+	tr := testTrace(t, "tuul")
+	parts := cutTrace(tr, 48*time.Second, 192*time.Second)
+	var joined []arrival
+	for _, s := range parts {
+		joined = append(joined, s.arrivals...)
+	}
+	assert.Len(t, parts, 1+measuredSlices)
+	assert.Equal(t, tr.arrivals, joined)
+}
+
+// Guards against faults in the warm-up, outside all slices or without a restore.
+func TestPlan(t *testing.T) {
+	parts := cutTrace(testTrace(t, "tuul"), 48*time.Second, 192*time.Second)
+	for _, name := range FaultNames {
+		p, err := newPlan([]string{name}, parts)
+		require.NoError(t, err)
+		placed := 0
+		for i := range parts {
+			actions := p.in(parts[i])
+			placed += len(actions)
+			if i == 0 {
+				assert.Empty(t, actions)
+			}
+		}
+		assert.Equal(t, len(p.actions), placed, name)
+		assert.NotEmpty(t, p.actions, name)
+	}
+	_, err := newPlan([]string{"flood"}, parts)
+	assert.True(t, fault.Is(err, fault.BadRequest))
+}
+
+// Guards against a comparison of hit rates over the wrong samples.
+func TestHitRateChange(t *testing.T) {
+	var samples []Sample
+	for at := time.Second; at <= 20*time.Second; at += time.Second {
+		s := Sample{At: at, Reused: 80, Computed: 20}
+		if at > 10*time.Second && at <= 15*time.Second {
+			s = Sample{At: at, Reused: 60, Computed: 40}
+		}
+		samples = append(samples, s)
+	}
+	assert.InDelta(t, 0.75, hitRateChange(samples, 10*time.Second), 1e-9)
+	assert.Zero(t, hitRateChange(nil, time.Second))
+}
+
+// Guards against load figures that mix up engines and time.
+func TestSpread(t *testing.T) {
+	mean, cv := spread(loadsOf([]float64{2, 4, 6}, 10))
+	assert.InDelta(t, 0.4, mean, 1e-9)
+	assert.InDelta(t, 0.408, cv, 1e-3)
+	mean, cv = spread(nil)
+	assert.Zero(t, mean+cv)
+}
+
+// Guards against options that start a bench which cannot give figures.
+func TestValidate(t *testing.T) {
+	good := Options{Policies: []string{PolicyCassiawall}, Duration: time.Minute, Load: 1}
+	require.NoError(t, good.validate())
+	for name, change := range map[string]func(*Options){
+		"policy":   func(o *Options) { o.Policies = []string{"random"} },
+		"none":     func(o *Options) { o.Policies = nil },
+		"duration": func(o *Options) { o.Duration = time.Second },
+		"load":     func(o *Options) { o.Load = -1 },
+	} {
+		bad := good
+		change(&bad)
+		assert.True(t, fault.Is(bad.validate(), fault.BadRequest), name)
+	}
+}
+
+// Guards against results that miss requests and against answers of other requests: it runs a
+// short trace through real nodes.
+func TestRunThroughRealNodes(t *testing.T) {
+	p, err := ProfileByName("tuul")
+	require.NoError(t, err)
+	p.Nodes, p.Engines = 1, 2
+	for _, policy := range []string{PolicyCassiawall, "consistent-hash"} {
+		t.Run(policy, func(t *testing.T) {
+			tr := newTrace(&p, traceOptions{seed: 1, duration: 2 * time.Second, shiftAt: time.Second, load: 0.5})
+			ledger := enginestandin.NewLedger()
+			fleet, err := startFleet(t.Context(), &p, policy, ledger, slog.New(slog.DiscardHandler))
+			require.NoError(t, err)
+			r := newPolicyRun(policy, tr, fleet, ledger, 0)
+			defer func() { require.NoError(t, r.close()) }()
+			r.runSlice(t.Context(), slice{to: 2 * time.Second, arrivals: tr.arrivals}, nil)
+			got := r.result(0)
+			assert.Equal(t, len(tr.arrivals), got.Requests)
+			assert.Equal(t, got.Requests, got.Complete+got.Abandoned+got.Refused+got.Errors)
+			assert.NotZero(t, got.Complete)
+			assert.Zero(t, got.Crossed)
+		})
+	}
+}
+
+// Guards against a fault that fails unnoticed.
+func TestFailedActionIsReported(t *testing.T) {
+	r := &policyRun{}
+	failure := errors.New("failure")
+	actions := []action{{do: func(context.Context, *policyRun) error { return failure }}}
+	r.act(t.Context(), slice{}, time.Now(), actions)
+	assert.ErrorIs(t, r.actionErr, failure)
+}
+
+// Guards against a report without its plots or figures.
+func TestReport(t *testing.T) {
+	samples := []Sample{{At: time.Second, Computed: 1, Reused: 3, Decoded: 5, Cancelled: 2}}
+	result := Result{Profile: "kilele", Policies: map[string]PolicyResult{
+		"cassiawall":  {Requests: 1234, Samples: samples, EngineLoads: []float64{0.5, 0.7}, bars: []histogramBar{{1, 2, 1}}},
+		"round-robin": {Requests: 1235},
+	}}
+	var page, table bytes.Buffer
+	require.NoError(t, WriteReport(&page, result))
+	assert.Equal(t, 4, bytes.Count(page.Bytes(), []byte("<svg")))
+	require.NoError(t, WriteTable(&table, result))
+	for _, text := range []string{"cassiawall", "1234", "1235"} {
+		assert.Contains(t, page.String(), text, fmt.Sprintf("page misses %s", text))
+		assert.Contains(t, table.String(), text)
+	}
+}
--- a/pkg/bench/limit.go
+++ b/pkg/bench/limit.go
@@ -56,6 +56,7 @@
 		s := prefix.Segment{Text: m.Text()}
 		if i < levels {
 			s.Level = t.profile.Levels[i].Name
+			s.Shared = t.profile.Levels[i].Shared
 		}
 		segments = append(segments, s)
 	}
