--- a/pkg/bench/faults.go
+++ b/pkg/bench/faults.go
@@ -131,37 +131,18 @@
 	}
 }
 
-// restarter is a fleet that can restart nodes.
-type restarter interface {
-	// Restart stops a node as a crash does and starts it again on the same addresses.
-	Restart(ctx context.Context, node int) error
-}
-
-// objectsBreaker is a fleet that can make its object API fail.
-type objectsBreaker interface {
-	SetObjectsDown(down bool)
-}
-
-// restartHalf restarts every second node at once.
+// restartHalf restarts every second node at once, as a crash does.
 func restartHalf(ctx context.Context, r *policyRun) error {
-	fleet, ok := any(r.fleet).(restarter)
-	if !ok {
-		return fault.New(fault.Internal, "this build's local fleet cannot restart nodes")
-	}
 	var group errgroup.Group
 	for i := 0; i < len(r.fleet.Nodes()); i += 2 {
-		group.Go(func() error { return fleet.Restart(ctx, i) })
+		group.Go(func() error { return r.fleet.Restart(ctx, i) })
 	}
 	return group.Wait()
 }
 
 func setObjectsOutage(down bool) func(context.Context, *policyRun) error {
 	return func(_ context.Context, r *policyRun) error {
-		fleet, ok := any(r.fleet).(objectsBreaker)
-		if !ok {
-			return fault.New(fault.Internal, "this build's local fleet has no object API")
-		}
-		fleet.SetObjectsDown(down)
+		r.fleet.SetObjectsDown(down)
 		return nil
 	}
 }
