Wire gossip, configuration watch, shared limits and draining into the node

The node package is split by concern. Nodes find each other through the VM list, take the configuration from the object API or peers, and wait for a first peer before readiness.

--- a/pkg/localfleet/fleet.go
+++ b/pkg/localfleet/fleet.go
@@ -13,7 +13,6 @@
 
 	"go.yaml.in/yaml/v3"
 
-	"cassiawall.example/cassiawall/pkg/blackboard"
 	"cassiawall.example/cassiawall/pkg/config"
 	"cassiawall.example/cassiawall/pkg/fault"
 	"cassiawall.example/cassiawall/pkg/node"
@@ -72,6 +71,9 @@
 // drainBound is the drain bound of local nodes; their streams last seconds.
 const drainBound = 20 * time.Second
 
+// drainNotice is longer than a local load balancer takes to notice.
+const drainNotice = 200 * time.Millisecond
+
 // Start starts the stand-ins and the nodes and waits until the nodes are ready or ctx ends.
 func Start(ctx context.Context, opt Options) (*Fleet, error) {
 	f := &Fleet{opt: opt, flights: routing.NewInflight(), keys: [][]byte{make([]byte, settings.MinPeerKeyBytes)}}
@@ -95,6 +97,8 @@
 		if err := f.startNode(m); err != nil {
 			return nil, errors.Join(err, f.Close())
 		}
+		f.Platform.publish(vms.VM{Name: m.settings.Name, Address: m.settings.Gossip.Address, DataCentre: m.settings.DataCentre,
+			Role: vms.RoleNode, State: vms.Live})
 	}
 	return f, f.waitReady(ctx)
 }
@@ -127,9 +131,9 @@
 	s := &settings.Settings{
 		Name: fmt.Sprintf("node-%d", i+1), DataCentre: f.dataCentre(i), Region: "local",
 		Callers: listener, Peers: listener, Operators: listener, Gossip: settings.Gossip{Address: loopback},
-		DrainBound: config.Duration(drainBound),
-		Platform:   settings.Platform{Objects: f.Platform.objectsURL, VMs: f.Platform.vmsURL},
-		Engines:    settings.Engines{VMRole: vms.RoleEngine},
+		DrainBound: config.Duration(drainBound), DrainNotice: config.Duration(drainNotice),
+		Platform: settings.Platform{Objects: f.Platform.objectsURL, VMs: f.Platform.vmsURL},
+		Engines:  settings.Engines{VMRole: vms.RoleEngine},
 	}
 	return s
 }
@@ -144,16 +148,15 @@
 	f.mu.Lock()
 	m.node, m.cancel, m.done = n, cancel, make(chan error, 1)
 	f.mu.Unlock()
-	n.Board().Config.Put(blackboard.ConfigKey, blackboard.ConfigEntry{Version: 1, Config: f.opt.Config}, blackboard.Evidence{})
-	n.Board().Members.Put(m.settings.Name, blackboard.MemberEntry{Name: m.settings.Name, DataCentre: m.settings.DataCentre,
-		Region: m.settings.Region, State: blackboard.MemberAlive}, blackboard.Evidence{})
 	go func() { m.done <- n.Run(ctx) }()
 	return nil
 }
 
 // fixAddresses keeps the node on its addresses over restarts, as a VM's node does.
 func (m *member) fixAddresses(n *node.Node) {
-	m.settings.Callers.Address, m.settings.Peers.Address, m.settings.Operators.Address = n.Addresses()
+	a := n.Addresses()
+	m.settings.Callers.Address, m.settings.Peers.Address, m.settings.Operators.Address = a.Callers, a.Peers, a.Operators
+	m.settings.Gossip.Address = a.Gossip
 }
 
 // Restart stops a node as a crash does and starts it again on the same addresses. It waits until
--- /dev/null
+++ b/pkg/node/assemble.go
@@ -0,0 +1,177 @@
+package node
+
+import (
+	crand "crypto/rand"
+	"encoding/hex"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"cassiawall.example/cassiawall/pkg/burn"
+	"cassiawall.example/cassiawall/pkg/controller/claims"
+	"cassiawall.example/cassiawall/pkg/controller/configwatch"
+	"cassiawall.example/cassiawall/pkg/controller/discovery"
+	"cassiawall.example/cassiawall/pkg/controller/engineview"
+	"cassiawall.example/cassiawall/pkg/controller/gossip"
+	"cassiawall.example/cassiawall/pkg/controller/limitshare"
+	"cassiawall.example/cassiawall/pkg/controller/owner"
+	"cassiawall.example/cassiawall/pkg/engine"
+	"cassiawall.example/cassiawall/pkg/entry"
+	"cassiawall.example/cassiawall/pkg/limits"
+	"cassiawall.example/cassiawall/pkg/objects"
+	"cassiawall.example/cassiawall/pkg/peer"
+	"cassiawall.example/cassiawall/pkg/placement"
+	"cassiawall.example/cassiawall/pkg/report"
+	"cassiawall.example/cassiawall/pkg/routing"
+	"cassiawall.example/cassiawall/pkg/service"
+	"cassiawall.example/cassiawall/pkg/settings"
+	"cassiawall.example/cassiawall/pkg/status"
+	"cassiawall.example/cassiawall/pkg/vms"
+)
+
+// Bounds of connections to the platform and of bootstrap replies.
+const (
+	// platformIdlePerHost is the number of connections to the object API that are kept.
+	platformIdlePerHost = 16
+	// bootstrapPrefixes bounds the soft prefixes of a reply to about 300 KB.
+	bootstrapPrefixes = 5000
+)
+
+// assemble makes the parts of the node. Each step uses only what earlier steps made.
+func (n *Node) assemble() error {
+	n.metrics.AddProcess()
+	n.connectPlatform()
+	for _, step := range []func() error{n.connectPeers, n.makePlacement, n.makeServices, n.makeEntry} {
+		if err := step(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// connectPlatform makes the adapters of the platform.
+func (n *Node) connectPlatform() {
+	s := n.opt.Settings
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: platformIdlePerHost, IdleConnTimeout: engineIdleTimeout}}
+	n.store = objects.NewClient(s.Platform.Objects, client)
+	options := discovery.Options{Board: n.board, EngineRole: s.Engines.VMRole, Static: staticEngines(s), Logger: n.opt.Logger, Now: time.Now}
+	if s.Platform.VMs != "" {
+		options.VMs = vms.NewClient(s.Platform.VMs, client)
+	}
+	n.discovery = discovery.New(options)
+}
+
+// connectPeers makes membership, the calls between nodes and what they share.
+func (n *Node) connectPeers() error {
+	s := n.opt.Settings
+	keys, err := keyring(n.opt.PeerKeys)
+	if err != nil {
+		return err
+	}
+	rpcAddress := advertised(&s.Peers, n.listeners.peers)
+	n.auth = peer.NewAuth(peer.AuthOptions{Keyring: keys, Address: rpcAddress, Logger: n.opt.Logger})
+	if n.pool, err = peerPool(s.Peers.TLS, n.auth, n.opt.Logger); err != nil {
+		return err
+	}
+	n.transport, err = peer.Listen(peer.TransportOptions{
+		Listen: s.Gossip.Address, Advertise: s.Gossip.Advertise, Keyring: keys, Logger: n.opt.Logger, Metrics: n.metrics,
+	})
+	if err != nil {
+		return err
+	}
+	n.gossip = gossip.New(gossip.Options{
+		Name: s.Name, DataCentre: s.DataCentre, Region: s.Region, RPCAddress: rpcAddress, Transport: n.transport,
+		Board: n.board, Seeds: n.seeds, Logger: n.opt.Logger, Metrics: n.metrics,
+	})
+	n.config = configwatch.New(configwatch.Options{
+		Name: s.Name, DataCentre: s.DataCentre, Region: s.Region, Board: n.board, Store: n.store, Peers: n.pool.Client,
+		OnPrefixes: n.loadPrefixes, Logger: n.opt.Logger, Metrics: n.metrics,
+	})
+	n.limiter = limits.NewLimiter()
+	n.shares = limitshare.New(limitshare.Options{Name: s.Name, Board: n.board, Limiter: n.limiter})
+	return nil
+}
+
+// seeds returns the gossip addresses of nodes that may exist.
+func (n *Node) seeds() []string {
+	return append(n.discovery.Nodes(), n.opt.Settings.Seeds...)
+}
+
+// makePlacement makes the choice of engines and the ownership of this node's engines.
+func (n *Node) makePlacement() error {
+	s := n.opt.Settings
+	var err error
+	if n.placer, err = placement.New(placement.Options{Region: s.Region}); err != nil {
+		return err
+	}
+	n.feeder = engineview.New(engineview.Options{Board: n.board, DataCentre: s.DataCentre, Region: s.Region}, n.placer)
+	n.owner = owner.New(owner.Options{Board: n.board, Engines: n.reporter, Self: s.Name, Logger: n.opt.Logger})
+	return nil
+}
+
+// reporter returns the adapter of an engine, or nil if its address is not known.
+func (n *Node) reporter(id string) engine.Reporter {
+	e, ok := n.board.Engines.Get(id)
+	if !ok {
+		return nil
+	}
+	return n.engines.at(e.Value.Address)
+}
+
+// makeServices makes the path of plain services and the operators' reports.
+func (n *Node) makeServices() error {
+	s := n.opt.Settings
+	n.claims = claims.New(claims.Options{
+		Node: s.Name, Board: n.board, Store: n.store, Peer: &claimCalls{board: n.board, pool: n.pool}, Metrics: n.metrics, Logger: n.opt.Logger,
+	})
+	n.services = service.New(service.Options{
+		DataCentre: s.DataCentre, Board: n.board, Guard: n.claims, Metrics: n.metrics, Logger: n.opt.Logger, Seed: rand.Uint64(),
+		Done: n.serviceDone,
+	})
+	n.recorder = burn.NewRecorder(s.Name, time.Now())
+	n.report = report.NewCollector(report.Options{Self: s.Name, Board: n.board, Recorder: n.recorder, Client: n.pool.Client, Now: time.Now})
+	n.status = status.NewReporter(status.Options{Self: s.Name, Board: n.board, Now: time.Now})
+	return nil
+}
+
+// makeEntry makes the callers' side.
+func (n *Node) makeEntry() error {
+	router, err := n.newRouter()
+	if err != nil {
+		return err
+	}
+	n.entry, err = entry.New(entry.Options{
+		Board: n.board, Router: router, Logger: n.opt.Logger, Now: time.Now, RequestID: newRequestID,
+		Limiter: n.limiter, Services: n.services, Guard: n.claims, Recorder: &observer{burn: n.recorder, metrics: n.metrics},
+		Engines: func(address string) engine.Generator { return n.engines.at(address) },
+	})
+	return err
+}
+
+func (n *Node) newRouter() (routing.Router, error) {
+	if n.opt.Policy != "" {
+		return routing.NewBaseline(n.opt.Policy, n.board, n.opt.Inflight)
+	}
+	calls := &ownerCalls{self: n.opt.Settings.Name, local: n.owner, pool: n.pool}
+	router := routing.NewOwnerRouter(routing.OwnerOptions{
+		Board: n.board, Placer: n.placer, Owners: calls, Table: owner.NewTable(n.board),
+		Self: n.opt.Settings.Name, Logger: n.opt.Logger, Now: time.Now,
+	})
+	return routing.NewHealthRouter(router, n.board, time.Now, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))), nil
+}
+
+func staticEngines(s *settings.Settings) []vms.VM {
+	list := make([]vms.VM, len(s.Engines.Static))
+	for i, e := range s.Engines.Static {
+		list[i] = vms.VM{Name: e.ID, Address: e.Address, DataCentre: e.DataCentre, Role: s.Engines.VMRole, State: vms.Live}
+	}
+	return list
+}
+
+// newRequestID returns 16 random bytes in hex.
+func newRequestID() string {
+	var id [16]byte
+	// rand.Read never fails on the supported platforms.
+	_, _ = crand.Read(id[:])
+	return hex.EncodeToString(id[:])
+}
--- /dev/null
+++ b/pkg/node/drain.go
@@ -0,0 +1,77 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"cassiawall.example/cassiawall/pkg/event"
+)
+
+func (n *Node) callersServer() *http.Server {
+	return &http.Server{
+		Handler: n.entry, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes,
+	}
+}
+
+func serve(s *http.Server, l net.Listener) error {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// serveCallers serves until shutdown and then drains.
+func (n *Node) serveCallers(ctx context.Context, s *http.Server) error {
+	n.waitReady(ctx)
+	served := make(chan error, 1)
+	go func() { served <- serve(s, n.listeners.callers) }()
+	n.ready.Store(true)
+	event.NodeReady.Log(ctx, n.opt.Logger, slog.String("node", n.opt.Settings.Name))
+	select {
+	case err := <-served:
+		return err
+	case <-ctx.Done():
+		return nil
+	case <-n.stop:
+	}
+	n.drain(ctx, s)
+	n.claims.Close(ctx)
+	n.gossip.Leave(ctx)
+	return <-served
+}
+
+// pause waits for d or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// drain goes on serving until load balancers have had time to notice, lets the running requests finish within the drain bound and then ends them with a
+// typed error.
+func (n *Node) drain(ctx context.Context, s *http.Server) {
+	n.ready.Store(false)
+	n.entry.Drain()
+	n.gossip.SetDraining(ctx, true)
+	event.NodeDraining.Log(ctx, n.opt.Logger, slog.Int("running", n.entry.Running()))
+	pause(ctx, n.opt.Settings.DrainNotice.D())
+	bound, cancel := context.WithTimeout(ctx, n.opt.Settings.DrainBound.D())
+	defer cancel()
+	if s.Shutdown(bound) != nil {
+		n.entry.Stop()
+		last, cancelLast := context.WithTimeout(ctx, lastWordTimeout)
+		defer cancelLast()
+		_ = s.Shutdown(last)
+	}
+}
+
+// lastWordTimeout is the time to write the typed endings after the drain bound.
+const lastWordTimeout = 2 * time.Second
--- /dev/null
+++ b/pkg/node/feed.go
@@ -0,0 +1,45 @@
+package node
+
+import (
+	"context"
+	"time"
+)
+
+// feedInterval bounds the age of the engine loads that placement sees.
+const feedInterval = 20 * time.Millisecond
+
+// feed passes the board's engines to placement until ctx ends.
+func (n *Node) feed(ctx context.Context) error {
+	ticker := time.NewTicker(feedInterval)
+	defer ticker.Stop()
+	for {
+		n.refreshPlacement()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// followConfig passes each new configuration to the parts that keep state by workspace.
+func (n *Node) followConfig(ctx context.Context) error {
+	changes, cancel := n.board.Config.Subscribe()
+	defer cancel()
+	for {
+		if c := n.board.CurrentConfig(); c != nil {
+			n.recorder.SetConfig(c)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changes:
+		}
+	}
+}
+
+func (n *Node) refreshPlacement() {
+	n.feeding.Lock()
+	defer n.feeding.Unlock()
+	n.feeder.Refresh()
+}
--- a/pkg/node/peers.go
+++ b/pkg/node/peers.go
@@ -12,6 +12,7 @@
 	"cassiawall.example/cassiawall/pkg/fault"
 	"cassiawall.example/cassiawall/pkg/peer"
 	"cassiawall.example/cassiawall/pkg/peer/peerpb"
+	"cassiawall.example/cassiawall/pkg/placement"
 	"cassiawall.example/cassiawall/pkg/settings"
 	"cassiawall.example/cassiawall/pkg/tlsconfig"
 )
@@ -83,10 +84,9 @@
 }
 
 // rpcServer answers the other nodes.
-type rpcServer struct {
-	peerpb.Peer
-	node *Node
-}
+type rpcServer struct{ node *Node }
+
+var _ peerpb.Peer = (*rpcServer)(nil)
 
 // Acquire implements peerpb.Peer.
 func (s *rpcServer) Acquire(ctx context.Context, r *peerpb.AcquireRequest) (*peerpb.AcquireReply, error) {
@@ -131,3 +131,27 @@
 	}
 	return peer.NewTLSPool(auth, source.Client()), nil
 }
+
+// FetchConfig implements peerpb.Peer.
+func (s *rpcServer) FetchConfig(_ context.Context, r *peerpb.FetchConfigRequest) (*peerpb.FetchConfigReply, error) {
+	return peer.ConfigReply(s.node.board, r.GetHaveVersion()), nil
+}
+
+// Bootstrap implements peerpb.Peer.
+func (s *rpcServer) Bootstrap(context.Context, *peerpb.BootstrapRequest) (*peerpb.BootstrapReply, error) {
+	var prefixes []*peerpb.SoftPrefix
+	for _, p := range s.node.placer.SoftPrefixes(bootstrapPrefixes) {
+		prefixes = append(prefixes, &peerpb.SoftPrefix{Key: p.Key, Engine: p.Engine, Incarnation: p.Incarnation, Depth: uint32(p.Depth)})
+	}
+	return peer.Bootstrap(s.node.board, prefixes), nil
+}
+
+// loadPrefixes takes the soft prefixes of a peer's bootstrap reply.
+func (n *Node) loadPrefixes(list []*peerpb.SoftPrefix) {
+	prefixes := make([]placement.SoftPrefix, len(list))
+	for i, p := range list {
+		prefixes[i] = placement.SoftPrefix{Key: p.GetKey(), Engine: p.GetEngine(), Incarnation: p.GetIncarnation(), Depth: int(p.GetDepth())}
+	}
+	n.refreshPlacement()
+	n.placer.LoadSoft(time.Now(), prefixes)
+}
--- a/pkg/node/ready.go
+++ b/pkg/node/ready.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"cassiawall.example/cassiawall/pkg/blackboard"
@@ -14,6 +15,9 @@
 	// engineWait bounds the wait for engines of every model. A model without any engine must
 	// not keep the others from being served.
 	engineWait = 5 * time.Second
+	// joinWait bounds the wait for the first other member. Peers give a restarted node what it
+	// knew before; the first node of a fleet has none.
+	joinWait = 2 * time.Second
 )
 
 // waitReady waits until a configuration is in force and its engines are known.
@@ -21,13 +25,15 @@
 func (n *Node) waitReady(ctx context.Context) {
 	ticker := time.NewTicker(readyPoll)
 	defer ticker.Stop()
+	started := time.Now()
 	var configured time.Time
 	for ctx.Err() == nil {
 		c := n.board.CurrentConfig()
 		if c != nil && configured.IsZero() {
 			configured = time.Now()
 		}
-		if c != nil && (n.servesAll(c) || time.Since(configured) > engineWait) {
+		joined := n.joined() || time.Since(started) > joinWait
+		if c != nil && joined && n.config.Ready() && (n.servesAll(c) || time.Since(configured) > engineWait) {
 			return
 		}
 		select {
@@ -39,6 +45,17 @@
 	}
 }
 
+// joined reports whether this node knows another live member, or no other node exists.
+func (n *Node) joined() bool {
+	for name, m := range n.board.Members.Snapshot() {
+		if name != n.opt.Settings.Name && m.Value.State == blackboard.MemberAlive {
+			return true
+		}
+	}
+	own := n.transport.Address()
+	return !slices.ContainsFunc(n.seeds(), func(address string) bool { return address != own })
+}
+
 // servesAll reports whether all reachable engines have told their state and each model has a
 // usable one. An engine that is left out would lose its cached prefixes to the others.
 func (n *Node) servesAll(c *config.Config) bool {
--- a/pkg/routing/owner.go
+++ b/pkg/routing/owner.go
@@ -88,31 +88,50 @@
 	return request
 }
 
+// maxOwners bounds how many successive owners of one engine are asked while ownership moves.
+const maxOwners = 2
+
 // try asks the owner of one candidate. Without a working owner it dispatches directly.
 func (r *OwnerRouter) try(ctx context.Context, w *Work, c *placement.Candidate, attempt *placement.Attempt) (Slot, error) {
-	m, ok := r.opt.Table.Of(c.Engine, c.DataCentre)
-	if !ok {
-		return r.dispatchDirect(ctx, w, c)
+	r.opt.Placer.Dispatched(c.Engine, c.MissingTokens)
+	former := ""
+	for range maxOwners {
+		m, ok := r.opt.Table.Of(c.Engine, c.DataCentre)
+		if !ok || m.Name == former {
+			break
+		}
+		reply, err := r.ask(ctx, w, c, m)
+		if err != nil {
+			return nil, err
+		}
+		if reply == nil {
+			break
+		}
+		if reply.Verdict != peerpb.AcquireReply_NOT_OWNER {
+			r.learn(w, c, attempt, reply)
+			return r.judge(w, c, m, reply)
+		}
+		former = m.Name
 	}
+	return r.dispatchDirect(ctx, w, c)
+}
+
+// ask calls one owner. It returns no reply and no error if the owner does not answer.
+func (r *OwnerRouter) ask(ctx context.Context, w *Work, c *placement.Candidate, m blackboard.MemberEntry) (*peerpb.AcquireReply, error) {
 	left := w.Deadline.Sub(r.opt.Now())
 	if left <= 0 {
 		return nil, fault.New(fault.DeadlineUnreachable, "the deadline passed while the request was queued")
 	}
 	callCtx, cancel := context.WithTimeout(ctx, left+acquireSlack)
 	defer cancel()
-	r.opt.Placer.Dispatched(c.Engine, c.MissingTokens)
 	reply, err := r.opt.Owners.Acquire(callCtx, m, r.acquireRequest(w, c, left))
-	if err != nil {
-		if callCtx.Err() != nil {
-			return nil, fault.New(fault.DeadlineUnreachable, "no slot became free within the deadline")
-		}
-		return r.dispatchDirect(ctx, w, c)
+	if err != nil && callCtx.Err() != nil {
+		return nil, fault.New(fault.DeadlineUnreachable, "no slot became free within the deadline")
 	}
-	r.learn(w, c, reply)
-	if reply.Verdict == peerpb.AcquireReply_DECLINED {
-		attempt.Declined(time.Duration(reply.PredictedMs)*time.Millisecond, int(reply.CachedPieces))
+	if err != nil {
+		return nil, nil
 	}
-	return r.judge(ctx, w, c, m, reply)
+	return reply, nil
 }
 
 func (r *OwnerRouter) acquireRequest(w *Work, c *placement.Candidate, left time.Duration) *peerpb.AcquireRequest {
@@ -134,7 +153,10 @@
 }
 
 // learn passes on what the owner's reply says about its engine.
-func (r *OwnerRouter) learn(w *Work, c *placement.Candidate, reply *peerpb.AcquireReply) {
+func (r *OwnerRouter) learn(w *Work, c *placement.Candidate, attempt *placement.Attempt, reply *peerpb.AcquireReply) {
+	if reply.Verdict == peerpb.AcquireReply_DECLINED {
+		attempt.Declined(time.Duration(reply.PredictedMs)*time.Millisecond, int(reply.CachedPieces))
+	}
 	if reply.Summary == nil {
 		return
 	}
@@ -144,12 +166,10 @@
 	}
 }
 
-func (r *OwnerRouter) judge(ctx context.Context, w *Work, c *placement.Candidate, m blackboard.MemberEntry, reply *peerpb.AcquireReply) (Slot, error) {
+func (r *OwnerRouter) judge(w *Work, c *placement.Candidate, m blackboard.MemberEntry, reply *peerpb.AcquireReply) (Slot, error) {
 	switch reply.Verdict {
 	case peerpb.AcquireReply_GRANTED:
 		return r.granted(w, c, m, reply), nil
-	case peerpb.AcquireReply_NOT_OWNER:
-		return r.dispatchDirect(ctx, w, c)
 	case peerpb.AcquireReply_ENGINE_LEAVING:
 		return nil, fault.New(fault.NoEngine, "engine %s leaves or is unreachable", c.Engine)
 	case peerpb.AcquireReply_DEADLINE:
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -47,6 +47,10 @@
 	// DrainBound is the time that a graceful shutdown waits for running requests. Effect: streams
 	// still running afterwards are ended with a typed error. Default: 10m. Unit: duration.
 	DrainBound config.Duration `yaml:"drain_bound,omitempty" min:"1s" max:"24h"`
+	// DrainNotice is the time that a graceful shutdown goes on taking requests after the node says
+	// that it is not ready. Effect: load balancers notice before the listener closes. Default: 2s.
+	// Unit: duration.
+	DrainNotice config.Duration `yaml:"drain_notice,omitempty" min:"0s" max:"10m"`
 	// LogLevel is the least severe level that is logged. Effect: less severe records are dropped.
 	// Default: info. Unit: none.
 	LogLevel string `yaml:"log_level,omitempty" oneof:"debug,info,warn,error"`
@@ -139,7 +143,8 @@
 
 // Default values of fields that a settings file leaves out.
 const (
-	DefaultDrainBound = 10 * time.Minute
+	DefaultDrainBound  = 10 * time.Minute
+	DefaultDrainNotice = 2 * time.Second
 	DefaultLogLevel   = "info"
 	DefaultVMRole     = "engine"
 )
@@ -151,6 +156,9 @@
 	if s.DrainBound == 0 {
 		s.DrainBound = config.Duration(DefaultDrainBound)
 	}
+	if s.DrainNotice == 0 {
+		s.DrainNotice = config.Duration(DefaultDrainNotice)
+	}
 	if s.LogLevel == "" {
 		s.LogLevel = DefaultLogLevel
 	}
