--- /dev/null
+++ b/pkg/bench/scale/gossip.go
@@ -0,0 +1,238 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"runtime"
+	"sync"
+	"syscall"
+	"time"
+
+	"cassiawall.example/cassiawall/pkg/blackboard"
+	"cassiawall.example/cassiawall/pkg/config"
+	"cassiawall.example/cassiawall/pkg/controller/gossip"
+	"cassiawall.example/cassiawall/pkg/fault"
+	"cassiawall.example/cassiawall/pkg/metrics"
+	"cassiawall.example/cassiawall/pkg/peer"
+)
+
+func init() {
+	Register(Role{
+		Name:       "gossip",
+		SizeUnit:   "nodes",
+		TargetSize: 400,
+		Sizes:      []int{10, 25, 50, 100, 200},
+		Measure:    measureGossip,
+	})
+}
+
+const (
+	// The fleet has the shape of the target size.
+	dataCentres    = 8
+	regions        = 3
+	enginesPerNode = 2
+	// demandsPerNode is the number of workspaces that a node reports each second, out of
+	// workspaces in all.
+	demandsPerNode = 10
+	workspaces     = 500
+
+	convergeTimeout = 2 * time.Minute
+	// settleTime lets the updates of the start run out.
+	settleTime  = 10 * time.Second
+	measureTime = 10 * time.Second
+	// loadInterval is the interval at which owners publish their engines' loads.
+	loadInterval = 250 * time.Millisecond
+	// headerBytes are the IPv4 and UDP headers of a datagram.
+	headerBytes = 28
+)
+
+// gossipNode is one node of the measured fleet.
+type gossipNode struct {
+	name    string
+	board   *blackboard.Board
+	metrics *metrics.Registry
+	*gossip.Controller
+	transport *peer.Transport
+}
+
+// measureGossip runs size nodes in this process over loopback, with engine loads and limit
+// demands that change all the time.
+func measureGossip(ctx context.Context, size int) (map[string]float64, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	var running sync.WaitGroup
+	defer running.Wait()
+	defer cancel()
+	heapBefore := heap()
+	nodes, err := startFleet(ctx, &running, size)
+	if err != nil {
+		return nil, err
+	}
+	started := time.Now()
+	if err := waitConverged(ctx, nodes); err != nil {
+		return nil, err
+	}
+	converged := time.Since(started)
+	running.Go(func() { publish(ctx, nodes) })
+	if !wait(ctx, settleTime) {
+		return nil, ctx.Err()
+	}
+	before, cpuBefore := traffic(nodes), cpuTime()
+	if !wait(ctx, measureTime) {
+		return nil, ctx.Err()
+	}
+	after, cpuAfter := traffic(nodes), cpuTime()
+	perNode := func(x float64) float64 { return x / measureTime.Seconds() / float64(size) }
+	values := map[string]float64{
+		"converged_s":         converged.Seconds(),
+		"messages_per_second": perNode(after.messages - before.messages),
+		"bytes_per_second":    perNode(after.bytes - before.bytes + headerBytes*(after.messages-before.messages)),
+		"cpu_percent":         100 * perNode((cpuAfter - cpuBefore).Seconds()),
+		"heap_bytes":          (heap() - heapBefore) / float64(size),
+	}
+	runtime.KeepAlive(nodes)
+	return values, nil
+}
+
+func startFleet(ctx context.Context, running *sync.WaitGroup, size int) ([]*gossipNode, error) {
+	keys, err := peer.NewKeyring(peer.Key{ID: 1, Secret: []byte("scale measurement key, 32 bytes.")})
+	if err != nil {
+		return nil, err
+	}
+	limits := budgets()
+	nodes := make([]*gossipNode, size)
+	for i := range nodes {
+		if nodes[i], err = newGossipNode(i, keys, nodes, limits); err != nil {
+			return nil, err
+		}
+	}
+	for _, n := range nodes {
+		running.Go(func() {
+			// The error is nil after ctx ended.
+			_ = n.Run(ctx)
+		})
+	}
+	return nodes, nil
+}
+
+func newGossipNode(i int, keys *peer.Keyring, nodes []*gossipNode, limits *config.Config) (*gossipNode, error) {
+	n := &gossipNode{name: fmt.Sprintf("node-%03d", i), board: blackboard.New(), metrics: metrics.New()}
+	transport, err := peer.Listen(peer.TransportOptions{
+		Listen: "127.0.0.1:0", Keyring: keys, Logger: slog.New(slog.DiscardHandler), Metrics: n.metrics,
+	})
+	if err != nil {
+		return nil, err
+	}
+	n.transport = transport
+	dataCentre := i % dataCentres
+	n.Controller = gossip.New(gossip.Options{
+		Name: n.name, DataCentre: fmt.Sprint("dc-", dataCentre), Region: fmt.Sprint("region-", dataCentre%regions),
+		RPCAddress: fmt.Sprintf("10.0.%d.%d:8081", i/250, i%250), Transport: transport, Board: n.board,
+		Seeds: func() []string { return []string{nodes[0].transport.Address()} }, Logger: slog.New(slog.DiscardHandler),
+	})
+	n.board.Config.Put(blackboard.ConfigKey, blackboard.ConfigEntry{Version: 1, Config: limits}, blackboard.Evidence{})
+	return n, nil
+}
+
+func budgets() *config.Config {
+	c := &config.Config{}
+	for i := range workspaces {
+		c.Workspaces = append(c.Workspaces, config.Workspace{
+			Name:   fmt.Sprintf("workspace-%05d", i),
+			Limits: config.Limits{RequestsPerSecond: 50, TokensPerSecond: 20000, Concurrency: 50},
+		})
+	}
+	return c
+}
+
+func waitConverged(ctx context.Context, nodes []*gossipNode) error {
+	for deadline := time.Now().Add(convergeTimeout); time.Now().Before(deadline); {
+		if converged(nodes) {
+			return nil
+		}
+		if !wait(ctx, 100*time.Millisecond) {
+			return ctx.Err()
+		}
+	}
+	return fault.New(fault.Internal, "%d nodes did not find each other within %s", len(nodes), convergeTimeout)
+}
+
+func converged(nodes []*gossipNode) bool {
+	for _, n := range nodes {
+		if n.board.Members.Len() < len(nodes) {
+			return false
+		}
+	}
+	return true
+}
+
+// publish writes changing engine loads and demands on all nodes until ctx ends.
+func publish(ctx context.Context, nodes []*gossipNode) {
+	random := rand.New(rand.NewPCG(1, uint64(len(nodes))))
+	for round := 0; wait(ctx, loadInterval); round++ {
+		for i, n := range nodes {
+			for e := range enginesPerNode {
+				n.board.Summaries.Put(fmt.Sprintf("engine-%04d", i*enginesPerNode+e), load(n.name, random), blackboard.Evidence{})
+			}
+			if time.Duration(round)*loadInterval%time.Second == 0 {
+				n.putDemands(random)
+			}
+		}
+	}
+}
+
+func load(owner string, random *rand.Rand) blackboard.SummaryEntry {
+	return blackboard.SummaryEntry{
+		Owner: owner, Incarnation: "0123456789abcdef", Model: "model", WeightsVersion: "2026-11-01",
+		Running: random.IntN(64), Queued: random.IntN(32), BacklogTokens: random.IntN(200_000),
+		PrefillRate: 9000, StepTime: 20 * time.Millisecond, Version: uint64(time.Now().UnixMicro()),
+	}
+}
+
+func (n *gossipNode) putDemands(random *rand.Rand) {
+	for range demandsPerNode {
+		key := blackboard.DemandKey{Node: n.name, Workspace: fmt.Sprintf("workspace-%05d", random.IntN(workspaces))}
+		n.board.Demands.Put(key, blackboard.DemandEntry{
+			RequestsPerSecond: random.Float64() * 5, TokensPerSecond: random.Float64() * 5000,
+			AdmittedRequests: random.Float64() * 5, AdmittedTokens: random.Float64() * 5000,
+			Running: random.IntN(5), Wanted: random.IntN(10),
+		}, blackboard.Evidence{})
+	}
+}
+
+// totals are sums over all nodes.
+type totals struct{ messages, bytes float64 }
+
+func traffic(nodes []*gossipNode) totals {
+	var t totals
+	for _, n := range nodes {
+		t.messages += float64(n.metrics.Counter("gossip_datagrams_sent_total").Count())
+		t.bytes += float64(n.metrics.Counter("gossip_bytes_sent_total").Count())
+	}
+	return t
+}
+
+// cpuTime returns the time that this process has used on all cores.
+func cpuTime() time.Duration {
+	var usage syscall.Rusage
+	// Getrusage of the own process does not fail.
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+func heap() float64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc)
+}
+
+func wait(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
--- /dev/null
+++ b/pkg/bench/scale/scale_test.go
@@ -0,0 +1,55 @@
+package scale
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a fit or an error that is computed wrongly. The figures are worked by hand:
+// x 1..4, y 2 4 5 8 gives the line 0 + 1.9x with a sum of squared residuals of 0.7.
+func TestFit(t *testing.T) {
+	f := fit([]float64{1, 2, 3, 4}, []float64{2, 4, 5, 8}, 10)
+	assert.InDelta(t, 0, f.Intercept, 1e-9)
+	assert.InDelta(t, 1.9, f.Slope, 1e-9)
+	assert.InDelta(t, 0.5916, f.ResidualError, 1e-4)
+	assert.InDelta(t, 0.2646, f.SlopeError, 1e-4)
+	assert.InDelta(t, 19, f.AtTarget, 1e-9)
+	assert.InDelta(t, 2.0917, f.TargetError, 1e-3)
+	assert.InDelta(t, 0.9627, f.R2, 1e-4)
+}
+
+// Guards against a fit through too few sizes and against unknown roles.
+func TestMeasureChecksItsInput(t *testing.T) {
+	_, err := Measure(t.Context(), "nope", nil)
+	require.Error(t, err)
+	_, err = Measure(t.Context(), "gossip", []int{1, 2, 3})
+	require.Error(t, err)
+	Register(Role{Name: "test", TargetSize: 8, Sizes: []int{1, 2, 3, 4}, Measure: func(_ context.Context, size int) (map[string]float64, error) {
+		return map[string]float64{"cost": float64(3 * size)}, nil
+	}})
+	s, err := Measure(t.Context(), "test", nil)
+	require.NoError(t, err)
+	assert.InDelta(t, 24, s.Fits["cost"].AtTarget, 1e-9)
+}
+
+// BenchmarkGossip measures the gossip at the default sizes and prints the result as JSON:
+//
+//	go test -run '^$' -bench Gossip -benchtime 1x ./pkg/bench/scale
+func BenchmarkGossip(b *testing.B) {
+	for b.Loop() {
+		s, err := Measure(b.Context(), "gossip", nil)
+		if err != nil {
+			b.Fatal(err)
+		}
+		text, err := json.MarshalIndent(s, "", "  ")
+		if err != nil {
+			b.Fatal(err)
+		}
+		fmt.Println(string(text))
+	}
+}
