--- a/pkg/questionnaire/questionnaire_test.go
+++ b/pkg/questionnaire/questionnaire_test.go
@@ -175,3 +175,19 @@
 		assert.NotEqual(t, again[i].Key, k.Key)
 	}
 }
+
+// Guards against answers that make the checks panic, and accepted answers that lead to a refused
+// configuration.
+func FuzzParse(f *testing.F) {
+	text, err := os.ReadFile("../../examples/tuul/answers.yaml")
+	require.NoError(f, err)
+	f.Add(text)
+	f.Fuzz(func(t *testing.T, text []byte) {
+		a, err := Parse(text)
+		if err != nil {
+			return
+		}
+		_, _, err = Generate(a)
+		require.NoError(t, err)
+	})
+}
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -89,3 +89,14 @@
 	require.NoError(t, err)
 	assert.Equal(t, [][]byte{[]byte(long)}, keys)
 }
+
+// Guards against a settings file that makes the checks panic.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(valid))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		s, err := Parse(text)
+		if (s == nil) == (err == nil) {
+			t.Fatal("Parse must return either settings or an error")
+		}
+	})
+}
