--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -50,6 +50,8 @@
 	RolloutDone        = define(611, "rollout complete", slog.LevelInfo, "none")
 	RolloutStopped     = define(612, "rollout stopped, rolling back", slog.LevelError, "check the new weights; apply another weights_version to try again")
 	RolloutBlocked     = define(613, "rollout waits for serving engines", slog.LevelWarn, "bring engines back or lower min_serving")
+	LeaseDamaged       = define(614, "lease object damaged", slog.LevelError, "delete the named object 35 s after the last order; its shard gets no orders until then")
+	RolloutDamaged     = define(615, "rollout state damaged", slog.LevelError, "delete the object rollouts/current; rollouts start over from the engines' weights")
 
 	BackendUnreachable = define(701, "backend server unreachable", slog.LevelWarn, "check the backend server and the network to it")
 	BackendReachable   = define(702, "backend server reachable again", slog.LevelInfo, "none")
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -76,6 +76,10 @@
 func Decide(in Input) Decision {
 	d := &decider{in: in, next: in.State.clone()}
 	d.model = d.next.Models[in.Model]
+	if d.model.Target == "" && d.commonVersion() == "" {
+		// Without an answer from any engine there is no version to roll back to.
+		return Decision{State: in.State, Active: true}
+	}
 	d.begin()
 	d.settleLoads()
 	d.judge()
@@ -116,29 +120,37 @@
 		previous = m.Target
 	}
 	*m = Model{Fencing: d.in.Fencing, Phase: Canary, Target: d.in.Settings.Target, Previous: previous}
-	if first && d.settled() {
+	if first && d.allKnown() && d.settled() {
 		m.Phase, m.Previous = Complete, m.Target
 	}
 }
 
-// commonVersion is the version that most engines have, before any rollout is recorded.
+// commonVersion is the version that most engines have, or "" if no engine answers.
 func (d *decider) commonVersion() string {
 	counts := map[string]int{}
-	best := d.in.Settings.Target
+	best := ""
 	for _, e := range d.in.Engines {
 		if !e.Known || e.Version == "" {
 			continue
 		}
 		counts[e.Version]++
-		if n := counts[e.Version]; n > counts[best] || n == counts[best] && e.Version < best {
+		if n := counts[e.Version]; best == "" || n > counts[best] || n == counts[best] && e.Version < best {
 			best = e.Version
 		}
 	}
 	return best
 }
 
-// settled reports whether all engines that answer have the goal and no load is recorded.
+func (d *decider) allKnown() bool {
+	return !slices.ContainsFunc(d.in.Engines, func(e Engine) bool { return !e.Known })
+}
+
+// settled reports whether all engines that answer have the goal and no load is recorded. Without
+// any answer nothing is settled.
 func (d *decider) settled() bool {
+	if !slices.ContainsFunc(d.in.Engines, func(e Engine) bool { return e.Known }) {
+		return false
+	}
 	for _, l := range d.next.Loads {
 		if l.Model == d.in.Model {
 			return false
