--- a/pkg/controller/engineview/view.go
+++ b/pkg/controller/engineview/view.go
@@ -81,8 +81,10 @@
 		if s, ok := summaries[id]; ok {
 			v.Load = loadOf(s.Value)
 			v.Unusable = v.Unusable || s.Value.Leaving
-			if v.Incarnation == "" {
+			if !e.Value.Known {
 				v.Incarnation = s.Value.Incarnation
+				v.Model = s.Value.Model
+				v.WeightsVersion = s.Value.WeightsVersion
 			}
 		}
 		views = append(views, v)
--- a/pkg/controller/owner/convert.go
+++ b/pkg/controller/owner/convert.go
@@ -5,7 +5,6 @@
 
 	"cassiawall.example/cassiawall/pkg/admission"
 	"cassiawall.example/cassiawall/pkg/blackboard"
-	"cassiawall.example/cassiawall/pkg/engine"
 	"cassiawall.example/cassiawall/pkg/peer/peerpb"
 )
 
@@ -54,7 +53,7 @@
 	return peerpb.AcquireReply_DECLINED
 }
 
-func summaryProto(id string, s blackboard.SummaryEntry, state engine.State) *peerpb.EngineSummary {
+func summaryProto(id string, s blackboard.SummaryEntry) *peerpb.EngineSummary {
 	return &peerpb.EngineSummary{
 		Engine:         id,
 		Incarnation:    s.Incarnation,
@@ -67,8 +66,8 @@
 		Leaving:        s.Leaving,
 		Doubtful:       s.Doubtful,
 		Version:        s.Version,
-		Model:          state.Model,
-		WeightsVersion: state.WeightsVersion,
+		Model:          s.Model,
+		WeightsVersion: s.WeightsVersion,
 	}
 }
 
--- a/pkg/controller/owner/owned.go
+++ b/pkg/controller/owner/owned.go
@@ -357,7 +357,7 @@
 
 // summary returns the current view of the engine with a higher version than any before.
 func (e *owned) summary() *peerpb.EngineSummary {
-	return summaryProto(e.id, e.summaryEntry(), e.state)
+	return summaryProto(e.id, e.summaryEntry())
 }
 
 func (e *owned) summaryEntry() blackboard.SummaryEntry {
