--- a/pkg/bench/bench_test.go
+++ b/pkg/bench/bench_test.go
@@ -244,3 +244,16 @@
 		assert.Contains(t, table.String(), text)
 	}
 }
+
+// Guards against a wrong line or error in the extrapolation to the target size.
+func TestFitLine(t *testing.T) {
+	exact := fitLine([]Point{{1, 5}, {2, 7}, {3, 9}, {4, 11}})
+	assert.InDelta(t, 2, exact.Slope, 1e-9)
+	assert.InDelta(t, 3, exact.Intercept, 1e-9)
+	assert.InDelta(t, 0, exact.SlopeError, 1e-9)
+	assert.InDelta(t, 1, exact.R2, 1e-9)
+	noisy := fitLine([]Point{{1, 0}, {2, 4}, {3, 2}, {4, 6}})
+	assert.InDelta(t, 1.6, noisy.Slope, 1e-9)
+	assert.InDelta(t, 0.7211, noisy.SlopeError, 1e-3)
+	assert.InDelta(t, 0.6, noisy.MaxError, 1e-9)
+}
--- a/pkg/cli/bench.go
+++ b/pkg/cli/bench.go
@@ -14,6 +14,21 @@
 	"cassiawall.example/cassiawall/pkg/fault"
 )
 
+func benchSpec(s streams) commandSpec {
+	return commandSpec{
+		name: "bench", short: "Compare policies under load",
+		long: "Run the same load against the system and baseline policies on loopback and compare them.\n\n" +
+			"Example: cassiawall bench --profile tuul --duration 40s --report bench.html",
+		data: &benchCommand{streams: s},
+		subcommands: []commandSpec{{
+			name: "scale", short: "Measure slopes over size",
+			long: "Measure figures at several sizes, fit a line and state its value at the target size.\n\n" +
+				"Example: cassiawall bench scale --json",
+			data: &benchScaleCommand{streams: s},
+		}},
+	}
+}
+
 type benchCommand struct {
 	Profile  string        `long:"profile" description:"Deployment to model" choice:"kilele" choice:"tuul" default:"kilele"`
 	Policy   string        `long:"policy" description:"Policies to compare, separated by commas" default:"cassiawall,round-robin,least-loaded,consistent-hash"`
@@ -91,3 +106,23 @@
 	}
 	return errors.Join(bench.WriteReport(file, result), file.Close())
 }
+
+type benchScaleCommand struct {
+	Idle    time.Duration `long:"idle" description:"Time over which each size of idle nodes is measured" default:"5s"`
+	JSON    bool          `long:"json" description:"Print the result as JSON"`
+	streams streams
+}
+
+// Execute measures the slopes.
+func (c *benchScaleCommand) Execute([]string) error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	result, err := bench.RunScale(ctx, bench.ScaleOptions{Idle: c.Idle, Progress: c.streams.err, Logger: slog.New(slog.DiscardHandler)})
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return printJSON(c.streams.out, result)
+	}
+	return bench.WriteScaleTable(c.streams.out, result)
+}
--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -46,6 +46,8 @@
 		if err != nil {
 			return err
 		}
+		// A command that does something itself runs without a subcommand.
+		_, command.SubcommandsOptional = spec.data.(flags.Commander)
 		if err := addCommands(command, spec.subcommands); err != nil {
 			return err
 		}
@@ -91,6 +93,6 @@
 		reportSpec(s),
 		standinSpec(s),
 		{name: "demo", short: "Run three nodes and stand-ins on loopback", long: "Run three nodes and stand-ins of the platform on loopback with a mixed load.\n\nExample: cassiawall demo --requests 200 --seed 1 --json", data: &demoCommand{streams: s}},
-		{name: "bench", short: "Compare policies under load", long: "Run the same load against the system and baseline policies on loopback and compare them.\n\nExample: cassiawall bench --profile tuul --duration 40s --report bench.html", data: &benchCommand{streams: s}},
+		benchSpec(s),
 	}
 }
