--- a/pkg/standin/engine/config.go
+++ b/pkg/standin/engine/config.go
@@ -125,6 +125,8 @@
 	Streams int `json:"streams,omitempty"`
 	// Refuse makes the engine answer every new request with 503.
 	Refuse bool `json:"refuse,omitempty"`
+	// BadVersion makes requests fail with 500 while the engine serves this weights version.
+	BadVersion string `json:"bad_version,omitempty"`
 	// SlowFactor multiplies the duration of steps; values up to 1 have no effect.
 	SlowFactor float64 `json:"slow_factor,omitempty"`
 	// LostEvents is the share of cache events that readers never see, 0 to 1.
--- a/pkg/standin/engine/contract_test.go
+++ b/pkg/standin/engine/contract_test.go
@@ -204,6 +204,7 @@
 		{"other model", func(r *engine.Request) { r.Model = "other" }, Faults{}, fault.EngineRefused},
 		{"unknown adapter", func(r *engine.Request) { r.Adapter = "x" }, Faults{}, fault.EngineRefused},
 		{"refusing", func(*engine.Request) {}, Faults{Refuse: true}, fault.Overloaded},
+		{"failing weights", func(*engine.Request) {}, Faults{BadVersion: "v1"}, fault.EngineFailed},
 		{"empty prompt", func(r *engine.Request) { r.Prompt, r.Pieces = "", nil }, Faults{}, fault.BadRequest},
 		{"pieces beyond the prompt", func(r *engine.Request) { r.Pieces[0].Bytes = 1000 }, Faults{}, fault.BadRequest},
 	}
@@ -216,7 +217,11 @@
 			_, err := c.Generate(t.Context(), r)
 			require.Error(t, err)
 			assert.Equal(t, tc.kind, fault.As(err).Kind)
-			assert.Equal(t, fault.NotRun, fault.As(err).Work)
+			want := fault.NotRun
+			if tc.kind == fault.EngineFailed {
+				want = fault.Unknown
+			}
+			assert.Equal(t, want, fault.As(err).Work)
 			assert.Empty(t, e.Executions("r"))
 		})
 	}
--- a/pkg/standin/engine/submit.go
+++ b/pkg/standin/engine/submit.go
@@ -189,6 +189,8 @@
 		return fault.New(fault.EngineRefused, "weights version %q is not loaded", in.version)
 	case in.extension.Adapter != "" && !slices.Contains(e.weights.adapters, in.extension.Adapter):
 		return fault.New(fault.EngineRefused, "adapter %q is not loaded", in.extension.Adapter)
+	case e.faults.BadVersion != "" && e.faults.BadVersion == e.weights.version:
+		return fault.New(fault.EngineFailed, "weights version %q fails", e.weights.version)
 	case e.drainsForLoad():
 		return fault.New(fault.Overloaded, "the engine is loading weights")
 	case len(e.batch.waiting) >= e.config.MaxQueue:
