--- a/pkg/localfleet/fleet.go
+++ b/pkg/localfleet/fleet.go
@@ -14,6 +14,7 @@
 	"go.yaml.in/yaml/v3"
 
 	"cassiawall.example/cassiawall/pkg/config"
+	"cassiawall.example/cassiawall/pkg/controller/configwatch"
 	"cassiawall.example/cassiawall/pkg/fault"
 	"cassiawall.example/cassiawall/pkg/node"
 	"cassiawall.example/cassiawall/pkg/routing"
@@ -124,6 +125,19 @@
 	return f.Platform.apply(ctx, document)
 }
 
+// Apply changes the configuration as an operator does and returns its version.
+func (f *Fleet) Apply(ctx context.Context, c *config.Config) (uint64, error) {
+	document, err := yaml.Marshal(c)
+	if err != nil {
+		return 0, err
+	}
+	current, err := f.Platform.Objects.Get(ctx, configObject)
+	if err != nil {
+		return 0, err
+	}
+	return configwatch.Apply(ctx, f.Platform.Objects, document, current.Version)
+}
+
 func (f *Fleet) dataCentre(i int) string { return f.opt.DataCentres[i%len(f.opt.DataCentres)] }
 
 func (f *Fleet) nodeSettings(i int) *settings.Settings {
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -145,8 +145,8 @@
 const (
 	DefaultDrainBound  = 10 * time.Minute
 	DefaultDrainNotice = 2 * time.Second
-	DefaultLogLevel   = "info"
-	DefaultVMRole     = "engine"
+	DefaultLogLevel    = "info"
+	DefaultVMRole      = "engine"
 )
 
 func (s *Settings) setDefaults() {
