--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -52,6 +52,7 @@
 	RolloutBlocked     = define(613, "rollout waits for serving engines", slog.LevelWarn, "bring engines back or lower min_serving")
 	LeaseDamaged       = define(614, "lease object damaged", slog.LevelError, "delete the named object 35 s after the last order; its shard gets no orders until then")
 	RolloutDamaged     = define(615, "rollout state damaged", slog.LevelError, "delete the object rollouts/current; rollouts start over from the engines' weights")
+	WeightsUnavailable = define(616, "weights unavailable, no further loads", slog.LevelWarn, "check that the weight store has the version and keeps up")
 
 	BackendUnreachable = define(701, "backend server unreachable", slog.LevelWarn, "check the backend server and the network to it")
 	BackendReachable   = define(702, "backend server reachable again", slog.LevelInfo, "none")
--- a/pkg/rollout/explore_test.go
+++ b/pkg/rollout/explore_test.go
@@ -284,7 +284,7 @@
 	}
 	for _, e := range w.engines {
 		m := s.Models[e.model]
-		if e.version != m.goal() || e.loading {
+		if e.version != m.Goal() || e.loading {
 			w.t.Fatalf("%s ended with %s (loading %v) in phase %s of %s", e.id, e.version, e.loading, m.Phase, m.Target)
 		}
 		if target := w.holders[e.model].target; target != badVersion && m.Phase != Complete && m.Target != target {
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -157,7 +157,7 @@
 		}
 	}
 	for _, e := range d.in.Engines {
-		if e.Known && !e.Leaving && (e.Loading || e.Version != d.model.goal()) {
+		if e.Known && !e.Leaving && (e.Loading || e.Version != d.model.Goal()) {
 			return false
 		}
 	}
@@ -195,9 +195,9 @@
 	switch {
 	case !listed:
 		return l, false
-	case l.Version != d.model.goal():
+	case l.Version != d.model.Goal():
 		// The engine keeps its place and is ordered to the new goal.
-		return l.retargeted(d.model.goal(), d.in.Now), true
+		return l.retargeted(d.model.Goal(), d.in.Now), true
 	case d.in.Now.UnixMilli() < l.HoldUntilMS:
 		return l, true
 	case e.Known && !e.Loading && e.Version == l.Version:
@@ -242,8 +242,8 @@
 func (d *decider) retarget() {
 	for i := range d.next.Loads {
 		l := &d.next.Loads[i]
-		if l.Model == d.in.Model && l.Version != d.model.goal() {
-			*l = l.retargeted(d.model.goal(), d.in.Now)
+		if l.Model == d.in.Model && l.Version != d.model.Goal() {
+			*l = l.retargeted(d.model.Goal(), d.in.Now)
 			d.changed = true
 		}
 	}
@@ -285,7 +285,7 @@
 func (d *decider) withGoal() int {
 	n := 0
 	for _, e := range d.in.Engines {
-		if e.serving() && e.Version == d.model.goal() && d.next.loadOf(e.ID) < 0 {
+		if e.serving() && e.Version == d.model.Goal() && d.next.loadOf(e.ID) < 0 {
 			n++
 		}
 	}
@@ -319,7 +319,7 @@
 		if e.serving() {
 			serving--
 		}
-		d.next.Loads = append(d.next.Loads, Load{Model: d.in.Model, Engine: e.ID, Version: d.model.goal(), SinceMS: d.in.Now.UnixMilli()})
+		d.next.Loads = append(d.next.Loads, Load{Model: d.in.Model, Engine: e.ID, Version: d.model.Goal(), SinceMS: d.in.Now.UnixMilli()})
 		d.changed = true
 		own++
 		room--
@@ -342,7 +342,7 @@
 func (d *decider) waiting() []Engine {
 	var found []Engine
 	for _, e := range d.in.Engines {
-		if e.Known && !e.Leaving && !e.Loading && e.Version != d.model.goal() && d.next.loadOf(e.ID) < 0 {
+		if e.Known && !e.Leaving && !e.Loading && e.Version != d.model.Goal() && d.next.loadOf(e.ID) < 0 {
 			found = append(found, e)
 		}
 	}
--- a/pkg/rollout/state.go
+++ b/pkg/rollout/state.go
@@ -67,8 +67,8 @@
 	CanarySinceMS int64 `json:"canary_since_ms,omitempty"`
 }
 
-// goal is the version that the engines should have.
-func (m *Model) goal() string {
+// Goal is the version that the engines should have.
+func (m Model) Goal() string {
 	if m.Phase == RollingBack || m.Phase == RolledBack {
 		return m.Previous
 	}
