configwatch: store and send long configurations in parts

It is split where its content says so; a change writes and moves one or two parts. The bound on a document is therefore no longer the object API's; the test of the old bound now holds the new one.

--- a/pkg/config/parse.go
+++ b/pkg/config/parse.go
@@ -4,19 +4,22 @@
 	"fmt"
 
 	"cassiawall.example/cassiawall/pkg/fault"
-	"cassiawall.example/cassiawall/pkg/objects"
 	"cassiawall.example/cassiawall/pkg/strictyaml"
 )
 
+// MaxDocumentBytes bounds a configuration document. 18,000 workspaces take about 5 MB. Documents
+// that do not fit into one object of the object API are stored in parts.
+const MaxDocumentBytes = 8 << 20
+
 // Parse reads a configuration document, validates it and fills in defaults. On an error nothing
 // is returned. The error is of kind fault.InvalidConfiguration and wraps strictyaml.Problems,
 // which holds every fault of the document.
 func Parse(document []byte) (*Config, error) {
 	var c Config
 	d := strictyaml.Decode(document, &c)
-	if len(document) > objects.MaxValueBytes {
+	if len(document) > MaxDocumentBytes {
 		d.Add("document", fmt.Sprintf("the document has %d bytes", len(document)),
-			fmt.Sprintf("shorten it to at most %d bytes, which is the largest value the object API stores", objects.MaxValueBytes))
+			fmt.Sprintf("shorten it to at most %d bytes", MaxDocumentBytes))
 	}
 	c.validate(d)
 	if err := d.Err(); err != nil {
--- /dev/null
+++ b/pkg/configsync/parts_test.go
@@ -0,0 +1,94 @@
+package configsync
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// bigDocument resembles a configuration with many workspaces.
+func bigDocument(workspaces int) []byte {
+	r := rand.New(rand.NewPCG(1, 1))
+	var b bytes.Buffer
+	for i := range workspaces {
+		fmt.Fprintf(&b, "  - name: workspace-%05d\n    api_key_hashes: [%016x%016x%016x%016x]\n    models: [m%d]\n    limits: {requests_per_second: %d}\n",
+			i, r.Uint64(), r.Uint64(), r.Uint64(), r.Uint64(), i%6, r.IntN(50))
+	}
+	return b.Bytes()
+}
+
+// Guards against a document that changes on its way, and against a small change that alters
+// most parts.
+func TestSplitKeepsUnchangedParts(t *testing.T) {
+	document := bigDocument(18_000)
+	manifest, parts := NewManifest(document)
+	contents := make([][]byte, len(parts))
+	for i, p := range parts {
+		contents[i] = p.Content
+		assert.LessOrEqual(t, len(p.Content), maxPart)
+	}
+	joined, err := Join(manifest.Digest, contents)
+	require.NoError(t, err)
+	assert.Equal(t, document, joined)
+
+	changed := bytes.Replace(document, []byte("workspace-09000\n"), []byte("workspace-09000\n    weight: 3\n"), 1)
+	known := map[PartID]bool{}
+	for _, p := range parts {
+		known[p.ID] = true
+	}
+	differing := 0
+	for _, p := range Split(changed) {
+		if !known[p.ID] {
+			differing++
+		}
+	}
+	t.Logf("%d bytes in %d parts, %d differ after a change", len(document), len(parts), differing)
+	assert.LessOrEqual(t, differing, 2)
+	assert.Greater(t, len(parts), 20)
+}
+
+// Guards against parts mixed up or missing.
+func TestJoinChecksTheDigest(t *testing.T) {
+	_, err := Join(IDOf([]byte("ab")), [][]byte{[]byte("b"), []byte("a")})
+	assert.Error(t, err)
+}
+
+// Guards against manifests that are cut or damaged, and against documents taken for manifests.
+func TestManifestRoundTrip(t *testing.T) {
+	m, _ := NewManifest(bigDocument(3000))
+	got, is, err := DecodeManifest(m.Encode())
+	require.NoError(t, err)
+	assert.True(t, is)
+	assert.Equal(t, m, got)
+	_, is, err = DecodeManifest([]byte("models: []\n"))
+	assert.False(t, is)
+	assert.NoError(t, err)
+	text := string(m.Encode())
+	for _, damaged := range []string{text[:len(text)-30], strings.Replace(text, m.Parts[0].String()+"\n", "", 1), manifestHeader, manifestHeader + "0 xyz"} {
+		_, is, err = DecodeManifest([]byte(damaged))
+		assert.True(t, is)
+		assert.Error(t, err)
+	}
+}
+
+// Guards against crashes on any object.
+func FuzzDecodeManifest(f *testing.F) {
+	m, _ := NewManifest(bigDocument(1000))
+	f.Add(m.Encode())
+	f.Add([]byte(manifestHeader + "1 00"))
+	f.Fuzz(func(t *testing.T, value []byte) {
+		m, is, err := DecodeManifest(value)
+		if !is || err != nil {
+			return
+		}
+		again, is, err := DecodeManifest(m.Encode())
+		if !is || err != nil || again.Digest != m.Digest || len(again.Parts) != len(m.Parts) {
+			t.Fatal("an accepted manifest does not survive its own encoding")
+		}
+	})
+}
--- a/pkg/controller/configwatch/apply.go
+++ b/pkg/controller/configwatch/apply.go
@@ -47,36 +47,40 @@
 	if err != nil {
 		return 0, err
 	}
-	version, err := store.Put(ctx, configsync.Object, document, ifVersion)
+	value := document
+	var replaced []objects.Object
+	if len(document) > storeWholeBytes {
+		if value, replaced, err = storeParts(ctx, store, document, ifVersion); err != nil {
+			return 0, err
+		}
+	}
+	version, err := store.Put(ctx, configsync.Object, value, ifVersion)
 	switch {
 	case err == nil:
+		deleteParts(ctx, store, replaced)
 		return version, nil
 	case fault.Is(err, fault.Conflict):
 		return 0, conflict(ctx, store, parsed, ifVersion, err)
 	case fault.Is(err, fault.PlatformUnavailable) && fault.As(err).Work == fault.Unknown:
-		return confirm(ctx, store, document, ifVersion, err)
+		return confirm(ctx, store, parsed, value, ifVersion, err)
 	}
 	return 0, err
 }
 
 // confirm reads back after a lost answer: the write took effect if the object holds the document
 // in a newer version.
-func confirm(ctx context.Context, store objects.Store, document []byte, ifVersion uint64, lost error) (uint64, error) {
+func confirm(ctx context.Context, store objects.Store, mine *config.Config, value []byte, ifVersion uint64, lost error) (uint64, error) {
 	current, err := store.Get(ctx, configsync.Object)
 	if err != nil {
 		return 0, lost
 	}
-	if current.Version > ifVersion && bytes.Equal(current.Value, document) {
+	if current.Version > ifVersion && bytes.Equal(current.Value, value) {
 		return current.Version, nil
 	}
 	if current.Version == ifVersion {
 		return 0, fault.Wrap(lost, fault.PlatformUnavailable, "the configuration was not stored")
 	}
-	parsed, err := config.Parse(document)
-	if err != nil {
-		return 0, err
-	}
-	return 0, conflict(ctx, store, parsed, ifVersion, lost)
+	return 0, conflict(ctx, store, mine, ifVersion, lost)
 }
 
 func conflict(ctx context.Context, store objects.Store, mine *config.Config, ifVersion uint64, cause error) error {
@@ -85,7 +89,11 @@
 		return cause
 	}
 	details := &ConflictError{IfVersion: ifVersion, Current: current.Version}
-	theirs, err := config.Parse(current.Value)
+	document, err := ReadDocument(ctx, store, current.Value, nil)
+	if err != nil {
+		return cause
+	}
+	theirs, err := config.Parse(document)
 	if err != nil {
 		details.Changes = []string{"content that this release does not accept"}
 	} else {
--- a/pkg/controller/configwatch/configwatch.go
+++ b/pkg/controller/configwatch/configwatch.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	gometrics "github.com/rcrowley/go-metrics"
@@ -72,6 +73,8 @@
 	ready   bool
 	// failed holds until when a peer is avoided.
 	failed map[string]time.Time
+	// wholeNext makes the next fetch ask for the whole document after parts did not fit.
+	wholeNext atomic.Bool
 	// refused is the highest version that this release does not accept.
 	refused uint64
 }
@@ -202,8 +205,14 @@
 func (c *Controller) fetch(ctx context.Context, source blackboard.MemberEntry) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	have := c.version()
-	reply, err := c.o.Peers(source.RPCAddress).FetchConfig(ctx, &peerpb.FetchConfigRequest{HaveVersion: have})
+	entry, _ := c.o.Board.Config.Get(blackboard.ConfigKey)
+	have := entry.Value.Version
+	request := &peerpb.FetchConfigRequest{HaveVersion: have}
+	if c.wholeNext.CompareAndSwap(true, false) {
+		entry.Value.Document = nil
+	}
+	request.HaveParts = peer.PartIDs(entry.Value.Document)
+	reply, err := c.o.Peers(source.RPCAddress).FetchConfig(ctx, request)
 	if err != nil {
 		c.avoid(source.Name)
 		event.ConfigFetchFailed.Log(ctx, c.o.Logger, slog.String("from", source.Name), slog.String("error", err.Error()))
@@ -217,7 +226,13 @@
 		}
 		return
 	}
-	c.store(ctx, reply.Version, reply.Document, source.Name, "peer")
+	document, err := peer.JoinConfig(reply, entry.Value.Document)
+	if err != nil {
+		c.wholeNext.Store(true)
+		event.ConfigFetchFailed.Log(ctx, c.o.Logger, slog.String("from", source.Name), slog.String("error", err.Error()))
+		return
+	}
+	c.store(ctx, reply.Version, document, source.Name, "peer")
 }
 
 func (c *Controller) avoid(name string) {
@@ -291,7 +306,7 @@
 	before := c.version()
 	for _, o := range found {
 		if o.Name == configsync.Object && !o.Deleted {
-			c.store(ctx, o.Version, o.Value, "object API", "watch")
+			c.storeObject(ctx, o, "watch")
 		}
 	}
 	return c.version() > before
@@ -312,8 +327,7 @@
 	if err != nil {
 		return fault.Is(err, fault.NotFound)
 	}
-	c.store(ctx, o.Version, o.Value, "object API", "read")
-	return true
+	return c.storeObject(ctx, o, "read")
 }
 
 // pause waits and reports false when ctx ended.
--- a/pkg/node/peers.go
+++ b/pkg/node/peers.go
@@ -134,7 +134,7 @@
 
 // FetchConfig implements peerpb.Peer.
 func (s *rpcServer) FetchConfig(_ context.Context, r *peerpb.FetchConfigRequest) (*peerpb.FetchConfigReply, error) {
-	return peer.ConfigReply(s.node.board, r.GetHaveVersion()), nil
+	return peer.FetchConfig(s.node.board, r), nil
 }
 
 // Bootstrap implements peerpb.Peer.
--- a/pkg/peer/state.go
+++ b/pkg/peer/state.go
@@ -8,6 +8,7 @@
 
 	"cassiawall.example/cassiawall/pkg/blackboard"
 	"cassiawall.example/cassiawall/pkg/config"
+	"cassiawall.example/cassiawall/pkg/configsync"
 	"cassiawall.example/cassiawall/pkg/fault"
 	"cassiawall.example/cassiawall/pkg/peer/peerpb"
 )
@@ -29,6 +30,70 @@
 	return reply
 }
 
+// FetchConfig answers FetchConfig from the blackboard. A caller that has parts of a long document
+// gets only the others.
+func FetchConfig(board *blackboard.Board, r *peerpb.FetchConfigRequest) *peerpb.FetchConfigReply {
+	reply := ConfigReply(board, r.HaveVersion)
+	if len(r.HaveParts) == 0 || len(reply.Document) <= configsync.WholeBytes {
+		return reply
+	}
+	have := map[uint64]bool{}
+	for _, id := range r.HaveParts {
+		have[id] = true
+	}
+	digest := configsync.IDOf(reply.Document)
+	reply.Digest = digest[:]
+	for _, p := range configsync.Split(reply.Document) {
+		part := &peerpb.ConfigPart{Id: p.ID.Short()}
+		if !have[part.Id] {
+			part.Content = configsync.Compress(p.Content)
+		}
+		reply.Parts = append(reply.Parts, part)
+	}
+	reply.Document = nil
+	return reply
+}
+
+// JoinConfig returns the document of a reply to FetchConfig, with the parts that the caller had
+// taken from its own document. The error is of kind fault.InvalidConfiguration; asking for the
+// whole document helps.
+func JoinConfig(reply *peerpb.FetchConfigReply, own []byte) ([]byte, error) {
+	if len(reply.Parts) == 0 {
+		return reply.Document, nil
+	}
+	if len(reply.Digest) != len(configsync.PartID{}) {
+		return nil, fault.New(fault.InvalidConfiguration, "configuration digest has %d bytes", len(reply.Digest))
+	}
+	known := map[uint64][]byte{}
+	for _, p := range configsync.Split(own) {
+		known[p.ID.Short()] = p.Content
+	}
+	contents := make([][]byte, len(reply.Parts))
+	for i, p := range reply.Parts {
+		contents[i] = known[p.Id]
+		if len(p.Content) == 0 {
+			continue
+		}
+		var err error
+		if contents[i], err = configsync.Decompress(p.Content); err != nil {
+			return nil, err
+		}
+	}
+	return configsync.Join(configsync.PartID(reply.Digest), contents)
+}
+
+// PartIDs returns what a caller with the document puts into FetchConfigRequest.HaveParts.
+func PartIDs(document []byte) []uint64 {
+	if len(document) <= configsync.WholeBytes {
+		return nil
+	}
+	var ids []uint64
+	for _, p := range configsync.Split(document) {
+		ids = append(ids, p.ID.Short())
+	}
+	return ids
+}
+
 // Bootstrap answers a restarted node from the blackboard. prefixes are the soft prefixes of
 // package placement, which the blackboard does not hold.
 func Bootstrap(board *blackboard.Board, prefixes []*peerpb.SoftPrefix) *peerpb.BootstrapReply {
