peer: shorten the authentication of calls

Three calls per request count against the budget of control traffic. One header of 48 characters replaces four, and headers that no node reads are left out.

--- a/pkg/peer/auth.go
+++ b/pkg/peer/auth.go
@@ -6,10 +6,8 @@
 	"crypto/sha256"
 	"encoding/base64"
 	"encoding/binary"
-	"encoding/hex"
 	"log/slog"
 	"net/http"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -20,12 +18,14 @@
 	"cassiawall.example/cassiawall/pkg/metrics"
 )
 
-// Headers of an authenticated call and its reply.
+// headerAuth authenticates a call and its reply. In a call it holds the key id (4 bytes), the time
+// of sending in Unix milliseconds (8), the nonce (8) and the front of the HMAC-SHA256 (16), in a
+// reply the key id and the front of the code. It is one short header, because three calls per
+// request count against the budget of control traffic.
 const (
-	headerKey       = "X-Cassiawall-Key"
-	headerSent      = "X-Cassiawall-Sent"
-	headerNonce     = "X-Cassiawall-Nonce"
-	headerSignature = "X-Cassiawall-Signature"
+	headerAuth     = "Cassiawall-Auth"
+	callAuthBytes  = 4 + 8 + nonceBytes + codeBytes
+	replyAuthBytes = 4 + codeBytes
 )
 
 // Labels keep a code of one use from being valid for another.
@@ -77,16 +77,17 @@
 // Refused returns the number of calls refused so far.
 func (a *Auth) Refused() int64 { return a.refusals.counter.Count() }
 
-// signCall adds the headers of an authenticated call and returns the nonce that the reply is
+// signCall adds the header of an authenticated call and returns the nonce that the reply is
 // bound to.
 func (a *Auth) signCall(r *http.Request, target string, body []byte) nonce {
 	n := newNonce()
-	sent := strconv.FormatInt(a.now().UnixMilli(), 10)
-	id, mac := a.keyring.sign(callParts(r.URL.Path, target, sent, n, body)...)
-	r.Header.Set(headerKey, strconv.FormatUint(uint64(id), 10))
-	r.Header.Set(headerSent, sent)
-	r.Header.Set(headerNonce, hex.EncodeToString(n[:]))
-	r.Header.Set(headerSignature, base64.StdEncoding.EncodeToString(mac))
+	stamp := binary.BigEndian.AppendUint64(nil, uint64(a.now().UnixMilli()))
+	id, mac := a.keyring.sign(callParts(r.URL.Path, target, stamp, n, body)...)
+	value := binary.BigEndian.AppendUint32(nil, id)
+	value = append(value, stamp...)
+	value = append(value, n[:]...)
+	value = append(value, mac[:codeBytes]...)
+	r.Header.Set(headerAuth, base64.RawURLEncoding.EncodeToString(value))
 	return n
 }
 
@@ -95,40 +96,39 @@
 	if a.address != "" && r.Host != a.address {
 		return n, "signed for another node"
 	}
-	id, mac, ok := signature(r.Header)
-	if !ok {
+	value, err := base64.RawURLEncoding.DecodeString(r.Header.Get(headerAuth))
+	if err != nil || len(value) != callAuthBytes {
 		return n, "not signed"
 	}
-	raw, err := hex.DecodeString(r.Header.Get(headerNonce))
-	if err != nil || len(raw) != len(n) {
-		return n, "bad nonce"
-	}
-	copy(n[:], raw)
-	sent := r.Header.Get(headerSent)
-	if !a.keyring.verify(id, mac, callParts(r.URL.Path, r.Host, sent, n, body)...) {
+	id, stamp := binary.BigEndian.Uint32(value), value[4:12]
+	copy(n[:], value[12:12+nonceBytes])
+	if !a.keyring.verify(id, value[12+nonceBytes:], callParts(r.URL.Path, r.Host, stamp, n, body)...) {
 		return n, "wrong signature"
 	}
-	ms, err := strconv.ParseInt(sent, 10, 64)
-	if err != nil || !a.replay.fresh(a.now(), time.UnixMilli(ms), n) {
+	sent := time.UnixMilli(int64(binary.BigEndian.Uint64(stamp)))
+	if !a.replay.fresh(a.now(), sent, n) {
 		return n, "replayed or outside the time window"
 	}
 	return n, ""
 }
 
-func callParts(path, target, sent string, n nonce, body []byte) [][]byte {
+func callParts(path, target string, stamp []byte, n nonce, body []byte) [][]byte {
 	hash := sha256.Sum256(body)
-	return [][]byte{labelCall, []byte(path), []byte(target), []byte(sent), n[:], hash[:]}
+	return [][]byte{labelCall, []byte(path), []byte(target), stamp, n[:], hash[:]}
 }
 
 func (a *Auth) signReply(h http.Header, n nonce, status int, body []byte) {
 	id, mac := a.keyring.sign(replyParts(n, status, body)...)
-	h.Set(headerKey, strconv.FormatUint(uint64(id), 10))
-	h.Set(headerSignature, base64.StdEncoding.EncodeToString(mac))
+	value := append(binary.BigEndian.AppendUint32(nil, id), mac[:codeBytes]...)
+	h.Set(headerAuth, base64.RawURLEncoding.EncodeToString(value))
 }
 
 func (a *Auth) checkReply(h http.Header, n nonce, status int, body []byte) bool {
-	id, mac, ok := signature(h)
-	return ok && a.keyring.verify(id, mac, replyParts(n, status, body)...)
+	value, err := base64.RawURLEncoding.DecodeString(h.Get(headerAuth))
+	if err != nil || len(value) != replyAuthBytes {
+		return false
+	}
+	return a.keyring.verify(binary.BigEndian.Uint32(value), value[4:], replyParts(n, status, body)...)
 }
 
 func replyParts(n nonce, status int, body []byte) [][]byte {
@@ -136,15 +136,6 @@
 	return [][]byte{labelReply, n[:], binary.BigEndian.AppendUint32(nil, uint32(status)), hash[:]}
 }
 
-func signature(h http.Header) (id uint32, mac []byte, ok bool) {
-	wide, err := strconv.ParseUint(h.Get(headerKey), 10, 32)
-	if err != nil {
-		return 0, nil, false
-	}
-	mac, err = base64.StdEncoding.DecodeString(h.Get(headerSignature))
-	return uint32(wide), mac, err == nil && len(mac) == sha256.Size
-}
-
 func newNonce() nonce {
 	var n nonce
 	// crypto/rand.Read never returns an error.
--- a/pkg/peer/datagram.go
+++ b/pkg/peer/datagram.go
@@ -18,7 +18,7 @@
 	offsetKey       = 1
 	offsetSent      = offsetKey + 4
 	offsetNonce     = offsetSent + 8
-	offsetCode      = offsetNonce + 8
+	offsetCode      = offsetNonce + nonceBytes
 	codeBytes       = 16
 	headerBytes     = offsetCode + codeBytes
 	// MaxDatagramBytes keeps a datagram within one Ethernet frame.
--- a/pkg/peer/pool.go
+++ b/pkg/peer/pool.go
@@ -106,6 +106,7 @@
 	signed := r.Clone(ctx)
 	signed.Body = io.NopCloser(bytes.NewReader(body))
 	signed.ContentLength = int64(len(body))
+	dropHeaders(signed.Header)
 	n := c.auth.signCall(signed, r.URL.Host, body)
 	response, err := c.transport.RoundTrip(signed)
 	if err != nil {
@@ -114,6 +115,14 @@
 	return c.checked(response, n)
 }
 
+// dropHeaders removes what Twirp and net/http add and no node reads.
+func dropHeaders(h http.Header) {
+	h.Del("Accept")
+	h.Del("Twirp-Version")
+	// An empty value keeps net/http from sending its own.
+	h["User-Agent"] = []string{""}
+}
+
 func (c *caller) checked(response *http.Response, n nonce) (*http.Response, error) {
 	defer response.Body.Close()
 	reply, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes+1))
--- a/pkg/peer/replay.go
+++ b/pkg/peer/replay.go
@@ -13,8 +13,12 @@
 // an outsider cannot fill it. At 3,000 messages/s in one window it holds 90,000.
 const maxNonces = 1 << 18
 
+// nonceBytes is the length of a nonce. At 5,000 messages/s two of one minute are equal about once
+// in 800 years; the second one is then refused.
+const nonceBytes = 8
+
 // nonce makes a message unique among all messages of one window.
-type nonce [16]byte
+type nonce [nonceBytes]byte
 
 // replayCheck remembers the nonces of the last two windows in two generations.
 type replayCheck struct {
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -39,6 +39,8 @@
 	r.Body = io.NopCloser(bytes.NewReader(body))
 	reply := &bufferedReply{header: w.Header(), status: http.StatusOK}
 	s.next.ServeHTTP(reply, r)
+	// An empty entry keeps net/http from sending the date.
+	w.Header()["Date"] = nil
 	s.auth.signReply(w.Header(), n, reply.status, reply.body.Bytes())
 	w.WriteHeader(reply.status)
 	// A failed write means that the caller is gone; its context ends the work.
