Follow weights rollouts: leases, rollout controller, version choice per request

Cause of refusals during a rollout: requests used the configured version before any engine served it, and engines that load refuse. A request now takes a version in proportion to the engines that serve it and is routed again up to four times when no engine has run it.

--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -47,6 +47,8 @@
 // Outcome sums up a generation request for the service-level report.
 type Outcome struct {
 	Workspace        string
+	Model            string
+	WeightsVersion   string
 	TTFT             time.Duration
 	MaxBetweenTokens time.Duration
 	Complete         bool
@@ -70,6 +72,9 @@
 	Board   *blackboard.Board
 	Router  routing.Router
 	Engines func(address string) engine.Generator
+	// Version returns the weights version for a request that the failed engines did not take. Nil
+	// means the configured one.
+	Version func(model *config.Model, failed map[string]bool) string
 	// Limiter may be nil: no limits.
 	Limiter Limiter
 	// Services may be nil: no plain services.
--- a/pkg/entry/generate.go
+++ b/pkg/entry/generate.go
@@ -103,6 +103,8 @@
 	}
 	o := Outcome{
 		Workspace:        g.workspace.Name,
+		Model:            g.model.Name,
+		WeightsVersion:   g.model.WeightsVersion,
 		TTFT:             t.ttft,
 		MaxBetweenTokens: t.maxGap,
 		Complete:         err == nil,
@@ -122,6 +124,9 @@
 	g      *generation
 	slot   routing.Slot
 	failed map[string]bool
+	// lastEngine is the engine of the last failed attempt.
+	lastEngine string
+	refusals   int
 	// permit is set for a request that must be sent only once.
 	permit sendPermit
 	// wait is the pause before the next attempt.
@@ -156,31 +161,55 @@
 	return src.server.opt.Engines(target.Address).Generate(ctx, src.request(target, from))
 }
 
+// maxRefusals bounds how often a request that no engine has run is routed again. Refusals cost
+// engines nothing; they come in numbers only while weights change.
+const maxRefusals = 4
+
 // Retry implements stream.Source. A cut stream is first resumed on its engine, which still holds
 // the work, and then continued on another one. A request that must be sent once is neither: an
 // engine that has dropped the work would run it again.
 func (src *source) Retry(err error, delivered bool) bool {
-	if src.slot == nil {
+	if src.permit != nil {
 		return false
 	}
-	if delivered && !src.resumed && src.permit == nil && fault.Is(err, fault.StreamBroken) {
+	if delivered && !src.resumed && src.slot != nil && fault.Is(err, fault.StreamBroken) {
 		src.resuming, src.resumed = true, true
 		return true
 	}
-	target := src.slot.Target()
+	refused := fault.Is(err, fault.NoEngine) || src.slot != nil && fault.As(err).Work == fault.NotRun
+	src.leaveEngine()
+	if !delivered && refused && src.refusals < maxRefusals {
+		src.refusals++
+		src.wait = src.server.retries.backoff()
+		src.server.cut(src.g, src.failed)
+		return true
+	}
+	return src.moveOn(err)
+}
+
+// leaveEngine frees the slot on an engine that failed and excludes the engine.
+func (src *source) leaveEngine() {
+	if src.slot == nil {
+		return
+	}
 	src.slot.Done(routing.Ending{Failed: true})
+	src.failed[src.slot.Target().Engine] = true
+	src.lastEngine = src.slot.Target().Engine
 	src.slot = nil
-	if src.permit != nil {
+}
+
+// moveOn decides on an attempt on a second engine.
+func (src *source) moveOn(err error) bool {
+	if src.lastEngine == "" {
 		return false
 	}
-	src.failed[target.Engine] = true
 	wait, ok := src.server.retries.next(src.server.opt.Now(), src.retried, fault.As(err).RetryAfter)
 	if !ok {
 		return false
 	}
 	src.retried, src.wait = true, wait
 	event.StreamReplayed.Log(context.Background(), src.server.opt.Logger,
-		slog.String("request", src.g.id), slog.String("engine", target.Engine), slog.Any("error", err))
+		slog.String("request", src.g.id), slog.String("engine", src.lastEngine), slog.Any("error", err))
 	return true
 }
 
--- a/pkg/entry/parse.go
+++ b/pkg/entry/parse.go
@@ -37,6 +37,8 @@
 	common    *openai.Common
 	config    *config.Config
 	workspace *config.Workspace
+	// declared is the model as configured; model has the weights version of this request.
+	declared  *config.Model
 	model     *config.Model
 	caller    string
 	segments  []prefix.Segment
@@ -75,7 +77,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := g.resolve(r); err != nil {
+	if err := s.resolve(g, r); err != nil {
 		return nil, err
 	}
 	return g, nil
@@ -180,7 +182,7 @@
 }
 
 // resolve checks the request against the configuration and cuts the prompt into pieces.
-func (g *generation) resolve(r *http.Request) error {
+func (s *Server) resolve(g *generation, r *http.Request) error {
 	if err := g.common.Validate(); err != nil {
 		return err
 	}
@@ -188,7 +190,7 @@
 	if !ok || !slices.Contains(g.workspace.Models, model.Name) {
 		return fault.New(fault.NotFound, "model %q is not declared in workspace %s", g.common.Model, g.workspace.Name)
 	}
-	g.model = model
+	g.declared = model
 	g.caller = r.Header.Get(headerCaller)
 	if g.caller == "" {
 		g.caller = g.common.User
@@ -202,12 +204,28 @@
 		return err
 	}
 	g.deadline = g.arrived.Add(deadline)
-	salt := prefix.Salt{Workspace: g.workspace.Name, Model: model.Name, WeightsVersion: model.WeightsVersion}
-	geometry := prefix.Geometry{PieceTokens: model.PieceTokens, BytesPerToken: model.BytesPerToken}
-	g.pieces = prefix.Chain(salt, geometry, g.segments)
+	s.cut(g, nil)
 	return nil
 }
 
+// cut chooses the weights version and cuts the prompt into pieces, whose keys depend on it.
+func (s *Server) cut(g *generation, failed map[string]bool) {
+	g.model = s.withVersion(g.declared, failed)
+	salt := prefix.Salt{Workspace: g.workspace.Name, Model: g.model.Name, WeightsVersion: g.model.WeightsVersion}
+	geometry := prefix.Geometry{PieceTokens: g.model.PieceTokens, BytesPerToken: g.model.BytesPerToken}
+	g.pieces = prefix.Chain(salt, geometry, g.segments)
+}
+
+// withVersion returns the model with the weights version that this request uses.
+func (s *Server) withVersion(model *config.Model, failed map[string]bool) *config.Model {
+	if s.opt.Version == nil {
+		return model
+	}
+	chosen := *model
+	chosen.WeightsVersion = s.opt.Version(model, failed)
+	return &chosen
+}
+
 // readDeadline returns the caller's own bound if it is shorter than the workspace's.
 func readDeadline(r *http.Request, bound time.Duration) (time.Duration, error) {
 	text := r.Header.Get(headerDeadline)
--- a/pkg/entry/retry.go
+++ b/pkg/entry/retry.go
@@ -26,6 +26,13 @@
 	r.budget.First(now)
 }
 
+// backoff returns the wait before a refused request is routed again.
+func (r *retries) backoff() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return retry.Backoff{}.Wait(r.random, time.Millisecond)
+}
+
 // next returns the wait before a retry and whether there may be one.
 func (r *retries) next(now time.Time, isRetry bool, retryAfter time.Duration) (time.Duration, bool) {
 	r.mu.Lock()
--- a/pkg/localfleet/fleet.go
+++ b/pkg/localfleet/fleet.go
@@ -146,7 +146,7 @@
 		Name: fmt.Sprintf("node-%d", i+1), DataCentre: f.dataCentre(i), Region: "local",
 		Callers: listener, Peers: listener, Operators: listener, Gossip: settings.Gossip{Address: loopback},
 		DrainBound: config.Duration(drainBound), DrainNotice: config.Duration(drainNotice),
-		Platform: settings.Platform{Objects: f.Platform.objectsURL, VMs: f.Platform.vmsURL},
+		Platform: settings.Platform{Objects: f.Platform.objectsURL, VMs: f.Platform.vmsURL, Weights: f.Platform.weightsURL},
 		Engines:  settings.Engines{VMRole: vms.RoleEngine},
 	}
 	return s
--- a/pkg/localfleet/platform.go
+++ b/pkg/localfleet/platform.go
@@ -12,6 +12,7 @@
 	objectstandin "cassiawall.example/cassiawall/pkg/standin/objects"
 	servicestandin "cassiawall.example/cassiawall/pkg/standin/service"
 	vmstandin "cassiawall.example/cassiawall/pkg/standin/vms"
+	weightstandin "cassiawall.example/cassiawall/pkg/standin/weights"
 	"cassiawall.example/cassiawall/pkg/vms"
 )
 
@@ -22,6 +23,7 @@
 type Platform struct {
 	Objects *objectstandin.Store
 	VMs     *vmstandin.List
+	Weights *weightstandin.Store
 	// Services holds the run counts by service.
 	Services map[string]*servicestandin.Ledger
 	// Backends holds the backend servers by service.
@@ -29,13 +31,14 @@
 
 	objectsURL string
 	vmsURL     string
+	weightsURL string
 	list       []vms.VM
 	servers    []*http.Server
 }
 
 // startPlatform starts the object API, the VM list and the backend servers of the services.
 func startPlatform(c *config.Config, dataCentres []string, seed uint64) (*Platform, error) {
-	p := &Platform{Objects: objectstandin.NewStore(seed), VMs: vmstandin.New(nil),
+	p := &Platform{Objects: objectstandin.NewStore(seed), VMs: vmstandin.New(nil), Weights: weightstandin.New(),
 		Services: map[string]*servicestandin.Ledger{}, Backends: map[string][]*servicestandin.Server{}}
 	var err error
 	if p.objectsURL, err = p.serve(objectstandin.Handler(p.Objects)); err != nil {
@@ -44,6 +47,9 @@
 	if p.vmsURL, err = p.serve(vmstandin.Handler(p.VMs)); err != nil {
 		return nil, errors.Join(err, p.close())
 	}
+	if p.weightsURL, err = p.serve(weightstandin.Handler(p.Weights)); err != nil {
+		return nil, errors.Join(err, p.close())
+	}
 	for i := range c.Services {
 		if err := p.startService(c.Services[i].Name, dataCentres, seed); err != nil {
 			return nil, errors.Join(err, p.close())
--- a/pkg/node/assemble.go
+++ b/pkg/node/assemble.go
@@ -13,8 +13,10 @@
 	"cassiawall.example/cassiawall/pkg/controller/discovery"
 	"cassiawall.example/cassiawall/pkg/controller/engineview"
 	"cassiawall.example/cassiawall/pkg/controller/gossip"
+	"cassiawall.example/cassiawall/pkg/controller/lease"
 	"cassiawall.example/cassiawall/pkg/controller/limitshare"
 	"cassiawall.example/cassiawall/pkg/controller/owner"
+	"cassiawall.example/cassiawall/pkg/controller/rollout"
 	"cassiawall.example/cassiawall/pkg/engine"
 	"cassiawall.example/cassiawall/pkg/entry"
 	"cassiawall.example/cassiawall/pkg/limits"
@@ -27,6 +29,7 @@
 	"cassiawall.example/cassiawall/pkg/settings"
 	"cassiawall.example/cassiawall/pkg/status"
 	"cassiawall.example/cassiawall/pkg/vms"
+	"cassiawall.example/cassiawall/pkg/weights"
 )
 
 // Bounds of connections to the platform and of bootstrap replies.
@@ -58,6 +61,9 @@
 	if s.Platform.VMs != "" {
 		options.VMs = vms.NewClient(s.Platform.VMs, client)
 	}
+	if s.Platform.Weights != "" {
+		n.weights = weights.NewClient(s.Platform.Weights, client)
+	}
 	n.discovery = discovery.New(options)
 }
 
@@ -128,6 +134,11 @@
 		DataCentre: s.DataCentre, Board: n.board, Guard: n.claims, Metrics: n.metrics, Logger: n.opt.Logger, Seed: rand.Uint64(),
 		Done: n.serviceDone,
 	})
+	n.leases = lease.New(lease.Options{Node: s.Name, Board: n.board, Store: n.store, Logger: n.opt.Logger})
+	n.rollouts = rollout.New(rollout.Options{
+		Board: n.board, Store: n.store, Weights: n.weights, Logger: n.opt.Logger, Requests: n.versions.requests,
+		Engines: func(address string) rollout.EngineClient { return n.engines.at(address) },
+	})
 	n.recorder = burn.NewRecorder(s.Name, time.Now())
 	n.report = report.NewCollector(report.Options{Self: s.Name, Board: n.board, Recorder: n.recorder, Client: n.pool.Client, Now: time.Now})
 	n.status = status.NewReporter(status.Options{Self: s.Name, Board: n.board, Now: time.Now})
@@ -142,7 +153,7 @@
 	}
 	n.entry, err = entry.New(entry.Options{
 		Board: n.board, Router: router, Logger: n.opt.Logger, Now: time.Now, RequestID: newRequestID,
-		Limiter: n.limiter, Services: n.services, Guard: n.claims, Recorder: &observer{burn: n.recorder, metrics: n.metrics},
+		Version: routing.NewVersions(n.board, newRandom()).Pick, Limiter: n.limiter, Services: n.services, Guard: n.claims, Recorder: &observer{burn: n.recorder, metrics: n.metrics, versions: &n.versions},
 		Engines: func(address string) engine.Generator { return n.engines.at(address) },
 	})
 	return err
@@ -157,9 +168,12 @@
 		Board: n.board, Placer: n.placer, Owners: calls, Table: owner.NewTable(n.board),
 		Self: n.opt.Settings.Name, Logger: n.opt.Logger, Now: time.Now,
 	})
-	return routing.NewHealthRouter(router, n.board, time.Now, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))), nil
+	return routing.NewHealthRouter(router, n.board, time.Now, newRandom()), nil
 }
 
+// newRandom returns a randomly seeded source for choices that need not be repeated.
+func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
 func staticEngines(s *settings.Settings) []vms.VM {
 	list := make([]vms.VM, len(s.Engines.Static))
 	for i, e := range s.Engines.Static {
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -19,8 +19,10 @@
 	"cassiawall.example/cassiawall/pkg/controller/discovery"
 	"cassiawall.example/cassiawall/pkg/controller/engineview"
 	"cassiawall.example/cassiawall/pkg/controller/gossip"
+	"cassiawall.example/cassiawall/pkg/controller/lease"
 	"cassiawall.example/cassiawall/pkg/controller/limitshare"
 	"cassiawall.example/cassiawall/pkg/controller/owner"
+	"cassiawall.example/cassiawall/pkg/controller/rollout"
 	"cassiawall.example/cassiawall/pkg/entry"
 	"cassiawall.example/cassiawall/pkg/event"
 	"cassiawall.example/cassiawall/pkg/limits"
@@ -33,6 +35,7 @@
 	"cassiawall.example/cassiawall/pkg/service"
 	"cassiawall.example/cassiawall/pkg/settings"
 	"cassiawall.example/cassiawall/pkg/status"
+	"cassiawall.example/cassiawall/pkg/weights"
 )
 
 // Bounds of callers' connections. Package entry bounds the time of a body.
@@ -73,7 +76,11 @@
 	auth      *peer.Auth
 	pool      *peer.Pool
 	store     objects.Store
+	weights   weights.Store
 	claims    *claims.Controller
+	leases    *lease.Controller
+	rollouts  *rollout.Controller
+	versions  versionCounts
 	services  *service.Dispatcher
 	recorder  *burn.Recorder
 	report    *report.Collector
@@ -169,6 +176,7 @@
 // controllers returns the loops that run until the context ends.
 func (n *Node) controllers() []func(context.Context) error {
 	return []func(context.Context) error{
-		n.discovery.Run, n.gossip.Run, n.config.Run, n.shares.Run, n.owner.Run, n.services.Run, n.feed, n.followConfig,
+		n.discovery.Run, n.gossip.Run, n.config.Run, n.shares.Run, n.owner.Run, n.services.Run, n.leases.Run, n.rollouts.Run,
+		n.feed, n.followConfig,
 	}
 }
--- a/pkg/node/observe.go
+++ b/pkg/node/observe.go
@@ -12,8 +12,9 @@
 
 // observer passes the outcomes of requests to the burn report and the metrics.
 type observer struct {
-	burn    *burn.Recorder
-	metrics *metrics.Registry
+	burn     *burn.Recorder
+	metrics  *metrics.Registry
+	versions *versionCounts
 }
 
 // GenerationDone implements entry.Recorder.
@@ -27,6 +28,7 @@
 	if callerFault(g.Cause) {
 		return
 	}
+	o.versions.add(g.Model, g.WeightsVersion, !g.Complete && !g.Abandoned)
 	o.burn.RequestDone(now, g.Workspace, burn.Outcome{
 		TTFT: g.TTFT, MaxBetweenTokens: g.MaxBetweenTokens, Complete: g.Complete, Abandoned: g.Abandoned,
 		NonIdempotent: g.NonIdempotent, OutcomeKnown: g.OutcomeKnown, Cause: string(g.Cause),
--- a/pkg/node/ready.go
+++ b/pkg/node/ready.go
@@ -66,7 +66,7 @@
 		}
 	}
 	for i := range c.Models {
-		if !anyUsable(engines, &c.Models[i]) {
+		if !served(engines, c.Models[i].Name) {
 			return false
 		}
 	}
@@ -74,9 +74,9 @@
 	return true
 }
 
-func anyUsable(engines map[string]blackboard.Entry[blackboard.EngineEntry], model *config.Model) bool {
+func served(engines map[string]blackboard.Entry[blackboard.EngineEntry], model string) bool {
 	for _, e := range engines {
-		if routing.Usable(&e.Value, model) {
+		if routing.Serves(&e.Value, model) {
 			return true
 		}
 	}
--- a/pkg/routing/engines.go
+++ b/pkg/routing/engines.go
@@ -9,16 +9,20 @@
 	"cassiawall.example/cassiawall/pkg/engine"
 )
 
-// Usable reports whether an engine can take new requests of the model version. Engines that
-// have not reported yet, leave, are unreachable or hold other weights cannot.
+// Usable reports whether an engine can take new requests of the model version.
 func Usable(e *blackboard.EngineEntry, model *config.Model) bool {
-	if !e.Known || e.Leaving || !e.Reachable || e.State.Leaving || e.State.Loading {
-		return false
-	}
-	if e.State.Role == engine.RoleStandby {
-		return false
-	}
-	return e.State.Model == model.Name && e.State.WeightsVersion == model.WeightsVersion
+	return takesRequests(e) && e.State.Model == model.Name && e.State.WeightsVersion == model.WeightsVersion
+}
+
+// Serves reports whether an engine can take new requests of a model in any version.
+func Serves(e *blackboard.EngineEntry, model string) bool {
+	return takesRequests(e) && e.State.Model == model
+}
+
+// takesRequests reports whether an engine takes new requests. Engines that have not reported yet,
+// leave, are unreachable, load weights or stand by do not.
+func takesRequests(e *blackboard.EngineEntry) bool {
+	return e.Known && !e.Leaving && e.Reachable && !e.State.Leaving && !e.State.Loading && e.State.Role != engine.RoleStandby
 }
 
 // Candidates returns the usable engines that have not failed the request, ordered by id.
--- /dev/null
+++ b/pkg/routing/versions.go
@@ -0,0 +1,93 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"sync"
+
+	"cassiawall.example/cassiawall/pkg/blackboard"
+	"cassiawall.example/cassiawall/pkg/config"
+)
+
+// Versions chooses the weights version of a request while a rollout moves engines from one version
+// to the next. It is safe for concurrent use.
+type Versions struct {
+	board *blackboard.Board
+
+	mu      sync.Mutex
+	random  *rand.Rand
+	seen    uint64
+	started bool
+	// serving counts the engines that serve each version of a model.
+	serving map[string][]versionCount
+}
+
+type versionCount struct {
+	version string
+	engines int
+}
+
+// NewVersions returns a chooser over the board's engines.
+func NewVersions(board *blackboard.Board, random *rand.Rand) *Versions {
+	return &Versions{board: board, random: random}
+}
+
+// Pick returns the version for a request: each with a probability in proportion to the engines that
+// serve it, so that a canary gets its share. Engines in failed do not count: they refused the
+// request, usually because they load other weights. Without any engine it is the configured version.
+func (v *Versions) Pick(model *config.Model, failed map[string]bool) string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.refresh()
+	counts := v.serving[model.Name]
+	if len(failed) > 0 {
+		counts = v.countServing(failed)[model.Name]
+	}
+	if len(counts) == 0 {
+		return model.WeightsVersion
+	}
+	if len(counts) == 1 {
+		return counts[0].version
+	}
+	total := 0
+	for _, c := range counts {
+		total += c.engines
+	}
+	n := v.random.IntN(total)
+	for _, c := range counts {
+		if n < c.engines {
+			return c.version
+		}
+		n -= c.engines
+	}
+	return model.WeightsVersion
+}
+
+func (v *Versions) refresh() {
+	version := v.board.Engines.Version()
+	if v.started && version == v.seen {
+		return
+	}
+	v.started, v.seen = true, version
+	v.serving = v.countServing(nil)
+}
+
+func (v *Versions) countServing(failed map[string]bool) map[string][]versionCount {
+	serving := map[string][]versionCount{}
+	for id, e := range v.board.Engines.Snapshot() {
+		if takesRequests(&e.Value) && !failed[id] {
+			s := &e.Value.State
+			serving[s.Model] = countVersion(serving[s.Model], s.WeightsVersion)
+		}
+	}
+	return serving
+}
+
+func countVersion(counts []versionCount, version string) []versionCount {
+	for i := range counts {
+		if counts[i].version == version {
+			counts[i].engines++
+			return counts
+		}
+	}
+	return append(counts, versionCount{version: version, engines: 1})
+}
