--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -68,6 +68,8 @@
 	refuteFanout = 4
 	// pauseTicks is the number of missed ticks after which this process counts as paused.
 	pauseTicks = 4
+	// maxIncarnation leaves room for refutations. Incarnations start at Unix milliseconds.
+	maxIncarnation = 1 << 62
 	// maxRelays bounds the indirect probes that a node runs for others at a time.
 	maxRelays = 256
 )
--- a/pkg/membership/state.go
+++ b/pkg/membership/state.go
@@ -112,7 +112,7 @@
 
 // merge takes over what u says if it is news.
 func (m *Machine) merge(now time.Time, u *peerpb.MemberUpdate, out *Actions) {
-	if u.Name == "" || u.State == peerpb.MemberUpdate_STATE_UNSPECIFIED {
+	if u.Name == "" || u.State == peerpb.MemberUpdate_STATE_UNSPECIFIED || u.Incarnation > maxIncarnation {
 		return
 	}
 	if u.Name == m.self.Name {
