--- /dev/null
+++ b/pkg/bench/scale/local.go
@@ -0,0 +1,127 @@
+package scale
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"runtime"
+	"time"
+
+	"cassiawall.example/cassiawall/pkg/config"
+	"cassiawall.example/cassiawall/pkg/configsync"
+	"cassiawall.example/cassiawall/pkg/limits"
+)
+
+func init() {
+	Register(Role{
+		Name:       "configuration",
+		SizeUnit:   "workspaces",
+		TargetSize: 18_000,
+		Sizes:      []int{500, 1000, 2000, 4000, 8000},
+		Measure:    measureConfiguration,
+	})
+	Register(Role{
+		Name:       "limits",
+		SizeUnit:   "active workspaces",
+		TargetSize: 18_000,
+		Sizes:      []int{500, 1000, 2000, 4000, 8000},
+		Measure:    measureLimits,
+	})
+}
+
+// measureConfiguration measures what one change of a configuration costs each node.
+func measureConfiguration(ctx context.Context, size int) (map[string]float64, error) {
+	document := configuration(size, "")
+	changed := configuration(size, "    weight: 3\n")
+	heapBefore := heap()
+	cpuBefore := cpuTime()
+	parsed, err := config.Parse(document)
+	if err != nil {
+		return nil, err
+	}
+	parse := cpuTime() - cpuBefore
+	kept := heap() - heapBefore
+	runtime.KeepAlive(parsed)
+	return map[string]float64{
+		"document_bytes":   float64(len(document)),
+		"heap_bytes":       kept,
+		"parse_cpu_s":      parse.Seconds(),
+		"change_bytes":     float64(changeBytes(document, changed)),
+		"bootstrap_bytes":  float64(len(configsync.Compress(document))),
+		"parts":            float64(len(configsync.Split(document))),
+		"manifest_bytes":   float64(manifestBytes(document)),
+		"cpu_percent_1500": 100 * parse.Seconds() * 1500 / (24 * time.Hour).Seconds(),
+	}, ctx.Err()
+}
+
+// configuration returns a document whose middle workspace has the extra lines.
+func configuration(workspaces int, extra string) []byte {
+	var b bytes.Buffer
+	b.WriteString("models:\n  - {name: m, weights_version: v1}\nworkspaces:\n")
+	for i := range workspaces {
+		fmt.Fprintf(&b, "  - name: workspace-%05d\n    api_key_hashes: [%s]\n    models: [m]\n", i, configsync.IDOf([]byte(fmt.Sprint(i))))
+		fmt.Fprintf(&b, "    limits: {requests_per_second: %d, concurrency: %d}\n", 5+i%40, 2+i%30)
+		b.WriteString("    prompts:\n      - name: p\n        levels: [{name: school, shared: true}, {name: family}]\n")
+		if i == workspaces/2 {
+			b.WriteString(extra)
+		}
+	}
+	return b.Bytes()
+}
+
+// changeBytes returns the compressed size of the parts that a change moves.
+func changeBytes(before, after []byte) int {
+	known := map[configsync.PartID]bool{}
+	for _, p := range configsync.Split(before) {
+		known[p.ID] = true
+	}
+	total := 0
+	for _, p := range configsync.Split(after) {
+		if !known[p.ID] {
+			total += len(configsync.Compress(p.Content))
+		}
+	}
+	return total
+}
+
+func manifestBytes(document []byte) int {
+	m, _ := configsync.NewManifest(document)
+	return len(m.Encode())
+}
+
+// allowCalls is the number of calls of Allow that are timed.
+const allowCalls = 200_000
+
+// measureLimits measures a limiter with size active workspaces.
+func measureLimits(ctx context.Context, size int) (map[string]float64, error) {
+	budgets := map[string]limits.Budget{}
+	names := make([]string, size)
+	for i := range names {
+		names[i] = fmt.Sprintf("workspace-%05d", i)
+		budgets[names[i]] = limits.Budget{Requests: 50, Tokens: 20_000, Concurrency: 20}
+	}
+	heapBefore := heap()
+	l := limits.NewLimiter()
+	l.SetBudgets(budgets)
+	l.SetLive(400)
+	now := time.Now()
+	for _, name := range names {
+		l.Allow(now, name, 100)
+	}
+	kept := heap() - heapBefore
+	cpuBefore := cpuTime()
+	for i := range allowCalls {
+		now = now.Add(time.Millisecond)
+		l.Allow(now, names[i*7919%size], 100)
+	}
+	allow := cpuTime() - cpuBefore
+	cpuBefore = cpuTime()
+	l.Demand(now)
+	demand := cpuTime() - cpuBefore
+	runtime.KeepAlive(l)
+	return map[string]float64{
+		"heap_bytes":   kept,
+		"allow_cpu_ns": float64(allow.Nanoseconds()) / allowCalls,
+		"demand_cpu_s": demand.Seconds(),
+	}, ctx.Err()
+}
--- a/pkg/bench/scale/scale_test.go
+++ b/pkg/bench/scale/scale_test.go
@@ -37,12 +37,19 @@
 	assert.InDelta(t, 24, s.Fits["cost"].AtTarget, 1e-9)
 }
 
-// BenchmarkGossip measures the gossip at the default sizes and prints the result as JSON:
+// The benchmarks measure a role at its default sizes and print the result as JSON, for example:
 //
 //	go test -run '^$' -bench Gossip -benchtime 1x ./pkg/bench/scale
-func BenchmarkGossip(b *testing.B) {
+
+func BenchmarkGossip(b *testing.B) { measureRole(b, "gossip") }
+
+func BenchmarkConfiguration(b *testing.B) { measureRole(b, "configuration") }
+
+func BenchmarkLimits(b *testing.B) { measureRole(b, "limits") }
+
+func measureRole(b *testing.B, role string) {
 	for b.Loop() {
-		s, err := Measure(b.Context(), "gossip", nil)
+		s, err := Measure(b.Context(), role, nil)
 		if err != nil {
 			b.Fatal(err)
 		}
