--- a/pkg/cli/apply.go
+++ b/pkg/cli/apply.go
@@ -10,24 +10,22 @@
 	"time"
 
 	"cassiawall.example/cassiawall/pkg/config"
+	"cassiawall.example/cassiawall/pkg/configsync"
+	"cassiawall.example/cassiawall/pkg/controller/configwatch"
 	"cassiawall.example/cassiawall/pkg/fault"
 	"cassiawall.example/cassiawall/pkg/objects"
 	"cassiawall.example/cassiawall/pkg/status"
 	"cassiawall.example/cassiawall/pkg/strictyaml"
 )
 
-// applyFunc stores a configuration document if the stored version is still ifVersion, and returns
-// the new version. 0 means that none is stored yet.
-type applyFunc func(ctx context.Context, store objects.Store, document []byte, ifVersion uint64) (version uint64, err error)
-
-func applySpec(s streams, apply applyFunc) commandSpec {
+func applySpec(s streams) commandSpec {
 	return commandSpec{
 		name:  "apply",
 		short: "Apply a configuration",
 		long: "Check a configuration, store it in the object API and wait until all live nodes enforce it. Nodes that do not are named, and the exit code is 1. " +
 			"If somebody else applied a configuration in the meantime, nothing is changed. Pass the version that the file was made from as --if-version to rule out that an earlier change is lost.\n\n" +
 			"Example: cassiawall apply configuration.yaml --objects http://127.0.0.1:9000 --node http://127.0.0.1:8083",
-		data: &applyCommand{streams: s, apply: apply},
+		data: &applyCommand{streams: s},
 	}
 }
 
@@ -41,7 +39,6 @@
 		File string `positional-arg-name:"FILE" description:"Configuration in YAML"`
 	} `positional-args:"yes" required:"yes"`
 	streams streams
-	apply   applyFunc
 }
 
 // applyResult is the output of apply.
@@ -100,23 +97,20 @@
 	if err != nil {
 		return 0, err
 	}
-	return c.apply(ctx, store, document, ifVersion)
+	return configwatch.Apply(ctx, store, document, ifVersion)
 }
 
 func (c *applyCommand) storedVersion(ctx context.Context, store objects.Store) (uint64, error) {
 	if c.IfVersion != nil {
 		return *c.IfVersion, nil
 	}
-	o, err := store.Get(ctx, configObject)
+	o, err := store.Get(ctx, configsync.Object)
 	if fault.Is(err, fault.NotFound) {
 		return 0, nil
 	}
 	return o.Version, err
 }
 
-// configObject is the object that holds the configuration.
-const configObject = "config/current"
-
 // waitEnforced asks the node for the versions in force until all live nodes enforce version or the
 // waiting time is over.
 func (c *applyCommand) waitEnforced(ctx context.Context, version uint64) applyResult {
--- a/pkg/cli/apply_test.go
+++ b/pkg/cli/apply_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
@@ -12,16 +11,11 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"cassiawall.example/cassiawall/pkg/objects"
+	"cassiawall.example/cassiawall/pkg/configsync"
 	objectstandin "cassiawall.example/cassiawall/pkg/standin/objects"
 	"cassiawall.example/cassiawall/pkg/status"
 )
 
-// storeDocument stands in for the function of the configuration controller.
-func storeDocument(ctx context.Context, store objects.Store, document []byte, ifVersion uint64) (uint64, error) {
-	return store.Put(ctx, configObject, document, ifVersion)
-}
-
 // applyFixture is an object API and a node whose peers enforce the given versions.
 func applyFixture(t *testing.T, versions ...uint64) (store *objectstandin.Store, run func(wait time.Duration, args ...string) (int, string, string)) {
 	store = objectstandin.NewStore(1)
@@ -36,7 +30,7 @@
 	return store, func(wait time.Duration, args ...string) (int, string, string) {
 		var out, diagnostics bytes.Buffer
 		s := streams{out: &out, err: &diagnostics}
-		parser, err := newParser([]commandSpec{applySpec(s, storeDocument)})
+		parser, err := newParser([]commandSpec{applySpec(s)})
 		require.NoError(t, err)
 		_, err = parser.ParseArgs(append([]string{"apply", "--objects", api.URL, "--node", node.URL, "--wait", wait.String()}, args...))
 		return s.exitCode(err), out.String(), diagnostics.String()
@@ -67,12 +61,12 @@
 	code, _, diagnostics := apply(time.Millisecond, writeFile(t, threeErrors))
 	assert.Equal(t, exitUsage, code)
 	assert.Contains(t, diagnostics, "3 problems; nothing was applied")
-	_, err := store.Put(t.Context(), configObject, []byte("other"), 0)
+	_, err := store.Put(t.Context(), configsync.Object, []byte("other"), 0)
 	require.NoError(t, err)
 	code, _, diagnostics = apply(time.Millisecond, "--if-version", "0", exampleConfiguration)
 	assert.Equal(t, exitFailed, code)
-	assert.Contains(t, diagnostics, "conflict")
-	o, err := store.Get(t.Context(), configObject)
+	assert.Contains(t, diagnostics, "conflict: another configuration was applied")
+	o, err := store.Get(t.Context(), configsync.Object)
 	require.NoError(t, err)
 	assert.Equal(t, "other", string(o.Value))
 }
--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -89,6 +89,7 @@
 		serveSpec(s),
 		checkSpec(s),
 		initSpec(s),
+		applySpec(s),
 		statusSpec(s),
 		reportSpec(s),
 		standinSpec(s),
--- a/pkg/status/status.go
+++ b/pkg/status/status.go
@@ -81,14 +81,19 @@
 
 // LimitShare is this node's part of a workspace's limits. A limit of 0 means unlimited.
 type LimitShare struct {
-	Workspace         string  `json:"workspace"`
-	RequestsPerSecond float64 `json:"requests_per_second"`
-	// DemandRequestsPerSecond is the demand that all nodes report.
+	Workspace string `json:"workspace"`
+	// LimitRequestsPerSecond and LimitConcurrency are the limits over all nodes.
+	LimitRequestsPerSecond float64 `json:"limit_requests_per_second"`
+	LimitConcurrency       int     `json:"limit_concurrency"`
+	// The demand is that of this node, refused requests included.
 	DemandRequestsPerSecond float64 `json:"demand_requests_per_second"`
-	// ShareRequestsPerSecond is this node's share. It is 0 when the node holds none.
+	Running                 int     `json:"running"`
+	// Shared says that the node holds a share. Without one it uses the limit divided by the number
+	// of live nodes.
+	Shared                 bool    `json:"shared"`
 	ShareRequestsPerSecond float64 `json:"share_requests_per_second"`
-	Concurrency            int     `json:"concurrency"`
-	DemandConcurrency      int     `json:"demand_concurrency"`
+	ShareConcurrency       int     `json:"share_concurrency"`
+	ShareAgeSeconds        float64 `json:"share_age_s"`
 }
 
 // DoubtfulOwner is an engine that may have no owner or more than one.
@@ -103,9 +108,6 @@
 	Self  string
 	Board *blackboard.Board
 	Now   func() time.Time
-	// Share returns the node's share of a workspace's request rate, in requests per second. Nil
-	// leaves shares out.
-	Share func(workspace string) float64
 }
 
 // Reporter builds and serves the status. It is safe for concurrent use.
@@ -146,7 +148,7 @@
 		return Lease{Name: name, Holder: e.Value.Holder, Fencing: e.Value.Fencing, LeftSeconds: max(0, e.Value.HeldUntil.Sub(now).Seconds())}
 	})
 	d.Services = services(board)
-	d.Limits = r.limits(current.Value.Config)
+	d.Limits = r.limits(current.Value.Config, now)
 	return d
 }
 
@@ -222,33 +224,27 @@
 	return list
 }
 
-// limits lists the workspaces with a limit or demand.
-func (r *Reporter) limits(c *config.Config) []LimitShare {
+// limits lists the workspaces for which this node has demand.
+func (r *Reporter) limits(c *config.Config, now time.Time) []LimitShare {
 	list := []LimitShare{}
 	if c == nil {
 		return list
 	}
-	demands := map[string]blackboard.DemandEntry{}
-	for key, e := range r.opt.Board.Demands.Snapshot() {
-		sum := demands[key.Workspace]
-		sum.RequestsPerSecond += e.Value.RequestsPerSecond
-		sum.Running += e.Value.Running
-		demands[key.Workspace] = sum
-	}
 	for i := range c.Workspaces {
 		w := &c.Workspaces[i]
-		demand, active := demands[w.Name]
+		demand, active := r.opt.Board.Demands.Get(blackboard.DemandKey{Node: r.opt.Self, Workspace: w.Name})
 		if !active {
 			continue
 		}
-		share := LimitShare{
-			Workspace: w.Name, RequestsPerSecond: w.Limits.RequestsPerSecond, DemandRequestsPerSecond: demand.RequestsPerSecond,
-			Concurrency: w.Limits.Concurrency, DemandConcurrency: demand.Running,
+		l := LimitShare{
+			Workspace: w.Name, LimitRequestsPerSecond: w.Limits.RequestsPerSecond, LimitConcurrency: w.Limits.Concurrency,
+			DemandRequestsPerSecond: demand.Value.RequestsPerSecond, Running: demand.Value.Running,
 		}
-		if r.opt.Share != nil {
-			share.ShareRequestsPerSecond = r.opt.Share(w.Name)
+		if share, ok := r.opt.Board.Shares.Get(w.Name); ok {
+			l.Shared, l.ShareAgeSeconds = true, share.Evidence.Age(now).Seconds()
+			l.ShareRequestsPerSecond, l.ShareConcurrency = share.Value.RequestsPerSecond, share.Value.Concurrency
 		}
-		list = append(list, share)
+		list = append(list, l)
 	}
 	return list
 }
--- a/pkg/status/status_test.go
+++ b/pkg/status/status_test.go
@@ -15,7 +15,7 @@
 )
 
 // Guards against a status that hides a node with an old configuration, an engine without a live
-// owner, or the demand of other nodes.
+// owner, or the share of a limit.
 func TestDocument(t *testing.T) {
 	now := time.Date(2026, 1, 1, 0, 0, 10, 0, time.UTC)
 	seen := blackboard.Evidence{ObservedAt: now.Add(-2 * time.Second)}
@@ -34,8 +34,8 @@
 	b.Summaries.Put("e4", blackboard.SummaryEntry{Owner: "gone"}, seen)
 	b.Leases.Put("engines/0", blackboard.LeaseEntry{Holder: "a", Fencing: 4, HeldUntil: now.Add(5 * time.Second)}, seen)
 	b.Demands.Put(blackboard.DemandKey{Node: "a", Workspace: "north"}, blackboard.DemandEntry{RequestsPerSecond: 2, Running: 1}, seen)
-	b.Demands.Put(blackboard.DemandKey{Node: "b", Workspace: "north"}, blackboard.DemandEntry{RequestsPerSecond: 3, Running: 2}, seen)
-	r := NewReporter(Options{Self: "a", Board: b, Now: func() time.Time { return now }, Share: func(string) float64 { return 4 }})
+	b.Shares.Put("north", blackboard.ShareEntry{RequestsPerSecond: 4, Concurrency: 3}, seen)
+	r := NewReporter(Options{Self: "a", Board: b, Now: func() time.Time { return now }})
 
 	w := httptest.NewRecorder()
 	r.ServeHTTP(w, nil)
@@ -54,7 +54,10 @@
 		"e2": "the owner doubts its view of the cache", "e3": "the owner is dead", "e4": "the owner is not a member", "e5": "no owner has reported",
 	}, doubtful)
 	assert.Equal(t, []Lease{{Name: "engines/0", Holder: "a", Fencing: 4, LeftSeconds: 5}}, d.Leases)
-	assert.Equal(t, []LimitShare{{Workspace: "north", RequestsPerSecond: 10, DemandRequestsPerSecond: 5, ShareRequestsPerSecond: 4, DemandConcurrency: 3}}, d.Limits)
+	assert.Equal(t, []LimitShare{{
+		Workspace: "north", LimitRequestsPerSecond: 10, DemandRequestsPerSecond: 2, Running: 1,
+		Shared: true, ShareRequestsPerSecond: 4, ShareConcurrency: 3, ShareAgeSeconds: 2,
+	}}, d.Limits)
 
 	var text bytes.Buffer
 	require.NoError(t, d.Text(&text))
--- a/pkg/status/text.go
+++ b/pkg/status/text.go
@@ -42,10 +42,14 @@
 		fmt.Fprintf(w, "%s\t%s\t%d\t%.1fs\n", l.Name, l.Holder, l.Fencing, l.LeftSeconds)
 	}
 	if len(d.Limits) > 0 {
-		fmt.Fprintln(w, "\nWORKSPACE\tREQUESTS/S\tDEMAND\tSHARE OF NODE\tCONCURRENCY\tDEMAND")
+		fmt.Fprintln(w, "\nWORKSPACE\tLIMIT REQUESTS/S\tDEMAND OF NODE\tSHARE OF NODE\tLIMIT CONCURRENCY\tRUNNING ON NODE\tSHARE OF NODE")
 	}
 	for _, l := range d.Limits {
-		fmt.Fprintf(w, "%s\t%g\t%.1f\t%.1f\t%d\t%d\n", l.Workspace, l.RequestsPerSecond, l.DemandRequestsPerSecond, l.ShareRequestsPerSecond, l.Concurrency, l.DemandConcurrency)
+		requests, concurrency := "even part", "even part"
+		if l.Shared {
+			requests, concurrency = fmt.Sprintf("%.1f", l.ShareRequestsPerSecond), fmt.Sprint(l.ShareConcurrency)
+		}
+		fmt.Fprintf(w, "%s\t%g\t%.1f\t%s\t%d\t%d\t%s\n", l.Workspace, l.LimitRequestsPerSecond, l.DemandRequestsPerSecond, requests, l.LimitConcurrency, l.Running, concurrency)
 	}
 	if len(d.DoubtfulOwners) > 0 {
 		fmt.Fprintln(w, "\nENGINE WITH DOUBTFUL OWNER\tOWNER\tREASON")
