--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -46,8 +46,10 @@
 
 // Outcome sums up a generation request for the service-level report.
 type Outcome struct {
-	Workspace        string
-	TTFT             time.Duration
+	Workspace string
+	TTFT      time.Duration
+	// Waited is how long a caller waited who left before the first token.
+	Waited           time.Duration
 	MaxBetweenTokens time.Duration
 	Complete         bool
 	Abandoned        bool
--- a/pkg/entry/generate.go
+++ b/pkg/entry/generate.go
@@ -113,6 +113,9 @@
 	if err != nil && !unwanted {
 		o.Cause = fault.As(err).Kind
 	}
+	if o.Abandoned && o.TTFT == 0 {
+		o.Waited = s.opt.Now().Sub(t.arrived)
+	}
 	s.opt.Recorder.GenerationDone(s.opt.Now(), o)
 }
 
--- a/pkg/entry/respond.go
+++ b/pkg/entry/respond.go
@@ -75,7 +75,9 @@
 		slog.String("work", string(typed.Work)), slog.String("error", typed.Error()))
 }
 
-// timedSink measures the times between chunks and reports the first one.
+// timedSink measures the times between tokens and reports the first chunk. The tokens of a chunk
+// share the time since the chunk before it, because a reader sees them spread over that time on
+// average.
 type timedSink struct {
 	responder responder
 	now       func() time.Time
@@ -92,7 +94,7 @@
 	if t.last.IsZero() {
 		t.ttft = now.Sub(t.arrived)
 	} else {
-		t.maxGap = max(t.maxGap, now.Sub(t.last))
+		t.maxGap = max(t.maxGap, now.Sub(t.last)/time.Duration(max(c.Tokens, 1)))
 	}
 	t.last = now
 	t.slot(&c)
--- a/pkg/node/observe.go
+++ b/pkg/node/observe.go
@@ -28,7 +28,7 @@
 		return
 	}
 	o.burn.RequestDone(now, g.Workspace, burn.Outcome{
-		TTFT: g.TTFT, MaxBetweenTokens: g.MaxBetweenTokens, Complete: g.Complete, Abandoned: g.Abandoned,
+		TTFT: max(g.TTFT, g.Waited), MaxBetweenTokens: g.MaxBetweenTokens, Complete: g.Complete, Abandoned: g.Abandoned,
 		NonIdempotent: g.NonIdempotent, OutcomeKnown: g.OutcomeKnown, Cause: string(g.Cause),
 	})
 }
