--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -103,6 +103,7 @@
 func (n *Node) close() error {
 	err := n.listeners.close()
 	if n.transport != nil {
+		err = errors.Join(err, n.transport.Close())
 	}
 	return err
 }
