--- a/pkg/auth/auth.go
+++ b/pkg/auth/auth.go
@@ -7,6 +7,7 @@
 	"crypto/subtle"
 	"encoding/base64"
 	"encoding/hex"
+	"slices"
 	"strings"
 
 	"cassiawall.example/cassiawall/pkg/config"
@@ -30,6 +31,18 @@
 // nothing and must not be used elsewhere.
 func ExampleKey(workspace string) string { return keyPrefix + "example_" + workspace }
 
+// WithExampleKeys returns the names of the workspaces that accept their public example key.
+func WithExampleKeys(c *config.Config) []string {
+	var names []string
+	for i := range c.Workspaces {
+		w := &c.Workspaces[i]
+		if slices.Contains(w.APIKeyHashes, Hash(ExampleKey(w.Name))) {
+			names = append(names, w.Name)
+		}
+	}
+	return names
+}
+
 // Hash returns the hash of a key as it stands in the configuration.
 func Hash(key string) string {
 	sum := sha256.Sum256([]byte(key))
--- a/pkg/cli/check.go
+++ b/pkg/cli/check.go
@@ -4,7 +4,9 @@
 	"errors"
 	"fmt"
 	"os"
+	"strings"
 
+	"cassiawall.example/cassiawall/pkg/auth"
 	"cassiawall.example/cassiawall/pkg/config"
 	"cassiawall.example/cassiawall/pkg/fault"
 	"cassiawall.example/cassiawall/pkg/settings"
@@ -36,6 +38,8 @@
 	Kind     string              `json:"kind"`
 	OK       bool                `json:"ok"`
 	Problems strictyaml.Problems `json:"problems"`
+	// Warnings are not reasons for a refusal.
+	Warnings []string `json:"warnings"`
 }
 
 // Execute checks the file.
@@ -69,23 +73,37 @@
 
 // checkDocument detects the kind of a document by its top-level fields and checks it.
 func checkDocument(text []byte) checkResult {
-	result := checkResult{Kind: kindConfiguration, Problems: strictyaml.Problems{}}
+	result := checkResult{Kind: kindConfiguration, Problems: strictyaml.Problems{}, Warnings: []string{}}
 	var err error
 	if strictyaml.KnownFields(text, &settings.Settings{}) > strictyaml.KnownFields(text, &config.Config{}) {
 		result.Kind = kindSettings
 		_, err = settings.Parse(text)
 	} else {
-		_, err = config.Parse(text)
+		var c *config.Config
+		if c, err = config.Parse(text); err == nil {
+			result.Warnings = append(result.Warnings, warnings(c)...)
+		}
 	}
 	result.OK = err == nil
 	errors.As(err, &result.Problems)
 	return result
 }
 
+func warnings(c *config.Config) []string {
+	var list []string
+	if names := auth.WithExampleKeys(c); len(names) > 0 {
+		list = append(list, "anybody can use these workspaces, because they accept public example keys: "+strings.Join(names, ", "))
+	}
+	return list
+}
+
 func (c *checkCommand) print(r checkResult) error {
 	if c.JSON {
 		return printJSON(c.streams.out, r)
 	}
+	for _, w := range r.Warnings {
+		fmt.Fprintf(c.streams.out, "%s: warning: %s\n", r.File, w)
+	}
 	if r.OK {
 		_, err := fmt.Fprintf(c.streams.out, "%s: %s accepted\n", r.File, r.Kind)
 		return err
--- a/pkg/cli/check_test.go
+++ b/pkg/cli/check_test.go
@@ -68,3 +68,12 @@
 	assert.Equal(t, exitUsage, code)
 	assert.Contains(t, diagnostics, "remedy")
 }
+
+// Guards against public example keys that reach a real deployment unnoticed.
+func TestCheckWarnsOfExampleKeys(t *testing.T) {
+	code, out, _ := run("check", "../../examples/tuul/configuration.yaml")
+	assert.Equal(t, exitOK, code)
+	assert.Contains(t, out, "warning: anybody can use these workspaces, because they accept public example keys: bayanzurkh, ")
+	_, out, _ = run("check", "../../examples/kilele/settings.yaml")
+	assert.NotContains(t, out, "warning")
+}
