--- a/pkg/cli/status_test.go
+++ b/pkg/cli/status_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"encoding/json"
+	"encoding/pem"
+	"io"
+	"log"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -81,3 +84,19 @@
 	assert.Equal(t, exitFailed, code)
 	assert.Contains(t, diagnostics, "does not answer")
 }
+
+// Guards against a client that trusts any node, or cannot reach one with a private authority.
+func TestStatusOverTLS(t *testing.T) {
+	page := status.NewReporter(status.Options{Self: "a", Board: blackboard.New(), Now: time.Now})
+	server := httptest.NewUnstartedServer(page)
+	server.Config.ErrorLog = log.New(io.Discard, "", 0)
+	server.StartTLS()
+	t.Cleanup(server.Close)
+	code, _, diagnostics := run("status", "--node", server.URL)
+	assert.Equal(t, exitFailed, code)
+	assert.Contains(t, diagnostics, "certificate")
+	ca := writeFile(t, string(pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: server.Certificate().Raw})))
+	code, out, diagnostics := run("status", "--node", server.URL, "--ca", ca)
+	assert.Equal(t, exitOK, code, diagnostics)
+	assert.Contains(t, out, "node a")
+}
