--- a/pkg/claims/journal.go
+++ b/pkg/claims/journal.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
 	"cassiawall.example/cassiawall/pkg/claims/claimspb"
@@ -22,14 +23,23 @@
 
 // Journal is the decoded value of one shard. Its claims are never changed in place.
 type Journal struct {
-	claims map[Key]*claimspb.Claim
+	claims map[Key]storedClaim
 	// bytes is the stored size without bodies, bodyBytes the size of the bodies.
 	bytes     int
 	bodyBytes int
 }
 
+// storedClaim is a claim with its encoding, so that a commit encodes only what it changes.
+type storedClaim struct {
+	*claimspb.Claim
+	field []byte
+}
+
+// claimsField is the number of the field claims of message Journal.
+const claimsField = 2
+
 // NewJournal returns an empty journal.
-func NewJournal() *Journal { return &Journal{claims: map[Key]*claimspb.Claim{}} }
+func NewJournal() *Journal { return &Journal{claims: map[Key]storedClaim{}} }
 
 // Len returns the number of claims.
 func (j *Journal) Len() int { return len(j.claims) }
@@ -55,7 +65,9 @@
 		if _, twice := j.claims[Key(c.Key)]; twice {
 			return nil, fault.New(fault.Internal, "claim journal holds key %x twice", c.Key)
 		}
-		j.set(c)
+		if err := j.set(c); err != nil {
+			return nil, err
+		}
 	}
 	return j, nil
 }
@@ -74,38 +86,42 @@
 	return nil
 }
 
-// Encode returns the value to store, ordered by key.
+// Encode returns the value to store. The order of the claims has no meaning.
 func (j *Journal) Encode() ([]byte, error) {
-	stored := claimspb.Journal{Format: journalFormat}
-	stored.Claims = slices.SortedFunc(maps.Values(j.claims), func(a, b *claimspb.Claim) int {
-		return bytes.Compare(a.Key, b.Key)
-	})
-	value, err := proto.Marshal(&stored)
+	value, err := proto.Marshal(&claimspb.Journal{Format: journalFormat})
 	if err != nil {
 		return nil, fault.Wrap(err, fault.Internal, "claim journal does not encode")
 	}
+	value = slices.Grow(value, j.bytes+j.bodyBytes)
+	for _, c := range j.claims {
+		value = append(value, c.field...)
+	}
 	return value, nil
 }
 
-func (j *Journal) set(c *claimspb.Claim) {
+func (j *Journal) set(c *claimspb.Claim) error {
+	message, err := proto.Marshal(c)
+	if err != nil {
+		return fault.Wrap(err, fault.Internal, "claim does not encode")
+	}
+	field := protowire.AppendTag(nil, claimsField, protowire.BytesType)
+	field = protowire.AppendBytes(field, message)
 	key := Key(c.Key)
 	j.drop(key)
-	j.claims[key] = c
-	j.bytes += storedSize(c)
+	j.claims[key] = storedClaim{Claim: c, field: field}
+	j.bytes += len(field) - len(c.Body)
 	j.bodyBytes += len(c.Body)
+	return nil
 }
 
 func (j *Journal) drop(key Key) {
 	if old, ok := j.claims[key]; ok {
-		j.bytes -= storedSize(old)
+		j.bytes -= len(old.field) - len(old.Body)
 		j.bodyBytes -= len(old.Body)
 		delete(j.claims, key)
 	}
 }
 
-// storedSize is the size of a claim in a journal without its body, with its tag and length.
-func storedSize(c *claimspb.Claim) int { return proto.Size(c) - len(c.Body) + 4 }
-
 func (j *Journal) clone() *Journal {
 	return &Journal{claims: maps.Clone(j.claims), bytes: j.bytes, bodyBytes: j.bodyBytes}
 }
@@ -113,7 +129,7 @@
 // trim removes the claims whose time to be kept is over by more than the clock skew.
 func (j *Journal) trim(now time.Time) {
 	for key, c := range j.claims {
-		if expired(c, now) {
+		if expired(c.Claim, now) {
 			j.drop(key)
 		}
 	}
@@ -132,28 +148,29 @@
 	} else {
 		reply, next = j.record(op.Record, now)
 	}
-	reply.Ticket = op.Ticket
-	if next != nil {
-		j.set(next)
+	if next != nil && j.set(next) != nil {
+		// A claim that cannot be stored is not granted.
+		reply, next = Reply{Verdict: Unavailable}, nil
 	}
+	reply.Ticket = op.Ticket
 	return reply, next != nil
 }
 
 // claim returns the verdict on a claim and the stored claim to add, if any.
 func (j *Journal) claim(op *ClaimOp, now time.Time) (Reply, *claimspb.Claim) {
 	held, ok := j.claims[op.Key]
-	if ok && expired(held, now) {
+	if ok && expired(held.Claim, now) {
 		ok = false
 	}
 	switch {
 	case !ok:
 		return j.grant(op, now)
 	case held.Attempt == op.Attempt:
-		return ownReply(held), nil
+		return ownReply(held.Claim), nil
 	case held.State == claimspb.Claim_NOT_SENT:
 		return j.grant(op, now)
 	default:
-		return foreignReply(held, op, now), nil
+		return foreignReply(held.Claim, op, now), nil
 	}
 }
 
@@ -207,9 +224,9 @@
 		return Reply{Verdict: Granted}, nil
 	case held.State == claimspb.Claim_PENDING,
 		held.State == claimspb.Claim_UNKNOWN && op.Outcome.State == Completed:
-		return Reply{Verdict: Granted}, j.resolved(held, op.Outcome, now)
+		return Reply{Verdict: Granted}, j.resolved(held.Claim, op.Outcome, now)
 	default:
-		return Reply{Verdict: Recorded, Outcome: outcomeOf(held)}, nil
+		return Reply{Verdict: Recorded, Outcome: outcomeOf(held.Claim)}, nil
 	}
 }
 
