--- a/pkg/claims/attempt.go
+++ b/pkg/claims/attempt.go
@@ -88,6 +88,9 @@
 	return true
 }
 
+// End ends an attempt whose outcome is being recorded. It sends no more.
+func (a *Attempt) End() { a.ended = true }
+
 // Abandon ends an attempt that has not sent: it never will. It reports whether the writers must
 // be told NotSent, because one of them may hold the claim.
 func (a *Attempt) Abandon() (tell bool) {
--- a/pkg/controller/claims/guard.go
+++ b/pkg/controller/claims/guard.go
@@ -122,6 +122,7 @@
 // goes on in the background. claims.NotSent is allowed only if no byte reached a backend or the
 // backend itself refused.
 func (p *Permit) Finish(ctx context.Context, o claims.Outcome) {
+	p.attempt.End()
 	done := p.settle(o)
 	timer := time.NewTimer(finishWait)
 	defer timer.Stop()
--- a/pkg/service/dispatch.go
+++ b/pkg/service/dispatch.go
@@ -17,6 +17,7 @@
 	"cassiawall.example/cassiawall/pkg/event"
 	"cassiawall.example/cassiawall/pkg/fault"
 	"cassiawall.example/cassiawall/pkg/metrics"
+	"cassiawall.example/cassiawall/pkg/retry"
 )
 
 const (
@@ -37,8 +38,6 @@
 	Guard   *claims.Controller
 	Metrics *metrics.Registry
 	Logger  *slog.Logger
-	// AllowRetry is asked before a call is tried again after bytes were sent. Nil allows it.
-	AllowRetry func() bool
 	// Done is told what became of each call. Nil switches it off.
 	Done func(Result)
 	// Seed starts the random choice among equal backend servers.
@@ -63,16 +62,15 @@
 
 	mu     sync.Mutex
 	random *rand.Rand
+	// budgets bound the retries of each service.
+	budgets map[string]*retry.Budget
 }
 
 var _ entry.Services = (*Dispatcher)(nil)
 
 // New returns a dispatcher. Run keeps its view of unreachable backend servers up to date.
 func New(opt Options) *Dispatcher {
-	if opt.AllowRetry == nil {
-		opt.AllowRetry = func() bool { return true }
-	}
-	return &Dispatcher{opt: opt, client: NewClient(), random: rand.New(rand.NewPCG(opt.Seed, 0))}
+	return &Dispatcher{opt: opt, client: NewClient(), random: rand.New(rand.NewPCG(opt.Seed, 0)), budgets: map[string]*retry.Budget{}}
 }
 
 // Dispatch serves r, whose caller is authenticated and may use the route. Errors are written as
@@ -132,12 +130,15 @@
 	return found[:min(len(found), maxTries)]
 }
 
-// relay serves an idempotent call. It is tried at another backend server if nothing was sent, or
-// if the method itself is idempotent and no part of an answer has arrived.
+// relay serves an idempotent call. A backend server that cannot be reached is passed over. After
+// bytes were sent the call is retried once, if its method is idempotent, no part of an answer has
+// arrived and the service's retry budget covers it.
 func (d *Dispatcher) relay(w http.ResponseWriter, r *http.Request, call entry.ServiceCall, q *Request) error {
 	ctx, cancel := context.WithTimeout(r.Context(), call.Service.Timeout.D())
 	defer cancel()
+	d.noteFirst(call.Service.Name)
 	failure := noBackend(call)
+	retried := false
 	for _, c := range d.candidates(call) {
 		response, err := d.send(ctx, c.address, q)
 		if err == nil {
@@ -146,25 +147,57 @@
 		}
 		failure = mergeFailure(failure, fault.As(err))
 		d.noteFailure(call, c.address, err)
-		if !d.mayRetry(ctx, q, failure) {
+		if ctx.Err() != nil {
+			break
+		}
+		if fault.As(err).Work == fault.NotRun {
+			continue
+		}
+		if !d.waitForRetry(ctx, call, q, retried) {
 			break
 		}
+		retried = true
 	}
 	return failure
 }
 
-func (d *Dispatcher) send(ctx context.Context, address string, q *Request) (*http.Response, error) {
-	if repeatable(q.Method) {
-		return d.client.Send(ctx, address, q)
+// noteFirst earns a share of a retry for a service.
+func (d *Dispatcher) noteFirst(service string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	if d.budgets[service] == nil {
+		d.budgets[service] = retry.NewBudget(now, retry.BudgetConfig{})
 	}
-	return d.client.SendOnce(ctx, address, q, func() error { return nil })
+	d.budgets[service].First(now)
 }
 
-func (d *Dispatcher) mayRetry(ctx context.Context, q *Request, failure *fault.Error) bool {
-	if ctx.Err() != nil {
+// waitForRetry waits before a retry and reports whether it may be sent.
+func (d *Dispatcher) waitForRetry(ctx context.Context, call entry.ServiceCall, q *Request, retried bool) bool {
+	deadline, _ := ctx.Deadline()
+	attempt := retry.Attempt{IsRetry: retried, Retriable: repeatable(q.Method), Deadline: deadline}
+	d.mu.Lock()
+	wait, ok := retry.Next(time.Now(), attempt, d.budgets[call.Service.Name], retry.Backoff{}, d.random)
+	d.mu.Unlock()
+	return ok && pause(ctx, wait)
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
 		return false
 	}
-	return failure.Work == fault.NotRun || repeatable(q.Method) && d.opt.AllowRetry()
+}
+
+func (d *Dispatcher) send(ctx context.Context, address string, q *Request) (*http.Response, error) {
+	if repeatable(q.Method) {
+		return d.client.Send(ctx, address, q)
+	}
+	return d.client.SendOnce(ctx, address, q, func() error { return nil })
 }
 
 // repeatable lists the methods that RFC 9110, section 9.2.2, defines as idempotent.
--- a/pkg/service/dispatch_test.go
+++ b/pkg/service/dispatch_test.go
@@ -248,8 +248,8 @@
 		sent   int
 		work   fault.Work
 	}{
-		"a lost GET is tried elsewhere": {http.MethodGet, 2, fault.Unknown},
-		"a lost POST is not":            {http.MethodPost, 1, fault.Unknown},
+		"a lost GET is retried once": {http.MethodGet, 2, fault.Unknown},
+		"a lost POST is not":         {http.MethodPost, 1, fault.Unknown},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -257,8 +257,9 @@
 			b.call.Route = &config.Route{Path: "/slots"}
 			b.board = blackboard.New()
 			b.dispatcher.opt.Board = b.board
-			b.addBackend(lossy)
-			b.addBackend(lossy)
+			for range 3 {
+				b.addBackend(lossy)
+			}
 			w := b.do(c.method, "/slots", "kept-key", "")
 			assertRefused(t, w, fault.BackendFailed, c.work)
 			assert.Len(t, seen, c.sent)
@@ -271,6 +272,20 @@
 	}
 }
 
+// Guards against retries that multiply the load of failing backend servers.
+func TestRetriesAreBudgeted(t *testing.T) {
+	b := newBed(t)
+	b.call.Route = &config.Route{Path: "/slots"}
+	b.setFaults(standin.Faults{LoseAnswer: 1})
+	const calls = 20
+	for range calls {
+		assertRefused(t, b.do(http.MethodGet, "/slots", "", ""), fault.BackendFailed, fault.Unknown)
+	}
+	retries := b.ledger.Runs().Total - calls
+	assert.Positive(t, retries)
+	assert.LessOrEqual(t, retries, 1+calls/10)
+}
+
 // Guards against an answer that was cut and looks complete to the caller.
 func TestCutAnswerCutsTheCaller(t *testing.T) {
 	b := newBed(t)
