--- a/pkg/claims/explore_test.go
+++ b/pkg/claims/explore_test.go
@@ -160,7 +160,11 @@
 func (w *world) pump(n int) {
 	target := w.nodes[n]
 	for {
+		planned := target.writer.Peek(w.now.Add(target.skew))
 		action, replies := target.writer.Next(w.now.Add(target.skew))
+		if planned != action.Kind {
+			w.t.Fatalf("planned call %d, made call %d", planned, action.Kind)
+		}
 		w.deliver(target, replies)
 		if action.Kind != None {
 			w.call(n, action)
--- a/pkg/claims/writer.go
+++ b/pkg/claims/writer.go
@@ -17,7 +17,7 @@
 
 	// maxTries bounds the reads and writes for one batch. Each conflict means that another node
 	// made progress, so a few tries suffice when two nodes take turns.
-	maxTries = 6
+	maxTries = 10
 )
 
 // ActionKind is what a writer wants its controller to do.
@@ -81,19 +81,37 @@
 // Idle reports whether the writer waits for requests.
 func (w *Writer) Idle() bool { return !w.busy && len(w.queue) == 0 && len(w.batch) == 0 }
 
+// Peek returns the kind of call that Next would return, without starting it. A controller that
+// paces its writes waits between the two, so that requests that arrive meanwhile join the write.
+func (w *Writer) Peek(now time.Time) ActionKind {
+	if w.Idle() || w.busy {
+		return None
+	}
+	if !w.current {
+		return Read
+	}
+	batch := append(w.batch[:len(w.batch):len(w.batch)], w.queue...)
+	_, _, changed, doubtful := w.stage(batch[:min(len(batch), MaxBatch)], now)
+	switch {
+	case doubtful && !w.fresh:
+		return Read
+	case changed:
+		return Write
+	default:
+		return None
+	}
+}
+
 // Next returns the next call of the object API, if any, and the replies that need none. It
 // returns no action while a call is in progress.
 func (w *Writer) Next(now time.Time) (Action, []Reply) {
-	if w.busy {
-		return Action{}, nil
-	}
-	if len(w.batch) == 0 && !w.takeBatch() {
+	if w.busy || !w.fillBatch() {
 		return Action{}, nil
 	}
 	if !w.current {
 		return w.read()
 	}
-	staged, replies, changed, doubtful := w.stage(now)
+	staged, replies, changed, doubtful := w.stage(w.batch, now)
 	switch {
 	case doubtful && !w.fresh:
 		// Another node may have settled these claims since the journal was cached.
@@ -109,12 +127,12 @@
 	return Action{Kind: Write, Value: value, IfVersion: w.version}, nil
 }
 
-func (w *Writer) takeBatch() bool {
-	n := min(len(w.queue), MaxBatch)
-	w.batch = w.queue[:n:n]
+// fillBatch moves requests from the queue to the batch and reports whether there are any.
+func (w *Writer) fillBatch() bool {
+	n := min(len(w.queue), MaxBatch-len(w.batch))
+	w.batch = append(w.batch, w.queue[:n]...)
 	w.queue = w.queue[n:]
-	w.tries, w.fresh = 0, false
-	return n > 0
+	return len(w.batch) > 0
 }
 
 func (w *Writer) read() (Action, []Reply) {
@@ -122,11 +140,11 @@
 	return Action{Kind: Read}, nil
 }
 
-// stage applies the batch to a copy of the journal. doubtful tells whether a reply depends on
+// stage applies a batch to a copy of the journal. doubtful tells whether a reply depends on
 // the journal being current.
-func (w *Writer) stage(now time.Time) (staged *Journal, replies []Reply, changed, doubtful bool) {
+func (w *Writer) stage(batch []Op, now time.Time) (staged *Journal, replies []Reply, changed, doubtful bool) {
 	staged = w.known.clone()
-	for _, op := range w.batch {
+	for _, op := range batch {
 		reply, change := staged.apply(op, now)
 		replies = append(replies, reply)
 		changed = changed || change
@@ -143,7 +161,7 @@
 		replies[i].Version = w.version
 	}
 	w.batch, w.staged, w.replies = nil, nil, nil
-	w.failing = false
+	w.tries, w.fresh, w.failing = 0, false, false
 	return replies
 }
 
@@ -158,6 +176,7 @@
 		replies = append(replies, w.answerFromMemory(op, now))
 	}
 	w.batch, w.queue, w.staged, w.replies = nil, nil, nil, nil
+	w.tries, w.fresh = 0, false
 	return replies
 }
 
--- a/pkg/controller/claims/claims.go
+++ b/pkg/controller/claims/claims.go
@@ -21,15 +21,16 @@
 
 // Bounds of calls.
 const (
-	// DefaultCallsPerSecond is the share of the object API's rate that all nodes together use
-	// for claims.
-	DefaultCallsPerSecond = 300
+	// DefaultWritesPerSecond and readsPerSecond are the shares of the object API's rates that
+	// all nodes together use for claims.
+	DefaultWritesPerSecond = 300
+	readsPerSecond         = 1000
 	// storeTimeout bounds one call of the object API.
 	storeTimeout = 2 * time.Second
 	// peerTimeout bounds one call of the usual writer, after which this node writes itself.
 	peerTimeout = 2 * time.Second
-	// minCallsPerNode keeps a node of a large fleet able to settle its claims.
-	minCallsPerNode = 5
+	// minPerNode keeps a node of a large fleet able to settle its claims. Unit: calls/s.
+	minPerNode = 5
 )
 
 // Peer calls the usual writers of shards. An error means that the call may or may not have been
@@ -48,17 +49,17 @@
 	Peer    Peer
 	Metrics *metrics.Registry
 	Logger  *slog.Logger
-	// CallsPerSecond bounds the object API calls of all nodes together. Default
-	// DefaultCallsPerSecond.
-	CallsPerSecond float64
+	// WritesPerSecond bounds the writes of all nodes together. Default DefaultWritesPerSecond.
+	WritesPerSecond float64
 }
 
 // Controller writes claim shards and guards requests. It is safe for concurrent use.
 type Controller struct {
-	opt     Options
-	limiter *rate.Limiter
-	ctx     context.Context
-	stop    context.CancelFunc
+	opt    Options
+	writes *rate.Limiter
+	reads  *rate.Limiter
+	ctx    context.Context
+	stop   context.CancelFunc
 
 	// lifecycle guards the start of goroutines against Close. No other lock is taken under it.
 	lifecycle sync.Mutex
@@ -77,13 +78,15 @@
 
 // New returns a controller. Close ends it.
 func New(opt Options) *Controller {
-	if opt.CallsPerSecond <= 0 {
-		opt.CallsPerSecond = DefaultCallsPerSecond
+	if opt.WritesPerSecond <= 0 {
+		opt.WritesPerSecond = DefaultWritesPerSecond
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	c := &Controller{opt: opt, ctx: ctx, stop: stop, shards: map[int]*shard{}}
-	c.limiter = rate.NewLimiter(c.callRate(), minCallsPerNode)
-	return c
+	return &Controller{
+		opt: opt, ctx: ctx, stop: stop, shards: map[int]*shard{},
+		writes: rate.NewLimiter(minPerNode, minPerNode),
+		reads:  rate.NewLimiter(minPerNode, minPerNode),
+	}
 }
 
 // Close waits until all outcomes are recorded or ctx ends, and stops the controller's work.
@@ -140,10 +143,20 @@
 	return nodes
 }
 
-// callRate is this node's share of the calls of all nodes.
-func (c *Controller) callRate() rate.Limit {
-	share := c.opt.CallsPerSecond / float64(len(c.writers()))
-	return rate.Limit(max(share, minCallsPerNode))
+// pace waits for this node's share of the calls that all nodes may make.
+func (c *Controller) pace(kind claims.ActionKind) {
+	limiter, perSecond := c.reads, float64(readsPerSecond)
+	switch kind {
+	case claims.None:
+		return
+	case claims.Write:
+		limiter, perSecond = c.writes, c.opt.WritesPerSecond
+	}
+	share := max(perSecond/float64(len(c.writers())), minPerNode)
+	limiter.SetLimit(rate.Limit(share))
+	limiter.SetBurst(int(share))
+	// The wait fails only when the controller stops.
+	_ = limiter.Wait(c.ctx)
 }
 
 // keep returns the time for which a workspace's claims are kept.
--- a/pkg/controller/claims/guard.go
+++ b/pkg/controller/claims/guard.go
@@ -14,7 +14,7 @@
 
 const (
 	// finishWait is the time that Finish waits for the journal before the caller gets its answer.
-	finishWait = time.Second
+	finishWait = 250 * time.Millisecond
 	// maxSettling bounds the outcomes that wait in memory for the object API.
 	maxSettling = 10_000
 	// Pauses between tries to record an outcome.
--- a/pkg/controller/claims/shard.go
+++ b/pkg/controller/claims/shard.go
@@ -83,9 +83,11 @@
 // drive makes the calls that the writer asks for until it has no more requests.
 func (c *Controller) drive(s *shard) {
 	for !c.parkIfIdle(s) {
+		s.mu.Lock()
+		kind := s.writer.Peek(time.Now())
+		s.mu.Unlock()
 		// Requests that arrive during the wait join the next conditional update.
-		c.limiter.SetLimit(c.callRate())
-		_ = c.limiter.Wait(c.ctx)
+		c.pace(kind)
 		s.mu.Lock()
 		action, replies := s.writer.Next(time.Now())
 		s.deliverLocked(replies)
