--- a/pkg/claims/claims.go
+++ b/pkg/claims/claims.go
@@ -91,7 +91,7 @@
 	Unavailable
 	// InProgress means that another attempt still expects an outcome.
 	InProgress
-	// Full means that the journal takes no new claims.
+	// Full means that the journal or the writer's queue takes no new claims.
 	Full
 )
 
--- a/pkg/claims/claims_test.go
+++ b/pkg/claims/claims_test.go
@@ -118,6 +118,20 @@
 	assert.Len(t, w.WriteDone(2, nil, start), 1)
 }
 
+// Guards against a queue that grows without bound while the object API is slow.
+func TestWriterQueueIsBounded(t *testing.T) {
+	w := NewWriter()
+	for range MaxQueue {
+		_, answered := w.Submit(claimOp(1, 1, "a"), start)
+		require.False(t, answered)
+	}
+	reply, answered := w.Submit(claimOp(2, 1, "b"), start)
+	assert.True(t, answered)
+	assert.Equal(t, Full, reply.Verdict)
+	_, answered = w.Submit(recordOp(3, 1, "a", Outcome{State: NotSent}), start)
+	assert.False(t, answered, "outcomes are taken")
+}
+
 // Guards against callers that wait while the object API is down, and against hiding outcomes
 // that this node knows.
 func TestWriterRefusesAtOnceDuringOutage(t *testing.T) {
--- a/pkg/claims/writer.go
+++ b/pkg/claims/writer.go
@@ -11,6 +11,9 @@
 const (
 	// MaxBatch is the largest number of requests in one conditional update.
 	MaxBatch = 256
+	// MaxQueue is the number of requests that wait for a shard's writer before further claims
+	// are refused. At one commit a second they wait about 4 s.
+	MaxQueue = 4 * MaxBatch
 	// RefuseFor is the time for which a writer refuses at once after the object API has failed,
 	// before one request probes it again.
 	RefuseFor = 500 * time.Millisecond
@@ -63,11 +66,15 @@
 // NewWriter returns a writer that has not read its journal yet.
 func NewWriter() *Writer { return &Writer{known: NewJournal()} }
 
-// Submit adds a request. If the object API is known to fail, it answers at once with ok true.
+// Submit adds a request. If the object API is known to fail or too many requests wait, it answers
+// at once with ok true. Outcomes are always taken, because they end claims.
 func (w *Writer) Submit(op Op, now time.Time) (reply Reply, ok bool) {
 	if w.Refusing(now) {
 		return w.answerFromMemory(op, now), true
 	}
+	if op.Claim != nil && len(w.queue) >= MaxQueue {
+		return Reply{Ticket: op.Ticket, Verdict: Full}, true
+	}
 	w.queue = append(w.queue, op)
 	return Reply{}, false
 }
--- a/pkg/controller/claims/claims.go
+++ b/pkg/controller/claims/claims.go
@@ -27,8 +27,13 @@
 	readsPerSecond         = 1000
 	// storeTimeout bounds one call of the object API.
 	storeTimeout = 2 * time.Second
-	// peerTimeout bounds one call of the usual writer, after which this node writes itself.
-	peerTimeout = 2 * time.Second
+	// peerTimeout bounds one call of the usual writer, after which this node writes itself. It is
+	// longer than a full queue takes: two writers of one journal only slow each other down.
+	peerTimeout = 5 * time.Second
+	// beginTimeout bounds a claim. It ends well before the permit would.
+	beginTimeout = claims.SendWithin / 2
+	// fullLogInterval is the least time between two records of event JournalFull.
+	fullLogInterval = 10 * time.Second
 	// minPerNode keeps a node of a large fleet able to settle its claims. Unit: calls/s.
 	minPerNode = 5
 )
@@ -72,6 +77,8 @@
 	shards map[int]*shard
 	// down is set while the object API refuses claims.
 	down bool
+	// fullLogged is when event JournalFull was last logged; it can be due for every claim.
+	fullLogged time.Time
 	// settling is the number of outcomes that are being recorded in the background.
 	settling int
 }
@@ -200,13 +207,17 @@
 	if changed {
 		c.down = down
 	}
+	full := r.Verdict == claims.Full && time.Since(c.fullLogged) > fullLogInterval
+	if full {
+		c.fullLogged = time.Now()
+	}
 	c.mu.Unlock()
 	switch {
 	case changed && down:
 		event.ClaimsRefused.Log(c.ctx, c.opt.Logger)
 	case changed:
 		event.ClaimsResumed.Log(c.ctx, c.opt.Logger)
-	case r.Verdict == claims.Full:
+	case full:
 		event.JournalFull.Log(c.ctx, c.opt.Logger)
 	}
 }
--- a/pkg/controller/claims/guard.go
+++ b/pkg/controller/claims/guard.go
@@ -22,6 +22,8 @@
 	maxSettlePause = 5 * time.Second
 	// inProgressRetry is the pause that callers are told to make before they ask again.
 	inProgressRetry = time.Second
+	// fullRetry is the pause when a journal or a queue is full.
+	fullRetry = 5 * time.Second
 )
 
 // Request is a non-idempotent request that asks to be sent.
@@ -53,6 +55,8 @@
 		Keep:     c.keep(r.Workspace),
 		Deadline: r.Deadline,
 	}
+	ctx, cancel := context.WithTimeout(ctx, beginTimeout)
+	defer cancel()
 	p := &Permit{controller: c, workspace: r.Workspace, attempt: claims.NewAttempt(op, time.Now())}
 	if c.ask(ctx, p) == claims.SendOnce && ctx.Err() == nil {
 		return p, nil, nil
@@ -96,7 +100,7 @@
 	case r.Verdict == claims.BodyConflict:
 		return fault.New(fault.IdempotencyConflict, "this key was used with another request body")
 	case r.Verdict == claims.Full:
-		return fault.New(fault.Overloaded, "the record of non-idempotent requests is full; this request was not sent").WithRetryAfter(time.Minute)
+		return fault.New(fault.Overloaded, "the record of non-idempotent requests takes no more; this request was not sent").WithRetryAfter(fullRetry)
 	default:
 		return fault.New(fault.PlatformUnavailable, "the object API did not confirm the claim; this request was not sent").WithRetryAfter(inProgressRetry)
 	}
--- a/pkg/controller/claims/wire.go
+++ b/pkg/controller/claims/wire.go
@@ -68,8 +68,7 @@
 	}
 }
 
-// wireVerdicts maps verdicts to the protocol. A full journal is Unavailable to other nodes, and
-// their own writers then find the same.
+// wireVerdicts maps verdicts to the protocol.
 var wireVerdicts = map[claims.Verdict]peerpb.ClaimReply_Verdict{
 	claims.Granted:      peerpb.ClaimReply_GRANTED,
 	claims.Recorded:     peerpb.ClaimReply_RECORDED,
@@ -77,7 +76,7 @@
 	claims.BodyConflict: peerpb.ClaimReply_BODY_CONFLICT,
 	claims.Unavailable:  peerpb.ClaimReply_UNAVAILABLE,
 	claims.InProgress:   peerpb.ClaimReply_IN_PROGRESS,
-	claims.Full:         peerpb.ClaimReply_UNAVAILABLE,
+	claims.Full:         peerpb.ClaimReply_FULL,
 }
 
 var localVerdicts = map[peerpb.ClaimReply_Verdict]claims.Verdict{
@@ -87,6 +86,7 @@
 	peerpb.ClaimReply_BODY_CONFLICT: claims.BodyConflict,
 	peerpb.ClaimReply_UNAVAILABLE:   claims.Unavailable,
 	peerpb.ClaimReply_IN_PROGRESS:   claims.InProgress,
+	peerpb.ClaimReply_FULL:          claims.Full,
 }
 
 func replyToWire(r claims.Reply) *peerpb.ClaimReply {
--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -40,7 +40,7 @@
 	ClaimsRefused      = define(601, "claims refused, object API unavailable", slog.LevelWarn, "check the object API; the refused requests were not run")
 	ClaimsResumed      = define(602, "claims accepted again", slog.LevelInfo, "none")
 	JournalDamaged     = define(603, "claim journal damaged", slog.LevelError, "restore the named object; its shard refuses non-idempotent requests until then")
-	JournalFull        = define(604, "claim journal full", slog.LevelWarn, "shorten retry_window of the busiest workspace")
+	JournalFull        = define(604, "claim journal or queue full", slog.LevelWarn, "check the object API's speed; if it is well, shorten retry_window of the busiest workspace")
 	OutcomeNotRecorded = define(605, "outcome not recorded", slog.LevelWarn, "none; repeats of the request answer outcome_unknown")
 	LeaseTaken         = define(606, "lease taken", slog.LevelInfo, "none")
 	LeaseLost          = define(607, "lease lost", slog.LevelInfo, "check the load of this VM and the object API if it repeats")
