--- a/pkg/peer/pool.go
+++ b/pkg/peer/pool.go
@@ -41,6 +41,7 @@
 func NewTLSPool(auth *Auth, config *tls.Config) *Pool {
 	p := NewPool(auth)
 	p.scheme = "https"
+	p.transport.Protocols = protocols(true)
 	p.transport.TLSClientConfig = config
 	return p
 }
@@ -50,6 +51,7 @@
 	return &Pool{
 		scheme: "http",
 		transport: &http.Transport{
+			Protocols:           protocols(false),
 			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 			MaxIdleConnsPerHost: idlePerNode,
 			IdleConnTimeout:     idleTimeout,
@@ -106,6 +108,7 @@
 	signed := r.Clone(ctx)
 	signed.Body = io.NopCloser(bytes.NewReader(body))
 	signed.ContentLength = int64(len(body))
+	dropHeaders(signed.Header)
 	n := c.auth.signCall(signed, r.URL.Host, body)
 	response, err := c.transport.RoundTrip(signed)
 	if err != nil {
@@ -114,6 +117,14 @@
 	return c.checked(response, n)
 }
 
+// dropHeaders removes what Twirp and net/http add and no node reads.
+func dropHeaders(h http.Header) {
+	h.Del("Accept")
+	h.Del("Twirp-Version")
+	// An empty value keeps net/http from sending its own.
+	h["User-Agent"] = []string{""}
+}
+
 func (c *caller) checked(response *http.Response, n nonce) (*http.Response, error) {
 	defer response.Body.Close()
 	reply, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes+1))
