--- a/pkg/admission/queue_test.go
+++ b/pkg/admission/queue_test.go
@@ -228,7 +228,17 @@
 		r.observeDecode(3*time.Second, 100, false)
 	}
 	assert.InDelta(t, 10_000, r.Prefill(), 500)
+	for range 20 {
+		r.observePrefill(20_000, 8*time.Second)
+	}
+	assert.InDelta(t, 2500, r.Prefill(), 250, "an engine that stays slow is followed")
+	for range 60 {
+		r.observePrefill(20_000, 2*time.Second)
+	}
 	assert.InDelta(t, 30*time.Millisecond, r.Step(), float64(3*time.Millisecond))
+	r.observePrefill(68, time.Second)
+	r.observePrefill(2000, 20*time.Second)
+	assert.Greater(t, r.Prefill(), 9_000.0, "one delay changes little")
 }
 
 // Guards against a curve that forgets how callers leave, or claims certainty without evidence.
--- a/pkg/admission/rates.go
+++ b/pkg/admission/rates.go
@@ -12,6 +12,14 @@
 // has lost half its weight.
 const prefillMemory = 100_000.0
 
+// minRateTokens is the smallest prefill that tells something about the rate. Shorter ones consist
+// of fixed costs: one delay of 0.7 s on 68 tokens once made an engine seem five times slower.
+const minRateTokens = 1000
+
+// maxRateChange bounds the time per token of one observation, relative to the fitted one, so that
+// a single delay does not change the rate much. An engine that stays slow is still followed.
+const maxRateChange = 2.0
+
 // priorTokens is the weight of the initial prefill rate.
 const priorTokens = 4_000.0
 
@@ -58,12 +66,13 @@
 }
 
 func (r *Rates) observePrefill(tokens int, d time.Duration) {
-	if tokens <= 0 || d <= 0 {
+	if tokens < minRateTokens || d <= 0 {
 		return
 	}
+	most := maxRateChange * float64(tokens) / r.Prefill()
 	keep := math.Exp2(-float64(tokens) / prefillMemory)
 	r.tokens = r.tokens*keep + float64(tokens)
-	r.seconds = r.seconds*keep + d.Seconds()
+	r.seconds = r.seconds*keep + min(d.Seconds(), most)
 }
 
 func (r *Rates) observeDecode(d time.Duration, outputTokens int, cut bool) {
