--- a/pkg/placement/attempt.go
+++ b/pkg/placement/attempt.go
@@ -10,11 +10,11 @@
 const (
 	// declineFactor and declineMargin keep small errors of prediction from sending a request
 	// from owner to owner.
-	declineFactor = 1.25
+	declineFactor = 1.5
 	declineMargin = 30 * time.Millisecond
 	// rankShare is added to the cost of an answer per rank, so that cold prefixes stay at their
 	// first homes unless another is clearly better.
-	rankShare = 0.1
+	rankShare = 0.0
 )
 
 // RecomputeFactor is the cost of a second of recomputation, in seconds of latency. Owners use it
