--- a/pkg/cli/bench.go
+++ b/pkg/cli/bench.go
@@ -108,8 +108,8 @@
 }
 
 type benchScaleCommand struct {
-	Idle    time.Duration `long:"idle" description:"Time over which each size of idle nodes is measured" default:"5s"`
-	JSON    bool          `long:"json" description:"Print the result as JSON"`
+	Role    []string `long:"role" description:"Measure this role only; may be repeated or separated by commas"`
+	JSON    bool     `long:"json" description:"Print the result as JSON"`
 	streams streams
 }
 
@@ -117,7 +117,7 @@
 func (c *benchScaleCommand) Execute([]string) error {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	result, err := bench.RunScale(ctx, bench.ScaleOptions{Idle: c.Idle, Progress: c.streams.err, Logger: slog.New(slog.DiscardHandler)})
+	result, err := bench.RunScale(ctx, splitList(c.Role), c.streams.err)
 	if err != nil {
 		return err
 	}
