--- a/pkg/claims/writer.go
+++ b/pkg/claims/writer.go
@@ -11,13 +11,16 @@
 const (
 	// MaxBatch is the largest number of requests in one conditional update.
 	MaxBatch = 256
+	// MaxQueue is the number of requests that wait for a shard's writer before further claims
+	// are refused. At one commit a second they wait about 4 s.
+	MaxQueue = 4 * MaxBatch
 	// RefuseFor is the time for which a writer refuses at once after the object API has failed,
 	// before one request probes it again.
 	RefuseFor = 500 * time.Millisecond
 
 	// maxTries bounds the reads and writes for one batch. Each conflict means that another node
 	// made progress, so a few tries suffice when two nodes take turns.
-	maxTries = 6
+	maxTries = 10
 )
 
 // ActionKind is what a writer wants its controller to do.
@@ -63,11 +66,15 @@
 // NewWriter returns a writer that has not read its journal yet.
 func NewWriter() *Writer { return &Writer{known: NewJournal()} }
 
-// Submit adds a request. If the object API is known to fail, it answers at once with ok true.
+// Submit adds a request. If the object API is known to fail or too many requests wait, it answers
+// at once with ok true. Outcomes are always taken, because they end claims.
 func (w *Writer) Submit(op Op, now time.Time) (reply Reply, ok bool) {
 	if w.Refusing(now) {
 		return w.answerFromMemory(op, now), true
 	}
+	if op.Claim != nil && len(w.queue) >= MaxQueue {
+		return Reply{Ticket: op.Ticket, Verdict: Full}, true
+	}
 	w.queue = append(w.queue, op)
 	return Reply{}, false
 }
@@ -81,19 +88,37 @@
 // Idle reports whether the writer waits for requests.
 func (w *Writer) Idle() bool { return !w.busy && len(w.queue) == 0 && len(w.batch) == 0 }
 
+// Peek returns the kind of call that Next would return, without starting it. A controller that
+// paces its writes waits between the two, so that requests that arrive meanwhile join the write.
+func (w *Writer) Peek(now time.Time) ActionKind {
+	if w.Idle() || w.busy {
+		return None
+	}
+	if !w.current {
+		return Read
+	}
+	batch := append(w.batch[:len(w.batch):len(w.batch)], w.queue...)
+	_, _, changed, doubtful := w.stage(batch[:min(len(batch), MaxBatch)], now)
+	switch {
+	case doubtful && !w.fresh:
+		return Read
+	case changed:
+		return Write
+	default:
+		return None
+	}
+}
+
 // Next returns the next call of the object API, if any, and the replies that need none. It
 // returns no action while a call is in progress.
 func (w *Writer) Next(now time.Time) (Action, []Reply) {
-	if w.busy {
-		return Action{}, nil
-	}
-	if len(w.batch) == 0 && !w.takeBatch() {
+	if w.busy || !w.fillBatch() {
 		return Action{}, nil
 	}
 	if !w.current {
 		return w.read()
 	}
-	staged, replies, changed, doubtful := w.stage(now)
+	staged, replies, changed, doubtful := w.stage(w.batch, now)
 	switch {
 	case doubtful && !w.fresh:
 		// Another node may have settled these claims since the journal was cached.
@@ -109,12 +134,12 @@
 	return Action{Kind: Write, Value: value, IfVersion: w.version}, nil
 }
 
-func (w *Writer) takeBatch() bool {
-	n := min(len(w.queue), MaxBatch)
-	w.batch = w.queue[:n:n]
+// fillBatch moves requests from the queue to the batch and reports whether there are any.
+func (w *Writer) fillBatch() bool {
+	n := min(len(w.queue), MaxBatch-len(w.batch))
+	w.batch = append(w.batch, w.queue[:n]...)
 	w.queue = w.queue[n:]
-	w.tries, w.fresh = 0, false
-	return n > 0
+	return len(w.batch) > 0
 }
 
 func (w *Writer) read() (Action, []Reply) {
@@ -122,11 +147,11 @@
 	return Action{Kind: Read}, nil
 }
 
-// stage applies the batch to a copy of the journal. doubtful tells whether a reply depends on
+// stage applies a batch to a copy of the journal. doubtful tells whether a reply depends on
 // the journal being current.
-func (w *Writer) stage(now time.Time) (staged *Journal, replies []Reply, changed, doubtful bool) {
+func (w *Writer) stage(batch []Op, now time.Time) (staged *Journal, replies []Reply, changed, doubtful bool) {
 	staged = w.known.clone()
-	for _, op := range w.batch {
+	for _, op := range batch {
 		reply, change := staged.apply(op, now)
 		replies = append(replies, reply)
 		changed = changed || change
@@ -143,7 +168,7 @@
 		replies[i].Version = w.version
 	}
 	w.batch, w.staged, w.replies = nil, nil, nil
-	w.failing = false
+	w.tries, w.fresh, w.failing = 0, false, false
 	return replies
 }
 
@@ -158,6 +183,7 @@
 		replies = append(replies, w.answerFromMemory(op, now))
 	}
 	w.batch, w.queue, w.staged, w.replies = nil, nil, nil, nil
+	w.tries, w.fresh = 0, false
 	return replies
 }
 
