--- a/pkg/peer/pool.go
+++ b/pkg/peer/pool.go
@@ -22,7 +22,7 @@
 	idleTimeout        = 90 * time.Second
 	idlePerNode        = 8
 	// maxReplyBytes bounds a reply. The largest is Bootstrap with a configuration of up to
-	// 1 MB, members, engines and soft prefixes.
+	// 8 MB, members, engines and soft prefixes.
 	maxReplyBytes = 16 << 20
 )
 
