Take Retry-After alone as no proof that a request was not run

Cause: a load balancer in front of a backend server can answer 503 with Retry-After after the work ran, and the dispatcher then recorded not_sent and allowed a second run.

--- a/pkg/service/headers.go
+++ b/pkg/service/headers.go
@@ -56,8 +56,9 @@
 }
 
 // saysNotRun reports whether an answer is the backend server's own refusal: 429 or 503 with the
-// header X-Work: not_run, with Retry-After, or with an error document whose work is not_run.
-// Any other answer may come from a request that ran in part.
+// header X-Work: not_run or with an error document whose work is not_run. Any other answer may come
+// from a request that ran in part. Retry-After alone proves nothing, because a load balancer in
+// front of the backend server can send it after the work ran.
 func saysNotRun(status int, h http.Header, body []byte) bool {
 	if status != http.StatusTooManyRequests && status != http.StatusServiceUnavailable {
 		return false
@@ -69,7 +70,7 @@
 	if json.Unmarshal(body, &document) == nil && document.Error.Work != "" {
 		return document.Error.Work == fault.NotRun
 	}
-	return h.Get(fault.HeaderRetryAfter) != ""
+	return false
 }
 
 // validKey accepts 1 to 255 visible ASCII characters.
