--- a/pkg/placement/attempt.go
+++ b/pkg/placement/attempt.go
@@ -12,9 +12,6 @@
 	// from owner to owner.
 	declineFactor = 1.5
 	declineMargin = 30 * time.Millisecond
-	// rankShare is added to the cost of an answer per rank, so that cold prefixes stay at their
-	// first homes unless another is clearly better.
-	rankShare = 0.0
 )
 
 // RecomputeFactor is the cost of a second of recomputation, in seconds of latency. Owners use it
@@ -94,7 +91,6 @@
 	c := &a.candidates[a.last]
 	extra := a.placer.prefillCost(a.request, c.Engine, missing) - a.placer.prefillTime(c.Engine, missing)
 	cost := predicted + c.NetworkTime + extra
-	cost += time.Duration(rankShare * float64(max(0, c.Rank)) * float64(cost))
 	if a.best < 0 || cost < a.bestCost {
 		a.best = a.last
 		a.bestCost = cost
--- a/pkg/placement/homes.go
+++ b/pkg/placement/homes.go
@@ -79,10 +79,10 @@
 	h.width = min(width, h.width)
 }
 
-// fanOut is the exponent of the number of engines that are homes of an outermost level. At 0.6, 20
-// engines give 7 homes and 130 engines 19: enough to spread the children of one parent, and few
+// fanOut is the exponent of the number of engines that are homes of an outermost level. At 0.5, 20
+// engines give 5 homes and 130 engines 12: enough to spread the children of one parent, and few
 // enough to keep copies of the parent rare.
-const fanOut = 0.6
+const fanOut = 0.5
 
 // widthOf returns the number of homes of a shared level with a number of levels below it. The
 // part that does not depend on demand makes a node without state find the same engines.
