--- a/pkg/bench/fleet.go
+++ b/pkg/bench/fleet.go
@@ -29,7 +29,8 @@
 			BytesPerToken:  bytesPerToken,
 			MinServing:     1,
 		}},
-		Policy:  config.Policy{LatencyWeight: 1, RecomputeWeight: 1},
+		Policy:  p.Policy,
+		KVStore: p.KVStore,
 		Rollout: config.Rollout{MaxConcurrentLoads: p.MaxConcurrentLoads, CanaryEngines: 1, MaxErrorShare: config.DefaultMaxErrorShare},
 	}
 	for i := range p.Workspaces {
--- a/pkg/bench/profile.go
+++ b/pkg/bench/profile.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"cassiawall.example/cassiawall/pkg/config"
 	"cassiawall.example/cassiawall/pkg/fault"
 	enginestandin "cassiawall.example/cassiawall/pkg/standin/engine"
 )
@@ -27,6 +28,11 @@
 	// messages come on top. At this rate least-loaded keeps the engines near 70% load; a
 	// higher one would saturate the baselines and flatter the system.
 	Rate float64
+	// Policy is what the questionnaire generates for the deployment: kilele weighs the tail of the
+	// time to first token most, tuul wasted recomputation.
+	Policy config.Policy
+	// KVStore is the deployment's KV cache store.
+	KVStore string
 	// Workspaces holds the share of conversations of each workspace. The sum is 1.
 	Workspaces []float64
 	// Levels of the prompts, outermost first: school, timetable, family or crew, property, visit.
@@ -80,6 +86,8 @@
 		MaxConcurrentLoads: 3,
 		CacheBlocks:        48,
 		Rate:               15,
+		KVStore:            "kumbuka",
+		Policy:             config.Policy{LatencyWeight: 2, RecomputeWeight: 1},
 		Workspaces:         eightWorkspaces,
 		Levels: [levels]Level{
 			{Name: "school", Shared: true, Count: 5, Tokens: 8000, Skew: 1.3},
@@ -98,6 +106,8 @@
 		MaxConcurrentLoads: 2,
 		CacheBlocks:        48,
 		Rate:               10,
+		KVStore:            "prompt-keep",
+		Policy:             config.Policy{LatencyWeight: 0.5, RecomputeWeight: 2},
 		Workspaces:         eightWorkspaces,
 		Levels: [levels]Level{
 			{Name: "crew", Shared: true, Count: 3, Tokens: 4000, Skew: 1.3},
--- a/pkg/entry/generate.go
+++ b/pkg/entry/generate.go
@@ -237,7 +237,7 @@
 	g := src.g
 	return &routing.Work{
 		RequestID: g.id, Workspace: g.workspace, Model: g.model, Policy: g.config.Policy, Caller: g.caller,
-		Pieces: g.pieces, MaxTokens: g.maxTokens, Arrived: g.arrived, Deadline: g.deadline, Failed: src.failed,
+		Pieces: g.pieces, Prompt: g.prompt, MaxTokens: g.maxTokens, Arrived: g.arrived, Deadline: g.deadline, Failed: src.failed,
 	}
 }
 
--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -21,6 +21,7 @@
 	DirectDispatch       = define(305, "dispatched without the engine's owner", slog.LevelInfo, "check the owner node if it repeats")
 	VMListUnavailable    = define(306, "VM list unavailable", slog.LevelWarn, "check the platform's VM list; the last known list stays in use")
 	SlotExpired          = define(309, "slot expired without renewal", slog.LevelInfo, "check the entry node if it repeats")
+	CopyFailed           = define(320, "copy of cached pieces failed", slog.LevelInfo, "check the KV cache store if it repeats; the pieces are computed")
 
 	PeerCallRefused = define(401, "peer call refused", slog.LevelWarn, "check the peer keys and the clocks of both nodes")
 	DatagramRefused = define(402, "datagram refused", slog.LevelWarn, "check the peer keys, the clocks and who can reach the gossip port")
--- a/pkg/node/assemble.go
+++ b/pkg/node/assemble.go
@@ -38,6 +38,10 @@
 	platformIdlePerHost = 16
 	// bootstrapPrefixes bounds the soft prefixes of a reply to about 300 KB.
 	bootstrapPrefixes = 5000
+	// copyTokensPerSecond and copyOverhead are the assumed cost of a copy through the KV cache
+	// store. They are about half of what the stand-in takes.
+	copyTokensPerSecond = 200_000
+	copyOverhead        = 20 * time.Millisecond
 )
 
 // assemble makes the parts of the node. Each step uses only what earlier steps made.
@@ -111,10 +115,31 @@
 		return err
 	}
 	n.feeder = engineview.New(engineview.Options{Board: n.board, DataCentre: s.DataCentre, Region: s.Region}, n.placer)
-	n.owner = owner.New(owner.Options{Board: n.board, Engines: n.reporter, Self: s.Name, Logger: n.opt.Logger})
+	n.owner = owner.New(owner.Options{
+		Board: n.board, Engines: n.reporter, Self: s.Name, Logger: n.opt.Logger, Holder: n.holder,
+		Copy: owner.CopyOptions{TokensPerSecond: copyTokensPerSecond, Overhead: copyOverhead},
+	})
 	return nil
 }
 
+// holder returns another engine that holds a prefix, if the platform has a KV cache store to copy
+// it through.
+func (n *Node) holder(keys []uint64, except string) (engineID string, pieces int) {
+	if c := n.board.CurrentConfig(); c == nil || c.KVStore == "" {
+		return "", 0
+	}
+	return n.placer.Holder(keys, except)
+}
+
+// mover returns the adapter that copies an engine's cached pieces, or nil.
+func (n *Node) mover(id string) engine.KVMover {
+	e, ok := n.board.Engines.Get(id)
+	if !ok {
+		return nil
+	}
+	return n.engines.at(e.Value.Address)
+}
+
 // reporter returns the adapter of an engine, or nil if its address is not known.
 func (n *Node) reporter(id string) engine.Reporter {
 	e, ok := n.board.Engines.Get(id)
@@ -166,7 +191,8 @@
 	calls := &ownerCalls{self: n.opt.Settings.Name, local: n.owner, pool: n.pool}
 	router := routing.NewOwnerRouter(routing.OwnerOptions{
 		Board: n.board, Placer: n.placer, Owners: calls, Table: owner.NewTable(n.board),
-		Self: n.opt.Settings.Name, Logger: n.opt.Logger, Now: time.Now,
+		Copier: &routing.Copier{Engines: n.mover, Logger: n.opt.Logger},
+		Self:   n.opt.Settings.Name, Logger: n.opt.Logger, Now: time.Now,
 	})
 	return routing.NewHealthRouter(router, n.board, time.Now, newRandom()), nil
 }
--- /dev/null
+++ b/pkg/routing/copy.go
@@ -0,0 +1,55 @@
+package routing
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"cassiawall.example/cassiawall/pkg/engine"
+	"cassiawall.example/cassiawall/pkg/event"
+	"cassiawall.example/cassiawall/pkg/prefix"
+)
+
+// copyTimeout bounds a copy. A copy that takes longer than a prefill is of no use.
+const copyTimeout = 2 * time.Second
+
+// Copier copies cached pieces between engines by export and import. The exported blocks are
+// references into the platform's KV cache store, so the data does not pass through this node.
+type Copier struct {
+	// Engines returns the client of an engine, or nil if the engine is not known.
+	Engines func(id string) engine.KVMover
+	Logger  *slog.Logger
+}
+
+// Copy copies the leading shared pieces of a prompt. Blocks are named by their SHA-256 chain, so
+// that a collision of routing keys cannot bring foreign data. A failed copy is no failure of the
+// request: the target computes the pieces.
+func (c *Copier) Copy(ctx context.Context, w *Work, from, to string) {
+	source, target := c.Engines(from), c.Engines(to)
+	if source == nil || target == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+	defer cancel()
+	blocks, err := source.Export(ctx, contentKeys(w))
+	if err == nil && len(blocks.Blocks) > 0 {
+		err = target.Import(ctx, blocks)
+	}
+	if err != nil && ctx.Err() == nil {
+		event.CopyFailed.Log(ctx, c.Logger, slog.String("from", from), slog.String("to", to), slog.Any("error", err))
+	}
+}
+
+// contentKeys names the shared pieces as the engines do.
+func contentKeys(w *Work) []string {
+	shared := 0
+	pieces := make([]engine.Piece, len(w.Pieces))
+	for i, p := range w.Pieces {
+		pieces[i] = engine.Piece{Key: p.Key, Tokens: p.Tokens, Bytes: p.End - p.Start}
+		if p.Shared {
+			shared = i + 1
+		}
+	}
+	salt := prefix.Salt{Workspace: w.Workspace.Name, Model: w.Model.Name, WeightsVersion: w.Model.WeightsVersion}
+	return engine.ContentKeys(salt, w.Prompt(), pieces[:shared])
+}
--- /dev/null
+++ b/pkg/routing/copy_test.go
@@ -0,0 +1,52 @@
+package routing
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"cassiawall.example/cassiawall/pkg/engine"
+	"cassiawall.example/cassiawall/pkg/prefix"
+	enginestandin "cassiawall.example/cassiawall/pkg/standin/engine"
+)
+
+// Guards against copies that an engine cannot use, and against pieces of another workspace that a
+// copy would bring along.
+func TestCopyIsUsedByTheSameWorkspaceOnly(t *testing.T) {
+	engines := map[string]*engine.Client{}
+	for _, id := range []string{"a", "b"} {
+		e := enginestandin.New(enginestandin.Config{ID: id, Model: "lugha", WeightsVersion: "v1", StepTime: time.Millisecond})
+		require.NoError(t, e.Start())
+		t.Cleanup(func() { assert.NoError(t, e.Close()) })
+		engines[id] = engine.NewClient(e.URL(), nil)
+	}
+	w := testWork()
+	const text = "the timetable of the school"
+	w.Prompt = func() string { return text }
+	salt := prefix.Salt{Workspace: "shule", Model: "lugha", WeightsVersion: "v1"}
+	w.Pieces = prefix.Chain(salt, prefix.Geometry{PieceTokens: 8, BytesPerToken: 1}, []prefix.Segment{{Level: "school", Shared: true, Text: text}})
+
+	computed := func(id, workspace string) int {
+		pieces := make([]engine.Piece, len(w.Pieces))
+		for i, p := range w.Pieces {
+			pieces[i] = engine.Piece{Key: p.Key, Tokens: p.Tokens, Bytes: p.End - p.Start}
+		}
+		s, err := engines[id].Generate(t.Context(), &engine.Request{ID: id + workspace, Workspace: workspace, Model: "lugha",
+			WeightsVersion: "v1", Prompt: text, Pieces: pieces, MaxTokens: 1})
+		require.NoError(t, err)
+		defer s.Close()
+		chunk, err := s.Next()
+		require.NoError(t, err)
+		return chunk.ComputedTokens
+	}
+	tokens := prefix.Tokens(w.Pieces)
+	assert.Equal(t, tokens, computed("a", "shule"))
+	copier := &Copier{Engines: func(id string) engine.KVMover { return engines[id] }, Logger: slog.New(slog.DiscardHandler)}
+	copier.Copy(t.Context(), w, "a", "b")
+	// An engine computes the last token of a cached prompt again to get the first output token.
+	assert.Equal(t, 1, computed("b", "shule"))
+	assert.Equal(t, tokens, computed("b", "other"))
+}
--- a/pkg/routing/owner.go
+++ b/pkg/routing/owner.go
@@ -32,6 +32,8 @@
 	Placer *placement.Placer
 	Owners Owners
 	Table  OwnerTable
+	// Copier copies cached pieces where an owner suggests it. Nil means never.
+	Copier *Copier
 	// Self is this node's member name.
 	Self   string
 	Logger *slog.Logger
@@ -109,7 +111,7 @@
 		}
 		if reply.Verdict != peerpb.AcquireReply_NOT_OWNER {
 			r.learn(w, c, attempt, reply)
-			return r.judge(w, c, m, reply)
+			return r.judge(ctx, w, c, m, reply)
 		}
 		former = m.Name
 	}
@@ -166,10 +168,14 @@
 	}
 }
 
-func (r *OwnerRouter) judge(w *Work, c *placement.Candidate, m blackboard.MemberEntry, reply *peerpb.AcquireReply) (Slot, error) {
+func (r *OwnerRouter) judge(ctx context.Context, w *Work, c *placement.Candidate, m blackboard.MemberEntry, reply *peerpb.AcquireReply) (Slot, error) {
 	switch reply.Verdict {
 	case peerpb.AcquireReply_GRANTED:
-		return r.granted(w, c, m, reply), nil
+		slot := r.granted(w, c, m, reply)
+		if r.opt.Copier != nil && reply.CopyFrom != "" {
+			r.opt.Copier.Copy(ctx, w, reply.CopyFrom, c.Engine)
+		}
+		return slot, nil
 	case peerpb.AcquireReply_ENGINE_LEAVING:
 		return nil, fault.New(fault.NoEngine, "engine %s leaves or is unreachable", c.Engine)
 	case peerpb.AcquireReply_DEADLINE:
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -16,8 +16,10 @@
 	Model     *config.Model
 	Policy    config.Policy
 	// Caller names the caller inside the workspace; it may be empty.
-	Caller    string
-	Pieces    []prefix.Piece
+	Caller string
+	Pieces []prefix.Piece
+	// Prompt returns the text of the pieces.
+	Prompt    func() string
 	MaxTokens int
 	Arrived   time.Time
 	// Deadline is the time after which the first token is worthless.
