stream: keep an earlier run over a later refusal

Relay answered with the Work of the last error. A request that reached an engine before its connection broke was told not_run when no other engine was left. Ruled out: the engine adapter, which reports Unknown for the broken connection, and the routing errors, which are right about their own attempt. Before: not_run for four of the new cases of TestRelayFaults. After: unknown or run, and not_run only if each attempt was refused.

--- a/pkg/stream/relay.go
+++ b/pkg/stream/relay.go
@@ -65,6 +65,7 @@
 		if err == nil {
 			return r.result, nil
 		}
+		r.noteWork(err)
 		var callerSide *sinkError
 		if errors.As(err, &callerSide) {
 			return r.result, callerSide.err
@@ -82,6 +83,18 @@
 	text    strings.Builder
 	tokens  int
 	result  Result
+	// work is what the failed attempts say of the request, as far as the caller must know.
+	work fault.Work
+}
+
+// noteWork keeps that an earlier attempt ran, or may have run, over later refusals.
+func (r *relay) noteWork(err error) {
+	switch work := fault.As(err).Work; {
+	case r.checker.Next() > 0:
+		r.work = fault.Run
+	case r.work == "" || r.work == fault.NotRun || work == fault.Run:
+		r.work = work
+	}
 }
 
 func (r *relay) position() Position {
@@ -137,8 +150,6 @@
 	if !errors.As(err, &known) {
 		known = fault.Wrap(err, fault.StreamBroken, "answer cut after chunk %d", r.checker.Next()).WithWork(fault.Unknown)
 	}
-	if r.checker.Next() > 0 {
-		known.Work = fault.Run
-	}
+	known.Work = r.work
 	return known
 }
--- a/pkg/stream/stream_test.go
+++ b/pkg/stream/stream_test.go
@@ -75,9 +75,12 @@
 }
 
 // Each case is one way in which an answer arrives cut, late or crossed. Guards against
-// delivering anything but the caller's own whole answer.
+// delivering anything but the caller's own whole answer, and against a not_run after an attempt
+// that reached an engine.
 func TestRelayFaults(t *testing.T) {
 	cut := errors.New("connection reset")
+	ran := fault.New(fault.StreamBroken, "the stream ended before the last chunk").WithWork(fault.Run)
+	refused := fault.New(fault.EngineRefused, "another incarnation")
 	cases := []struct {
 		name     string
 		attempts []*scriptedStream
@@ -94,6 +97,11 @@
 		{"early end", []*scriptedStream{{chunks: []engine.Chunk{chunk("r", 0, "a")}}, {chunks: []engine.Chunk{final("r", 1, "b")}}}, "ab", "", "", []int{0, 1}},
 		{"cut before the first chunk", []*scriptedStream{{err: cut}, {chunks: []engine.Chunk{final("r", 0, "a")}}}, "a", "", "", []int{0, 0}},
 		{"cut and no engine left", []*scriptedStream{{chunks: []engine.Chunk{chunk("r", 0, "a")}, err: cut}}, "a", fault.NoEngine, fault.Run, []int{0, 1}},
+		{"cut before the first chunk and no engine left", []*scriptedStream{{err: cut}}, "", fault.NoEngine, fault.Unknown, []int{0, 0}},
+		{"run without a chunk and no engine left", []*scriptedStream{{err: ran}}, "", fault.NoEngine, fault.Run, []int{0, 0}},
+		{"run, then cut, then no engine left", []*scriptedStream{{err: ran}, {err: cut}}, "", fault.NoEngine, fault.Run, []int{0, 0, 0}},
+		{"cut, then refused, then no engine left", []*scriptedStream{{err: cut}, {err: refused}}, "", fault.NoEngine, fault.Unknown, []int{0, 0, 0}},
+		{"refused and no engine left", []*scriptedStream{{err: refused}}, "", fault.NoEngine, fault.NotRun, []int{0, 0}},
 		{"no engine at all", nil, "", fault.NoEngine, fault.NotRun, []int{0}},
 	}
 	for _, c := range cases {
