service: do not take a failed repeat of the transport for not run

net/http repeats a GET, or a request with an Idempotency-Key, whose kept connection breaks. If the backend server was gone by then, the dial error of the repeat was answered as backend_unavailable with not_run although the first copy had run. Ruled out: SendOnce, which uses a new connection without repeats. Before: TestRepeatOfTransportHidesNoRun got not_run for all three methods. After: backend_failed with unknown.

--- a/pkg/service/client.go
+++ b/pkg/service/client.go
@@ -8,6 +8,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
 	"time"
 
 	"cassiawall.example/cassiawall/pkg/fault"
@@ -117,12 +119,16 @@
 	return q, nil
 }
 
+// roundTrip sends q. A failed dial proves that nothing was sent only if it was the first: the
+// transport also dials to repeat a request whose kept connection broke.
 func roundTrip(t http.RoundTripper, q *http.Request) (*http.Response, error) {
-	response, err := t.RoundTrip(q)
+	var written atomic.Bool
+	trace := &httptrace.ClientTrace{WroteHeaders: func() { written.Store(true) }}
+	response, err := t.RoundTrip(q.WithContext(httptrace.WithClientTrace(q.Context(), trace)))
 	if err == nil {
 		return response, nil
 	}
-	if isDialError(err) {
+	if isDialError(err) && !written.Load() {
 		return nil, fault.Wrap(err, fault.BackendUnavailable, "backend server is unreachable")
 	}
 	return nil, fault.Wrap(err, fault.BackendFailed, "backend server did not answer").WithWork(fault.Unknown)
--- a/pkg/service/dispatch_test.go
+++ b/pkg/service/dispatch_test.go
@@ -272,6 +272,31 @@
 	}
 }
 
+// Each case is a backend server that takes a call over a kept connection, runs it and is gone when
+// the transport repeats it. Guards against taking the refused repeat for a call that was not run.
+func TestRepeatOfTransportHidesNoRun(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodPut, http.MethodDelete} {
+		t.Run(method, func(t *testing.T) {
+			b := newBed(t)
+			b.call.Route = &config.Route{Path: "/slots"}
+			b.board = blackboard.New()
+			b.dispatcher.opt.Board = b.board
+			runs := 0
+			b.addBackend(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/first" {
+					return
+				}
+				runs++
+				assert.NoError(t, b.listeners[2].Listener.Close())
+				panic(http.ErrAbortHandler)
+			}))
+			assert.Equal(t, http.StatusOK, b.do(http.MethodGet, "/first", "", "").Code)
+			assertRefused(t, b.do(method, "/slots", "key", ""), fault.BackendFailed, fault.Unknown)
+			assert.Equal(t, 1, runs)
+		})
+	}
+}
+
 // Guards against retries that multiply the load of failing backend servers.
 func TestRetriesAreBudgeted(t *testing.T) {
 	b := newBed(t)
