--- a/pkg/claims/bench_test.go
+++ b/pkg/claims/bench_test.go
@@ -9,7 +9,7 @@
 
 // BenchmarkCommit measures the CPU time of one group commit of 10 claims into a full journal.
 func BenchmarkCommit(b *testing.B) {
-	w := NewWriter()
+	w := NewWriter(0)
 	w.current = true
 	for i := range 3000 {
 		op := ClaimOp{Key: sha256.Sum256(fmt.Append(nil, i)), Attempt: "abcdefghijklmnopqrstuvwxyz", Keep: time.Hour}
--- a/pkg/claims/claims_test.go
+++ b/pkg/claims/claims_test.go
@@ -99,7 +99,7 @@
 
 // Guards against one write per request: the platform takes only several hundred writes a second.
 func TestWriterGroupsRequests(t *testing.T) {
-	w := NewWriter()
+	w := NewWriter(0)
 	for i := range MaxBatch + 1 {
 		op := claimOp(uint64(i), byte(i), fmt.Sprint("a", i))
 		op.Claim.Key[1] = byte(i >> 8)
@@ -120,7 +120,7 @@
 
 // Guards against a queue that grows without bound while the object API is slow.
 func TestWriterQueueIsBounded(t *testing.T) {
-	w := NewWriter()
+	w := NewWriter(0)
 	for range MaxQueue {
 		_, answered := w.Submit(claimOp(1, 1, "a"), start)
 		require.False(t, answered)
@@ -135,7 +135,7 @@
 // Guards against callers that wait while the object API is down, and against hiding outcomes
 // that this node knows.
 func TestWriterRefusesAtOnceDuringOutage(t *testing.T) {
-	w := NewWriter()
+	w := NewWriter(0)
 	run := func(op Op, version uint64, err error) []Reply {
 		_, answered := w.Submit(op, start)
 		require.False(t, answered)
@@ -194,6 +194,27 @@
 	assert.Greater(t, claimed, 3000)
 }
 
+// Guards against a claim that changed while its segment was written and is then dropped: its key
+// would be free again.
+func TestAdoptKeepsChangedClaims(t *testing.T) {
+	j := NewJournal()
+	for key := range byte(2) {
+		j.apply(claimOp(1, key, "a"), start)
+		j.apply(recordOp(1, key, "a", Outcome{State: UnknownResult}), start)
+	}
+	s := j.seal(ObjectName(0), start.Add(sealAge), sealAge)
+	require.NotNil(t, s)
+	changed := start.Add(2 * time.Hour)
+	reply, _ := j.apply(claimOp(1, 1, "b"), changed)
+	require.Equal(t, Granted, reply.Verdict, "the old claim has expired")
+	j.adopt(s)
+	assert.Equal(t, 1, j.Len())
+	reply, _ = j.apply(claimOp(1, 1, "c"), changed)
+	assert.Equal(t, InProgress, reply.Verdict)
+	reply, _ = j.apply(claimOp(1, 0, "c"), start)
+	assert.Equal(t, Unknown, reply.Verdict, "a sealed claim holds")
+}
+
 // Guards against a damaged journal that crashes a node or is taken as valid.
 func FuzzDecode(f *testing.F) {
 	j := NewJournal()
--- a/pkg/claims/explore_test.go
+++ b/pkg/claims/explore_test.go
@@ -1,7 +1,6 @@
 package claims
 
 import (
-	"crypto/sha256"
 	"fmt"
 	"math"
 	"testing"
@@ -15,7 +14,7 @@
 
 const (
 	exploredNodes = 3
-	exploredKeys  = 2
+	exploredKeys  = 3
 	exploredKeep  = time.Hour
 )
 
@@ -26,8 +25,9 @@
 	script  []uint32
 	now     time.Time
 	outage  bool
-	journal objects.Object
-	older   objects.Object
+	stored  map[string]objects.Object
+	older   map[string]objects.Object
+	version uint64
 	nodes   [exploredNodes]*node
 	pending []event
 	keys    [exploredKeys]keyState
@@ -58,7 +58,7 @@
 }
 
 func newWorld(t *rapid.T, script []uint32, seen map[string]int) *world {
-	w := &world{t: t, script: script, now: time.UnixMilli(1_800_000_000_000), seen: seen}
+	w := &world{t: t, script: script, stored: map[string]objects.Object{}, older: map[string]objects.Object{}, now: time.UnixMilli(1_800_000_000_000), seen: seen}
 	for i := range w.nodes {
 		w.nodes[i] = &node{skew: time.Duration(i-1) * 2 * time.Minute}
 		w.nodes[i].restart()
@@ -68,7 +68,9 @@
 
 func (n *node) restart() {
 	n.epoch++
-	n.writer = NewWriter()
+	n.writer = NewWriter(0)
+	// Claims move to segments as soon as they can.
+	n.writer.sealBytes, n.writer.sealAge = 1, 0
 	n.waiting = map[uint64]func(Reply){}
 }
 
@@ -196,10 +198,17 @@
 			answered = true
 			now := w.now.Add(w.nodes[n].skew)
 			var replies []Reply
-			if action.Kind == Read {
-				replies, _ = w.nodes[n].writer.ReadDone(o, err, now)
-			} else {
+			var damaged error
+			switch action.Kind {
+			case Read:
+				replies, damaged = w.nodes[n].writer.ReadDone(o, err, now)
+			case Write:
 				replies = w.nodes[n].writer.WriteDone(version, err, now)
+			default:
+				w.nodes[n].writer.DeleteDone()
+			}
+			if damaged != nil {
+				w.t.Fatalf("%s is damaged: %v", action.Name, damaged)
 			}
 			w.deliver(w.nodes[n], replies)
 			w.pump(n)
@@ -214,170 +223,31 @@
 }
 
 func (w *world) execute(action Action) (objects.Object, uint64, error) {
+	stored, older := w.stored[action.Name], w.older[action.Name]
 	switch {
 	case w.outage:
 		return objects.Object{}, 0, fault.New(fault.PlatformUnavailable, "outage")
-	case action.Kind == Read && w.journal.Version == 0:
+	case action.Kind == Read && older.Version != 0 && w.choose(6) == 1:
+		return older, 0, nil
+	case action.Kind == Read && stored.Version == 0:
 		return objects.Object{}, 0, fault.New(fault.NotFound, "absent")
-	case action.Kind == Read && w.older.Version != 0 && w.choose(6) == 1:
-		return w.older, 0, nil
 	case action.Kind == Read:
-		return w.journal, 0, nil
-	case action.IfVersion != w.journal.Version:
+		return stored, 0, nil
+	case action.Kind == Delete:
+		w.seen["segment deleted"]++
+		delete(w.stored, action.Name)
+		return objects.Object{}, 0, nil
+	case action.IfVersion != stored.Version:
 		w.seen["conflict"]++
 		return objects.Object{}, 0, fault.New(fault.Conflict, "conflict")
 	}
-	w.older = w.journal
-	w.journal = objects.Object{Version: w.journal.Version + 1, Value: action.Value}
-	return w.journal, w.journal.Version, nil
-}
-
-// try is one request of a caller at one entry node.
-type try struct {
-	w       *world
-	id      string
-	node    int
-	epoch   int
-	key     int
-	attempt *Attempt
-	asked   bool
-	ran     bool
-	notRun  bool
-}
-
-// request starts a caller's request, unless the caller's time to retry is over.
-func (w *world) request(n, key int, otherBody bool) {
-	k := &w.keys[key]
-	if k.startAt.IsZero() {
-		k.startAt = w.now
-	}
-	if w.now.Sub(k.startAt) > exploredKeep {
-		return
-	}
-	w.ids++
-	body := "body"
-	if otherBody {
-		body = "other"
-	}
-	id := fmt.Sprintf("attempt-%d", w.ids)
-	op := ClaimOp{Key: Key{31: byte(key)}, Attempt: id, BodyHash: sha256.Sum256([]byte(body)), Keep: exploredKeep, Deadline: 10 * time.Second}
-	t := &try{w: w, id: id, node: n, epoch: w.nodes[n].epoch, key: key, attempt: NewAttempt(op, w.now)}
-	writer := w.choose(exploredNodes)
-	if t.attempt.First(writer == n) == AskLocal {
-		t.askLocal()
-		return
-	}
-	t.askWriter(writer)
-}
-
-// alive wraps f so that it runs only while the try's entry node has not crashed.
-func (t *try) alive(f func()) func() { return t.w.nodes[t.node].during(t.epoch, f) }
-
-func (t *try) askWriter(writer int) {
-	w, op := t.w, t.attempt.Op()
-	settle := func(r Reply, failed bool) func() {
-		return t.alive(func() {
-			if t.asked {
-				return
-			}
-			t.asked = true
-			if t.attempt.WriterDone(r, failed) == AskLocal {
-				t.askLocal()
-				return
-			}
-			t.act()
-		})
-	}
-	failed := settle(Reply{}, true)
-	w.post(event{repeat: true, lose: failed, unanswers: failed, run: func() {
-		w.submit(writer, Op{Claim: &op}, func(r Reply) {
-			w.post(event{run: settle(r, false), lose: failed, repeat: true})
-		})
-	}})
-}
-
-func (t *try) askLocal() {
-	op := t.attempt.Op()
-	t.w.submit(t.node, Op{Claim: &op}, func(r Reply) {
-		t.attempt.LocalDone(r)
-		t.act()
-	})
-}
-
-// act follows the verdict. Sending is an event of its own: the entry may pause before it.
-func (t *try) act() {
-	if t.attempt.Reply().Verdict == Granted {
-		t.w.post(event{run: t.alive(t.send)})
-		return
-	}
-	t.w.seen[fmt.Sprintf("verdict %d", t.attempt.Reply().Verdict)]++
-	t.abandonOrReplay()
-}
-
-func (t *try) abandonOrReplay() {
-	r := t.attempt.Reply()
-	switch r.Verdict {
-	case Recorded:
-		if r.Outcome.State == Completed && string(r.Outcome.Body) != t.w.keys[t.key].ranBy {
-			t.w.t.Fatalf("key %d: replayed the outcome %q of a request that %q ran", t.key, r.Outcome.Body, t.w.keys[t.key].ranBy)
-		}
-	case Granted, Unavailable, Full:
-		t.refuse()
-	}
-}
-
-// refuse answers the caller not_run.
-func (t *try) refuse() {
-	t.notRun = true
-	t.check()
-	if t.attempt.Abandon() {
-		t.record(Outcome{State: NotSent}, 3)
-	}
-}
-
-func (t *try) send() {
-	if !t.attempt.TakeSend(t.w.now) {
-		t.refuse()
-		return
-	}
-	if t.w.choose(5) == 1 {
-		t.w.seen["backend refused"]++
-		t.notRun = true
-		t.record(Outcome{State: NotSent}, 3)
-		return
-	}
-	k := &t.w.keys[t.key]
-	k.runs++
-	k.ranBy = t.id
-	t.ran = true
-	t.w.seen["run"]++
-	t.check()
-	outcome := CompletedOutcome(200, "text/plain", []byte(t.id))
-	if t.w.choose(4) == 1 {
-		outcome = Outcome{State: UnknownResult}
-	}
-	t.record(outcome, 3)
-}
-
-func (t *try) record(o Outcome, tries int) {
-	w := t.w
-	op := &RecordOp{Key: t.attempt.Op().Key, Attempt: t.id, Outcome: o}
-	w.post(event{repeat: true, run: func() {
-		w.submit(w.choose(exploredNodes), Op{Record: op}, func(r Reply) {
-			if r.Verdict == Unavailable && tries > 1 {
-				t.alive(func() { t.record(o, tries-1) })()
-			}
-		})
-	}})
-}
-
-func (t *try) check() {
-	if runs := t.w.keys[t.key].runs; runs > 1 {
-		t.w.t.Fatalf("key %d ran %d times, last by %s", t.key, runs, t.id)
-	}
-	if t.ran && t.notRun {
-		t.w.t.Fatalf("%s was refused with not_run and ran", t.id)
+	if action.Name != ObjectName(0) {
+		w.seen["segment"]++
 	}
+	w.version++
+	w.older[action.Name] = stored
+	w.stored[action.Name] = objects.Object{Version: w.version, Value: action.Value}
+	return w.stored[action.Name], w.version, nil
 }
 
 // Guards against two runs of one key and against a not_run that ran, over histories of pauses,
@@ -392,7 +262,7 @@
 		histories++
 	})
 	t.Logf("%d histories: %v", histories, seen)
-	for _, must := range []string{"run", "crash", "answer lost", "conflict", "backend refused",
+	for _, must := range []string{"run", "crash", "segment", "segment deleted", "answer lost", "conflict", "backend refused",
 		fmt.Sprint("verdict ", int(Recorded)), fmt.Sprint("verdict ", int(InProgress)), fmt.Sprint("verdict ", int(Unknown)),
 		fmt.Sprint("verdict ", int(BodyConflict)), fmt.Sprint("verdict ", int(Unavailable))} {
 		if seen[must] == 0 {
--- a/pkg/claims/journal.go
+++ b/pkg/claims/journal.go
@@ -24,6 +24,9 @@
 // Journal is the decoded value of one shard. Its claims are never changed in place.
 type Journal struct {
 	claims map[Key]storedClaim
+	// segments are the objects with sealed claims, parts their contents by name.
+	segments []*claimspb.Segment
+	parts    map[string]part
 	// bytes is the stored size without bodies, bodyBytes the size of the bodies.
 	bytes     int
 	bodyBytes int
@@ -39,11 +42,26 @@
 const claimsField = 2
 
 // NewJournal returns an empty journal.
-func NewJournal() *Journal { return &Journal{claims: map[Key]storedClaim{}} }
+func NewJournal() *Journal {
+	return &Journal{claims: map[Key]storedClaim{}, parts: map[string]part{}}
+}
 
-// Len returns the number of claims.
+// Len returns the number of claims outside segments.
 func (j *Journal) Len() int { return len(j.claims) }
 
+// lookup returns the claim of a key. A claim outside segments is newer than a sealed one.
+func (j *Journal) lookup(key Key) (storedClaim, bool) {
+	if c, ok := j.claims[key]; ok {
+		return c, true
+	}
+	for _, segment := range slices.Backward(j.segments) {
+		if c, ok := j.parts[segment.Name][key]; ok {
+			return c, true
+		}
+	}
+	return storedClaim{}, false
+}
+
 // Decode parses the value of a journal object. An error means that nothing may be granted from
 // this journal.
 func Decode(value []byte) (*Journal, error) {
@@ -58,6 +76,7 @@
 		return nil, fault.New(fault.Internal, "claim journal has format %d, want %d", stored.Format, journalFormat)
 	}
 	j := NewJournal()
+	j.segments = stored.Segments
 	for _, c := range stored.Claims {
 		if err := checkStored(c); err != nil {
 			return nil, err
@@ -88,7 +107,7 @@
 
 // Encode returns the value to store. The order of the claims has no meaning.
 func (j *Journal) Encode() ([]byte, error) {
-	value, err := proto.Marshal(&claimspb.Journal{Format: journalFormat})
+	value, err := proto.Marshal(&claimspb.Journal{Format: journalFormat, Segments: j.segments})
 	if err != nil {
 		return nil, fault.Wrap(err, fault.Internal, "claim journal does not encode")
 	}
@@ -123,16 +142,29 @@
 }
 
 func (j *Journal) clone() *Journal {
-	return &Journal{claims: maps.Clone(j.claims), bytes: j.bytes, bodyBytes: j.bodyBytes}
+	return &Journal{
+		claims: maps.Clone(j.claims), segments: slices.Clone(j.segments), parts: maps.Clone(j.parts),
+		bytes: j.bytes, bodyBytes: j.bodyBytes,
+	}
 }
 
-// trim removes the claims whose time to be kept is over by more than the clock skew.
-func (j *Journal) trim(now time.Time) {
+// trim removes the claims and segments whose time to be kept is over by more than the clock skew.
+// It returns the names of the segments.
+func (j *Journal) trim(now time.Time) (dropped []string) {
 	for key, c := range j.claims {
 		if expired(c.Claim, now) {
 			j.drop(key)
 		}
 	}
+	j.segments = slices.DeleteFunc(j.segments, func(s *claimspb.Segment) bool {
+		over := now.UnixMilli() > s.KeepUntilMs+ClockSkew.Milliseconds()
+		if over {
+			dropped = append(dropped, s.Name)
+			delete(j.parts, s.Name)
+		}
+		return over
+	})
+	return dropped
 }
 
 func expired(c *claimspb.Claim, now time.Time) bool {
@@ -158,7 +190,7 @@
 
 // claim returns the verdict on a claim and the stored claim to add, if any.
 func (j *Journal) claim(op *ClaimOp, now time.Time) (Reply, *claimspb.Claim) {
-	held, ok := j.claims[op.Key]
+	held, ok := j.lookup(op.Key)
 	if ok && expired(held.Claim, now) {
 		ok = false
 	}
@@ -214,7 +246,7 @@
 
 // record returns the reply to a record and the stored claim to set, if any.
 func (j *Journal) record(op *RecordOp, now time.Time) (Reply, *claimspb.Claim) {
-	held, ok := j.claims[op.Key]
+	held, ok := j.lookup(op.Key)
 	switch {
 	case !ok && op.Outcome.State == NotSent:
 		return Reply{Verdict: Granted}, tombstone(op, now)
--- a/pkg/claims/writer.go
+++ b/pkg/claims/writer.go
@@ -31,11 +31,15 @@
 	None ActionKind = iota
 	Read
 	Write
+	// Delete removes an object, whatever its version. Its failure does no harm.
+	Delete
 )
 
-// Action is one call of the object API. Its result goes to ReadDone or WriteDone.
+// Action is one call of the object API. Its result goes to ReadDone, WriteDone or DeleteDone.
 type Action struct {
-	Kind      ActionKind
+	Kind ActionKind
+	// Name is the object.
+	Name      string
 	Value     []byte
 	IfVersion uint64
 }
@@ -43,6 +47,7 @@
 // Writer groups the claims of one shard into conditional updates. It is not safe for
 // concurrent use.
 type Writer struct {
+	name string
 	// known is the last journal read or written; current tells whether it may serve as the base
 	// of an update.
 	known   *Journal
@@ -61,10 +66,26 @@
 
 	failing     bool
 	refuseUntil time.Time
+
+	// loading is a journal whose segments are being read, reading the object of the last read.
+	loading *Journal
+	reading string
+	// sealing is a segment on its way; sealed tells that it is stored and can be adopted.
+	sealing   *sealing
+	sealed    bool
+	sealAfter time.Time
+	sealBytes int
+	sealAge   time.Duration
+	// garbage are segments that no journal names any more.
+	garbage []string
+	// dropped become garbage when the staged journal has been written.
+	dropped []string
 }
 
-// NewWriter returns a writer that has not read its journal yet.
-func NewWriter() *Writer { return &Writer{known: NewJournal()} }
+// NewWriter returns a writer of a shard that has not read its journal yet.
+func NewWriter(shard int) *Writer {
+	return &Writer{name: ObjectName(shard), known: NewJournal(), sealBytes: sealBytes, sealAge: sealAge}
+}
 
 // Submit adds a request. If the object API is known to fail or too many requests wait, it answers
 // at once with ok true. Outcomes are always taken, because they end claims.
@@ -86,18 +107,22 @@
 }
 
 // Idle reports whether the writer waits for requests.
-func (w *Writer) Idle() bool { return !w.busy && len(w.queue) == 0 && len(w.batch) == 0 }
+func (w *Writer) Idle() bool {
+	return !w.busy && len(w.queue) == 0 && len(w.batch) == 0 && len(w.garbage) == 0
+}
 
 // Peek returns the kind of call that Next would return, without starting it. A controller that
 // paces its writes waits between the two, so that requests that arrive meanwhile join the write.
 func (w *Writer) Peek(now time.Time) ActionKind {
-	if w.Idle() || w.busy {
+	batch := append(w.batch[:len(w.batch):len(w.batch)], w.queue...)
+	switch {
+	case w.busy || w.Idle():
 		return None
-	}
-	if !w.current {
+	case len(batch) == 0:
+		return Delete
+	case !w.current:
 		return Read
 	}
-	batch := append(w.batch[:len(w.batch):len(w.batch)], w.queue...)
 	_, _, changed, doubtful := w.stage(batch[:min(len(batch), MaxBatch)], now)
 	switch {
 	case doubtful && !w.fresh:
@@ -112,26 +137,58 @@
 // Next returns the next call of the object API, if any, and the replies that need none. It
 // returns no action while a call is in progress.
 func (w *Writer) Next(now time.Time) (Action, []Reply) {
-	if w.busy || !w.fillBatch() {
+	switch {
+	case w.busy:
 		return Action{}, nil
-	}
-	if !w.current {
-		return w.read()
+	case !w.fillBatch():
+		return w.collect(), nil
+	case !w.current:
+		return w.read(), nil
 	}
 	staged, replies, changed, doubtful := w.stage(w.batch, now)
 	switch {
 	case doubtful && !w.fresh:
 		// Another node may have settled these claims since the journal was cached.
-		return w.read()
+		return w.read(), nil
 	case !changed:
 		return Action{}, w.finish(replies)
+	case w.mustSeal(staged, now):
+		w.busy = true
+		return Action{Kind: Write, Name: w.sealing.segment.Name, Value: w.sealing.value}, nil
 	}
 	value, err := staged.Encode()
 	if err != nil {
 		return Action{}, w.fail(now)
 	}
 	w.busy, w.staged, w.replies = true, staged, replies
-	return Action{Kind: Write, Value: value, IfVersion: w.version}, nil
+	return Action{Kind: Write, Name: w.name, Value: value, IfVersion: w.version}, nil
+}
+
+// mustSeal reports whether a segment has to be written before the staged journal.
+func (w *Writer) mustSeal(staged *Journal, now time.Time) bool {
+	if w.sealing != nil || staged.bytes+staged.bodyBytes < w.sealBytes || now.Before(w.sealAfter) {
+		return false
+	}
+	w.sealing = w.known.seal(w.name, now, w.sealAge)
+	if w.sealing == nil {
+		w.sealAfter = now.Add(sealRetry)
+	}
+	return w.sealing != nil
+}
+
+// collect returns the deletion of a segment that is no longer named.
+func (w *Writer) collect() Action {
+	if len(w.garbage) == 0 {
+		return Action{}
+	}
+	w.busy = true
+	return Action{Kind: Delete, Name: w.garbage[0]}
+}
+
+// DeleteDone takes the end of a Delete. A segment that could not be deleted stays unused.
+func (w *Writer) DeleteDone() {
+	w.busy = false
+	w.garbage = w.garbage[1:]
 }
 
 // fillBatch moves requests from the queue to the batch and reports whether there are any.
@@ -142,9 +199,13 @@
 	return len(w.batch) > 0
 }
 
-func (w *Writer) read() (Action, []Reply) {
-	w.busy = true
-	return Action{Kind: Read}, nil
+// read returns the read of the journal, or of the next segment of a journal that has been read.
+func (w *Writer) read() Action {
+	w.busy, w.current, w.reading = true, false, w.name
+	if w.loading != nil {
+		w.reading = w.loading.missing()
+	}
+	return Action{Kind: Read, Name: w.reading}
 }
 
 // stage applies a batch to a copy of the journal. doubtful tells whether a reply depends on
@@ -157,8 +218,12 @@
 		changed = changed || change
 		doubtful = doubtful || reply.Verdict == InProgress || reply.Verdict == Unknown || reply.Verdict == Full
 	}
+	w.dropped = nil
 	if changed {
-		staged.trim(now)
+		if w.sealed {
+			staged.adopt(w.sealing)
+		}
+		w.dropped = staged.trim(now)
 	}
 	return staged, replies, changed, doubtful
 }
@@ -175,7 +240,7 @@
 // fail answers the batch without the object API. A claim that is answered Unavailable may still
 // be in the journal: its attempt never sends and records NotSent later.
 func (w *Writer) fail(now time.Time) []Reply {
-	w.current = false
+	w.current, w.loading = false, nil
 	w.failing = true
 	w.refuseUntil = now.Add(RefuseFor)
 	replies := make([]Reply, 0, len(w.batch)+len(w.queue))
@@ -204,33 +269,61 @@
 	return reply
 }
 
-// ReadDone takes the result of a Read. decodeErr is set if the journal is damaged; nothing is
-// granted from it.
+// ReadDone takes the result of a Read. decodeErr is set if the journal or a segment is damaged;
+// nothing is granted from it.
 func (w *Writer) ReadDone(o objects.Object, err error, now time.Time) (replies []Reply, decodeErr error) {
 	w.busy = false
 	w.tries++
-	if fault.Is(err, fault.NotFound) {
-		w.known, w.version, w.current, w.fresh = NewJournal(), 0, true, true
+	absent := fault.Is(err, fault.NotFound)
+	switch {
+	case absent && w.reading == w.name:
+		w.loading, w.version = NewJournal(), 0
+	case absent && w.tries < maxTries:
+		// The journal that names the segment was an old one.
+		w.loading, w.current = nil, false
 		return nil, nil
-	}
-	if err != nil {
+	case err != nil:
 		return w.fail(now), nil
+	case w.reading == w.name:
+		w.loading, decodeErr = Decode(o.Value)
+		w.version = o.Version
+	default:
+		w.loading.parts[w.reading], decodeErr = decodeSegment(w.reading, o.Value)
 	}
-	j, decodeErr := Decode(o.Value)
 	if decodeErr != nil {
 		return w.fail(now), decodeErr
 	}
-	w.known, w.version, w.current, w.fresh = j, o.Version, true, true
+	w.loadParts()
 	return nil, nil
 }
 
+// loadParts takes over the segments that are in memory already, and the journal when it has all.
+func (w *Writer) loadParts() {
+	for _, s := range w.loading.segments {
+		if p, ok := w.known.parts[s.Name]; ok {
+			w.loading.parts[s.Name] = p
+		}
+	}
+	if w.loading.missing() == "" {
+		w.known, w.current, w.fresh, w.loading = w.loading, true, true, nil
+	}
+}
+
 // WriteDone takes the result of a Write. After a conflict or a lost answer the next action is a
 // read, which shows whether the batch took effect.
 func (w *Writer) WriteDone(version uint64, err error, now time.Time) []Reply {
 	w.busy = false
+	if w.staged == nil {
+		w.segmentDone(err, now)
+		return nil
+	}
 	w.tries++
 	if err == nil {
 		w.known, w.version, w.current = w.staged, version, true
+		w.garbage = append(w.garbage, w.dropped...)
+		if w.sealed {
+			w.sealing, w.sealed = nil, false
+		}
 		return w.finish(w.replies)
 	}
 	w.current, w.staged, w.replies = false, nil, nil
@@ -240,3 +333,13 @@
 	}
 	return w.fail(now)
 }
+
+// segmentDone takes the result of writing a segment. A conflict means that it is stored already.
+// After any other failure the claims stay in the journal for now.
+func (w *Writer) segmentDone(err error, now time.Time) {
+	if err == nil || fault.Is(err, fault.Conflict) {
+		w.sealed = true
+		return
+	}
+	w.sealing, w.sealAfter = nil, now.Add(sealRetry)
+}
--- a/pkg/controller/claims/claims.go
+++ b/pkg/controller/claims/claims.go
@@ -156,7 +156,7 @@
 	switch kind {
 	case claims.None:
 		return
-	case claims.Write:
+	case claims.Write, claims.Delete:
 		limiter, perSecond = c.writes, c.opt.WritesPerSecond
 	}
 	share := max(perSecond/float64(len(c.writers())), minPerNode)
--- a/pkg/controller/claims/claims_test.go
+++ b/pkg/controller/claims/claims_test.go
@@ -259,3 +259,48 @@
 		assert.Less(t, writes, uint64(requests/3))
 	})
 }
+
+// Guards against a journal that fills up long before its claims expire, against sealed claims that
+// a new writer does not see, and against segments that stay for good.
+func TestSealedClaimsAreKept(t *testing.T) {
+	withFleet(t, func(t *testing.T, f *fleet) {
+		done := claims.CompletedOutcome(200, "text/plain", []byte("booked"))
+		keyOf := func(i int) claims.Key { return claims.Key{0: 7, 1: byte(i >> 8), 2: byte(i)} }
+		const batches, perBatch = 6, 1000
+		for batch := range batches {
+			var callers sync.WaitGroup
+			for i := range perBatch {
+				callers.Go(func() {
+					p, _, err := f.nodes[fmt.Sprint("node-", i%3)].Begin(t.Context(), Request{Key: keyOf(batch*perBatch + i)})
+					if assert.NoError(t, err) && assert.NoError(t, p.TakeSend()) {
+						p.Finish(t.Context(), done)
+					}
+				})
+			}
+			callers.Wait()
+			time.Sleep(2 * time.Minute)
+		}
+		found, err := f.store.List(t.Context(), "claims/007")
+		require.NoError(t, err)
+		assert.Greater(t, len(found), 2)
+		assert.Less(t, len(found[0].Value), 300<<10, "the journal itself stays small")
+
+		f.unreachable.Store(true)
+		for i := 0; i < batches*perBatch; i += 97 {
+			_, o, err := f.nodes["node-1"].Begin(t.Context(), Request{Key: keyOf(i)})
+			require.NoError(t, err)
+			require.Equal(t, done, *o)
+		}
+
+		time.Sleep(25 * time.Hour)
+		for range 2 {
+			p, _, err := f.nodes["node-1"].Begin(t.Context(), Request{Key: keyOf(0)})
+			require.NoError(t, err)
+			p.Finish(t.Context(), claims.Outcome{State: claims.NotSent})
+		}
+		time.Sleep(time.Minute)
+		found, err = f.store.List(t.Context(), "claims/007")
+		require.NoError(t, err)
+		assert.Len(t, found, 1)
+	})
+}
--- a/pkg/controller/claims/shard.go
+++ b/pkg/controller/claims/shard.go
@@ -33,7 +33,7 @@
 	s, ok := c.shards[number]
 	if !ok {
 		c.dropIdleLocked(now)
-		s = &shard{number: number, writer: claims.NewWriter(), waiting: map[uint64]chan claims.Reply{}, lastUsed: now}
+		s = &shard{number: number, writer: claims.NewWriter(number), waiting: map[uint64]chan claims.Reply{}, lastUsed: now}
 		c.shards[number] = s
 	}
 	return s
@@ -114,27 +114,42 @@
 func (c *Controller) call(s *shard, action claims.Action) {
 	ctx, cancel := context.WithTimeout(c.ctx, storeTimeout)
 	defer cancel()
-	name := claims.ObjectName(s.number)
 	var replies []claims.Reply
 	switch action.Kind {
 	case claims.Read:
 		var damaged error
-		o, err := c.opt.Store.Get(ctx, name)
+		o, err := c.opt.Store.Get(ctx, action.Name)
 		replies, damaged = s.readDone(o, err)
 		if damaged != nil {
-			event.JournalDamaged.Log(c.ctx, c.opt.Logger, slog.String("object", name), slog.Any("error", damaged))
+			event.JournalDamaged.Log(c.ctx, c.opt.Logger, slog.String("object", action.Name), slog.Any("error", damaged))
 		}
 	case claims.Write:
-		version, err := c.opt.Store.Put(ctx, name, action.Value, action.IfVersion)
+		version, err := c.opt.Store.Put(ctx, action.Name, action.Value, action.IfVersion)
 		s.mu.Lock()
 		replies = s.writer.WriteDone(version, err, time.Now())
 		s.mu.Unlock()
+	case claims.Delete:
+		c.delete(ctx, action.Name)
+		s.mu.Lock()
+		s.writer.DeleteDone()
+		s.mu.Unlock()
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.deliverLocked(replies)
 }
 
+// delete removes a segment. If that fails, the object stays behind unused.
+func (c *Controller) delete(ctx context.Context, name string) {
+	o, err := c.opt.Store.Get(ctx, name)
+	if err == nil {
+		err = c.opt.Store.Delete(ctx, name, o.Version)
+	}
+	if err != nil {
+		c.opt.Logger.Debug("claim segment not deleted", slog.String("object", name), slog.Any("error", err))
+	}
+}
+
 func (s *shard) readDone(o objects.Object, err error) ([]claims.Reply, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
