--- a/pkg/controller/owner/owned.go
+++ b/pkg/controller/owner/owned.go
@@ -18,6 +18,7 @@
 type owned struct {
 	owner    *Owner
 	id       string
+	address  string
 	reporter engine.Reporter
 	stopped  chan struct{}
 	// loaded is closed when the first cache snapshot of any incarnation was taken.
@@ -47,10 +48,11 @@
 	depth int
 }
 
-func newOwned(o *Owner, id string, reporter engine.Reporter) *owned {
+func newOwned(o *Owner, id, address string, reporter engine.Reporter) *owned {
 	e := &owned{
 		owner:     o,
 		id:        id,
+		address:   address,
 		reporter:  reporter,
 		stopped:   make(chan struct{}),
 		loaded:    make(chan struct{}),
--- a/pkg/controller/owner/owner.go
+++ b/pkg/controller/owner/owner.go
@@ -63,6 +63,8 @@
 	mu      sync.Mutex
 	owned   map[string]*owned
 	running sync.WaitGroup
+	// last is the view that the current ownership was decided on.
+	last view
 }
 
 // New returns an Owner without engines. Run starts it.
@@ -109,42 +111,49 @@
 	}
 }
 
-// reconcile starts and stops engines after a change of ownership.
+// reconcile starts and stops engines after a change of ownership. An engine that moved to another
+// address is started anew.
 func (o *Owner) reconcile(ctx context.Context) {
-	wanted := o.wanted()
+	seen := o.look()
+	if seen.equal(&o.last) {
+		return
+	}
+	wanted := o.wanted(&seen)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for id, e := range o.owned {
-		if !wanted[id] {
+		if address, ok := wanted[id]; !ok || address != e.address {
 			delete(o.owned, id)
 			e.stop()
 		}
 	}
-	for id := range wanted {
+	complete := true
+	for id, address := range wanted {
 		if _, ok := o.owned[id]; ok {
 			continue
 		}
 		reporter := o.options.Engines(id)
 		if reporter == nil {
+			complete = false
 			continue
 		}
-		e := newOwned(o, id, reporter)
+		e := newOwned(o, id, address, reporter)
 		o.owned[id] = e
 		o.running.Go(func() { e.run(ctx) })
 		event.EngineOwnershipTaken.Log(ctx, o.options.Logger, slog.String("engine", id))
 	}
+	if complete {
+		o.last = seen
+	}
 }
 
-func (o *Owner) wanted() map[string]bool {
-	var members []blackboard.MemberEntry
-	for _, m := range o.options.Board.Members.Snapshot() {
-		members = append(members, m.Value)
-	}
-	wanted := map[string]bool{}
-	for id, e := range o.options.Board.Engines.Snapshot() {
-		m, ok := Of(id, e.Value.DataCentre, members)
+// wanted returns the addresses of the engines that this node owns.
+func (o *Owner) wanted(v *view) map[string]string {
+	wanted := map[string]string{}
+	for id, e := range v.engines {
+		m, ok := Of(id, e.dataCentre, v.members)
 		if ok && m.Name == o.options.Self {
-			wanted[id] = true
+			wanted[id] = e.address
 		}
 	}
 	return wanted
--- a/pkg/controller/owner/owner_test.go
+++ b/pkg/controller/owner/owner_test.go
@@ -225,6 +225,27 @@
 	})
 }
 
+// Guards against an owner that keeps reading the former address of an engine.
+func TestEngineMovesToAnotherAddress(t *testing.T) {
+	moved := newFakeEngine("e", 64)
+	moved.store([]uint64{1, 2, 3, 4})
+	inBed(t, func(o *Options) {
+		current := o.Engines
+		board := o.Board
+		o.Engines = func(id string) engine.Reporter {
+			if entry, _ := board.Engines.Get(id); entry.Value.Address == "new" {
+				return moved
+			}
+			return current(id)
+		}
+	}, func(t *testing.T, b *bed) {
+		assert.EqualValues(t, 2, b.acquire(t, ask("r", 1, 2, 3, 4)).GetCachedPieces())
+		b.board.Engines.Put("e", blackboard.EngineEntry{ID: "e", Address: "new", DataCentre: "a", Reachable: true}, blackboard.Evidence{})
+		synctest.Wait()
+		assert.EqualValues(t, 4, b.acquire(t, ask("r2", 1, 2, 3, 4)).GetCachedPieces())
+	})
+}
+
 // Guards against entries that stay hidden or wrong after events were lost.
 func TestLostEventsAreRepaired(t *testing.T) {
 	inBed(t, nil, func(t *testing.T, b *bed) {
--- /dev/null
+++ b/pkg/controller/owner/view.go
@@ -0,0 +1,41 @@
+package owner
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"cassiawall.example/cassiawall/pkg/blackboard"
+)
+
+// view is the part of the board that decides ownership. Most changes of members and engines, such
+// as a new configuration version, leave it as it is.
+type view struct {
+	// members are the live members, ordered by name.
+	members []blackboard.MemberEntry
+	engines map[string]place
+}
+
+type place struct {
+	address    string
+	dataCentre string
+}
+
+func (o *Owner) look() view {
+	v := view{engines: map[string]place{}}
+	for _, m := range o.options.Board.Members.Snapshot() {
+		if live(&m.Value) {
+			v.members = append(v.members, m.Value)
+		}
+	}
+	slices.SortFunc(v.members, func(a, b blackboard.MemberEntry) int { return cmp.Compare(a.Name, b.Name) })
+	for id, e := range o.options.Board.Engines.Snapshot() {
+		v.engines[id] = place{address: e.Value.Address, dataCentre: e.Value.DataCentre}
+	}
+	return v
+}
+
+func (v *view) equal(other *view) bool {
+	same := func(a, b blackboard.MemberEntry) bool { return a.Name == b.Name && a.DataCentre == b.DataCentre }
+	return slices.EqualFunc(v.members, other.members, same) && maps.Equal(v.engines, other.engines)
+}
