--- /dev/null
+++ b/pkg/prefix/chain_test.go
@@ -0,0 +1,66 @@
+package prefix
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// Each case differs from the base in one part of what cached data belongs to. Guards against a
+// request that counts on cached data of another workspace, model, weights version or adapter.
+func TestKeysAreSeparate(t *testing.T) {
+	base := Salt{Workspace: "shule", Model: "lugha", WeightsVersion: "v1", Adapter: "sw"}
+	cases := map[string]Salt{
+		"workspace":           {Workspace: "tuul", Model: "lugha", WeightsVersion: "v1", Adapter: "sw"},
+		"model":               {Workspace: "shule", Model: "draft", WeightsVersion: "v1", Adapter: "sw"},
+		"weights version":     {Workspace: "shule", Model: "lugha", WeightsVersion: "v2", Adapter: "sw"},
+		"adapter":             {Workspace: "shule", Model: "lugha", WeightsVersion: "v1"},
+		"boundary of fields":  {Workspace: "shulel", Model: "ugha", WeightsVersion: "v1", Adapter: "sw"},
+		"fields changed over": {Workspace: "lugha", Model: "shule", WeightsVersion: "v1", Adapter: "sw"},
+	}
+	text := strings.Repeat("timetable ", 50)
+	geometry := Geometry{PieceTokens: 20, BytesPerToken: 4}
+	segments := []Segment{{Level: "school", Shared: true, Text: text}}
+	want := Chain(base, geometry, segments)
+	content := ContentKeys(base, text, want)
+	assert.Equal(t, Keys(want), Keys(Chain(base, geometry, segments)))
+	for name, salt := range cases {
+		t.Run(name, func(t *testing.T) {
+			other := Chain(salt, geometry, segments)
+			assert.Len(t, other, len(want))
+			for i, key := range Keys(other) {
+				assert.NotContains(t, Keys(want), key, i)
+			}
+			for i, key := range ContentKeys(salt, text, other) {
+				assert.NotContains(t, content, key, i)
+			}
+		})
+	}
+}
+
+// Guards against a key that does not depend on all the text before it, on the level or on the cut.
+func TestKeysCoverTheChain(t *testing.T) {
+	geometry := Geometry{PieceTokens: 10, BytesPerToken: 1}
+	base := []Segment{{Level: "school", Text: "0123456789abcdefghij"}, {Level: "own", Text: "slot?"}}
+	want := Keys(Chain(Salt{}, geometry, base))
+	cases := map[string]struct {
+		segments []Segment
+		same     int
+	}{
+		"same text":        {base, 3},
+		"later text":       {[]Segment{base[0], {Level: "own", Text: "slot!"}}, 2},
+		"earlier text":     {[]Segment{{Level: "school", Text: "X123456789abcdefghij"}, base[1]}, 0},
+		"another level":    {[]Segment{base[0], {Level: "family", Text: "slot?"}}, 2},
+		"another boundary": {[]Segment{{Level: "school", Text: "0123456789abcdefghi"}, {Level: "own", Text: "jslot?"}}, 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			got := Keys(Chain(Salt{}, geometry, c.segments))
+			assert.Equal(t, want[:c.same], got[:c.same])
+			for _, key := range got[c.same:] {
+				assert.NotContains(t, want, key)
+			}
+		})
+	}
+}
