engine: do not follow redirects; test what requests state and how failures count

An engine or a device before it that answers 307 made the adapter send the request a second time, and a failed dial of the second address was answered with not_run. Ruled out: repeats by net/http over kept connections, which need an Idempotency-Key header or an unsent request. Before: the redirect case of TestGenerateFailures got not_run. After: engine_failed with unknown, and the request is sent once.

--- a/pkg/engine/client.go
+++ b/pkg/engine/client.go
@@ -38,9 +38,15 @@
 	if httpClient == nil {
 		httpClient = http.DefaultClient
 	}
-	return &Client{base: strings.TrimSuffix(baseURL, "/"), http: httpClient}
+	own := *httpClient
+	own.CheckRedirect = refuseRedirect
+	return &Client{base: strings.TrimSuffix(baseURL, "/"), http: &own}
 }
 
+// refuseRedirect makes a redirect the answer. Following it would send a request twice, and the
+// failure of the second copy would hide that the first one arrived.
+func refuseRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 // Generate implements Generator.
 func (c *Client) Generate(ctx context.Context, r *Request) (Stream, error) {
 	body := CompletionBody{
--- /dev/null
+++ b/pkg/engine/client_test.go
@@ -0,0 +1,82 @@
+package engine
+
+import (
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"cassiawall.example/cassiawall/pkg/fault"
+)
+
+// Guards against an engine that cannot refuse a request which relies on another incarnation or on
+// other weights, and against a continued answer that starts over.
+func TestGenerateStatesWhatItReliesOn(t *testing.T) {
+	seen := make(chan http.Header, 1)
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { seen <- r.Header }))
+	defer server.Close()
+	s, err := NewClient(server.URL, server.Client()).Generate(t.Context(),
+		&Request{ID: "r1", Workspace: "shule", WeightsVersion: "v2", Incarnation: "e1-3", ResumeOffset: 4})
+	require.NoError(t, err)
+	require.NoError(t, s.Close())
+	h := <-seen
+	assert.Equal(t, "r1", h.Get(HeaderRequestID))
+	assert.Equal(t, "v2", h.Get(HeaderWeightsVersion))
+	assert.Equal(t, "e1-3", h.Get(HeaderIncarnation))
+	assert.Equal(t, "4", h.Get(HeaderResumeOffset))
+}
+
+// Each case is a way in which an engine fails a request. Guards against a not_run after which the
+// engine may have run the request.
+func TestGenerateFailures(t *testing.T) {
+	status := func(code int) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(code) }
+	}
+	cases := map[string]struct {
+		handler http.HandlerFunc
+		kind    fault.Kind
+		work    fault.Work
+	}{
+		"old incarnation":           {status(http.StatusConflict), fault.EngineRefused, fault.NotRun},
+		"queue full":                {status(http.StatusTooManyRequests), fault.Overloaded, fault.NotRun},
+		"busy":                      {status(http.StatusServiceUnavailable), fault.Overloaded, fault.NotRun},
+		"invalid request":           {status(http.StatusBadRequest), fault.BadRequest, fault.NotRun},
+		"failure while it ran":      {status(http.StatusInternalServerError), fault.EngineFailed, fault.Unknown},
+		"gateway that lost it":      {status(http.StatusBadGateway), fault.EngineFailed, fault.Unknown},
+		"crash before the headers":  {func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, fault.EngineFailed, fault.Unknown},
+		"redirect to another place": {func(w http.ResponseWriter, r *http.Request) { redirectToNobody(w, r) }, fault.EngineFailed, fault.Unknown},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(c.handler)
+			defer server.Close()
+			_, err := NewClient(server.URL, server.Client()).Generate(t.Context(), &Request{ID: "r1"})
+			assert.Equal(t, c.kind, fault.As(err).Kind, "%v", err)
+			assert.Equal(t, c.work, fault.As(err).Work, "%v", err)
+		})
+	}
+	t.Run("nobody listens", func(t *testing.T) {
+		_, err := NewClient(addressOfNobody(t), &http.Client{}).Generate(t.Context(), &Request{ID: "r1"})
+		assert.Equal(t, fault.EngineFailed, fault.As(err).Kind)
+		assert.Equal(t, fault.NotRun, fault.As(err).Work)
+	})
+}
+
+// redirectToNobody sends the client to an address where nobody listens.
+func redirectToNobody(w http.ResponseWriter, r *http.Request) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err == nil {
+		_ = l.Close()
+		http.Redirect(w, r, "http://"+l.Addr().String(), http.StatusTemporaryRedirect)
+	}
+}
+
+func addressOfNobody(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, l.Close())
+	return "http://" + l.Addr().String()
+}
