entry: tell requests that run once why a shutdown ends them

A generation that runs at most once was cancelled at the end of the drain bound without the cause, so its caller read stream_broken and the report counted it as abandoned. Ruled out: the relay, which passes on the cause it gets. Before: TestStopTellsOnceRequests got stream_broken.

Also test what requests state, continue and repeat, and that a later failure of a backend server hides no run.

--- a/pkg/entry/once.go
+++ b/pkg/entry/once.go
@@ -53,10 +53,12 @@
 		w.Header().Set(headerReplayed, "true")
 		return replayAnswer(g, recorded, out)
 	}
-	ctx, cancel := context.WithTimeoutCause(context.WithoutCancel(r.Context()), onceTimeout,
+	running, stop := context.WithCancelCause(context.WithoutCancel(r.Context()))
+	defer stop(nil)
+	defer context.AfterFunc(s.stopped, func() { stop(context.Cause(s.stopped)) })()
+	ctx, cancel := context.WithTimeoutCause(running, onceTimeout,
 		fault.New(fault.StreamBroken, "the request ran longer than %s", onceTimeout))
 	defer cancel()
-	defer context.AfterFunc(s.stopped, cancel)()
 	sink := &onceSink{responder: out}
 	err = s.relayGeneration(ctx, g, sink, permit)
 	permit.Finish(ctx, outcomeOf(g, sink, err))
--- /dev/null
+++ b/pkg/entry/relies_test.go
@@ -0,0 +1,98 @@
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"cassiawall.example/cassiawall/pkg/blackboard"
+	"cassiawall.example/cassiawall/pkg/config"
+	"cassiawall.example/cassiawall/pkg/engine"
+)
+
+// cutEngine cuts each answer but the last after a chunk.
+type cutEngine struct {
+	fakeEngine
+	cuts int
+}
+
+func (f *cutEngine) Generate(ctx context.Context, r *engine.Request) (engine.Stream, error) {
+	f.requests = append(f.requests, r)
+	whole := twoChunks()
+	part := &fakeEngine{chunks: whole[:1]}
+	s := &fakeStream{ctx: ctx, engine: part, id: r.ID}
+	if len(f.requests) > f.cuts {
+		part.chunks, s.next = whole, r.ResumeOffset
+	}
+	return s, nil
+}
+
+func keysOf(r *engine.Request) []uint64 {
+	keys := make([]uint64, len(r.Pieces))
+	for i, p := range r.Pieces {
+		keys[i] = p.Key
+	}
+	return keys
+}
+
+// Guards against a request that an engine cannot tell from one for another incarnation, other
+// weights or another workspace.
+func TestRequestStatesWhatItReliesOn(t *testing.T) {
+	const otherKey = "key-of-tuul"
+	hash := sha256.Sum256([]byte(otherKey))
+	f := &fakeEngine{chunks: twoChunks()}
+	s := testServer(t, f)
+	c := testConfig()
+	other := c.Workspaces[0]
+	other.Name, other.APIKeyHashes = "tuul", []string{hex.EncodeToString(hash[:])}
+	c.Workspaces = append(c.Workspaces, other)
+	s.opt.Board.Config.Put(blackboard.ConfigKey, blackboard.ConfigEntry{Version: 2, Config: c}, blackboard.Evidence{})
+	e, _ := s.opt.Board.Engines.Get("e1")
+	e.Value.State.Incarnation = "e1-3"
+	s.opt.Board.Engines.Put("e1", e.Value, blackboard.Evidence{})
+	version := "v1"
+	s.opt.Version = func(*config.Model, map[string]bool) string { return version }
+	send := func(key string) *engine.Request {
+		w := post(t.Context(), s, key, "/v1/completions", `{"model":"lugha","prompt":"timetable and slot"}`)
+		require.Equal(t, http.StatusOK, w.Code, w.Body)
+		return f.requests[len(f.requests)-1]
+	}
+	first, foreign := send(testKey), send(otherKey)
+	version = "v2"
+	e.Value.State.WeightsVersion = "v2"
+	s.opt.Board.Engines.Put("e1", e.Value, blackboard.Evidence{})
+	reloaded := send(testKey)
+	assert.Equal(t, "e1-3", first.Incarnation)
+	assert.Equal(t, "v1", first.WeightsVersion)
+	assert.Equal(t, "v2", reloaded.WeightsVersion)
+	for _, key := range keysOf(first) {
+		assert.NotContains(t, keysOf(foreign), key)
+		assert.NotContains(t, keysOf(reloaded), key)
+	}
+}
+
+// Guards against a continued answer that an engine computes anew: with sampling, its tokens would
+// not fit those that the caller has.
+func TestCutAnswerContinuesFromDeliveredTokens(t *testing.T) {
+	f := &cutEngine{cuts: 2}
+	s := testServer(t, &f.fakeEngine)
+	s.opt.Engines = func(string) engine.Generator { return f }
+	e, _ := s.opt.Board.Engines.Get("e1")
+	e.Value.ID = "e2"
+	s.opt.Board.Engines.Put("e2", e.Value, blackboard.Evidence{})
+	w := post(t.Context(), s, testKey, "/v1/completions", `{"model":"lugha","prompt":"slot?"}`)
+	assert.Contains(t, w.Body.String(), `"text":"habari"`)
+	require.Len(t, f.requests, 3, "the first attempt, a resume on its engine and a replay on another one")
+	assert.Zero(t, f.requests[0].ResumeOffset)
+	for _, r := range f.requests[1:] {
+		assert.Equal(t, f.requests[0].ID, r.ID)
+		assert.Equal(t, 1, r.ResumeOffset)
+		assert.Equal(t, "haba", r.Replay)
+		assert.Equal(t, 1, r.ReplayTokens)
+	}
+}
--- a/pkg/service/dispatch_test.go
+++ b/pkg/service/dispatch_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"log/slog"
 	"math/rand/v2"
@@ -152,6 +153,13 @@
 			b.setFaults(standin.Faults{})
 			assertRefused(t, b.book("k"), fault.OutcomeUnknown, fault.Unknown)
 		}, 0},
+		"answer lost over a kept connection": {9, func(t *testing.T, b *bed) {
+			for i := range 8 {
+				assertAnswer(t, b.book(fmt.Sprint("before", i)), "")
+			}
+			b.setFaults(standin.Faults{LoseAnswer: 1})
+			assertRefused(t, b.book("k"), fault.OutcomeUnknown, fault.Unknown)
+		}, 0},
 		"backend crashes after the run": {2, func(t *testing.T, b *bed) {
 			assertAnswer(t, b.book("before"), "")
 			b.setFaults(standin.Faults{CrashAfterRun: 1, CrashFor: time.Hour})
@@ -297,6 +305,21 @@
 	}
 }
 
+// Guards against a not_run from the second backend server after the first one may have run the call.
+func TestUnreachableBackendHidesNoRun(t *testing.T) {
+	b := newBed(t)
+	b.call.Route = &config.Route{Path: "/slots"}
+	near, far := b.listeners[0].Listener.Addr().String(), b.listeners[1].Listener.Addr().String()
+	b.backends[0].SetFaults(standin.Faults{LoseAnswer: 1})
+	b.listeners[1].Close()
+	b.board.Services.Put(blackboard.ServiceKey{Service: "ratiba", Address: far}, blackboard.ServiceEntry{DataCentre: "dar-b", Reachable: true}, blackboard.Evidence{})
+	assertRefused(t, b.do(http.MethodGet, "/slots", "", ""), fault.BackendFailed, fault.Unknown)
+	e, _ := b.board.Services.Get(blackboard.ServiceKey{Service: "ratiba", Address: far})
+	assert.False(t, e.Value.Reachable, "the second backend server was tried")
+	e, _ = b.board.Services.Get(blackboard.ServiceKey{Service: "ratiba", Address: near})
+	assert.True(t, e.Value.Reachable)
+}
+
 // Guards against retries that multiply the load of failing backend servers.
 func TestRetriesAreBudgeted(t *testing.T) {
 	b := newBed(t)
