--- /dev/null
+++ b/pkg/bench/scale/claims.go
@@ -0,0 +1,91 @@
+package scale
+
+import (
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"time"
+
+	"cassiawall.example/cassiawall/pkg/claims"
+	"cassiawall.example/cassiawall/pkg/fault"
+	"cassiawall.example/cassiawall/pkg/objects"
+)
+
+func init() {
+	Register(Role{
+		Name:       "claims",
+		SizeUnit:   "claims in a journal",
+		TargetSize: 2000,
+		Sizes:      []int{250, 500, 1000, 2000},
+		Measure:    measureClaims,
+	})
+}
+
+// claimsPerWrite is the number of claims that one conditional update carries.
+const claimsPerWrite = 8
+
+// measureClaims measures the size of a shard's journal and the CPU time of one conditional update
+// of a journal of the given size.
+func measureClaims(_ context.Context, size int) (map[string]float64, error) {
+	now := time.Unix(1, 0)
+	w := claims.NewWriter(0)
+	store := objectMap{}
+	for i := 0; i < size; i += claimsPerWrite {
+		if err := store.flush(w, i, now); err != nil {
+			return nil, err
+		}
+	}
+	const updates = 20
+	begin := cpuTime()
+	for i := range updates {
+		if err := store.flush(w, size+i*claimsPerWrite, now); err != nil {
+			return nil, err
+		}
+	}
+	return map[string]float64{
+		"journal_bytes": float64(len(store[claims.ObjectName(0)].Value)),
+		"update_cpu_ms": (cpuTime() - begin).Seconds() * 1000 / updates,
+	}, nil
+}
+
+// objectMap is an object API without faults and without calls.
+type objectMap map[string]objects.Object
+
+// flush submits claims and drives the writer until they are answered.
+func (m objectMap) flush(w *claims.Writer, first int, now time.Time) error {
+	for i := range claimsPerWrite {
+		key := claims.NewKey("workspace-12345", "ratiba /book", fmt.Sprint("booking-", first+i))
+		w.Submit(claims.Op{Claim: &claims.ClaimOp{Key: key, Attempt: "0123456789abcdef0123456789abcdef", BodyHash: sha256.Sum256(key[:]),
+			Keep: 24 * time.Hour, Deadline: 15 * time.Second}}, now)
+	}
+	for !w.Idle() {
+		action, _ := w.Next(now)
+		if err := m.perform(w, &action, now); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (m objectMap) perform(w *claims.Writer, action *claims.Action, now time.Time) error {
+	stored, ok := m[action.Name]
+	switch action.Kind {
+	case claims.Read:
+		var missing error
+		if !ok {
+			missing = fault.New(fault.NotFound, "no object %s", action.Name)
+		}
+		_, err := w.ReadDone(stored, missing, now)
+		return err
+	case claims.Write:
+		stored = objects.Object{Name: action.Name, Version: stored.Version + 1, Value: action.Value}
+		m[action.Name] = stored
+		w.WriteDone(stored.Version, nil, now)
+	case claims.Delete:
+		delete(m, action.Name)
+		w.DeleteDone()
+	default:
+		return fault.New(fault.Internal, "the claim writer wants nothing while claims wait")
+	}
+	return nil
+}
--- a/test/e2e/openai_test.go
+++ b/test/e2e/openai_test.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"log/slog"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,6 +18,7 @@
 	"github.com/stretchr/testify/require"
 
 	"cassiawall.example/cassiawall/pkg/config"
+	"cassiawall.example/cassiawall/pkg/event"
 	"cassiawall.example/cassiawall/pkg/localfleet"
 	"cassiawall.example/cassiawall/pkg/node"
 	messages "cassiawall.example/cassiawall/pkg/openai"
@@ -50,6 +52,11 @@
 }
 
 func startFleetWith(t *testing.T, c *config.Config, nodes, engines int) *localfleet.Fleet {
+	t.Helper()
+	return startFleetLogged(t, c, nodes, engines, slog.New(slog.DiscardHandler))
+}
+
+func startFleetLogged(t *testing.T, c *config.Config, nodes, engines int, logger *slog.Logger) *localfleet.Fleet {
 	t.Helper()
 	var list []enginestandin.Config
 	for i := range engines {
@@ -58,7 +65,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), giveUp)
 	defer cancel()
 	f, err := localfleet.Start(ctx, localfleet.Options{Nodes: nodes, DataCentres: []string{"dar-a", "dar-b", "dar-c"}, Engines: list,
-		Config: c, Logger: slog.New(slog.DiscardHandler)})
+		Config: c, Logger: logger})
 	require.NoError(t, err)
 	t.Cleanup(func() { assert.NoError(t, f.Close()) })
 	return f
@@ -79,6 +86,40 @@
 	return params, enginestandin.Answer(messages.ChatText(wire), seed, maxTokens)
 }
 
+// eventCounter counts the log records of an event.
+type eventCounter struct {
+	slog.Handler
+	event event.Event
+	count *atomic.Int64
+}
+
+// Handle implements slog.Handler.
+func (c eventCounter) Handle(_ context.Context, r slog.Record) error {
+	if r.Message == c.event.Name {
+		c.count.Add(1)
+	}
+	return nil
+}
+
+// Enabled implements slog.Handler.
+func (c eventCounter) Enabled(context.Context, slog.Level) bool { return true }
+
+// Guards against nodes that cannot call each other and hide it by dispatching without owners.
+func TestOwnersAnswerOtherNodes(t *testing.T) {
+	counter := eventCounter{Handler: slog.DiscardHandler, event: event.DirectDispatch, count: &atomic.Int64{}}
+	f := startFleetLogged(t, fleetConfig(), 3, 3, slog.New(counter))
+	for _, n := range f.Nodes() {
+		require.Eventually(t, func() bool { return n.Board().Members.Len() == 3 }, giveUp, poll)
+	}
+	for i := range 12 {
+		params, _ := chat(fmt.Sprint("slot ", i))
+		c := client(f.Nodes()[i%3])
+		_, err := c.Chat.Completions.New(t.Context(), params)
+		require.NoError(t, err)
+	}
+	assert.Zero(t, counter.count.Load())
+}
+
 // Guards against answers that a published client cannot read, on any node, streamed or whole.
 func TestPublishedClient(t *testing.T) {
 	f := startFleet(t, 3, 4)
