--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -178,7 +178,7 @@
 // controllers returns the loops that run until the context ends.
 func (n *Node) controllers() []func(context.Context) error {
 	return []func(context.Context) error{
-		n.discovery.Run, n.gossip.Run, n.config.Run, n.shares.Run, n.owner.Run, n.services.Run, n.leases.Run, n.rollouts.Run,
+		n.discovery.Run, n.gossip.Run, n.followMembers, n.config.Run, n.shares.Run, n.owner.Run, n.services.Run, n.leases.Run, n.rollouts.Run,
 		n.feed, n.followConfig,
 	}
 }
--- a/pkg/node/peers.go
+++ b/pkg/node/peers.go
@@ -155,3 +155,6 @@
 	n.refreshPlacement()
 	n.placer.LoadSoft(time.Now(), prefixes)
 }
+
+// followMembers ends calls to nodes that membership takes to be gone.
+func (n *Node) followMembers(ctx context.Context) error { return n.pool.Follow(ctx, n.board) }
--- a/pkg/peer/pool.go
+++ b/pkg/peer/pool.go
@@ -40,6 +40,7 @@
 	scheme    string
 	transport *http.Transport
 	auth      *Auth
+	reach     *reach
 
 	mu      sync.Mutex
 	clients map[string]peerpb.Peer
@@ -67,6 +68,7 @@
 			DisableCompression:  true,
 		},
 		auth:    auth,
+		reach:   newReach(),
 		clients: map[string]peerpb.Peer{},
 	}
 }
@@ -83,7 +85,7 @@
 	if len(p.clients) >= maxClients {
 		clear(p.clients)
 	}
-	c := peerpb.NewPeerProtobufClient(p.scheme+"://"+address, &caller{transport: p.transport, auth: p.auth})
+	c := peerpb.NewPeerProtobufClient(p.scheme+"://"+address, &caller{transport: p.transport, auth: p.auth, reach: p.reach})
 	p.clients[address] = c
 	return c
 }
@@ -95,6 +97,7 @@
 type caller struct {
 	transport http.RoundTripper
 	auth      *Auth
+	reach     *reach
 }
 
 // Do signs the call, sends it and checks the reply's signature. The error is of kind
@@ -102,6 +105,8 @@
 func (c *caller) Do(r *http.Request) (*http.Response, error) {
 	ctx, cancel := withDefaultDeadline(r.Context())
 	defer cancel()
+	ctx, detach := c.reach.attach(ctx, r.URL.Host)
+	defer detach()
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return nil, err
--- a/pkg/peer/rpc_test.go
+++ b/pkg/peer/rpc_test.go
@@ -10,12 +10,14 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
+	"cassiawall.example/cassiawall/pkg/blackboard"
 	"cassiawall.example/cassiawall/pkg/peer/peerpb"
 )
 
@@ -191,6 +193,53 @@
 	<-impl.cancelled
 }
 
+// Guards against a queued call that waits for its whole deadline when the callee's VM loses power,
+// and against calls refused for a member that is back.
+func TestCallsEndWithTheirMember(t *testing.T) {
+	for name, c := range map[string]struct {
+		state blackboard.MemberState
+		after time.Duration
+	}{
+		"suspect": {blackboard.MemberSuspect, suspectGrace},
+		"left":    {blackboard.MemberLeft, suspectGrace},
+		"dead":    {blackboard.MemberDead, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				board := blackboard.New()
+				put := func(state blackboard.MemberState) {
+					board.Members.Put("m", blackboard.MemberEntry{Name: "m", RPCAddress: "m:1", State: state}, blackboard.Evidence{})
+					synctest.Wait()
+				}
+				p := &Pool{reach: newReach()}
+				go func() { _ = p.Follow(t.Context(), board) }()
+				put(blackboard.MemberAlive)
+				call, done := p.reach.attach(t.Context(), "m:1")
+				defer done()
+				put(c.state)
+				assert.Equal(t, c.after == 0, call.Err() != nil)
+				time.Sleep(c.after)
+				synctest.Wait()
+				assert.Error(t, call.Err())
+				refused, done := p.reach.attach(t.Context(), "m:1")
+				defer done()
+				synctest.Wait()
+				assert.Error(t, refused.Err())
+				put(blackboard.MemberAlive)
+				again, done := p.reach.attach(t.Context(), "m:1")
+				defer done()
+				put(blackboard.MemberSuspect)
+				put(blackboard.MemberAlive)
+				time.Sleep(10 * suspectGrace)
+				assert.NoError(t, again.Err(), "a refuted suspicion ends no call")
+				other, done := p.reach.attach(t.Context(), "unknown:1")
+				defer done()
+				assert.NoError(t, other.Err())
+			})
+		})
+	}
+}
+
 // Guards against key settings that would weaken or break authentication.
 func TestKeyringRefusesBadKeys(t *testing.T) {
 	for name, keys := range map[string][]Key{
