--- a/pkg/service/dispatch_test.go
+++ b/pkg/service/dispatch_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -289,18 +290,18 @@
 			b.call.Route = &config.Route{Path: "/slots"}
 			b.board = blackboard.New()
 			b.dispatcher.opt.Board = b.board
-			runs := 0
+			var runs atomic.Int32
 			b.addBackend(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 				if r.URL.Path == "/first" {
 					return
 				}
-				runs++
+				runs.Add(1)
 				assert.NoError(t, b.listeners[2].Listener.Close())
 				panic(http.ErrAbortHandler)
 			}))
 			assert.Equal(t, http.StatusOK, b.do(http.MethodGet, "/first", "", "").Code)
 			assertRefused(t, b.do(method, "/slots", "key", ""), fault.BackendFailed, fault.Unknown)
-			assert.Equal(t, 1, runs)
+			assert.Equal(t, int32(1), runs.Load())
 		})
 	}
 }
