owner: grant nothing to requests that wait when their engine starts to leave

An owner refused new requests for a leaving engine but went on granting those in its queue. Ruled out: the filter of the entry, which runs before the wait. Before: TestLeavingEngineIsNotGranted got a grant 3 s after the first evidence. After: engine_leaving, and the entry asks for the next engine.

--- a/pkg/controller/owner/owned.go
+++ b/pkg/controller/owner/owned.go
@@ -242,8 +242,13 @@
 	}
 }
 
-// pump grants what the engine can take now. The caller holds mu.
+// pump grants what the engine can take now. Requests that wait when the engine starts to leave go
+// to other engines. The caller holds mu.
 func (e *owned) pump(now time.Time) {
+	if e.queue.Waiting() > 0 && e.isLeaving() {
+		e.answerAll(peerpb.AcquireReply_ENGINE_LEAVING)
+		return
+	}
 	for _, o := range e.queue.Drop(now) {
 		e.finish(o.TicketID, e.refusal(verdictOf(o.Verdict), o, 0))
 	}
--- a/pkg/controller/owner/owner_test.go
+++ b/pkg/controller/owner/owner_test.go
@@ -95,6 +95,33 @@
 	})
 }
 
+// Each case marks the engine as leaving at another step. Guards against new work for a leaving engine
+// from its owner.
+func TestLeavingEngineIsNotGranted(t *testing.T) {
+	leave := func(b *bed) {
+		b.board.Engines.Put("e", blackboard.EngineEntry{ID: "e", DataCentre: "a", Reachable: true, Leaving: true}, blackboard.Evidence{})
+	}
+	t.Run("before the request", func(t *testing.T) {
+		inBed(t, nil, func(t *testing.T, b *bed) {
+			leave(b)
+			assert.Equal(t, peerpb.AcquireReply_ENGINE_LEAVING, b.acquire(t, ask("r", 1)).GetVerdict())
+		})
+	})
+	t.Run("while the request waits", func(t *testing.T) {
+		inBed(t, nil, func(t *testing.T, b *bed) {
+			first := b.acquire(t, ask("first", 10))
+			waiting := make(chan *peerpb.AcquireReply, 1)
+			go func() { waiting <- b.acquire(t, ask("second", 100)) }()
+			synctest.Wait()
+			require.Empty(t, waiting)
+			leave(b)
+			time.Sleep(3 * time.Second)
+			b.release(first.GetSlot(), peerpb.ReleaseRequest_DONE, 0)
+			assert.Equal(t, peerpb.AcquireReply_ENGINE_LEAVING, (<-waiting).GetVerdict())
+		})
+	})
+}
+
 // Guards against a caller who left but keeps a place in the queue or a slot.
 func TestCancelledAcquireHoldsNothing(t *testing.T) {
 	inBed(t, nil, func(t *testing.T, b *bed) {
