node: bound the wait for outcomes at shutdown

A graceful shutdown waited for the recording of outcomes without a bound, so during an outage of the object API the node ran on after its drain bound. Ruled out: the drain itself, which ended in time. Before: a node with a booking not yet recorded still ran 35 s after Shutdown with a drain bound of 20 s. After: it stops 5 s after the drain, and repeats of the booking learn that the outcome is unknown.

--- a/pkg/node/drain.go
+++ b/pkg/node/drain.go
@@ -40,11 +40,23 @@
 	case <-n.stop:
 	}
 	n.drain(ctx, s)
-	n.claims.Close(ctx)
+	n.settleClaims(ctx)
 	n.gossip.Leave(ctx)
 	return <-served
 }
 
+// settleTimeout bounds the wait for the recording of outcomes. Without it a shutdown during an
+// outage of the object API lasts as long as the outage.
+const settleTimeout = 5 * time.Second
+
+// settleClaims waits until the outcomes of requests that run at most once are recorded. Repeats of
+// those that are not learn that the outcome is unknown.
+func (n *Node) settleClaims(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
+	defer cancel()
+	n.claims.Close(ctx)
+}
+
 // pause waits for d or until ctx ends.
 func pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
