--- a/pkg/localfleet/fleet.go
+++ b/pkg/localfleet/fleet.go
@@ -3,6 +3,7 @@
 package localfleet
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"errors"
@@ -38,6 +39,8 @@
 	// Seed starts the random faults of the stand-ins.
 	Seed   uint64
 	Logger *slog.Logger
+	// DrainBound is the time in which a node that shuts down lets its requests finish. Default 20 s.
+	DrainBound time.Duration
 }
 
 // Fleet is a running fleet.
@@ -69,8 +72,8 @@
 	configObject = "config/current"
 )
 
-// drainBound is the drain bound of local nodes; their streams last seconds.
-const drainBound = 20 * time.Second
+// defaultDrainBound is longer than the streams of local nodes, which last seconds.
+const defaultDrainBound = 20 * time.Second
 
 // drainNotice is longer than a local load balancer takes to notice.
 const drainNotice = 200 * time.Millisecond
@@ -145,7 +148,7 @@
 	s := &settings.Settings{
 		Name: fmt.Sprintf("node-%d", i+1), DataCentre: f.dataCentre(i), Region: "local",
 		Callers: listener, Peers: listener, Operators: listener, Gossip: settings.Gossip{Address: loopback},
-		DrainBound: config.Duration(drainBound), DrainNotice: config.Duration(drainNotice),
+		DrainBound: config.Duration(cmp.Or(f.opt.DrainBound, defaultDrainBound)), DrainNotice: config.Duration(drainNotice),
 		Platform: settings.Platform{Objects: f.Platform.objectsURL, VMs: f.Platform.vmsURL, Weights: f.Platform.weightsURL},
 		Engines:  settings.Engines{VMRole: vms.RoleEngine},
 	}
--- a/test/e2e/openai_test.go
+++ b/test/e2e/openai_test.go
@@ -50,6 +50,12 @@
 }
 
 func startFleetWith(t *testing.T, c *config.Config, nodes, engines int) *localfleet.Fleet {
+	t.Helper()
+	return startFleetDraining(t, c, nodes, engines, 0)
+}
+
+// startFleetDraining starts a fleet with a drain bound; 0 is the default.
+func startFleetDraining(t *testing.T, c *config.Config, nodes, engines int, drainBound time.Duration) *localfleet.Fleet {
 	t.Helper()
 	var list []enginestandin.Config
 	for i := range engines {
@@ -58,7 +64,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), giveUp)
 	defer cancel()
 	f, err := localfleet.Start(ctx, localfleet.Options{Nodes: nodes, DataCentres: []string{"dar-a", "dar-b", "dar-c"}, Engines: list,
-		Config: c, Logger: slog.New(slog.DiscardHandler)})
+		Config: c, Logger: slog.New(slog.DiscardHandler), DrainBound: drainBound})
 	require.NoError(t, err)
 	t.Cleanup(func() { assert.NoError(t, f.Close()) })
 	return f
