routing: check the blocks of a copy against the request

A copy passed on whatever the source exported. A source that loads other weights between the choice and the export, or that answers with another prompt's blocks, could fill a target that does not check imports. Ruled out: the stand-in engine, which refuses both.

--- a/pkg/routing/copy.go
+++ b/pkg/routing/copy.go
@@ -7,6 +7,7 @@
 
 	"cassiawall.example/cassiawall/pkg/engine"
 	"cassiawall.example/cassiawall/pkg/event"
+	"cassiawall.example/cassiawall/pkg/fault"
 	"cassiawall.example/cassiawall/pkg/prefix"
 )
 
@@ -31,7 +32,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
-	blocks, err := source.Export(ctx, contentKeys(w))
+	keys := contentKeys(w)
+	blocks, err := source.Export(ctx, keys)
+	if err == nil {
+		err = checkBlocks(w, keys, &blocks)
+	}
 	if err == nil && len(blocks.Blocks) > 0 {
 		err = target.Import(ctx, blocks)
 	}
@@ -40,6 +45,23 @@
 	}
 }
 
+// checkBlocks refuses blocks that were not asked for. Not every engine checks what it imports, and
+// the source may have loaded other weights since the copy was chosen.
+func checkBlocks(w *Work, keys []string, blocks *engine.KVBlocks) error {
+	if len(blocks.Blocks) == 0 {
+		return nil
+	}
+	if blocks.Model != w.Model.Name || blocks.WeightsVersion != w.Model.WeightsVersion || blocks.Adapter != "" {
+		return fault.New(fault.EngineFailed, "export holds blocks of %s %s, want %s %s", blocks.Model, blocks.WeightsVersion, w.Model.Name, w.Model.WeightsVersion)
+	}
+	for i, b := range blocks.Blocks {
+		if i >= len(keys) || b.ContentKey != keys[i] {
+			return fault.New(fault.EngineFailed, "export holds block %s, which is not block %d of the prompt", b.ContentKey, i)
+		}
+	}
+	return nil
+}
+
 // contentKeys names the shared pieces as the engines do.
 func contentKeys(w *Work) []string {
 	shared := 0
--- a/pkg/routing/copy_test.go
+++ b/pkg/routing/copy_test.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"context"
 	"log/slog"
 	"testing"
 	"time"
@@ -50,3 +51,62 @@
 	assert.Equal(t, 1, computed("b", "shule"))
 	assert.Equal(t, tokens, computed("b", "other"))
 }
+
+// exporting answers an export with its blocks and counts imports.
+type exporting struct {
+	blocks  engine.KVBlocks
+	imports int
+}
+
+func (e *exporting) Export(context.Context, []string) (engine.KVBlocks, error) { return e.blocks, nil }
+
+func (e *exporting) Import(context.Context, engine.KVBlocks) error { e.imports++; return nil }
+
+// Each case is an answer of the source that does not fit the request. Guards against blocks of other
+// weights, another workspace or another prompt in a target that does not check them.
+func TestCopyRefusesForeignBlocks(t *testing.T) {
+	w := testWork()
+	const text = "the timetable of the school"
+	w.Prompt = func() string { return text }
+	salt := prefix.Salt{Workspace: "shule", Model: "lugha", WeightsVersion: "v1"}
+	w.Pieces = prefix.Chain(salt, prefix.Geometry{PieceTokens: 8, BytesPerToken: 1}, []prefix.Segment{{Level: "school", Shared: true, Text: text}})
+	keys := contentKeys(w)
+	other := *w.Workspace
+	other.Name = "other"
+	foreign := *w
+	foreign.Workspace = &other
+	of := func(keys ...string) []engine.KVBlock {
+		blocks := make([]engine.KVBlock, len(keys))
+		for i, k := range keys {
+			blocks[i].ContentKey = k
+		}
+		return blocks
+	}
+	cases := map[string]struct {
+		blocks  engine.KVBlocks
+		imports int
+	}{
+		"all blocks":          {engine.KVBlocks{Model: "lugha", WeightsVersion: "v1", Blocks: of(keys...)}, 1},
+		"leading blocks":      {engine.KVBlocks{Model: "lugha", WeightsVersion: "v1", Blocks: of(keys[0])}, 1},
+		"no blocks":           {engine.KVBlocks{Model: "lugha", WeightsVersion: "v1"}, 0},
+		"older weights":       {engine.KVBlocks{Model: "lugha", WeightsVersion: "v0", Blocks: of(keys...)}, 0},
+		"another model":       {engine.KVBlocks{Model: "draft", WeightsVersion: "v1", Blocks: of(keys...)}, 0},
+		"an adapter":          {engine.KVBlocks{Model: "lugha", WeightsVersion: "v1", Adapter: "sw", Blocks: of(keys...)}, 0},
+		"another workspace":   {engine.KVBlocks{Model: "lugha", WeightsVersion: "v1", Blocks: of(contentKeys(&foreign)...)}, 0},
+		"crossed order":       {engine.KVBlocks{Model: "lugha", WeightsVersion: "v1", Blocks: of(keys[1], keys[0])}, 0},
+		"more than was asked": {engine.KVBlocks{Model: "lugha", WeightsVersion: "v1", Blocks: of(append(keys, "ff")...)}, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			source, target := &exporting{blocks: c.blocks}, &exporting{}
+			copier := &Copier{Logger: slog.New(slog.DiscardHandler), Engines: func(id string) engine.KVMover {
+				if id == "from" {
+					return source
+				}
+				return target
+			}}
+			copier.Copy(t.Context(), w, "from", "to")
+			assert.Equal(t, c.imports, target.imports)
+		})
+	}
+}
