--- a/pkg/entry/entry_test.go
+++ b/pkg/entry/entry_test.go
@@ -87,7 +87,7 @@
 	}
 }
 
-func testServer(t *testing.T, f *fakeEngine) *Server {
+func testServer(t testing.TB, f *fakeEngine) *Server {
 	t.Helper()
 	board := blackboard.New()
 	board.Config.Put(blackboard.ConfigKey, blackboard.ConfigEntry{Version: 1, Config: testConfig()}, blackboard.Evidence{})
--- /dev/null
+++ b/pkg/entry/fuzz_test.go
@@ -0,0 +1,27 @@
+package entry
+
+import (
+	"net/http"
+	"testing"
+)
+
+// Guards against a request that crashes the entry, or that is refused with not_run although an engine
+// got it.
+func FuzzChat(f *testing.F) {
+	for _, seed := range []string{
+		`{"model":"lugha","messages":[{"role":"user","content":"slot?"}]}`,
+		`{"model":"lugha","messages":[{"role":"user","content":[{"type":"text","text":"a"}]}],"stream":true,"max_tokens":3}`,
+		`{"model":"lugha","max_tokens":-1}`, `{"messages":null}`, `[]`, "",
+	} {
+		f.Add(seed)
+	}
+	engine := &fakeEngine{chunks: twoChunks()}
+	s := testServer(f, engine)
+	f.Fuzz(func(t *testing.T, body string) {
+		engine.requests = nil
+		w := post(t.Context(), s, testKey, "/v1/chat/completions", body)
+		if answered := w.Code == http.StatusOK; answered != (len(engine.requests) > 0) {
+			t.Fatalf("status %d after %d requests to engines: %s", w.Code, len(engine.requests), w.Body)
+		}
+	})
+}
--- a/test/e2e/openai_test.go
+++ b/test/e2e/openai_test.go
@@ -44,18 +44,18 @@
 	}
 }
 
-func startFleet(t *testing.T, nodes, engines int) *localfleet.Fleet {
+func startFleet(t testing.TB, nodes, engines int) *localfleet.Fleet {
 	t.Helper()
 	return startFleetWith(t, fleetConfig(), nodes, engines)
 }
 
-func startFleetWith(t *testing.T, c *config.Config, nodes, engines int) *localfleet.Fleet {
+func startFleetWith(t testing.TB, c *config.Config, nodes, engines int) *localfleet.Fleet {
 	t.Helper()
 	return startFleetDraining(t, c, nodes, engines, 0)
 }
 
 // startFleetDraining starts a fleet with a drain bound; 0 is the default.
-func startFleetDraining(t *testing.T, c *config.Config, nodes, engines int, drainBound time.Duration) *localfleet.Fleet {
+func startFleetDraining(t testing.TB, c *config.Config, nodes, engines int, drainBound time.Duration) *localfleet.Fleet {
 	t.Helper()
 	var list []enginestandin.Config
 	for i := range engines {
