routing: do not dispatch directly to an engine that started to leave

A request whose owner was lost while it waited went directly to the engine even if the board had it as leaving by then. Ruled out: the filter, which runs before the wait, and owners, which refuse. Before: the case 'leaves while its owner is lost' of TestOwnerAnswers got a slot. After: no_engine, not_run.

--- a/pkg/routing/owner.go
+++ b/pkg/routing/owner.go
@@ -199,6 +199,10 @@
 
 // dispatchDirect sends to the engine without its owner, under a local share of its capacity.
 func (r *OwnerRouter) dispatchDirect(ctx context.Context, w *Work, c *placement.Candidate) (Slot, error) {
+	// The request may have waited at an owner since the engine was chosen.
+	if e, ok := r.opt.Board.Engines.Get(c.Engine); ok && (e.Value.Leaving || e.Value.State.Leaving) {
+		return nil, fault.New(fault.NoEngine, "engine %s leaves", c.Engine)
+	}
 	release, ok := r.direct.take(c.Engine)
 	if !ok {
 		return nil, fault.New(fault.Overloaded, "engine %s has no owner and this node's share of it is in use", c.Engine).
--- /dev/null
+++ b/pkg/routing/owner_test.go
@@ -0,0 +1,143 @@
+package routing
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"cassiawall.example/cassiawall/pkg/blackboard"
+	"cassiawall.example/cassiawall/pkg/controller/engineview"
+	"cassiawall.example/cassiawall/pkg/fault"
+	"cassiawall.example/cassiawall/pkg/peer/peerpb"
+	"cassiawall.example/cassiawall/pkg/placement"
+)
+
+// scriptedOwners answers Acquire per engine; an engine without an answer has no working owner.
+type scriptedOwners struct {
+	replies map[string]*peerpb.AcquireReply
+	// before runs at each Acquire.
+	before func(engine string)
+	asked  []string
+}
+
+func (o *scriptedOwners) Acquire(ctx context.Context, _ blackboard.MemberEntry, r *peerpb.AcquireRequest) (*peerpb.AcquireReply, error) {
+	o.asked = append(o.asked, r.Engine)
+	if o.before != nil {
+		o.before(r.Engine)
+	}
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
+	if reply := o.replies[r.Engine]; reply != nil {
+		return reply, nil
+	}
+	return nil, errors.New("connection refused")
+}
+
+func (o *scriptedOwners) Release(context.Context, blackboard.MemberEntry, *peerpb.ReleaseRequest) (*peerpb.ReleaseReply, error) {
+	return &peerpb.ReleaseReply{}, nil
+}
+
+type oneOwner struct{}
+
+func (oneOwner) Of(string, string) (blackboard.MemberEntry, bool) {
+	return blackboard.MemberEntry{Name: "owner"}, true
+}
+
+// leave marks an engine as leaving on the board.
+func leave(b *blackboard.Board, id string) {
+	e, _ := b.Engines.Get(id)
+	e.Value.Leaving = true
+	b.Engines.Put(id, e.Value, blackboard.Evidence{})
+}
+
+// Each case is an answer of owners, or a change while an owner is asked. Guards against work for an
+// engine that leaves, against a slot whose request names no or a former incarnation, and against a
+// refusal that is not not_run although no engine was asked.
+func TestOwnerAnswers(t *testing.T) {
+	granted := &peerpb.AcquireReply{Verdict: peerpb.AcquireReply_GRANTED, Slot: 1, Incarnation: "new"}
+	leaving := &peerpb.AcquireReply{Verdict: peerpb.AcquireReply_ENGINE_LEAVING}
+	full := &peerpb.AcquireReply{Verdict: peerpb.AcquireReply_QUEUE_FULL}
+	cases := map[string]struct {
+		engines []string
+		replies map[string]*peerpb.AcquireReply
+		before  func(b *blackboard.Board, cancel context.CancelFunc) func(engine string)
+		want    Target
+		kind    fault.Kind
+	}{
+		"granted by the owner":           {[]string{"a"}, map[string]*peerpb.AcquireReply{"a": granted}, nil, Target{Engine: "a", Address: "a", Incarnation: "new"}, ""},
+		"no owner answers":               {[]string{"a"}, nil, nil, Target{Engine: "a", Address: "a", Incarnation: "a-1"}, ""},
+		"the only engine leaves":         {[]string{"a"}, map[string]*peerpb.AcquireReply{"a": leaving}, nil, Target{}, fault.NoEngine},
+		"the queue is full":              {[]string{"a"}, map[string]*peerpb.AcquireReply{"a": full}, nil, Target{}, fault.Overloaded},
+		"no engine":                      {nil, nil, nil, Target{}, fault.NoEngine},
+		"leaves while its owner is lost": {[]string{"a"}, nil, func(b *blackboard.Board, _ context.CancelFunc) func(string) { return func(id string) { leave(b, id) } }, Target{}, fault.NoEngine},
+		"the caller leaves":              {[]string{"a"}, nil, func(_ *blackboard.Board, cancel context.CancelFunc) func(string) { return func(string) { cancel() } }, Target{}, fault.Abandoned},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				board := boardWith(c.engines...)
+				owners := &scriptedOwners{replies: c.replies}
+				if c.before != nil {
+					owners.before = c.before(board, cancel)
+				}
+				r := ownerRouter(t, board, owners)
+				w := testWork()
+				w.Arrived, w.Deadline = time.Now(), time.Now().Add(time.Minute)
+				slot, err := r.Route(ctx, w)
+				if c.kind != "" {
+					assert.Nil(t, slot)
+					assert.Equal(t, c.kind, fault.As(err).Kind, "%v", err)
+					assert.Equal(t, fault.NotRun, fault.As(err).Work)
+					return
+				}
+				require.NoError(t, err)
+				assert.Equal(t, c.want, slot.Target())
+				slot.Done(Ending{})
+				synctest.Wait()
+			})
+		})
+	}
+}
+
+func ownerRouter(t *testing.T, board *blackboard.Board, owners Owners) *OwnerRouter {
+	placer, err := placement.New(placement.Options{Region: "r"})
+	require.NoError(t, err)
+	engineview.New(engineview.Options{Board: board, Region: "r"}, placer).Refresh()
+	return NewOwnerRouter(OwnerOptions{Board: board, Placer: placer, Owners: owners, Table: oneOwner{}, Self: "n",
+		Logger: slog.New(slog.DiscardHandler), Now: time.Now})
+}
+
+// Guards against an engine that is offered while it leaves, loads, stands by or cannot be reached.
+func TestUnusableEnginesAreNotAsked(t *testing.T) {
+	cases := map[string]func(e *blackboard.EngineEntry){
+		"leaves by the VM list":  func(e *blackboard.EngineEntry) { e.Leaving = true },
+		"leaves by its own word": func(e *blackboard.EngineEntry) { e.State.Leaving = true },
+		"unreachable":            func(e *blackboard.EngineEntry) { e.Reachable = false },
+		"loads":                  func(e *blackboard.EngineEntry) { e.State.Loading = true },
+		"older weights":          func(e *blackboard.EngineEntry) { e.State.WeightsVersion = "v0" },
+	}
+	for name, change := range cases {
+		t.Run(name, func(t *testing.T) {
+			board := boardWith("a")
+			e, _ := board.Engines.Get("a")
+			change(&e.Value)
+			board.Engines.Put("a", e.Value, blackboard.Evidence{})
+			owners := &scriptedOwners{}
+			w := testWork()
+			w.Deadline = time.Now().Add(time.Hour)
+			_, err := ownerRouter(t, board, owners).Route(t.Context(), w)
+			assert.True(t, fault.Is(err, fault.NoEngine), "%v", err)
+			assert.Empty(t, owners.asked)
+			assert.Empty(t, Candidates(board, w))
+		})
+	}
+}
