--- a/test/e2e/openai_test.go
+++ b/test/e2e/openai_test.go
@@ -46,26 +46,36 @@
 	}
 }
 
-func startFleet(t *testing.T, nodes, engines int) *localfleet.Fleet {
+func startFleet(t testing.TB, nodes, engines int) *localfleet.Fleet {
 	t.Helper()
 	return startFleetWith(t, fleetConfig(), nodes, engines)
 }
 
-func startFleetWith(t *testing.T, c *config.Config, nodes, engines int) *localfleet.Fleet {
+func startFleetWith(t testing.TB, c *config.Config, nodes, engines int) *localfleet.Fleet {
 	t.Helper()
-	return startFleetLogged(t, c, nodes, engines, slog.New(slog.DiscardHandler))
+	return startFleetOptions(t, nodes, engines, localfleet.Options{Config: c})
 }
 
-func startFleetLogged(t *testing.T, c *config.Config, nodes, engines int, logger *slog.Logger) *localfleet.Fleet {
+// startFleetDraining starts a fleet with a drain bound; 0 is the default.
+func startFleetDraining(t testing.TB, c *config.Config, nodes, engines int, drainBound time.Duration) *localfleet.Fleet {
+	t.Helper()
+	return startFleetOptions(t, nodes, engines, localfleet.Options{Config: c, DrainBound: drainBound})
+}
+
+// startFleetOptions fills in the options that all fleets of these tests share.
+func startFleetOptions(t testing.TB, nodes, engines int, options localfleet.Options) *localfleet.Fleet {
 	t.Helper()
-	var list []enginestandin.Config
 	for i := range engines {
-		list = append(list, enginestandin.Config{ID: fmt.Sprintf("engine-%d", i+1), Model: model, WeightsVersion: "v1", StepTime: time.Millisecond, Seed: uint64(i)})
+		options.Engines = append(options.Engines, enginestandin.Config{ID: fmt.Sprintf("engine-%d", i+1), Model: model,
+			WeightsVersion: "v1", StepTime: time.Millisecond, Seed: uint64(i)})
+	}
+	options.Nodes, options.DataCentres = nodes, []string{"dar-a", "dar-b", "dar-c"}
+	if options.Logger == nil {
+		options.Logger = slog.New(slog.DiscardHandler)
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), giveUp)
 	defer cancel()
-	f, err := localfleet.Start(ctx, localfleet.Options{Nodes: nodes, DataCentres: []string{"dar-a", "dar-b", "dar-c"}, Engines: list,
-		Config: c, Logger: logger})
+	f, err := localfleet.Start(ctx, options)
 	require.NoError(t, err)
 	t.Cleanup(func() { assert.NoError(t, f.Close()) })
 	return f
@@ -107,7 +117,7 @@
 // Guards against nodes that cannot call each other and hide it by dispatching without owners.
 func TestOwnersAnswerOtherNodes(t *testing.T) {
 	counter := eventCounter{Handler: slog.DiscardHandler, event: event.DirectDispatch, count: &atomic.Int64{}}
-	f := startFleetLogged(t, fleetConfig(), 3, 3, slog.New(counter))
+	f := startFleetOptions(t, 3, 3, localfleet.Options{Config: fleetConfig(), Logger: slog.New(counter)})
 	for _, n := range f.Nodes() {
 		require.Eventually(t, func() bool { return n.Board().Members.Len() == 3 }, giveUp, poll)
 	}
