bench scale: keep the measured placer alive; fit whole idle fleets

The placer was collected before its heap was read. The cost of an idle node is now the slope of the fleet's total, because a per-node figure holds the fixed cost of the stand-ins and falls with the size.

--- a/pkg/bench/scale.go
+++ b/pkg/bench/scale.go
@@ -31,9 +31,9 @@
 	idleTime   = 5 * time.Second
 )
 
-// measureIdleNode runs a fleet without load and measures the CPU and the heap per node. The
-// figures include two stand-in engines a node and its share of the other stand-ins, so they are
-// upper bounds.
+// measureIdleNode runs a fleet without load and measures the CPU and the heap of the whole
+// process, so the slope is the cost of one node. It includes two stand-in engines a node and is
+// an upper bound.
 func measureIdleNode(ctx context.Context, nodes int) (map[string]float64, error) {
 	p, err := ProfileByName("tuul")
 	if err != nil {
@@ -55,8 +55,7 @@
 	if err := fleet.Close(); err != nil {
 		return nil, err
 	}
-	n := float64(nodes)
-	return map[string]float64{"cpu_ms_per_s": 1000 * perSecond / n, "heap_mb": size / 1e6 / n}, ctx.Err()
+	return map[string]float64{"fleet_cpu_ms_per_s": 1000 * perSecond, "fleet_heap_mb": size / 1e6}, ctx.Err()
 }
 
 // liveHeap returns the bytes of live objects.
--- a/pkg/bench/scale/placement.go
+++ b/pkg/bench/scale/placement.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"slices"
 	"time"
 
@@ -37,6 +38,7 @@
 
 // measurePlacement measures the time of a decision and the heap of a Placer with its soft map.
 func measurePlacement(_ context.Context, engines int) (map[string]float64, error) {
+	requests := placementRequests()
 	before := heap()
 	p, err := placement.New(placement.Options{})
 	if err != nil {
@@ -47,10 +49,11 @@
 		views[i] = placement.EngineView{ID: fmt.Sprintf("engine-%d", i), Incarnation: "1", Model: "m", WeightsVersion: "v1", MaxBatch: 16}
 	}
 	p.SetEngines(views)
-	requests := placementRequests()
 	decide(p, requests)
+	size := heap() - before
 	time := medianOf(func() float64 { return decide(p, requests) })
-	return map[string]float64{"decision_us": time, "heap_mb": (heap() - before) / bytesPerMB}, nil
+	runtime.KeepAlive(p)
+	return map[string]float64{"decision_us": time, "heap_mb": size / bytesPerMB}, nil
 }
 
 // bytesPerMB converts bytes to megabytes.
