--- a/pkg/standin/engine/contract_test.go
+++ b/pkg/standin/engine/contract_test.go
@@ -263,7 +263,9 @@
 		_, err = collect(s)
 		assert.Error(t, err)
 		for e.Executions("r")[0].Outcome == outcomeRunning {
-			time.Sleep(time.Millisecond)
+			// The engine sees the closed connection a little later.
+			_, err := c.State(t.Context())
+			require.NoError(t, err)
 		}
 		assert.Equal(t, "cancelled", e.Executions("r")[0].Outcome)
 	}
