--- a/pkg/bench/report.go
+++ b/pkg/bench/report.go
@@ -72,7 +72,14 @@
 	return reportTemplate.Execute(w, data)
 }
 
+// legendRoom is the height of a plot relative to its data, so that the legend covers no line.
+const legendRoom = 1.45
+
 func render(p *plot.Plot) (template.HTML, error) {
+	p.Y.Min = 0
+	if p.Legend.Top {
+		p.Y.Max *= legendRoom
+	}
 	canvas := vgsvg.New(plotWidth, plotHeight)
 	p.Draw(draw.New(canvas))
 	var out bytes.Buffer
@@ -115,6 +122,7 @@
 // plotTTFT draws the distribution with equal widths for equal ratios.
 func plotTTFT(d *reportData) (*plot.Plot, error) {
 	p := newPlot("Time to first token", "ms", "share of callers who stay, cumulative")
+	p.Legend.Top = false
 	p.X.Scale = plot.LogScale{}
 	p.X.Tick.Marker = plot.LogTicks{Prec: -1}
 	for _, name := range d.Names {
@@ -179,7 +187,6 @@
 // plotLoad draws the engines' loads in falling order, so that imbalance shows as a slope.
 func plotLoad(d *reportData) (*plot.Plot, error) {
 	p := newPlot("Load of the engines", "engines, most loaded first", "load")
-	p.Y.Min = 0
 	for _, name := range d.Names {
 		loads := slices.Clone(d.Policies[name].EngineLoads)
 		slices.SortFunc(loads, func(a, b float64) int { return int(math.Copysign(1, b-a)) })
