--- a/pkg/localfleet/fleet.go
+++ b/pkg/localfleet/fleet.go
@@ -41,6 +41,8 @@
 	Logger *slog.Logger
 	// DrainBound is the time in which a node that shuts down lets its requests finish. Default 20 s.
 	DrainBound time.Duration
+	// DrainNotice is the time in which a node that shuts down goes on serving new connections. Default 200 ms.
+	DrainNotice time.Duration
 }
 
 // Fleet is a running fleet.
@@ -75,8 +77,8 @@
 // defaultDrainBound is longer than the streams of local nodes, which last seconds.
 const defaultDrainBound = 20 * time.Second
 
-// drainNotice is longer than a local load balancer takes to notice.
-const drainNotice = 200 * time.Millisecond
+// defaultDrainNotice is longer than a local load balancer takes to notice.
+const defaultDrainNotice = 200 * time.Millisecond
 
 // Start starts the stand-ins and the nodes and waits until the nodes are ready or ctx ends.
 func Start(ctx context.Context, opt Options) (*Fleet, error) {
@@ -148,7 +150,7 @@
 	s := &settings.Settings{
 		Name: fmt.Sprintf("node-%d", i+1), DataCentre: f.dataCentre(i), Region: "local",
 		Callers: listener, Peers: listener, Operators: listener, Gossip: settings.Gossip{Address: loopback},
-		DrainBound: config.Duration(cmp.Or(f.opt.DrainBound, defaultDrainBound)), DrainNotice: config.Duration(drainNotice),
+		DrainBound: config.Duration(cmp.Or(f.opt.DrainBound, defaultDrainBound)), DrainNotice: config.Duration(cmp.Or(f.opt.DrainNotice, defaultDrainNotice)),
 		Platform: settings.Platform{Objects: f.Platform.objectsURL, VMs: f.Platform.vmsURL, Weights: f.Platform.weightsURL},
 		Engines:  settings.Engines{VMRole: vms.RoleEngine},
 	}
--- a/test/e2e/faults_test.go
+++ b/test/e2e/faults_test.go
@@ -129,10 +129,27 @@
 	assert.Equal(t, enginestandin.Answer(messages.ChatText(chat.Messages), chat.Seed, chat.MaxTokens), r.Text)
 }
 
+// Guards against connections that a draining node refuses before load balancers notice, and against
+// kept connections on which the next request would meet a closed listener.
+func TestDrainingNodeServesUntilNoticed(t *testing.T) {
+	f := startFleetDraining(t, fleetConfig(), 2, 1, 0, giveUp)
+	n := f.Nodes()[0]
+	n.Shutdown()
+	require.Eventually(t, func() bool { return !n.Ready() }, giveUp, poll)
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, n.CallersURL()+"/v1/models", nil)
+	require.NoError(t, err)
+	request.Header.Set("Authorization", "Bearer "+apiKey)
+	response, err := (&http.Client{Transport: &http.Transport{}}).Do(request)
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	assert.Equal(t, http.StatusOK, response.StatusCode)
+	assert.True(t, response.Close, "the connection is not kept")
+}
+
 // Guards against a stream that ends without a word, or as if it were whole, when it outlives the
 // drain bound.
 func TestStreamPastDrainBoundEndsTyped(t *testing.T) {
-	f := startFleetDraining(t, fleetConfig(), 2, 1, 50*time.Millisecond)
+	f := startFleetDraining(t, fleetConfig(), 2, 1, 50*time.Millisecond, 0)
 	f.Engines[0].SetFaults(enginestandin.Faults{SlowFactor: 1000})
 	_, answer := slowChat(t, f, 0)
 	ctx, cancel := context.WithTimeout(t.Context(), giveUp)
--- a/test/e2e/openai_test.go
+++ b/test/e2e/openai_test.go
@@ -51,11 +51,11 @@
 
 func startFleetWith(t testing.TB, c *config.Config, nodes, engines int) *localfleet.Fleet {
 	t.Helper()
-	return startFleetDraining(t, c, nodes, engines, 0)
+	return startFleetDraining(t, c, nodes, engines, 0, 0)
 }
 
-// startFleetDraining starts a fleet with a drain bound; 0 is the default.
-func startFleetDraining(t testing.TB, c *config.Config, nodes, engines int, drainBound time.Duration) *localfleet.Fleet {
+// startFleetDraining starts a fleet with a drain bound and a drain notice; 0 is the default.
+func startFleetDraining(t testing.TB, c *config.Config, nodes, engines int, bound, notice time.Duration) *localfleet.Fleet {
 	t.Helper()
 	var list []enginestandin.Config
 	for i := range engines {
@@ -64,7 +64,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), giveUp)
 	defer cancel()
 	f, err := localfleet.Start(ctx, localfleet.Options{Nodes: nodes, DataCentres: []string{"dar-a", "dar-b", "dar-c"}, Engines: list,
-		Config: c, Logger: slog.New(slog.DiscardHandler), DrainBound: drainBound})
+		Config: c, Logger: slog.New(slog.DiscardHandler), DrainBound: bound, DrainNotice: notice})
 	require.NoError(t, err)
 	t.Cleanup(func() { assert.NoError(t, f.Close()) })
 	return f
