--- a/test/e2e/faults_test.go
+++ b/test/e2e/faults_test.go
@@ -182,6 +182,8 @@
 		assert.NoError(t, err)
 	case <-ctx.Done():
 		t.Error("the node waits for the object API")
+		f.SetObjectsDown(false)
+		<-stopped
 	}
 	f.SetObjectsDown(false)
 	require.Eventually(t, func() bool { return book(t.Context(), f, 1, "key").Kind != fault.PlatformUnavailable }, giveUp, poll)
