--- a/test/e2e/openai_test.go
+++ b/test/e2e/openai_test.go
@@ -56,10 +56,10 @@
 	return startFleetOptions(t, nodes, engines, localfleet.Options{Config: c})
 }
 
-// startFleetDraining starts a fleet with a drain bound; 0 is the default.
-func startFleetDraining(t testing.TB, c *config.Config, nodes, engines int, drainBound time.Duration) *localfleet.Fleet {
+// startFleetDraining starts a fleet with a drain bound and a drain notice; 0 is the default.
+func startFleetDraining(t testing.TB, c *config.Config, nodes, engines int, bound, notice time.Duration) *localfleet.Fleet {
 	t.Helper()
-	return startFleetOptions(t, nodes, engines, localfleet.Options{Config: c, DrainBound: drainBound})
+	return startFleetOptions(t, nodes, engines, localfleet.Options{Config: c, DrainBound: bound, DrainNotice: notice})
 }
 
 // startFleetOptions fills in the options that all fleets of these tests share.
