--- a/pkg/entry/retry.go
+++ b/pkg/entry/retry.go
@@ -15,8 +15,12 @@
 	random *rand.Rand
 }
 
+// retryReserve is the batch of an engine: a crash cuts that many streams at once, each of which is
+// continued once.
+const retryReserve = 16
+
 func newRetries(now time.Time) *retries {
-	return &retries{budget: retry.NewBudget(now, retry.BudgetConfig{}), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
+	return &retries{budget: retry.NewBudget(now, retry.BudgetConfig{Reserve: retryReserve}), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
 }
 
 // first notes a first attempt.
--- a/pkg/retry/retry.go
+++ b/pkg/retry/retry.go
@@ -13,10 +13,17 @@
 	Share float64
 	// Burst is the number of retries that quiet traffic can save up. Default 10.
 	Burst float64
-	// Window is the time after which unused budget is worth nothing. Default 10 s.
+	// Window is the time after which unused budget above the reserve is worth nothing. Default
+	// 10 s.
 	Window time.Duration
+	// Reserve is the number of retries that the budget holds without traffic. It comes back
+	// within a minute after use. Default 1.
+	Reserve float64
 }
 
+// reserveRefill is the time in which a used reserve comes back.
+const reserveRefill = time.Minute
+
 func (c BudgetConfig) withDefaults() BudgetConfig {
 	if c.Share == 0 {
 		c.Share = 0.1
@@ -27,11 +34,15 @@
 	if c.Window == 0 {
 		c.Window = 10 * time.Second
 	}
+	if c.Reserve == 0 {
+		c.Reserve = 1
+	}
+	c.Burst = max(c.Burst, c.Reserve)
 	return c
 }
 
 // Budget bounds retries to a share of the traffic, so that retries cannot multiply the load of
-// failing backends. A new budget holds one retry. It is not safe for concurrent use.
+// failing backends. A new budget holds its reserve. It is not safe for concurrent use.
 type Budget struct {
 	config  BudgetConfig
 	tokens  float64
@@ -41,7 +52,8 @@
 
 // NewBudget returns a budget that starts at now.
 func NewBudget(now time.Time, config BudgetConfig) *Budget {
-	return &Budget{config: config.withDefaults(), tokens: 1, updated: now}
+	config = config.withDefaults()
+	return &Budget{config: config, tokens: config.Reserve, updated: now}
 }
 
 // First notes a first attempt, which earns a share of a retry.
@@ -65,19 +77,21 @@
 // Refused returns the number of retries that the budget did not cover.
 func (b *Budget) Refused() uint64 { return b.refused }
 
-// expire lets unused budget fall linearly to nothing within the window. A whole retry is kept,
-// so that traffic too thin to earn one in the window can still retry.
+// expire lets unused budget fall linearly to the reserve within the window, and a used reserve come
+// back, so that traffic too thin to earn a retry in the window can still retry.
 func (b *Budget) expire(now time.Time) {
 	elapsed := now.Sub(b.updated)
 	if elapsed <= 0 {
 		return
 	}
 	b.updated = now
-	if b.tokens <= 1 {
+	reserve := b.config.Reserve
+	if b.tokens > reserve {
+		lost := b.config.Burst * float64(elapsed) / float64(b.config.Window)
+		b.tokens = max(reserve, b.tokens-lost)
 		return
 	}
-	lost := b.config.Burst * float64(elapsed) / float64(b.config.Window)
-	b.tokens = max(1, b.tokens-lost)
+	b.tokens = min(reserve, b.tokens+reserve*float64(elapsed)/float64(reserveRefill))
 }
 
 // Attempt describes an attempt that has failed.
--- a/pkg/retry/retry_test.go
+++ b/pkg/retry/retry_test.go
@@ -113,3 +113,20 @@
 		assert.InDelta(t, 1000, n, 100)
 	}
 }
+
+// Guards against streams that a crash cuts and that are not continued because little traffic has
+// earned few retries, and against a reserve that is a constant extra rate.
+func TestReserveCoversOneCrash(t *testing.T) {
+	now := time.Unix(0, 0)
+	budget := NewBudget(now, BudgetConfig{Reserve: 4})
+	for range 4 {
+		assert.True(t, budget.Take(now))
+	}
+	assert.False(t, budget.Take(now))
+	assert.False(t, budget.Take(now.Add(reserveRefill/8)))
+	now = now.Add(reserveRefill)
+	for range 4 {
+		assert.True(t, budget.Take(now))
+	}
+	assert.False(t, budget.Take(now))
+}
--- a/test/e2e/openai_test.go
+++ b/test/e2e/openai_test.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"log/slog"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -255,3 +256,38 @@
 	require.NoError(t, stream.Err())
 	assert.Equal(t, want, text)
 }
+
+// Guards against a crash that ends some of the streams of an engine because continuing them costs
+// more retries than little traffic has earned.
+func TestEngineCrashContinuesAllStreams(t *testing.T) {
+	f := startFleet(t, 1, 2)
+	for _, e := range f.Engines {
+		e.SetFaults(enginestandin.Faults{SlowFactor: 10})
+	}
+	const streams = 8
+	var first, done sync.WaitGroup
+	first.Add(streams)
+	crashed := make(chan struct{})
+	for i := range streams {
+		done.Go(func() {
+			params, want := chat(fmt.Sprint("slot ", i))
+			c := client(f.Nodes()[0])
+			stream := c.Chat.Completions.NewStreaming(t.Context(), params)
+			ok := stream.Next()
+			first.Done()
+			<-crashed
+			var text strings.Builder
+			for ; ok; ok = stream.Next() {
+				for _, choice := range stream.Current().Choices {
+					text.WriteString(choice.Delta.Content)
+				}
+			}
+			assert.NoError(t, stream.Err())
+			assert.Equal(t, want, text.String())
+		})
+	}
+	first.Wait()
+	f.Engines[0].Crash()
+	close(crashed)
+	done.Wait()
+}
