--- a/pkg/entry/respond.go
+++ b/pkg/entry/respond.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -109,6 +110,8 @@
 	now     func() time.Time
 	stall   time.Duration
 	begun   bool
+	// buffer holds the event that is being written.
+	buffer bytes.Buffer
 }
 
 func (o *streamResponder) started() bool { return o.begun }
@@ -164,21 +167,21 @@
 
 // fail writes the error as an event. Without the end marker no client takes the answer as whole.
 func (o *streamResponder) fail(id string, err error) {
-	_ = o.write(append([]byte("event: error\n"), dataLine(fault.BodyOf(err, id))...))
+	_ = o.write(append([]byte("event: error\n"), o.encode(fault.BodyOf(err, id))...))
 }
 
-func (o *streamResponder) send(body any) error { return o.write(dataLine(body)) }
+func (o *streamResponder) send(body any) error { return o.write(o.encode(body)) }
 
-func dataLine(body any) []byte {
-	encoded, err := json.Marshal(body)
-	if err != nil {
+// encode returns body as one event. The result is valid until the next call.
+func (o *streamResponder) encode(body any) []byte {
+	o.buffer.Reset()
+	o.buffer.WriteString("data: ")
+	if err := json.NewEncoder(&o.buffer).Encode(body); err != nil {
 		// The wire types hold only strings and numbers.
 		panic(err)
 	}
-	line := make([]byte, 0, len(encoded)+8)
-	line = append(line, "data: "...)
-	line = append(line, encoded...)
-	return append(line, "\n\n"...)
+	o.buffer.WriteByte('\n')
+	return o.buffer.Bytes()
 }
 
 func (o *streamResponder) write(data []byte) error {
