--- a/pkg/bench/scale/peercall.go
+++ b/pkg/bench/scale/peercall.go
@@ -15,8 +15,8 @@
 	Register(Role{
 		Name:     "peer_calls",
 		SizeUnit: "requests",
-		// 5,200 requests a second over 400 nodes.
-		TargetSize: 13,
+		// A node's minute: 5,200 requests a second over 400 nodes.
+		TargetSize: 13 * 60,
 		Sizes:      []int{500, 1000, 2000, 4000},
 		Measure:    measurePeerCalls,
 	})
--- a/pkg/demo/config.go
+++ b/pkg/demo/config.go
@@ -3,10 +3,10 @@
 package demo
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
+	"slices"
 	"time"
 
+	"cassiawall.example/cassiawall/pkg/auth"
 	"cassiawall.example/cassiawall/pkg/config"
 )
 
@@ -18,10 +18,22 @@
 	roundsName  = "rounds-app"
 )
 
-// apiKeys are the demo's keys by workspace. They open nothing but the demo.
-var apiKeys = map[string]string{
-	"shule-moja":   "demo-key-shule-moja",
-	"songino-gers": "demo-key-songino-gers",
+// apiKey returns the demo's key of a workspace. It opens nothing but the demo.
+func apiKey(workspace string) string { return "demo-key-" + workspace }
+
+// local returns the configuration as the demo serves it: workspaces take the demo's keys, and the
+// stand-ins replace the backend servers.
+func local(c *config.Config) *config.Config {
+	served := *c
+	served.Workspaces = slices.Clone(c.Workspaces)
+	for i := range served.Workspaces {
+		served.Workspaces[i].APIKeyHashes = []string{auth.Hash(apiKey(served.Workspaces[i].Name))}
+	}
+	served.Services = slices.Clone(c.Services)
+	for i := range served.Services {
+		served.Services[i].BackendServers = nil
+	}
+	return &served
 }
 
 // defaultConfig returns the configuration of the demo: one workspace of each user's kind.
@@ -44,13 +56,12 @@
 }
 
 func workspace(name, model, service string, levels ...string) config.Workspace {
-	hash := sha256.Sum256([]byte(apiKeys[name]))
 	prompt := config.Prompt{Name: "main"}
 	for _, level := range levels {
 		prompt.Levels = append(prompt.Levels, config.Level{Name: level, Shared: true})
 	}
 	return config.Workspace{
-		Name: name, APIKeyHashes: []string{hex.EncodeToString(hash[:])}, Models: []string{model}, Services: []string{service},
+		Name: name, Models: []string{model}, Services: []string{service},
 		Prompts: []config.Prompt{prompt}, Weight: 1, RetryWindow: config.Duration(config.DefaultRetryWindow),
 		Limits: config.Limits{BodyBytes: config.DefaultBodyBytes, Deadline: config.Duration(20 * time.Second)},
 		Objectives: config.Objectives{TTFT: config.Duration(config.DefaultTTFT), BetweenTokens: config.Duration(config.DefaultBetweenTokens),
--- a/pkg/demo/run.go
+++ b/pkg/demo/run.go
@@ -61,6 +61,7 @@
 	if c == nil {
 		c = defaultConfig()
 	}
+	c = local(c)
 	targets := targetsOf(c)
 	startCtx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
@@ -103,7 +104,11 @@
 		if len(w.Models) == 0 {
 			continue
 		}
-		targets = append(targets, target{apiKey: apiKeys[w.Name], model: w.Models[0], bookingPath: bookingPath(c, w), words: vocabularies[i%len(vocabularies)]})
+		t := target{apiKey: apiKey(w.Name), model: w.Models[0], bookingPath: bookingPath(c, w), words: vocabularies[i%len(vocabularies)]}
+		if len(w.Prompts) > 0 {
+			t.prompt = w.Prompts[0].Name
+		}
+		targets = append(targets, t)
 	}
 	return targets
 }
--- a/pkg/demo/workload.go
+++ b/pkg/demo/workload.go
@@ -58,6 +58,7 @@
 type target struct {
 	apiKey string
 	model  string
+	prompt string
 	// bookingPath is empty for a workspace without a plain service.
 	bookingPath string
 	// words is the vocabulary of the workspace's texts.
@@ -96,7 +97,7 @@
 		{Role: "system", Content: openai.Content(text(t.words, leafBytes, uint64(outer*100_000+inner*1000+leaf)))},
 		{Role: "user", Content: openai.Content(fmt.Sprintf("question %d", w.next))},
 	}
-	return &loadgen.Chat{APIKey: t.apiKey, Caller: fmt.Sprintf("caller-%d", leaf), Model: t.model, Messages: messages,
+	return &loadgen.Chat{APIKey: t.apiKey, Caller: fmt.Sprintf("caller-%d", leaf), Model: t.model, Prompt: t.prompt, Messages: messages,
 		MaxTokens: maxTokens, Seed: int64(w.next)}
 }
 
--- a/pkg/loadgen/client.go
+++ b/pkg/loadgen/client.go
@@ -25,9 +25,11 @@
 
 // Chat is one chat request.
 type Chat struct {
-	APIKey    string
-	Caller    string
-	Model     string
+	APIKey string
+	Caller string
+	Model  string
+	// Prompt names the declared prompt whose levels the messages follow; it may be empty.
+	Prompt    string
 	Messages  []openai.Message
 	MaxTokens int
 	Seed      int64
@@ -76,7 +78,7 @@
 		return Result{Err: err}
 	}
 	start := time.Now()
-	response, err := c.send(ctx, http.MethodPost, "/v1/chat/completions", chat.APIKey, body, nil)
+	response, err := c.send(ctx, http.MethodPost, "/v1/chat/completions", chat.APIKey, body, chat.header())
 	if err != nil {
 		return Result{Err: err, Total: time.Since(start)}
 	}
@@ -91,6 +93,13 @@
 	return result
 }
 
+func (c *Chat) header() http.Header {
+	if c.Prompt == "" {
+		return nil
+	}
+	return http.Header{"X-Prompt": {c.Prompt}}
+}
+
 func (c *Client) send(ctx context.Context, method, path, key string, body []byte, header http.Header) (*http.Response, error) {
 	request, err := http.NewRequestWithContext(ctx, method, c.Base+path, bytes.NewReader(body))
 	if err != nil {
