Free slots whose grant was lost when the caller left

Cause: a caller that leaves while the owner grants its slot cancels the call, and the slot stayed held until it expired after 15 s; its pending prefill kept the engine's queue closed. Ruled out: the engine (its queue was empty) and ownership changes (none in the log).

--- a/pkg/controller/owner/owned.go
+++ b/pkg/controller/owner/owned.go
@@ -39,9 +39,10 @@
 
 // chain is the prompt of a request that waits or prefills.
 type chain struct {
-	keys   []uint64
-	tokens []int
-	total  int
+	request string
+	keys    []uint64
+	tokens  []int
+	total   int
 	// reply receives the outcome of a waiting ticket.
 	reply chan *peerpb.AcquireReply
 	// depth is the number of pieces stated as cached, or as planned when the owner declines.
@@ -119,6 +120,10 @@
 	}
 	select {
 	case reply := <-c.reply:
+		if ctx.Err() != nil && reply.GetVerdict() == peerpb.AcquireReply_GRANTED {
+			e.release(&peerpb.ReleaseRequest{Slot: reply.GetSlot(), Stage: peerpb.ReleaseRequest_DONE, Abandoned: true})
+			return nil, ctx.Err()
+		}
 		return reply, nil
 	case <-ctx.Done():
 		e.abandon(r.GetRequestId(), c)
@@ -173,7 +178,7 @@
 }
 
 func newChain(r *peerpb.AcquireRequest) *chain {
-	c := &chain{keys: r.GetKeys(), reply: make(chan *peerpb.AcquireReply, 1)}
+	c := &chain{request: r.GetRequestId(), keys: r.GetKeys(), reply: make(chan *peerpb.AcquireReply, 1)}
 	c.tokens = make([]int, len(c.keys))
 	for i := range c.tokens {
 		if i < len(r.GetPieceTokens()) {
@@ -318,7 +323,7 @@
 	case peerpb.ReleaseRequest_FIRST_TOKEN:
 		e.firstToken(now, r)
 	case peerpb.ReleaseRequest_DONE:
-		e.freeSlot(now, r.GetSlot(), r.GetAbandoned(), r.GetFailed())
+		e.done(now, r)
 	case peerpb.ReleaseRequest_RENEW:
 		e.queue.Renew(now, r.GetSlot())
 	}
@@ -346,6 +351,30 @@
 	e.dirty = true
 }
 
+func (e *owned) done(now time.Time, r *peerpb.ReleaseRequest) {
+	if r.GetRequestId() == "" {
+		e.freeSlot(now, r.GetSlot(), r.GetAbandoned(), r.GetFailed())
+		return
+	}
+	e.drop(now, r.GetRequestId())
+}
+
+// drop frees what a request holds whose entry gave up on Acquire: its place in the queue, or a slot
+// that was granted while the entry no longer listened. Such a slot would otherwise block the
+// engine until it expires.
+func (e *owned) drop(now time.Time, requestID string) {
+	if c := e.chains[requestID]; c != nil && e.queue.Cancel(now, requestID) {
+		e.finish(requestID, &peerpb.AcquireReply{Verdict: peerpb.AcquireReply_DECLINED})
+		return
+	}
+	for id, c := range e.bySlot {
+		if c.request == requestID {
+			e.freeSlot(now, id, true, false)
+			return
+		}
+	}
+}
+
 func (e *owned) freeSlot(now time.Time, id uint64, abandoned, failed bool) {
 	e.queue.Done(now, id, abandoned, failed)
 	e.endPrefill(id)
--- a/pkg/controller/owner/owner_test.go
+++ b/pkg/controller/owner/owner_test.go
@@ -347,3 +347,20 @@
 		assert.Equal(t, m.Name, again.Name, "the order of members does not matter")
 	}
 }
+
+// Guards against a slot that blocks the engine until it expires because the entry gave up on
+// Acquire at the moment of the grant and the reply reached nobody.
+func TestLostGrantIsGivenUp(t *testing.T) {
+	inBed(t, nil, func(t *testing.T, b *bed) {
+		b.acquire(t, ask("lost", 10))
+		done := make(chan *peerpb.AcquireReply, 1)
+		go func() { done <- b.acquire(t, ask("next", 11)) }()
+		synctest.Wait()
+		require.Empty(t, done, "the lost slot's prefill fills the engine")
+		_, err := b.o.Release(t.Context(), &peerpb.ReleaseRequest{Engine: "e", Stage: peerpb.ReleaseRequest_DONE, RequestId: "lost"})
+		require.NoError(t, err)
+		synctest.Wait()
+		require.Len(t, done, 1)
+		assert.Equal(t, peerpb.AcquireReply_GRANTED, (<-done).GetVerdict())
+	})
+}
--- a/pkg/routing/owner.go
+++ b/pkg/routing/owner.go
@@ -127,6 +127,9 @@
 	callCtx, cancel := context.WithTimeout(ctx, left+acquireSlack)
 	defer cancel()
 	reply, err := r.opt.Owners.Acquire(callCtx, m, r.acquireRequest(w, c, left))
+	if err != nil {
+		go r.giveUp(m, c.Engine, w.RequestID)
+	}
 	if err != nil && callCtx.Err() != nil {
 		return nil, fault.New(fault.DeadlineUnreachable, "no slot became free within the deadline")
 	}
@@ -136,6 +139,16 @@
 	return reply, nil
 }
 
+// giveUp frees a slot that the owner may have granted while its reply was lost or not awaited.
+func (r *OwnerRouter) giveUp(m blackboard.MemberEntry, engine, requestID string) {
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	// A lost call is made good by the expiry of the slot.
+	_, _ = r.opt.Owners.Release(ctx, m, &peerpb.ReleaseRequest{
+		Engine: engine, Stage: peerpb.ReleaseRequest_DONE, RequestId: requestID, Abandoned: true,
+	})
+}
+
 func (r *OwnerRouter) acquireRequest(w *Work, c *placement.Candidate, left time.Duration) *peerpb.AcquireRequest {
 	tokens := make([]uint32, len(w.Pieces))
 	shared := 0
