--- /dev/null
+++ b/pkg/lease/wait_test.go
@@ -0,0 +1,45 @@
+package lease
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"cassiawall.example/cassiawall/pkg/objects"
+)
+
+// Each case is the last record of a former holder. Guards against a successor that sends while an
+// order of the former holder may be on its way to an engine that ignores fencing numbers.
+func TestSuccessorWaits(t *testing.T) {
+	cases := map[string]struct {
+		seen Record
+		wait time.Duration
+	}{
+		"another holder":       {Record{Holder: "a", Instance: "a/1", Fencing: 3, Renewal: 7}, TTL + Flight},
+		"released":             {Record{Holder: "a", Instance: "a/1", Fencing: 3, Renewal: 7, Released: true}, Flight},
+		"this node's last run": {Record{Holder: "b", Instance: "b/1", Fencing: 3, Renewal: 7}, TTL + Flight},
+		"this instance":        {Record{Holder: "b", Instance: "b/2", Fencing: 3, Renewal: 7}, Flight},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			now := time.UnixMilli(1_800_000_000_000)
+			value, err := json.Marshal(c.seen)
+			require.NoError(t, err)
+			l := New("b", "b/2")
+			require.Equal(t, Read, l.Next(now, true, 0).Kind)
+			require.NoError(t, l.ReadDone(objects.Object{Version: 5, Value: value}, nil, now))
+			_, ok := l.MaySend(now)
+			assert.False(t, ok)
+			assert.Equal(t, None, l.Next(now.Add(c.wait-time.Millisecond), true, 0).Kind)
+			taken := l.Next(now.Add(c.wait), true, 0)
+			require.Equal(t, Write, taken.Kind)
+			next, err := DecodeRecord(taken.Value)
+			require.NoError(t, err)
+			assert.Greater(t, next.Fencing, c.seen.Fencing)
+			assert.EqualValues(t, 5, taken.IfVersion)
+		})
+	}
+}
