Test that a restarted node knows prefixes and waits for its engines; gauge soft_prefixes

Both mechanisms could be removed without a failing test. Tried: without loading the prefixes of a bootstrap TestRestartedNodeKnowsPrefixes fails; without the wait for engines TestNotReadyBeforeEnginesReported fails.

--- a/pkg/node/assemble.go
+++ b/pkg/node/assemble.go
@@ -114,6 +114,7 @@
 	if n.placer, err = placement.New(placement.Options{Region: s.Region}); err != nil {
 		return err
 	}
+	n.metrics.GaugeFunc("soft_prefixes", func() float64 { return float64(len(n.placer.SoftPrefixes(bootstrapPrefixes))) })
 	n.feeder = engineview.New(engineview.Options{Board: n.board, DataCentre: s.DataCentre, Region: s.Region}, n.placer)
 	n.owner = owner.New(owner.Options{
 		Board: n.board, Engines: n.reporter, Self: s.Name, Logger: n.opt.Logger, Holder: n.holder,
--- /dev/null
+++ b/pkg/node/ready_test.go
@@ -0,0 +1,36 @@
+package node
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"cassiawall.example/cassiawall/pkg/blackboard"
+	"cassiawall.example/cassiawall/pkg/config"
+	"cassiawall.example/cassiawall/pkg/controller/engineview"
+	"cassiawall.example/cassiawall/pkg/engine"
+	"cassiawall.example/cassiawall/pkg/placement"
+)
+
+// Guards against a node that takes requests before its engines have reported and then computes
+// prefixes that they hold.
+func TestNotReadyBeforeEnginesReported(t *testing.T) {
+	placer, err := placement.New(placement.Options{})
+	require.NoError(t, err)
+	board := blackboard.New()
+	n := &Node{board: board, feeder: engineview.New(engineview.Options{Board: board}, placer)}
+	c := &config.Config{Models: []config.Model{{Name: "lugha", WeightsVersion: "v1"}}}
+	put := func(id string, known, reachable bool) {
+		board.Engines.Put(id, blackboard.EngineEntry{ID: id, Known: known, Reachable: reachable,
+			State: engine.State{Model: "lugha", WeightsVersion: "v1"}}, blackboard.Evidence{})
+	}
+	assert.False(t, n.servesAll(c), "without engines")
+	put("a", true, true)
+	put("b", false, true)
+	assert.False(t, n.servesAll(c), "b has not reported")
+	put("b", false, false)
+	assert.True(t, n.servesAll(c), "b does not answer")
+	put("b", true, true)
+	assert.True(t, n.servesAll(c))
+}
--- a/test/e2e/restart_test.go
+++ b/test/e2e/restart_test.go
@@ -1,9 +1,11 @@
 package e2e
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -16,6 +18,7 @@
 	"cassiawall.example/cassiawall/pkg/config"
 	"cassiawall.example/cassiawall/pkg/loadgen"
 	"cassiawall.example/cassiawall/pkg/localfleet"
+	"cassiawall.example/cassiawall/pkg/node"
 	messages "cassiawall.example/cassiawall/pkg/openai"
 	enginestandin "cassiawall.example/cassiawall/pkg/standin/engine"
 	"cassiawall.example/cassiawall/pkg/vms"
@@ -183,3 +186,38 @@
 	cancel()
 	assert.GreaterOrEqual(t, refused, 10)
 }
+
+// softPrefixes reads from a node's metrics how many prefixes it knows the engines of.
+func softPrefixes(t *testing.T, n *node.Node) float64 {
+	t.Helper()
+	response, err := http.Get(n.OperatorsURL() + "/metrics")
+	require.NoError(t, err)
+	defer response.Body.Close()
+	lines := bufio.NewScanner(response.Body)
+	for lines.Scan() {
+		if text, ok := strings.CutPrefix(lines.Text(), "cassiawall_soft_prefixes "); ok {
+			value, err := strconv.ParseFloat(text, 64)
+			require.NoError(t, err)
+			return value
+		}
+	}
+	t.Fatal("the metrics have no soft_prefixes")
+	return 0
+}
+
+// Guards against a cold start: a restarted node that has served nothing must know from its peers,
+// before it is ready, where prefixes are cached.
+func TestRestartedNodeKnowsPrefixes(t *testing.T) {
+	f := startFleet(t, 2, 2)
+	for i := range 4 {
+		params, _ := chat(fmt.Sprint("slot ", i))
+		c := client(f.Nodes()[0])
+		_, err := c.Chat.Completions.New(t.Context(), params)
+		require.NoError(t, err)
+	}
+	require.Zero(t, softPrefixes(t, f.Nodes()[1]))
+	ctx, cancel := context.WithTimeout(t.Context(), giveUp)
+	defer cancel()
+	require.NoError(t, f.Restart(ctx, 1))
+	assert.Positive(t, softPrefixes(t, f.Nodes()[1]))
+}
