--- a/pkg/config/parse.go
+++ b/pkg/config/parse.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"cassiawall.example/cassiawall/pkg/defaults"
 	"cassiawall.example/cassiawall/pkg/fault"
 	"cassiawall.example/cassiawall/pkg/strictyaml"
 )
@@ -32,38 +33,31 @@
 func (c *Config) setDefaults() {
 	for i := range c.Models {
 		m := &c.Models[i]
-		setDefault(&m.PieceTokens, DefaultPieceTokens)
-		setDefault(&m.BytesPerToken, DefaultBytesPerToken)
-		setDefault(&m.MinServing, 1)
+		defaults.Set(&m.PieceTokens, DefaultPieceTokens)
+		defaults.Set(&m.BytesPerToken, DefaultBytesPerToken)
+		defaults.Set(&m.MinServing, 1)
 	}
 	for i := range c.Services {
-		setDefault(&c.Services[i].Timeout, Duration(DefaultServiceTimeout))
+		defaults.Set(&c.Services[i].Timeout, Duration(DefaultServiceTimeout))
 	}
 	for i := range c.Workspaces {
 		c.Workspaces[i].setDefaults()
 	}
-	setDefault(&c.Policy.LatencyWeight, 1)
-	setDefault(&c.Policy.RecomputeWeight, 1)
-	setDefault(&c.Rollout.MaxConcurrentLoads, DefaultMaxLoads)
-	setDefault(&c.Rollout.CanaryEngines, 1)
-	setDefault(&c.Rollout.MaxErrorShare, DefaultMaxErrorShare)
+	defaults.Set(&c.Policy.LatencyWeight, 1)
+	defaults.Set(&c.Policy.RecomputeWeight, 1)
+	defaults.Set(&c.Rollout.MaxConcurrentLoads, DefaultMaxLoads)
+	defaults.Set(&c.Rollout.CanaryEngines, 1)
+	defaults.Set(&c.Rollout.MaxErrorShare, DefaultMaxErrorShare)
 }
 
 func (w *Workspace) setDefaults() {
-	setDefault(&w.Weight, 1)
-	setDefault(&w.RetryWindow, Duration(DefaultRetryWindow))
-	setDefault(&w.Limits.BodyBytes, DefaultBodyBytes)
-	setDefault(&w.Limits.Deadline, Duration(DefaultDeadline))
-	setDefault(&w.Objectives.TTFT, Duration(DefaultTTFT))
-	setDefault(&w.Objectives.BetweenTokens, Duration(DefaultBetweenTokens))
-	setDefault(&w.Objectives.Target, DefaultTarget)
-	setDefault(&w.Objectives.CompleteTarget, DefaultOutcomeTarget)
-	setDefault(&w.Objectives.OutcomeTarget, DefaultOutcomeTarget)
-}
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
+	defaults.Set(&w.Weight, 1)
+	defaults.Set(&w.RetryWindow, Duration(DefaultRetryWindow))
+	defaults.Set(&w.Limits.BodyBytes, DefaultBodyBytes)
+	defaults.Set(&w.Limits.Deadline, Duration(DefaultDeadline))
+	defaults.Set(&w.Objectives.TTFT, Duration(DefaultTTFT))
+	defaults.Set(&w.Objectives.BetweenTokens, Duration(DefaultBetweenTokens))
+	defaults.Set(&w.Objectives.Target, DefaultTarget)
+	defaults.Set(&w.Objectives.CompleteTarget, DefaultOutcomeTarget)
+	defaults.Set(&w.Objectives.OutcomeTarget, DefaultOutcomeTarget)
 }
--- a/pkg/controller/configwatch/apply.go
+++ b/pkg/controller/configwatch/apply.go
@@ -19,6 +19,7 @@
 	"cassiawall.example/cassiawall/pkg/fault"
 	"cassiawall.example/cassiawall/pkg/objects"
 	"cassiawall.example/cassiawall/pkg/peer/peerpb"
+	"cassiawall.example/cassiawall/pkg/wait"
 )
 
 // ConflictError says that another configuration was applied in the meantime. Apply returns it
@@ -236,7 +237,7 @@
 func (c *Controller) WaitEnforced(ctx context.Context, version uint64) (behind []string) {
 	for {
 		behind = c.AskVersions(ctx, version)
-		if len(behind) == 0 || !pause(ctx, enforcedInterval) {
+		if len(behind) == 0 || !wait.Pause(ctx, enforcedInterval) {
 			return behind
 		}
 	}
--- a/pkg/controller/configwatch/bootstrap.go
+++ b/pkg/controller/configwatch/bootstrap.go
@@ -11,6 +11,7 @@
 	"cassiawall.example/cassiawall/pkg/event"
 	"cassiawall.example/cassiawall/pkg/peer"
 	"cassiawall.example/cassiawall/pkg/peer/peerpb"
+	"cassiawall.example/cassiawall/pkg/wait"
 )
 
 const (
@@ -31,9 +32,9 @@
 			return
 		}
 		c.mu.Lock()
-		wait := bootstrapInterval/4 + time.Duration(c.o.Rand.Int64N(int64(bootstrapInterval)))
+		interval := bootstrapInterval/4 + time.Duration(c.o.Rand.Int64N(int64(bootstrapInterval)))
 		c.mu.Unlock()
-		if !pause(ctx, wait) {
+		if !wait.Pause(ctx, interval) {
 			return
 		}
 	}
--- a/pkg/controller/configwatch/configwatch.go
+++ b/pkg/controller/configwatch/configwatch.go
@@ -22,6 +22,7 @@
 	"cassiawall.example/cassiawall/pkg/objects"
 	"cassiawall.example/cassiawall/pkg/peer"
 	"cassiawall.example/cassiawall/pkg/peer/peerpb"
+	"cassiawall.example/cassiawall/pkg/wait"
 )
 
 const (
@@ -190,7 +191,7 @@
 
 // fetchLoop fetches newer versions that peers announce.
 func (c *Controller) fetchLoop(ctx context.Context) {
-	for pause(ctx, stepInterval) {
+	for wait.Pause(ctx, stepInterval) {
 		c.mu.Lock()
 		source, ok := configsync.Source(c.o.Rand, c.self(), max(c.version(), c.refused), c.members(), c.avoidLocked)
 		c.mu.Unlock()
@@ -267,7 +268,7 @@
 			<-done
 			stop = nil
 		}
-		if !pause(ctx, roleInterval) {
+		if !wait.Pause(ctx, roleInterval) {
 			break
 		}
 	}
@@ -290,12 +291,12 @@
 			if failures == 1 {
 				event.ConfigSourceDown.Log(ctx, c.o.Logger, slog.String("error", err.Error()))
 			}
-			pause(ctx, c.retryAfter(failures))
+			wait.Pause(ctx, c.retryAfter(failures))
 			continue
 		}
 		failures = 0
 		if !c.takeObjects(ctx, changes) {
-			pause(ctx, watchPause)
+			wait.Pause(ctx, watchPause)
 		}
 	}
 }
@@ -329,15 +330,3 @@
 	}
 	return c.storeObject(ctx, o, "read")
 }
-
-// pause waits and reports false when ctx ended.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/pkg/controller/configwatch/configwatch_test.go
+++ b/pkg/controller/configwatch/configwatch_test.go
@@ -21,6 +21,7 @@
 	"cassiawall.example/cassiawall/pkg/peer"
 	"cassiawall.example/cassiawall/pkg/peer/peerpb"
 	standin "cassiawall.example/cassiawall/pkg/standin/objects"
+	"cassiawall.example/cassiawall/pkg/wait"
 )
 
 // document returns a valid configuration with one workspace for each name.
@@ -105,7 +106,7 @@
 }
 
 func (c *cluster) gossip(ctx context.Context) {
-	for pause(ctx, time.Second) {
+	for wait.Pause(ctx, time.Second) {
 		c.mu.Lock()
 		for _, to := range c.boards {
 			for i := range len(c.boards) {
--- a/pkg/controller/owner/loops.go
+++ b/pkg/controller/owner/loops.go
@@ -11,6 +11,7 @@
 	"cassiawall.example/cassiawall/pkg/engine"
 	"cassiawall.example/cassiawall/pkg/event"
 	"cassiawall.example/cassiawall/pkg/peer/peerpb"
+	"cassiawall.example/cassiawall/pkg/wait"
 )
 
 const (
@@ -42,34 +43,12 @@
 	e.repair(ctx)
 	var loops sync.WaitGroup
 	loops.Go(func() { e.eventLoop(ctx) })
-	loops.Go(func() { every(ctx, e.owner.options.LoadInterval, e.readLoad) })
-	loops.Go(func() { every(ctx, e.owner.options.StateInterval, e.readState) })
-	loops.Go(func() { every(ctx, e.owner.options.Tick, e.tick) })
+	loops.Go(func() { wait.Every(ctx, e.owner.options.LoadInterval, e.readLoad) })
+	loops.Go(func() { wait.Every(ctx, e.owner.options.StateInterval, e.readState) })
+	loops.Go(func() { wait.Every(ctx, e.owner.options.Tick, e.tick) })
 	loops.Wait()
 }
 
-func every(ctx context.Context, interval time.Duration, f func(context.Context)) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			f(ctx)
-		}
-	}
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 func (e *owned) eventLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		e.mu.Lock()
@@ -95,12 +74,12 @@
 	}
 	if err != nil {
 		if callCtx.Err() == nil {
-			pause(ctx, retryDelay)
+			wait.Pause(ctx, retryDelay)
 		}
 		return
 	}
 	if len(batch.Events) == 0 {
-		pause(ctx, e.owner.options.Tick)
+		wait.Pause(ctx, e.owner.options.Tick)
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -143,7 +122,7 @@
 	e.mu.Unlock()
 	e.reached(ctx, err)
 	if failed {
-		pause(ctx, retryDelay)
+		wait.Pause(ctx, retryDelay)
 	}
 }
 
--- a/pkg/controller/owner/pool_test.go
+++ b/pkg/controller/owner/pool_test.go
@@ -17,6 +17,7 @@
 	"cassiawall.example/cassiawall/pkg/engine"
 	"cassiawall.example/cassiawall/pkg/placement"
 	"cassiawall.example/cassiawall/pkg/prefix"
+	"cassiawall.example/cassiawall/pkg/wait"
 )
 
 // result is what a trial measured after its warm-up.
@@ -97,7 +98,7 @@
 		p.feeders = append(p.feeders, nil)
 		p.restart(i)
 	}
-	go every(ctx, 250*time.Millisecond, func(context.Context) { p.refresh() })
+	go wait.Every(ctx, 250*time.Millisecond, func(context.Context) { p.refresh() })
 	time.Sleep(time.Second)
 	return p
 }
--- a/pkg/controller/rollout/rollout.go
+++ b/pkg/controller/rollout/rollout.go
@@ -16,6 +16,7 @@
 	"cassiawall.example/cassiawall/pkg/lease"
 	"cassiawall.example/cassiawall/pkg/objects"
 	"cassiawall.example/cassiawall/pkg/rollout"
+	"cassiawall.example/cassiawall/pkg/wait"
 	"cassiawall.example/cassiawall/pkg/weights"
 )
 
@@ -79,16 +80,8 @@
 
 // Run decides until ctx ends. Orders in progress end with it.
 func (c *Controller) Run(ctx context.Context) error {
-	ticker := time.NewTicker(tick)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			c.step(ctx)
-		}
-	}
+	wait.Every(ctx, tick, c.step)
+	return nil
 }
 
 // step decides for all models whose leases this node holds. Models wait for each other, because
--- a/pkg/demo/run.go
+++ b/pkg/demo/run.go
@@ -17,6 +17,7 @@
 	"cassiawall.example/cassiawall/pkg/loadgen"
 	"cassiawall.example/cassiawall/pkg/localfleet"
 	enginestandin "cassiawall.example/cassiawall/pkg/standin/engine"
+	"cassiawall.example/cassiawall/pkg/wait"
 )
 
 // Sizes of the demo.
@@ -154,7 +155,7 @@
 	for i := 0; (d.opt.Requests == 0 || i < d.opt.Requests) && ctx.Err() == nil; i++ {
 		a := d.workload.action()
 		calls.Go(func() { d.perform(ctx, &a) })
-		pause(ctx, a.gap)
+		wait.Pause(ctx, a.gap)
 	}
 	calls.Wait()
 	stopStatus()
@@ -214,16 +215,7 @@
 		if result.Kind != fault.InProgress || ctx.Err() != nil {
 			return result
 		}
-		pause(ctx, repeatPause)
-	}
-}
-
-func pause(ctx context.Context, span time.Duration) {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
+		wait.Pause(ctx, repeatPause)
 	}
 }
 
--- a/pkg/health/breaker.go
+++ b/pkg/health/breaker.go
@@ -2,6 +2,8 @@
 // and detection of backends that leave. It does no I/O and takes the time as an argument.
 package health
 
+import "cassiawall.example/cassiawall/pkg/defaults"
+
 import "time"
 
 // BreakerConfig sets a circuit breaker. Zero values take the defaults stated at each field.
@@ -17,20 +19,13 @@
 }
 
 func (c BreakerConfig) withDefaults() BreakerConfig {
-	setDefault(&c.Failures, 5)
-	setDefault(&c.OpenFor, time.Second)
-	setDefault(&c.MaxOpenFor, 30*time.Second)
-	setDefault(&c.ProbeTimeout, 10*time.Second)
+	defaults.Set(&c.Failures, 5)
+	defaults.Set(&c.OpenFor, time.Second)
+	defaults.Set(&c.MaxOpenFor, 30*time.Second)
+	defaults.Set(&c.ProbeTimeout, 10*time.Second)
 	return c
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // BreakerState is the state of a breaker.
 type BreakerState int
 
--- a/pkg/health/leaving.go
+++ b/pkg/health/leaving.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"cassiawall.example/cassiawall/pkg/defaults"
 )
 
 // Source names where evidence about a backend comes from.
@@ -35,11 +37,11 @@
 }
 
 func (c LeavingConfig) withDefaults() LeavingConfig {
-	setDefault(&c.ReturnAfter, 10*time.Second)
-	setDefault(&c.MaxReturnAfter, 2*time.Minute)
-	setDefault(&c.ForgetFlaps, 10*time.Minute)
-	setDefault(&c.MinUsableShare, 0.2)
-	setDefault(&c.AliveFor, 5*time.Second)
+	defaults.Set(&c.ReturnAfter, 10*time.Second)
+	defaults.Set(&c.MaxReturnAfter, 2*time.Minute)
+	defaults.Set(&c.ForgetFlaps, 10*time.Minute)
+	defaults.Set(&c.MinUsableShare, 0.2)
+	defaults.Set(&c.AliveFor, 5*time.Second)
 	return c
 }
 
--- a/pkg/health/pool.go
+++ b/pkg/health/pool.go
@@ -6,6 +6,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"cassiawall.example/cassiawall/pkg/defaults"
 )
 
 // PoolConfig sets the health rules of a pool. Zero values take the defaults stated at each field.
@@ -32,14 +34,14 @@
 }
 
 func (c PoolConfig) withDefaults() PoolConfig {
-	setDefault(&c.MaxEjectedShare, 0.3)
-	setDefault(&c.HalfLife, 10*time.Second)
-	setDefault(&c.MinVolume, 5)
-	setDefault(&c.Margin, 0.3)
-	setDefault(&c.EjectFor, 5*time.Second)
-	setDefault(&c.MaxEjectFor, 2*time.Minute)
-	setDefault(&c.SlowStart, 10*time.Second)
-	setDefault(&c.SlowStartWeight, 0.1)
+	defaults.Set(&c.MaxEjectedShare, 0.3)
+	defaults.Set(&c.HalfLife, 10*time.Second)
+	defaults.Set(&c.MinVolume, 5)
+	defaults.Set(&c.Margin, 0.3)
+	defaults.Set(&c.EjectFor, 5*time.Second)
+	defaults.Set(&c.MaxEjectFor, 2*time.Minute)
+	defaults.Set(&c.SlowStart, 10*time.Second)
+	defaults.Set(&c.SlowStartWeight, 0.1)
 	return c
 }
 
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"cassiawall.example/cassiawall/pkg/blackboard"
+	"cassiawall.example/cassiawall/pkg/defaults"
 	"cassiawall.example/cassiawall/pkg/peer/peerpb"
 )
 
@@ -186,27 +187,20 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.TickInterval, DefaultTickInterval)
-	setDefault(&o.ProbeInterval, DefaultProbeInterval)
-	setDefault(&o.ProbeTimeout, DefaultProbeTimeout)
-	setDefault(&o.IndirectProbes, DefaultIndirectProbes)
-	setDefault(&o.DeadInterval, DefaultDeadInterval)
-	setDefault(&o.SeedInterval, DefaultSeedInterval)
-	setDefault(&o.LoneSeedInterval, DefaultLoneSeedInterval)
-	setDefault(&o.ForgetDead, DefaultForgetDead)
-	setDefault(&o.ForgetLeft, DefaultForgetLeft)
-	setDefault(&o.MaxPayload, DefaultMaxPayload)
-	setDefault(&o.MaxMembers, DefaultMaxMembers)
+	defaults.Set(&o.TickInterval, DefaultTickInterval)
+	defaults.Set(&o.ProbeInterval, DefaultProbeInterval)
+	defaults.Set(&o.ProbeTimeout, DefaultProbeTimeout)
+	defaults.Set(&o.IndirectProbes, DefaultIndirectProbes)
+	defaults.Set(&o.DeadInterval, DefaultDeadInterval)
+	defaults.Set(&o.SeedInterval, DefaultSeedInterval)
+	defaults.Set(&o.LoneSeedInterval, DefaultLoneSeedInterval)
+	defaults.Set(&o.ForgetDead, DefaultForgetDead)
+	defaults.Set(&o.ForgetLeft, DefaultForgetLeft)
+	defaults.Set(&o.MaxPayload, DefaultMaxPayload)
+	defaults.Set(&o.MaxMembers, DefaultMaxMembers)
 	return o
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Self returns this node as it announces itself.
 func (m *Machine) Self() Member { return m.self.Member }
 
--- a/pkg/node/drain.go
+++ b/pkg/node/drain.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"cassiawall.example/cassiawall/pkg/event"
+	"cassiawall.example/cassiawall/pkg/wait"
 )
 
 func (n *Node) callersServer() *http.Server {
@@ -57,16 +58,6 @@
 	n.claims.Close(ctx)
 }
 
-// pause waits for d or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // drain goes on serving until load balancers have had time to notice, lets the running requests finish within the drain bound and then ends them with a
 // typed error.
 func (n *Node) drain(ctx context.Context, s *http.Server) {
@@ -74,7 +65,7 @@
 	n.entry.Drain()
 	n.gossip.SetDraining(ctx, true)
 	event.NodeDraining.Log(ctx, n.opt.Logger, slog.Int("running", n.entry.Running()))
-	pause(ctx, n.opt.Settings.DrainNotice.D())
+	wait.Pause(ctx, n.opt.Settings.DrainNotice.D())
 	bound, cancel := context.WithTimeout(ctx, n.opt.Settings.DrainBound.D())
 	defer cancel()
 	if s.Shutdown(bound) != nil {
--- a/pkg/service/dispatch.go
+++ b/pkg/service/dispatch.go
@@ -18,6 +18,7 @@
 	"cassiawall.example/cassiawall/pkg/fault"
 	"cassiawall.example/cassiawall/pkg/metrics"
 	"cassiawall.example/cassiawall/pkg/retry"
+	"cassiawall.example/cassiawall/pkg/wait"
 )
 
 const (
@@ -177,20 +178,9 @@
 	deadline, _ := ctx.Deadline()
 	attempt := retry.Attempt{IsRetry: retried, Retriable: repeatable(q.Method), Deadline: deadline}
 	d.mu.Lock()
-	wait, ok := retry.Next(time.Now(), attempt, d.budgets[call.Service.Name], retry.Backoff{}, d.random)
+	delay, ok := retry.Next(time.Now(), attempt, d.budgets[call.Service.Name], retry.Backoff{}, d.random)
 	d.mu.Unlock()
-	return ok && pause(ctx, wait)
-}
-
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return ok && wait.Pause(ctx, delay)
 }
 
 func (d *Dispatcher) send(ctx context.Context, address string, q *Request) (*http.Response, error) {
@@ -273,16 +263,8 @@
 
 // Run probes unreachable backend servers until ctx ends.
 func (d *Dispatcher) Run(ctx context.Context) error {
-	ticker := time.NewTicker(probeInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			d.probeUnreachable(ctx)
-		}
-	}
+	wait.Every(ctx, probeInterval, d.probeUnreachable)
+	return nil
 }
 
 func (d *Dispatcher) probeUnreachable(ctx context.Context) {
--- a/pkg/standin/engine/config.go
+++ b/pkg/standin/engine/config.go
@@ -7,6 +7,8 @@
 	"context"
 	"log/slog"
 	"time"
+
+	"cassiawall.example/cassiawall/pkg/defaults"
 )
 
 // Config describes one engine. Zero values take the defaults stated at each field.
@@ -74,24 +76,24 @@
 const defaultMaxTokens = 128
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.ID, "engine")
-	setDefault(&c.Model, "model")
-	setDefault(&c.WeightsVersion, "v1")
-	setDefault(&c.Role, "serve")
-	setDefault(&c.CacheBlocks, 64)
-	setDefault(&c.BlockTokens, 4000)
-	setDefault(&c.MaxBatch, 16)
-	setDefault(&c.MaxQueue, 1024)
-	setDefault(&c.BytesPerToken, 4)
-	setDefault(&c.StepTime, 10*time.Millisecond)
-	setDefault(&c.PrefillTokensPerSecond, 20_000)
-	setDefault(&c.StepPrefillTokens, 512)
-	setDefault(&c.DecodeTime, 200*time.Microsecond)
-	setDefault(&c.ChunkTokens, 8)
-	setDefault(&c.EventDelay, 200*time.Millisecond)
-	setDefault(&c.EventInterval, 100*time.Millisecond)
-	setDefault(&c.LoadLag, 250*time.Millisecond)
-	setDefault(&c.DetachGrace, 2*time.Second)
+	defaults.Set(&c.ID, "engine")
+	defaults.Set(&c.Model, "model")
+	defaults.Set(&c.WeightsVersion, "v1")
+	defaults.Set(&c.Role, "serve")
+	defaults.Set(&c.CacheBlocks, 64)
+	defaults.Set(&c.BlockTokens, 4000)
+	defaults.Set(&c.MaxBatch, 16)
+	defaults.Set(&c.MaxQueue, 1024)
+	defaults.Set(&c.BytesPerToken, 4)
+	defaults.Set(&c.StepTime, 10*time.Millisecond)
+	defaults.Set(&c.PrefillTokensPerSecond, 20_000)
+	defaults.Set(&c.StepPrefillTokens, 512)
+	defaults.Set(&c.DecodeTime, 200*time.Microsecond)
+	defaults.Set(&c.ChunkTokens, 8)
+	defaults.Set(&c.EventDelay, 200*time.Millisecond)
+	defaults.Set(&c.EventInterval, 100*time.Millisecond)
+	defaults.Set(&c.LoadLag, 250*time.Millisecond)
+	defaults.Set(&c.DetachGrace, 2*time.Second)
 	if c.Loader == nil {
 		c.Loader = NewLoader(1, LoadTime)
 	}
@@ -101,13 +103,6 @@
 	return c
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Faults are the faults that an engine shows. The zero value shows none. Positions of stream
 // faults count the chunks of one response from 1; 0 means never.
 type Faults struct {
