--- a/pkg/cli/demo.go
+++ b/pkg/cli/demo.go
@@ -60,8 +60,10 @@
 	if c.JSON {
 		return
 	}
-	fmt.Fprintf(c.streams.out, "Three nodes and the platform's stand-ins are running. Try:\n\n  %s\n\nOperators' pages: %v\nCtrl-C stops.\n\n",
-		d.CurlLine(), d.OperatorsURLs())
+	fmt.Fprintf(c.streams.out, "Three nodes and the platform's stand-ins are running. Send a request:\n\n  %s\n\n"+
+		"Slow an engine down, and back with a factor of 1, and watch the error budgets:\n\n  %s\n  cassiawall report burn --node %s\n\n"+
+		"Operators' pages (/status, /report/burn, /metrics): %v\nCtrl-C stops.\n\n",
+		d.CurlLine(), d.FaultLine(), d.OperatorsURLs()[0], d.OperatorsURLs())
 }
 
 func (c *demoCommand) print(r *demo.Report) error {
--- a/pkg/demo/run.go
+++ b/pkg/demo/run.go
@@ -146,6 +146,11 @@
 	return urls
 }
 
+// FaultLine returns a command that slows one engine down, so that the burn report shows it.
+func (d *Demo) FaultLine() string {
+	return fmt.Sprintf(`curl -X POST %s/admin/faults -d '{"slow_factor":100}'`, d.fleet.Engines[0].URL())
+}
+
 // Run sends the workload and returns the report.
 func (d *Demo) Run(ctx context.Context) Report {
 	status, stopStatus := context.WithCancel(ctx)
