--- a/pkg/controller/owner/owner_test.go
+++ b/pkg/controller/owner/owner_test.go
@@ -18,18 +18,18 @@
 )
 
 // bed is one node that owns one engine.
-type bed struct {
+type testBed struct {
 	ctx   context.Context
 	board *blackboard.Board
 	f     *fakeEngine
 	o     *Owner
 }
 
-// inBed runs a test in fake time against an engine that holds keys 1 and 2.
-func inBed(t *testing.T, change func(o *Options), test func(t *testing.T, b *bed)) {
+// withTestBed runs a test in fake time against an engine that holds keys 1 and 2.
+func withTestBed(t *testing.T, change func(o *Options), test func(t *testing.T, b *testBed)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		b := &bed{ctx: ctx, board: blackboard.New(), f: newFakeEngine("e", 64)}
+		b := &testBed{ctx: ctx, board: blackboard.New(), f: newFakeEngine("e", 64)}
 		b.f.store([]uint64{1, 2})
 		b.member("n", blackboard.MemberAlive)
 		b.board.Engines.Put("e", blackboard.EngineEntry{ID: "e", DataCentre: "a", Reachable: true}, blackboard.Evidence{})
@@ -47,7 +47,7 @@
 	})
 }
 
-func (b *bed) member(name string, state blackboard.MemberState) {
+func (b *testBed) member(name string, state blackboard.MemberState) {
 	b.board.Members.Put(name, blackboard.MemberEntry{Name: name, DataCentre: "a", State: state}, blackboard.Evidence{})
 }
 
@@ -59,13 +59,13 @@
 	return r
 }
 
-func (b *bed) acquire(t *testing.T, r *peerpb.AcquireRequest) *peerpb.AcquireReply {
+func (b *testBed) acquire(t *testing.T, r *peerpb.AcquireRequest) *peerpb.AcquireReply {
 	reply, err := b.o.Acquire(b.ctx, r)
 	require.NoError(t, err)
 	return reply
 }
 
-func (b *bed) release(slot uint64, stage peerpb.ReleaseRequest_Stage, reused uint32) *peerpb.EngineSummary {
+func (b *testBed) release(slot uint64, stage peerpb.ReleaseRequest_Stage, reused uint32) *peerpb.EngineSummary {
 	reply, _ := b.o.Release(b.ctx, &peerpb.ReleaseRequest{Slot: slot, Engine: "e", Stage: stage, ReusedTokens: reused})
 	return reply.GetSummary()
 }
@@ -73,7 +73,7 @@
 // Guards against an owner that answers before it knows the cache, and against slots that are not
 // freed.
 func TestAcquireAndRelease(t *testing.T) {
-	inBed(t, nil, func(t *testing.T, b *bed) {
+	withTestBed(t, nil, func(t *testing.T, b *testBed) {
 		reply := b.acquire(t, ask("r", 1, 2, 3))
 		assert.Equal(t, peerpb.AcquireReply_GRANTED, reply.GetVerdict())
 		assert.EqualValues(t, 2, reply.GetCachedPieces())
@@ -98,17 +98,17 @@
 // Each case marks the engine as leaving at another step. Guards against new work for a leaving engine
 // from its owner.
 func TestLeavingEngineIsNotGranted(t *testing.T) {
-	leave := func(b *bed) {
+	leave := func(b *testBed) {
 		b.board.Engines.Put("e", blackboard.EngineEntry{ID: "e", DataCentre: "a", Reachable: true, Leaving: true}, blackboard.Evidence{})
 	}
 	t.Run("before the request", func(t *testing.T) {
-		inBed(t, nil, func(t *testing.T, b *bed) {
+		withTestBed(t, nil, func(t *testing.T, b *testBed) {
 			leave(b)
 			assert.Equal(t, peerpb.AcquireReply_ENGINE_LEAVING, b.acquire(t, ask("r", 1)).GetVerdict())
 		})
 	})
 	t.Run("while the request waits", func(t *testing.T) {
-		inBed(t, nil, func(t *testing.T, b *bed) {
+		withTestBed(t, nil, func(t *testing.T, b *testBed) {
 			first := b.acquire(t, ask("first", 10))
 			waiting := make(chan *peerpb.AcquireReply, 1)
 			go func() { waiting <- b.acquire(t, ask("second", 100)) }()
@@ -124,7 +124,7 @@
 
 // Guards against a caller who left but keeps a place in the queue or a slot.
 func TestCancelledAcquireHoldsNothing(t *testing.T) {
-	inBed(t, nil, func(t *testing.T, b *bed) {
+	withTestBed(t, nil, func(t *testing.T, b *testBed) {
 		first := b.acquire(t, ask("first", 10))
 		ctx, cancel := context.WithCancel(b.ctx)
 		var waiting sync.WaitGroup
@@ -149,7 +149,7 @@
 // wait forever for a prefill that failed.
 func TestConcurrentMissesShareOnePrefill(t *testing.T) {
 	for _, fails := range []bool{false, true} {
-		inBed(t, nil, func(t *testing.T, b *bed) {
+		withTestBed(t, nil, func(t *testing.T, b *testBed) {
 			first := b.acquire(t, ask("first", 11, 12, 13, 21))
 			var mu sync.Mutex
 			var depths []uint32
@@ -183,7 +183,7 @@
 
 // Guards against use of cache entries of an engine that has restarted.
 func TestNewIncarnationDropsIndexAndSlots(t *testing.T) {
-	inBed(t, nil, func(t *testing.T, b *bed) {
+	withTestBed(t, nil, func(t *testing.T, b *testBed) {
 		b.acquire(t, ask("r", 1, 2))
 		b.f.crash()
 		time.Sleep(2 * time.Second)
@@ -199,7 +199,7 @@
 // Guards against requests that wait at an engine that does not answer, and against an engine that
 // stays excluded after it answers again.
 func TestUnreachableEngine(t *testing.T) {
-	inBed(t, nil, func(t *testing.T, b *bed) {
+	withTestBed(t, nil, func(t *testing.T, b *testBed) {
 		b.acquire(t, ask("r", 10))
 		done := make(chan *peerpb.AcquireReply, 1)
 		go func() { done <- b.acquire(t, ask("waiting", 11)) }()
@@ -217,7 +217,7 @@
 	})
 }
 
-func (b *bed) setDown(down bool) {
+func (b *testBed) setDown(down bool) {
 	b.f.mu.Lock()
 	defer b.f.mu.Unlock()
 	b.f.down = down
@@ -226,7 +226,7 @@
 // Guards against requests that wait at a former owner, and against an owner that keeps a member
 // list of the past.
 func TestHandOff(t *testing.T) {
-	inBed(t, nil, func(t *testing.T, b *bed) {
+	withTestBed(t, nil, func(t *testing.T, b *testBed) {
 		other := ""
 		for i := range 20 {
 			name := fmt.Sprint("m", i)
@@ -256,7 +256,7 @@
 func TestEngineMovesToAnotherAddress(t *testing.T) {
 	moved := newFakeEngine("e", 64)
 	moved.store([]uint64{1, 2, 3, 4})
-	inBed(t, func(o *Options) {
+	withTestBed(t, func(o *Options) {
 		current := o.Engines
 		board := o.Board
 		o.Engines = func(id string) engine.Reporter {
@@ -265,7 +265,7 @@
 			}
 			return current(id)
 		}
-	}, func(t *testing.T, b *bed) {
+	}, func(t *testing.T, b *testBed) {
 		assert.EqualValues(t, 2, b.acquire(t, ask("r", 1, 2, 3, 4)).GetCachedPieces())
 		b.board.Engines.Put("e", blackboard.EngineEntry{ID: "e", Address: "new", DataCentre: "a", Reachable: true}, blackboard.Evidence{})
 		synctest.Wait()
@@ -275,7 +275,7 @@
 
 // Guards against entries that stay hidden or wrong after events were lost.
 func TestLostEventsAreRepaired(t *testing.T) {
-	inBed(t, nil, func(t *testing.T, b *bed) {
+	withTestBed(t, nil, func(t *testing.T, b *testBed) {
 		b.f.mu.Lock()
 		b.f.lost = 1
 		b.f.store([]uint64{41, 42})
@@ -291,7 +291,7 @@
 
 // Guards against slots of a lost entry node that block the engine for good.
 func TestSlotsWithoutRenewalExpire(t *testing.T) {
-	inBed(t, nil, func(t *testing.T, b *bed) {
+	withTestBed(t, nil, func(t *testing.T, b *testBed) {
 		reply := b.acquire(t, ask("r", 10))
 		time.Sleep(10 * time.Second)
 		assert.EqualValues(t, 1, b.release(reply.GetSlot(), peerpb.ReleaseRequest_RENEW, 0).GetRunning())
@@ -311,10 +311,10 @@
 	}{{"fast copy", 200_000, "other"}, {"slow copy", 30_000, ""}, {"no copies", 0, ""}}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
-			inBed(t, func(o *Options) {
+			withTestBed(t, func(o *Options) {
 				o.Copy = CopyOptions{TokensPerSecond: tc.rate}
 				o.Holder = func([]uint64, string) (string, int) { return "other", 5 }
-			}, func(t *testing.T, b *bed) {
+			}, func(t *testing.T, b *testBed) {
 				assert.Equal(t, tc.want, b.acquire(t, ask("r", 1, 2, 3, 4, 5)).GetCopyFrom())
 			})
 		})
@@ -351,7 +351,7 @@
 // Guards against a slot that blocks the engine until it expires because the entry gave up on
 // Acquire at the moment of the grant and the reply reached nobody.
 func TestLostGrantIsGivenUp(t *testing.T) {
-	inBed(t, nil, func(t *testing.T, b *bed) {
+	withTestBed(t, nil, func(t *testing.T, b *testBed) {
 		b.acquire(t, ask("lost", 10))
 		done := make(chan *peerpb.AcquireReply, 1)
 		go func() { done <- b.acquire(t, ask("next", 11)) }()
