--- a/pkg/entry/entry_test.go
+++ b/pkg/entry/entry_test.go
@@ -6,11 +6,13 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -223,3 +225,39 @@
 		assert.Equal(t, 0, s.Running())
 	})
 }
+
+// stalledWriter is a connection whose caller takes the headers and then nothing.
+type stalledWriter struct {
+	httptest.ResponseRecorder
+	deadline time.Time
+}
+
+func (w *stalledWriter) SetWriteDeadline(t time.Time) error {
+	w.deadline = t
+	return nil
+}
+
+func (w *stalledWriter) Write([]byte) (int, error) {
+	if w.deadline.IsZero() {
+		return 0, errors.New("a write without a deadline can block for ever")
+	}
+	return 0, os.ErrDeadlineExceeded
+}
+
+// Guards against a caller that reads nothing and keeps an engine and a goroutine busy: each write has
+// a deadline, and its end frees the engine and is told as slow_reader.
+func TestSlowReaderEndsTheRequest(t *testing.T) {
+	f := &fakeEngine{chunks: twoChunks()}
+	s := testServer(t, f)
+	recorded := make(outcomes, 1)
+	s.opt.Recorder = recorded
+	r := httptest.NewRequest(http.MethodPost, "/v1/completions", strings.NewReader(`{"model":"lugha","prompt":"slot?","stream":true}`))
+	r.Header.Set("Authorization", "Bearer "+testKey)
+	s.ServeHTTP(&stalledWriter{ResponseRecorder: *httptest.NewRecorder()}, r)
+	require.Len(t, recorded, 1)
+	o := <-recorded
+	assert.Equal(t, fault.SlowReader, o.Cause)
+	assert.False(t, o.Complete)
+	assert.Len(t, f.requests, 1, "no other engine is asked for a caller that reads nothing")
+	assert.Zero(t, s.Running())
+}
