Let the demo's calls finish when it is interrupted

Cause: Ctrl-C ended the calls in progress, which the report counted as cut (2 errors, exit 1 in one run).

--- a/pkg/demo/run.go
+++ b/pkg/demo/run.go
@@ -179,8 +179,10 @@
 	return &loadgen.Client{Base: nodes[i%len(nodes)].CallersURL(), HTTP: d.http}
 }
 
+// perform runs one action. It goes on when the demo is interrupted, so that the report counts no
+// answer as cut that the demo itself cut.
 func (d *Demo) perform(ctx context.Context, a *action) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
 	defer cancel()
 	if a.booking != nil {
 		d.book(ctx, a)
