Use one piece of code where the change had several

Pieces were converted to their wire form in four places, header names stood in three packages, the demo and the bench each had latency quantiles and a ratio, retries had their own pause, commands their own signal handling, and the usage its own sum of tokens. Behaviour is unchanged; make test passes.

--- a/pkg/bench/result.go
+++ b/pkg/bench/result.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cassiawall.example/cassiawall/pkg/fault"
+	"cassiawall.example/cassiawall/pkg/loadgen"
 )
 
 // Result is the outcome of a bench.
@@ -30,7 +31,7 @@
 	Crossed int                `json:"crossed"`
 	Kinds   map[fault.Kind]int `json:"kinds,omitempty"`
 	// TTFT is over the callers who stay until the answer ends.
-	TTFT Quantiles `json:"ttft_ms"`
+	TTFT loadgen.Quantiles `json:"ttft_ms"`
 	// PrefixHitRate is the share of prompt tokens that came from a cache.
 	PrefixHitRate float64 `json:"prefix_hit_rate"`
 	// WastedTokensShare is the share of engine tokens spent on requests that did not end whole.
@@ -69,11 +70,11 @@
 		Errors:               r.counts.errors,
 		Crossed:              r.counts.crossed,
 		Kinds:                r.counts.kinds,
-		TTFT:                 quantilesOf(r.ttft),
-		PrefixHitRate:        ratio(f.reused, f.reused+f.computed),
-		WastedTokensShare:    ratio(f.cancelled, spent),
-		WastedAbandonedShare: ratio(f.ledger.AfterAbandonment, f.ledger.Total),
-		RecomputedShare:      ratio(f.ledger.Recomputed, int64(f.reused+f.computed)),
+		TTFT:                 loadgen.QuantilesOf(r.ttft),
+		PrefixHitRate:        loadgen.Ratio(f.reused, f.reused+f.computed),
+		WastedTokensShare:    loadgen.Ratio(f.cancelled, spent),
+		WastedAbandonedShare: loadgen.Ratio(f.ledger.AfterAbandonment, f.ledger.Total),
+		RecomputedShare:      loadgen.Ratio(f.ledger.Recomputed, int64(f.reused+f.computed)),
 		EngineLoad:           mean,
 		EngineLoadCV:         cv,
 		EngineLoads:          loads,
@@ -109,7 +110,7 @@
 func loadsOf(work []float64, seconds float64) []float64 {
 	loads := make([]float64, len(work))
 	for i, w := range work {
-		loads[i] = ratio(w, seconds)
+		loads[i] = loadgen.Ratio(w, seconds)
 	}
 	return loads
 }
@@ -126,7 +127,7 @@
 	for _, v := range values {
 		squares += (v - mean) * (v - mean)
 	}
-	return mean, ratio(math.Sqrt(squares/float64(len(values))), mean)
+	return mean, loadgen.Ratio(math.Sqrt(squares/float64(len(values))), mean)
 }
 
 // faultWindow is the time before and after a fault over which hit rates are compared.
@@ -146,7 +147,7 @@
 			after.Computed += s.Computed
 		}
 	}
-	return ratio(after.HitRate(), before.HitRate())
+	return loadgen.Ratio(after.HitRate(), before.HitRate())
 }
 
 // barRatio is the ratio of the ends of a bar in the TTFT distribution, and firstBar the end of
@@ -168,7 +169,7 @@
 			limit *= barRatio
 			bar = histogramBar{fromMS: bar.toMS, toMS: limit / 1000}
 		}
-		bar.share += ratio(b.Count, total)
+		bar.share += loadgen.Ratio(b.Count, total)
 	}
 	return append(bars, bar)
 }
--- a/pkg/bench/run.go
+++ b/pkg/bench/run.go
@@ -75,7 +75,7 @@
 }
 
 // HitRate returns the share of prompt tokens that came from a cache.
-func (s *Sample) HitRate() float64 { return ratio(s.Reused, s.Reused+s.Computed) }
+func (s *Sample) HitRate() float64 { return loadgen.Ratio(s.Reused, s.Reused+s.Computed) }
 
 func newPolicyRun(policy string, t *trace, fleet *localfleet.Fleet, ledger *enginestandin.Ledger, from time.Duration) *policyRun {
 	transport := &http.Transport{MaxIdleConnsPerHost: idleConnections, DisableCompression: true}
@@ -86,7 +86,7 @@
 		ledger:      ledger,
 		http:        &http.Client{Transport: transport},
 		measureFrom: from,
-		ttft:        newHistogram(),
+		ttft:        loadgen.NewHistogram(),
 		counts:      counts{kinds: map[fault.Kind]int{}},
 	}
 }
@@ -187,7 +187,7 @@
 		if ttft == 0 {
 			ttft = config.DefaultDeadline
 		}
-		record(r.ttft, ttft)
+		loadgen.Record(r.ttft, ttft)
 	}
 	switch {
 	case result.Complete && result.Text == enginestandin.Answer(text, a.seed, a.maxTokens):
--- a/pkg/bench/scale/peercall.go
+++ b/pkg/bench/scale/peercall.go
@@ -74,7 +74,7 @@
 
 func callOnce(ctx context.Context, client peerpb.Peer, i int) error {
 	r := &peerpb.AcquireRequest{RequestId: "0123456789abcdef0123456789abcdef", Engine: "engine-123", Workspace: "workspace-12345",
-		EntryNode: "node-123", MaxOutputTokens: 256, DeadlineMs: 30_000, DeclineOverMs: 400, Weight: 1, AgeMs: 1, SharedPieces: 5}
+		EntryNode: "node-123", MaxOutputTokens: 256, DeadlineMs: 30_000, DeclineOverMs: 400, Weight: 1, AgeMs: 1}
 	for p := range chainPieces {
 		r.Keys = append(r.Keys, uint64(i*chainPieces+p)*oddFactor)
 		r.PieceTokens = append(r.PieceTokens, 4000)
--- a/pkg/blackboard/board.go
+++ b/pkg/blackboard/board.go
@@ -117,13 +117,6 @@
 	Concurrency       int
 }
 
-// SoftPrefixEntry is where recent answers reused a prefix.
-type SoftPrefixEntry struct {
-	Engine      string
-	Incarnation string
-	Depth       int
-}
-
 // ConfigKey is the only key of the configuration section.
 const ConfigKey = "current"
 
--- a/pkg/cli/bench.go
+++ b/pkg/cli/bench.go
@@ -1,13 +1,10 @@
 package cli
 
 import (
-	"context"
 	"errors"
 	"log/slog"
 	"os"
-	"os/signal"
 	"strings"
-	"syscall"
 	"time"
 
 	"cassiawall.example/cassiawall/pkg/bench"
@@ -48,7 +45,7 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	ctx, stop := interruptible()
 	defer stop()
 	result, err := bench.Run(ctx, options)
 	if err != nil {
@@ -115,7 +112,7 @@
 
 // Execute measures the slopes.
 func (c *benchScaleCommand) Execute([]string) error {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	ctx, stop := interruptible()
 	defer stop()
 	result, err := bench.RunScale(ctx, splitList(c.Role), c.streams.err)
 	if err != nil {
--- a/pkg/cli/demo.go
+++ b/pkg/cli/demo.go
@@ -1,14 +1,11 @@
 package cli
 
 import (
-	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"cassiawall.example/cassiawall/pkg/config"
 	"cassiawall.example/cassiawall/pkg/demo"
@@ -42,7 +39,7 @@
 			return err
 		}
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	ctx, stop := interruptible()
 	defer stop()
 	d, err := demo.Start(ctx, options)
 	if err != nil {
--- a/pkg/demo/tally.go
+++ b/pkg/demo/tally.go
@@ -27,27 +27,13 @@
 	DoubleRuns    int     `json:"double_runs"`
 	PrefixHitRate float64 `json:"prefix_hit_rate"`
 	// WastedTokensShare is the share of the engines' tokens that no caller got.
-	WastedTokensShare float64     `json:"wasted_tokens_share"`
-	TTFT              Percentiles `json:"ttft_ms"`
-}
-
-// Percentiles are in milliseconds.
-type Percentiles struct {
-	P50 float64 `json:"p50"`
-	P95 float64 `json:"p95"`
-	P99 float64 `json:"p99"`
+	WastedTokensShare float64           `json:"wasted_tokens_share"`
+	TTFT              loadgen.Quantiles `json:"ttft_ms"`
 }
 
 // OK reports whether no answer was cut, crossed or run twice.
 func (r *Report) OK() bool { return r.Errors == 0 && r.Crossed == 0 && r.DoubleRuns == 0 }
 
-// Bounds of the histogram of times to first token, in microseconds.
-const (
-	minMicros        = 1
-	maxMicros        = 120_000_000
-	significantDigit = 3
-)
-
 // tally counts what the callers see.
 type tally struct {
 	fleet *localfleet.Fleet
@@ -57,7 +43,7 @@
 }
 
 func newTally(fleet *localfleet.Fleet) *tally {
-	return &tally{fleet: fleet, ttft: hdrhistogram.New(minMicros, maxMicros, significantDigit)}
+	return &tally{fleet: fleet, ttft: loadgen.NewHistogram()}
 }
 
 // chatDone counts a chat. A caller that left may have got any prefix of its answer.
@@ -67,8 +53,7 @@
 	defer t.mu.Unlock()
 	t.sum.Requests++
 	if r.TTFT > 0 {
-		// Values above the histogram's range cannot occur: calls are bounded by callTimeout.
-		_ = t.ttft.RecordValue(r.TTFT.Microseconds())
+		loadgen.Record(t.ttft, r.TTFT)
 	}
 	if !strings.HasPrefix(expected, r.Text) {
 		t.sum.Crossed++
@@ -118,10 +103,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.sum
-	const perMillisecond = 1000.0
-	r.TTFT.P50 = float64(t.ttft.ValueAtQuantile(50)) / perMillisecond
-	r.TTFT.P95 = float64(t.ttft.ValueAtQuantile(95)) / perMillisecond
-	r.TTFT.P99 = float64(t.ttft.ValueAtQuantile(99)) / perMillisecond
+	r.TTFT = loadgen.QuantilesOf(t.ttft)
 	reused, computed, wasted, total := 0, 0, 0, 0
 	for _, e := range t.fleet.Engines {
 		c := e.Counters()
@@ -133,14 +115,7 @@
 	for _, ledger := range t.fleet.Platform.Services {
 		r.DoubleRuns += ledger.DoubleRuns()
 	}
-	r.PrefixHitRate = share(reused, reused+computed)
-	r.WastedTokensShare = share(wasted, total)
+	r.PrefixHitRate = loadgen.Ratio(reused, reused+computed)
+	r.WastedTokensShare = loadgen.Ratio(wasted, total)
 	return r
 }
-
-func share(part, whole int) float64 {
-	if whole == 0 {
-		return 0
-	}
-	return float64(part) / float64(whole)
-}
--- a/pkg/engine/wire.go
+++ b/pkg/engine/wire.go
@@ -102,6 +102,15 @@
 	return c
 }
 
+// PiecesOf returns the wire form of a prompt's pieces.
+func PiecesOf(pieces []prefix.Piece) []Piece {
+	wire := make([]Piece, len(pieces))
+	for i, p := range pieces {
+		wire[i] = Piece{Key: p.Key, Tokens: p.Tokens, Bytes: p.End - p.Start}
+	}
+	return wire
+}
+
 // ContentKeys returns the hex content keys by which an engine names the cached blocks of a
 // prompt. Engines do not see level names, so the chain covers the salt and the text only.
 func ContentKeys(salt prefix.Salt, prompt string, pieces []Piece) []string {
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -158,7 +158,7 @@
 	return func(ctx iris.Context) {
 		w, r := writer{ctx.ResponseWriter()}, ctx.Request()
 		id := s.opt.RequestID()
-		w.Header().Set("X-Request-Id", id)
+		w.Header().Set(fault.HeaderRequestID, id)
 		s.running.Add(1)
 		defer s.running.Add(-1)
 		if s.draining.Load() {
--- a/pkg/entry/generate.go
+++ b/pkg/entry/generate.go
@@ -13,6 +13,7 @@
 	"cassiawall.example/cassiawall/pkg/prefix"
 	"cassiawall.example/cassiawall/pkg/routing"
 	"cassiawall.example/cassiawall/pkg/stream"
+	"cassiawall.example/cassiawall/pkg/wait"
 )
 
 func (s *Server) chat(w http.ResponseWriter, r *http.Request, id string) error {
@@ -206,11 +207,11 @@
 	if src.lastEngine == "" {
 		return false
 	}
-	wait, ok := src.server.retries.next(src.server.opt.Now(), src.retried, fault.As(err).RetryAfter)
+	delay, ok := src.server.retries.next(src.server.opt.Now(), src.retried, fault.As(err).RetryAfter)
 	if !ok {
 		return false
 	}
-	src.retried, src.wait = true, wait
+	src.retried, src.wait = true, delay
 	event.StreamReplayed.Log(context.Background(), src.server.opt.Logger,
 		slog.String("request", src.g.id), slog.String("engine", src.lastEngine), slog.Any("error", err))
 	return true
@@ -222,15 +223,12 @@
 		src.server.retries.first(src.server.opt.Now())
 		return nil
 	}
-	timer := time.NewTimer(src.wait)
-	defer timer.Stop()
+	delay := src.wait
 	src.wait = 0
-	select {
-	case <-ctx.Done():
+	if !wait.Pause(ctx, delay) {
 		return fault.Wrap(context.Cause(ctx), fault.Abandoned, "the caller left before a retry")
-	case <-timer.C:
-		return nil
 	}
+	return nil
 }
 
 func (src *source) work() *routing.Work {
@@ -243,13 +241,9 @@
 
 func (src *source) request(target routing.Target, from stream.Position) *engine.Request {
 	g := src.g
-	pieces := make([]engine.Piece, len(g.pieces))
-	for i, p := range g.pieces {
-		pieces[i] = engine.Piece{Key: p.Key, Tokens: p.Tokens, Bytes: p.End - p.Start}
-	}
 	return &engine.Request{
 		ID: g.id, Workspace: g.workspace.Name, Model: g.model.Name, WeightsVersion: g.model.WeightsVersion,
-		Prompt: g.prompt(), Pieces: pieces, MaxTokens: g.maxTokens, Seed: g.common.Seed,
+		Prompt: g.prompt(), Pieces: engine.PiecesOf(g.pieces), MaxTokens: g.maxTokens, Seed: g.common.Seed,
 		Temperature: g.common.Temperature, ResumeOffset: from.NextSeq, Replay: from.Text,
 		ReplayTokens: from.Tokens, Incarnation: target.Incarnation,
 	}
--- a/pkg/entry/once.go
+++ b/pkg/entry/once.go
@@ -17,9 +17,6 @@
 )
 
 const (
-	headerIdempotencyKey = "Idempotency-Key"
-	// headerReplayed marks an answer that comes from the record of an earlier request.
-	headerReplayed = "Idempotent-Replayed"
 	// maxKeyBytes bounds an idempotency key.
 	maxKeyBytes = 255
 	// onceTimeout bounds a generation that runs at most once and goes on without its caller.
@@ -34,7 +31,7 @@
 // runsOnce reports whether the request must run at most once: the workspace declares the model so,
 // or the caller sent an idempotency key.
 func runsOnce(g *generation, r *http.Request) bool {
-	return r.Header.Get(headerIdempotencyKey) != "" || slices.Contains(g.workspace.NonIdempotentModels, g.model.Name)
+	return r.Header.Get(fault.HeaderIdempotencyKey) != "" || slices.Contains(g.workspace.NonIdempotentModels, g.model.Name)
 }
 
 // generateOnce serves a generation that runs at most once. It goes on when its caller leaves,
@@ -50,7 +47,7 @@
 	}
 	out := s.responder(w, g)
 	if recorded != nil {
-		w.Header().Set(headerReplayed, "true")
+		w.Header().Set(fault.HeaderReplayed, "true")
 		return replayAnswer(g, recorded, out)
 	}
 	running, stop := context.WithCancelCause(context.WithoutCancel(r.Context()))
@@ -66,12 +63,12 @@
 }
 
 func (s *Server) claimOf(g *generation, r *http.Request) (claimsctl.Request, error) {
-	key := r.Header.Get(headerIdempotencyKey)
+	key := r.Header.Get(fault.HeaderIdempotencyKey)
 	switch {
 	case key == "":
 		return claimsctl.Request{}, fault.New(fault.IdempotencyKeyMissing, "requests of model %s run at most once in workspace %s", g.model.Name, g.workspace.Name)
 	case len(key) > maxKeyBytes:
-		return claimsctl.Request{}, fault.New(fault.BadRequest, "header %s is longer than %d bytes", headerIdempotencyKey, maxKeyBytes)
+		return claimsctl.Request{}, fault.New(fault.BadRequest, "header %s is longer than %d bytes", fault.HeaderIdempotencyKey, maxKeyBytes)
 	case s.opt.Guard == nil:
 		return claimsctl.Request{}, fault.New(fault.PlatformUnavailable, "this node has no object API for requests that run at most once")
 	}
--- a/pkg/entry/once_test.go
+++ b/pkg/entry/once_test.go
@@ -43,7 +43,7 @@
 func postOnce(ctx context.Context, s *Server) *httptest.ResponseRecorder {
 	r := httptest.NewRequestWithContext(ctx, http.MethodPost, "/v1/completions", strings.NewReader(`{"model":"lugha","prompt":"book it"}`))
 	r.Header.Set("Authorization", "Bearer "+testKey)
-	r.Header.Set(headerIdempotencyKey, "k")
+	r.Header.Set(fault.HeaderIdempotencyKey, "k")
 	w := httptest.NewRecorder()
 	s.ServeHTTP(w, r)
 	return w
--- a/pkg/entry/respond.go
+++ b/pkg/entry/respond.go
@@ -15,6 +15,7 @@
 	"cassiawall.example/cassiawall/pkg/event"
 	"cassiawall.example/cassiawall/pkg/fault"
 	"cassiawall.example/cassiawall/pkg/openai"
+	"cassiawall.example/cassiawall/pkg/prefix"
 	"cassiawall.example/cassiawall/pkg/stream"
 )
 
@@ -32,9 +33,9 @@
 // responder returns the writer of the kind of answer that the request asks for.
 func (s *Server) responder(w http.ResponseWriter, g *generation) responder {
 	if g.common.Stream {
-		return &streamResponder{w: w, control: http.NewResponseController(w), g: g, now: s.opt.Now, stall: s.opt.WriteStall}
+		return &streamResponder{w: w, control: http.NewResponseController(w), g: g, stall: s.opt.WriteStall}
 	}
-	return &wholeResponder{w: w, g: g, now: s.opt.Now}
+	return &wholeResponder{w: w, g: g}
 }
 
 // endGeneration ends a started answer with its error. It returns the error of an answer that was
@@ -107,7 +108,6 @@
 	w       http.ResponseWriter
 	control *http.ResponseController
 	g       *generation
-	now     func() time.Time
 	stall   time.Duration
 	begun   bool
 	// buffer holds the event that is being written.
@@ -208,7 +208,6 @@
 type wholeResponder struct {
 	w    http.ResponseWriter
 	g    *generation
-	now  func() time.Time
 	text strings.Builder
 }
 
@@ -240,10 +239,7 @@
 }
 
 func usageOf(g *generation, result *stream.Result) *openai.Usage {
-	prompt := 0
-	for _, p := range g.pieces {
-		prompt += p.Tokens
-	}
+	prompt := prefix.Tokens(g.pieces)
 	return &openai.Usage{
 		PromptTokens: prompt, CompletionTokens: result.Tokens, TotalTokens: prompt + result.Tokens,
 		PromptTokensDetails: openai.PromptDetails{CachedTokens: result.ReusedTokens},
--- a/pkg/fault/http.go
+++ b/pkg/fault/http.go
@@ -10,7 +10,10 @@
 
 // Header names that errors and requests share.
 const (
-	HeaderRequestID  = "X-Request-Id"
+	HeaderRequestID      = "X-Request-Id"
+	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderReplayed marks an answer that comes from the record of an earlier request.
+	HeaderReplayed   = "Idempotent-Replayed"
 	HeaderRetryAfter = "Retry-After"
 )
 
--- a/pkg/loadgen/client.go
+++ b/pkg/loadgen/client.go
@@ -182,7 +182,7 @@
 func (c *Client) Call(ctx context.Context, call *Call) Result {
 	header := http.Header{}
 	if call.IdempotencyKey != "" {
-		header.Set("Idempotency-Key", call.IdempotencyKey)
+		header.Set(fault.HeaderIdempotencyKey, call.IdempotencyKey)
 	}
 	start := time.Now()
 	response, err := c.send(ctx, call.Method, call.Path, call.APIKey, call.Body, header)
--- a/pkg/routing/copy.go
+++ b/pkg/routing/copy.go
@@ -65,13 +65,11 @@
 // contentKeys names the shared pieces as the engines do.
 func contentKeys(w *Work) []string {
 	shared := 0
-	pieces := make([]engine.Piece, len(w.Pieces))
 	for i, p := range w.Pieces {
-		pieces[i] = engine.Piece{Key: p.Key, Tokens: p.Tokens, Bytes: p.End - p.Start}
 		if p.Shared {
 			shared = i + 1
 		}
 	}
 	salt := prefix.Salt{Workspace: w.Workspace.Name, Model: w.Model.Name, WeightsVersion: w.Model.WeightsVersion}
-	return engine.ContentKeys(salt, w.Prompt(), pieces[:shared])
+	return engine.ContentKeys(salt, w.Prompt(), engine.PiecesOf(w.Pieces[:shared]))
 }
--- a/pkg/routing/copy_test.go
+++ b/pkg/routing/copy_test.go
@@ -31,12 +31,8 @@
 	w.Pieces = prefix.Chain(salt, prefix.Geometry{PieceTokens: 8, BytesPerToken: 1}, []prefix.Segment{{Level: "school", Shared: true, Text: text}})
 
 	computed := func(id, workspace string) int {
-		pieces := make([]engine.Piece, len(w.Pieces))
-		for i, p := range w.Pieces {
-			pieces[i] = engine.Piece{Key: p.Key, Tokens: p.Tokens, Bytes: p.End - p.Start}
-		}
 		s, err := engines[id].Generate(t.Context(), &engine.Request{ID: id + workspace, Workspace: workspace, Model: "lugha",
-			WeightsVersion: "v1", Prompt: text, Pieces: pieces, MaxTokens: 1})
+			WeightsVersion: "v1", Prompt: text, Pieces: engine.PiecesOf(w.Pieces), MaxTokens: 1})
 		require.NoError(t, err)
 		defer s.Close()
 		chunk, err := s.Next()
--- a/pkg/routing/owner.go
+++ b/pkg/routing/owner.go
@@ -151,16 +151,12 @@
 
 func (r *OwnerRouter) acquireRequest(w *Work, c *placement.Candidate, left time.Duration) *peerpb.AcquireRequest {
 	tokens := make([]uint32, len(w.Pieces))
-	shared := 0
 	for i, p := range w.Pieces {
 		tokens[i] = uint32(p.Tokens)
-		if p.Shared {
-			shared = i + 1
-		}
 	}
 	return &peerpb.AcquireRequest{
 		RequestId: w.RequestID, Engine: c.Engine, Workspace: w.Workspace.Name, EntryNode: r.opt.Self,
-		Keys: prefix.Keys(w.Pieces), PieceTokens: tokens, SharedPieces: uint32(shared),
+		Keys: prefix.Keys(w.Pieces), PieceTokens: tokens,
 		MaxOutputTokens: uint32(w.MaxTokens), DeadlineMs: uint32(left.Milliseconds()),
 		DeclineOverMs: uint32(c.DeclineOver.Milliseconds()), Weight: uint32(w.Workspace.Weight),
 		AgeMs: uint32(r.opt.Now().Sub(w.Arrived).Milliseconds()),
--- a/pkg/service/dispatch_test.go
+++ b/pkg/service/dispatch_test.go
@@ -82,7 +82,7 @@
 	r := httptest.NewRequestWithContext(ctx, method, path, strings.NewReader(body))
 	r.Header.Set("Authorization", "Bearer secret")
 	if key != "" {
-		r.Header.Set(HeaderIdempotencyKey, key)
+		r.Header.Set(fault.HeaderIdempotencyKey, key)
 	}
 	b.requests++
 	call := b.call
@@ -108,7 +108,7 @@
 func assertAnswer(t *testing.T, w *httptest.ResponseRecorder, replayed string) {
 	t.Helper()
 	assert.Equal(t, http.StatusOK, w.Code, w.Body.String())
-	assert.Equal(t, replayed, w.Header().Get(HeaderReplayed))
+	assert.Equal(t, replayed, w.Header().Get(fault.HeaderReplayed))
 }
 
 // Guards against a booking that runs twice, is lost, or is refused with a wrong statement about
--- a/pkg/service/headers.go
+++ b/pkg/service/headers.go
@@ -10,9 +10,6 @@
 
 // Headers of plain services.
 const (
-	HeaderIdempotencyKey = "Idempotency-Key"
-	// HeaderReplayed marks an answer that comes from the record of an earlier request.
-	HeaderReplayed = "Idempotent-Replayed"
 	// HeaderWork is how a backend server says with 429 or 503 that it has not run the request:
 	// its value is "not_run".
 	HeaderWork = "X-Work"
--- a/pkg/service/once.go
+++ b/pkg/service/once.go
@@ -38,7 +38,7 @@
 	if err != nil {
 		return err
 	}
-	q.Header.Set(HeaderIdempotencyKey, key)
+	q.Header.Set(fault.HeaderIdempotencyKey, key)
 	if d.opt.Guard == nil {
 		return fault.New(fault.PlatformUnavailable, "this node has no object API to claim non-idempotent requests with")
 	}
@@ -66,7 +66,7 @@
 
 // idempotencyKey returns the caller's key, or one derived from the body if the route allows it.
 func idempotencyKey(r *http.Request, call entry.ServiceCall, q *Request) (string, error) {
-	key := r.Header.Get(HeaderIdempotencyKey)
+	key := r.Header.Get(fault.HeaderIdempotencyKey)
 	switch {
 	case key == "" && call.Route.DeriveKey:
 		return "derived-" + hex.EncodeToString(bodyHash(q)), nil
@@ -147,7 +147,7 @@
 func replay(w http.ResponseWriter, o *claims.Outcome, requestID string) {
 	h := w.Header()
 	h.Set(fault.HeaderRequestID, requestID)
-	h.Set(HeaderReplayed, "true")
+	h.Set(fault.HeaderReplayed, "true")
 	if o.ContentType != "" {
 		h.Set("Content-Type", o.ContentType)
 	}
--- a/pkg/standin/engine/submit.go
+++ b/pkg/standin/engine/submit.go
@@ -127,11 +127,7 @@
 
 func cutUnsized(prompt string, bytesPerToken float64) []engine.Piece {
 	geometry := prefix.Geometry{PieceTokens: defaultPieceTokens, BytesPerToken: bytesPerToken}
-	var out []engine.Piece
-	for _, p := range prefix.Chain(prefix.Salt{}, geometry, []prefix.Segment{{Text: prompt}}) {
-		out = append(out, engine.Piece{Key: p.Key, Tokens: p.Tokens, Bytes: p.End - p.Start})
-	}
-	return out
+	return engine.PiecesOf(prefix.Chain(prefix.Salt{}, geometry, []prefix.Segment{{Text: prompt}}))
 }
 
 // reading is the right of one response to read a sequence.
