--- a/pkg/gateway/forward/job.go
+++ b/pkg/gateway/forward/job.go
@@ -140,23 +140,33 @@
 // affinity returns the key of the parts of the prompt that other requests share, or 0 if they are
 // too short to be worth returning to the same engine.
 func (j *job) affinity() uint64 {
-	if !j.route.Sticky || len(j.request.Prefix) < 2 {
+	if !j.route.Sticky || j.sharedTokens() < leastSharedTokens {
 		return 0
 	}
-	shared := j.request.Prefix[:len(j.request.Prefix)-1]
-	tokens := 0
 	h := xxhash.New()
-	for _, p := range shared {
-		tokens += p.Tokens
+	for _, p := range j.shared() {
 		// Writes to a hash do not fail.
 		_, _ = h.WriteString(p.ID)
 	}
-	if tokens < leastSharedTokens {
-		return 0
-	}
 	return h.Sum64()
 }
 
+// shared returns the parts of the prompt that other requests may have, too.
+func (j *job) shared() []Part {
+	if len(j.request.Prefix) == 0 {
+		return nil
+	}
+	return j.request.Prefix[:len(j.request.Prefix)-1]
+}
+
+func (j *job) sharedTokens() int {
+	tokens := 0
+	for _, p := range j.shared() {
+		tokens += p.Tokens
+	}
+	return tokens
+}
+
 // leastSharedTokens is the length of a shared prefix from which on reading it again takes longer
 // than the difference between engines.
 const leastSharedTokens = 1000
@@ -177,6 +187,9 @@
 		call.WithRanking = true
 		call.Version = c.Version
 		call.CacheNamespace = cacheNamespace(c.Version, j.tenant)
+		if j.sharedTokens() >= leastSharedTokens {
+			call.CacheStore = j.config.CacheStore()
+		}
 	}
 	return call
 }
--- a/pkg/gateway/forward/protocol.go
+++ b/pkg/gateway/forward/protocol.go
@@ -57,6 +57,9 @@
 	// Model version and cache namespace are set for requests to engines.
 	Version        int
 	CacheNamespace string
+	// CacheStore is the address of the store of kept KV cache that the engine fetches shared
+	// parts of the prompt from and saves them to, or "".
+	CacheStore string
 	// Priority is 0 for the most urgent requests.
 	Priority    int
 	WithRanking bool
--- a/pkg/gateway/mirror/mirror.go
+++ b/pkg/gateway/mirror/mirror.go
@@ -72,9 +72,9 @@
 	// changes.
 	Pause time.Duration
 
-	failing       bool
-	failingSince  time.Time
-	recoveredAt   time.Time
+	failing      bool
+	failingSince time.Time
+	recoveredAt  time.Time
 }
 
 // Run copies until ctx ends.
--- a/pkg/gateway/routes/routes.go
+++ b/pkg/gateway/routes/routes.go
@@ -3,6 +3,7 @@
 package routes
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -126,8 +127,9 @@
 	Tenants  []Tenant
 	Limits   Limits
 
-	byHost map[string][]*Route
-	byKey  map[string]*Tenant
+	cacheStore string
+	byHost     map[string][]*Route
+	byKey      map[string]*Tenant
 }
 
 // Build indexes the configuration. It must be called once before use.
@@ -140,6 +142,11 @@
 	for _, list := range c.byHost {
 		slices.SortStableFunc(list, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
 	}
+	for _, name := range slices.Sorted(maps.Keys(c.Services)) {
+		if s := c.Services[name]; s.CacheStore != nil && c.cacheStore == "" {
+			c.cacheStore = s.CacheStore.Address
+		}
+	}
 	c.byKey = map[string]*Tenant{}
 	for i := range c.Tenants {
 		for _, k := range c.Tenants[i].Keys {
@@ -159,6 +166,9 @@
 	return nil
 }
 
+// CacheStore returns the address of the store of kept KV cache, or "".
+func (c *Config) CacheStore() string { return c.cacheStore }
+
 // NeedsKeys reports whether requests to routes that are not public need an API key.
 func (c *Config) NeedsKeys() bool { return len(c.Tenants) > 0 }
 
