Exchange loads and assignments between nodes by datagrams

Change: nodes report running requests to the holder of the lease, which assigns long requests to few engines and orders idle ones first; nodes that the store does not serve fetch mirrored objects from each other.

--- a/pkg/gateway/backends/backends.go
+++ b/pkg/gateway/backends/backends.go
@@ -56,7 +56,11 @@
 	hash uint64
 	pool *exchange.Pool
 
-	inflight int
+	// long and short count this node's running requests by their expected time.
+	long, short int
+	// assigned is the last word of the holder of the lease, valid until assignedUntil.
+	assigned      Assignment
+	assignedUntil time.Time
 	// learned holds versions that the engine has revealed and that its listing lacks.
 	learned map[string]int
 	// pausedUntil keeps requests away, unless every other choice is worse.
@@ -74,6 +78,25 @@
 	return max(m.Backend.version(model), m.learned[model])
 }
 
+// Assignment is what the holder of the lease says of one engine.
+type Assignment struct {
+	// Long and Short are the running requests of all nodes.
+	Long, Short int
+	// Loading is set while the engine takes new weights.
+	Loading bool
+	// TakesLong is set if the engine should get requests that run for long.
+	TakesLong bool
+}
+
+// assignmentLife is the time after which the word of a silent holder no longer counts.
+const assignmentLife = time.Second
+
+// Load is the number of this node's running requests at a backend server.
+type Load struct {
+	Backend     string
+	Long, Short int
+}
+
 // Registry is the set of known backend servers. It is safe for concurrent use.
 type Registry struct {
 	dataCentre string
@@ -167,19 +190,26 @@
 	return ids
 }
 
-// Engines returns the backend servers that serve a model, leaving ones left out.
-func (r *Registry) Engines(model string) []Backend {
+// Engine is an engine that serves a model.
+type Engine struct {
+	ID, Address string
+	// Version is that of the model's weights.
+	Version int
+	// Long is the number of long requests that run on it.
+	Long int
+}
+
+// Engines returns the engines that serve a model, leaving ones left out.
+func (r *Registry) Engines(model string, now time.Time) []Engine {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var found []Backend
+	var found []Engine
 	for _, m := range r.members {
 		if v := m.version(model); v > 0 && !m.Leaving && m.doubtedAt.IsZero() {
-			b := m.Backend
-			b.Models = []Model{{Name: model, Version: v}}
-			found = append(found, b)
+			found = append(found, Engine{ID: m.ID, Address: m.Address, Version: v, Long: m.runningLong(now)})
 		}
 	}
-	slices.SortFunc(found, func(a, b Backend) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(found, func(a, b Engine) int { return cmp.Compare(a.ID, b.ID) })
 	return found
 }
 
@@ -192,7 +222,8 @@
 	}
 }
 
-// Loading keeps requests away from an engine until a time, while it takes new weights.
+// Loading keeps requests away from an engine until a time, while it takes new weights on an order of
+// this node.
 func (r *Registry) Loading(id string, until time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -210,6 +241,45 @@
 	}
 }
 
+// Loads returns this node's running requests.
+func (r *Registry) Loads() []Load {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var loads []Load
+	for _, m := range r.members {
+		if m.long+m.short > 0 {
+			loads = append(loads, Load{Backend: m.ID, Long: m.long, Short: m.short})
+		}
+	}
+	return loads
+}
+
+// Assign applies the word of the holder of the lease.
+func (r *Registry) Assign(assignments map[string]Assignment, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id, a := range assignments {
+		if m := r.members[id]; m != nil {
+			m.assigned, m.assignedUntil = a, now.Add(assignmentLife)
+		}
+	}
+}
+
+// Learned returns the versions of engines' weights that their listings lack.
+func (r *Registry) Learned() map[string][]Model {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	learned := map[string][]Model{}
+	for id, m := range r.members {
+		for model, version := range m.learned {
+			if version > m.Backend.version(model) {
+				learned[id] = append(learned[id], Model{Name: model, Version: version})
+			}
+		}
+	}
+	return learned
+}
+
 // Sweep ends idle connections whose time is over.
 func (r *Registry) Sweep(now time.Time) {
 	r.mu.Lock()
--- a/pkg/gateway/backends/pick.go
+++ b/pkg/gateway/backends/pick.go
@@ -32,6 +32,8 @@
 	PreferVersion int
 	// Affinity is the key of the request's shared prefix, or 0.
 	Affinity uint64
+	// Long is set for requests that are expected to run for long.
+	Long bool
 	// Exclude lists backend servers that have failed this request.
 	Exclude []string
 }
@@ -45,13 +47,18 @@
 
 	registry *Registry
 	member   *member
+	long     bool
 }
 
 // Done gives the choice back with the result.
 func (c *Choice) Done(result Result, latency time.Duration) {
 	c.registry.mu.Lock()
 	defer c.registry.mu.Unlock()
-	c.member.inflight--
+	if c.long {
+		c.member.long--
+	} else {
+		c.member.short--
+	}
 	now := time.Now()
 	switch result {
 	case Good:
@@ -82,13 +89,71 @@
 	}
 	candidates = preferred(q, candidates)
 	var best *member
-	if q.Affinity != 0 {
+	if q.Long && q.Model != "" {
+		best = r.forLong(q, candidates, now)
+	} else if q.Affinity != 0 {
 		best = r.byAffinity(q.Affinity, candidates, now)
 	} else {
 		best = r.cheapest(candidates, now)
 	}
-	best.inflight++
-	return &Choice{Backend: best.Backend, Version: best.version(q.Model), Pool: best.pool, registry: r, member: best}
+	if q.Long {
+		best.long++
+	} else {
+		best.short++
+	}
+	return &Choice{Backend: best.Backend, Version: best.version(q.Model), Pool: best.pool, registry: r, member: best, long: q.Long}
+}
+
+// isLoading reports whether the engine takes new weights.
+func (m *member) isLoading(now time.Time) bool {
+	return now.Before(m.loadingUntil) || m.assigned.Loading && now.Before(m.assignedUntil)
+}
+
+// running returns the number of running requests that this node knows of.
+func (m *member) running(now time.Time) int {
+	own := m.long + m.short
+	if now.Before(m.assignedUntil) {
+		return max(own, m.assigned.Long+m.assigned.Short)
+	}
+	return own
+}
+
+// runningLong returns the number of long requests that this node knows of.
+func (m *member) runningLong(now time.Time) int {
+	if now.Before(m.assignedUntil) {
+		return max(m.long, m.assigned.Long)
+	}
+	return m.long
+}
+
+// forLong takes an engine that is assigned to long requests. Those with the newest weights are filled
+// first: long requests keep an engine from taking newer weights.
+func (r *Registry) forLong(q Query, candidates []*member, now time.Time) *member {
+	var assigned []*member
+	newest := 0
+	for _, m := range candidates {
+		if now.Before(m.assignedUntil) && m.assigned.TakesLong {
+			assigned = append(assigned, m)
+			newest = max(newest, m.version(q.Model))
+		}
+	}
+	var open []*member
+	for _, m := range assigned {
+		if m.version(q.Model) == newest && m.runningLong(now) < longTarget(m.Slots) {
+			open = append(open, m)
+		}
+	}
+	switch {
+	case len(open) > 0:
+		assigned = open
+	case len(assigned) == 0:
+		assigned = candidates
+	}
+	i, j := rand.IntN(len(assigned)), rand.IntN(len(assigned))
+	if assigned[j].runningLong(now) < assigned[i].runningLong(now) {
+		i = j
+	}
+	return assigned[i]
 }
 
 // candidates returns the backend servers that may take the request now. Paused ones are used only
@@ -96,7 +161,7 @@
 func (r *Registry) candidates(q Query, now time.Time) []*member {
 	var open, paused []*member
 	for _, m := range r.service[q.Service] {
-		if m.Leaving || now.Before(m.loadingUntil) || slices.Contains(q.Exclude, m.ID) {
+		if m.Leaving || m.isLoading(now) || slices.Contains(q.Exclude, m.ID) {
 			continue
 		}
 		if q.Model != "" {
@@ -138,7 +203,7 @@
 
 // cost estimates the time of one more request, in milliseconds.
 func (r *Registry) cost(m *member, now time.Time) float64 {
-	c := float64(m.inflight+1) * m.score.expectedLatency()
+	c := float64(m.running(now)+1) * m.score.expectedLatency()
 	success := m.score.success(now)
 	c /= success * success
 	if m.DataCentre != r.dataCentre {
--- a/pkg/gateway/forward/job.go
+++ b/pkg/gateway/forward/job.go
@@ -105,7 +105,7 @@
 // choose returns a backend server. It waits for one while the objective allows, because engines
 // that take new weights are back soon.
 func (j *job) choose() *backends.Choice {
-	query := backends.Query{Service: j.service, Model: j.request.Model, Exclude: j.tried, Affinity: j.affinity()}
+	query := backends.Query{Service: j.service, Model: j.request.Model, Exclude: j.tried, Affinity: j.affinity(), Long: j.isLong()}
 	for {
 		now := time.Now()
 		if j.ctx.Err() != nil || j.q.Context().Err() != nil || j.left(now) < leastLeft {
@@ -151,6 +151,19 @@
 	return h.Sum64()
 }
 
+// longTokens is the length of an answer from which on a request counts as long: about half a second
+// of an engine's steps.
+const longTokens = 100
+
+// isLong reports whether the request is expected to keep its engine busy for long.
+func (j *job) isLong() bool {
+	expected := j.request.ExpectedTokens
+	if expected == 0 {
+		expected = j.request.OutputTokens
+	}
+	return expected >= longTokens
+}
+
 // shared returns the parts of the prompt that other requests may have, too.
 func (j *job) shared() []Part {
 	if len(j.request.Prefix) == 0 {
--- a/pkg/gateway/forward/protocol.go
+++ b/pkg/gateway/forward/protocol.go
@@ -39,6 +39,8 @@
 	// PromptTokens and OutputTokens are the length of the prompt and the limit of the answer.
 	PromptTokens int
 	OutputTokens int
+	// ExpectedTokens is the client's estimate of the length of the answer, or 0.
+	ExpectedTokens int
 	// Prefix lists the parts of the prompt. The last one is the request's own.
 	Prefix []Part
 }
--- a/pkg/gateway/mirror/mirror.go
+++ b/pkg/gateway/mirror/mirror.go
@@ -1,5 +1,5 @@
 // Package mirror keeps a node's copy of one kind of objects in the platform's store up to date by a
-// list and a chain of watches.
+// list and a chain of watches. A node that the store does not serve takes the copy of another node.
 package mirror
 
 import (
@@ -7,6 +7,9 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
 	"time"
 
 	"cassiawall.example/cassiawall/pkg/wait"
@@ -38,10 +41,10 @@
 // ErrHistoryGone is returned by a Source whose history does not reach back far enough.
 var ErrHistoryGone = errors.New("the store no longer holds the changes after this revision; list the objects again")
 
-// Target receives a mirror's content. Its methods are called from one goroutine.
+// Target receives a mirror's content. Its methods are called one at a time.
 type Target interface {
-	// Reset replaces the whole content. Interrupted is set if the store was unreachable shortly
-	// before, so that entries may be missing for a moment.
+	// Reset replaces the whole content. Interrupted is set if the content may lack entries for a
+	// moment or be late: the store was away until shortly before, or another node sent it.
 	Reset(entries []Entry, interrupted bool)
 	Apply(c Change, interrupted bool)
 }
@@ -62,8 +65,8 @@
 	recoveryTime = 2500 * time.Millisecond
 )
 
-// Mirror copies one kind of objects to a target.
-type Mirror struct {
+// Options configures a Mirror.
+type Options struct {
 	Kind   string
 	Source Source
 	Target Target
@@ -71,10 +74,57 @@
 	// Pause is the least time between the ends of two watches. It lets one call return several
 	// changes.
 	Pause time.Duration
+}
+
+// Mirror copies one kind of objects to a target. Run may be called once; the other methods are safe
+// for concurrent use.
+type Mirror struct {
+	opt Options
 
 	failing      bool
 	failingSince time.Time
-	recoveredAt  time.Time
+
+	mu          sync.Mutex
+	recoveredAt time.Time
+	entries     map[string]Entry
+	// revision is the highest revision of a change of this kind that is known.
+	revision int64
+}
+
+// New returns an empty mirror.
+func New(opt Options) *Mirror { return &Mirror{opt: opt, entries: map[string]Entry{}} }
+
+// Kind returns the kind of objects that the mirror holds.
+func (m *Mirror) Kind() string { return m.opt.Kind }
+
+// Revision returns the revision of the newest change that the mirror holds, or 0 before the first.
+func (m *Mirror) Revision() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.revision
+}
+
+// Export returns the content for another node.
+func (m *Mirror) Export() ([]Entry, int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	entries := make([]Entry, 0, len(m.entries))
+	for _, e := range m.entries {
+		entries = append(entries, e)
+	}
+	slices.SortFunc(entries, func(a, b Entry) int { return strings.Compare(a.Name, b.Name) })
+	return entries, m.revision
+}
+
+// Import takes over the content of another node if it is newer. It reports whether it was.
+func (m *Mirror) Import(entries []Entry, revision int64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if revision <= m.revision {
+		return false
+	}
+	m.resetLocked(entries, revision, true)
+	return true
 }
 
 // Run copies until ctx ends.
@@ -93,11 +143,11 @@
 	pause := retryLeast
 	for {
 		callCtx, cancel := context.WithTimeout(ctx, listTimeout)
-		entries, revision, err := m.Source.List(callCtx, m.Kind)
+		entries, revision, err := m.opt.Source.List(callCtx, m.opt.Kind)
 		cancel()
 		if err == nil {
 			m.reached()
-			m.Target.Reset(entries, m.interrupted())
+			m.listed(entries)
 			return revision, true
 		}
 		if !m.failed(ctx, err, &pause) {
@@ -106,16 +156,36 @@
 	}
 }
 
+// listed takes over a list of the store.
+func (m *Mirror) listed(entries []Entry) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	newest := m.revision
+	for _, e := range entries {
+		newest = max(newest, e.Revision)
+	}
+	m.resetLocked(entries, newest, m.interruptedLocked())
+}
+
+func (m *Mirror) resetLocked(entries []Entry, revision int64, interrupted bool) {
+	clear(m.entries)
+	for _, e := range entries {
+		m.entries[e.Name] = e
+	}
+	m.revision = revision
+	m.opt.Target.Reset(entries, interrupted)
+}
+
 // follow watches until the history is gone or ctx ends.
 func (m *Mirror) follow(ctx context.Context, revision int64) {
 	pause := retryLeast
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
-		changes, next, err := m.Source.Watch(callCtx, m.Kind, revision, watchWait)
+		changes, next, err := m.opt.Source.Watch(callCtx, m.opt.Kind, revision, watchWait)
 		cancel()
 		switch {
 		case errors.Is(err, ErrHistoryGone):
-			m.Logger.Info("store history gone", "kind", m.Kind, "revision", revision)
+			m.opt.Logger.Info("store history gone", "kind", m.opt.Kind, "revision", revision)
 			return
 		case err != nil:
 			if !m.failed(ctx, err, &pause) {
@@ -125,16 +195,34 @@
 		}
 		m.reached()
 		pause = retryLeast
-		for _, c := range changes {
-			m.Target.Apply(c, m.interrupted())
-		}
+		m.apply(changes)
 		revision = next
-		if m.Pause > 0 && len(changes) > 0 && !wait.Pause(ctx, m.Pause) {
+		if m.opt.Pause > 0 && len(changes) > 0 && !wait.Pause(ctx, m.opt.Pause) {
 			return
 		}
 	}
 }
 
+// apply takes over changes that are newer than what is known of their objects.
+func (m *Mirror) apply(changes []Change) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	interrupted := m.interruptedLocked()
+	for _, c := range changes {
+		known, ok := m.entries[c.Name]
+		if ok && c.Revision < known.Revision || !ok && c.Deleted {
+			continue
+		}
+		if c.Deleted {
+			delete(m.entries, c.Name)
+		} else {
+			m.entries[c.Name] = c.Entry
+		}
+		m.revision = max(m.revision, c.Revision)
+		m.opt.Target.Apply(c, interrupted)
+	}
+}
+
 // failed notes a failed call and waits before the next. It reports false at the end of ctx.
 func (m *Mirror) failed(ctx context.Context, err error, pause *time.Duration) bool {
 	if ctx.Err() != nil {
@@ -142,7 +230,7 @@
 	}
 	if !m.failing {
 		m.failing, m.failingSince = true, time.Now()
-		m.Logger.Warn("store lost", "kind", m.Kind, "error", err.Error())
+		m.opt.Logger.Warn("store lost", "kind", m.opt.Kind, "error", err.Error())
 	}
 	ok := wait.Pause(ctx, *pause/2+rand.N(*pause/2))
 	*pause = min(*pause*2, retryMost)
@@ -150,13 +238,17 @@
 }
 
 func (m *Mirror) reached() {
-	if m.failing {
-		m.failing, m.recoveredAt = false, time.Now()
-		m.Logger.Info("store regained", "kind", m.Kind, "away_ms", time.Since(m.failingSince).Milliseconds())
+	if !m.failing {
+		return
 	}
+	m.failing = false
+	m.mu.Lock()
+	m.recoveredAt = time.Now()
+	m.mu.Unlock()
+	m.opt.Logger.Info("store regained", "kind", m.opt.Kind, "away_ms", time.Since(m.failingSince).Milliseconds())
 }
 
-// interrupted reports whether the store was away until a moment ago.
-func (m *Mirror) interrupted() bool {
+// interruptedLocked reports whether the store was away until a moment ago.
+func (m *Mirror) interruptedLocked() bool {
 	return !m.recoveredAt.IsZero() && time.Since(m.recoveredAt) < recoveryTime
 }
--- a/pkg/gateway/node/node.go
+++ b/pkg/gateway/node/node.go
@@ -13,6 +13,7 @@
 	"cassiawall.example/cassiawall/pkg/gateway/backends"
 	"cassiawall.example/cassiawall/pkg/gateway/forward"
 	"cassiawall.example/cassiawall/pkg/gateway/mirror"
+	"cassiawall.example/cassiawall/pkg/gateway/peers"
 	"cassiawall.example/cassiawall/pkg/gateway/routes"
 	"cassiawall.example/cassiawall/pkg/gateway/weights"
 	"cassiawall.example/cassiawall/pkg/wait"
@@ -73,18 +74,50 @@
 	wanted   *weights.Wanted
 	config   *configTarget
 	budget   *forward.Budget
-	draining atomic.Bool
+	mirrors  []*mirror.Mirror
+	fetcher  *peers.Fetcher
+	// controller and link are set by connect.
+	controller *weights.Controller
+	link       *peers.Link
+	draining   atomic.Bool
 }
 
 // New returns a node that has read nothing yet.
 func New(opt Options) *Node {
-	return &Node{
+	n := &Node{
 		opt:      opt,
 		registry: backends.NewRegistry(opt.Settings.DataCentre),
 		wanted:   weights.NewWanted(opt.Settings.VersionLimit, opt.Settings.Contact),
 		budget:   forward.NewBudget(opt.Settings.Budget),
 		config:   &configTarget{decoder: opt.Decoder, logger: opt.Logger, ready: make(chan struct{})},
+		fetcher:  peers.NewFetcher(),
 	}
+	n.mirrors = []*mirror.Mirror{
+		n.mirror(opt.Kinds.Config, n.config, 0),
+		n.mirror(opt.Kinds.Backends, &backendTarget{decoder: opt.Decoder, logger: opt.Logger, registry: n.registry}, backendPause),
+		n.mirror(opt.Kinds.Versions, &versionTarget{decoder: opt.Decoder, logger: opt.Logger, wanted: n.wanted}, 0),
+	}
+	return n
+}
+
+func (n *Node) mirror(kind string, target mirror.Target, pause time.Duration) *mirror.Mirror {
+	return mirror.New(mirror.Options{Kind: kind, Source: n.opt.Store, Target: target, Logger: n.opt.Logger, Pause: pause})
+}
+
+// connect prepares the controller of weights and the link to the other nodes.
+func (n *Node) connect() error {
+	s := n.opt.Settings
+	n.controller = weights.New(weights.Options{
+		Node: s.Control, Instance: fmt.Sprint(s.Name, "/", time.Now().UnixNano()),
+		Timing: weights.LeaseTiming(s.LeaseGap), Wanted: n.wanted, Backends: n.registry, Engines: n.opt.Engines,
+		Leases: n.opt.Store, Changed: func() { n.link.Announce() }, Logger: n.opt.Logger,
+	})
+	link, err := peers.Listen(peers.Options{
+		Address: s.Control, Seeds: s.Seeds, Holder: n.controller.Holder, Holding: n.controller.Holding,
+		Board: &board{node: n}, Logger: n.opt.Logger,
+	})
+	n.link = link
+	return err
 }
 
 // Run serves until stop ends, then lets running requests finish within the grace.
@@ -99,12 +132,23 @@
 	if err != nil {
 		return fmt.Errorf("readiness address: %w; check that no other process uses it", err)
 	}
+	control, err := net.Listen("tcp4", s.Control)
+	if err != nil {
+		return fmt.Errorf("peers' address: %w; check that no other process uses it", err)
+	}
+	if err := n.connect(); err != nil {
+		return err
+	}
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	leader := n.start(background)
 	server := n.frontServer()
-	failed := make(chan error, 2)
+	failed := make(chan error, 3)
 	go func() { failed <- server.Serve(front) }()
+	go func() {
+		peersServer := &http.Server{Handler: peers.Handler(n.mirrors), ReadHeaderTimeout: headerDefault}
+		failed <- peersServer.Serve(control)
+	}()
 	go func() { failed <- n.readyServer().Serve(ready) }()
 	select {
 	case err := <-failed:
@@ -118,15 +162,10 @@
 // start begins the work beside requests. It returns a function that ends this node's part in
 // giving orders and waits for it.
 func (n *Node) start(ctx context.Context) (endOrders func()) {
-	mirrors := []*mirror.Mirror{
-		{Kind: n.opt.Kinds.Config, Target: n.config},
-		{Kind: n.opt.Kinds.Backends, Target: &backendTarget{decoder: n.opt.Decoder, logger: n.opt.Logger, registry: n.registry}, Pause: backendPause},
-		{Kind: n.opt.Kinds.Versions, Target: &versionTarget{decoder: n.opt.Decoder, logger: n.opt.Logger, wanted: n.wanted}},
-	}
-	for _, m := range mirrors {
-		m.Source, m.Logger = n.opt.Store, n.opt.Logger
+	for _, m := range n.mirrors {
 		go m.Run(ctx)
 	}
+	go n.link.Run(ctx)
 	go wait.Every(ctx, sweepEvery, func(context.Context) {
 		now := time.Now()
 		n.registry.Sweep(now)
@@ -135,15 +174,10 @@
 		}
 	})
 	orders, end := context.WithCancel(ctx)
-	controller := weights.New(weights.Options{
-		Node: n.opt.Settings.Name, Instance: fmt.Sprint(n.opt.Settings.Name, "/", time.Now().UnixNano()),
-		Timing: weights.LeaseTiming(n.opt.Settings.LeaseGap), Wanted: n.wanted, Backends: n.registry,
-		Engines: n.opt.Engines, Leases: n.opt.Store, Logger: n.opt.Logger,
-	})
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		controller.Run(orders)
+		n.controller.Run(orders)
 	}()
 	return func() {
 		end()
--- a/pkg/gateway/node/settings.go
+++ b/pkg/gateway/node/settings.go
@@ -16,14 +16,12 @@
 	// Address is the machine's IP number.
 	Address string
 	// Front is the address for clients, Ready that for questions whether the node takes new
-	// connections, Control that for other nodes, or "".
+	// connections, Control that for other nodes, by TCP and UDP.
 	Front, Ready, Control string
 	// Store is the address of the platform's store.
 	Store string
 	// Seeds are the control addresses of a few other nodes. Some may be down.
 	Seeds []string
-	// PeerPort is the first port that nodes may use among themselves.
-	PeerPort int
 	// MemoryMB is the limit of the process in megabytes, or 0.
 	MemoryMB float64
 	// Drain is the time within which no request may reach a backend server that leaves.
--- /dev/null
+++ b/pkg/gateway/peers/link.go
@@ -0,0 +1,276 @@
+package peers
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"cassiawall.example/cassiawall/pkg/wait"
+)
+
+const (
+	// reportEvery is the least time between a node's reports. Requests run for some hundred
+	// milliseconds, so older reports would say little.
+	reportEvery = 200 * time.Millisecond
+	// reportPerNode stretches the reports with the number of nodes, so that the holder handles at
+	// most 100 reports a second.
+	reportPerNode = 10 * time.Millisecond
+	// nodeLife is the time without a report after which a node no longer counts.
+	nodeLife = 3 * time.Second
+	// holderLife is the time without a word of the holder after which a node asks others.
+	holderLife = time.Second
+	// strangersAsked is the number of other nodes that a node without a holder reports to.
+	strangersAsked = 2
+	// maxDatagram bounds a datagram in bytes.
+	maxDatagram = 60 << 10
+	// peersEvery is the number of the holder's reports of which one lists the nodes.
+	peersEvery = 10
+	// peersListed bounds that list, which keeps the datagram small.
+	peersListed = 24
+)
+
+// Board is what a link reads and writes for its node.
+type Board interface {
+	// Loads returns this node's running requests.
+	Loads() []Load
+	// Revisions returns those of this node's mirrors.
+	Revisions() []Revision
+	// Assign returns the assignments of a node that holds the lease, from the loads of all nodes.
+	Assign(total []Load) ([]Assignment, []Version)
+	// Take applies the word of the holder.
+	Take(nodes int, a []Assignment, v []Version)
+	// Behind tells that another node has newer objects of a kind.
+	Behind(peer, kind string, revision int64)
+}
+
+// Options configures a Link.
+type Options struct {
+	// Address is this node's peer address, for TCP and UDP.
+	Address string
+	// Seeds are peer addresses to begin with.
+	Seeds []string
+	// Holder returns the peer address of the holder of the lease, or "". Holding reports whether
+	// this node is the holder.
+	Holder  func() string
+	Holding func() bool
+	Board   Board
+	Logger  *slog.Logger
+}
+
+// Link exchanges datagrams with other nodes. Use Run once.
+type Link struct {
+	opt  Options
+	conn *net.UDPConn
+
+	mu      sync.Mutex
+	reports map[string]report
+	known   []string
+	// heard is the time of the holder's last word.
+	heard time.Time
+	nodes int
+	sent  int
+}
+
+// report is another node's last report.
+type report struct {
+	at    time.Time
+	loads []Load
+}
+
+// Listen returns a link that is bound to its address.
+func Listen(opt Options) (*Link, error) {
+	address, err := net.ResolveUDPAddr("udp4", opt.Address)
+	if err != nil {
+		return nil, fmt.Errorf("peer address: %w", err)
+	}
+	conn, err := net.ListenUDP("udp4", address)
+	if err != nil {
+		return nil, fmt.Errorf("peer address: %w; check that no other process uses it", err)
+	}
+	return &Link{opt: opt, conn: conn, reports: map[string]report{}, known: slices.Clone(opt.Seeds), nodes: 1}, nil
+}
+
+// Run exchanges reports until ctx ends.
+func (l *Link) Run(ctx context.Context) {
+	stop := context.AfterFunc(ctx, func() { l.conn.Close() })
+	defer stop()
+	go l.receive(ctx)
+	for wait.Pause(ctx, l.interval()) {
+		if l.opt.Holding() {
+			l.announce()
+		} else {
+			l.report()
+		}
+	}
+}
+
+func (l *Link) interval() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return max(reportEvery, time.Duration(l.nodes)*reportPerNode)
+}
+
+// Announce sends the holder's word at once, after an assignment has changed.
+func (l *Link) Announce() {
+	if l.opt.Holding() {
+		l.announce()
+	}
+}
+
+// announce tells all nodes that report to this one the sum of their loads.
+func (l *Link) announce() {
+	now := time.Now()
+	l.mu.Lock()
+	total := map[string]Load{}
+	add(total, l.opt.Board.Loads())
+	var to []string
+	for address, r := range l.reports {
+		if now.Sub(r.at) > nodeLife {
+			delete(l.reports, address)
+			continue
+		}
+		add(total, r.loads)
+		to = append(to, address)
+	}
+	l.nodes = len(to) + 1
+	l.sent++
+	listPeers := l.sent%peersEvery == 0
+	nodes := l.nodes
+	l.mu.Unlock()
+	loads := make([]Load, 0, len(total))
+	for _, x := range total {
+		loads = append(loads, x)
+	}
+	assignments, versions := l.opt.Board.Assign(loads)
+	l.opt.Board.Take(nodes, assignments, versions)
+	m := &message{From: l.opt.Address, Holder: true, Revisions: l.opt.Board.Revisions(), Nodes: nodes, Assignments: assignments, Versions: versions}
+	if listPeers {
+		m.Peers = pickSome(to, peersListed)
+	}
+	l.send(m, to...)
+}
+
+func add(total map[string]Load, loads []Load) {
+	for _, x := range loads {
+		t := total[x.Backend]
+		t.Backend = x.Backend
+		t.Long += x.Long
+		t.Short += x.Short
+		total[x.Backend] = t
+	}
+}
+
+func pickSome(from []string, n int) []string {
+	some := slices.Clone(from)
+	rand.Shuffle(len(some), func(i, j int) { some[i], some[j] = some[j], some[i] })
+	return some[:min(n, len(some))]
+}
+
+// report tells the holder what this node runs, and asks other nodes while the holder is silent.
+func (l *Link) report() {
+	m := &message{From: l.opt.Address, Revisions: l.opt.Board.Revisions(), Loads: l.opt.Board.Loads()}
+	var to []string
+	if holder := l.opt.Holder(); holder != "" && holder != l.opt.Address {
+		to = append(to, holder)
+	}
+	l.mu.Lock()
+	if time.Since(l.heard) > holderLife {
+		m.Reply = true
+		to = append(to, pickSome(l.known, strangersAsked)...)
+	}
+	l.mu.Unlock()
+	l.send(m, to...)
+}
+
+func (l *Link) send(m *message, to ...string) {
+	data, err := encode(m)
+	if err != nil {
+		l.opt.Logger.Error("peer message not sent", "error", err.Error())
+		return
+	}
+	for _, address := range to {
+		target, err := net.ResolveUDPAddr("udp4", address)
+		if err == nil {
+			_, err = l.conn.WriteToUDP(data, target)
+		}
+		if err != nil {
+			l.opt.Logger.Debug("peer message not sent", "to", address, "error", err.Error())
+		}
+	}
+}
+
+// receive handles datagrams until the socket is closed.
+func (l *Link) receive(ctx context.Context) {
+	buffer := make([]byte, maxDatagram)
+	for {
+		n, _, err := l.conn.ReadFromUDP(buffer)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			// An unreachable receiver of an earlier datagram shows up here.
+			l.opt.Logger.Debug("peer socket", "error", err.Error())
+			if !wait.Pause(ctx, time.Millisecond) {
+				return
+			}
+			continue
+		}
+		m, err := decode(buffer[:n])
+		if err != nil {
+			l.opt.Logger.Warn("peer message skipped", "error", err.Error())
+			continue
+		}
+		l.handle(m)
+	}
+}
+
+func (l *Link) handle(m *message) {
+	for _, r := range m.Revisions {
+		l.opt.Board.Behind(m.From, r.Kind, r.Revision)
+	}
+	l.remember(append(m.Peers, m.From))
+	if m.Holder {
+		l.mu.Lock()
+		current := !l.opt.Holding() && (m.From == l.opt.Holder() || l.opt.Holder() == "" || time.Since(l.heard) > holderLife)
+		if current {
+			l.heard, l.nodes = time.Now(), m.Nodes
+		}
+		l.mu.Unlock()
+		if current {
+			l.opt.Board.Take(m.Nodes, m.Assignments, m.Versions)
+		}
+		return
+	}
+	l.mu.Lock()
+	l.reports[m.From] = report{at: time.Now(), loads: m.Loads}
+	l.mu.Unlock()
+	if m.Reply && !l.opt.Holding() {
+		l.mu.Lock()
+		known := pickSome(l.known, peersListed)
+		l.mu.Unlock()
+		l.send(&message{From: l.opt.Address, Revisions: l.opt.Board.Revisions(), Peers: known}, m.From)
+	}
+}
+
+// maxKnown bounds the remembered addresses.
+const maxKnown = 64
+
+// remember keeps addresses of other nodes for the time without a holder.
+func (l *Link) remember(addresses []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, a := range addresses {
+		if a == "" || a == l.opt.Address || slices.Contains(l.known, a) {
+			continue
+		}
+		if len(l.known) >= maxKnown {
+			l.known = l.known[1:]
+		}
+		l.known = append(l.known, a)
+	}
+}
--- /dev/null
+++ b/pkg/gateway/peers/message.go
@@ -0,0 +1,88 @@
+// Package peers exchanges small reports between nodes by datagrams: every node tells the holder of
+// the lease what it runs, and the holder tells all nodes the sum and its assignments. Nodes that find
+// themselves behind fetch mirrored objects from each other over HTTP. Losing the holder costs
+// accuracy, not availability.
+package peers
+
+import (
+	"fmt"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Load is the number of requests at one backend server.
+type Load struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Backend string
+	// Long and Short count running requests by their expected time.
+	Long, Short int
+}
+
+// Assignment is what the holder of the lease says of one engine.
+type Assignment struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Backend string
+	// Long and Short are the running requests of all nodes.
+	Long, Short int
+	// Loading is set while the engine takes new weights.
+	Loading bool
+	// TakesLong is set if the engine should get requests that run for long.
+	TakesLong bool
+}
+
+// Version is a version of a model's weights that an engine has and its listing may lack.
+type Version struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Backend string
+	Model   string
+	Version int
+}
+
+// message is one datagram.
+type message struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	// From is the sender's peer address.
+	From string
+	// Holder is set if the sender holds the lease; Nodes, Assignments, Versions and Peers are then
+	// in use. Otherwise Loads is.
+	Holder bool
+	// Reply asks the receiver for a message in return.
+	Reply bool
+	// Revisions are those of the sender's mirrors, by kind.
+	Revisions []Revision
+	Loads     []Load
+
+	Nodes       int
+	Assignments []Assignment
+	Versions    []Version
+	// Peers are addresses of some nodes.
+	Peers []string
+}
+
+// Revision is the newest change that a node's mirror of one kind holds.
+type Revision struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Kind     string
+	Revision int64
+}
+
+func encode(m *message) ([]byte, error) {
+	data, err := msgpack.Marshal(m)
+	if err != nil {
+		return nil, fmt.Errorf("peer message does not encode: %w", err)
+	}
+	return data, nil
+}
+
+func decode(data []byte) (*message, error) {
+	var m message
+	if err := msgpack.Unmarshal(data, &m); err != nil {
+		return nil, fmt.Errorf("peer message does not parse: %w", err)
+	}
+	return &m, nil
+}
--- a/pkg/gateway/weights/controller.go
+++ b/pkg/gateway/weights/controller.go
@@ -82,6 +82,8 @@
 	// loadMost is the time after which an order that is not complete is given again. It is above
 	// the longest stream that an engine lets finish before it loads.
 	loadMost = 6 * time.Second
+	// noticeTime is the time in which the other nodes hear that an engine begins to load.
+	noticeTime = 6 * time.Millisecond
 	// retryPause is the pause after a failed order to one engine.
 	retryPause = 300 * time.Millisecond
 	// leaseObject names the lease.
@@ -101,7 +103,8 @@
 
 // Options configures a Controller.
 type Options struct {
-	// Node names this machine as a holder.
+	// Node names this machine as a holder of the lease and towards engines. It is the node's peer
+	// address, at which the other nodes report to the holder.
 	Node string
 	// Instance differs between starts of the process.
 	Instance string
@@ -110,7 +113,9 @@
 	Backends *backends.Registry
 	Engines  Engines
 	Leases   Leases
-	Logger   *slog.Logger
+	// Changed is called when an engine begins or ends to load.
+	Changed func()
+	Logger  *slog.Logger
 }
 
 // Controller contends for the lease and gives orders while it holds it. Use Run once.
@@ -149,6 +154,20 @@
 	c.work.Wait()
 }
 
+// Holding reports whether this node holds the lease.
+func (c *Controller) Holding() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.held
+}
+
+// Holder returns the last known holder of the lease, or "".
+func (c *Controller) Holder() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lease.Holder()
+}
+
 // step takes the next step of the lease and gives the next orders.
 func (c *Controller) step(ctx context.Context) {
 	c.renew(ctx, true)
@@ -212,7 +231,7 @@
 		return
 	}
 	now := time.Now()
-	engines := c.opt.Backends.Engines(model)
+	engines := c.opt.Backends.Engines(model, now)
 	targets := map[string]Target{}
 	candidates := make([]Candidate, 0, len(engines))
 	for _, e := range engines {
@@ -221,7 +240,7 @@
 		if o != nil && !o.running && now.Before(o.retryAt) {
 			continue
 		}
-		candidates = append(candidates, Candidate{ID: e.ID, Version: e.Models[0].Version, Ordered: o != nil && o.running})
+		candidates = append(candidates, Candidate{ID: e.ID, Version: e.Version, Long: e.Long, Ordered: o != nil && o.running})
 	}
 	for _, id := range Plan(candidates, version) {
 		o := c.ordered[id]
@@ -241,6 +260,7 @@
 	began := time.Now()
 	outcome := c.load(ctx, t, model, version, o)
 	c.opt.Backends.Loading(t.ID, time.Time{})
+	c.opt.Changed()
 	c.opt.Logger.Info("order ended", "engine", t.ID, "model", model, "version", version, "outcome", outcome,
 		"took_ms", time.Since(began).Milliseconds())
 	c.mu.Lock()
@@ -270,6 +290,10 @@
 			return outcomeDone
 		}
 	}
+	// Requests that reach the engine after the order are refused, so the other nodes hear first.
+	c.opt.Backends.Loading(t.ID, time.Now().Add(loadMost))
+	c.opt.Changed()
+	wait.Pause(ctx, noticeTime)
 	reply, err := c.send(ctx, t, model, version, o.orders)
 	if err != nil {
 		return err.Error()
@@ -286,7 +310,6 @@
 	default:
 		return "order refused"
 	}
-	c.opt.Backends.Loading(t.ID, time.Now().Add(loadMost))
 	for pause := loadLeast; wait.Pause(ctx, pause); pause = loadPoll {
 		state, err := c.state(ctx, t)
 		if err != nil {
--- a/pkg/gateway/weights/plan.go
+++ b/pkg/gateway/weights/plan.go
@@ -13,12 +13,15 @@
 type Candidate struct {
 	ID      string
 	Version int
+	// Long is the number of long requests that the engine must finish first.
+	Long int
 	// Ordered is set while an order to the engine is not complete.
 	Ordered bool
 }
 
 // Plan returns the engines to order next to a version, so that no more than one engine in loadShare
-// loads at once. Engines with the oldest weights come first, because requests on them lose most.
+// loads at once. Engines with the fewest long requests come first: an engine finishes its requests
+// before it loads, and long ones would hold up the others.
 func Plan(engines []Candidate, version int) []string {
 	running := 0
 	var behind []Candidate
@@ -30,7 +33,9 @@
 			behind = append(behind, e)
 		}
 	}
-	slices.SortStableFunc(behind, func(a, b Candidate) int { return cmp.Compare(a.Version, b.Version) })
+	slices.SortStableFunc(behind, func(a, b Candidate) int {
+		return cmp.Or(cmp.Compare(a.Long, b.Long), cmp.Compare(a.Version, b.Version))
+	})
 	free := max(0, maxLoads(len(engines))-running)
 	var next []string
 	for _, e := range behind[:min(free, len(behind))] {
