--- a/pkg/gateway/backends/pick.go
+++ b/pkg/gateway/backends/pick.go
@@ -89,6 +89,9 @@
 	}
 	candidates = preferred(q, candidates)
 	var best *member
+	if q.Model != "" && !q.Long {
+		candidates = apartFromLong(candidates, now)
+	}
 	if q.Long && q.Model != "" {
 		best = r.forLong(q, candidates, now)
 	} else if q.Affinity != 0 {
@@ -156,6 +159,22 @@
 	return assigned[i]
 }
 
+// apartFromLong leaves out engines that are assigned to long requests, as long as others are there.
+// Reading a prompt delays each step of the answers that the engine makes meanwhile, and several
+// prompts in a row make a pause in a long stream.
+func apartFromLong(candidates []*member, now time.Time) []*member {
+	var apart []*member
+	for _, m := range candidates {
+		if !m.assigned.TakesLong || now.After(m.assignedUntil) {
+			apart = append(apart, m)
+		}
+	}
+	if len(apart) == 0 {
+		return candidates
+	}
+	return apart
+}
+
 // candidates returns the backend servers that may take the request now. Paused ones are used only
 // if there is no other.
 func (r *Registry) candidates(q Query, now time.Time) []*member {
