--- a/cmd/cassiawall-node/main.go
+++ b/cmd/cassiawall-node/main.go
@@ -39,7 +39,8 @@
 	return node.New(node.Options{
 		Settings: settings, Protocol: platform.Headers{}, Store: platform.NewStore(settings.Store),
 		Kinds:   node.Kinds{Config: platform.KindConfig, Backends: platform.KindServers, Versions: platform.KindVersions},
-		Decoder: platform.Decoder{}, Engines: platform.NewEngines(), ReadyPath: platform.ReadyPath,
+		Decoder: platform.Decoder{}, Engines: platform.NewEngines(), CacheStore: platform.NewCacheStore(),
+		ReadyPath: platform.ReadyPath,
 		Logger: slog.New(slog.NewJSONHandler(os.Stdout, nil)),
 	}).Run(stop)
 }
--- a/pkg/gateway/backends/backends.go
+++ b/pkg/gateway/backends/backends.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"cassiawall.example/cassiawall/pkg/gateway/cachemap"
 	"cassiawall.example/cassiawall/pkg/gateway/exchange"
 	"cassiawall.example/cassiawall/pkg/rendezvous"
 )
@@ -54,7 +55,9 @@
 type member struct {
 	Backend
 	hash uint64
-	pool *exchange.Pool
+	// short32 is the short form of the ID that a cachemap uses.
+	short32 uint32
+	pool    *exchange.Pool
 
 	// long and short count this node's running requests by their expected time.
 	long, short int
@@ -126,7 +129,7 @@
 	if old != nil {
 		r.dropLocked(old)
 	}
-	m := &member{Backend: b, hash: rendezvous.Hash(b.ID), pool: exchange.NewPool(b.Address), learned: map[string]int{}}
+	m := &member{Backend: b, hash: rendezvous.Hash(b.ID), short32: cachemap.EngineHash(b.ID), pool: exchange.NewPool(b.Address), learned: map[string]int{}}
 	r.members[b.ID] = m
 	list := append(r.service[b.Service], m)
 	slices.SortFunc(list, func(a, c *member) int { return cmp.Compare(a.ID, c.ID) })
--- a/pkg/gateway/backends/pick.go
+++ b/pkg/gateway/backends/pick.go
@@ -13,12 +13,9 @@
 	// remoteFactor makes a backend server of another data centre cost more than one of the
 	// node's own, because bytes between data centres are paid for.
 	remoteFactor = 1.25
-	// affinityCandidates is the number of engines, by rendezvous order, among which a request
-	// with a shared prefix chooses. Two let it avoid one that is overloaded.
-	affinityCandidates = 2
-	// affinityFactor is how much dearer the first candidate must be before the second is taken:
-	// reading the shared prefix again costs about as much as one more request.
-	affinityFactor = 3.0
+	// affinityFactor is how much dearer the engine with the prefix must be before another is
+	// taken: fetching the prefix costs about as much as one more request.
+	affinityFactor = 2.0
 )
 
 // Query describes a request that needs a backend server.
@@ -32,6 +29,8 @@
 	PreferVersion int
 	// Affinity is the key of the request's shared prefix, or 0.
 	Affinity uint64
+	// Holder is the short form of the engine that is believed to hold the prefix, or 0.
+	Holder uint32
 	// Long is set for requests that are expected to run for long.
 	Long bool
 	// Exclude lists backend servers that have failed this request.
@@ -95,7 +94,7 @@
 	if q.Long && q.Model != "" {
 		best = r.forLong(q, candidates, now)
 	} else if q.Affinity != 0 {
-		best = r.byAffinity(q.Affinity, candidates, now)
+		best = r.byAffinity(q, candidates, now)
 	} else {
 		best = r.cheapest(candidates, now)
 	}
@@ -234,7 +233,7 @@
 // cheapest compares two candidates drawn at random, which spreads the requests of many nodes
 // better than all of them choosing the same minimum. Few candidates are all compared.
 func (r *Registry) cheapest(candidates []*member, now time.Time) *member {
-	if len(candidates) > affinityCandidates {
+	if len(candidates) > 2 {
 		local := make([]*member, 0, len(candidates))
 		for _, m := range candidates {
 			if m.DataCentre == r.dataCentre {
@@ -264,21 +263,37 @@
 	return best
 }
 
-// byAffinity takes the first candidate in rendezvous order, unless the next is much cheaper.
-func (r *Registry) byAffinity(key uint64, candidates []*member, now time.Time) *member {
-	var first, second *member
-	var firstScore, secondScore uint64
+// byAffinity takes the engine that holds the prefix, or else the first in rendezvous order, unless
+// another is much cheaper.
+func (r *Registry) byAffinity(q Query, candidates []*member, now time.Time) *member {
+	var first *member
+	var firstScore uint64
 	for _, m := range candidates {
-		s := rendezvous.Score(m.hash, key)
-		switch {
-		case first == nil || s > firstScore:
-			first, second, firstScore, secondScore = m, first, s, firstScore
-		case second == nil || s > secondScore:
-			second, secondScore = m, s
+		if q.Holder != 0 && m.short32 == q.Holder {
+			first = m
+			break
+		}
+		if s := rendezvous.Score(m.hash, q.Affinity); first == nil || s > firstScore {
+			first, firstScore = m, s
 		}
 	}
-	if second != nil && r.cost(first, now) > affinityFactor*r.cost(second, now) {
-		return second
+	other := r.cheapest(candidates, now)
+	if r.cost(first, now) > affinityFactor*r.cost(other, now) {
+		return other
 	}
 	return first
 }
+
+// CacheSource returns the address of the engine with a short form of its ID, if it can be a source of
+// cached prompts that a version of a model's weights made, or "".
+func (r *Registry) CacheSource(short uint32, model string, version int, now time.Time) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, m := range r.members {
+		if m.short32 == short && m.version(model) == version && !m.Leaving && !m.isLoading(now) &&
+			now.After(m.pausedUntil) && m.doubtedAt.IsZero() {
+			return m.Address
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/pkg/gateway/cachemap/cachemap.go
@@ -0,0 +1,173 @@
+// Package cachemap remembers which engine read which shared prefix last, and which prefixes were sent
+// to the store of kept KV cache. It is soft state: a wrong entry costs a fetch that finds nothing.
+package cachemap
+
+import (
+	"encoding/binary"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Key identifies a shared prefix within a namespace of kept cache. Keys may collide: a collision
+// costs a fetch that finds nothing, because engines compare the parts themselves.
+type Key uint32
+
+// KeyOf returns the key of the prefix that consists of parts.
+func KeyOf(namespace string, parts ...string) Key {
+	h := xxhash.New()
+	// Writes to a hash do not fail.
+	_, _ = h.WriteString(namespace)
+	for _, p := range parts {
+		_, _ = h.WriteString("\x00")
+		_, _ = h.WriteString(p)
+	}
+	return Key(h.Sum64())
+}
+
+// EngineHash is the short form of an engine's ID in an Entry.
+func EngineHash(id string) uint32 { return uint32(xxhash.Sum64String(id)) &^ savedBit }
+
+// Entry says that an engine has read a prefix, and whether it was told to save it to the store.
+type Entry struct {
+	Key    Key
+	Engine uint32
+	Saved  bool
+}
+
+const (
+	// engineLife is the time for which an engine is believed to keep a prefix. At the deployments'
+	// rates, an engine's memory is filled by other prompts within 3 s.
+	engineLife = 2500 * time.Millisecond
+	// savedLife is the time for which the store is believed to keep a prefix.
+	savedLife = 60 * time.Second
+	// maxEntries bounds the map. Older entries make room.
+	maxEntries = 8192
+	// maxNews bounds the entries of one report.
+	maxNews = 1024
+	// savedBit marks a saved prefix in an encoded entry.
+	savedBit = 1 << 31
+	// entryBytes is the size of an encoded entry.
+	entryBytes = 8
+)
+
+type place struct {
+	engine uint32
+	used   time.Time
+	saved  time.Time
+	// epoch is that of the store at the time of saving.
+	epoch int64
+}
+
+// Map is safe for concurrent use.
+type Map struct {
+	mu sync.Mutex
+	// recent holds entries of the present half of the map's life, older those of the half before.
+	recent, older map[Key]place
+	news          []Entry
+	// epoch names the store's present run; 0 means that the store is down or not known.
+	epoch int64
+}
+
+// New returns an empty map.
+func New() *Map { return &Map{recent: map[Key]place{}, older: map[Key]place{}} }
+
+// Note takes over an entry of this node, which the next report tells to others.
+func (m *Map) Note(e Entry, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.putLocked(e, now)
+	if len(m.news) < maxNews {
+		m.news = append(m.news, e)
+	}
+}
+
+// News returns and forgets the entries that were noted since the last call, in encoded form.
+func (m *Map) News() []byte {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.news) == 0 {
+		return nil
+	}
+	data := make([]byte, 0, len(m.news)*entryBytes)
+	for _, e := range m.news {
+		engine := e.Engine
+		if e.Saved {
+			engine |= savedBit
+		}
+		data = binary.BigEndian.AppendUint32(data, uint32(e.Key))
+		data = binary.BigEndian.AppendUint32(data, engine)
+	}
+	m.news = m.news[:0]
+	return data
+}
+
+// Merge takes over encoded entries of other nodes. A holder of the lease passes them on.
+func (m *Map) Merge(data []byte, passOn bool, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for len(data) >= entryBytes {
+		engine := binary.BigEndian.Uint32(data[4:])
+		e := Entry{Key: Key(binary.BigEndian.Uint32(data)), Engine: engine &^ savedBit, Saved: engine&savedBit != 0}
+		data = data[entryBytes:]
+		m.putLocked(e, now)
+		if passOn && len(m.news) < maxNews {
+			m.news = append(m.news, e)
+		}
+	}
+}
+
+func (m *Map) putLocked(e Entry, now time.Time) {
+	p, ok := m.recent[e.Key]
+	if !ok {
+		p = m.older[e.Key]
+	}
+	p.engine, p.used = e.Engine, now
+	if e.Saved {
+		p.saved, p.epoch = now, m.epoch
+	}
+	if len(m.recent) >= maxEntries/2 {
+		m.older, m.recent = m.recent, make(map[Key]place, maxEntries/2)
+	}
+	m.recent[e.Key] = p
+}
+
+// SetStore notes the store's present run. 0 means that it is down.
+func (m *Map) SetStore(epoch int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.epoch = epoch
+}
+
+// StoreUp reports whether the store is believed to answer.
+func (m *Map) StoreUp() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.epoch != 0
+}
+
+// Found is what the map knows of a prefix.
+type Found struct {
+	// Engine has read the prefix a short time ago, if Held is set.
+	Engine uint32
+	Held   bool
+	// Saved is set if the store is believed to keep the prefix.
+	Saved bool
+}
+
+// Find returns what is known of a prefix.
+func (m *Map) Find(key Key, now time.Time) Found {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p, ok := m.recent[key]
+	if !ok {
+		if p, ok = m.older[key]; !ok {
+			return Found{}
+		}
+	}
+	return Found{
+		Engine: p.engine, Held: now.Sub(p.used) < engineLife,
+		Saved: !p.saved.IsZero() && now.Sub(p.saved) < savedLife && m.epoch != 0 && p.epoch == m.epoch,
+	}
+}
--- a/pkg/gateway/forward/job.go
+++ b/pkg/gateway/forward/job.go
@@ -5,12 +5,10 @@
 	"errors"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"cassiawall.example/cassiawall/pkg/gateway/backends"
+	"cassiawall.example/cassiawall/pkg/gateway/cachemap"
 	"cassiawall.example/cassiawall/pkg/gateway/exchange"
 	"cassiawall.example/cassiawall/pkg/gateway/routes"
 	"cassiawall.example/cassiawall/pkg/wait"
@@ -58,6 +56,11 @@
 	// begun is set once the header of an answer is on its way to the client.
 	begun  bool
 	events eventSplitter
+	// saving is set if the present send tells the engine to save the prompt's shared parts.
+	saving bool
+	// keys are those of the shared prefixes for keysVersion.
+	keys        []cachemap.Key
+	keysVersion int
 	// failure is the last complete answer of a backend server that failed.
 	failure *storedAnswer
 }
@@ -106,6 +109,7 @@
 // that take new weights are back soon.
 func (j *job) choose() *backends.Choice {
 	query := backends.Query{Service: j.service, Model: j.request.Model, Exclude: j.tried, Affinity: j.affinity(), Long: j.isLong()}
+	prefixVersion := 0
 	for {
 		now := time.Now()
 		if j.ctx.Err() != nil || j.q.Context().Err() != nil || j.left(now) < leastLeft {
@@ -115,10 +119,12 @@
 			newest, since, lowest := j.router.opt.Weights.Wanted(j.request.Model, now)
 			query.MinVersion = lowest
 			query.PreferVersion = 0
+			prefixVersion = newest
 			if now.Sub(since) >= preferNewestAfter {
 				query.PreferVersion = newest
 			}
 		}
+		query.Holder = j.cacheHolder(prefixVersion, now)
 		if c := j.router.opt.Backends.Pick(query, now); c != nil {
 			return c
 		}
@@ -137,20 +143,6 @@
 // left returns the time until the client or the route gives up.
 func (j *job) left(now time.Time) time.Duration { return j.limit - now.Sub(j.arrived) }
 
-// affinity returns the key of the parts of the prompt that other requests share, or 0 if they are
-// too short to be worth returning to the same engine.
-func (j *job) affinity() uint64 {
-	if !j.route.Sticky || j.sharedTokens() < leastSharedTokens {
-		return 0
-	}
-	h := xxhash.New()
-	for _, p := range j.shared() {
-		// Writes to a hash do not fail.
-		_, _ = h.WriteString(p.ID)
-	}
-	return h.Sum64()
-}
-
 // longTokens is the length of an answer from which on a request counts as long: about half a second
 // of an engine's steps.
 const longTokens = 100
@@ -164,26 +156,6 @@
 	return expected >= longTokens
 }
 
-// shared returns the parts of the prompt that other requests may have, too.
-func (j *job) shared() []Part {
-	if len(j.request.Prefix) == 0 {
-		return nil
-	}
-	return j.request.Prefix[:len(j.request.Prefix)-1]
-}
-
-func (j *job) sharedTokens() int {
-	tokens := 0
-	for _, p := range j.shared() {
-		tokens += p.Tokens
-	}
-	return tokens
-}
-
-// leastSharedTokens is the length of a shared prefix from which on reading it again takes longer
-// than the difference between engines.
-const leastSharedTokens = 1000
-
 // call describes this send to the backend server.
 func (j *job) call(c *backends.Choice, now time.Time) Call {
 	call := Call{
@@ -200,24 +172,11 @@
 		call.WithRanking = true
 		call.Version = c.Version
 		call.CacheNamespace = cacheNamespace(c.Version, j.tenant)
-		if j.sharedTokens() >= leastSharedTokens {
-			call.CacheStore = j.config.CacheStore()
-		}
+		call.FetchFrom, call.SaveTo = j.cachePlan(c, now)
 	}
 	return call
 }
 
-// cacheNamespace separates cached prompts by the version of the weights that made them and, for
-// isolated workspaces, by workspace. An engine runs the request only if it has that version, so no
-// request can meet the cache of other weights.
-func cacheNamespace(version int, tenant *routes.Tenant) string {
-	n := strconv.Itoa(version)
-	if tenant != nil && tenant.Isolated {
-		n += "/" + tenant.Name
-	}
-	return n
-}
-
 // send sends the request to one backend server and relays its answer.
 func (j *job) send(c *backends.Choice) step {
 	sent := time.Now()
--- a/pkg/gateway/forward/protocol.go
+++ b/pkg/gateway/forward/protocol.go
@@ -59,9 +59,9 @@
 	// Model version and cache namespace are set for requests to engines.
 	Version        int
 	CacheNamespace string
-	// CacheStore is the address of the store of kept KV cache that the engine fetches shared
-	// parts of the prompt from and saves them to, or "".
-	CacheStore string
+	// FetchFrom is the address of the engine or store that holds shared parts of the prompt, and
+	// SaveTo that of the store which is to keep them; "" for none.
+	FetchFrom, SaveTo string
 	// Priority is 0 for the most urgent requests.
 	Priority    int
 	WithRanking bool
--- a/pkg/gateway/forward/relay.go
+++ b/pkg/gateway/forward/relay.go
@@ -86,6 +86,7 @@
 		if n > 0 {
 			if latency == 0 {
 				latency = time.Since(sent)
+				j.noteCached(c, time.Now())
 			}
 			if !j.relayEvents(flusher, answer, j.events.take(buffer[:n])) {
 				c.Done(backends.Neutral, 0)
--- a/pkg/gateway/forward/router.go
+++ b/pkg/gateway/forward/router.go
@@ -9,7 +9,10 @@
 	"net/http"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"cassiawall.example/cassiawall/pkg/gateway/backends"
+	"cassiawall.example/cassiawall/pkg/gateway/cachemap"
 	"cassiawall.example/cassiawall/pkg/gateway/routes"
 )
 
@@ -26,6 +29,7 @@
 	Backends *backends.Registry
 	Weights  Weights
 	Budget   *Budget
+	Prefixes *cachemap.Map
 	// Config returns the configuration in force, or nil before the first one.
 	Config func() *routes.Config
 	// Draining reports whether the node is shutting down.
@@ -35,11 +39,14 @@
 
 // Router answers clients' requests. It is safe for concurrent use.
 type Router struct {
-	opt Options
+	opt   Options
+	saves *rate.Limiter
 }
 
 // NewRouter returns a router.
-func NewRouter(opt Options) *Router { return &Router{opt: opt} }
+func NewRouter(opt Options) *Router {
+	return &Router{opt: opt, saves: rate.NewLimiter(savesPerSecond, saveBurst)}
+}
 
 // defaultBodyBytes bounds a body where the configuration sets no limit.
 const defaultBodyBytes = 4 << 20
--- a/pkg/gateway/node/board.go
+++ b/pkg/gateway/node/board.go
@@ -50,36 +50,47 @@
 	return revisions
 }
 
-// Assign implements peers.Board.
-func (b *board) Assign(total []peers.Load) ([]peers.Assignment, []peers.Version) {
+// Prefixes implements peers.Board.
+func (b *board) Prefixes() []byte { return b.node.prefixes.News() }
+
+// Merge implements peers.Board.
+func (b *board) Merge(prefixes []byte, passOn bool) {
+	b.node.prefixes.Merge(prefixes, passOn, time.Now())
+}
+
+// Word implements peers.Board.
+func (b *board) Word(nodes int, total []peers.Load) peers.Word {
 	loads := map[string]backends.Load{}
 	for _, l := range total {
 		loads[l.Backend] = backends.Load{Backend: l.Backend, Long: l.Long, Short: l.Short}
 	}
-	var assignments []peers.Assignment
+	w := peers.Word{Nodes: nodes, CacheEpoch: b.node.cacheEpoch.Load()}
 	for id, a := range b.node.registry.Assignments(loads, time.Now()) {
-		assignments = append(assignments, peers.Assignment{Backend: id, Long: a.Long, Short: a.Short, Loading: a.Loading, TakesLong: a.TakesLong})
+		w.Assignments = append(w.Assignments, peers.Assignment{
+			Backend: id, Long: a.Long, Short: a.Short, Loading: a.Loading, TakesLong: a.TakesLong,
+		})
 	}
-	var versions []peers.Version
 	for id, models := range b.node.registry.Learned() {
 		for _, m := range models {
-			versions = append(versions, peers.Version{Backend: id, Model: m.Name, Version: m.Version})
+			w.Versions = append(w.Versions, peers.Version{Backend: id, Model: m.Name, Version: m.Version})
 		}
 	}
-	return assignments, versions
+	return w
 }
 
 // Take implements peers.Board.
-func (b *board) Take(nodes int, assignments []peers.Assignment, versions []peers.Version) {
-	b.node.budget.SetNodes(nodes)
-	taken := make(map[string]backends.Assignment, len(assignments))
-	for _, a := range assignments {
+func (b *board) Take(w peers.Word) {
+	b.node.budget.SetNodes(w.Nodes)
+	taken := make(map[string]backends.Assignment, len(w.Assignments))
+	for _, a := range w.Assignments {
 		taken[a.Backend] = backends.Assignment{Long: a.Long, Short: a.Short, Loading: a.Loading, TakesLong: a.TakesLong}
 	}
 	b.node.registry.Assign(taken, time.Now())
-	for _, v := range versions {
+	for _, v := range w.Versions {
 		b.node.registry.Learn(v.Backend, v.Model, v.Version)
 	}
+	b.node.cacheEpoch.Store(w.CacheEpoch)
+	b.node.prefixes.SetStore(w.CacheEpoch)
 }
 
 // Behind implements peers.Board. It fetches the objects of a kind from a node that stays ahead.
--- a/pkg/gateway/node/node.go
+++ b/pkg/gateway/node/node.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"cassiawall.example/cassiawall/pkg/gateway/backends"
+	"cassiawall.example/cassiawall/pkg/gateway/cachemap"
 	"cassiawall.example/cassiawall/pkg/gateway/forward"
 	"cassiawall.example/cassiawall/pkg/gateway/mirror"
 	"cassiawall.example/cassiawall/pkg/gateway/peers"
@@ -38,6 +39,8 @@
 	Kinds    Kinds
 	Decoder  Decoder
 	Engines  weights.Engines
+	// CacheStore asks the store of kept KV cache for its present run.
+	CacheStore CacheStore
 	// ReadyPath is the path of the question whether the node takes new connections.
 	ReadyPath string
 	Logger    *slog.Logger
@@ -76,6 +79,9 @@
 	budget   *forward.Budget
 	mirrors  []*mirror.Mirror
 	fetcher  *peers.Fetcher
+	prefixes *cachemap.Map
+	// cacheEpoch names the present run of the store of kept KV cache, 0 while it is down.
+	cacheEpoch atomic.Int64
 	// controller and link are set by connect.
 	controller *weights.Controller
 	link       *peers.Link
@@ -91,6 +97,7 @@
 		budget:   forward.NewBudget(opt.Settings.Budget),
 		config:   &configTarget{decoder: opt.Decoder, logger: opt.Logger, ready: make(chan struct{})},
 		fetcher:  peers.NewFetcher(),
+		prefixes: cachemap.New(),
 	}
 	n.mirrors = []*mirror.Mirror{
 		n.mirror(opt.Kinds.Config, n.config, 0),
@@ -166,6 +173,7 @@
 		go m.Run(ctx)
 	}
 	go n.link.Run(ctx)
+	go n.watchCacheStore(ctx)
 	go wait.Every(ctx, sweepEvery, func(context.Context) {
 		now := time.Now()
 		n.registry.Sweep(now)
@@ -187,7 +195,7 @@
 
 func (n *Node) router() *forward.Router {
 	return forward.NewRouter(forward.Options{
-		Protocol: n.opt.Protocol, Backends: n.registry, Weights: n.wanted, Budget: n.budget,
+		Protocol: n.opt.Protocol, Backends: n.registry, Weights: n.wanted, Budget: n.budget, Prefixes: n.prefixes,
 		Config:   func() *routes.Config { return n.config.current.Load() },
 		Draining: n.draining.Load, Logger: n.opt.Logger,
 	})
--- a/pkg/gateway/peers/link.go
+++ b/pkg/gateway/peers/link.go
@@ -38,12 +38,16 @@
 type Board interface {
 	// Loads returns this node's running requests.
 	Loads() []Load
+	// Prefixes returns and forgets this node's news of cached prefixes; Merge takes those of other
+	// nodes, to be passed on if this node holds the lease.
+	Prefixes() []byte
+	Merge(prefixes []byte, passOn bool)
 	// Revisions returns those of this node's mirrors.
 	Revisions() []Revision
-	// Assign returns the assignments of a node that holds the lease, from the loads of all nodes.
-	Assign(total []Load) ([]Assignment, []Version)
+	// Word returns the word of a node that holds the lease, from the loads of all nodes.
+	Word(nodes int, total []Load) Word
 	// Take applies the word of the holder.
-	Take(nodes int, a []Assignment, v []Version)
+	Take(w Word)
 	// Behind tells that another node has newer objects of a kind.
 	Behind(peer, kind string, revision int64)
 }
@@ -146,9 +150,11 @@
 	for _, x := range total {
 		loads = append(loads, x)
 	}
-	assignments, versions := l.opt.Board.Assign(loads)
-	l.opt.Board.Take(nodes, assignments, versions)
-	m := &message{From: l.opt.Address, Holder: true, Revisions: l.opt.Board.Revisions(), Nodes: nodes, Assignments: assignments, Versions: versions}
+	word := l.opt.Board.Word(nodes, loads)
+	l.opt.Board.Take(word)
+	m := &message{
+		From: l.opt.Address, Holder: true, Revisions: l.opt.Board.Revisions(), Prefixes: l.opt.Board.Prefixes(), Word: word,
+	}
 	if listPeers {
 		m.Peers = pickSome(to, peersListed)
 	}
@@ -173,7 +179,7 @@
 
 // report tells the holder what this node runs, and asks other nodes while the holder is silent.
 func (l *Link) report() {
-	m := &message{From: l.opt.Address, Revisions: l.opt.Board.Revisions(), Loads: l.opt.Board.Loads()}
+	m := &message{From: l.opt.Address, Revisions: l.opt.Board.Revisions(), Loads: l.opt.Board.Loads(), Prefixes: l.opt.Board.Prefixes()}
 	var to []string
 	if holder := l.opt.Holder(); holder != "" && holder != l.opt.Address {
 		to = append(to, holder)
@@ -238,17 +244,19 @@
 		l.mu.Lock()
 		current := !l.opt.Holding() && (m.From == l.opt.Holder() || l.opt.Holder() == "" || time.Since(l.heard) > holderLife)
 		if current {
-			l.heard, l.nodes = time.Now(), m.Nodes
+			l.heard, l.nodes = time.Now(), m.Word.Nodes
 		}
 		l.mu.Unlock()
 		if current {
-			l.opt.Board.Take(m.Nodes, m.Assignments, m.Versions)
+			l.opt.Board.Take(m.Word)
+			l.opt.Board.Merge(m.Prefixes, false)
 		}
 		return
 	}
 	l.mu.Lock()
 	l.reports[m.From] = report{at: time.Now(), loads: m.Loads}
 	l.mu.Unlock()
+	l.opt.Board.Merge(m.Prefixes, l.opt.Holding())
 	if m.Reply && !l.opt.Holding() {
 		l.mu.Lock()
 		known := pickSome(l.known, peersListed)
--- a/pkg/gateway/peers/message.go
+++ b/pkg/gateway/peers/message.go
@@ -47,20 +47,30 @@
 
 	// From is the sender's peer address.
 	From string
-	// Holder is set if the sender holds the lease; Nodes, Assignments, Versions and Peers are then
-	// in use. Otherwise Loads is.
+	// Holder is set if the sender holds the lease; Word is then in use. Otherwise Loads is.
 	Holder bool
 	// Reply asks the receiver for a message in return.
 	Reply bool
 	// Revisions are those of the sender's mirrors, by kind.
 	Revisions []Revision
 	Loads     []Load
+	// Prefixes are encoded entries of a cachemap.
+	Prefixes []byte
+	Word     Word
+	// Peers are addresses of some nodes.
+	Peers []string
+}
 
+// Word is what the holder of the lease tells all nodes.
+type Word struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	// Nodes is the number of nodes that report to the holder, with itself.
 	Nodes       int
 	Assignments []Assignment
 	Versions    []Version
-	// Peers are addresses of some nodes.
-	Peers []string
+	// CacheEpoch names the present run of the store of kept KV cache; 0 means that it is down.
+	CacheEpoch int64
 }
 
 // Revision is the newest change that a node's mirror of one kind holds.
