Follow the store through the holder of the lease, which lists again every 0.7 s

Change: the holder lists every 0.7 s beside its watches and tells all nodes the revisions it holds; they fetch changes from it. Nodes without a fresh holder list by themselves every 1.1 s.

--- a/pkg/gateway/mirror/mirror.go
+++ b/pkg/gateway/mirror/mirror.go
@@ -50,11 +50,12 @@
 }
 
 const (
-	// watchWait is the longest wait of one watch. The connection's keep-alive finds silent
-	// connections, so a long wait only saves calls.
-	watchWait = 20 * time.Second
-	// watchSlack is added to watchWait for the call's own timeout.
-	watchSlack = 2 * time.Second
+	// watchSlack is added to the wait of a watch for the call's own timeout.
+	watchSlack = 500 * time.Millisecond
+	// coveredPause is the time between looks whether another node still covers for this one.
+	coveredPause = 50 * time.Millisecond
+	// maxTombstones bounds the remembered deletions.
+	maxTombstones = 256
 	// listTimeout bounds a list. It covers a store that answers fifty times slower than usual.
 	listTimeout = 1500 * time.Millisecond
 	// retryLeast and retryMost bound the pause after a failed call.
@@ -74,6 +75,14 @@
 	// Pause is the least time between the ends of two watches. It lets one call return several
 	// changes.
 	Pause time.Duration
+	// ListEvery is the time after which the objects are listed again. A watch may miss changes
+	// when the store drops its history, so this bounds how late they are seen.
+	ListEvery func() time.Duration
+	// Covered reports whether another node tells this one of changes, so that it need not ask the
+	// store.
+	Covered func() bool
+	// Changed is called after a change from the store.
+	Changed func()
 }
 
 // Mirror copies one kind of objects to a target. Run may be called once; the other methods are safe
@@ -86,13 +95,20 @@
 
 	mu          sync.Mutex
 	recoveredAt time.Time
-	entries     map[string]Entry
+	// reachedAt is the time of the store's last answer.
+	reachedAt time.Time
+	entries   map[string]Entry
 	// revision is the highest revision of a change of this kind that is known.
 	revision int64
+	// tombstones are the deletions after floor.
+	tombstones map[string]int64
+	floor      int64
 }
 
 // New returns an empty mirror.
-func New(opt Options) *Mirror { return &Mirror{opt: opt, entries: map[string]Entry{}} }
+func New(opt Options) *Mirror {
+	return &Mirror{opt: opt, entries: map[string]Entry{}, tombstones: map[string]int64{}}
+}
 
 // Kind returns the kind of objects that the mirror holds.
 func (m *Mirror) Kind() string { return m.opt.Kind }
@@ -104,37 +120,71 @@
 	return m.revision
 }
 
-// Export returns the content for another node.
-func (m *Mirror) Export() ([]Entry, int64) {
+// Content is what a mirror tells another node.
+type Content struct {
+	Revision int64
+	// Whole is set if Entries are all objects; otherwise they are those that changed and Deleted
+	// names those that are gone.
+	Whole   bool
+	Entries []Entry
+	Deleted []string
+}
+
+// Export returns what has changed since a revision.
+func (m *Mirror) Export(since int64) Content {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	entries := make([]Entry, 0, len(m.entries))
+	c := Content{Revision: m.revision, Whole: since < m.floor || since == 0}
 	for _, e := range m.entries {
-		entries = append(entries, e)
+		if c.Whole || e.Revision > since {
+			c.Entries = append(c.Entries, e)
+		}
 	}
-	slices.SortFunc(entries, func(a, b Entry) int { return strings.Compare(a.Name, b.Name) })
-	return entries, m.revision
+	if !c.Whole {
+		for name, revision := range m.tombstones {
+			if revision > since {
+				c.Deleted = append(c.Deleted, name)
+			}
+		}
+	}
+	slices.SortFunc(c.Entries, func(a, b Entry) int { return strings.Compare(a.Name, b.Name) })
+	return c
 }
 
-// Import takes over the content of another node if it is newer. It reports whether it was.
-func (m *Mirror) Import(entries []Entry, revision int64) bool {
+// Import takes over the content of another node if it is newer. It reports whether it was. The
+// content is as good as the store's own if covered is set, else it may be late.
+func (m *Mirror) Import(c Content, covered bool) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if revision <= m.revision {
+	if c.Revision <= m.revision {
 		return false
 	}
-	m.resetLocked(entries, revision, true)
+	if c.Whole {
+		m.resetLocked(c.Entries, c.Revision, !covered)
+		return true
+	}
+	for _, e := range c.Entries {
+		m.applyLocked(Change{Entry: e}, !covered)
+	}
+	for _, name := range c.Deleted {
+		m.applyLocked(Change{Entry: Entry{Name: name, Revision: c.Revision}, Deleted: true}, !covered)
+	}
+	m.revision = c.Revision
 	return true
 }
 
 // Run copies until ctx ends.
 func (m *Mirror) Run(ctx context.Context) {
 	for ctx.Err() == nil {
+		if m.Revision() > 0 && m.opt.Covered() {
+			wait.Pause(ctx, coveredPause)
+			continue
+		}
 		revision, ok := m.list(ctx)
 		if !ok {
 			return
 		}
-		m.follow(ctx, revision)
+		m.follow(ctx, revision, time.Now().Add(m.opt.ListEvery()))
 	}
 }
 
@@ -160,11 +210,39 @@
 func (m *Mirror) listed(entries []Entry) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if !m.differsLocked(entries) {
+		return
+	}
 	newest := m.revision
 	for _, e := range entries {
 		newest = max(newest, e.Revision)
 	}
+	if newest == m.revision {
+		// Only deletions differ; the revision of the newest of them is not known.
+		newest++
+	}
 	m.resetLocked(entries, newest, m.interruptedLocked())
+	m.changed()
+}
+
+// changed tells that the store has brought a change.
+func (m *Mirror) changed() {
+	if m.opt.Changed != nil {
+		go m.opt.Changed()
+	}
+}
+
+// differsLocked reports whether a list shows anything that the mirror does not hold.
+func (m *Mirror) differsLocked(entries []Entry) bool {
+	if m.revision == 0 || len(entries) != len(m.entries) {
+		return true
+	}
+	for _, e := range entries {
+		if known, ok := m.entries[e.Name]; !ok || known.Revision != e.Revision {
+			return true
+		}
+	}
+	return false
 }
 
 func (m *Mirror) resetLocked(entries []Entry, revision int64, interrupted bool) {
@@ -172,16 +250,22 @@
 	for _, e := range entries {
 		m.entries[e.Name] = e
 	}
-	m.revision = revision
+	clear(m.tombstones)
+	m.revision, m.floor = revision, revision
 	m.opt.Target.Reset(entries, interrupted)
 }
 
-// follow watches until the history is gone or ctx ends.
-func (m *Mirror) follow(ctx context.Context, revision int64) {
+// follow watches until the objects should be listed again, another node covers for this one, or ctx
+// ends.
+func (m *Mirror) follow(ctx context.Context, revision int64, until time.Time) {
 	pause := retryLeast
 	for ctx.Err() == nil {
-		callCtx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
-		changes, next, err := m.opt.Source.Watch(callCtx, m.opt.Kind, revision, watchWait)
+		left := time.Until(until)
+		if left <= 0 || m.opt.Covered() {
+			return
+		}
+		callCtx, cancel := context.WithTimeout(ctx, left+watchSlack)
+		changes, next, err := m.opt.Source.Watch(callCtx, m.opt.Kind, revision, left)
 		cancel()
 		switch {
 		case errors.Is(err, ErrHistoryGone):
@@ -207,20 +291,32 @@
 func (m *Mirror) apply(changes []Change) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	interrupted := m.interruptedLocked()
+	before := m.revision
 	for _, c := range changes {
-		known, ok := m.entries[c.Name]
-		if ok && c.Revision < known.Revision || !ok && c.Deleted {
-			continue
-		}
-		if c.Deleted {
-			delete(m.entries, c.Name)
-		} else {
-			m.entries[c.Name] = c.Entry
+		m.applyLocked(c, m.interruptedLocked())
+	}
+	if m.revision != before {
+		m.changed()
+	}
+}
+
+func (m *Mirror) applyLocked(c Change, interrupted bool) {
+	known, ok := m.entries[c.Name]
+	if ok && c.Revision < known.Revision || !ok && (c.Deleted || c.Revision <= m.tombstones[c.Name]) {
+		return
+	}
+	m.revision = max(m.revision, c.Revision)
+	if c.Deleted {
+		delete(m.entries, c.Name)
+		if len(m.tombstones) >= maxTombstones {
+			clear(m.tombstones)
+			m.floor = m.revision
 		}
-		m.revision = max(m.revision, c.Revision)
-		m.opt.Target.Apply(c, interrupted)
+		m.tombstones[c.Name] = m.revision
+	} else {
+		m.entries[c.Name] = c.Entry
 	}
+	m.opt.Target.Apply(c, interrupted)
 }
 
 // failed notes a failed call and waits before the next. It reports false at the end of ctx.
@@ -238,16 +334,24 @@
 }
 
 func (m *Mirror) reached() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.reachedAt = time.Now()
 	if !m.failing {
 		return
 	}
 	m.failing = false
-	m.mu.Lock()
-	m.recoveredAt = time.Now()
-	m.mu.Unlock()
+	m.recoveredAt = m.reachedAt
 	m.opt.Logger.Info("store regained", "kind", m.opt.Kind, "away_ms", time.Since(m.failingSince).Milliseconds())
 }
 
+// Fresh reports whether the store was reached within a time.
+func (m *Mirror) Fresh(within time.Duration) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.reachedAt.IsZero() && time.Since(m.reachedAt) < within
+}
+
 // interruptedLocked reports whether the store was away until a moment ago.
 func (m *Mirror) interruptedLocked() bool {
 	return !m.recoveredAt.IsZero() && time.Since(m.recoveredAt) < recoveryTime
--- a/pkg/gateway/node/board.go
+++ b/pkg/gateway/node/board.go
@@ -13,7 +13,17 @@
 
 // behindFor is the time for which another node must be ahead before its objects are fetched. The
 // store brings them to most nodes by itself within a few hundred milliseconds.
-const behindFor = 600 * time.Millisecond
+const behindFor = 400 * time.Millisecond
+
+const (
+	// coveredFor is the time since a holder's word for which it covers for this node. With the
+	// holder's own lists it bounds how late a node is, well below the platform's 2 s.
+	coveredFor = 600 * time.Millisecond
+	// freshFor is the time since the store's last answer for which a holder covers for others.
+	freshFor = 900 * time.Millisecond
+	// fetchEvery is the least time between fetches of one kind.
+	fetchEvery = 120 * time.Millisecond
+)
 
 // board connects the link to what the node knows. It implements peers.Board.
 type board struct {
@@ -21,6 +31,8 @@
 
 	mu     sync.Mutex
 	behind map[string]lag
+	// coveredAt is the time of the last word of a holder that follows the store closely.
+	coveredAt time.Time
 }
 
 // lag is the time since which this node has been behind in one kind of objects.
@@ -28,6 +40,7 @@
 	revision int64
 	since    time.Time
 	fetching bool
+	fetched  time.Time
 }
 
 var _ peers.Board = (*board)(nil)
@@ -64,7 +77,7 @@
 	for _, l := range total {
 		loads[l.Backend] = backends.Load{Backend: l.Backend, Long: l.Long, Short: l.Short}
 	}
-	w := peers.Word{Nodes: nodes, CacheEpoch: b.node.cacheEpoch.Load()}
+	w := peers.Word{Nodes: nodes, Fresh: b.fresh(), CacheEpoch: b.node.cacheEpoch.Load()}
 	for id, a := range b.node.registry.Assignments(loads, time.Now()) {
 		w.Assignments = append(w.Assignments, peers.Assignment{
 			Backend: id, Long: a.Long, Short: a.Short, Loading: a.Loading, TakesLong: a.TakesLong,
@@ -80,6 +93,11 @@
 
 // Take implements peers.Board.
 func (b *board) Take(w peers.Word) {
+	if w.Fresh {
+		b.mu.Lock()
+		b.coveredAt = time.Now()
+		b.mu.Unlock()
+	}
 	b.node.budget.SetNodes(w.Nodes)
 	taken := make(map[string]backends.Assignment, len(w.Assignments))
 	for _, a := range w.Assignments {
@@ -93,42 +111,58 @@
 	b.node.prefixes.SetStore(w.CacheEpoch)
 }
 
-// Behind implements peers.Board. It fetches the objects of a kind from a node that stays ahead.
-func (b *board) Behind(peer, kind string, revision int64) {
+// covered reports whether the holder of the lease tells this node of changes in the store.
+func (b *board) covered() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return time.Since(b.coveredAt) < coveredFor && !b.node.controller.Holding()
+}
+
+// fresh reports whether this node follows the store closely enough to cover for others.
+func (b *board) fresh() bool {
+	for _, m := range b.node.mirrors {
+		if !m.Fresh(freshFor) {
+			return false
+		}
+	}
+	return true
+}
+
+// Behind implements peers.Board. It fetches the objects of a kind from a holder of the lease at once
+// and from another node if that stays ahead.
+func (b *board) Behind(peer, kind string, revision int64, holder bool) {
 	m := b.node.mirrorOf(kind)
 	if m == nil || m.Revision() >= revision {
 		return
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.behind == nil {
-		b.behind = map[string]lag{}
-	}
+	now := time.Now()
 	l, ok := b.behind[kind]
 	if !ok || m.Revision() >= l.revision {
-		b.behind[kind] = lag{revision: revision, since: time.Now()}
-		return
+		l = lag{revision: revision, since: now, fetched: l.fetched}
 	}
-	if l.fetching || time.Since(l.since) < behindFor {
-		return
+	if !l.fetching && now.Sub(l.fetched) >= fetchEvery && (holder || now.Sub(l.since) >= behindFor) {
+		l.fetching, l.fetched = true, now
+		go b.fetch(peer, m, holder)
 	}
-	l.fetching = true
 	b.behind[kind] = l
-	go b.fetch(peer, m)
 }
 
-func (b *board) fetch(peer string, m *mirror.Mirror) {
-	entries, revision, err := b.node.fetcher.Fetch(context.Background(), peer, m.Kind())
-	imported := err == nil && m.Import(entries, revision)
+func (b *board) fetch(peer string, m *mirror.Mirror, holder bool) {
+	content, err := b.node.fetcher.Fetch(context.Background(), peer, m.Kind(), m.Revision())
+	imported := err == nil && m.Import(content, holder)
 	b.mu.Lock()
-	delete(b.behind, m.Kind())
+	l := b.behind[m.Kind()]
+	l.fetching = false
+	b.behind[m.Kind()] = l
 	b.mu.Unlock()
 	if err != nil {
 		b.node.opt.Logger.Info("objects not fetched", "kind", m.Kind(), "peer", peer, "error", err.Error())
 		return
 	}
 	b.node.opt.Logger.Info("objects fetched from a peer", slog.String("kind", m.Kind()), slog.String("peer", peer),
-		slog.Int64("revision", revision), slog.Bool("newer", imported))
+		slog.Int64("revision", content.Revision), slog.Bool("newer", imported), slog.Bool("holder", holder))
 }
 
 // mirrorOf returns the mirror of a kind, or nil.
--- a/pkg/gateway/node/node.go
+++ b/pkg/gateway/node/node.go
@@ -52,6 +52,11 @@
 	// backendPause lets one call of the store return several changes of backend servers. It is a
 	// small part of the time within which a leaving server must get no more requests.
 	backendPause = 250 * time.Millisecond
+	// holderListEvery and listEvery are the times between lists of the holder of the lease and of
+	// a node that it does not cover for. A watch can miss changes, so these bound how late a change
+	// is seen; a configuration must be in force within 2 s.
+	holderListEvery = 700 * time.Millisecond
+	listEvery       = 1100 * time.Millisecond
 	// doubtFor is the time after the store's return in which missing entries may come back. The
 	// platform states about two seconds.
 	doubtFor = 2200 * time.Millisecond
@@ -84,6 +89,7 @@
 	cacheEpoch atomic.Int64
 	// controller and link are set by connect.
 	controller *weights.Controller
+	board      *board
 	link       *peers.Link
 	draining   atomic.Bool
 }
@@ -108,12 +114,23 @@
 }
 
 func (n *Node) mirror(kind string, target mirror.Target, pause time.Duration) *mirror.Mirror {
-	return mirror.New(mirror.Options{Kind: kind, Source: n.opt.Store, Target: target, Logger: n.opt.Logger, Pause: pause})
+	return mirror.New(mirror.Options{
+		Kind: kind, Source: n.opt.Store, Target: target, Logger: n.opt.Logger, Pause: pause,
+		Covered: func() bool { return n.board.covered() },
+		Changed: func() { n.link.Announce() },
+		ListEvery: func() time.Duration {
+			if n.controller.Holding() {
+				return holderListEvery
+			}
+			return listEvery
+		},
+	})
 }
 
 // connect prepares the controller of weights and the link to the other nodes.
 func (n *Node) connect() error {
 	s := n.opt.Settings
+	n.board = &board{node: n, behind: map[string]lag{}}
 	n.controller = weights.New(weights.Options{
 		Node: s.Control, Instance: fmt.Sprint(s.Name, "/", time.Now().UnixNano()),
 		Timing: weights.LeaseTiming(s.LeaseGap), Wanted: n.wanted, Backends: n.registry, Engines: n.opt.Engines,
@@ -121,7 +138,7 @@
 	})
 	link, err := peers.Listen(peers.Options{
 		Address: s.Control, Seeds: s.Seeds, Holder: n.controller.Holder, Holding: n.controller.Holding,
-		Board: &board{node: n}, Logger: n.opt.Logger,
+		Board: n.board, Logger: n.opt.Logger,
 	})
 	n.link = link
 	return err
--- a/pkg/gateway/peers/link.go
+++ b/pkg/gateway/peers/link.go
@@ -49,7 +49,7 @@
 	// Take applies the word of the holder.
 	Take(w Word)
 	// Behind tells that another node has newer objects of a kind.
-	Behind(peer, kind string, revision int64)
+	Behind(peer, kind string, revision int64, holder bool)
 }
 
 // Options configures a Link.
@@ -236,9 +236,6 @@
 }
 
 func (l *Link) handle(m *message) {
-	for _, r := range m.Revisions {
-		l.opt.Board.Behind(m.From, r.Kind, r.Revision)
-	}
 	l.remember(append(m.Peers, m.From))
 	if m.Holder {
 		l.mu.Lock()
@@ -247,12 +244,17 @@
 			l.heard, l.nodes = time.Now(), m.Word.Nodes
 		}
 		l.mu.Unlock()
+		l.compare(m, current)
 		if current {
 			l.opt.Board.Take(m.Word)
 			l.opt.Board.Merge(m.Prefixes, false)
 		}
 		return
 	}
+	l.compare(m, false)
+	if m.Answer {
+		return
+	}
 	l.mu.Lock()
 	l.reports[m.From] = report{at: time.Now(), loads: m.Loads}
 	l.mu.Unlock()
@@ -261,7 +263,14 @@
 		l.mu.Lock()
 		known := pickSome(l.known, peersListed)
 		l.mu.Unlock()
-		l.send(&message{From: l.opt.Address, Revisions: l.opt.Board.Revisions(), Peers: known}, m.From)
+		l.send(&message{From: l.opt.Address, Answer: true, Revisions: l.opt.Board.Revisions(), Peers: known}, m.From)
+	}
+}
+
+// compare looks whether the sender has newer objects than this node.
+func (l *Link) compare(m *message, holder bool) {
+	for _, r := range m.Revisions {
+		l.opt.Board.Behind(m.From, r.Kind, r.Revision, holder)
 	}
 }
 
--- a/pkg/gateway/peers/message.go
+++ b/pkg/gateway/peers/message.go
@@ -49,8 +49,8 @@
 	From string
 	// Holder is set if the sender holds the lease; Word is then in use. Otherwise Loads is.
 	Holder bool
-	// Reply asks the receiver for a message in return.
-	Reply bool
+	// Reply asks the receiver for a message in return, and Answer marks that message.
+	Reply, Answer bool
 	// Revisions are those of the sender's mirrors, by kind.
 	Revisions []Revision
 	Loads     []Load
@@ -69,6 +69,8 @@
 	Nodes       int
 	Assignments []Assignment
 	Versions    []Version
+	// Fresh is set if the holder reached the platform's store a moment ago.
+	Fresh bool
 	// CacheEpoch names the present run of the store of kept KV cache; 0 means that it is down.
 	CacheEpoch int64
 }
--- a/pkg/gateway/peers/objects.go
+++ b/pkg/gateway/peers/objects.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"strconv"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -24,14 +25,6 @@
 	fetchTimeout = time.Second
 )
 
-// content is the body of an answer.
-type content struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
-	Revision int64
-	Entries  []mirror.Entry
-}
-
 // Handler serves the content of mirrors to other nodes.
 func Handler(mirrors []*mirror.Mirror) http.Handler {
 	mux := http.NewServeMux()
@@ -40,8 +33,10 @@
 			if m.Kind() != q.URL.Query().Get("kind") {
 				continue
 			}
-			entries, revision := m.Export()
-			data, err := msgpack.Marshal(&content{Revision: revision, Entries: entries})
+			// A malformed revision reads as 0, which asks for all objects.
+			since, _ := strconv.ParseInt(q.URL.Query().Get("since"), 10, 64)
+			content := m.Export(since)
+			data, err := msgpack.Marshal(&content)
 			if err != nil {
 				http.Error(w, err.Error(), http.StatusInternalServerError)
 				return
@@ -66,31 +61,33 @@
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
 			return exchange.Dial(ctx, address, exchange.DialTimeout)
 		},
-		DisableKeepAlives: true,
+		MaxIdleConnsPerHost: 1,
+		IdleConnTimeout:     3 * time.Second,
 	}}}
 }
 
-// Fetch returns the objects of a kind that the node at address holds, and their revision.
-func (f *Fetcher) Fetch(ctx context.Context, address, kind string) ([]mirror.Entry, int64, error) {
-	q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+objectsPath+"?kind="+url.QueryEscape(kind), nil)
+// Fetch returns what the node at address holds of a kind beyond a revision.
+func (f *Fetcher) Fetch(ctx context.Context, address, kind string, since int64) (mirror.Content, error) {
+	query := url.Values{"kind": {kind}, "since": {strconv.FormatInt(since, 10)}}
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+objectsPath+"?"+query.Encode(), nil)
 	if err != nil {
-		return nil, 0, fmt.Errorf("peer request: %w", err)
+		return mirror.Content{}, fmt.Errorf("peer request: %w", err)
 	}
 	answer, err := f.http.Do(q)
 	if err != nil {
-		return nil, 0, fmt.Errorf("peer did not answer: %w", err)
+		return mirror.Content{}, fmt.Errorf("peer did not answer: %w", err)
 	}
 	defer answer.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(answer.Body, maxObjects))
 	if err != nil {
-		return nil, 0, fmt.Errorf("peer answer was cut: %w", err)
+		return mirror.Content{}, fmt.Errorf("peer answer was cut: %w", err)
 	}
 	if answer.StatusCode != http.StatusOK {
-		return nil, 0, fmt.Errorf("peer answered with status %d", answer.StatusCode)
+		return mirror.Content{}, fmt.Errorf("peer answered with status %d", answer.StatusCode)
 	}
-	var c content
+	var c mirror.Content
 	if err := msgpack.Unmarshal(data, &c); err != nil {
-		return nil, 0, fmt.Errorf("peer answer does not parse: %w", err)
+		return mirror.Content{}, fmt.Errorf("peer answer does not parse: %w", err)
 	}
-	return c.Entries, c.Revision, nil
+	return c, nil
 }
