Drop a request that waits at an engine until its weights are too old

Change: older engines are chosen until 5.5 s after a version is named, and a send that has not begun 0.2 s before the limit is ended, which drops it from the engine's queue.

--- a/pkg/gateway/exchange/exchange.go
+++ b/pkg/gateway/exchange/exchange.go
@@ -62,6 +62,8 @@
 type Response struct {
 	Status int
 	Header http.Header
+	// Framed is set if the end of the body is marked; otherwise the body ends with the connection.
+	Framed bool
 
 	body    io.ReadCloser
 	pool    *Pool
@@ -139,6 +141,7 @@
 		if mine(answer.Header) {
 			return &Response{
 				Status: answer.StatusCode, Header: answer.Header, body: answer.Body, pool: p, conn: c, stop: stop,
+				Framed: answer.ContentLength >= 0 || len(answer.TransferEncoding) > 0,
 				written: writer, keep: !answer.Close && answer.ProtoAtLeast(1, 1) && skipped == 0 && c.noteIdle(answer.Header),
 			}, nil
 		}
--- a/pkg/gateway/forward/job.go
+++ b/pkg/gateway/forward/job.go
@@ -186,9 +186,11 @@
 		Method: j.q.Method, Target: j.q.RequestURI, Host: j.q.Host, Body: j.body,
 		Header: j.router.opt.Protocol.Encode(j.q.Header, j.call(c, sent)),
 	}
-	answer, err := exchange.Do(j.ctx, c.Pool, request, func(h http.Header) bool {
+	ctx, began := j.beginInTime(c, sent)
+	answer, err := exchange.Do(ctx, c.Pool, request, func(h http.Header) bool {
 		return j.router.opt.Protocol.Answer(h).RequestID == j.request.ID
 	})
+	began()
 	if err != nil {
 		return j.unanswered(c, err)
 	}
@@ -212,6 +214,22 @@
 	return j.relayWhole(c, answer, sent)
 }
 
+// beginInTime returns a context that ends when the request must no longer begin on the weights of the
+// chosen engine. began must be called once the engine has answered. A request that waits in an
+// engine's queue is dropped when its connection closes.
+func (j *job) beginInTime(c *backends.Choice, now time.Time) (ctx context.Context, began func()) {
+	if j.request.Model == "" {
+		return j.ctx, func() {}
+	}
+	limit := j.router.opt.Weights.BeginBefore(j.request.Model, c.Version)
+	if limit.IsZero() {
+		return j.ctx, func() {}
+	}
+	ctx, cancel := context.WithCancel(j.ctx)
+	timer := time.AfterFunc(limit.Sub(now), cancel)
+	return ctx, func() { timer.Stop() }
+}
+
 // unanswered decides after a send without an answer.
 func (j *job) unanswered(c *backends.Choice, err error) step {
 	var failed *exchange.Error
--- a/pkg/gateway/forward/relay.go
+++ b/pkg/gateway/forward/relay.go
@@ -95,11 +95,14 @@
 		}
 		switch {
 		case err == nil:
-		case err == io.EOF && len(j.events.rest) == 0:
+		case err == io.EOF && (answer.Framed || len(j.events.rest) == 0):
 			c.Done(backends.Good, latency)
 			if !j.begun {
 				j.beginStream(answer)
 			}
+			if !j.relayEvents(flusher, answer, j.events.rest) {
+				panic(http.ErrAbortHandler)
+			}
 			return finished
 		case j.q.Context().Err() != nil:
 			c.Done(backends.Neutral, 0)
--- a/pkg/gateway/forward/router.go
+++ b/pkg/gateway/forward/router.go
@@ -21,6 +21,9 @@
 	// Wanted returns the newest version, when this node learned of it, and the lowest version
 	// that may still begin a request. Zero values mean that no version is known.
 	Wanted(model string, now time.Time) (newest int, since time.Time, lowest int)
+	// BeginBefore returns the time before which a request must have begun on a version, or zero
+	// while no newer version is named.
+	BeginBefore(model string, version int) time.Time
 }
 
 // Options configures a Router.
--- a/pkg/gateway/weights/wanted.go
+++ b/pkg/gateway/weights/wanted.go
@@ -10,7 +10,9 @@
 const (
 	// beginMargin is subtracted from the platform's limit for requests on older weights. It
 	// covers the time from a send to the start of the request in the engine's queue.
-	beginMargin = 1500 * time.Millisecond
+	beginMargin = 2500 * time.Millisecond
+	// beginSlack is left between the last moment to begin and the platform's limit.
+	beginSlack = 200 * time.Millisecond
 	// keptVersions bounds the remembered versions of a model.
 	keptVersions = 64
 )
@@ -80,6 +82,19 @@
 	return last.version, last.since, lowest
 }
 
+// BeginBefore returns the time before which a request must have begun on a version, or zero while no
+// newer version is named.
+func (w *Wanted) BeginBefore(model string, version int) time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, n := range w.models[model] {
+		if n.version > version {
+			return n.since.Add(w.limit - beginSlack)
+		}
+	}
+	return time.Time{}
+}
+
 // Newest returns the newest version of each model and a channel that is closed when one is added.
 func (w *Wanted) Newest() (map[string]int, <-chan struct{}) {
 	w.mu.Lock()
