Tell of the lease in the holder's word; take versions seen in a list at their real age

Change: the holder's word carries its lease, so that the others wait from its last renewal; renewals every 0.6 s; a version's age is the time since the mirror was last current; requests wait for an engine only while one loads.

--- a/pkg/gateway/backends/backends.go
+++ b/pkg/gateway/backends/backends.go
@@ -225,9 +225,16 @@
 	}
 }
 
-// Loading keeps requests away from an engine until a time, while it takes new weights on an order of
+// Loading reports whether an engine of a service takes new weights.
+func (r *Registry) Loading(service string, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.ContainsFunc(r.service[service], func(m *member) bool { return m.isLoading(now) })
+}
+
+// SetLoading keeps requests away from an engine until a time, while it takes new weights on an order of
 // this node.
-func (r *Registry) Loading(id string, until time.Time) {
+func (r *Registry) SetLoading(id string, until time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if m := r.members[id]; m != nil {
--- a/pkg/gateway/exchange/exchange.go
+++ b/pkg/gateway/exchange/exchange.go
@@ -141,7 +141,7 @@
 		if mine(answer.Header) {
 			return &Response{
 				Status: answer.StatusCode, Header: answer.Header, body: answer.Body, pool: p, conn: c, stop: stop,
-				Framed: answer.ContentLength >= 0 || len(answer.TransferEncoding) > 0,
+				Framed:  answer.ContentLength >= 0 || len(answer.TransferEncoding) > 0,
 				written: writer, keep: !answer.Close && answer.ProtoAtLeast(1, 1) && skipped == 0 && c.noteIdle(answer.Header),
 			}, nil
 		}
--- a/pkg/gateway/forward/job.go
+++ b/pkg/gateway/forward/job.go
@@ -105,8 +105,8 @@
 	}
 }
 
-// choose returns a backend server. It waits for one while the objective allows, because engines
-// that take new weights are back soon.
+// choose returns a backend server. It waits for one while engines take new weights, because these are
+// back soon; otherwise a refusal that comes early lets the client try elsewhere.
 func (j *job) choose() *backends.Choice {
 	query := backends.Query{Service: j.service, Model: j.request.Model, Exclude: j.tried, Affinity: j.affinity(), Long: j.isLong()}
 	prefixVersion := 0
@@ -134,7 +134,11 @@
 				query.Exclude = nil
 			}
 		}
-		if now.Sub(j.arrived) > j.route.Objective/2 || !wait.Pause(j.ctx, pickPause) {
+		patience := j.route.Objective / 8
+		if j.router.opt.Backends.Loading(j.service, now) {
+			patience = j.route.Objective / 2
+		}
+		if now.Sub(j.arrived) > patience || !wait.Pause(j.ctx, pickPause) {
 			return nil
 		}
 	}
--- a/pkg/gateway/mirror/mirror.go
+++ b/pkg/gateway/mirror/mirror.go
@@ -43,12 +43,23 @@
 
 // Target receives a mirror's content. Its methods are called one at a time.
 type Target interface {
-	// Reset replaces the whole content. Interrupted is set if the content may lack entries for a
-	// moment or be late: the store was away until shortly before, or another node sent it.
-	Reset(entries []Entry, interrupted bool)
-	Apply(c Change, interrupted bool)
+	// Reset replaces the whole content.
+	Reset(entries []Entry, s Standing)
+	Apply(c Change, s Standing)
 }
 
+// Standing says how good the news is that a target receives.
+type Standing struct {
+	// Interrupted is set if entries may be missing for a moment: the store was away until shortly
+	// before, or a node that it does not serve either has sent them.
+	Interrupted bool
+	// Unseen is the time for which a change may have been in the store already.
+	Unseen time.Duration
+}
+
+// unseenAtStart is the Unseen of the first content.
+const unseenAtStart = time.Hour
+
 const (
 	// watchSlack is added to the wait of a watch for the call's own timeout.
 	watchSlack = 500 * time.Millisecond
@@ -97,6 +108,8 @@
 	recoveredAt time.Time
 	// reachedAt is the time of the store's last answer.
 	reachedAt time.Time
+	// currentAt is the time at which no change was missing.
+	currentAt time.Time
 	entries   map[string]Entry
 	// revision is the highest revision of a change of this kind that is known.
 	revision int64
@@ -160,19 +173,35 @@
 		return false
 	}
 	if c.Whole {
-		m.resetLocked(c.Entries, c.Revision, !covered)
+		m.resetLocked(c.Entries, c.Revision, m.standingLocked(!covered))
 		return true
 	}
+	standing := m.standingLocked(!covered)
 	for _, e := range c.Entries {
-		m.applyLocked(Change{Entry: e}, !covered)
+		m.applyLocked(Change{Entry: e}, standing)
 	}
 	for _, name := range c.Deleted {
-		m.applyLocked(Change{Entry: Entry{Name: name, Revision: c.Revision}, Deleted: true}, !covered)
+		m.applyLocked(Change{Entry: Entry{Name: name, Revision: c.Revision}, Deleted: true}, standing)
 	}
 	m.revision = c.Revision
 	return true
 }
 
+// Current notes that another node, which follows the store closely, has no newer change.
+func (m *Mirror) Current() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.currentAt = time.Now()
+}
+
+// standingLocked returns the standing of news that arrive now.
+func (m *Mirror) standingLocked(interrupted bool) Standing {
+	if m.currentAt.IsZero() {
+		return Standing{Interrupted: interrupted, Unseen: unseenAtStart}
+	}
+	return Standing{Interrupted: interrupted, Unseen: time.Since(m.currentAt)}
+}
+
 // Run copies until ctx ends.
 func (m *Mirror) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -210,6 +239,7 @@
 func (m *Mirror) listed(entries []Entry) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	defer func() { m.currentAt = time.Now() }()
 	if !m.differsLocked(entries) {
 		return
 	}
@@ -221,7 +251,7 @@
 		// Only deletions differ; the revision of the newest of them is not known.
 		newest++
 	}
-	m.resetLocked(entries, newest, m.interruptedLocked())
+	m.resetLocked(entries, newest, m.standingLocked(m.interruptedLocked()))
 	m.changed()
 }
 
@@ -245,14 +275,14 @@
 	return false
 }
 
-func (m *Mirror) resetLocked(entries []Entry, revision int64, interrupted bool) {
+func (m *Mirror) resetLocked(entries []Entry, revision int64, standing Standing) {
 	clear(m.entries)
 	for _, e := range entries {
 		m.entries[e.Name] = e
 	}
 	clear(m.tombstones)
 	m.revision, m.floor = revision, revision
-	m.opt.Target.Reset(entries, interrupted)
+	m.opt.Target.Reset(entries, standing)
 }
 
 // follow watches until the objects should be listed again, another node covers for this one, or ctx
@@ -291,16 +321,17 @@
 func (m *Mirror) apply(changes []Change) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	before := m.revision
+	before, standing := m.revision, m.standingLocked(m.interruptedLocked())
 	for _, c := range changes {
-		m.applyLocked(c, m.interruptedLocked())
+		m.applyLocked(c, standing)
 	}
+	m.currentAt = time.Now()
 	if m.revision != before {
 		m.changed()
 	}
 }
 
-func (m *Mirror) applyLocked(c Change, interrupted bool) {
+func (m *Mirror) applyLocked(c Change, standing Standing) {
 	known, ok := m.entries[c.Name]
 	if ok && c.Revision < known.Revision || !ok && (c.Deleted || c.Revision <= m.tombstones[c.Name]) {
 		return
@@ -316,7 +347,7 @@
 	} else {
 		m.entries[c.Name] = c.Entry
 	}
-	m.opt.Target.Apply(c, interrupted)
+	m.opt.Target.Apply(c, standing)
 }
 
 // failed notes a failed call and waits before the next. It reports false at the end of ctx.
--- a/pkg/gateway/node/board.go
+++ b/pkg/gateway/node/board.go
@@ -78,6 +78,7 @@
 		loads[l.Backend] = backends.Load{Backend: l.Backend, Long: l.Long, Short: l.Short}
 	}
 	w := peers.Word{Nodes: nodes, Fresh: b.fresh(), CacheEpoch: b.node.cacheEpoch.Load()}
+	w.Lease, w.LeaseVersion = b.node.controller.Lease()
 	for id, a := range b.node.registry.Assignments(loads, time.Now()) {
 		w.Assignments = append(w.Assignments, peers.Assignment{
 			Backend: id, Long: a.Long, Short: a.Short, Loading: a.Loading, TakesLong: a.TakesLong,
@@ -99,6 +100,7 @@
 		b.mu.Unlock()
 	}
 	b.node.budget.SetNodes(w.Nodes)
+	b.node.controller.Sighted(w.Lease, w.LeaseVersion, time.Now())
 	taken := make(map[string]backends.Assignment, len(w.Assignments))
 	for _, a := range w.Assignments {
 		taken[a.Backend] = backends.Assignment{Long: a.Long, Short: a.Short, Loading: a.Loading, TakesLong: a.TakesLong}
@@ -132,7 +134,13 @@
 // and from another node if that stays ahead.
 func (b *board) Behind(peer, kind string, revision int64, holder bool) {
 	m := b.node.mirrorOf(kind)
-	if m == nil || m.Revision() >= revision {
+	if m == nil {
+		return
+	}
+	if m.Revision() >= revision {
+		if holder && b.covered() {
+			m.Current()
+		}
 		return
 	}
 	b.mu.Lock()
--- a/pkg/gateway/node/mirrors.go
+++ b/pkg/gateway/node/mirrors.go
@@ -30,14 +30,14 @@
 }
 
 // Reset implements mirror.Target. A configuration that is missing stays in force.
-func (t *configTarget) Reset(entries []mirror.Entry, _ bool) {
+func (t *configTarget) Reset(entries []mirror.Entry, _ mirror.Standing) {
 	for _, e := range entries {
 		t.take(e)
 	}
 }
 
 // Apply implements mirror.Target.
-func (t *configTarget) Apply(c mirror.Change, _ bool) {
+func (t *configTarget) Apply(c mirror.Change, _ mirror.Standing) {
 	if c.Deleted {
 		t.logger.Warn("configuration deleted in the store; the last one stays in force", "name", c.Name)
 		return
@@ -74,19 +74,19 @@
 }
 
 // Reset implements mirror.Target.
-func (t *backendTarget) Reset(entries []mirror.Entry, interrupted bool) {
+func (t *backendTarget) Reset(entries []mirror.Entry, s mirror.Standing) {
 	missing := t.registry.IDs()
 	for _, e := range entries {
 		t.put(e)
 		missing = slices.DeleteFunc(missing, func(id string) bool { return id == e.Name })
 	}
-	t.remove(missing, interrupted)
+	t.remove(missing, s.Interrupted)
 }
 
 // Apply implements mirror.Target.
-func (t *backendTarget) Apply(c mirror.Change, interrupted bool) {
+func (t *backendTarget) Apply(c mirror.Change, s mirror.Standing) {
 	if c.Deleted {
-		t.remove([]string{c.Name}, interrupted)
+		t.remove([]string{c.Name}, s.Interrupted)
 		return
 	}
 	t.put(c.Entry)
@@ -129,27 +129,27 @@
 	wanted  *weights.Wanted
 }
 
-// Reset implements mirror.Target. Versions that a list shows may have been named long ago.
-func (t *versionTarget) Reset(entries []mirror.Entry, _ bool) {
+// Reset implements mirror.Target.
+func (t *versionTarget) Reset(entries []mirror.Entry, s mirror.Standing) {
 	for _, e := range entries {
-		t.take(e, true)
+		t.take(e, s.Unseen)
 	}
 }
 
 // Apply implements mirror.Target.
-func (t *versionTarget) Apply(c mirror.Change, interrupted bool) {
+func (t *versionTarget) Apply(c mirror.Change, s mirror.Standing) {
 	if !c.Deleted {
-		t.take(c.Entry, interrupted)
+		t.take(c.Entry, s.Unseen)
 	}
 }
 
-func (t *versionTarget) take(e mirror.Entry, late bool) {
+func (t *versionTarget) take(e mirror.Entry, unseen time.Duration) {
 	v, err := t.decoder.NamedVersion(e)
 	if err != nil {
 		t.logger.Warn("version entry skipped", "name", e.Name, "revision", e.Revision, "error", err.Error())
 		return
 	}
-	if t.wanted.Name(v.Name, v.Version, late, time.Now()) {
-		t.logger.Info("weights named", "model", v.Name, "version", v.Version, "revision", e.Revision, "late", late)
+	if t.wanted.Name(v.Name, v.Version, unseen, time.Now()) {
+		t.logger.Info("weights named", "model", v.Name, "version", v.Version, "revision", e.Revision, "unseen_ms", unseen.Milliseconds())
 	}
 }
--- a/pkg/gateway/peers/message.go
+++ b/pkg/gateway/peers/message.go
@@ -69,6 +69,9 @@
 	Nodes       int
 	Assignments []Assignment
 	Versions    []Version
+	// Lease is the holder's lease in stored form, and LeaseVersion its version in the store.
+	Lease        []byte
+	LeaseVersion uint64
 	// Fresh is set if the holder reached the platform's store a moment ago.
 	Fresh bool
 	// CacheEpoch names the present run of the store of kept KV cache; 0 means that it is down.
--- a/pkg/gateway/weights/controller.go
+++ b/pkg/gateway/weights/controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"log/slog"
 	"sync"
 	"time"
@@ -72,7 +73,7 @@
 	// tick is the time between decisions.
 	tick = 100 * time.Millisecond
 	// leaseCallTimeout bounds one call for the lease. It is below the time between renewals.
-	leaseCallTimeout = 900 * time.Millisecond
+	leaseCallTimeout = 550 * time.Millisecond
 	// orderTimeout bounds one call to an engine.
 	orderTimeout = 700 * time.Millisecond
 	// loadLeast is the time after which an engine is first asked whether it has finished, and
@@ -93,8 +94,8 @@
 // LeaseTiming returns the times of the lease for a platform that counts orders of two holders
 // within gap of each other as a conflict.
 func LeaseTiming(gap time.Duration) lease.Timing {
-	const renew = 900 * time.Millisecond
-	flight := gap/2 + 100*time.Millisecond
+	const renew = 600 * time.Millisecond
+	flight := gap/2 + 50*time.Millisecond
 	return lease.Timing{
 		TTL: flight + 2*renew + 200*time.Millisecond, RenewEvery: renew, Flight: flight,
 		RetryEvery: 150 * time.Millisecond, Handover: gap + 200*time.Millisecond,
@@ -168,6 +169,31 @@
 	return c.lease.Holder()
 }
 
+// Lease returns the last known record of the lease in stored form, and its version.
+func (c *Controller) Lease() ([]byte, uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	record, version := c.lease.Seen()
+	value, err := json.Marshal(record)
+	if err != nil {
+		// A record holds only strings, numbers and a flag.
+		panic(err)
+	}
+	return value, version
+}
+
+// Sighted takes over a record of the lease that the holder has told of.
+func (c *Controller) Sighted(value []byte, version uint64, now time.Time) {
+	record, err := lease.DecodeRecord(value)
+	if err != nil {
+		c.opt.Logger.Warn("lease told of is damaged", "error", err.Error())
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lease.Sighted(record, version, now)
+}
+
 // step takes the next step of the lease and gives the next orders.
 func (c *Controller) step(ctx context.Context) {
 	c.renew(ctx, true)
@@ -259,7 +285,7 @@
 	defer cancel()
 	began := time.Now()
 	outcome := c.load(ctx, t, model, version, o)
-	c.opt.Backends.Loading(t.ID, time.Time{})
+	c.opt.Backends.SetLoading(t.ID, time.Time{})
 	c.opt.Changed()
 	c.opt.Logger.Info("order ended", "engine", t.ID, "model", model, "version", version, "outcome", outcome,
 		"took_ms", time.Since(began).Milliseconds())
@@ -291,7 +317,7 @@
 		}
 	}
 	// Requests that reach the engine after the order are refused, so the other nodes hear first.
-	c.opt.Backends.Loading(t.ID, time.Now().Add(loadMost))
+	c.opt.Backends.SetLoading(t.ID, time.Now().Add(loadMost))
 	c.opt.Changed()
 	wait.Pause(ctx, noticeTime)
 	reply, err := c.send(ctx, t, model, version, o.orders)
--- a/pkg/gateway/weights/wanted.go
+++ b/pkg/gateway/weights/wanted.go
@@ -10,7 +10,7 @@
 const (
 	// beginMargin is subtracted from the platform's limit for requests on older weights. It
 	// covers the time from a send to the start of the request in the engine's queue.
-	beginMargin = 2500 * time.Millisecond
+	beginMargin = 1200 * time.Millisecond
 	// beginSlack is left between the last moment to begin and the platform's limit.
 	beginSlack = 200 * time.Millisecond
 	// keptVersions bounds the remembered versions of a model.
@@ -22,8 +22,8 @@
 type Wanted struct {
 	// limit is the time after which no request may begin on an older version.
 	limit time.Duration
-	// unseen is the age that a version may have when the node learns of it late: the rules give
-	// a node that was cut off this time less than the limit.
+	// unseen is the highest age that a version is taken to have when the node learns of it late:
+	// the rules excuse a node that was cut off for the rest of the limit.
 	unseen time.Duration
 
 	mu     sync.Mutex
@@ -43,18 +43,16 @@
 	return &Wanted{limit: limit, unseen: max(0, limit-contact), models: map[string][]namedVersion{}, changed: make(chan struct{})}
 }
 
-// Name notes a version. Late is set if it may have been named long before now. It reports whether
-// the version is newer than all others.
-func (w *Wanted) Name(model string, version int, late bool, now time.Time) bool {
+// Name notes a version that was named at most unseen before now. It reports whether the version is
+// newer than all others.
+func (w *Wanted) Name(model string, version int, unseen time.Duration, now time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	named := w.models[model]
 	if len(named) > 0 && named[len(named)-1].version >= version {
 		return false
 	}
-	if late {
-		now = now.Add(-w.unseen)
-	}
+	now = now.Add(-min(unseen, w.unseen))
 	if len(named) >= keptVersions {
 		named = named[1:]
 	}
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -241,6 +241,18 @@
 	l.forget(r.Renewal)
 }
 
+// Seen returns the last known record and its version.
+func (l *Lease) Seen() (Record, uint64) { return l.seen, l.version }
+
+// Sighted takes over a record that another node has told of, as if it had been read at now. The holder
+// itself is the usual teller; an older version than the known one is ignored.
+func (l *Lease) Sighted(r Record, version uint64, now time.Time) {
+	if l.busy || l.held || version <= l.version || r.Instance == l.instance {
+		return
+	}
+	l.observe(r, version, now)
+}
+
 // forget drops the send times of writes before a version that is known to be stored.
 func (l *Lease) forget(renewal uint64) {
 	for r := range l.sentAt {
