Stay with the engine that holds a prefix and fetch the rest from the store

Requests left the engine with their prefix when it was only twice as loaded, and prefixes that other nodes had saved were not fetched because the news of it is soft state. Change: another engine is taken only if eight times cheaper; the store is asked while it is up; more prompts are saved, those with a short part of their own first; long requests fill 0.9 of the slots.

--- a/cmd/cassiawall-node/main.go
+++ b/cmd/cassiawall-node/main.go
@@ -41,6 +41,6 @@
 		Kinds:   node.Kinds{Config: platform.KindConfig, Backends: platform.KindServers, Versions: platform.KindVersions},
 		Decoder: platform.Decoder{}, Engines: platform.NewEngines(), CacheStore: platform.NewCacheStore(),
 		ReadyPath: platform.ReadyPath,
-		Logger: slog.New(slog.NewJSONHandler(os.Stdout, nil)),
+		Logger:    slog.New(slog.NewJSONHandler(os.Stdout, nil)),
 	}).Run(stop)
 }
--- a/pkg/gateway/backends/assign.go
+++ b/pkg/gateway/backends/assign.go
@@ -8,7 +8,7 @@
 
 // longShare is the share of an engine's slots that long requests should fill. Beyond it the engine's
 // steps slow down more than another engine with long requests would cost a rollout.
-const longShare = 0.75
+const longShare = 0.9
 
 // leastLongEngines is the least number of engines for long requests, so that one crash does not cut
 // all of them.
--- a/pkg/gateway/backends/pick.go
+++ b/pkg/gateway/backends/pick.go
@@ -14,8 +14,8 @@
 	// node's own, because bytes between data centres are paid for.
 	remoteFactor = 1.25
 	// affinityFactor is how much dearer the engine with the prefix must be before another is
-	// taken: fetching the prefix costs about as much as one more request.
-	affinityFactor = 2.0
+	// taken: an engine that fetches or reads the prefix again delays all its requests.
+	affinityFactor = 8.0
 )
 
 // Query describes a request that needs a backend server.
--- a/pkg/gateway/cachemap/cachemap.go
+++ b/pkg/gateway/cachemap/cachemap.go
@@ -38,8 +38,10 @@
 
 const (
 	// engineLife is the time for which an engine is believed to keep a prefix. At the deployments'
-	// rates, an engine's memory is filled by other prompts within 3 s.
-	engineLife = 2500 * time.Millisecond
+	// rates, an engine's memory is filled by other prompts within 2 s, and late news takes part of that.
+	engineLife = 1000 * time.Millisecond
+	// freshLife is the time for which an engine keeps a prefix almost surely.
+	freshLife = 700 * time.Millisecond
 	// savedLife is the time for which the store is believed to keep a prefix.
 	savedLife = 60 * time.Second
 	// maxEntries bounds the map. Older entries make room.
@@ -152,6 +154,8 @@
 	// Engine has read the prefix a short time ago, if Held is set.
 	Engine uint32
 	Held   bool
+	// Fresh is set if the engine read it so shortly ago that it need not fetch it from the store.
+	Fresh bool
 	// Saved is set if the store is believed to keep the prefix.
 	Saved bool
 }
@@ -167,7 +171,7 @@
 		}
 	}
 	return Found{
-		Engine: p.engine, Held: now.Sub(p.used) < engineLife,
+		Engine: p.engine, Held: now.Sub(p.used) < engineLife, Fresh: now.Sub(p.used) < freshLife,
 		Saved: !p.saved.IsZero() && now.Sub(p.saved) < savedLife && m.epoch != 0 && p.epoch == m.epoch,
 	}
 }
--- a/pkg/gateway/forward/cache.go
+++ b/pkg/gateway/forward/cache.go
@@ -17,10 +17,10 @@
 	leastSharedTokens = 1000
 	// saveOwnShare bounds the request's own part of a prompt that is saved, as a share of the
 	// shared part: an engine saves all that it has read, and the store's link is narrow.
-	saveOwnShare = 0.6
+	saveOwnShare = 0.4
 	// savesPerSecond and saveBurst bound the prompts that one node has saved.
-	savesPerSecond = 1.5
-	saveBurst      = 3
+	savesPerSecond = 4
+	saveBurst      = 4
 )
 
 // cacheNamespace separates cached prompts by the version of the weights that made them and, for
@@ -108,18 +108,32 @@
 		}
 		switch {
 		case fetchFrom != "":
-		case f.Held && f.Engine == own:
+		case f.Fresh && f.Engine == own:
+			j.saving = saveTo != ""
 			return "", saveTo
-		case f.Saved:
-			fetchFrom = store
-		case f.Held:
-			fetchFrom = j.router.opt.Backends.CacheSource(f.Engine, j.request.Model, c.Version, now)
+		default:
+			fetchFrom = j.source(f, c, store, now)
 		}
 	}
 	j.saving = saveTo != ""
 	return fetchFrom, saveTo
 }
 
+// source returns the address of the engine or store that holds a prefix, or "". Engines come first,
+// because all fetches from the store share its link.
+func (j *job) source(f cachemap.Found, c *backends.Choice, store string, now time.Time) string {
+	if f.Held && f.Engine != cachemap.EngineHash(c.ID) {
+		if address := j.router.opt.Backends.CacheSource(f.Engine, j.request.Model, c.Version, now); address != "" {
+			return address
+		}
+	}
+	if j.router.opt.Prefixes.StoreUp() {
+		// What is not known to be saved may be; a fetch that finds nothing costs a millisecond.
+		return store
+	}
+	return ""
+}
+
 // worthSaving reports whether the prompt should be saved to the store now.
 func (j *job) worthSaving() bool {
 	if !j.router.opt.Prefixes.StoreUp() || len(j.request.Prefix) == 0 {
