--- a/pkg/gateway/backends/assign.go
+++ b/pkg/gateway/backends/assign.go
@@ -14,6 +14,10 @@
 // all of them.
 const leastLongEngines = 2
 
+// downReports is the number of nodes that must fail to connect to a backend server before the others
+// avoid it; a single node may itself be cut off.
+const downReports = 2
+
 // longTarget is the number of long requests that an engine should run.
 func longTarget(slots int) int { return max(1, int(longShare*float64(slots))) }
 
@@ -57,13 +61,17 @@
 	groups := map[string][]engineLoad{}
 	assignments := map[string]Assignment{}
 	for _, m := range r.members {
+		load := total[m.ID]
+		down := load.Unreachable >= downReports
 		if len(m.Models) == 0 {
+			if down {
+				assignments[m.ID] = Assignment{Down: true}
+			}
 			continue
 		}
-		load := total[m.ID]
 		loading := now.Before(m.loadingUntil)
-		assignments[m.ID] = Assignment{Long: load.Long, Short: load.Short, Loading: loading}
-		if !loading && !m.Leaving && m.doubtedAt.IsZero() && now.After(m.pausedUntil) {
+		assignments[m.ID] = Assignment{Long: load.Long, Short: load.Short, Loading: loading, Down: down}
+		if !loading && !down && !m.Leaving && m.doubtedAt.IsZero() && now.After(m.pausedUntil) {
 			groups[m.Service] = append(groups[m.Service], engineLoad{
 				id: m.ID, version: m.version(m.Models[0].Name), slots: m.Slots, long: load.Long,
 			})
--- a/pkg/gateway/backends/backends.go
+++ b/pkg/gateway/backends/backends.go
@@ -68,6 +68,8 @@
 	learned map[string]int
 	// pausedUntil keeps requests away, unless every other choice is worse.
 	pausedUntil time.Time
+	// unreachableUntil is the time until which the node reports that it cannot connect.
+	unreachableUntil time.Time
 	// loadingUntil keeps requests away while the engine takes new weights.
 	loadingUntil time.Time
 	score        score
@@ -89,6 +91,8 @@
 	Loading bool
 	// TakesLong is set if the engine should get requests that run for long.
 	TakesLong bool
+	// Down is set if several nodes cannot connect to the backend server.
+	Down bool
 }
 
 // assignmentLife is the time after which the word of a silent holder no longer counts.
@@ -98,6 +102,8 @@
 type Load struct {
 	Backend     string
 	Long, Short int
+	// Unreachable is the number of nodes that cannot connect to the backend server.
+	Unreachable int
 }
 
 // Registry is the set of known backend servers. It is safe for concurrent use.
@@ -198,8 +204,10 @@
 	ID, Address string
 	// Version is that of the model's weights.
 	Version int
-	// Long is the number of long requests that run on it.
-	Long int
+	// Long and Short are the requests that run on it.
+	Long, Short int
+	// Down is set if it cannot be connected to.
+	Down bool
 }
 
 // Engines returns the engines that serve a model, leaving ones left out.
@@ -209,7 +217,7 @@
 	var found []Engine
 	for _, m := range r.members {
 		if v := m.version(model); v > 0 && !m.Leaving && m.doubtedAt.IsZero() {
-			found = append(found, Engine{ID: m.ID, Address: m.Address, Version: v, Long: m.runningLong(now)})
+			found = append(found, Engine{ID: m.ID, Address: m.Address, Version: v, Long: m.runningLong(now), Short: m.running(now) - m.runningLong(now), Down: m.isDown(now)})
 		}
 	}
 	slices.SortFunc(found, func(a, b Engine) int { return cmp.Compare(a.ID, b.ID) })
@@ -242,6 +250,17 @@
 	}
 }
 
+// Unreachable keeps requests away from a backend server that could not be connected to, and tells the
+// holder of the lease.
+func (r *Registry) Unreachable(id string, until time.Time) {
+	r.Pause(id, until)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if m := r.members[id]; m != nil {
+		m.unreachableUntil = until
+	}
+}
+
 // Pause keeps requests away from a backend server for a while.
 func (r *Registry) Pause(id string, until time.Time) {
 	r.mu.Lock()
@@ -252,13 +271,17 @@
 }
 
 // Loads returns this node's running requests.
-func (r *Registry) Loads() []Load {
+func (r *Registry) Loads(now time.Time) []Load {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var loads []Load
 	for _, m := range r.members {
-		if m.long+m.short > 0 {
-			loads = append(loads, Load{Backend: m.ID, Long: m.long, Short: m.short})
+		l := Load{Backend: m.ID, Long: m.long, Short: m.short}
+		if now.Before(m.unreachableUntil) {
+			l.Unreachable = 1
+		}
+		if l.Long+l.Short+l.Unreachable > 0 {
+			loads = append(loads, l)
 		}
 	}
 	return loads
--- a/pkg/gateway/backends/pick.go
+++ b/pkg/gateway/backends/pick.go
@@ -111,6 +111,11 @@
 	return now.Before(m.loadingUntil) || m.assigned.Loading && now.Before(m.assignedUntil)
 }
 
+// isDown reports whether other nodes, or this one, cannot connect to the backend server.
+func (m *member) isDown(now time.Time) bool {
+	return now.Before(m.unreachableUntil) || m.assigned.Down && now.Before(m.assignedUntil)
+}
+
 // running returns the number of running requests that this node knows of.
 func (m *member) running(now time.Time) int {
 	own := m.long + m.short
@@ -187,7 +192,7 @@
 				continue
 			}
 		}
-		if now.Before(m.pausedUntil) || !m.doubtedAt.IsZero() {
+		if now.Before(m.pausedUntil) || !m.doubtedAt.IsZero() || m.isDown(now) {
 			paused = append(paused, m)
 			continue
 		}
@@ -291,7 +296,7 @@
 	defer r.mu.Unlock()
 	for _, m := range r.members {
 		if m.short32 == short && m.version(model) == version && !m.Leaving && !m.isLoading(now) &&
-			now.After(m.pausedUntil) && m.doubtedAt.IsZero() {
+			now.After(m.pausedUntil) && m.doubtedAt.IsZero() && !m.isDown(now) {
 			return m.Address
 		}
 	}
--- a/pkg/gateway/exchange/conn.go
+++ b/pkg/gateway/exchange/conn.go
@@ -19,10 +19,10 @@
 const (
 	// DialTimeout bounds a new connection. Backend servers are in the same region, so a
 	// connection takes a few milliseconds; a server without power does not answer at all.
-	DialTimeout = 400 * time.Millisecond
+	DialTimeout = 250 * time.Millisecond
 	// unackedTimeout is the time after which bytes that the peer has not acknowledged end the
 	// connection. It covers two retransmissions on a link that loses packets.
-	unackedTimeout = 1500 * time.Millisecond
+	unackedTimeout = 900 * time.Millisecond
 	// keepAliveIdle, keepAliveInterval and keepAliveCount find connections that went silent
 	// within 3 s, the time for which the platform counts a node as disturbed afterwards.
 	keepAliveIdle     = time.Second
--- a/pkg/gateway/exchange/exchange.go
+++ b/pkg/gateway/exchange/exchange.go
@@ -84,6 +84,15 @@
 	return n, err
 }
 
+// Expect bounds the wait of the next Read. 0 sets no bound.
+func (r *Response) Expect(within time.Duration) error {
+	var deadline time.Time
+	if within > 0 {
+		deadline = time.Now().Add(within)
+	}
+	return r.conn.SetReadDeadline(deadline)
+}
+
 // Close ends the exchange.
 func (r *Response) Close() {
 	r.once.Do(func() {
--- a/pkg/gateway/forward/job.go
+++ b/pkg/gateway/forward/job.go
@@ -249,7 +249,7 @@
 	j.log(c, err.Error(), 0)
 	if !mayHaveRun {
 		j.sends--
-		j.router.opt.Backends.Pause(c.ID, time.Now().Add(failedPause))
+		j.router.opt.Backends.Unreachable(c.ID, time.Now().Add(failedPause))
 		return j.again(len(j.tried) < maxRefusedSends+j.route.Attempts)
 	}
 	j.runs++
--- a/pkg/gateway/forward/relay.go
+++ b/pkg/gateway/forward/relay.go
@@ -76,12 +76,21 @@
 // streamBuffer is the size in bytes of one read of a stream. Events are some hundred bytes at most.
 const streamBuffer = 2 << 10
 
+// silence is the pause in a resumable stream after which it goes on at another engine. Engines make an
+// event at least every few hundred milliseconds; clients give a stream up after two seconds.
+const silence = 900 * time.Millisecond
+
 // relayStream passes complete events on as they arrive.
 func (j *job) relayStream(c *backends.Choice, answer *exchange.Response, sent time.Time) step {
 	flusher := http.NewResponseController(j.w)
 	var buffer [streamBuffer]byte
 	var latency time.Duration
 	for {
+		if j.route.Resumable {
+			if err := answer.Expect(silence); err != nil {
+				j.log(c, "connection: "+err.Error(), answer.Status)
+			}
+		}
 		n, err := answer.Read(buffer[:])
 		if n > 0 {
 			if latency == 0 {
--- a/pkg/gateway/node/board.go
+++ b/pkg/gateway/node/board.go
@@ -48,8 +48,8 @@
 // Loads implements peers.Board.
 func (b *board) Loads() []peers.Load {
 	var loads []peers.Load
-	for _, l := range b.node.registry.Loads() {
-		loads = append(loads, peers.Load{Backend: l.Backend, Long: l.Long, Short: l.Short})
+	for _, l := range b.node.registry.Loads(time.Now()) {
+		loads = append(loads, peers.Load{Backend: l.Backend, Long: l.Long, Short: l.Short, Unreachable: l.Unreachable})
 	}
 	return loads
 }
@@ -75,13 +75,13 @@
 func (b *board) Word(nodes int, total []peers.Load) peers.Word {
 	loads := map[string]backends.Load{}
 	for _, l := range total {
-		loads[l.Backend] = backends.Load{Backend: l.Backend, Long: l.Long, Short: l.Short}
+		loads[l.Backend] = backends.Load{Backend: l.Backend, Long: l.Long, Short: l.Short, Unreachable: l.Unreachable}
 	}
 	w := peers.Word{Nodes: nodes, Fresh: b.fresh(), CacheEpoch: b.node.cacheEpoch.Load()}
 	w.Lease, w.LeaseVersion = b.node.controller.Lease()
 	for id, a := range b.node.registry.Assignments(loads, time.Now()) {
 		w.Assignments = append(w.Assignments, peers.Assignment{
-			Backend: id, Long: a.Long, Short: a.Short, Loading: a.Loading, TakesLong: a.TakesLong,
+			Backend: id, Long: a.Long, Short: a.Short, Loading: a.Loading, TakesLong: a.TakesLong, Down: a.Down,
 		})
 	}
 	for id, models := range b.node.registry.Learned() {
@@ -103,7 +103,7 @@
 	b.node.controller.Sighted(w.Lease, w.LeaseVersion, time.Now())
 	taken := make(map[string]backends.Assignment, len(w.Assignments))
 	for _, a := range w.Assignments {
-		taken[a.Backend] = backends.Assignment{Long: a.Long, Short: a.Short, Loading: a.Loading, TakesLong: a.TakesLong}
+		taken[a.Backend] = backends.Assignment{Long: a.Long, Short: a.Short, Loading: a.Loading, TakesLong: a.TakesLong, Down: a.Down}
 	}
 	b.node.registry.Assign(taken, time.Now())
 	for _, v := range w.Versions {
--- a/pkg/gateway/peers/link.go
+++ b/pkg/gateway/peers/link.go
@@ -167,6 +167,7 @@
 		t.Backend = x.Backend
 		t.Long += x.Long
 		t.Short += x.Short
+		t.Unreachable += x.Unreachable
 		total[x.Backend] = t
 	}
 }
--- a/pkg/gateway/peers/message.go
+++ b/pkg/gateway/peers/message.go
@@ -17,6 +17,8 @@
 	Backend string
 	// Long and Short count running requests by their expected time.
 	Long, Short int
+	// Unreachable is the number of nodes that cannot connect to it.
+	Unreachable int
 }
 
 // Assignment is what the holder of the lease says of one engine.
@@ -30,6 +32,8 @@
 	Loading bool
 	// TakesLong is set if the engine should get requests that run for long.
 	TakesLong bool
+	// Down is set if several nodes cannot connect to it.
+	Down bool
 }
 
 // Version is a version of a model's weights that an engine has and its listing may lack.
--- a/pkg/gateway/weights/controller.go
+++ b/pkg/gateway/weights/controller.go
@@ -136,6 +136,8 @@
 	// orders is the engine's number of accepted orders if known is set.
 	orders int64
 	known  bool
+	// failed is set if the last order failed, so that it does not hold up those to other engines.
+	failed bool
 	// retryAt is the earliest time of the next order.
 	retryAt time.Time
 }
@@ -266,7 +268,7 @@
 		if o != nil && !o.running && now.Before(o.retryAt) {
 			continue
 		}
-		candidates = append(candidates, Candidate{ID: e.ID, Version: e.Version, Long: e.Long, Ordered: o != nil && o.running})
+		candidates = append(candidates, Candidate{ID: e.ID, Version: e.Version, Long: e.Long, Short: e.Short, Down: e.Down || o != nil && o.failed, Ordered: o != nil && o.running})
 	}
 	for _, id := range Plan(candidates, version) {
 		o := c.ordered[id]
@@ -291,7 +293,7 @@
 		"took_ms", time.Since(began).Milliseconds())
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	o.running = false
+	o.running, o.failed = false, outcome != outcomeDone
 	if outcome != outcomeDone {
 		o.known = false
 		o.retryAt = time.Now().Add(retryPause)
