Let short requests use engines with long ones when the others are overloaded

Change: such an engine is taken if thirty times cheaper; a resumable stream goes on elsewhere after 1.5 s of silence instead of 0.9 s, which cut streams at loaded engines.

--- a/pkg/gateway/backends/pick.go
+++ b/pkg/gateway/backends/pick.go
@@ -16,6 +16,9 @@
 	// affinityFactor is how much dearer the engine with the prefix must be before another is
 	// taken: an engine that fetches or reads the prefix again delays all its requests.
 	affinityFactor = 8.0
+	// longEngineFactor is how much dearer an engine without long requests must be before one with
+	// them is taken for a short request.
+	longEngineFactor = 30.0
 )
 
 // Query describes a request that needs a backend server.
@@ -88,8 +91,9 @@
 	}
 	candidates = preferred(q, candidates)
 	var best *member
+	var takers []*member
 	if q.Model != "" && !q.Long {
-		candidates = apartFromLong(candidates, now)
+		candidates, takers = apartFromLong(candidates, now)
 	}
 	if q.Long && q.Model != "" {
 		best = r.forLong(q, candidates, now)
@@ -98,6 +102,11 @@
 	} else {
 		best = r.cheapest(candidates, now)
 	}
+	if len(takers) > 0 {
+		if other := r.cheapest(takers, now); r.cost(best, now) > longEngineFactor*r.cost(other, now) {
+			best = other
+		}
+	}
 	if q.Long {
 		best.long++
 	} else {
@@ -163,20 +172,21 @@
 	return assigned[i]
 }
 
-// apartFromLong leaves out engines that are assigned to long requests, as long as others are there.
+// apartFromLong sorts out the engines that are assigned to long requests, as long as others are there.
 // Reading a prompt delays each step of the answers that the engine makes meanwhile, and several
 // prompts in a row make a pause in a long stream.
-func apartFromLong(candidates []*member, now time.Time) []*member {
-	var apart []*member
+func apartFromLong(candidates []*member, now time.Time) (apart, takers []*member) {
 	for _, m := range candidates {
-		if !m.assigned.TakesLong || now.After(m.assignedUntil) {
+		if m.assigned.TakesLong && now.Before(m.assignedUntil) {
+			takers = append(takers, m)
+		} else {
 			apart = append(apart, m)
 		}
 	}
 	if len(apart) == 0 {
-		return candidates
+		return candidates, nil
 	}
-	return apart
+	return apart, takers
 }
 
 // candidates returns the backend servers that may take the request now. Paused ones are used only
@@ -224,9 +234,14 @@
 	return newest
 }
 
+// longLoad is the load of a long request in short ones: it takes a place in each step, but no time to
+// read a prompt.
+const longLoad = 0.15
+
 // cost estimates the time of one more request, in milliseconds.
 func (r *Registry) cost(m *member, now time.Time) float64 {
-	c := float64(m.running(now)+1) * m.score.expectedLatency()
+	long := m.runningLong(now)
+	c := (float64(m.running(now)-long) + longLoad*float64(long) + 1) * m.score.expectedLatency()
 	success := m.score.success(now)
 	c /= success * success
 	if m.DataCentre != r.dataCentre {
--- a/pkg/gateway/forward/relay.go
+++ b/pkg/gateway/forward/relay.go
@@ -78,7 +78,7 @@
 
 // silence is the pause in a resumable stream after which it goes on at another engine. Engines make an
 // event at least every few hundred milliseconds; clients give a stream up after two seconds.
-const silence = 900 * time.Millisecond
+const silence = 1500 * time.Millisecond
 
 // relayStream passes complete events on as they arrive.
 func (j *job) relayStream(c *backends.Choice, answer *exchange.Response, sent time.Time) step {
