--- a/pkg/gateway/mirror/mirror.go
+++ b/pkg/gateway/mirror/mirror.go
@@ -300,6 +300,8 @@
 		switch {
 		case errors.Is(err, ErrHistoryGone):
 			m.opt.Logger.Info("store history gone", "kind", m.opt.Kind, "revision", revision)
+			// The pause bounds the lists of a store that drops its history again and again.
+			wait.Pause(ctx, retryLeast)
 			return
 		case err != nil:
 			if !m.failed(ctx, err, &pause) {
@@ -346,6 +348,7 @@
 		m.tombstones[c.Name] = m.revision
 	} else {
 		m.entries[c.Name] = c.Entry
+		delete(m.tombstones, c.Name)
 	}
 	m.opt.Target.Apply(c, standing)
 }
--- /dev/null
+++ b/pkg/gateway/mirror/mirror_test.go
@@ -0,0 +1,237 @@
+package mirror
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
+)
+
+// fakeSource is a store whose watches can miss changes.
+type fakeSource struct {
+	mu       sync.Mutex
+	revision int64
+	entries  map[string]Entry
+	log      []Change
+	// mute keeps changes from watches; gone makes watches fail.
+	mute, gone, down bool
+	lists            int
+}
+
+func newSource() *fakeSource { return &fakeSource{entries: map[string]Entry{}, revision: 1} }
+
+func (s *fakeSource) put(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	e := Entry{Name: name, Revision: s.revision}
+	s.entries[name] = e
+	s.log = append(s.log, Change{Entry: e})
+}
+
+func (s *fakeSource) remove(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	delete(s.entries, name)
+	s.log = append(s.log, Change{Entry: Entry{Name: name, Revision: s.revision}, Deleted: true})
+}
+
+func (s *fakeSource) listed() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lists
+}
+
+func (s *fakeSource) set(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change()
+}
+
+func (s *fakeSource) List(context.Context, string) ([]Entry, int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return nil, 0, errors.New("down")
+	}
+	s.lists++
+	return slices.Collect(maps.Values(s.entries)), s.revision, nil
+}
+
+func (s *fakeSource) Watch(ctx context.Context, _ string, after int64, wait time.Duration) ([]Change, int64, error) {
+	end := time.Now().Add(wait)
+	for {
+		s.mu.Lock()
+		down, gone := s.down, s.gone
+		var found []Change
+		for _, c := range s.log {
+			if c.Revision > after && !s.mute {
+				found = append(found, c)
+			}
+		}
+		revision := s.revision
+		s.mu.Unlock()
+		switch {
+		case down:
+			return nil, 0, errors.New("down")
+		case gone:
+			return nil, 0, ErrHistoryGone
+		case len(found) > 0 || !time.Now().Before(end):
+			return found, revision, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
+
+// content is a target that keeps what it receives.
+type content struct {
+	mu    sync.Mutex
+	names map[string]bool
+	last  Standing
+}
+
+func (c *content) Reset(entries []Entry, s Standing) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.names = map[string]bool{}
+	for _, e := range entries {
+		c.names[e.Name] = true
+	}
+	c.last = s
+}
+
+func (c *content) Apply(x Change, s Standing) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if x.Deleted {
+		delete(c.names, x.Name)
+	} else {
+		c.names[x.Name] = true
+	}
+	c.last = s
+}
+
+func (c *content) has() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Sorted(maps.Keys(c.names))
+}
+
+func newMirror(s Source, c *content, covered *atomic.Bool) *Mirror {
+	return New(Options{
+		Kind: "k", Source: s, Target: c, Logger: slog.New(slog.DiscardHandler),
+		ListEvery: func() time.Duration { return time.Second },
+		Covered:   func() bool { return covered.Load() },
+	})
+}
+
+// Guards against changes that a watch misses, a history that is gone and a store that was away: the
+// content must follow within the time between lists.
+func TestMirrorFollowsTheStore(t *testing.T) {
+	tests := map[string]func(s *fakeSource){
+		"watch":        func(s *fakeSource) { s.put("b"); s.remove("a") },
+		"mute watch":   func(s *fakeSource) { s.set(func() { s.mute = true }); s.put("b"); s.remove("a") },
+		"history gone": func(s *fakeSource) { s.set(func() { s.gone = true }); s.put("b"); s.remove("a") },
+		"away": func(s *fakeSource) {
+			s.set(func() { s.down = true })
+			time.Sleep(3 * time.Second)
+			s.put("b")
+			s.remove("a")
+			s.set(func() { s.down = false })
+		},
+	}
+	for name, disturb := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s, c, covered := newSource(), &content{}, &atomic.Bool{}
+				s.put("a")
+				m := newMirror(s, c, covered)
+				ctx, cancel := context.WithCancel(t.Context())
+				go m.Run(ctx)
+				time.Sleep(2500 * time.Millisecond)
+				assert.Equal(t, []string{"a"}, c.has())
+				disturb(s)
+				time.Sleep(1700 * time.Millisecond)
+				assert.Equal(t, []string{"b"}, c.has())
+				if name == "away" {
+					assert.True(t, c.last.Interrupted)
+					assert.GreaterOrEqual(t, c.last.Unseen, 3*time.Second)
+				} else {
+					assert.False(t, c.last.Interrupted)
+					assert.LessOrEqual(t, c.last.Unseen, 1200*time.Millisecond)
+				}
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
+
+// Guards against calls to the store by a node that the holder of the lease covers for.
+func TestCoveredMirrorAsksNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, c, covered := newSource(), &content{}, &atomic.Bool{}
+		s.put("a")
+		m := newMirror(s, c, covered)
+		ctx, cancel := context.WithCancel(t.Context())
+		go m.Run(ctx)
+		time.Sleep(500 * time.Millisecond)
+		covered.Store(true)
+		time.Sleep(2 * time.Second)
+		before := s.listed()
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, before, s.listed())
+		covered.Store(false)
+		time.Sleep(100 * time.Millisecond)
+		assert.Equal(t, before+1, s.listed())
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against a copy that differs from the content of the node it was fetched from, whatever part
+// of the changes it held before, and against older content that replaces newer.
+func TestImportEqualsExport(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSource()
+		covered := &atomic.Bool{}
+		from, to := &content{names: map[string]bool{}}, &content{names: map[string]bool{}}
+		source, copied := newMirror(s, from, covered), newMirror(s, to, covered)
+		steps := rapid.IntRange(1, 40).Draw(t, "steps")
+		seen := 0
+		for range steps {
+			name := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "name")
+			if rapid.Bool().Draw(t, "remove") {
+				s.remove(name)
+			} else {
+				s.put(name)
+			}
+			if rapid.Bool().Draw(t, "apply") {
+				source.apply(s.log[seen:])
+				seen = len(s.log)
+			}
+			if rapid.Bool().Draw(t, "copy") {
+				copied.Import(source.Export(copied.Revision()), true)
+			}
+		}
+		source.apply(s.log[seen:])
+		content := source.Export(copied.Revision())
+		copied.Import(content, true)
+		assert.Equal(t, from.has(), to.has())
+		assert.False(t, copied.Import(content, true), "content that is not newer is refused")
+	})
+}
--- /dev/null
+++ b/pkg/gateway/peers/peers_test.go
@@ -0,0 +1,190 @@
+package peers
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"cassiawall.example/cassiawall/pkg/gateway/mirror"
+)
+
+// fakeBoard notes what a link brings.
+type fakeBoard struct {
+	mu       sync.Mutex
+	loads    []Load
+	prefixes []byte
+	merged   []byte
+	total    []Load
+	word     Word
+	behind   map[string]string
+	revision int64
+}
+
+func (b *fakeBoard) Loads() []Load { return b.loads }
+
+func (b *fakeBoard) Prefixes() []byte {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p := b.prefixes
+	b.prefixes = nil
+	return p
+}
+
+func (b *fakeBoard) Merge(p []byte, passOn bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.merged = append(b.merged, p...)
+	if passOn {
+		b.prefixes = append(b.prefixes, p...)
+	}
+}
+
+func (b *fakeBoard) Revisions() []Revision { return []Revision{{Kind: "k", Revision: b.revision}} }
+
+func (b *fakeBoard) Word(nodes int, total []Load) Word {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.total = total
+	return Word{Nodes: nodes, Assignments: []Assignment{{Backend: "e", Long: 3, TakesLong: true}}, Versions: []Version{{Backend: "e", Model: "m", Version: 2}}}
+}
+
+func (b *fakeBoard) Take(w Word) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.word = w
+}
+
+func (b *fakeBoard) Behind(peer, kind string, revision int64, holder bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if revision > b.revision && holder {
+		b.behind = map[string]string{kind: peer}
+	}
+}
+
+func address(t *testing.T) string {
+	t.Helper()
+	l, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	return l.LocalAddr().String()
+}
+
+// Guards against nodes that do not hear the holder, whose sum lacks loads, and against prefixes that do
+// not reach a third node.
+func TestHolderSumsUpAndTellsAll(t *testing.T) {
+	holder := address(t)
+	boards := []*fakeBoard{
+		{revision: 9},
+		{loads: []Load{{Backend: "e", Long: 1, Short: 2}}, prefixes: []byte("12345678")},
+		{loads: []Load{{Backend: "e", Long: 2, Unreachable: 1}}},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for i, b := range boards {
+		own := holder
+		if i > 0 {
+			own = address(t)
+		}
+		l, err := Listen(Options{
+			Address: own, Holder: func() string { return holder }, Holding: func() bool { return i == 0 },
+			Board: b, Logger: slog.New(slog.DiscardHandler),
+		})
+		require.NoError(t, err)
+		go l.Run(ctx)
+	}
+	require.Eventually(t, func() bool {
+		for _, b := range boards {
+			b.mu.Lock()
+			nodes := b.word.Nodes
+			b.mu.Unlock()
+			if nodes != 3 {
+				return false
+			}
+		}
+		boards[0].mu.Lock()
+		defer boards[0].mu.Unlock()
+		return len(boards[0].total) == 1
+	}, 10*time.Second, 10*time.Millisecond)
+	boards[0].mu.Lock()
+	assert.Equal(t, Load{Backend: "e", Long: 3, Short: 2, Unreachable: 1}, boards[0].total[0])
+	boards[0].mu.Unlock()
+	for _, b := range boards[1:] {
+		b.mu.Lock()
+		assert.Equal(t, holder, b.behind["k"])
+		assert.Equal(t, []Version{{Backend: "e", Model: "m", Version: 2}}, b.word.Versions)
+		b.mu.Unlock()
+	}
+	require.Eventually(t, func() bool {
+		boards[2].mu.Lock()
+		defer boards[2].mu.Unlock()
+		return string(boards[2].merged) == "12345678"
+	}, 10*time.Second, 10*time.Millisecond)
+}
+
+// Guards against a node that finds no other one while it knows no holder.
+func TestNodeWithoutHolderAsksSeeds(t *testing.T) {
+	first, second := address(t), address(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	none := func() string { return "" }
+	never := func() bool { return false }
+	for _, o := range []Options{
+		{Address: first, Holder: none, Holding: never, Board: &fakeBoard{revision: 9}},
+		{Address: second, Seeds: []string{first}, Holder: none, Holding: never, Board: &fakeBoard{}},
+	} {
+		o.Logger = slog.New(slog.DiscardHandler)
+		l, err := Listen(o)
+		require.NoError(t, err)
+		go l.Run(ctx)
+		if o.Address == second {
+			require.Eventually(t, func() bool {
+				l.mu.Lock()
+				defer l.mu.Unlock()
+				return len(l.known) == 1
+			}, 10*time.Second, 10*time.Millisecond)
+		}
+	}
+}
+
+// Guards against datagrams of another writer that stop the link.
+func FuzzDecode(f *testing.F) {
+	good, err := encode(&message{From: "a", Holder: true, Loads: []Load{{Backend: "e"}}, Word: Word{Nodes: 2}})
+	require.NoError(f, err)
+	f.Add(good)
+	f.Add([]byte{})
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		m, err := decode(data)
+		if err == nil && m == nil {
+			panic("no message and no error")
+		}
+	})
+}
+
+// Guards against objects that change on their way to another node.
+func TestFetch(t *testing.T) {
+	m := mirror.New(mirror.Options{Kind: "k", Target: discard{}})
+	content := mirror.Content{Revision: 5, Whole: true, Entries: []mirror.Entry{{Name: "a", Revision: 5, Value: []byte(`{"x":1}`)}}}
+	require.True(t, m.Import(content, true))
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	go func() { _ = http.Serve(l, Handler([]*mirror.Mirror{m})) }()
+	got, err := NewFetcher().Fetch(context.Background(), l.Addr().String(), "k", 0)
+	require.NoError(t, err)
+	assert.Equal(t, content, got)
+	_, err = NewFetcher().Fetch(context.Background(), l.Addr().String(), "other", 0)
+	assert.Error(t, err)
+}
+
+type discard struct{}
+
+func (discard) Reset([]mirror.Entry, mirror.Standing) {}
+func (discard) Apply(mirror.Change, mirror.Standing)  {}
