--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -95,5 +95,6 @@
 		standinSpec(s),
 		{name: "demo", short: "Run three nodes and stand-ins on loopback", long: "Run three nodes and stand-ins of the platform on loopback with a mixed load.\n\nExample: cassiawall demo --requests 200 --seed 1 --json", data: &demoCommand{streams: s}},
 		benchSpec(s),
+		explainSpec(s),
 	}
 }
--- a/pkg/gateway/peers/message.go
+++ b/pkg/gateway/peers/message.go
@@ -5,6 +5,7 @@
 package peers
 
 import (
+	"bytes"
 	"fmt"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -12,8 +13,6 @@
 
 // Load is the number of requests at one backend server.
 type Load struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
 	Backend string
 	// Long and Short count running requests by their expected time.
 	Long, Short int
@@ -23,8 +22,6 @@
 
 // Assignment is what the holder of the lease says of one engine.
 type Assignment struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
 	Backend string
 	// Long and Short are the running requests of all nodes.
 	Long, Short int
@@ -38,8 +35,6 @@
 
 // Version is a version of a model's weights that an engine has and its listing may lack.
 type Version struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
 	Backend string
 	Model   string
 	Version int
@@ -47,8 +42,6 @@
 
 // message is one datagram.
 type message struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
 	// From is the sender's peer address.
 	From string
 	// Holder is set if the sender holds the lease; Word is then in use. Otherwise Loads is.
@@ -67,8 +60,6 @@
 
 // Word is what the holder of the lease tells all nodes.
 type Word struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
 	// Nodes is the number of nodes that report to the holder, with itself.
 	Nodes       int
 	Assignments []Assignment
@@ -84,18 +75,19 @@
 
 // Revision is the newest change that a node's mirror of one kind holds.
 type Revision struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
 	Kind     string
 	Revision int64
 }
 
+// encode writes structs as arrays, because the names of fields would make up most of a datagram.
 func encode(m *message) ([]byte, error) {
-	data, err := msgpack.Marshal(m)
-	if err != nil {
+	var data bytes.Buffer
+	e := msgpack.NewEncoder(&data)
+	e.UseArrayEncodedStructs(true)
+	if err := e.Encode(m); err != nil {
 		return nil, fmt.Errorf("peer message does not encode: %w", err)
 	}
-	return data, nil
+	return data.Bytes(), nil
 }
 
 func decode(data []byte) (*message, error) {
