Count a request as long by its answer and not by its prompt

Cause: explain showed slot-picks on the engines of long streams: half of them expect 100 tokens or more, but their prompts of some 9,000 tokens are what delays others. Change: a request with a prompt of ten times its answer or more is not long.

--- a/pkg/gateway/forward/job.go
+++ b/pkg/gateway/forward/job.go
@@ -160,13 +160,17 @@
 // of an engine's steps.
 const longTokens = 100
 
-// isLong reports whether the request is expected to keep its engine busy for long.
+// promptsPerAnswer is the length of a prompt, in lengths of its answer, from which on reading the prompt
+// delays other answers more than the answer itself occupies the engine.
+const promptsPerAnswer = 10
+
+// isLong reports whether the request keeps its engine busy for long by its answer and not by its prompt.
 func (j *job) isLong() bool {
 	expected := j.request.ExpectedTokens
 	if expected == 0 {
 		expected = j.request.OutputTokens
 	}
-	return expected >= longTokens
+	return expected >= longTokens && j.request.PromptTokens < promptsPerAnswer*expected
 }
 
 // call describes this send to the backend server.
