Space the holder's words and reports with the number of nodes; prefer new weights later

Change: reports and words each 5 ms a node, 0.2 to 0.8 s; coverage lasts 2.2 words; words of changes are 1 ms a node apart; older weights are left only when 85% of the engines have the new ones.

--- a/pkg/gateway/backends/backends.go
+++ b/pkg/gateway/backends/backends.go
@@ -96,7 +96,7 @@
 }
 
 // assignmentLife is the time after which the word of a silent holder no longer counts.
-const assignmentLife = time.Second
+const assignmentLife = 1500 * time.Millisecond
 
 // Load is the number of this node's running requests at a backend server.
 type Load struct {
--- a/pkg/gateway/backends/pick.go
+++ b/pkg/gateway/backends/pick.go
@@ -239,7 +239,7 @@
 
 // preferredShare is the share of the candidates that must have the preferred version before the
 // others are left out, so that the first engines of a rollout are not overloaded.
-const preferredShare = 0.4
+const preferredShare = 0.85
 
 func preferred(q Query, candidates []*member) []*member {
 	if q.PreferVersion == 0 {
--- a/pkg/gateway/node/board.go
+++ b/pkg/gateway/node/board.go
@@ -17,9 +17,12 @@
 const behindFor = 400 * time.Millisecond
 
 const (
-	// coveredFor is the time since a holder's word for which it covers for this node. With the
+	// coveredFor is the least time since a holder's word for which it covers for this node. With the
 	// holder's own lists it bounds how late a node is, well below the platform's 2 s.
 	coveredFor = 600 * time.Millisecond
+	// coveredWords is that time in words of the holder, which are rarer with many nodes. One may be
+	// lost.
+	coveredWords = 2.2
 	// freshFor is the time since the store's last answer for which a holder covers for others.
 	freshFor = 900 * time.Millisecond
 	// fetchEvery is the least time between fetches of one kind.
@@ -34,6 +37,7 @@
 	behind map[string]lag
 	// coveredAt is the time of the last word of a holder that follows the store closely.
 	coveredAt time.Time
+	nodes     int
 }
 
 // lag is the time since which this node has been behind in one kind of objects.
@@ -97,7 +101,7 @@
 func (b *board) Take(w peers.Word) {
 	if w.Fresh {
 		b.mu.Lock()
-		b.coveredAt = time.Now()
+		b.coveredAt, b.nodes = time.Now(), w.Nodes
 		b.mu.Unlock()
 	}
 	b.node.budget.SetNodes(w.Nodes)
@@ -118,7 +122,8 @@
 func (b *board) covered() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return time.Since(b.coveredAt) < coveredFor && !b.node.controller.Holding()
+	within := max(coveredFor, time.Duration(coveredWords*float64(peers.Interval(b.nodes))))
+	return time.Since(b.coveredAt) < within && !b.node.controller.Holding()
 }
 
 // fresh reports whether this node follows the store closely enough to cover for others.
--- a/pkg/gateway/node/node.go
+++ b/pkg/gateway/node/node.go
@@ -142,7 +142,7 @@
 	n.controller = weights.New(weights.Options{
 		Node: s.Control, Instance: fmt.Sprint(s.Name, "/", time.Now().UnixNano()),
 		Timing: weights.LeaseTiming(s.LeaseGap), Wanted: n.wanted, Backends: n.registry, Engines: n.opt.Engines,
-		Leases: n.opt.Store, Changed: func() { n.link.Announce() }, Logger: n.opt.Logger,
+		Leases: n.opt.Store, Changed: func() time.Duration { return n.link.Announce() }, Logger: n.opt.Logger,
 	})
 	link, err := peers.Listen(peers.Options{
 		Address: s.Control, Seeds: s.Seeds, Holder: n.controller.Holder, Holding: n.controller.Holding,
--- a/pkg/gateway/peers/link.go
+++ b/pkg/gateway/peers/link.go
@@ -19,12 +19,16 @@
 	// milliseconds, so older reports would say little.
 	reportEvery = 200 * time.Millisecond
 	// reportPerNode stretches the reports with the number of nodes, so that the holder handles at
-	// most 100 reports a second.
-	reportPerNode = 10 * time.Millisecond
+	// most 200 reports a second, and reportMost bounds that.
+	reportPerNode = 5 * time.Millisecond
+	reportMost    = 800 * time.Millisecond
+	// announceGap is the least time between the holder's words for each node, so that changes in
+	// quick succession do not fill its link.
+	announceGap = time.Millisecond
 	// nodeLife is the time without a report after which a node no longer counts.
 	nodeLife = 3 * time.Second
 	// holderLife is the time without a word of the holder after which a node asks others.
-	holderLife = time.Second
+	holderLife = 1500 * time.Millisecond
 	// strangersAsked is the number of other nodes that a node without a holder reports to.
 	strangersAsked = 2
 	// maxDatagram bounds a datagram in bytes.
@@ -79,6 +83,9 @@
 	heard time.Time
 	nodes int
 	sent  int
+	// announced is the time of this node's last word, and pending is set while the next is due.
+	announced time.Time
+	pending   bool
 }
 
 // report is another node's last report.
@@ -117,14 +124,37 @@
 func (l *Link) interval() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return max(reportEvery, time.Duration(l.nodes)*reportPerNode)
+	return Interval(l.nodes)
 }
 
-// Announce sends the holder's word at once, after an assignment has changed.
-func (l *Link) Announce() {
-	if l.opt.Holding() {
-		l.announce()
+// Interval returns the time between the reports, and between the holder's words, of a number of nodes.
+func Interval(nodes int) time.Duration {
+	return min(max(reportEvery, time.Duration(nodes)*reportPerNode), reportMost)
+}
+
+// Announce sends the holder's word, after an assignment has changed, and returns the time until it goes
+// out.
+func (l *Link) Announce() time.Duration {
+	if !l.opt.Holding() {
+		return 0
+	}
+	l.mu.Lock()
+	left := time.Duration(l.nodes)*announceGap - time.Since(l.announced)
+	if left > 0 && !l.pending {
+		l.pending = true
+		time.AfterFunc(left, func() {
+			l.mu.Lock()
+			l.pending = false
+			l.mu.Unlock()
+			l.announce()
+		})
+	}
+	l.mu.Unlock()
+	if left > 0 {
+		return left
 	}
+	l.announce()
+	return 0
 }
 
 // announce tells all nodes that report to this one the sum of their loads.
@@ -142,7 +172,7 @@
 		add(total, r.loads)
 		to = append(to, address)
 	}
-	l.nodes = len(to) + 1
+	l.nodes, l.announced = len(to)+1, now
 	l.sent++
 	listPeers := l.sent%peersEvery == 0
 	nodes := l.nodes
--- a/pkg/gateway/weights/controller.go
+++ b/pkg/gateway/weights/controller.go
@@ -84,7 +84,7 @@
 	// loadMost is the time after which an order that is not complete is given again. It is above
 	// the longest stream that an engine lets finish before it loads.
 	loadMost = 6 * time.Second
-	// noticeTime is the time in which the other nodes hear that an engine begins to load.
+	// noticeTime is the time from the holder's word to its arrival at the other nodes.
 	noticeTime = 6 * time.Millisecond
 	// retryPause is the pause after a failed order to one engine.
 	retryPause = 300 * time.Millisecond
@@ -115,8 +115,9 @@
 	Backends *backends.Registry
 	Engines  Engines
 	Leases   Leases
-	// Changed is called when an engine begins or ends to load.
-	Changed func()
+	// Changed is called when an engine begins or ends to load. It returns the time until the other
+	// nodes are told.
+	Changed func() time.Duration
 	Logger  *slog.Logger
 }
 
@@ -321,8 +322,7 @@
 	}
 	// Requests that reach the engine after the order are refused, so the other nodes hear first.
 	c.opt.Backends.SetLoading(t.ID, time.Now().Add(loadMost))
-	c.opt.Changed()
-	wait.Pause(ctx, noticeTime)
+	wait.Pause(ctx, c.opt.Changed()+noticeTime)
 	reply, err := c.send(ctx, t, model, version, o.orders)
 	if err != nil {
 		return err.Error()
