Prefer holders with wide links, log coverage, bound memory and idle time safely

A configuration with an idle time above 15 s would have found connections closed. Change: nodes below 100 Mbit/s wait 0.7 s longer for the lease; each change of coverage is logged; the runtime collects harder at 0.7 of the memory limit; idle connections stay for 65 s.

--- a/cmd/cassiawall-node/main.go
+++ b/cmd/cassiawall-node/main.go
@@ -10,6 +10,7 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -29,6 +30,10 @@
 	LogLevel    string `long:"log-level" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"Lowest level of the log lines" default:"info"`
 }
 
+// memoryShare is the share of the process's memory at which the runtime collects garbage harder. The
+// rest holds what the runtime does not count, such as unread bytes of connections.
+const memoryShare = 0.7
+
 // flushTime bounds the wait for the reader of the log at the end.
 const flushTime = 200 * time.Millisecond
 
@@ -60,6 +65,9 @@
 	if err := level.UnmarshalText([]byte(o.LogLevel)); err != nil {
 		return err
 	}
+	if settings.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * settings.MemoryMB * (1 << 20)))
+	}
 	lines := decisions.NewWriter(os.Stdout)
 	defer lines.Close(flushTime)
 	logger := slog.New(slog.NewJSONHandler(lines, &slog.HandlerOptions{Level: level}))
--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -82,6 +82,7 @@
 	LinesDropped       = define(916, "log lines dropped", slog.LevelWarn, "read standard output faster; the metric log_lines_dropped counts the lines")
 	SettingsRead       = define(917, "settings read again", slog.LevelInfo, "none")
 	SettingsRefused    = define(918, "settings refused", slog.LevelError, "correct the settings file; the old settings stay in use")
+	CoverageChanged    = define(919, "coverage changed", slog.LevelInfo, "check the holder of the lease if it repeats")
 	RequestAdmitted    = define(920, "request admitted", slog.LevelInfo, "none")
 	RequestRejected    = define(921, "request rejected", slog.LevelInfo, "compare host, path and key with the configuration in force")
 	BackendChosen      = define(922, "backend chosen", slog.LevelInfo, "none")
--- a/pkg/explain/explain.go
+++ b/pkg/explain/explain.go
@@ -75,7 +75,7 @@
 var beliefs = map[int]bool{
 	event.ConfigAccepted.Number: true, event.WeightsNamed.Number: true, event.StoreLost.Number: true, event.StoreRegained.Number: true,
 	event.LeaseTaken.Number: true, event.LeaseLost.Number: true, event.CacheStoreChanged.Number: true, event.NodeStarted.Number: true,
-	event.NodeDraining.Number: true,
+	event.NodeDraining.Number: true, event.CoverageChanged.Number: true,
 }
 
 // backendEvents are the events that concern one backend server; the last of each that the request met is
--- a/pkg/gateway/node/board.go
+++ b/pkg/gateway/node/board.go
@@ -38,6 +38,8 @@
 	// coveredAt is the time of the last word of a holder that follows the store closely.
 	coveredAt time.Time
 	nodes     int
+	// wasCovered is the last answer of covered, of which changes are logged.
+	wasCovered bool
 }
 
 // lag is the time since which this node has been behind in one kind of objects.
@@ -123,7 +125,14 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	within := max(coveredFor, time.Duration(coveredWords*float64(peers.Interval(b.nodes))))
-	return time.Since(b.coveredAt) < within && !b.node.controller.Holding()
+	age := time.Since(b.coveredAt)
+	covered := age < within && !b.node.controller.Holding()
+	if covered != b.wasCovered {
+		b.wasCovered = covered
+		event.CoverageChanged.Note(b.node.opt.Logger, "covered", covered, "holder", b.node.controller.Holder(),
+			"word_age_ms", age.Milliseconds(), "nodes", b.nodes)
+	}
+	return covered
 }
 
 // fresh reports whether this node follows the store closely enough to cover for others.
--- a/pkg/gateway/node/metrics.go
+++ b/pkg/gateway/node/metrics.go
@@ -36,7 +36,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET "+n.opt.MetricsPath, n.opt.Metrics)
 	server := &http.Server{
-		Addr: fmt.Sprintf("%s:%d", n.opt.Settings.Address, n.opt.MetricsPort), Handler: mux, ReadHeaderTimeout: headerDefault,
+		Addr: fmt.Sprintf("%s:%d", n.opt.Settings.Address, n.opt.MetricsPort), Handler: mux, ReadHeaderTimeout: headerLimit,
 	}
 	return server.ListenAndServe()
 }
--- a/pkg/gateway/node/node.go
+++ b/pkg/gateway/node/node.go
@@ -65,6 +65,10 @@
 	// is seen; a configuration must be in force within 2 s.
 	holderListEvery = 700 * time.Millisecond
 	listEvery       = 1100 * time.Millisecond
+	// holderLinkMbps is the link in Mbit/s from which on a node can tell 150 others of loads and
+	// objects without filling it. Others wait smallNodeReluctance longer for the lease.
+	holderLinkMbps      = 100
+	smallNodeReluctance = 700 * time.Millisecond
 	// doubtFor is the time after the store's return in which missing entries may come back. The
 	// platform states about two seconds.
 	doubtFor = 2200 * time.Millisecond
@@ -73,12 +77,11 @@
 	refusedFor = 2500 * time.Millisecond
 	// stopMargin is kept of the grace for the end of the process.
 	stopMargin = 700 * time.Millisecond
-	// idleDefault and headerDefault are the client limits until a configuration states others.
-	idleDefault   = 15 * time.Second
-	headerDefault = 3 * time.Second
-	// idleSlack is added to the stated idle time, so that a client that is within it never finds
-	// its connection closed.
-	idleSlack = time.Second
+	// idleLimit and headerLimit bound a client's connection without a request and the time for a
+	// header. They are above what configurations state (15 s and 3 s), so that a client that keeps to
+	// its limits never finds its connection closed.
+	idleLimit   = 65 * time.Second
+	headerLimit = 10 * time.Second
 	// headerBytesDefault is net/http's allowance on top of which it adds 4 KB of its own.
 	headerBytesDefault = 32 << 10
 )
@@ -139,9 +142,13 @@
 func (n *Node) connect() error {
 	s := n.opt.Settings
 	n.board = &board{node: n, behind: map[string]lag{}}
+	timing := weights.LeaseTiming(s.LeaseGap)
+	if s.LinkMbps < holderLinkMbps {
+		timing.Reluctance = smallNodeReluctance
+	}
 	n.controller = weights.New(weights.Options{
 		Node: s.Control, Instance: fmt.Sprint(s.Name, "/", time.Now().UnixNano()),
-		Timing: weights.LeaseTiming(s.LeaseGap), Wanted: n.wanted, Backends: n.registry, Engines: n.opt.Engines,
+		Timing: timing, Wanted: n.wanted, Backends: n.registry, Engines: n.opt.Engines,
 		Leases: n.opt.Store, Changed: func() time.Duration { return n.link.Announce() }, Logger: n.opt.Logger,
 	})
 	link, err := peers.Listen(peers.Options{
@@ -182,7 +189,7 @@
 	}
 	go func() { failed <- server.Serve(front) }()
 	go func() {
-		peersServer := &http.Server{Handler: peers.Handler(n.mirrors), ReadHeaderTimeout: headerDefault}
+		peersServer := &http.Server{Handler: peers.Handler(n.mirrors), ReadHeaderTimeout: headerLimit}
 		failed <- peersServer.Serve(control)
 	}()
 	go func() { failed <- n.readyServer().Serve(ready) }()
@@ -241,8 +248,8 @@
 func (n *Node) frontServer() *http.Server {
 	return &http.Server{
 		Handler:           n.router(),
-		ReadHeaderTimeout: headerDefault,
-		IdleTimeout:       idleDefault + idleSlack,
+		ReadHeaderTimeout: headerLimit,
+		IdleTimeout:       idleLimit,
 		MaxHeaderBytes:    headerBytesDefault,
 		ErrorLog:          slog.NewLogLogger(n.opt.Logger.Handler(), slog.LevelDebug),
 	}
@@ -256,7 +263,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
-	return &http.Server{Handler: mux, ReadHeaderTimeout: headerDefault}
+	return &http.Server{Handler: mux, ReadHeaderTimeout: headerLimit}
 }
 
 // stop lets the platform take the node out of rotation, then closes idle connections and waits for
--- a/pkg/gateway/node/settings.go
+++ b/pkg/gateway/node/settings.go
@@ -22,6 +22,8 @@
 	Store string
 	// Seeds are the control addresses of a few other nodes. Some may be down.
 	Seeds []string
+	// LinkMbps is the machine's link in Mbit/s.
+	LinkMbps float64
 	// MemoryMB is the limit of the process in megabytes, or 0.
 	MemoryMB float64
 	// Drain is the time within which no request may reach a backend server that leaves.
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -30,12 +30,15 @@
 	RetryEvery = 2 * time.Second
 )
 
-// Timing sets the times of a lease. All nodes that contend for a lease must use the same.
+// Timing sets the times of a lease. All nodes that contend for a lease must use the same, but for
+// Reluctance.
 type Timing struct {
 	// TTL, RenewEvery, Flight and RetryEvery stand for the constants of the same names.
 	TTL, RenewEvery, Flight, RetryEvery time.Duration
 	// Handover is the time that a successor waits after a release.
 	Handover time.Duration
+	// Reluctance is added to each wait of this node, so that nodes that are better suited come first.
+	Reluctance time.Duration
 }
 
 // DefaultTiming is used by New.
@@ -176,11 +179,11 @@
 func (l *Lease) wait() time.Duration {
 	switch {
 	case l.version == 0:
-		return 0
+		return l.timing.Reluctance
 	case l.seen.Released, l.seen.Instance == l.instance:
-		return l.timing.Handover
+		return l.timing.Handover + l.timing.Reluctance
 	default:
-		return l.timing.TTL + l.timing.Flight
+		return l.timing.TTL + l.timing.Flight + l.timing.Reluctance
 	}
 }
 
