--- a/pkg/gateway/forward/forward_test.go
+++ b/pkg/gateway/forward/forward_test.go
@@ -362,7 +362,7 @@
 		b := newBackend(t, ok)
 		s := gateway(t, routes.Safe, func(c *routes.Config, _ *Options) {
 			c.Tenants = []routes.Tenant{{Name: "t1", Keys: []string{"k1"}, Isolated: isolated}}
-			c.Services["s"] = routes.Service{Name: "s", Engine: &routes.Engine{}}
+			c.Services["s"] = routes.Service{Name: "s", HasEngines: true}
 			c.Routes[0].Sticky = true
 		}, b)
 		r := call(t, s, "/p/x", http.Header{"Key": {"k1"}, "M": {"m"}, "Parts": {"1"}})
--- a/pkg/gateway/forward/job.go
+++ b/pkg/gateway/forward/job.go
@@ -185,7 +185,7 @@
 			call.Priority = j.tenant.Priority
 		}
 	}
-	if j.config.Services[j.service].Engine != nil {
+	if j.config.Services[j.service].HasEngines {
 		call.WithRanking = true
 		call.Version = c.Version
 		call.CacheNamespace = cacheNamespace(c.Version, j.tenant)
--- a/pkg/gateway/node/settings.go
+++ b/pkg/gateway/node/settings.go
@@ -26,8 +26,6 @@
 	LinkMbps float64
 	// MemoryMB is the limit of the process in megabytes, or 0.
 	MemoryMB float64
-	// Drain is the time within which no request may reach a backend server that leaves.
-	Drain time.Duration
 	// Grace is the time from the signal to stop to the kill.
 	Grace time.Duration
 	// Contact is the time for which the platform's rules excuse a node after a disturbance.
--- a/pkg/gateway/routes/routes.go
+++ b/pkg/gateway/routes/routes.go
@@ -39,8 +39,6 @@
 	Timeout time.Duration
 	// Objective is the time within which an answer, or the first event of one, is on time.
 	Objective time.Duration
-	// EventGap is the longest pause between events of an answer that is on time.
-	EventGap time.Duration
 	// Priority is 0 for the most urgent requests.
 	Priority int
 	Targets  []Weighted
@@ -78,26 +76,10 @@
 // Service is a group of backend servers that answer the same requests.
 type Service struct {
 	Name string
-	// MaxConns is the number of connections that one backend server accepts from all nodes.
-	MaxConns int
-	// Engine is set for services of model engines.
-	Engine *Engine
-	// CacheStore is set for a store of kept KV cache, which takes no requests.
-	CacheStore *CacheStore
-}
-
-// Engine describes the engines of a service.
-type Engine struct {
-	Slots int
-	// CacheTokens is the number of tokens that an engine's memory holds.
-	CacheTokens int
-	Models      []string
-}
-
-// CacheStore is a store of kept KV cache.
-type CacheStore struct {
-	Address    string
-	DataCentre string
+	// HasEngines is set for services of model engines.
+	HasEngines bool
+	// CacheStore is the address of a store of kept KV cache, which takes no requests, or "".
+	CacheStore string
 }
 
 // Tenant is a workspace with its API keys.
@@ -145,8 +127,8 @@
 		slices.SortStableFunc(list, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
 	}
 	for _, name := range slices.Sorted(maps.Keys(c.Services)) {
-		if s := c.Services[name]; s.CacheStore != nil && c.cacheStore == "" {
-			c.cacheStore = s.CacheStore.Address
+		if address := c.Services[name].CacheStore; address != "" && c.cacheStore == "" {
+			c.cacheStore = address
 		}
 	}
 	c.byKey = map[string]*Tenant{}
