--- a/pkg/gateway/weights/weights_test.go
+++ b/pkg/gateway/weights/weights_test.go
@@ -301,3 +301,12 @@
 		wg.Wait()
 	})
 }
+
+// Guards against an order of a node whose lease ended after the order was planned.
+func TestOrderNeedsTheLeaseAtItsSend(t *testing.T) {
+	f := newFleet()
+	reply, err := f.node("a").send(t.Context(), Target{ID: "e0"}, "m", 2, 0)
+	require.NoError(t, err)
+	assert.Equal(t, Fenced, reply)
+	assert.Empty(t, f.engines.given)
+}
