--- a/pkg/gateway/peers/objects.go
+++ b/pkg/gateway/peers/objects.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -23,6 +22,8 @@
 	maxObjects = 16 << 20
 	// fetchTimeout bounds one fetch.
 	fetchTimeout = time.Second
+	// fetchIdle is the time for which a connection to another node is kept.
+	fetchIdle = 3 * time.Second
 )
 
 // Handler serves the content of mirrors to other nodes.
@@ -57,13 +58,7 @@
 
 // NewFetcher returns a fetcher.
 func NewFetcher() *Fetcher {
-	return &Fetcher{http: &http.Client{Timeout: fetchTimeout, Transport: &http.Transport{
-		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
-			return exchange.Dial(ctx, address, exchange.DialTimeout)
-		},
-		MaxIdleConnsPerHost: 1,
-		IdleConnTimeout:     3 * time.Second,
-	}}}
+	return &Fetcher{http: &http.Client{Timeout: fetchTimeout, Transport: exchange.Transport(exchange.DialTimeout, fetchIdle, 1)}}
 }
 
 // Fetch returns what the node at address holds of a kind beyond a revision.
