--- a/pkg/gateway/node/mirrors.go
+++ b/pkg/gateway/node/mirrors.go
@@ -26,8 +26,6 @@
 	decoder Decoder
 	logger  *slog.Logger
 	current atomic.Pointer[routes.Config]
-	// ready is closed with the first configuration.
-	ready chan struct{}
 }
 
 // Reset implements mirror.Target. A configuration that is missing stays in force.
@@ -61,9 +59,6 @@
 	}
 	c.Since = time.Now()
 	t.current.Store(c)
-	if old == nil {
-		close(t.ready)
-	}
 	event.ConfigAccepted.Note(t.logger, "version", c.Version, "revision", e.Revision, "routes", len(c.Routes),
 		"tenants", len(c.Tenants))
 }
--- a/pkg/gateway/node/node.go
+++ b/pkg/gateway/node/node.go
@@ -112,7 +112,7 @@
 		registry: backends.NewRegistry(opt.Settings.DataCentre),
 		wanted:   weights.NewWanted(opt.Settings.VersionLimit, opt.Settings.Contact),
 		budget:   forward.NewBudget(opt.Settings.Budget),
-		config:   &configTarget{decoder: opt.Decoder, logger: opt.Logger, ready: make(chan struct{})},
+		config:   &configTarget{decoder: opt.Decoder, logger: opt.Logger},
 		fetcher:  peers.NewFetcher(),
 		prefixes: cachemap.New(),
 	}
