--- a/pkg/gateway/forward/refuse.go
+++ b/pkg/gateway/forward/refuse.go
@@ -1,13 +1,14 @@
 package forward
 
 import (
-	"cassiawall.example/cassiawall/pkg/event"
 	"context"
 	"errors"
 	"fmt"
 	"net/http"
 	"strconv"
 	"time"
+
+	"cassiawall.example/cassiawall/pkg/event"
 )
 
 // giveUp ends a request without a backend server's success. Only a request that no backend server
--- a/pkg/gateway/mirror/mirror.go
+++ b/pkg/gateway/mirror/mirror.go
@@ -3,7 +3,6 @@
 package mirror
 
 import (
-	"cassiawall.example/cassiawall/pkg/event"
 	"context"
 	"errors"
 	"log/slog"
@@ -13,6 +12,8 @@
 	"sync"
 	"time"
 
+	"cassiawall.example/cassiawall/pkg/event"
+	"cassiawall.example/cassiawall/pkg/objects"
 	"cassiawall.example/cassiawall/pkg/wait"
 )
 
@@ -35,13 +36,11 @@
 	// List returns all objects of a kind and the revision that a watch goes on from.
 	List(ctx context.Context, kind string) ([]Entry, int64, error)
 	// Watch returns the changes after a revision, or none after about wait, and the revision to
-	// go on from. ErrHistoryGone means that the changes are no longer known.
+	// go on from. ErrHistoryGone of package objects means that the
+	// changes are no longer known.
 	Watch(ctx context.Context, kind string, after int64, wait time.Duration) ([]Change, int64, error)
 }
 
-// ErrHistoryGone is returned by a Source whose history does not reach back far enough.
-var ErrHistoryGone = errors.New("the store no longer holds the changes after this revision; list the objects again")
-
 // Target receives a mirror's content. Its methods are called one at a time.
 type Target interface {
 	// Reset replaces the whole content.
@@ -299,7 +298,7 @@
 		changes, next, err := m.opt.Source.Watch(callCtx, m.opt.Kind, revision, left)
 		cancel()
 		switch {
-		case errors.Is(err, ErrHistoryGone):
+		case errors.Is(err, objects.ErrHistoryGone):
 			event.StoreHistoryGone.Note(m.opt.Logger, "kind", m.opt.Kind, "revision", revision)
 			// The pause bounds the lists of a store that drops its history again and again.
 			wait.Pause(ctx, retryLeast)
--- a/pkg/gateway/mirror/mirror_test.go
+++ b/pkg/gateway/mirror/mirror_test.go
@@ -14,6 +14,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"pgregory.net/rapid"
+
+	"cassiawall.example/cassiawall/pkg/objects"
 )
 
 // fakeSource is a store whose watches can miss changes.
@@ -85,7 +87,7 @@
 		case down:
 			return nil, 0, errors.New("down")
 		case gone:
-			return nil, 0, ErrHistoryGone
+			return nil, 0, objects.ErrHistoryGone
 		case len(found) > 0 || !time.Now().Before(end):
 			return found, revision, nil
 		}
--- a/pkg/gateway/node/board.go
+++ b/pkg/gateway/node/board.go
@@ -1,12 +1,12 @@
 package node
 
 import (
-	"cassiawall.example/cassiawall/pkg/event"
 	"context"
 	"log/slog"
 	"sync"
 	"time"
 
+	"cassiawall.example/cassiawall/pkg/event"
 	"cassiawall.example/cassiawall/pkg/gateway/backends"
 	"cassiawall.example/cassiawall/pkg/gateway/mirror"
 	"cassiawall.example/cassiawall/pkg/gateway/peers"
--- a/pkg/gateway/node/cachestore.go
+++ b/pkg/gateway/node/cachestore.go
@@ -1,10 +1,10 @@
 package node
 
 import (
-	"cassiawall.example/cassiawall/pkg/event"
 	"context"
 	"time"
 
+	"cassiawall.example/cassiawall/pkg/event"
 	"cassiawall.example/cassiawall/pkg/wait"
 )
 
--- a/pkg/gateway/node/mirrors.go
+++ b/pkg/gateway/node/mirrors.go
@@ -1,12 +1,12 @@
 package node
 
 import (
-	"cassiawall.example/cassiawall/pkg/event"
 	"log/slog"
 	"slices"
 	"sync/atomic"
 	"time"
 
+	"cassiawall.example/cassiawall/pkg/event"
 	"cassiawall.example/cassiawall/pkg/gateway/backends"
 	"cassiawall.example/cassiawall/pkg/gateway/mirror"
 	"cassiawall.example/cassiawall/pkg/gateway/routes"
--- a/pkg/gateway/node/node.go
+++ b/pkg/gateway/node/node.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"cassiawall.example/cassiawall/pkg/event"
 	"context"
 	"errors"
 	"fmt"
@@ -11,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"cassiawall.example/cassiawall/pkg/event"
 	"cassiawall.example/cassiawall/pkg/gateway/backends"
 	"cassiawall.example/cassiawall/pkg/gateway/cachemap"
 	"cassiawall.example/cassiawall/pkg/gateway/forward"
--- a/pkg/gateway/peers/link.go
+++ b/pkg/gateway/peers/link.go
@@ -1,7 +1,6 @@
 package peers
 
 import (
-	"cassiawall.example/cassiawall/pkg/event"
 	"context"
 	"fmt"
 	"log/slog"
@@ -11,6 +10,7 @@
 	"sync"
 	"time"
 
+	"cassiawall.example/cassiawall/pkg/event"
 	"cassiawall.example/cassiawall/pkg/wait"
 )
 
--- a/pkg/gateway/weights/controller.go
+++ b/pkg/gateway/weights/controller.go
@@ -1,13 +1,13 @@
 package weights
 
 import (
-	"cassiawall.example/cassiawall/pkg/event"
 	"context"
 	"encoding/json"
 	"log/slog"
 	"sync"
 	"time"
 
+	"cassiawall.example/cassiawall/pkg/event"
 	"cassiawall.example/cassiawall/pkg/gateway/backends"
 	"cassiawall.example/cassiawall/pkg/lease"
 	"cassiawall.example/cassiawall/pkg/objects"
--- /dev/null
+++ b/pkg/objects/call.go
@@ -0,0 +1,79 @@
+package objects
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+
+	"cassiawall.example/cassiawall/pkg/fault"
+)
+
+// ErrHistoryGone means that the changes after a watch's revision are no longer known.
+var ErrHistoryGone = errors.New("the store no longer holds the changes after this revision; list the objects again")
+
+// Call is one HTTP call to a store of objects that answers in JSON.
+type Call struct {
+	Method, URL string
+	Header      http.Header
+	Body        []byte
+	// Write is set if the call may change an object. Its outcome is unknown without an answer.
+	Write bool
+	// MaxAnswer bounds the answer's body in bytes.
+	MaxAnswer int64
+}
+
+// Do makes the call and decodes the answer. Errors are of package fault, but for ErrHistoryGone.
+func (c Call) Do(ctx context.Context, client *http.Client, into any) error {
+	q, err := http.NewRequestWithContext(ctx, c.Method, c.URL, bytes.NewReader(c.Body))
+	if err != nil {
+		return fault.Wrap(err, fault.Internal, "store request is malformed")
+	}
+	for name, values := range c.Header {
+		q.Header[name] = values
+	}
+	lost := fault.NotRun
+	if c.Write {
+		lost = fault.Unknown
+	}
+	answer, err := client.Do(q)
+	if err != nil {
+		return fault.Wrap(err, fault.PlatformUnavailable, "store did not answer").WithWork(lost)
+	}
+	defer answer.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(answer.Body, c.MaxAnswer))
+	if err != nil {
+		return fault.Wrap(err, fault.PlatformUnavailable, "store answer was cut").WithWork(lost)
+	}
+	if answer.StatusCode < 200 || answer.StatusCode > 299 {
+		return statusError(answer.StatusCode, body, lost)
+	}
+	if err := json.Unmarshal(body, into); err != nil {
+		return fault.Wrap(err, fault.PlatformUnavailable, "store answer does not parse").WithWork(lost)
+	}
+	return nil
+}
+
+// statusError maps a status to a typed error. Only 429 and 503 say that a write had no effect;
+// the outcome of a write is unknown after any other status of the server's own failure.
+func statusError(status int, body []byte, lost fault.Work) error {
+	message := strings.TrimSpace(string(body[:min(len(body), 200)]))
+	switch status {
+	case http.StatusNotFound:
+		return fault.New(fault.NotFound, "%s", message)
+	case http.StatusConflict, http.StatusPreconditionFailed:
+		return fault.New(fault.Conflict, "%s", message)
+	case http.StatusGone:
+		return fmt.Errorf("%w: %s", ErrHistoryGone, message)
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return fault.New(fault.PlatformUnavailable, "store refused with status %d: %s", status, message)
+	case http.StatusBadRequest, http.StatusRequestEntityTooLarge:
+		return fault.New(fault.BadRequest, "store rejected the call: %s", message)
+	default:
+		return fault.New(fault.PlatformUnavailable, "store failed with status %d: %s", status, message).WithWork(lost)
+	}
+}
--- a/pkg/objects/client.go
+++ b/pkg/objects/client.go
@@ -1,11 +1,8 @@
 package objects
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -87,7 +84,7 @@
 	return "/objects/" + (&url.URL{Path: name}).EscapedPath()
 }
 
-// request is one HTTP call. A request with ifMatch is a write.
+// request is one call of the object API. A request with ifMatch is a write.
 type request struct {
 	method, path string
 	body         []byte
@@ -95,47 +92,10 @@
 }
 
 func (c *Client) call(ctx context.Context, r request, into any) error {
-	q, err := http.NewRequestWithContext(ctx, r.method, c.base+r.path, bytes.NewReader(r.body))
-	if err != nil {
-		return fault.Wrap(err, fault.Internal, "object API request is malformed")
-	}
-	lost := fault.NotRun
+	call := Call{Method: r.method, URL: c.base + r.path, Body: r.body, MaxAnswer: maxResponseBytes}
 	if r.ifMatch != nil {
-		q.Header.Set("If-Match", strconv.FormatUint(*r.ifMatch, 10))
-		lost = fault.Unknown
-	}
-	response, err := c.http.Do(q)
-	if err != nil {
-		return fault.Wrap(err, fault.PlatformUnavailable, "object API did not answer").WithWork(lost)
-	}
-	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
-	if err != nil {
-		return fault.Wrap(err, fault.PlatformUnavailable, "object API answer was cut").WithWork(lost)
-	}
-	if response.StatusCode != http.StatusOK {
-		return statusError(response.StatusCode, body, lost)
-	}
-	if err := json.Unmarshal(body, into); err != nil {
-		return fault.Wrap(err, fault.PlatformUnavailable, "object API answer does not parse").WithWork(lost)
-	}
-	return nil
-}
-
-// statusError maps a status to a typed error. Only 429 and 503 say that a write had no effect;
-// the outcome of a write is unknown after any other status of the server's own failure.
-func statusError(status int, body []byte, lost fault.Work) error {
-	message := strings.TrimSpace(string(body[:min(len(body), 200)]))
-	switch status {
-	case http.StatusNotFound:
-		return fault.New(fault.NotFound, "%s", message)
-	case http.StatusConflict, http.StatusPreconditionFailed:
-		return fault.New(fault.Conflict, "%s", message)
-	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return fault.New(fault.PlatformUnavailable, "object API refused with status %d: %s", status, message)
-	case http.StatusBadRequest, http.StatusRequestEntityTooLarge:
-		return fault.New(fault.BadRequest, "object API rejected the call: %s", message)
-	default:
-		return fault.New(fault.PlatformUnavailable, "object API failed with status %d: %s", status, message).WithWork(lost)
+		call.Header = http.Header{"If-Match": {strconv.FormatUint(*r.ifMatch, 10)}}
+		call.Write = true
 	}
+	return call.Do(ctx, c.http, into)
 }
