Tell other nodes at once when a stopped holder releases the lease

Change: the former holder goes on telling the others, beginning with its release, until another node has the lease.

--- a/pkg/gateway/node/board.go
+++ b/pkg/gateway/node/board.go
@@ -126,7 +126,7 @@
 	defer b.mu.Unlock()
 	within := max(coveredFor, time.Duration(coveredWords*float64(peers.Interval(b.nodes))))
 	age := time.Since(b.coveredAt)
-	covered := age < within && !b.node.controller.Holding()
+	covered := age < within && !b.node.controller.Leading()
 	if covered != b.wasCovered {
 		b.wasCovered = covered
 		event.CoverageChanged.Note(b.node.opt.Logger, "covered", covered, "holder", b.node.controller.Holder(),
--- a/pkg/gateway/node/node.go
+++ b/pkg/gateway/node/node.go
@@ -130,7 +130,7 @@
 		Covered: func() bool { return n.board.covered() },
 		Changed: func() { n.link.Announce() },
 		ListEvery: func() time.Duration {
-			if n.controller.Holding() {
+			if n.controller.Leading() {
 				return holderListEvery
 			}
 			return listEvery
@@ -153,7 +153,8 @@
 	})
 	link, err := peers.Listen(peers.Options{
 		Address: s.Control, Seeds: s.Seeds, Holder: n.controller.Holder, Holding: n.controller.Holding,
-		Board: n.board, Logger: n.opt.Logger,
+		Leading: n.controller.Leading,
+		Board:   n.board, Logger: n.opt.Logger,
 	})
 	n.link = link
 	return err
--- a/pkg/gateway/peers/link.go
+++ b/pkg/gateway/peers/link.go
@@ -64,9 +64,11 @@
 	// Seeds are peer addresses to begin with.
 	Seeds []string
 	// Holder returns the peer address of the holder of the lease, or "". Holding reports whether
-	// this node is the holder.
+	// this node is the holder. Leading is also set while a former holder stands in until another node
+	// has taken the lease.
 	Holder  func() string
 	Holding func() bool
+	Leading func() bool
 	Board   Board
 	Logger  *slog.Logger
 }
@@ -79,10 +81,11 @@
 	mu      sync.Mutex
 	reports map[string]report
 	known   []string
-	// heard is the time of the holder's last word.
-	heard time.Time
-	nodes int
-	sent  int
+	// heard is the time of the last word, and leader the node that it came from.
+	heard  time.Time
+	leader string
+	nodes  int
+	sent   int
 	// announced is the time of this node's last word, and pending is set while the next is due.
 	announced time.Time
 	pending   bool
@@ -113,7 +116,7 @@
 	defer stop()
 	go l.receive(ctx)
 	for wait.Pause(ctx, l.interval()) {
-		if l.opt.Holding() {
+		if l.opt.Leading() {
 			l.announce()
 		} else {
 			l.report()
@@ -135,7 +138,7 @@
 // Announce sends the holder's word, after an assignment has changed, and returns the time until it goes
 // out.
 func (l *Link) Announce() time.Duration {
-	if !l.opt.Holding() {
+	if !l.opt.Leading() {
 		return 0
 	}
 	l.mu.Lock()
@@ -213,11 +216,16 @@
 func (l *Link) report() {
 	m := &message{From: l.opt.Address, Revisions: l.opt.Board.Revisions(), Loads: l.opt.Board.Loads(), Prefixes: l.opt.Board.Prefixes()}
 	var to []string
-	if holder := l.opt.Holder(); holder != "" && holder != l.opt.Address {
+	l.mu.Lock()
+	silent := time.Since(l.heard) > holderLife
+	holder := l.opt.Holder()
+	if holder == "" && !silent {
+		holder = l.leader
+	}
+	if holder != "" && holder != l.opt.Address {
 		to = append(to, holder)
 	}
-	l.mu.Lock()
-	if time.Since(l.heard) > holderLife {
+	if silent {
 		m.Reply = true
 		to = append(to, pickSome(l.known, strangersAsked)...)
 	}
@@ -273,7 +281,7 @@
 		l.mu.Lock()
 		current := !l.opt.Holding() && (m.From == l.opt.Holder() || l.opt.Holder() == "" || time.Since(l.heard) > holderLife)
 		if current {
-			l.heard, l.nodes = time.Now(), m.Word.Nodes
+			l.heard, l.leader, l.nodes = time.Now(), m.From, m.Word.Nodes
 		}
 		l.mu.Unlock()
 		l.compare(m, current)
@@ -290,8 +298,8 @@
 	l.mu.Lock()
 	l.reports[m.From] = report{at: time.Now(), loads: m.Loads}
 	l.mu.Unlock()
-	l.opt.Board.Merge(m.Prefixes, l.opt.Holding())
-	if m.Reply && !l.opt.Holding() {
+	l.opt.Board.Merge(m.Prefixes, l.opt.Leading())
+	if m.Reply && !l.opt.Leading() {
 		l.mu.Lock()
 		known := pickSome(l.known, peersListed)
 		l.mu.Unlock()
--- a/pkg/gateway/peers/peers_test.go
+++ b/pkg/gateway/peers/peers_test.go
@@ -95,7 +95,8 @@
 		}
 		l, err := Listen(Options{
 			Address: own, Holder: func() string { return holder }, Holding: func() bool { return i == 0 },
-			Board: b, Logger: slog.New(slog.DiscardHandler),
+			Leading: func() bool { return i == 0 },
+			Board:   b, Logger: slog.New(slog.DiscardHandler),
 		})
 		require.NoError(t, err)
 		go l.Run(ctx)
@@ -137,8 +138,8 @@
 	none := func() string { return "" }
 	never := func() bool { return false }
 	for _, o := range []Options{
-		{Address: first, Holder: none, Holding: never, Board: &fakeBoard{revision: 9}},
-		{Address: second, Seeds: []string{first}, Holder: none, Holding: never, Board: &fakeBoard{}},
+		{Address: first, Holder: none, Holding: never, Leading: never, Board: &fakeBoard{revision: 9}},
+		{Address: second, Seeds: []string{first}, Holder: none, Holding: never, Leading: never, Board: &fakeBoard{}},
 	} {
 		o.Logger = slog.New(slog.DiscardHandler)
 		l, err := Listen(o)
--- a/pkg/gateway/weights/controller.go
+++ b/pkg/gateway/weights/controller.go
@@ -157,6 +157,8 @@
 	defer cancel()
 	c.renew(ctx, false)
 	c.work.Wait()
+	// The others learn of the release at once and need not wait for the lease to end.
+	c.opt.Changed()
 }
 
 // Holding reports whether this node holds the lease.
@@ -166,6 +168,14 @@
 	return c.held
 }
 
+// Leading reports whether this node tells the others what the fleet runs: as the holder, and after it has
+// released the lease until another node has taken it.
+func (c *Controller) Leading() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.held || c.lease.HandedBack()
+}
+
 // Holder returns the last known holder of the lease, or "".
 func (c *Controller) Holder() string {
 	c.mu.Lock()
--- a/pkg/gateway/weights/weights_test.go
+++ b/pkg/gateway/weights/weights_test.go
@@ -302,6 +302,44 @@
 	})
 }
 
+// Guards against a long time without a holder after a planned stop: the stopped holder tells of its release and
+// leads until another node holds the lease.
+func TestStoppedHolderHandsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		var wg sync.WaitGroup
+		ctx, cancel := context.WithCancel(t.Context())
+		first, second := f.node("a"), f.node("b")
+		told := 0
+		first.opt.Changed = func() time.Duration {
+			told++
+			value, version := first.Lease()
+			second.Sighted(value, version, time.Now())
+			return 0
+		}
+		stop := run(ctx, &wg, first)
+		time.Sleep(time.Second)
+		run(ctx, &wg, second)
+		time.Sleep(time.Second)
+		require.True(t, first.Holding())
+		stop()
+		stopped := time.Now()
+		synctest.Wait()
+		require.Equal(t, 1, told)
+		assert.False(t, first.Holding())
+		for !second.Holding() {
+			assert.True(t, first.Leading())
+			time.Sleep(50 * time.Millisecond)
+		}
+		assert.LessOrEqual(t, time.Since(stopped), LeaseTiming(3*time.Second).Handover+2*tick)
+		value, version := second.Lease()
+		first.Sighted(value, version, time.Now())
+		assert.False(t, first.Leading())
+		cancel()
+		wg.Wait()
+	})
+}
+
 // Guards against an order of a node whose lease ended after the order was planned.
 func TestOrderNeedsTheLeaseAtItsSend(t *testing.T) {
 	f := newFleet()
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -247,6 +247,11 @@
 // Seen returns the last known record and its version.
 func (l *Lease) Seen() (Record, uint64) { return l.seen, l.version }
 
+// HandedBack reports whether this instance has released the lease and no other has taken it since.
+func (l *Lease) HandedBack() bool {
+	return l.known && l.seen.Released && l.seen.Instance == l.instance
+}
+
 // Sighted takes over a record that another node has told of, as if it had been read at now. The holder
 // itself is the usual teller; an older version than the known one is ignored.
 func (l *Lease) Sighted(r Record, version uint64, now time.Time) {
