--- a/pkg/gateway/peers/link.go
+++ b/pkg/gateway/peers/link.go
@@ -296,8 +296,13 @@
 		return
 	}
 	l.mu.Lock()
+	_, known := l.reports[m.From]
 	l.reports[m.From] = report{at: time.Now(), loads: m.Loads}
 	l.mu.Unlock()
+	if !known {
+		// The node follows the store by itself until it hears a word.
+		l.Announce()
+	}
 	l.opt.Board.Merge(m.Prefixes, l.opt.Leading())
 	if m.Reply && !l.opt.Leading() {
 		l.mu.Lock()
