--- a/pkg/gateway/forward/cache.go
+++ b/pkg/gateway/forward/cache.go
@@ -119,6 +119,18 @@
 	return fetchFrom, saveTo
 }
 
+// countShared counts the shared tokens of a send by where the engine gets those that it does not keep itself.
+func (j *job) countShared(fetchFrom string) {
+	source := "engine"
+	switch fetchFrom {
+	case "":
+		source = "none"
+	case j.config.CacheStore():
+		source = "store"
+	}
+	j.router.opt.Metrics.Counter("shared_tokens", "fetched_from", source).Inc(int64(j.sharedTokens()))
+}
+
 // source returns the address of the engine or store that holds a prefix, or "". Engines come first,
 // because all fetches from the store share its link.
 func (j *job) source(f cachemap.Found, c *backends.Choice, store string, now time.Time) string {
--- a/pkg/gateway/forward/job.go
+++ b/pkg/gateway/forward/job.go
@@ -93,12 +93,12 @@
 	for {
 		choice := j.choose()
 		if choice == nil {
-			j.giveUp("no backend server")
+			j.giveUp(causeNoBackend)
 			return
 		}
-		if j.sends > 0 && !j.router.opt.Budget.Take(j.service, time.Now()) {
+		if j.sends > 0 && !j.mayRepeat() {
 			choice.Done(backends.Neutral, 0)
-			j.giveUp("retry budget is spent")
+			j.giveUp(causeBudget)
 			return
 		}
 		switch j.send(choice) {
@@ -106,12 +106,22 @@
 			j.end()
 			return
 		case giveUp:
-			j.giveUp("backend server failed")
+			j.giveUp(causeBackend)
 			return
 		}
 	}
 }
 
+// mayRepeat takes a further send from the budget.
+func (j *job) mayRepeat() bool {
+	if j.router.opt.Budget.Take(j.service, time.Now()) {
+		j.router.count("further_sends", "budget", "granted")
+		return true
+	}
+	j.router.count("further_sends", "budget", "spent")
+	return false
+}
+
 // choose returns a backend server. It waits for one while engines take new weights, because these are
 // back soon; otherwise a refusal that comes early lets the client try elsewhere.
 func (j *job) choose() *backends.Choice {
@@ -190,6 +200,7 @@
 		call.Version = c.Version
 		call.CacheNamespace = cacheNamespace(c.Version, j.tenant)
 		call.FetchFrom, call.SaveTo = j.cachePlan(c, now)
+		j.countShared(call.FetchFrom)
 	}
 	return call
 }
@@ -201,6 +212,9 @@
 	j.tried = append(j.tried, c.ID)
 	call := j.call(c, sent)
 	j.noteChosen(c, call)
+	if j.sends == 1 {
+		j.router.observe("queue_wait_ms", sent.Sub(j.arrived))
+	}
 	request := exchange.Request{
 		Method: j.q.Method, Target: j.q.RequestURI, Host: j.q.Host, Body: j.body,
 		Header: j.router.opt.Protocol.Encode(j.q.Header, call),
@@ -214,6 +228,7 @@
 		return j.unanswered(c, err)
 	}
 	defer answer.Close()
+	j.router.observe("backend_first_byte_ms", time.Since(sent))
 	head := j.router.opt.Protocol.Answer(answer.Header)
 	if j.request.Model != "" && head.Version > 0 {
 		j.router.opt.Backends.Learn(c.ID, j.request.Model, head.Version)
--- /dev/null
+++ b/pkg/gateway/forward/lines_test.go
@@ -0,0 +1,107 @@
+package forward
+
+import (
+	"bytes"
+	"encoding/json"
+	"log/slog"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"cassiawall.example/cassiawall/pkg/gateway/routes"
+)
+
+// lines collects log lines.
+type lines struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+// byEvent returns the lines by the numbers of their events.
+func (l *lines) byEvent(t *testing.T) map[int]map[string]any {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	found := map[int]map[string]any{}
+	for line := range strings.Lines(l.text.String()) {
+		var fields map[string]any
+		require.NoError(t, json.Unmarshal([]byte(line), &fields))
+		found[int(fields["event"].(float64))] = fields
+	}
+	return found
+}
+
+// Guards against a refusal, a repeat or a failure without a line that names the request, the cause and the ages of
+// what decided it.
+func TestRequestsThatFailLeaveLines(t *testing.T) {
+	const admitted, chosen, noBackend, sendFailed, answered, notServed = 920, 922, 923, 924, 925, 926
+	once := func(first func(*http.Request) string) func(*http.Request) string {
+		var mu sync.Mutex
+		sent := false
+		return func(q *http.Request) string {
+			mu.Lock()
+			defer mu.Unlock()
+			if sent {
+				return ok(q)
+			}
+			sent = true
+			return first(q)
+		}
+	}
+	tests := map[string]struct {
+		kind   routes.Kind
+		answer func(*http.Request) string
+		config bool
+		lines  []int
+		reason string
+	}{
+		"refused":            {routes.Unsafe, notRun, true, []int{admitted, chosen, sendFailed, noBackend, notServed}, causeNoBackend},
+		"failed":             {routes.Unsafe, lost, true, []int{admitted, chosen, sendFailed, notServed}, causeBackend},
+		"cut":                {routes.Stream, func(q *http.Request) string { return events(q, 1, 2, false) }, true, []int{admitted, chosen, sendFailed, notServed}, causeBackend},
+		"sent again":         {routes.Safe, once(lost), true, []int{admitted, chosen, sendFailed, answered}, ""},
+		"not configured yet": {routes.Safe, ok, false, []int{notServed}, causeNoConfig},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			log := &lines{}
+			b := newBackend(t, test.answer)
+			s := gateway(t, test.kind, func(_ *routes.Config, o *Options) {
+				o.Logger = slog.New(slog.NewJSONHandler(log, nil))
+				if !test.config {
+					o.Config = func() *routes.Config { return nil }
+				}
+			}, b, b)
+			call(t, s, "/p/x", http.Header{"Wait": {"1500"}})
+			var found map[int]map[string]any
+			require.Eventually(t, func() bool {
+				// The lines may follow the last byte of the answer.
+				found = log.byEvent(t)
+				return found[test.lines[len(test.lines)-1]] != nil
+			}, 5*time.Second, time.Millisecond)
+			for _, number := range test.lines {
+				require.Contains(t, found, number)
+				assert.Equal(t, "i1", found[number]["request"])
+			}
+			if test.config {
+				assert.Contains(t, found[admitted], "config_age_ms")
+				assert.Contains(t, found[chosen], "told_age_ms")
+				assert.Contains(t, found[sendFailed], "age_ms")
+				assert.NotEmpty(t, found[sendFailed]["reason"])
+			}
+			if test.reason != "" {
+				assert.Equal(t, test.reason, found[notServed]["reason"])
+				assert.Contains(t, found[notServed], "age_ms")
+			}
+		})
+	}
+}
--- a/pkg/gateway/forward/refuse.go
+++ b/pkg/gateway/forward/refuse.go
@@ -14,7 +14,6 @@
 // giveUp ends a request without a backend server's success. Only a request that no backend server
 // can have run gets a status that says so.
 func (j *job) giveUp(reason string) {
-	r := j.router
 	switch {
 	case j.q.Context().Err() != nil:
 		j.router.count("requests", "outcome", "abandoned")
@@ -26,7 +25,7 @@
 		panic(http.ErrAbortHandler)
 	case j.runs == 0:
 		j.endUnserved(reason, "refused")
-		r.refuse(j.w, j.q, reason, min(refuseAfter, j.left(time.Now())/4))
+		refuse(j.w, reason, min(refuseAfter, j.left(time.Now())/4))
 	case j.failure != nil:
 		j.endUnserved(reason, "failed")
 		j.write(j.failure)
@@ -40,11 +39,24 @@
 }
 
 // refuse answers that a request was not run and when the client may come back.
-func (r *Router) refuse(w http.ResponseWriter, _ *http.Request, reason string, after time.Duration) {
+func refuse(w http.ResponseWriter, reason string, after time.Duration) {
 	w.Header().Set("Retry-After", strconv.FormatFloat(max(after, 10*time.Millisecond).Seconds(), 'f', 3, 64))
 	fail(w, http.StatusServiceUnavailable, "not run: "+reason)
 }
 
+// refuseUnconfigured refuses a request before the first configuration.
+func (r *Router) refuseUnconfigured(w http.ResponseWriter, q *http.Request, arrived time.Time) {
+	r.count("requests", "outcome", "refused")
+	r.count("not_served", "cause", causeNoConfig)
+	// A request whose header does not decode has no id.
+	request, _ := r.opt.Protocol.Decode(q.Header)
+	if r.rejections.Allow() {
+		event.RequestNotServed.Note(r.opt.Logger, "request", request.ID, "host", q.Host, "path", q.URL.Path, "outcome", "refused",
+			"reason", causeNoConfig, "sends", 0, "runs", 0, "age_ms", time.Since(arrived).Milliseconds())
+	}
+	refuse(w, causeNoConfig, refuseAfter)
+}
+
 // reject answers a request that the configuration does not allow.
 func (r *Router) reject(w http.ResponseWriter, q *http.Request, id string, status int, reason string) {
 	defer fail(w, status, reason)
--- a/pkg/gateway/forward/router.go
+++ b/pkg/gateway/forward/router.go
@@ -67,6 +67,14 @@
 	r.opt.Metrics.Histogram(name).Update(d.Milliseconds())
 }
 
+// Causes of requests that are not served, in lines and in the labels of metrics.
+const (
+	causeNoConfig  = "no configuration yet"
+	causeNoBackend = "no backend server"
+	causeBudget    = "retry budget is spent"
+	causeBackend   = "backend server failed"
+)
+
 // defaultBodyBytes bounds a body where the configuration sets no limit.
 const defaultBodyBytes = 4 << 20
 
@@ -82,7 +90,7 @@
 	}
 	config := r.opt.Config()
 	if config == nil {
-		r.refuse(w, q, "no configuration yet", refuseAfter)
+		r.refuseUnconfigured(w, q, arrived)
 		return
 	}
 	request, err := r.opt.Protocol.Decode(q.Header)
@@ -107,6 +115,7 @@
 	if err != nil {
 		if status == 0 {
 			// The client broke off; nothing can be answered.
+			r.count("requests", "outcome", "broken_off")
 			panic(http.ErrAbortHandler)
 		}
 		r.reject(w, q, request.ID, status, err.Error())
--- a/pkg/gateway/forward/trace.go
+++ b/pkg/gateway/forward/trace.go
@@ -76,5 +76,6 @@
 	j.trace.Note(event.RequestNotServed, "route", j.route.Name, "outcome", outcome, "reason", reason, "sends", j.sends,
 		"runs", j.runs, "tried", j.tried, "age_ms", time.Since(j.arrived).Milliseconds())
 	j.router.count("requests", "outcome", outcome)
+	j.router.count("not_served", "cause", reason)
 	j.trace.End(true)
 }
--- a/pkg/gateway/node/node.go
+++ b/pkg/gateway/node/node.go
@@ -150,6 +150,7 @@
 		Node: s.Control, Instance: fmt.Sprint(s.Name, "/", time.Now().UnixNano()),
 		Timing: timing, Wanted: n.wanted, Backends: n.registry, Engines: n.opt.Engines,
 		Leases: n.opt.Store, Changed: func() time.Duration { return n.link.Announce() }, Logger: n.opt.Logger,
+		Metrics: n.opt.Metrics,
 	})
 	link, err := peers.Listen(peers.Options{
 		Address: s.Control, Seeds: s.Seeds, Holder: n.controller.Holder, Holding: n.controller.Holding,
--- a/pkg/gateway/weights/controller.go
+++ b/pkg/gateway/weights/controller.go
@@ -10,6 +10,7 @@
 	"cassiawall.example/cassiawall/pkg/event"
 	"cassiawall.example/cassiawall/pkg/gateway/backends"
 	"cassiawall.example/cassiawall/pkg/lease"
+	"cassiawall.example/cassiawall/pkg/metrics"
 	"cassiawall.example/cassiawall/pkg/objects"
 	"cassiawall.example/cassiawall/pkg/wait"
 )
@@ -119,6 +120,7 @@
 	// nodes are told.
 	Changed func() time.Duration
 	Logger  *slog.Logger
+	Metrics *metrics.Registry
 }
 
 // Controller contends for the lease and gives orders while it holds it. Use Run once.
@@ -303,6 +305,12 @@
 	c.opt.Changed()
 	event.OrderEnded.Note(c.opt.Logger, "engine", t.ID, "model", model, "version", version, "outcome", outcome,
 		"took_ms", time.Since(began).Milliseconds())
+	result := "failed"
+	if outcome == outcomeDone {
+		result = "done"
+	}
+	c.opt.Metrics.Counter("orders", "result", result).Inc(1)
+	c.opt.Metrics.Histogram("order_ms", "result", result).Update(time.Since(began).Milliseconds())
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	o.running, o.failed = false, outcome != outcomeDone
--- a/pkg/gateway/weights/weights_test.go
+++ b/pkg/gateway/weights/weights_test.go
@@ -14,6 +14,7 @@
 
 	"cassiawall.example/cassiawall/pkg/fault"
 	"cassiawall.example/cassiawall/pkg/gateway/backends"
+	"cassiawall.example/cassiawall/pkg/metrics"
 	"cassiawall.example/cassiawall/pkg/objects"
 )
 
@@ -183,7 +184,7 @@
 	}
 	return New(Options{
 		Node: name, Instance: name + "/1", Timing: LeaseTiming(3 * time.Second), Wanted: f.wanted, Backends: registry,
-		Engines: f.engines, Leases: f.store, Changed: func() time.Duration { return 0 }, Logger: slog.New(slog.DiscardHandler),
+		Engines: f.engines, Leases: f.store, Changed: func() time.Duration { return 0 }, Logger: slog.New(slog.DiscardHandler), Metrics: metrics.New(),
 	})
 }
 
--- a/pkg/reference/pages_test.go
+++ b/pkg/reference/pages_test.go
@@ -1,7 +1,9 @@
 package reference
 
 import (
+	"io/fs"
 	"os"
+	"path/filepath"
 	"regexp"
 	"strings"
 	"testing"
@@ -34,3 +36,34 @@
 	_, err := settings.Parse([]byte(read(t, "examples/kilele/settings.yaml")))
 	assert.NoError(t, err)
 }
+
+// Guards against a metric of the platform's node without a row on its page, and a row for one that is gone.
+func TestNodeMetricsAreExplained(t *testing.T) {
+	written := map[string]bool{}
+	call := regexp.MustCompile(`(?:Counter|Histogram|Gauge|GaugeFunc|\.count|\.observe)\("([a-z_]+)"`)
+	for _, root := range []string{"../gateway", "../../cmd/cassiawall-node", "../../platform"} {
+		require.NoError(t, filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
+			if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+				return err
+			}
+			text, err := os.ReadFile(path)
+			for _, m := range call.FindAllStringSubmatch(string(text), -1) {
+				written[m[1]] = true
+			}
+			return err
+		}))
+	}
+	_, table, found := strings.Cut(read(t, "docs/OPERATIONS.md"), "## Metrics\n")
+	require.True(t, found)
+	explained := map[string]bool{}
+	for row := range strings.Lines(table) {
+		if !strings.HasPrefix(row, "| `") {
+			continue
+		}
+		names, _, _ := strings.Cut(row[2:], "|")
+		for _, m := range regexp.MustCompile("`([a-z_]+)").FindAllStringSubmatch(names, -1) {
+			explained[m[1]] = true
+		}
+	}
+	assert.Equal(t, written, explained)
+}
