--- a/pkg/explain/explain.go
+++ b/pkg/explain/explain.go
@@ -120,6 +120,10 @@
 			continue
 		}
 		switch {
+		case x.Event == event.NodeStarted.Number:
+			// A new process knows nothing of what the one before it believed.
+			clear(last)
+			last[fmt.Sprint(x.Event)] = x
 		case beliefs[x.Event]:
 			last[fmt.Sprint(x.Event, x.Fields["kind"])] = x
 		case backendEvents[x.Event] && backend != nil && (x.Fields["backend"] == backend || x.Fields["engine"] == backend):
--- a/pkg/explain/explain_test.go
+++ b/pkg/explain/explain_test.go
@@ -46,3 +46,15 @@
 	assert.Empty(t, Story(first, "unknown"))
 	assert.Equal(t, time.Hour, clockOffsets(append(second, first...))["node-b"].Round(time.Minute))
 }
+
+// Guards against beliefs of an earlier process of the same node.
+func TestStoryForgetsBeliefsOfTheProcessBefore(t *testing.T) {
+	lines, err := Read(strings.NewReader(`{"time":"2026-01-01T00:00:10Z","level":"INFO","msg":"configuration in force","event":501,"version":3,"revision":7}
+{"time":"2026-01-01T00:00:11Z","level":"INFO","msg":"node started","event":101,"node":"a"}
+{"time":"2026-01-01T00:00:12Z","level":"INFO","msg":"request admitted","event":920,"request":"r1"}
+`), "node-a")
+	require.NoError(t, err)
+	story := Story(lines, "r1")
+	assert.Contains(t, story, "node started")
+	assert.NotContains(t, story, "configuration in force")
+}
--- a/pkg/gateway/forward/job.go
+++ b/pkg/gateway/forward/job.go
@@ -106,12 +106,20 @@
 			j.end()
 			return
 		case giveUp:
-			j.giveUp(causeBackend)
+			j.giveUp(j.causeOfEnd())
 			return
 		}
 	}
 }
 
+// causeOfEnd tells a request that may have run from one that all backend servers refused.
+func (j *job) causeOfEnd() string {
+	if j.runs == 0 {
+		return causeRefused
+	}
+	return causeBackend
+}
+
 // mayRepeat takes a further send from the budget.
 func (j *job) mayRepeat() bool {
 	if j.router.opt.Budget.Take(j.service, time.Now()) {
@@ -225,7 +233,7 @@
 	})
 	began()
 	if err != nil {
-		return j.unanswered(c, err)
+		return j.unanswered(ctx, c, err)
 	}
 	defer answer.Close()
 	j.router.observe("backend_first_byte_ms", time.Since(sent))
@@ -259,13 +267,16 @@
 	if limit.IsZero() {
 		return j.ctx, func() {}
 	}
-	ctx, cancel := context.WithCancel(j.ctx)
-	timer := time.AfterFunc(limit.Sub(now), cancel)
+	ctx, cancel := context.WithCancelCause(j.ctx)
+	timer := time.AfterFunc(limit.Sub(now), func() { cancel(errOldWeights) })
 	return ctx, func() { timer.Stop() }
 }
 
-// unanswered decides after a send without an answer.
-func (j *job) unanswered(c *backends.Choice, err error) step {
+// errOldWeights ends a send whose request waited at an engine until its weights had become too old.
+var errOldWeights = errors.New("not begun before the limit for older weights")
+
+// unanswered decides after a send without an answer. ctx is that of the send.
+func (j *job) unanswered(ctx context.Context, c *backends.Choice, err error) step {
 	var failed *exchange.Error
 	mayHaveRun := !errors.As(err, &failed) || failed.Sent
 	if j.q.Context().Err() != nil {
@@ -276,13 +287,20 @@
 		return giveUp
 	}
 	c.Done(backends.Bad, 0)
-	j.log(c, err.Error(), 0)
+	reason := err.Error()
+	if cause := context.Cause(ctx); cause != nil {
+		// The end of the context has closed the connection.
+		reason = cause.Error()
+	}
+	if mayHaveRun {
+		j.runs++
+	}
+	j.log(c, reason, 0)
 	if !mayHaveRun {
 		j.sends--
 		j.router.opt.Backends.Unreachable(c.ID, time.Now().Add(failedPause))
 		return j.again(len(j.tried) < maxRefusedSends+j.route.Attempts)
 	}
-	j.runs++
 	return j.afterRun()
 }
 
--- a/pkg/gateway/forward/lines_test.go
+++ b/pkg/gateway/forward/lines_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"log/slog"
 	"net/http"
@@ -41,6 +42,39 @@
 	return found
 }
 
+// Guards against a line that blames the connection for a send that the node itself has ended.
+func TestEndedSendsNameTheirCause(t *testing.T) {
+	tests := map[string]struct {
+		weights fixedWeights
+		wait    string
+		reason  string
+	}{
+		"older weights": {fixedWeights{newest: 4}, "1900", errOldWeights.Error()},
+		"deadline":      {fixedWeights{newest: 3}, "150", context.DeadlineExceeded.Error()},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			log, release := &lines{}, make(chan struct{})
+			defer close(release)
+			b := newBackend(t, func(*http.Request) string {
+				<-release
+				return ""
+			})
+			s := gateway(t, routes.Unsafe, func(_ *routes.Config, o *Options) {
+				o.Logger, o.Weights = slog.New(slog.NewJSONHandler(log, nil)), test.weights
+			}, b)
+			call(t, s, "/p/x", http.Header{"M": {"m"}, "Wait": {test.wait}})
+			var found map[int]map[string]any
+			require.Eventually(t, func() bool {
+				found = log.byEvent(t)
+				return found[926] != nil
+			}, 5*time.Second, time.Millisecond)
+			assert.Equal(t, test.reason, found[924]["reason"])
+			assert.EqualValues(t, 1, found[924]["runs"])
+		})
+	}
+}
+
 // Guards against a refusal, a repeat or a failure without a line that names the request, the cause and the ages of
 // what decided it.
 func TestRequestsThatFailLeaveLines(t *testing.T) {
--- a/pkg/gateway/forward/router.go
+++ b/pkg/gateway/forward/router.go
@@ -73,6 +73,7 @@
 	causeNoBackend = "no backend server"
 	causeBudget    = "retry budget is spent"
 	causeBackend   = "backend server failed"
+	causeRefused   = "backend servers refused"
 )
 
 // defaultBodyBytes bounds a body where the configuration sets no limit.
