Split the peer link by concern

Change: deputies and receiving stand in files of their own; gofmt also checks test. No change of behaviour.

--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 test: fmt vet lint build unit
 
 fmt:
-	@unformatted=$$(gofmt -l cmd pkg platform); \
+	@unformatted=$$(gofmt -l cmd pkg platform test); \
 	if [ -n "$$unformatted" ]; then echo "gofmt needed: $$unformatted"; exit 1; fi
 
 vet:
--- a/pkg/gateway/peers/link.go
+++ b/pkg/gateway/peers/link.go
@@ -33,14 +33,6 @@
 	strangersAsked = 2
 	// maxDatagram bounds a datagram in bytes.
 	maxDatagram = 60 << 10
-	// deputyCount is the number of deputies, of which one at least should be in reach.
-	deputyCount = 3
-	// A deputy begins to follow the store after deputyLeast or deputyWords words without the holder's, and
-	// the others ask the deputies after askLeast or askWords, before they would follow the store themselves.
-	deputyLeast = 350 * time.Millisecond
-	deputyWords = 1.2
-	askLeast    = 450 * time.Millisecond
-	askWords    = 1.4
 	// peersEvery is the number of the holder's reports of which one lists the nodes.
 	peersEvery = 10
 	// peersListed bounds that list, which keeps the datagram small.
@@ -151,21 +143,6 @@
 	return interval
 }
 
-// after returns the time of a number of words, and least at least.
-func after(least time.Duration, words float64, nodes int) time.Duration {
-	return max(least, time.Duration(words*float64(Interval(nodes))))
-}
-
-// DeputyAfter returns the time without a word after which a deputy follows the store.
-func DeputyAfter(nodes int) time.Duration { return after(deputyLeast, deputyWords, nodes) }
-
-// IsDeputy reports whether the last word names this node as a deputy.
-func (l *Link) IsDeputy() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return slices.Contains(l.deputies, l.opt.Address)
-}
-
 // Interval returns the time between the reports, and between the holder's words, of a number of nodes.
 func Interval(nodes int) time.Duration {
 	return min(max(reportEvery, time.Duration(nodes)*reportPerNode), reportMost)
@@ -246,18 +223,6 @@
 	}
 }
 
-// spread returns n of the addresses, evenly from their order, so that they are not all close to each other and
-// stay the same while the nodes do.
-func spread(from []string, n int) []string {
-	sorted := slices.Sorted(slices.Values(from))
-	n = min(n, len(sorted))
-	some := make([]string, 0, n)
-	for i := range n {
-		some = append(some, sorted[i*len(sorted)/n])
-	}
-	return some
-}
-
 func pickSome(from []string, n int) []string {
 	some := slices.Clone(from)
 	rand.Shuffle(len(some), func(i, j int) { some[i], some[j] = some[j], some[i] })
@@ -307,85 +272,6 @@
 	}
 }
 
-// receive handles datagrams until the socket is closed.
-func (l *Link) receive(ctx context.Context) {
-	buffer := make([]byte, maxDatagram)
-	for {
-		n, _, err := l.conn.ReadFromUDP(buffer)
-		if ctx.Err() != nil {
-			return
-		}
-		if err != nil {
-			// An unreachable receiver of an earlier datagram shows up here.
-			l.opt.Logger.Debug("peer socket", "error", err.Error())
-			if !wait.Pause(ctx, time.Millisecond) {
-				return
-			}
-			continue
-		}
-		m, err := decode(buffer[:n])
-		if err != nil {
-			event.PeerMessageSkipped.Note(l.opt.Logger, "error", err.Error())
-			continue
-		}
-		l.handle(m)
-	}
-}
-
-func (l *Link) handle(m *message) {
-	l.Remember(append(m.Peers, m.From))
-	if m.Holder {
-		l.mu.Lock()
-		current := !l.opt.Holding() && (m.From == l.opt.Holder() || l.opt.Holder() == "" || time.Since(l.heard) > holderLife)
-		if current {
-			l.heard, l.leader, l.nodes, l.deputies = time.Now(), m.From, m.Word.Nodes, m.Word.Deputies
-			if m.Word.Fresh {
-				l.followed = l.heard
-			}
-		}
-		l.mu.Unlock()
-		l.compare(m, current)
-		if current {
-			l.opt.Board.Take(m.Word)
-			l.opt.Board.Merge(m.Prefixes, false)
-		}
-		return
-	}
-	if m.Answer {
-		l.mu.Lock()
-		covers := m.Fresh && slices.Contains(l.deputies, m.From) && !slices.Contains(l.deputies, l.opt.Address)
-		l.mu.Unlock()
-		if covers {
-			l.opt.Board.Covered()
-		}
-		l.compare(m, covers)
-		return
-	}
-	l.compare(m, false)
-	l.mu.Lock()
-	_, known := l.reports[m.From]
-	l.reports[m.From] = report{at: time.Now(), loads: m.Loads}
-	l.mu.Unlock()
-	if !known {
-		// The node follows the store by itself until it hears a word.
-		l.Announce()
-	}
-	l.opt.Board.Merge(m.Prefixes, l.opt.Leading())
-	if m.Reply && !l.opt.Leading() {
-		l.mu.Lock()
-		known := pickSome(l.known, peersListed)
-		l.mu.Unlock()
-		l.send(&message{From: l.opt.Address, Answer: true, Fresh: l.opt.Board.Fresh(), Revisions: l.opt.Board.Revisions(), Peers: known}, m.From)
-	}
-}
-
-// compare looks whether the sender has newer objects than this node.
-func (l *Link) compare(m *message, holder bool) {
-	for _, r := range m.Revisions {
-		l.opt.Board.Behind(m.From, r.Kind, r.Revision, holder)
-	}
-}
-
 // maxKnown bounds the remembered addresses.
 const maxKnown = 64
 
