--- a/pkg/peer/state.go
+++ b/pkg/peer/state.go
@@ -1,7 +1,6 @@
 package peer
 
 import (
-	"encoding/json"
 	"slices"
 	"strings"
 	"time"
@@ -168,12 +167,3 @@
 	})
 	return stale, nil
 }
-
-// StatusReply answers Status with the node's status document.
-func StatusReply(status any) (*peerpb.StatusReply, error) {
-	document, err := json.Marshal(status)
-	if err != nil {
-		return nil, fault.Wrap(err, fault.Internal, "encode status")
-	}
-	return &peerpb.StatusReply{Document: document}, nil
-}
--- a/pkg/questionnaire/questions.go
+++ b/pkg/questionnaire/questions.go
@@ -16,9 +16,6 @@
 	Form string
 }
 
-// Questions returns all questions in the order in which they are asked.
-func Questions() []Question { return append([]Question(nil), questions...) }
-
 var questions = []Question{
 	{ID: "team", Text: "What is your team called?",
 		Why: "The name heads the configuration.", Default: "our-team"},
