--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -57,7 +57,25 @@
 	frozen   int
 	// inRotation is the platform's view of the node.
 	inRotation bool
-	stderr     bytes.Buffer
+	stderr     output
+}
+
+// output collects what the processes of a node write. It is safe for concurrent use.
+type output struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (o *output) Write(p []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.text.Write(p)
+}
+
+func (o *output) String() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.text.String()
 }
 
 // backend is an engine with the proxy before it.
