--- a/pkg/gateway/backends/pick.go
+++ b/pkg/gateway/backends/pick.go
@@ -134,32 +134,37 @@
 	}, considered
 }
 
+// told returns the last word of the holder of the lease, or a zero value if it is too old.
+func (m *member) told(now time.Time) Assignment {
+	if now.Before(m.assignedUntil) {
+		return m.assigned
+	}
+	return Assignment{}
+}
+
 // isLoading reports whether the engine takes new weights.
 func (m *member) isLoading(now time.Time) bool {
-	return now.Before(m.loadingUntil) || m.assigned.Loading && now.Before(m.assignedUntil)
+	return now.Before(m.loadingUntil) || m.told(now).Loading
 }
 
 // isDown reports whether other nodes, or this one, cannot connect to the backend server.
 func (m *member) isDown(now time.Time) bool {
-	return now.Before(m.unreachableUntil) || m.assigned.Down && now.Before(m.assignedUntil)
+	return now.Before(m.unreachableUntil) || m.told(now).Down
+}
+
+// isPaused reports whether requests should go elsewhere if they can.
+func (m *member) isPaused(now time.Time) bool {
+	return now.Before(m.pausedUntil) || !m.doubtedAt.IsZero() || m.isDown(now)
 }
 
 // running returns the number of running requests that this node knows of.
 func (m *member) running(now time.Time) int {
-	own := m.long + m.short
-	if now.Before(m.assignedUntil) {
-		return max(own, m.assigned.Long+m.assigned.Short)
-	}
-	return own
+	told := m.told(now)
+	return max(m.long+m.short, told.Long+told.Short)
 }
 
 // runningLong returns the number of long requests that this node knows of.
-func (m *member) runningLong(now time.Time) int {
-	if now.Before(m.assignedUntil) {
-		return max(m.long, m.assigned.Long)
-	}
-	return m.long
-}
+func (m *member) runningLong(now time.Time) int { return max(m.long, m.told(now).Long) }
 
 // forLong takes an engine that is assigned to long requests. Those with the newest weights are filled
 // first: long requests keep an engine from taking newer weights.
@@ -167,7 +172,7 @@
 	var assigned []*member
 	newest := 0
 	for _, m := range candidates {
-		if now.Before(m.assignedUntil) && m.assigned.TakesLong {
+		if m.told(now).TakesLong {
 			assigned = append(assigned, m)
 			newest = max(newest, m.version(q.Model))
 		}
@@ -196,7 +201,7 @@
 // prompts in a row make a pause in a long stream.
 func apartFromLong(candidates []*member, now time.Time) (apart, takers []*member) {
 	for _, m := range candidates {
-		if m.assigned.TakesLong && now.Before(m.assignedUntil) {
+		if m.told(now).TakesLong {
 			takers = append(takers, m)
 		} else {
 			apart = append(apart, m)
@@ -223,7 +228,7 @@
 			c.Tried++
 		case q.Model != "" && (m.version(q.Model) == 0 || m.version(q.Model) < q.MinVersion):
 			c.OldWeights++
-		case now.Before(m.pausedUntil) || !m.doubtedAt.IsZero() || m.isDown(now):
+		case m.isPaused(now):
 			c.Paused++
 			paused = append(paused, m)
 		default:
@@ -333,8 +338,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, m := range r.members {
-		if m.short32 == short && m.version(model) == version && !m.Leaving && !m.isLoading(now) &&
-			now.After(m.pausedUntil) && m.doubtedAt.IsZero() && !m.isDown(now) {
+		if m.short32 == short && m.version(model) == version && !m.Leaving && !m.isLoading(now) && !m.isPaused(now) {
 			return m.Address
 		}
 	}
--- a/pkg/gateway/cachemap/cachemap.go
+++ b/pkg/gateway/cachemap/cachemap.go
@@ -135,20 +135,24 @@
 	m.recent[e.Key] = p
 }
 
-// SetStore notes the store's present run. 0 means that it is down.
-func (m *Map) SetStore(epoch int64) {
+// SetStore notes the store's present run, 0 if it is down, and returns the one before.
+func (m *Map) SetStore(epoch int64) (before int64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.epoch = epoch
+	before, m.epoch = m.epoch, epoch
+	return before
 }
 
-// StoreUp reports whether the store is believed to answer.
-func (m *Map) StoreUp() bool {
+// Store returns the store's present run, or 0 if it is down or not known.
+func (m *Map) Store() int64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.epoch != 0
+	return m.epoch
 }
 
+// StoreUp reports whether the store is believed to answer.
+func (m *Map) StoreUp() bool { return m.Store() != 0 }
+
 // Found is what the map knows of a prefix.
 type Found struct {
 	// Engine has read the prefix a short time ago, if Held is set.
--- a/pkg/gateway/exchange/conn.go
+++ b/pkg/gateway/exchange/conn.go
@@ -123,8 +123,8 @@
 	}
 }
 
-// Sweep ends connections whose idle time is over and returns the number of those left.
-func (p *Pool) Sweep(now time.Time) int {
+// Sweep ends connections whose idle time is over.
+func (p *Pool) Sweep(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	kept := p.idle[:0]
@@ -136,11 +136,10 @@
 		c.Conn.Close()
 	}
 	p.idle = kept
-	return len(kept)
 }
 
-// get returns the connection that was used last, or a new one. reused tells which.
-func (p *Pool) get(ctx context.Context) (c *conn, reused bool, err error) {
+// get returns the connection that was used last, or a new one.
+func (p *Pool) get(ctx context.Context) (*conn, error) {
 	now := time.Now()
 	for {
 		c := p.pop()
@@ -148,18 +147,18 @@
 			break
 		}
 		if now.Sub(c.idleSince) < c.idleTimeout && c.clean() {
-			return c, true, nil
+			return c, nil
 		}
 		c.Conn.Close()
 	}
 	raw, err := Dial(ctx, p.address, DialTimeout)
 	if err != nil {
-		return nil, false, err
+		return nil, err
 	}
 	p.mu.Lock()
 	p.dialed++
 	p.mu.Unlock()
-	return newConn(raw), false, nil
+	return newConn(raw), nil
 }
 
 func (p *Pool) pop() *conn {
--- a/pkg/gateway/exchange/exchange.go
+++ b/pkg/gateway/exchange/exchange.go
@@ -37,10 +37,8 @@
 // Error is a failed exchange.
 type Error struct {
 	// Sent is set if any byte of the request may have reached the server.
-	Sent bool
-	// Reused is set if the request was sent on a connection that had served another one.
-	Reused bool
-	cause  error
+	Sent  bool
+	cause error
 }
 
 // Error returns the cause.
@@ -127,7 +125,7 @@
 // Do sends a request once and returns the answer that mine accepts. The end of ctx ends the
 // exchange and closes the connection. Errors are of type *Error.
 func Do(ctx context.Context, p *Pool, q Request, mine func(http.Header) bool) (*Response, error) {
-	c, reused, err := p.get(ctx)
+	c, err := p.get(ctx)
 	if err != nil {
 		return nil, &Error{cause: err}
 	}
@@ -135,7 +133,7 @@
 	fail := func(err error) (*Response, error) {
 		stop()
 		c.Conn.Close()
-		return nil, &Error{Sent: true, Reused: reused, cause: err}
+		return nil, &Error{Sent: true, cause: err}
 	}
 	writer, err := send(c, q)
 	if err != nil {
--- a/pkg/gateway/forward/job.go
+++ b/pkg/gateway/forward/job.go
@@ -155,11 +155,9 @@
 			return c
 		}
 		j.noteNoBackend(considered)
-		if len(j.tried) > 0 {
+		if j.runs == 0 {
 			// A server that refused may take the request now.
-			if j.runs == 0 {
-				query.Exclude = nil
-			}
+			query.Exclude = nil
 		}
 		patience := j.route.Objective / 8
 		if j.router.opt.Backends.Loading(j.service, now) {
--- a/pkg/gateway/forward/router.go
+++ b/pkg/gateway/forward/router.go
@@ -99,7 +99,7 @@
 		r.reject(w, q, request.ID, http.StatusBadRequest, err.Error())
 		return
 	}
-	route := config.Match(hostOf(q), q.URL.EscapedPath())
+	route := config.Match(q.Host, q.URL.EscapedPath())
 	if route == nil {
 		r.reject(w, q, request.ID, http.StatusNotFound, "no route for this host and path")
 		return
@@ -152,8 +152,6 @@
 // engineGrace lets a backend server's own answer at its deadline arrive before the node gives up.
 const engineGrace = 40 * time.Millisecond
 
-func hostOf(q *http.Request) string { return q.Host }
-
 // errTooLarge is the cause of a refused body.
 var errTooLarge = errors.New("the body is over the limit of the configuration")
 
--- a/pkg/gateway/node/board.go
+++ b/pkg/gateway/node/board.go
@@ -54,13 +54,7 @@
 var _ peers.Board = (*board)(nil)
 
 // Loads implements peers.Board.
-func (b *board) Loads() []peers.Load {
-	var loads []peers.Load
-	for _, l := range b.node.registry.Loads(time.Now()) {
-		loads = append(loads, peers.Load{Backend: l.Backend, Long: l.Long, Short: l.Short, Unreachable: l.Unreachable})
-	}
-	return loads
-}
+func (b *board) Loads() []backends.Load { return b.node.registry.Loads(time.Now()) }
 
 // Revisions implements peers.Board.
 func (b *board) Revisions() []peers.Revision {
@@ -80,18 +74,12 @@
 }
 
 // Word implements peers.Board.
-func (b *board) Word(nodes int, total []peers.Load) peers.Word {
-	loads := map[string]backends.Load{}
-	for _, l := range total {
-		loads[l.Backend] = backends.Load{Backend: l.Backend, Long: l.Long, Short: l.Short, Unreachable: l.Unreachable}
+func (b *board) Word(nodes int, total map[string]backends.Load) peers.Word {
+	w := peers.Word{
+		Nodes: nodes, Fresh: b.Fresh(), CacheEpoch: b.node.prefixes.Store(),
+		Assignments: b.node.registry.Assignments(total, time.Now()),
 	}
-	w := peers.Word{Nodes: nodes, Fresh: b.Fresh(), CacheEpoch: b.node.cacheEpoch.Load()}
 	w.Lease, w.LeaseVersion = b.node.controller.Lease()
-	for id, a := range b.node.registry.Assignments(loads, time.Now()) {
-		w.Assignments = append(w.Assignments, peers.Assignment{
-			Backend: id, Long: a.Long, Short: a.Short, Loading: a.Loading, TakesLong: a.TakesLong, Down: a.Down,
-		})
-	}
 	for id, models := range b.node.registry.Learned() {
 		for _, m := range models {
 			w.Versions = append(w.Versions, peers.Version{Backend: id, Model: m.Name, Version: m.Version})
@@ -109,15 +97,10 @@
 	}
 	b.node.budget.SetNodes(w.Nodes)
 	b.node.controller.Sighted(w.Lease, w.LeaseVersion, time.Now())
-	taken := make(map[string]backends.Assignment, len(w.Assignments))
-	for _, a := range w.Assignments {
-		taken[a.Backend] = backends.Assignment{Long: a.Long, Short: a.Short, Loading: a.Loading, TakesLong: a.TakesLong, Down: a.Down}
-	}
-	b.node.registry.Assign(taken, time.Now())
+	b.node.registry.Assign(w.Assignments, time.Now())
 	for _, v := range w.Versions {
 		b.node.registry.Learn(v.Backend, v.Model, v.Version)
 	}
-	b.node.cacheEpoch.Store(w.CacheEpoch)
 	b.node.prefixes.SetStore(w.CacheEpoch)
 }
 
--- a/pkg/gateway/node/cachestore.go
+++ b/pkg/gateway/node/cachestore.go
@@ -38,9 +38,8 @@
 		if err != nil {
 			epoch, next = 0, 0
 		}
-		if old := n.cacheEpoch.Swap(epoch); old != epoch {
+		if old := n.prefixes.SetStore(epoch); old != epoch {
 			event.CacheStoreChanged.Note(n.opt.Logger, "epoch", epoch, "before", old, "error", errorText(err))
-			n.prefixes.SetStore(epoch)
 			n.link.Announce()
 		}
 		since = next
--- a/pkg/gateway/node/node.go
+++ b/pkg/gateway/node/node.go
@@ -96,8 +96,6 @@
 	mirrors  []*mirror.Mirror
 	fetcher  *peers.Fetcher
 	prefixes *cachemap.Map
-	// cacheEpoch names the present run of the store of kept KV cache, 0 while it is down.
-	cacheEpoch atomic.Int64
 	// controller and link are set by connect.
 	controller *weights.Controller
 	board      *board
--- a/pkg/gateway/peers/link.go
+++ b/pkg/gateway/peers/link.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"cassiawall.example/cassiawall/pkg/event"
+	"cassiawall.example/cassiawall/pkg/gateway/backends"
 	"cassiawall.example/cassiawall/pkg/wait"
 )
 
@@ -42,15 +43,16 @@
 // Board is what a link reads and writes for its node.
 type Board interface {
 	// Loads returns this node's running requests.
-	Loads() []Load
+	Loads() []backends.Load
 	// Prefixes returns and forgets this node's news of cached prefixes; Merge takes those of other
 	// nodes, to be passed on if this node holds the lease.
 	Prefixes() []byte
 	Merge(prefixes []byte, passOn bool)
 	// Revisions returns those of this node's mirrors.
 	Revisions() []Revision
-	// Word returns the word of a node that holds the lease, from the loads of all nodes.
-	Word(nodes int, total []Load) Word
+	// Word returns the word of a node that holds the lease, from the loads of all nodes by the IDs of
+	// the backend servers.
+	Word(nodes int, total map[string]backends.Load) Word
 	// Take applies the word of the holder.
 	Take(w Word)
 	// Fresh reports whether this node follows the platform's store closely.
@@ -102,7 +104,7 @@
 // report is another node's last report.
 type report struct {
 	at    time.Time
-	loads []Load
+	loads []backends.Load
 }
 
 // Listen returns a link that is bound to its address.
@@ -177,7 +179,7 @@
 func (l *Link) announce() {
 	now := time.Now()
 	l.mu.Lock()
-	total := map[string]Load{}
+	total := map[string]backends.Load{}
 	add(total, l.opt.Board.Loads())
 	var to []string
 	for address, r := range l.reports {
@@ -193,11 +195,7 @@
 	listPeers := l.sent%peersEvery == 0
 	nodes := l.nodes
 	l.mu.Unlock()
-	loads := make([]Load, 0, len(total))
-	for _, x := range total {
-		loads = append(loads, x)
-	}
-	word := l.opt.Board.Word(nodes, loads)
+	word := l.opt.Board.Word(nodes, total)
 	word.Deputies = spread(to, deputyCount)
 	l.mu.Lock()
 	l.deputies = word.Deputies
@@ -212,7 +210,7 @@
 	l.send(m, to...)
 }
 
-func add(total map[string]Load, loads []Load) {
+func add(total map[string]backends.Load, loads []backends.Load) {
 	for _, x := range loads {
 		t := total[x.Backend]
 		t.Backend = x.Backend
--- a/pkg/gateway/peers/message.go
+++ b/pkg/gateway/peers/message.go
@@ -9,29 +9,9 @@
 	"fmt"
 
 	"github.com/vmihailenco/msgpack/v5"
-)
-
-// Load is the number of requests at one backend server.
-type Load struct {
-	Backend string
-	// Long and Short count running requests by their expected time.
-	Long, Short int
-	// Unreachable is the number of nodes that cannot connect to it.
-	Unreachable int
-}
 
-// Assignment is what the holder of the lease says of one engine.
-type Assignment struct {
-	Backend string
-	// Long and Short are the running requests of all nodes.
-	Long, Short int
-	// Loading is set while the engine takes new weights.
-	Loading bool
-	// TakesLong is set if the engine should get requests that run for long.
-	TakesLong bool
-	// Down is set if several nodes cannot connect to it.
-	Down bool
-}
+	"cassiawall.example/cassiawall/pkg/gateway/backends"
+)
 
 // Version is a version of a model's weights that an engine has and its listing may lack.
 type Version struct {
@@ -51,7 +31,7 @@
 	Reply, Answer, Fresh bool
 	// Revisions are those of the sender's mirrors, by kind.
 	Revisions []Revision
-	Loads     []Load
+	Loads     []backends.Load
 	// Prefixes are encoded entries of a cachemap.
 	Prefixes []byte
 	Word     Word
@@ -62,8 +42,9 @@
 // Word is what the holder of the lease tells all nodes.
 type Word struct {
 	// Nodes is the number of nodes that report to the holder, with itself.
-	Nodes       int
-	Assignments []Assignment
+	Nodes int
+	// Assignments are by the IDs of the backend servers.
+	Assignments map[string]backends.Assignment
 	Versions    []Version
 	// Lease is the holder's lease in stored form, and LeaseVersion its version in the store.
 	Lease        []byte
--- a/pkg/gateway/peers/peers_test.go
+++ b/pkg/gateway/peers/peers_test.go
@@ -12,16 +12,17 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"cassiawall.example/cassiawall/pkg/gateway/backends"
 	"cassiawall.example/cassiawall/pkg/gateway/mirror"
 )
 
 // fakeBoard notes what a link brings.
 type fakeBoard struct {
 	mu       sync.Mutex
-	loads    []Load
+	loads    []backends.Load
 	prefixes []byte
 	merged   []byte
-	total    []Load
+	total    map[string]backends.Load
 	word     Word
 	behind   map[string]string
 	revision int64
@@ -43,7 +44,7 @@
 	return b.covered
 }
 
-func (b *fakeBoard) Loads() []Load { return b.loads }
+func (b *fakeBoard) Loads() []backends.Load { return b.loads }
 
 func (b *fakeBoard) Prefixes() []byte {
 	b.mu.Lock()
@@ -64,11 +65,11 @@
 
 func (b *fakeBoard) Revisions() []Revision { return []Revision{{Kind: "k", Revision: b.revision}} }
 
-func (b *fakeBoard) Word(nodes int, total []Load) Word {
+func (b *fakeBoard) Word(nodes int, total map[string]backends.Load) Word {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.total = total
-	return Word{Nodes: nodes, Fresh: true, Assignments: []Assignment{{Backend: "e", Long: 3, TakesLong: true}}, Versions: []Version{{Backend: "e", Model: "m", Version: 2}}}
+	return Word{Nodes: nodes, Fresh: true, Assignments: map[string]backends.Assignment{"e": {Long: 3, TakesLong: true}}, Versions: []Version{{Backend: "e", Model: "m", Version: 2}}}
 }
 
 func (b *fakeBoard) Take(w Word) {
@@ -99,8 +100,8 @@
 	holder := address(t)
 	boards := []*fakeBoard{
 		{revision: 9},
-		{loads: []Load{{Backend: "e", Long: 1, Short: 2}}},
-		{loads: []Load{{Backend: "e", Long: 2, Unreachable: 1}}},
+		{loads: []backends.Load{{Backend: "e", Long: 1, Short: 2}}},
+		{loads: []backends.Load{{Backend: "e", Long: 2, Unreachable: 1}}},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -135,7 +136,7 @@
 	boards[1].prefixes = []byte("12345678")
 	boards[1].mu.Unlock()
 	boards[0].mu.Lock()
-	assert.Equal(t, Load{Backend: "e", Long: 3, Short: 2, Unreachable: 1}, boards[0].total[0])
+	assert.Equal(t, backends.Load{Backend: "e", Long: 3, Short: 2, Unreachable: 1}, boards[0].total["e"])
 	boards[0].mu.Unlock()
 	for _, b := range boards[1:] {
 		b.mu.Lock()
@@ -213,7 +214,7 @@
 
 // Guards against datagrams of another writer that stop the link.
 func FuzzDecode(f *testing.F) {
-	good, err := encode(&message{From: "a", Holder: true, Loads: []Load{{Backend: "e"}}, Word: Word{Nodes: 2}})
+	good, err := encode(&message{From: "a", Holder: true, Loads: []backends.Load{{Backend: "e"}}, Word: Word{Nodes: 2}})
 	require.NoError(f, err)
 	f.Add(good)
 	f.Add([]byte{})
--- a/pkg/gateway/routes/routes.go
+++ b/pkg/gateway/routes/routes.go
@@ -93,12 +93,11 @@
 	Isolated bool
 }
 
-// Limits bound what callers may send. Zero means that a limit is not set.
+// Limits bound what callers may send. The node's own limits of headers and idle connections are above those of
+// any configuration.
 type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	// BodyBytes bounds a body; 0 means that no limit is set.
+	BodyBytes int64
 }
 
 // Config is one version of the configuration.
--- a/test/soak/checks_test.go
+++ b/test/soak/checks_test.go
@@ -67,12 +67,8 @@
 	if len(runs) > 1 && (s.ask.Kind == standin.Unsafe || s.ask.Kind == standin.Stream) {
 		f.find("%s ran %d times, on %s and %s", s.ask.ID, len(runs), runs[0].Engine, runs[1].Engine)
 	}
-	path := s.ask.Path
-	if path == "" {
-		path = standin.Path(s.ask.Kind, s.ask.ID)
-	}
 	for _, r := range runs {
-		if r.Target != path || r.Body != s.ask.Body {
+		if r.Target != s.ask.Target() || r.Body != s.ask.Body {
 			f.find("%s reached engine %s changed: %s %s %q", s.ask.ID, r.Engine, r.Method, r.Target, r.Body)
 		}
 		if r.Tenant != s.tenant || r.Key != "" {
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -88,10 +88,7 @@
 
 func toStore(mode proxyMode) func(*fleet, int, time.Duration) {
 	return func(f *fleet, target int, length time.Duration) {
-		p := f.members[target%nodeCount].toStore
-		p.set(mode)
-		time.Sleep(length)
-		p.set(passing)
+		f.members[target%nodeCount].toStore.harm(mode, length)
 	}
 }
 
@@ -104,12 +101,7 @@
 }
 
 func toEngine(mode proxyMode) func(*fleet, int, time.Duration) {
-	return func(f *fleet, target int, length time.Duration) {
-		p := f.backend(target).proxy
-		p.set(mode)
-		time.Sleep(length)
-		p.set(passing)
-	}
+	return func(f *fleet, target int, length time.Duration) { f.backend(target).proxy.harm(mode, length) }
 }
 
 func engineFault(x standin.EngineFaults) func(*fleet, int, time.Duration) {
--- a/test/soak/proxy_test.go
+++ b/test/soak/proxy_test.go
@@ -59,6 +59,13 @@
 	p.changed = make(chan struct{})
 }
 
+// harm keeps a mode for a time.
+func (p *proxy) harm(mode proxyMode, length time.Duration) {
+	p.set(mode)
+	time.Sleep(length)
+	p.set(passing)
+}
+
 // reset breaks all connections.
 func (p *proxy) reset() {
 	p.mu.Lock()
