Wait longer for peers that the VM list or the settings name

Cause of the two known failing tests: a starting node read the VM list after its first gossip tick. The tick had already postponed the next seed probe by 0.5 to 1.5 s, and the seeds were refreshed only once a second, so under load no peer was found within PeerDiscoveryTimeout (2 s). The node then served with the object API's configuration, which may be a stale read, and without cached prefixes.

New seeds of an isolated node are now probed at the next tick, and a node whose VM list or settings name other nodes waits 8 s for them (four seed probes and a round of calls). A node also no longer counts as alone before the VM list was read.

New tests TestLateSeedsAreProbedAtOnce and TestListedPeersAreAwaited; the former fails on the code before.

--- a/pkg/configsync/configsync.go
+++ b/pkg/configsync/configsync.go
@@ -148,9 +148,15 @@
 	return 0
 }
 
-// PeerDiscoveryTimeout is how long a starting node waits for a peer to respond before it serves with
-// the configuration from the object API alone. Gossip discovers peers within about a second.
-const PeerDiscoveryTimeout = 2 * time.Second
+const (
+	// PeerDiscoveryTimeout is how long a starting node without known seeds waits for a peer to respond
+	// before it serves with the configuration from the object API alone.
+	PeerDiscoveryTimeout = 2 * time.Second
+	// ListedPeerTimeout replaces PeerDiscoveryTimeout while the VM list or the settings name other nodes.
+	// The object API may return an older configuration than these nodes have. The timeout covers four
+	// probes of seeds, which are at most 1.5 s apart, and a round of calls to peers.
+	ListedPeerTimeout = 8 * time.Second
+)
 
 // Startup is the progress of a starting node towards a configuration to serve with.
 type Startup struct {
@@ -163,13 +169,15 @@
 	PeersWithConfig int
 	// StoreResponded is set once the object API has responded, even if it holds no configuration.
 	StoreResponded bool
+	// PeersListed is set while the VM list or the settings name other nodes.
+	PeersListed bool
 	// RequestsPending is set while requests of the current round are in progress.
 	RequestsPending bool
 }
 
 // Ready reports whether the node can serve: it has the highest version offered by the peers and
 // the object API that responded. Without a configuration from a peer it needs a response of the object API
-// and either a response of a peer or the end of PeerDiscoveryTimeout.
+// and either a response of a peer or the end of the time for which it waits for peers.
 func (s Startup) Ready(now time.Time) bool {
 	if s.InForce == 0 || s.RequestsPending {
 		return false
@@ -177,5 +185,13 @@
 	if s.PeersWithConfig > 0 {
 		return true
 	}
-	return s.StoreResponded && (s.PeersResponded > 0 || now.Sub(s.Started) >= PeerDiscoveryTimeout)
+	return s.StoreResponded && (s.PeersResponded > 0 || now.Sub(s.Started) >= PeerTimeout(s.PeersListed))
+}
+
+// PeerTimeout returns how long a starting node waits for its peers.
+func PeerTimeout(peersListed bool) time.Duration {
+	if peersListed {
+		return ListedPeerTimeout
+	}
+	return PeerDiscoveryTimeout
 }
--- a/pkg/configsync/configsync_test.go
+++ b/pkg/configsync/configsync_test.go
@@ -102,6 +102,8 @@
 		"requests to others pending":                       {Startup{InForce: 3, PeersResponded: 2, PeersWithConfig: 1, RequestsPending: true}, 0, false},
 		"only the API responded, before the peer timeout":  {Startup{InForce: 3, StoreResponded: true}, PeerDiscoveryTimeout - 1, false},
 		"only the API responded, after the peer timeout":   {Startup{InForce: 3, StoreResponded: true}, PeerDiscoveryTimeout, true},
+		"only the API responded, peers are listed":         {Startup{InForce: 3, StoreResponded: true, PeersListed: true}, ListedPeerTimeout - 1, false},
+		"listed peers did not respond in time":             {Startup{InForce: 3, StoreResponded: true, PeersListed: true}, ListedPeerTimeout, true},
 		"API and a peer without a configuration responded": {Startup{InForce: 3, StoreResponded: true, PeersResponded: 1}, 0, true},
 		"no responses": {Startup{InForce: 3}, time.Hour, false},
 	} {
--- a/pkg/controller/configwatch/bootstrap.go
+++ b/pkg/controller/configwatch/bootstrap.go
@@ -45,7 +45,7 @@
 func (c *Controller) checkReady() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.startup.InForce = c.version()
+	c.startup.InForce, c.startup.PeersListed = c.version(), c.options.PeersListed()
 	c.ready = c.startup.Ready(c.options.Now())
 	return c.ready
 }
--- a/pkg/controller/configwatch/configwatch.go
+++ b/pkg/controller/configwatch/configwatch.go
@@ -58,6 +58,9 @@
 	// OnPrefixes receives the prefix index entries of bootstrap replies: which engine has which
 	// prefix cached. Default: they are discarded.
 	OnPrefixes func([]*peerpb.SoftPrefix)
+	// PeersListed reports whether the VM list or the settings name other nodes, for which a starting
+	// node then waits longer. Default: they do not.
+	PeersListed func() bool
 	// Logger is the logger of configuration events. Default: slog.Default().
 	Logger *slog.Logger
 	// Metrics is the registry of the counters config_*. Default: a new registry.
@@ -99,6 +102,9 @@
 	if options.Rand == nil {
 		options.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
+	if options.PeersListed == nil {
+		options.PeersListed = func() bool { return false }
+	}
 	if options.OnPrefixes == nil {
 		options.OnPrefixes = func([]*peerpb.SoftPrefix) {}
 	}
--- a/pkg/controller/configwatch/configwatch_test.go
+++ b/pkg/controller/configwatch/configwatch_test.go
@@ -258,6 +258,39 @@
 	})
 }
 
+// Guards against a starting node that serves an older configuration, which the object API returns as a stale
+// read, because gossip finds the listed peers only after seconds, as on a machine under load.
+func TestListedPeersAreAwaited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3)
+		defer c.stop()
+		first := c.apply(0, "a")
+		time.Sleep(10 * time.Second)
+		second := c.apply(first, "a", "b")
+		time.Sleep(10 * time.Second)
+		require.Equal(t, map[uint64]int{second: 3}, c.versions())
+		c.store.SetFaults(standin.Faults{StaleReadShare: 1, StaleWatchShare: 1})
+		const discoveryDelay = 5 * time.Second
+		board := blackboard.New()
+		restarted := New(Options{
+			Name: "restarted", DataCentre: "dc0", Region: "r", Board: board, Store: c.store, PeersListed: func() bool { return true },
+			Peers:  func(address string) peerpb.Peer { return clusterPeer{cluster: c, name: address} },
+			Logger: slog.New(slog.DiscardHandler), Rand: rand.New(rand.NewPCG(9, 1)),
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() { _ = restarted.Run(ctx) }()
+		for range discoveryDelay / time.Second {
+			time.Sleep(time.Second)
+			assert.False(t, restarted.Ready() && restarted.version() < second, "ready with version %d", restarted.version())
+		}
+		board.Members.Put("n0", blackboard.MemberEntry{Name: "n0", RPCAddress: "n0", DataCentre: "dc0", Region: "r", State: blackboard.MemberAlive}, blackboard.Evidence{})
+		time.Sleep(3 * time.Second)
+		assert.True(t, restarted.Ready())
+		assert.Equal(t, second, restarted.version())
+	})
+}
+
 // Guards against an operator's change that is silently overwritten by another operator's, when both
 // are based on the same version.
 func TestApplyConflictListsChanges(t *testing.T) {
--- a/pkg/controller/discovery/discovery.go
+++ b/pkg/controller/discovery/discovery.go
@@ -52,6 +52,8 @@
 	nodeAddresses []string
 	// listUnavailable is set while reads of the VM list fail, so that a failure is logged once.
 	listUnavailable bool
+	// listRead is set once the VM list has been read.
+	listRead bool
 }
 
 // listedVM is a VM and the number of consecutive latest lists without it.
@@ -110,6 +112,16 @@
 	}
 	c.listUnavailable = false
 	c.ApplyList(now, list)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.listRead = true
+}
+
+// ListRead reports whether the VM list has been read since the start, or none is configured.
+func (c *Controller) ListRead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.listRead || c.opt.VMs == nil
 }
 
 func (c *Controller) recordListFailure(ctx context.Context, err error) {
--- a/pkg/controller/gossip/gossip.go
+++ b/pkg/controller/gossip/gossip.go
@@ -55,7 +55,8 @@
 	RPCAddress string
 	Transport  Transport
 	Board      *blackboard.Board
-	// Seeds returns gossip addresses of nodes that may exist. It is called once a second.
+	// Seeds returns gossip addresses of nodes that may exist. It is called once a second, and at each
+	// tick while no other member is live.
 	// Default: none.
 	Seeds func() []string
 	// Logger is the logger of membership events. Default: slog.Default().
@@ -183,8 +184,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.options.Now()
-	if c.ticks%importIntervalTicks == 0 {
+	if c.ticks%importIntervalTicks == 0 || c.machine.Live() == 1 {
+		// A starting node learns the seeds from the VM list, which may be read after the first tick.
 		c.machine.SetSeeds(c.options.Seeds())
+	}
+	if c.ticks%importIntervalTicks == 0 {
 		c.importMembers(ctx, now)
 		c.removeExpiredSummaries(now)
 	}
--- a/pkg/controller/gossip/gossip_test.go
+++ b/pkg/controller/gossip/gossip_test.go
@@ -160,6 +160,34 @@
 	})
 }
 
+// Guards against a starting node that reads the VM list after its first tick and then probes the seeds only
+// more than a second later. It would be ready without its peers' state.
+func TestLateSeedsAreProbedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network, nodes := startNodes(t, 3)
+		defer stopNodes(nodes)
+		time.Sleep(10 * time.Second)
+		const listDelay, limit = 150 * time.Millisecond, 500 * time.Millisecond
+		ctx, cancel := context.WithCancel(t.Context())
+		startedAt := time.Now()
+		late := &testNode{board: blackboard.New(), cancel: cancel}
+		late.Controller = New(Options{
+			Name: "late", DataCentre: "dc0", Region: "r", RPCAddress: "rpc", Transport: network.newTransport("late"), Board: late.board,
+			Logger: slog.New(slog.DiscardHandler), Rand: rand.New(rand.NewPCG(9, 1)),
+			Seeds: func() []string {
+				if time.Since(startedAt) < listDelay {
+					return nil
+				}
+				return []string{"late", "g0"}
+			},
+		})
+		go func() { _ = late.Run(ctx) }()
+		defer stopNodes([]*testNode{late})
+		time.Sleep(limit)
+		assert.GreaterOrEqual(t, countLive(late), 2)
+	})
+}
+
 func summaryEntry(owner string, running int) blackboard.SummaryEntry {
 	return blackboard.SummaryEntry{
 		Owner: owner, Incarnation: "i1", Model: "m", WeightsVersion: "w1", Running: running,
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -12,6 +12,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"cassiawall.example/cassiawall/pkg/blackboard"
@@ -251,8 +252,15 @@
 // Refutations returns how many reports of itself as suspected, dead or left this node has refuted.
 func (m *Machine) Refutations() int { return m.refutations }
 
-// SetSeeds replaces the addresses that this node probes to find nodes that are not yet members.
-func (m *Machine) SetSeeds(addresses []string) { m.seeds = addresses }
+// SetSeeds replaces the addresses that this node probes to find nodes that are not yet members. If no other
+// member is live and an address is new, the next tick probes a seed.
+func (m *Machine) SetSeeds(addresses []string) {
+	isNew := func(address string) bool { return !slices.Contains(m.seeds, address) }
+	if m.live == 1 && slices.ContainsFunc(addresses, isNew) {
+		m.nextSeed = time.Time{}
+	}
+	m.seeds = addresses
+}
 
 // SetConfigVersion raises the configuration version that this node announces. A lower version is
 // ignored. Every message carries the version; in a fleet of up to 64 nodes it is also gossiped as
--- a/pkg/node/assemble.go
+++ b/pkg/node/assemble.go
@@ -96,7 +96,7 @@
 	})
 	n.config = configwatch.New(configwatch.Options{
 		Name: s.Name, DataCentre: s.DataCentre, Region: s.Region, Board: n.board, Store: n.store, Peers: n.pool.Client,
-		OnPrefixes: n.importPrefixes, Logger: n.opt.Logger, Metrics: n.metrics,
+		OnPrefixes: n.importPrefixes, PeersListed: n.peersListed, Logger: n.opt.Logger, Metrics: n.metrics,
 	})
 	n.limiter = limits.NewLimiter()
 	n.metrics.GaugeFunc("limits_live_nodes", func() float64 { return float64(n.limiter.LiveNodes()) })
--- a/pkg/node/ready.go
+++ b/pkg/node/ready.go
@@ -7,6 +7,7 @@
 
 	"cassiawall.example/cassiawall/pkg/blackboard"
 	"cassiawall.example/cassiawall/pkg/config"
+	"cassiawall.example/cassiawall/pkg/configsync"
 	"cassiawall.example/cassiawall/pkg/limits"
 	"cassiawall.example/cassiawall/pkg/routing"
 )
@@ -16,13 +17,10 @@
 	// engineReadyTimeout bounds the wait for an engine of each model, so that a model without
 	// engines does not prevent the others from being served.
 	engineReadyTimeout = 5 * time.Second
-	// joinTimeout bounds the wait for the first other member. A restarted node restores its state,
-	// such as the prefix index, from peers; the first node of a fleet has none.
-	joinTimeout = 2 * time.Second
 )
 
-// waitReady waits until a configuration is in force, another member is alive (for joinTimeout at most)
-// and the models of the configuration have engines (for engineReadyTimeout at most), or until ctx ends
+// waitReady waits until a configuration is in force, another member is alive (for configsync.PeerTimeout
+// at most) and the models of the configuration have engines (for engineReadyTimeout at most), or until ctx ends
 // or Shutdown is called. Meanwhile connections of callers wait in the listener's backlog, so that none
 // is refused.
 func (n *Node) waitReady(ctx context.Context) {
@@ -35,7 +33,7 @@
 		if c != nil && configuredAt.IsZero() {
 			configuredAt = time.Now()
 		}
-		joined := n.joined() || time.Since(startedAt) > joinTimeout
+		joined := n.joined() || time.Since(startedAt) > configsync.PeerTimeout(n.peersListed())
 		if c != nil && joined && n.config.Ready() && (n.allModelsServed(c) || time.Since(configuredAt) > engineReadyTimeout) {
 			n.limiter.SetBudgets(limits.FromConfig(c))
 			return
@@ -49,15 +47,22 @@
 	}
 }
 
-// joined reports whether another member is alive, or no seed other than this node exists.
+// joined reports whether another member is alive, or no other node can exist: the VM list was read, and
+// neither it nor the settings name one. A restarted node restores its state, such as the prefix index, from
+// its peers.
 func (n *Node) joined() bool {
 	for name, m := range n.board.Members.Snapshot() {
 		if name != n.opt.Settings.Name && m.Value.State == blackboard.MemberAlive {
 			return true
 		}
 	}
+	return n.discovery.ListRead() && !n.peersListed()
+}
+
+// peersListed reports whether the VM list or the settings name other nodes.
+func (n *Node) peersListed() bool {
 	own := n.transport.Address()
-	return !slices.ContainsFunc(n.seeds(), func(address string) bool { return address != own })
+	return slices.ContainsFunc(n.seeds(), func(address string) bool { return address != own })
 }
 
 // allModelsServed reports whether all reachable engines have reported their state and each model has
