--- a/pkg/gateway/backends/assign.go
+++ b/pkg/gateway/backends/assign.go
@@ -2,25 +2,32 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
 
-// longSlotShare is the share of an engine's slots that long requests should fill. A smaller share spreads them
-// over more engines, each of which delays a rollout until they end. Above this share, slower decode steps cost
-// more than the delay by one more such engine.
-const longSlotShare = 0.9
-
-// minLongEngines is the minimum number of engines for long requests, so that one crash does not interrupt all
-// of them.
-const minLongEngines = 2
+const (
+	// minLongEngines is the minimum number of engines for long requests, so that one crash does not interrupt
+	// all of them.
+	minLongEngines = 2
+	// minLongShare is the minimum share of the engines for long requests, and longGrowth the factor by which
+	// they may increase before the next heartbeat. They answer the load of a large fleet: with two engines for
+	// all of its first long requests, hundreds would start there before the next assignment.
+	minLongShare = 0.1
+	longGrowth   = 1.3
+)
 
 // minDownReports is the number of nodes that must fail to connect to a backend server before all nodes avoid
 // it: a single node may itself have lost its network connection.
 const minDownReports = 2
 
-// targetLongRequests is the number of long requests that an engine with that many slots should run.
-func targetLongRequests(slots int) int { return max(1, int(longSlotShare*float64(slots))) }
+// targetLongRequests is the number of long requests that an engine with that many slots should run. Fewer
+// requests an engine occupy more engines, each of which delays a rollout until they end. The free slots are for
+// requests that start before the next heartbeat, whose number varies by about the square root of all.
+func targetLongRequests(slots int) int {
+	return max(1, slots-int(math.Ceil(math.Sqrt(float64(slots)))))
+}
 
 // engineLoad is an engine with the long requests of all nodes.
 type engineLoad struct {
@@ -42,11 +49,13 @@
 	for _, e := range engines {
 		total += e.long
 	}
+	minEngines := max(minLongEngines, int(minLongShare*float64(len(engines))))
 	selected := map[string]bool{}
 	capacity := 0
 	for _, e := range engines {
-		// The spare capacity of one engine is for long requests that start before the next assignment.
-		if capacity >= total+targetLongRequests(e.slots) && len(selected) >= minLongEngines {
+		// The spare capacity is for long requests that start before the next assignment.
+		spare := max(targetLongRequests(e.slots), int((longGrowth-1)*float64(total)))
+		if capacity >= total+spare && len(selected) >= minEngines {
 			break
 		}
 		selected[e.id] = true
--- a/pkg/gateway/backends/backends.go
+++ b/pkg/gateway/backends/backends.go
@@ -84,8 +84,7 @@
 	return max(m.Backend.version(model), m.observedVersions[model])
 }
 
-// Assignment is what the leader sends about one backend server. It is encoded as an array, so the order,
-// number and types of its fields are the format.
+// Assignment is what the leader decides about one backend server.
 type Assignment struct {
 	// Long and Short are the running requests of all nodes.
 	Long, Short int
@@ -117,11 +116,13 @@
 	mu        sync.Mutex
 	members   map[string]*member
 	byService map[string][]*member
+	// byHash holds the members by idHash.
+	byHash map[uint32]*member
 }
 
 // NewRegistry returns an empty registry of a node in dataCentre.
 func NewRegistry(dataCentre string) *Registry {
-	return &Registry{dataCentre: dataCentre, members: map[string]*member{}, byService: map[string][]*member{}}
+	return &Registry{dataCentre: dataCentre, members: map[string]*member{}, byService: map[string][]*member{}, byHash: map[uint32]*member{}}
 }
 
 // Put adds or replaces a backend server. If the server has restarted, its observed state is reset and its
@@ -141,7 +142,7 @@
 		r.removeLocked(old)
 	}
 	m := &member{Backend: b, rendezvousHash: rendezvous.Hash(b.ID), idHash: cachemap.EngineHash(b.ID), pool: exchange.NewPool(b.Address), observedVersions: map[string]int{}}
-	r.members[b.ID] = m
+	r.members[b.ID], r.byHash[m.idHash] = m, m
 	list := append(r.byService[b.Service], m)
 	slices.SortFunc(list, func(a, c *member) int { return cmp.Compare(a.ID, c.ID) })
 	r.byService[b.Service] = list
@@ -162,6 +163,9 @@
 
 func (r *Registry) removeLocked(m *member) {
 	delete(r.members, m.ID)
+	if r.byHash[m.idHash] == m {
+		delete(r.byHash, m.idHash)
+	}
 	r.byService[m.Service] = slices.DeleteFunc(slices.Clone(r.byService[m.Service]), func(other *member) bool { return other == m })
 	go m.pool.Close()
 }
@@ -234,7 +238,13 @@
 func (r *Registry) ObserveVersion(id, model string, version int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if m := r.members[id]; m != nil && version > m.version(model) {
+	if m := r.members[id]; m != nil {
+		m.observeVersion(model, version)
+	}
+}
+
+func (m *member) observeVersion(model string, version int) {
+	if version > m.version(model) {
 		m.observedVersions[model] = version
 	}
 }
@@ -294,7 +304,7 @@
 	return loads
 }
 
-// ApplyAssignments stores the assignments of a leader heartbeat.
+// ApplyAssignments stores the assignments of a heartbeat of an earlier version, by backend server ID.
 func (r *Registry) ApplyAssignments(assignments map[string]Assignment, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -305,14 +315,15 @@
 	}
 }
 
-// ObservedVersions returns, by engine ID, the versions of weights that the listings lack.
+// ObservedVersions returns, by engine ID, the versions of weights that neither the listings nor State have:
+// those of further models.
 func (r *Registry) ObservedVersions() map[string][]Model {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	observed := map[string][]Model{}
 	for id, m := range r.members {
 		for model, version := range m.observedVersions {
-			if version > m.Backend.version(model) {
+			if version > m.Backend.version(model) && (len(m.Models) == 0 || model != m.Models[0].Name) {
 				observed[id] = append(observed[id], Model{Name: model, Version: version})
 			}
 		}
--- a/pkg/gateway/backends/pick.go
+++ b/pkg/gateway/backends/pick.go
@@ -15,7 +15,7 @@
 	remoteFactor = 1.25
 	// affinityFactor is how many times more than another engine the preferred engine of a prefix must cost
 	// before the other is picked: fetching or recomputing the prefix delays all requests of an engine.
-	affinityFactor = 8.0
+	affinityFactor = 4.0
 	// longEngineFactor is how many times more an engine without long requests must cost before one with long
 	// requests is picked for a short request.
 	longEngineFactor = 30.0
@@ -32,6 +32,8 @@
 	PreferVersion int
 	// Affinity is the key of the request's shared prefix, or 0.
 	Affinity uint64
+	// HomeDataCentre is the data centre whose engines should serve the shared prefix, or "" for any.
+	HomeDataCentre string
 	// PrefixEngine is the cachemap.EngineHash of the engine that is assumed to have the prefix in memory, or
 	// 0.
 	PrefixEngine uint32
@@ -47,6 +49,9 @@
 	// Version is the version of the model's weights that the engine is assumed to have.
 	Version int
 	Pool    *exchange.Pool
+	// HomeAddress is the address of the preferred engine of the shared prefix if another one was picked, and
+	// that engine has the same version. Otherwise it is "".
+	HomeAddress string
 
 	// Counts describes the backend servers that were considered.
 	Counts CandidateCounts
@@ -106,7 +111,7 @@
 		return nil, counts
 	}
 	candidates = filterPreferred(q, candidates)
-	var best *member
+	var best, home *member
 	var longEngines []*member
 	if q.Model != "" && !q.Long {
 		candidates, longEngines = separateLong(candidates, now)
@@ -114,12 +119,12 @@
 	if q.Long && q.Model != "" {
 		best = r.pickForLong(q, candidates, now)
 	} else if q.Affinity != 0 {
-		best = r.pickByAffinity(q, candidates, now)
+		best, home = r.pickByAffinity(q, candidates, now)
 	} else {
-		best = r.pickCheapest(candidates, now)
+		best = r.pickCheapest(candidates, r.dataCentre, now)
 	}
 	if len(longEngines) > 0 {
-		if other := r.pickCheapest(longEngines, now); r.cost(best, now) > longEngineFactor*r.cost(other, now) {
+		if other := r.pickCheapest(longEngines, r.dataCentre, now); r.cost(best, now) > longEngineFactor*r.cost(other, now) {
 			best = other
 		}
 	}
@@ -132,10 +137,14 @@
 	if now.Before(best.assignmentExpiry) {
 		counts.HeartbeatAge = assignmentTTL - best.assignmentExpiry.Sub(now)
 	}
-	return &Choice{
+	choice := &Choice{
 		Backend: best.Backend, Version: best.version(q.Model), Pool: best.pool, Counts: counts,
 		registry: r, member: best, long: q.Long,
-	}, counts
+	}
+	if home != nil && home != best && home.version(q.Model) == choice.Version {
+		choice.HomeAddress = home.Address
+	}
+	return choice, counts
 }
 
 // currentAssignment returns the assignment of the last leader heartbeat, or a zero value if it has expired.
@@ -188,17 +197,15 @@
 			open = append(open, m)
 		}
 	}
-	switch {
-	case len(open) > 0:
-		assigned = open
-	case len(assigned) == 0:
-		assigned = candidates
+	if len(open) == 0 {
+		// All assigned engines are full, or none is: any other engine starts the request sooner.
+		return r.pickCheapest(candidates, r.dataCentre, now)
 	}
-	i, j := rand.IntN(len(assigned)), rand.IntN(len(assigned))
-	if assigned[j].runningLong(now) < assigned[i].runningLong(now) {
+	i, j := rand.IntN(len(open)), rand.IntN(len(open))
+	if open[j].runningLong(now) < open[i].runningLong(now) {
 		i = j
 	}
-	return assigned[i]
+	return open[i]
 }
 
 // separateLong separates the engines that are assigned to long requests from the others, if there are others.
@@ -285,16 +292,10 @@
 
 // pickCheapest compares two candidates drawn at random, which spreads the requests of many nodes better than
 // if all of them picked the same minimum. Up to three candidates are all compared. Candidates in the node's
-// data centre are preferred if there are several.
-func (r *Registry) pickCheapest(candidates []*member, now time.Time) *member {
+// preferred data centre come first if there are several.
+func (r *Registry) pickCheapest(candidates []*member, preferredDataCentre string, now time.Time) *member {
 	if len(candidates) > 2 {
-		local := make([]*member, 0, len(candidates))
-		for _, m := range candidates {
-			if m.DataCentre == r.dataCentre {
-				local = append(local, m)
-			}
-		}
-		if len(local) > 1 {
+		if local := inDataCentre(candidates, preferredDataCentre); len(local) > 1 {
 			candidates = local
 		}
 	}
@@ -317,25 +318,47 @@
 	return best
 }
 
-// pickByAffinity picks the preferred engine of a prefix, unless another is much cheaper. The preferred engine
-// is the one that has the prefix in memory, or else the first in rendezvous order.
-func (r *Registry) pickByAffinity(q Query, candidates []*member, now time.Time) *member {
-	var first *member
-	var firstScore uint64
+// inDataCentre returns the candidates in a data centre.
+func inDataCentre(candidates []*member, dataCentre string) []*member {
+	local := make([]*member, 0, len(candidates))
 	for _, m := range candidates {
+		if m.DataCentre == dataCentre {
+			local = append(local, m)
+		}
+	}
+	return local
+}
+
+// pickByAffinity picks the preferred engine of a prefix (its home), unless another is much cheaper. The home is
+// the engine that has the prefix in memory, or else the first in rendezvous order, so that all nodes know it
+// without messages. Engines of the home data centre are preferred, both as the home and in its place. It returns
+// the picked engine and the home.
+func (r *Registry) pickByAffinity(q Query, candidates []*member, now time.Time) (picked, home *member) {
+	nearHome, otherDataCentre := candidates, r.dataCentre
+	if q.HomeDataCentre != "" {
+		if local := inDataCentre(candidates, q.HomeDataCentre); len(local) > 0 {
+			nearHome, otherDataCentre = local, q.HomeDataCentre
+		}
+	}
+	var homeScore uint64
+	for _, m := range nearHome {
 		if q.PrefixEngine != 0 && m.idHash == q.PrefixEngine {
-			first = m
+			home = m
 			break
 		}
-		if s := rendezvous.Score(m.rendezvousHash, q.Affinity); first == nil || s > firstScore {
-			first, firstScore = m, s
+		if s := rendezvous.Score(m.rendezvousHash, q.Affinity); home == nil || s > homeScore {
+			home, homeScore = m, s
 		}
 	}
-	other := r.pickCheapest(candidates, now)
-	if r.cost(first, now) > affinityFactor*r.cost(other, now) {
-		return other
+	picked = home
+	for _, others := range [][]*member{nearHome, candidates} {
+		other := r.pickCheapest(others, otherDataCentre, now)
+		if r.cost(picked, now) > affinityFactor*r.cost(other, now) {
+			picked = other
+		}
+		otherDataCentre = r.dataCentre
 	}
-	return first
+	return picked, home
 }
 
 // CacheSource returns the address of the engine with that idHash, or "" if other engines cannot fetch cached
@@ -343,10 +366,9 @@
 func (r *Registry) CacheSource(idHash uint32, model string, version int, now time.Time) string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, m := range r.members {
-		if m.idHash == idHash && m.version(model) == version && !m.Leaving && !m.isLoading(now) && !m.isPaused(now) {
-			return m.Address
-		}
+	m := r.byHash[idHash]
+	if m == nil || m.version(model) != version || m.Leaving || m.isLoading(now) || m.isPaused(now) {
+		return ""
 	}
-	return ""
+	return m.Address
 }
--- a/pkg/gateway/cachemap/cachemap.go
+++ b/pkg/gateway/cachemap/cachemap.go
@@ -1,9 +1,12 @@
 // Package cachemap records which engine last processed each shared prefix, and which prefixes were saved to
-// the KV cache store. Its entries are hints: a wrong one costs a fetch that finds nothing.
+// a KV cache store. Its entries are hints: a wrong one costs a fetch that finds nothing.
 package cachemap
 
 import (
+	"cmp"
 	"encoding/binary"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -48,8 +51,10 @@
 	savedTTL = 60 * time.Second
 	// maxEntries bounds the map. Older entries are evicted.
 	maxEntries = 8192
-	// maxPending bounds the entries that wait to be sent to other nodes. Further ones are not sent.
-	maxPending = 1024
+	// maxPending bounds the entries that wait to be sent to other nodes, and maxSent those in one message, to
+	// 2 KB.
+	maxPending = 4096
+	maxSent    = 256
 	// savedBit marks a saved prefix in an encoded entry.
 	savedBit = 1 << 31
 	// entryBytes is the size of an encoded entry.
@@ -61,8 +66,21 @@
 	engine      uint32
 	processedAt time.Time
 	savedAt     time.Time
-	// epoch is the store's epoch at the time of saving.
+}
+
+// storeState is what is known of a KV cache store.
+type storeState struct {
+	// epoch identifies the store's generation since its last restart; 0 means that the store is down.
 	epoch int64
+	// since is when the epoch was first known. The store has no prefix that was saved before.
+	since time.Time
+}
+
+// StoreEpoch is the epoch of the KV cache store at an address. It is encoded as an array, so the order,
+// number and types of its fields are the format.
+type StoreEpoch struct {
+	Address string
+	Epoch   int64
 }
 
 // Map holds the last known locations of prefixes. It is safe for concurrent use.
@@ -71,36 +89,58 @@
 	// New entries go to recent. When it holds half of maxEntries, it replaces older, whose entries are
 	// evicted.
 	recent, older map[Key]location
-	// pending are the entries that the next report sends to other nodes.
-	pending []Entry
-	// epoch identifies the store's generation since its last restart; 0 means that the store is down or its
-	// epoch is not known.
-	epoch int64
+	// pending are the entries that wait to be sent to other nodes.
+	pending map[Key]pendingEntry
+	// stores are the KV cache stores by address.
+	stores map[string]storeState
 }
 
 // New returns an empty map.
-func New() *Map { return &Map{recent: map[Key]location{}, older: map[Key]location{}} }
+func New() *Map {
+	return &Map{recent: map[Key]location{}, older: map[Key]location{}, stores: map[string]storeState{}, pending: map[Key]pendingEntry{}}
+}
 
 // Record adds an entry of this node and queues it for the next report to other nodes.
 func (m *Map) Record(e Entry, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.putLocked(e, now)
-	if len(m.pending) < maxPending {
-		m.pending = append(m.pending, e)
+	m.queueLocked(e)
+}
+
+// pendingEntry is the last entry of a prefix that waits to be sent, and the number of times that the prefix was
+// processed.
+type pendingEntry struct {
+	Entry
+	count int
+}
+
+func (m *Map) queueLocked(e Entry) {
+	known, ok := m.pending[e.Key]
+	if !ok && len(m.pending) >= maxPending {
+		return
 	}
+	e.Saved = e.Saved || known.Saved
+	m.pending[e.Key] = pendingEntry{Entry: e, count: known.count + 1}
 }
 
-// TakeUpdates returns the queued entries in encoded form and clears the queue. It returns nil if there are
-// none.
+// TakeUpdates returns the most important of the queued entries in encoded form and clears the queue: saved
+// prefixes first, because a node that does not know of one has it saved again, then those that were processed
+// most often. It returns nil if there are none.
 func (m *Map) TakeUpdates() []byte {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if len(m.pending) == 0 {
 		return nil
 	}
-	data := make([]byte, 0, len(m.pending)*entryBytes)
-	for _, e := range m.pending {
+	entries := slices.Collect(maps.Values(m.pending))
+	clear(m.pending)
+	slices.SortFunc(entries, func(a, b pendingEntry) int {
+		return cmp.Or(compareBool(b.Saved, a.Saved), cmp.Compare(b.count, a.count), cmp.Compare(a.Key, b.Key))
+	})
+	entries = entries[:min(len(entries), maxSent)]
+	data := make([]byte, 0, len(entries)*entryBytes)
+	for _, e := range entries {
 		engine := e.Engine
 		if e.Saved {
 			engine |= savedBit
@@ -108,10 +148,20 @@
 		data = binary.BigEndian.AppendUint32(data, uint32(e.Key))
 		data = binary.BigEndian.AppendUint32(data, engine)
 	}
-	m.pending = m.pending[:0]
 	return data
 }
 
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
 // Merge adds encoded entries of other nodes. If relay is set, as on the leader, it also queues them for this
 // node's next report.
 func (m *Map) Merge(data []byte, relay bool, now time.Time) {
@@ -122,8 +172,8 @@
 		e := Entry{Key: Key(binary.BigEndian.Uint32(data)), Engine: engine &^ savedBit, Saved: engine&savedBit != 0}
 		data = data[entryBytes:]
 		m.putLocked(e, now)
-		if relay && len(m.pending) < maxPending {
-			m.pending = append(m.pending, e)
+		if relay {
+			m.queueLocked(e)
 		}
 	}
 }
@@ -135,7 +185,7 @@
 	}
 	loc.engine, loc.processedAt = e.Engine, now
 	if e.Saved {
-		loc.savedAt, loc.epoch = now, m.epoch
+		loc.savedAt = now
 	}
 	if len(m.recent) >= maxEntries/2 {
 		m.older, m.recent = m.recent, make(map[Key]location, maxEntries/2)
@@ -143,23 +193,36 @@
 	m.recent[e.Key] = loc
 }
 
-// SetStoreEpoch sets the store's epoch, or 0 if the store is down, and returns the previous one.
-func (m *Map) SetStoreEpoch(epoch int64) (previous int64) {
+// SetStoreEpoch sets the epoch of the store at an address, or 0 if the store is down, and returns the previous
+// one.
+func (m *Map) SetStoreEpoch(address string, epoch int64, now time.Time) (previous int64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	previous, m.epoch = m.epoch, epoch
+	previous = m.stores[address].epoch
+	if epoch != previous {
+		m.stores[address] = storeState{epoch: epoch, since: now}
+	}
 	return previous
 }
 
-// StoreEpoch returns the store's epoch, or 0 if the store is down or its epoch is not known.
-func (m *Map) StoreEpoch() int64 {
+// StoreEpochs returns the known stores in order of their addresses.
+func (m *Map) StoreEpochs() []StoreEpoch {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.epoch
+	epochs := make([]StoreEpoch, 0, len(m.stores))
+	for address, s := range m.stores {
+		epochs = append(epochs, StoreEpoch{Address: address, Epoch: s.epoch})
+	}
+	slices.SortFunc(epochs, func(a, b StoreEpoch) int { return cmp.Compare(a.Address, b.Address) })
+	return epochs
 }
 
-// StoreUp reports whether the store is assumed to be available.
-func (m *Map) StoreUp() bool { return m.StoreEpoch() != 0 }
+// StoreUp reports whether the store at an address is assumed to be available.
+func (m *Map) StoreUp(address string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.stores[address].epoch != 0
+}
 
 // PrefixState is the last known state of a prefix.
 type PrefixState struct {
@@ -174,8 +237,9 @@
 	Saved bool
 }
 
-// Lookup returns the state of a prefix. The zero value means that the prefix is not known.
-func (m *Map) Lookup(key Key, now time.Time) PrefixState {
+// Lookup returns the state of a prefix, which the store at an address keeps. The zero value means that the
+// prefix is not known.
+func (m *Map) Lookup(key Key, store string, now time.Time) PrefixState {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	loc, ok := m.recent[key]
@@ -184,8 +248,9 @@
 			return PrefixState{}
 		}
 	}
+	s := m.stores[store]
 	return PrefixState{
 		Engine: loc.engine, Cached: now.Sub(loc.processedAt) < engineTTL, RecentlyProcessed: now.Sub(loc.processedAt) < recentlyProcessedTTL,
-		Saved: !loc.savedAt.IsZero() && now.Sub(loc.savedAt) < savedTTL && m.epoch != 0 && loc.epoch == m.epoch,
+		Saved: !loc.savedAt.IsZero() && now.Sub(loc.savedAt) < savedTTL && s.epoch != 0 && !loc.savedAt.Before(s.since),
 	}
 }
--- a/pkg/gateway/forward/active_request.go
+++ b/pkg/gateway/forward/active_request.go
@@ -144,7 +144,7 @@
 // Otherwise it waits for an eighth only: after an early refusal the client still has time to try another
 // node.
 func (a *activeRequest) pickBackend() *backends.Choice {
-	query := backends.Query{Service: a.service, Model: a.request.Model, Exclude: a.tried, Affinity: a.affinityKey(), Long: a.isDecodeHeavy()}
+	query := backends.Query{Service: a.service, Model: a.request.Model, Exclude: a.tried, Affinity: a.affinityKey(), HomeDataCentre: a.homeDataCentre(), Long: a.isDecodeHeavy()}
 	prefixVersion := 0
 	for {
 		now := time.Now()
--- a/pkg/gateway/forward/budget.go
+++ b/pkg/gateway/forward/budget.go
@@ -22,18 +22,19 @@
 	budgetFraction = 0.8
 	// budgetBuckets is the number of buckets of a sliding window.
 	budgetBuckets = 20
-	// defaultNodes is the assumed number of nodes until SetNodes is called.
-	defaultNodes = 40
 )
 
 // RetryBudget is this node's part of the retry budgets of all services. Nodes don't coordinate their
-// use: each one applies the ratio to its own requests and takes an equal part of BaseRetries. It is
-// safe for concurrent use.
+// use: each one applies the ratio to its own requests and takes an equal part of BaseRetries, once the
+// number of nodes is known. It is safe for concurrent use.
 type RetryBudget struct {
 	limits RetryBudgetLimits
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// nodes is the highest number of nodes in the last window, set at nodesAt, or 0 if none is known. Nodes
+	// that are missing for a moment use their parts again when they return.
 	nodes    int
+	nodesAt  time.Time
 	services map[string]*window
 }
 
@@ -47,14 +48,17 @@
 
 // NewRetryBudget returns a budget from which no retries have been used.
 func NewRetryBudget(limits RetryBudgetLimits) *RetryBudget {
-	return &RetryBudget{limits: limits, nodes: defaultNodes, services: map[string]*window{}}
+	return &RetryBudget{limits: limits, services: map[string]*window{}}
 }
 
-// SetNodes sets the number of nodes that share BaseRetries. Numbers below 1 count as 1.
-func (b *RetryBudget) SetNodes(n int) {
+// SetNodes sets the number of nodes that share BaseRetries, from 1. A lower number than before is used only
+// after a window without a higher one.
+func (b *RetryBudget) SetNodes(n int, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.nodes = max(n, 1)
+	if n >= b.nodes || now.Sub(b.nodesAt) >= b.limits.Window {
+		b.nodes, b.nodesAt = max(n, 1), now
+	}
 }
 
 // RecordRequest counts a client's request for a service.
@@ -75,7 +79,11 @@
 		requests += w.requests[i]
 		retries += w.retries[i]
 	}
-	allowed := budgetFraction * (b.limits.Ratio*float64(requests) + b.limits.BaseRetries/float64(b.nodes))
+	part := b.limits.Ratio * float64(requests)
+	if b.nodes > 0 {
+		part += b.limits.BaseRetries / float64(b.nodes)
+	}
+	allowed := budgetFraction * part
 	if float64(retries+1) > allowed {
 		return false
 	}
--- a/pkg/gateway/forward/router.go
+++ b/pkg/gateway/forward/router.go
@@ -37,6 +37,8 @@
 	Prefixes    *cachemap.Map
 	// Config returns the configuration in force, or nil before the first one.
 	Config func() *routes.Config
+	// Nodes returns the number of nodes, for limits that all nodes share, or 0 if it is not known.
+	Nodes func() int
 	// Draining reports whether the node is shutting down.
 	Draining func() bool
 	Logger   *slog.Logger
@@ -45,15 +47,15 @@
 
 // Router is the http.Handler for clients' requests. It is safe for concurrent use.
 type Router struct {
-	opt         Options
-	saveLimiter *rate.Limiter
+	opt   Options
+	saves *saveLimiter
 	// rejectionLogLimiter limits the rate of log lines about requests that are rejected.
 	rejectionLogLimiter *rate.Limiter
 }
 
 // NewRouter returns a router.
 func NewRouter(opt Options) *Router {
-	return &Router{opt: opt, saveLimiter: rate.NewLimiter(savesPerSecond, saveBurst), rejectionLogLimiter: rate.NewLimiter(rejectionLogsPerSecond, rejectionLogsPerSecond)}
+	return &Router{opt: opt, saves: newSaveLimiter(), rejectionLogLimiter: rate.NewLimiter(rejectionLogsPerSecond, rejectionLogsPerSecond)}
 }
 
 // rejectionLogsPerSecond is the rate and the burst of log lines about requests that are rejected.
--- a/pkg/gateway/mirror/mirror.go
+++ b/pkg/gateway/mirror/mirror.go
@@ -92,6 +92,8 @@
 	// IsFollower reports whether another node relays store changes to this one, which then need not call the
 	// store.
 	IsFollower func() bool
+	// MayCall reports whether the store may be called. A node that has just started first asks its peers.
+	MayCall func() bool
 	// OnChange is called in a goroutine of its own after a change from the store. It may be nil.
 	OnChange func()
 }
@@ -134,6 +136,17 @@
 	return m.revision
 }
 
+// Size returns the size of all objects in bytes.
+func (m *Mirror) Size() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	size := 0
+	for _, e := range m.entries {
+		size += len(e.Name) + len(e.Value)
+	}
+	return size
+}
+
 // Content is what a node serves of its mirror to other nodes, as a msgpack map of these fields: all objects,
 // or the changes since a revision.
 type Content struct {
@@ -209,7 +222,7 @@
 // Run replicates the store until ctx ends.
 func (m *Mirror) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if m.Revision() > 0 && m.opt.IsFollower() {
+		if !m.opt.MayCall() || m.Revision() > 0 && m.opt.IsFollower() {
 			wait.Pause(ctx, followerPollInterval)
 			continue
 		}
--- a/pkg/gateway/mirror/mirror_test.go
+++ b/pkg/gateway/mirror/mirror_test.go
@@ -139,6 +139,7 @@
 		Kind: "k", Source: s, Target: c, Logger: slog.New(slog.DiscardHandler),
 		ListInterval: func() time.Duration { return time.Second },
 		IsFollower:   func() bool { return isFollower.Load() },
+		MayCall:      func() bool { return true },
 	})
 }
 
--- a/pkg/gateway/node/board.go
+++ b/pkg/gateway/node/board.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,22 +19,40 @@
 
 const (
 	// minFollowerTimeout is the shortest time after a synced leader heartbeat for which this node stays a
-	// follower, which relies on the leader instead of watching the store. Together with
-	// leaderListInterval it bounds the delay of a change well below the platform's 2 s.
+	// follower, which relies on the leader instead of watching the store.
 	minFollowerTimeout = 600 * time.Millisecond
 	// followerTimeoutHeartbeats is the follower timeout in heartbeat intervals, which grow with the number
 	// of nodes. It tolerates one lost heartbeat.
 	followerTimeoutHeartbeats = 2.2
+	// catchUpTime is the time from the end of the follower timeout until a node has listed the objects. The
+	// follower timeout ends that long before Settings.ChangeDeadline.
+	catchUpTime = 1400 * time.Millisecond
 	// syncedTTL is the time after the store's last response for which a mirror counts as in sync with the
 	// store.
 	syncedTTL = 900 * time.Millisecond
-	// minFetchInterval is the shortest time between fetches of one kind of objects.
-	minFetchInterval = 120 * time.Millisecond
+	// minFetchInterval is the shortest time between fetches of one kind of objects, and fetchIntervalPerNode
+	// times the number of nodes if that is longer: a rollout changes objects all the time, and all nodes fetch
+	// them from the leader.
+	minFetchInterval     = 120 * time.Millisecond
+	fetchIntervalPerNode = 2 * time.Millisecond
+	// maxPushedBytes is the size of a mirror's content up to which the leader sends it in its messages.
+	maxPushedBytes = 512
+	// startWait is the time for which a starting node tries to get the objects from its peers before it calls
+	// the store: a list of all objects takes many calls. firstStartWait is that at the first start of all
+	// nodes, when the objects must reach each node from few others.
+	startWait      = 400 * time.Millisecond
+	firstStartWait = 3 * time.Second
 )
 
 // board gives the link access to the node's state. It implements peers.Board.
 type board struct {
 	node *Node
+	// awaitPeersUntil is the time until which this node does not call the store because its peers may have the
+	// objects.
+	awaitPeersUntil time.Time
+
+	announcerMu sync.Mutex
+	announcer   *backends.Announcer
 
 	mu        sync.Mutex
 	lagByKind map[string]lag
@@ -57,6 +76,29 @@
 
 var _ peers.Board = (*board)(nil)
 
+func newBoard(n *Node) *board {
+	b := &board{node: n, lagByKind: map[string]lag{}, announcer: backends.NewAnnouncer()}
+	s := n.opt.Settings
+	isOther := func(seed string) bool { return seed != s.PeerAddress }
+	// The seeds themselves, and at the first start the nodes that are suited as leaders, get the objects from
+	// the store for the others.
+	first := slices.Contains(s.Seeds, s.PeerAddress) || s.FirstStart && s.LinkMbps >= minLeaderLinkMbps
+	if first || !slices.ContainsFunc(s.Seeds, isOther) {
+		return b
+	}
+	wait := startWait
+	if s.FirstStart {
+		wait = firstStartWait
+	}
+	b.awaitPeersUntil = time.Now().Add(wait)
+	return b
+}
+
+// awaitsPeers reports whether this node has just started and waits for objects from its peers.
+func (b *board) awaitsPeers() bool {
+	return time.Now().Before(b.awaitPeersUntil) && !b.node.controller.ActingLeader()
+}
+
 // Loads implements peers.Board.
 func (b *board) Loads() []backends.Load { return b.node.registry.Loads(time.Now()) }
 
@@ -78,11 +120,8 @@
 }
 
 // BuildHeartbeat implements peers.Board.
-func (b *board) BuildHeartbeat(nodes int, total map[string]backends.Load) peers.Heartbeat {
-	heartbeat := peers.Heartbeat{
-		Nodes: nodes, Synced: b.Synced(), CacheEpoch: b.node.prefixes.StoreEpoch(),
-		Assignments: b.node.registry.ComputeAssignments(total, time.Now()),
-	}
+func (b *board) BuildHeartbeat(nodes int) peers.Heartbeat {
+	heartbeat := peers.Heartbeat{Nodes: nodes, Synced: b.Synced(), StoreEpochs: b.node.prefixes.StoreEpochs()}
 	heartbeat.Lease, heartbeat.LeaseVersion = b.node.controller.LeaseRecord()
 	for id, models := range b.node.registry.ObservedVersions() {
 		for _, m := range models {
@@ -92,6 +131,56 @@
 	return heartbeat
 }
 
+// States implements peers.Board.
+func (b *board) States(total map[string]backends.Load, scope peers.StateScope) []byte {
+	states := b.node.registry.States(total, time.Now())
+	b.announcerMu.Lock()
+	defer b.announcerMu.Unlock()
+	switch scope {
+	case peers.ForUpdate:
+		states = b.announcer.SelectUpdates(states)
+	case peers.ForHeartbeat:
+		states = b.announcer.SelectHeartbeat(states)
+	case peers.ForNewNode:
+		states = states[:min(len(states), backends.MaxStates)]
+	}
+	return backends.EncodeStates(states)
+}
+
+// ApplyStates implements peers.Board.
+func (b *board) ApplyStates(states []byte) {
+	b.node.registry.ApplyStates(backends.DecodeStates(states), time.Now())
+}
+
+// SmallContents implements peers.Board.
+func (b *board) SmallContents() []peers.KindContent {
+	var contents []peers.KindContent
+	for _, m := range b.node.mirrors {
+		if size := m.Size(); size > 0 && size <= maxPushedBytes {
+			contents = append(contents, peers.KindContent{Kind: m.Kind(), Content: m.Export(0)})
+		}
+	}
+	return contents
+}
+
+// ImportContents implements peers.Board.
+func (b *board) ImportContents(contents []peers.KindContent) {
+	for _, c := range contents {
+		if m := b.node.mirrorByKind(c.Kind); m != nil && m.Import(c.Content, true) {
+			event.ObjectsFetched.Emit(b.node.opt.Logger, slog.String("kind", c.Kind), slog.String("peer", b.node.controller.Leader()),
+				slog.Int64("revision", c.Content.Revision), slog.Bool("newer", true), slog.Bool("holder", true))
+		}
+	}
+}
+
+// Lease implements peers.Board.
+func (b *board) Lease() (record []byte, version uint64) { return b.node.controller.LeaseRecord() }
+
+// ObserveLease implements peers.Board.
+func (b *board) ObserveLease(record []byte, version uint64) {
+	b.node.controller.ObserveLease(record, version, time.Now())
+}
+
 // ApplyHeartbeat implements peers.Board.
 func (b *board) ApplyHeartbeat(heartbeat peers.Heartbeat) {
 	if heartbeat.Synced {
@@ -99,13 +188,24 @@
 		b.lastSyncedHeartbeat, b.nodeCount = time.Now(), heartbeat.Nodes
 		b.mu.Unlock()
 	}
-	b.node.retryBudget.SetNodes(heartbeat.Nodes)
+	if heartbeat.NodesSettled {
+		b.node.retryBudget.SetNodes(heartbeat.Nodes, time.Now())
+	}
 	b.node.controller.ObserveLease(heartbeat.Lease, heartbeat.LeaseVersion, time.Now())
 	b.node.registry.ApplyAssignments(heartbeat.Assignments, time.Now())
 	for _, v := range heartbeat.Versions {
 		b.node.registry.ObserveVersion(v.Backend, v.Model, v.Version)
 	}
-	b.node.prefixes.SetStoreEpoch(heartbeat.CacheEpoch)
+	for _, s := range heartbeat.StoreEpochs {
+		b.node.prefixes.SetStoreEpoch(s.Address, s.Epoch, time.Now())
+	}
+}
+
+// countNodes returns the number of nodes in the last heartbeat, or 0 before the first.
+func (b *board) countNodes() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.nodeCount
 }
 
 // isFollower reports whether the leader or a standby relays store changes to this node, so that it need not
@@ -113,7 +213,8 @@
 func (b *board) isFollower() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	timeout := max(minFollowerTimeout, time.Duration(followerTimeoutHeartbeats*float64(peers.Interval(b.nodeCount))))
+	timeout := max(minFollowerTimeout, time.Duration(followerTimeoutHeartbeats*float64(peers.Interval(b.nodeCount))),
+		b.node.opt.Settings.ChangeDeadline-catchUpTime)
 	if b.node.link.IsStandby() {
 		timeout = peers.StandbyTimeout(b.nodeCount)
 	}
@@ -146,7 +247,7 @@
 }
 
 // HandlePeerRevision implements peers.Board. It fetches newer objects of a kind at once if the leader or a standby
-// relays them to this node, and from any other node after peerFetchDelay.
+// relays them to this node or this node has just started, and from any other node after peerFetchDelay.
 func (b *board) HandlePeerRevision(peer, kind string, revision int64, relayed bool) {
 	m := b.node.mirrorByKind(kind)
 	if m == nil {
@@ -165,7 +266,9 @@
 	if !ok || m.Revision() >= l.revision {
 		l = lag{revision: revision, since: now, lastFetch: l.lastFetch}
 	}
-	if !l.fetching && now.Sub(l.lastFetch) >= minFetchInterval && (relayed || now.Sub(l.since) >= peerFetchDelay) {
+	interval := max(minFetchInterval, time.Duration(b.nodeCount)*fetchIntervalPerNode)
+	due := relayed || b.awaitsPeers() || now.Sub(l.since) >= peerFetchDelay
+	if !l.fetching && now.Sub(l.lastFetch) >= interval && due {
 		l.fetching, l.lastFetch = true, now
 		go b.fetchFromPeer(peer, m, relayed)
 	}
--- a/pkg/gateway/node/metrics.go
+++ b/pkg/gateway/node/metrics.go
@@ -17,7 +17,7 @@
 	})
 	registry.GaugeFunc("lease_held", func() float64 { return boolGauge(n.controller.HoldsLease()) })
 	registry.GaugeFunc("covered_by_holder", func() float64 { return boolGauge(n.board.isFollower()) })
-	registry.GaugeFunc("cache_store_up", func() float64 { return boolGauge(n.prefixes.StoreUp()) })
+	registry.GaugeFunc("cache_store_up", func() float64 { return float64(n.countStoresUp()) })
 	registry.GaugeFunc("log_lines_dropped", func() float64 { return float64(n.opt.LinesDropped()) })
 	for _, m := range n.mirrors {
 		registry.GaugeFunc("mirror_revision", func() float64 { return float64(m.Revision()) }, "kind", m.Kind())
--- a/pkg/gateway/node/node.go
+++ b/pkg/gateway/node/node.go
@@ -63,12 +63,11 @@
 	// next call returns several. It is a small part of the time by which a leaving server must get no new
 	// requests.
 	backendBatchDelay = 250 * time.Millisecond
-	// leaderListInterval is the time between lists of the objects at the leader and the standbys, which
-	// relay store changes to followers. listInterval is that at any other node that watches the store. A
-	// watch can miss changes, so these bound the delay of a change; a configuration must be in force
-	// within 2 s.
-	leaderListInterval = 700 * time.Millisecond
-	listInterval       = 1100 * time.Millisecond
+	// leaderListIntervalShare is the time between lists of the objects at the leader and the standbys, which
+	// relay store changes to followers, as a share of Settings.ChangeDeadline. listIntervalShare is that at
+	// any other node that watches the store. A watch can miss changes, so these bound the delay of a change.
+	leaderListIntervalShare = 0.35
+	listIntervalShare       = 0.55
 	// minLeaderLinkMbps is the link bandwidth in Mbit/s at which a node can send loads and objects to 150
 	// others without saturating the link. Nodes below it wait slowLinkLeaseDelay longer before they
 	// acquire the lease.
@@ -132,12 +131,14 @@
 	return mirror.New(mirror.Options{
 		Kind: kind, Source: n.opt.Store, Target: target, Logger: n.opt.Logger, BatchDelay: batchDelay,
 		IsFollower: func() bool { return n.board.isFollower() },
-		OnChange:   func() { n.link.RequestHeartbeat() },
+		MayCall:    func() bool { return !n.board.awaitsPeers() },
+		OnChange:   func() { n.link.RequestUpdate() },
 		ListInterval: func() time.Duration {
+			share := listIntervalShare
 			if n.controller.ActingLeader() || n.link.IsStandby() {
-				return leaderListInterval
+				share = leaderListIntervalShare
 			}
-			return listInterval
+			return time.Duration(share * float64(n.opt.Settings.ChangeDeadline))
 		},
 	})
 }
@@ -146,7 +147,7 @@
 // use.
 func (n *Node) connect() error {
 	s := n.opt.Settings
-	n.board = &board{node: n, lagByKind: map[string]lag{}}
+	n.board = newBoard(n)
 	timing := weights.LeaseTiming(s.LeaderChangeGap)
 	if s.LinkMbps < minLeaderLinkMbps {
 		timing.AcquireDelay = slowLinkLeaseDelay
@@ -154,8 +155,9 @@
 	n.controller = weights.New(weights.Options{
 		PeerAddress: s.PeerAddress, Instance: fmt.Sprint(s.Name, "/", time.Now().UnixNano()),
 		Timing: timing, Versions: n.versions, Backends: n.registry, Engines: n.opt.Engines,
-		Leases: n.opt.Store, NotifyPeers: func() time.Duration { return n.link.RequestHeartbeat() }, Logger: n.opt.Logger,
-		Metrics: n.opt.Metrics,
+		Leases: n.opt.Store, NotifyPeers: func() time.Duration { return n.link.RequestUpdate() },
+		AnnounceLease: func() { n.link.RequestHeartbeat() }, MayCallStore: func() bool { return !n.board.awaitsPeers() },
+		Logger: n.opt.Logger, Metrics: n.opt.Metrics,
 	})
 	link, err := peers.Listen(peers.Options{
 		Address: s.PeerAddress, Seeds: s.Seeds, Leader: n.controller.Leader, HoldsLease: n.controller.HoldsLease,
@@ -223,7 +225,7 @@
 		go m.Run(ctx)
 	}
 	go n.link.Run(ctx)
-	go n.watchCacheStore(ctx)
+	go n.watchCacheStores(ctx)
 	go wait.Every(ctx, sweepInterval, func(context.Context) {
 		now := time.Now()
 		n.registry.Sweep(now)
@@ -247,6 +249,7 @@
 	return forward.NewRouter(forward.Options{
 		Protocol: n.opt.Protocol, Backends: n.registry, Weights: n.versions, RetryBudget: n.retryBudget, Prefixes: n.prefixes,
 		Config:   func() *routes.Config { return n.config.current.Load() },
+		Nodes:    n.board.countNodes,
 		Draining: n.draining.Load, Logger: n.opt.Logger, Metrics: n.opt.Metrics,
 	})
 }
--- a/pkg/gateway/node/settings.go
+++ b/pkg/gateway/node/settings.go
@@ -33,6 +33,10 @@
 	ReconnectGrace time.Duration
 	// LeaderChangeGap is the shortest time that must pass between orders of two lease holders.
 	LeaderChangeGap time.Duration
+	// ChangeDeadline is the time after a change in the store within which all nodes must have applied it.
+	ChangeDeadline time.Duration
+	// FirstStart is set if all nodes start for the first time, before there are clients.
+	FirstStart bool
 	// OldVersionLimit is the time after a weight version is set from which no request may start on an
 	// older one.
 	OldVersionLimit time.Duration
--- a/pkg/gateway/peers/link.go
+++ b/pkg/gateway/peers/link.go
@@ -24,14 +24,18 @@
 	reportIntervalPerNode = 5 * time.Millisecond
 	maxReportInterval     = 800 * time.Millisecond
 	// minHeartbeatGapPerNode times the number of nodes is the minimum time between the leader's heartbeats, so
-	// that changes in quick succession do not fill its network link.
+	// that changes in quick succession do not fill its network link. An update is about a tenth of a
+	// heartbeat's size and is sent more often: each load of weights waits for one.
 	minHeartbeatGapPerNode = time.Millisecond
+	minUpdateGapPerNode    = 300 * time.Microsecond
 	// reportTTL is the time without a report after which a node no longer counts.
 	reportTTL = 3 * time.Second
 	// leaderTimeout is the time without a leader heartbeat after which a node also reports to random peers.
 	leaderTimeout = 1500 * time.Millisecond
-	// randomPeerCount is the number of random peers that a node without a leader reports to.
+	// randomPeerCount is the number of random peers that a node without a leader reports to, and startPeerCount
+	// that of a node which has never had a leader, so that one of the seeds responds.
 	randomPeerCount = 2
+	startPeerCount  = 3
 	// maxDatagramBytes is the size of the receive buffer. Longer datagrams are truncated and fail to decode.
 	maxDatagramBytes = 60 << 10
 	// Every heartbeatsPerPeerList-th heartbeat lists addresses of nodes.
@@ -50,11 +54,23 @@
 	MergePrefixUpdates(updates []byte, relay bool)
 	// Revisions returns those of this node's mirrors.
 	Revisions() []Revision
-	// BuildHeartbeat returns the heartbeat of a leader to which nodes report, from the loads of all nodes by
-	// backend server ID.
-	BuildHeartbeat(nodes int, total map[string]backends.Load) Heartbeat
+	// BuildHeartbeat returns the heartbeat of a leader to which nodes report.
+	BuildHeartbeat(nodes int) Heartbeat
 	// ApplyHeartbeat applies the leader's heartbeat.
 	ApplyHeartbeat(heartbeat Heartbeat)
+	// States returns encoded states of backend servers for a message of the leader, from the loads of all nodes
+	// by backend server ID.
+	States(total map[string]backends.Load, scope StateScope) []byte
+	// ApplyStates applies the states in a message of the leader.
+	ApplyStates(states []byte)
+	// SmallContents returns the content of the mirrors of few small objects. ImportContents applies that of
+	// the leader.
+	SmallContents() []KindContent
+	ImportContents(contents []KindContent)
+	// Lease returns the last known lease in stored form and its version, which is 0 if there is none.
+	// ObserveLease applies that of another node.
+	Lease() (record []byte, version uint64)
+	ObserveLease(record []byte, version uint64)
 	// Synced reports whether this node is in sync with the platform's store, that is, whether the store
 	// responded to it a moment ago.
 	Synced() bool
@@ -65,6 +81,19 @@
 	HandlePeerRevision(peer, kind string, revision int64, relayed bool)
 }
 
+// StateScope determines which states of backend servers a message of the leader contains.
+type StateScope int
+
+// Scopes of states.
+const (
+	// ForHeartbeat are the states of a heartbeat to all nodes.
+	ForHeartbeat StateScope = iota
+	// ForUpdate are the states that must reach all nodes before the next heartbeat.
+	ForUpdate
+	// ForNewNode are the states for a node that has received none.
+	ForNewNode
+)
+
 // Options configures a Link.
 type Options struct {
 	// Address is this node's peer address, for TCP and UDP.
@@ -94,13 +123,25 @@
 	// syncedHeartbeatAt is the time of the last heartbeat of a leader in sync with the platform's store.
 	syncedHeartbeatAt time.Time
 	// standbys are those that the last leader heartbeat lists.
-	standbys       []string
+	standbys []string
+	// nodes is the number of nodes in the last heartbeat, sent or received. nodesSettled is set once it is not
+	// too low.
 	nodes          int
+	nodesSettled   bool
 	heartbeatsSent int
-	// heartbeatSentAt is the time of this node's last heartbeat. heartbeatPending is set while the next one is
-	// scheduled.
-	heartbeatSentAt  time.Time
-	heartbeatPending bool
+	// leadingSince is the time of the first heartbeat since this node acts as the leader.
+	leadingSince time.Time
+	// heartbeats and updates pace the messages of the leader.
+	heartbeats, updates pacer
+	// announcedRevisions are those in the last message of the leader to all nodes.
+	announcedRevisions []Revision
+}
+
+// pacer keeps a minimum gap between messages of one type.
+type pacer struct {
+	sentAt time.Time
+	// pending is set while the next message is scheduled.
+	pending bool
 }
 
 // loadReport is the last report of another node.
@@ -119,7 +160,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen on peer address: %w; check that no other process uses it", err)
 	}
-	return &Link{opt: opt, conn: conn, reports: map[string]loadReport{}, knownPeers: slices.Clone(opt.Seeds), nodes: 1}, nil
+	l := &Link{opt: opt, conn: conn, reports: map[string]loadReport{}, nodes: 1}
+	l.AddPeers(opt.Seeds)
+	return l, nil
 }
 
 // Run exchanges reports and heartbeats until ctx ends.
@@ -127,12 +170,15 @@
 	stop := context.AfterFunc(ctx, func() { l.conn.Close() })
 	defer stop()
 	go l.receive(ctx)
-	for wait.Pause(ctx, l.nextInterval()) {
+	for {
 		if l.opt.ActingLeader() {
 			l.sendHeartbeat()
 		} else {
 			l.sendReport()
 		}
+		if !wait.Pause(ctx, l.nextInterval()) {
+			return
+		}
 	}
 }
 
@@ -154,40 +200,46 @@
 	return min(max(minReportInterval, time.Duration(nodes)*reportIntervalPerNode), maxReportInterval)
 }
 
-// RequestHeartbeat sends a heartbeat after an assignment has changed, at once or as soon as the minimum gap
-// has passed. It returns the time until it is sent. On a node that does not act as the leader it does nothing
-// and returns 0.
+// RequestHeartbeat sends a heartbeat, at once or as soon as the minimum gap has passed. It returns the time until
+// it is sent. On a node that does not act as the leader it does nothing and returns 0.
 func (l *Link) RequestHeartbeat() time.Duration {
+	return l.request(&l.heartbeats, minHeartbeatGapPerNode, l.sendHeartbeat)
+}
+
+// RequestUpdate is like RequestHeartbeat for an update, which contains the changed states of backend servers and
+// the revisions only.
+func (l *Link) RequestUpdate() time.Duration {
+	return l.request(&l.updates, minUpdateGapPerNode, l.sendUpdate)
+}
+
+func (l *Link) request(p *pacer, gapPerNode time.Duration, send func()) time.Duration {
 	if !l.opt.ActingLeader() {
 		return 0
 	}
 	l.mu.Lock()
-	left := time.Duration(l.nodes)*minHeartbeatGapPerNode - time.Since(l.heartbeatSentAt)
-	if left > 0 && !l.heartbeatPending {
-		l.heartbeatPending = true
+	left := time.Duration(l.nodes)*gapPerNode - time.Since(p.sentAt)
+	if left > 0 && !p.pending {
+		p.pending = true
 		time.AfterFunc(left, func() {
 			l.mu.Lock()
-			l.heartbeatPending = false
+			p.pending = false
 			l.mu.Unlock()
-			l.sendHeartbeat()
+			send()
 		})
 	}
 	l.mu.Unlock()
 	if left > 0 {
 		return left
 	}
-	l.sendHeartbeat()
+	send()
 	return 0
 }
 
-// sendHeartbeat sends a heartbeat with the sum of all loads to all nodes that report to this one, and applies
-// it to this node.
-func (l *Link) sendHeartbeat() {
-	now := time.Now()
-	l.mu.Lock()
-	total := map[string]backends.Load{}
+// collectReportsLocked returns the nodes that report to this one and the sum of all loads. It drops reports that
+// are too old.
+func (l *Link) collectReportsLocked(now time.Time) (targets []string, total map[string]backends.Load) {
+	total = map[string]backends.Load{}
 	addLoads(total, l.opt.Board.Loads())
-	var targets []string
 	for address, r := range l.reports {
 		if now.Sub(r.at) > reportTTL {
 			delete(l.reports, address)
@@ -196,23 +248,93 @@
 		addLoads(total, r.loads)
 		targets = append(targets, address)
 	}
-	l.nodes, l.heartbeatSentAt = len(targets)+1, now
+	return targets, total
+}
+
+// countNodesLocked sets the number of nodes from that of reporting nodes. A new leader keeps the number of its
+// predecessor until each node has had time to report to it: a number that is too low would make each node use
+// too large a part of the shared retry budget.
+func (l *Link) countNodesLocked(reporting int, now time.Time) {
+	if l.leadingSince.IsZero() {
+		l.leadingSince = now
+	}
+	counted := reporting + 1
+	if now.Sub(l.leadingSince) >= reportTTL {
+		l.nodes, l.nodesSettled = counted, true
+		return
+	}
+	l.nodes = max(l.nodes, counted)
+}
+
+// sendHeartbeat sends a heartbeat with the states of backend servers to all nodes that report to this one, and
+// applies it to this node.
+func (l *Link) sendHeartbeat() {
+	now := time.Now()
+	l.mu.Lock()
+	targets, total := l.collectReportsLocked(now)
+	l.countNodesLocked(len(targets), now)
+	l.heartbeats.sentAt = now
 	l.heartbeatsSent++
 	listPeers := l.heartbeatsSent%heartbeatsPerPeerList == 0
-	nodes := l.nodes
+	l.standbys = pickEvenly(targets, standbyCount)
 	l.mu.Unlock()
-	heartbeat := l.opt.Board.BuildHeartbeat(nodes, total)
-	heartbeat.Standbys = pickEvenly(targets, standbyCount)
+	m := l.buildHeartbeat()
+	m.States, m.PrefixUpdates = l.opt.Board.States(total, ForHeartbeat), l.opt.Board.TakePrefixUpdates()
+	l.opt.Board.ApplyHeartbeat(m.Heartbeat)
+	l.opt.Board.ApplyStates(m.States)
+	if listPeers {
+		m.Peers = pickRandom(targets, maxPeersListed)
+	}
+	l.mu.Lock()
+	l.announcedRevisions = m.Revisions
+	l.mu.Unlock()
+	l.send(m, targets...)
+}
+
+// buildHeartbeat returns a heartbeat without states and prefixes.
+func (l *Link) buildHeartbeat() *message {
+	l.mu.Lock()
+	nodes, settled, standbys := l.nodes, l.nodesSettled, l.standbys
+	l.mu.Unlock()
+	heartbeat := l.opt.Board.BuildHeartbeat(nodes)
+	heartbeat.NodesSettled, heartbeat.Standbys = settled, standbys
+	return &message{From: l.opt.Address, Leader: true, Revisions: l.opt.Board.Revisions(), Heartbeat: heartbeat, Contents: l.opt.Board.SmallContents()}
+}
+
+// sendHeartbeatTo sends a heartbeat to a node that has reported to this leader for the first time.
+func (l *Link) sendHeartbeatTo(address string) {
 	l.mu.Lock()
-	l.standbys = heartbeat.Standbys
+	_, total := l.collectReportsLocked(time.Now())
+	l.mu.Unlock()
+	m := l.buildHeartbeat()
+	m.States = l.opt.Board.States(total, ForNewNode)
+	l.send(m, address)
+}
+
+// sendUpdate sends the states of backend servers that have changed since the last message to all nodes, and the
+// revisions. It sends nothing if neither has changed.
+func (l *Link) sendUpdate() {
+	now := time.Now()
+	l.mu.Lock()
+	targets, total := l.collectReportsLocked(now)
+	l.updates.sentAt = now
+	announced := l.announcedRevisions
 	l.mu.Unlock()
-	l.opt.Board.ApplyHeartbeat(heartbeat)
 	m := &message{
-		From: l.opt.Address, Leader: true, Revisions: l.opt.Board.Revisions(), PrefixUpdates: l.opt.Board.TakePrefixUpdates(), Heartbeat: heartbeat,
+		From: l.opt.Address, IsReply: true, IsUpdate: true, Synced: l.opt.Board.Synced(), Revisions: l.opt.Board.Revisions(),
+		States: l.opt.Board.States(total, ForUpdate),
 	}
-	if listPeers {
-		m.Peers = pickRandom(targets, maxPeersListed)
+	changed := !slices.Equal(announced, m.Revisions)
+	if len(m.States) == 0 && !changed {
+		return
+	}
+	if changed {
+		m.Contents = l.opt.Board.SmallContents()
 	}
+	l.opt.Board.ApplyStates(m.States)
+	l.mu.Lock()
+	l.announcedRevisions = m.Revisions
+	l.mu.Unlock()
 	l.send(m, targets...)
 }
 
@@ -239,6 +361,7 @@
 	m := &message{From: l.opt.Address, Revisions: l.opt.Board.Revisions(), Loads: l.opt.Board.Loads(), PrefixUpdates: l.opt.Board.TakePrefixUpdates()}
 	var targets []string
 	l.mu.Lock()
+	l.leadingSince = time.Time{}
 	leaderSilent := time.Since(l.heartbeatAt) > leaderTimeout
 	leader := l.opt.Leader()
 	if leader == "" && !leaderSilent {
@@ -253,7 +376,11 @@
 	}
 	if leaderSilent {
 		m.ReplyRequested = true
-		targets = append(targets, pickRandom(l.knownPeers, randomPeerCount)...)
+		count := randomPeerCount
+		if l.heartbeatAt.IsZero() {
+			count = startPeerCount
+		}
+		targets = append(targets, pickRandom(l.knownPeers, count)...)
 	}
 	l.mu.Unlock()
 	slices.Sort(targets)
--- a/pkg/gateway/peers/message.go
+++ b/pkg/gateway/peers/message.go
@@ -13,6 +13,8 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"cassiawall.example/cassiawall/pkg/gateway/backends"
+	"cassiawall.example/cassiawall/pkg/gateway/cachemap"
+	"cassiawall.example/cassiawall/pkg/gateway/mirror"
 )
 
 // Version is the version of a model's weights that an engine has and that its listing may lack.
@@ -40,26 +42,45 @@
 	Heartbeat     Heartbeat
 	// Peers are the peer addresses of some nodes.
 	Peers []string
+	// States are encoded states of backend servers, in messages of the leader.
+	States []byte
+	// Contents are the whole content of the leader's mirrors of few small objects, so that the nodes need not
+	// fetch them.
+	Contents []KindContent
+	// IsUpdate marks a message of the leader between two heartbeats, with changed States only. IsReply is set
+	// as well, because nodes of earlier versions then ignore its content.
+	IsUpdate bool
 }
 
 // Heartbeat is what the leader sends to all nodes. It is encoded as an array, like message.
 type Heartbeat struct {
 	// Nodes is the number of nodes that report to the leader, including the leader.
 	Nodes int
-	// Assignments are keyed by the IDs of the backend servers.
+	// Assignments are keyed by the IDs of the backend servers. Only leaders of earlier versions send them, in
+	// place of message.States.
 	Assignments map[string]backends.Assignment
-	Versions    []Version
+	// Versions are those that message.States cannot hold.
+	Versions []Version
 	// Lease is the leader's lease in stored form, and LeaseVersion its version in the store.
 	Lease        []byte
 	LeaseVersion uint64
 	// Synced is set if the leader is in sync with the platform's store.
 	Synced bool
-	// CacheEpoch identifies the KV cache store's generation since its last restart; 0 means that the store is
-	// down.
+	// CacheEpoch is no longer used. Nodes of earlier versions expect the field.
 	CacheEpoch int64
 	// Standbys are the peer addresses of the nodes that stay in sync with the store for the others while the
 	// leader is silent.
 	Standbys []string
+	// StoreEpochs are the epochs of the KV cache stores.
+	StoreEpochs []cachemap.StoreEpoch
+	// NodesSettled is set if the leader has counted nodes for long enough that Nodes is not too low.
+	NodesSettled bool
+}
+
+// KindContent is the content of the mirror of one kind.
+type KindContent struct {
+	Kind    string
+	Content mirror.Content
 }
 
 // Revision is the revision of the newest change in a node's mirror of one kind.
--- a/pkg/gateway/peers/objects.go
+++ b/pkg/gateway/peers/objects.go
@@ -1,12 +1,16 @@
 package peers
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
 	"fmt"
 	"io"
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
+	"sync"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -29,6 +33,7 @@
 // Handler serves the content of mirrors to other nodes.
 func Handler(mirrors []*mirror.Mirror) http.Handler {
 	mux := http.NewServeMux()
+	exports := &exportCache{}
 	mux.HandleFunc("GET "+objectsPath, func(w http.ResponseWriter, r *http.Request) {
 		for _, m := range mirrors {
 			if m.Kind() != r.URL.Query().Get("kind") {
@@ -36,12 +41,15 @@
 			}
 			// A malformed revision is read as 0, which requests all objects.
 			since, _ := strconv.ParseInt(r.URL.Query().Get("since"), 10, 64)
-			content := m.Export(since)
-			data, err := msgpack.Marshal(&content)
+			compressed := strings.Contains(r.Header.Get("Accept-Encoding"), encodingGzip)
+			data, err := exports.get(m, since, compressed)
 			if err != nil {
 				http.Error(w, err.Error(), http.StatusInternalServerError)
 				return
 			}
+			if compressed {
+				w.Header().Set("Content-Encoding", encodingGzip)
+			}
 			// A failed write means that the other node has closed the connection.
 			_, _ = w.Write(data)
 			return
@@ -51,6 +59,67 @@
 	return mux
 }
 
+const (
+	// encodingGzip is the content coding of responses to nodes that accept it. It reduces entries of backend
+	// servers to about a tenth.
+	encodingGzip = "gzip"
+	// maxExports bounds the encoded exports that are kept.
+	maxExports = 8
+)
+
+// exportCache keeps encoded exports: after a change, all nodes fetch the same. It is safe for concurrent use.
+type exportCache struct {
+	mu      sync.Mutex
+	exports map[exportKey][]byte
+}
+
+type exportKey struct {
+	kind            string
+	since, revision int64
+	compressed      bool
+}
+
+// get returns what a mirror holds beyond a revision in encoded form.
+func (c *exportCache) get(m *mirror.Mirror, since int64, compressed bool) ([]byte, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	key := exportKey{kind: m.Kind(), since: since, revision: m.Revision(), compressed: compressed}
+	if data, ok := c.exports[key]; ok {
+		return data, nil
+	}
+	content := m.Export(since)
+	data, err := msgpack.Marshal(&content)
+	if err != nil {
+		return nil, fmt.Errorf("encode objects: %w", err)
+	}
+	if compressed {
+		if data, err = compress(data); err != nil {
+			return nil, err
+		}
+	}
+	if len(c.exports) >= maxExports || c.exports == nil {
+		c.exports = make(map[exportKey][]byte, maxExports)
+	}
+	key.revision = content.Revision
+	c.exports[key] = data
+	return data, nil
+}
+
+func compress(data []byte) ([]byte, error) {
+	var buffer bytes.Buffer
+	w, err := gzip.NewWriterLevel(&buffer, gzip.BestSpeed)
+	if err != nil {
+		return nil, fmt.Errorf("compress objects: %w", err)
+	}
+	if _, err := w.Write(data); err != nil {
+		return nil, fmt.Errorf("compress objects: %w", err)
+	}
+	if err := w.Close(); err != nil {
+		return nil, fmt.Errorf("compress objects: %w", err)
+	}
+	return buffer.Bytes(), nil
+}
+
 // Fetcher fetches mirrored objects from other nodes. It is safe for concurrent use.
 type Fetcher struct {
 	http *http.Client
@@ -68,12 +137,19 @@
 	if err != nil {
 		return mirror.Content{}, fmt.Errorf("build request to peer: %w", err)
 	}
+	req.Header.Set("Accept-Encoding", encodingGzip)
 	resp, err := f.http.Do(req)
 	if err != nil {
 		return mirror.Content{}, fmt.Errorf("fetch objects from peer: %w", err)
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	var body io.Reader = io.LimitReader(resp.Body, maxResponseBytes)
+	if resp.Header.Get("Content-Encoding") == encodingGzip {
+		if body, err = gzip.NewReader(body); err != nil {
+			return mirror.Content{}, fmt.Errorf("read objects from peer %s: %w", address, err)
+		}
+	}
+	data, err := io.ReadAll(io.LimitReader(body, maxResponseBytes))
 	if err != nil {
 		return mirror.Content{}, fmt.Errorf("read objects from peer %s: %w", address, err)
 	}
--- a/pkg/gateway/peers/receive.go
+++ b/pkg/gateway/peers/receive.go
@@ -36,10 +36,15 @@
 
 // handle dispatches one message: a leader heartbeat, a reply to a query, or another node's report.
 func (l *Link) handle(m *message) {
+	if m.From == l.opt.Address {
+		return
+	}
 	l.AddPeers(append(m.Peers, m.From))
 	switch {
 	case m.Leader:
 		l.handleHeartbeat(m)
+	case m.IsUpdate:
+		l.handleUpdate(m)
 	case m.IsReply:
 		l.handleReply(m)
 	default:
@@ -53,19 +58,47 @@
 	l.mu.Lock()
 	current := !l.opt.HoldsLease() && (m.From == l.opt.Leader() || l.opt.Leader() == "" || time.Since(l.heartbeatAt) > leaderTimeout)
 	if current {
-		l.heartbeatAt, l.heartbeatFrom, l.nodes, l.standbys = time.Now(), m.From, m.Heartbeat.Nodes, m.Heartbeat.Standbys
+		l.heartbeatAt, l.heartbeatFrom, l.standbys = time.Now(), m.From, m.Heartbeat.Standbys
+		l.nodes, l.nodesSettled = m.Heartbeat.Nodes, m.Heartbeat.NodesSettled
 		if m.Heartbeat.Synced {
 			l.syncedHeartbeatAt = l.heartbeatAt
 		}
 	}
 	l.mu.Unlock()
+	if current {
+		l.opt.Board.ImportContents(m.Contents)
+	}
 	l.compareRevisions(m, current)
 	if current {
 		l.opt.Board.ApplyHeartbeat(m.Heartbeat)
+		l.opt.Board.ApplyStates(m.States)
 		l.opt.Board.MergePrefixUpdates(m.PrefixUpdates, false)
 	}
 }
 
+// handleUpdate applies an update of the leader whose heartbeats this node follows.
+func (l *Link) handleUpdate(m *message) {
+	l.mu.Lock()
+	current := !l.opt.HoldsLease() && m.From == l.heartbeatFrom
+	if current {
+		l.heartbeatAt = time.Now()
+		if m.Synced {
+			l.syncedHeartbeatAt = l.heartbeatAt
+		}
+	}
+	l.mu.Unlock()
+	if current && m.Synced {
+		l.opt.Board.RenewFollower()
+	}
+	if current {
+		l.opt.Board.ImportContents(m.Contents)
+	}
+	l.compareRevisions(m, current)
+	if current {
+		l.opt.Board.ApplyStates(m.States)
+	}
+}
+
 // handleReply makes this node a follower if the reply comes from a standby in sync with the store. Standbys
 // are not followers of each other.
 func (l *Link) handleReply(m *message) {
@@ -76,6 +109,14 @@
 		l.opt.Board.RenewFollower()
 	}
 	l.compareRevisions(m, relayed)
+	if m.Heartbeat.LeaseVersion == 0 || l.opt.Leader() != "" {
+		return
+	}
+	// A node that has just started learns who the leader is, and reports to it at once.
+	l.opt.Board.ObserveLease(m.Heartbeat.Lease, m.Heartbeat.LeaseVersion)
+	if l.opt.Leader() != "" {
+		l.sendReport()
+	}
 }
 
 // handleReport records another node's load and replies if that node requests it.
@@ -86,13 +127,16 @@
 	l.reports[m.From] = loadReport{at: time.Now(), loads: m.Loads}
 	peers := pickRandom(l.knownPeers, maxPeersListed)
 	l.mu.Unlock()
-	if !known {
+	leading := l.opt.ActingLeader()
+	if !known && leading {
 		// The node watches the store itself until it receives a heartbeat.
-		l.RequestHeartbeat()
+		l.sendHeartbeatTo(m.From)
 	}
-	l.opt.Board.MergePrefixUpdates(m.PrefixUpdates, l.opt.ActingLeader())
-	if m.ReplyRequested && !l.opt.ActingLeader() {
-		l.send(&message{From: l.opt.Address, IsReply: true, Synced: l.opt.Board.Synced(), Revisions: l.opt.Board.Revisions(), Peers: peers}, m.From)
+	l.opt.Board.MergePrefixUpdates(m.PrefixUpdates, leading)
+	if m.ReplyRequested && !leading {
+		reply := &message{From: l.opt.Address, IsReply: true, Synced: l.opt.Board.Synced(), Revisions: l.opt.Board.Revisions(), Peers: peers}
+		reply.Heartbeat.Lease, reply.Heartbeat.LeaseVersion = l.opt.Board.Lease()
+		l.send(reply, m.From)
 	}
 }
 
--- a/pkg/gateway/routes/routes.go
+++ b/pkg/gateway/routes/routes.go
@@ -7,6 +7,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"cassiawall.example/cassiawall/pkg/rendezvous"
 )
 
 // Kind determines whether the requests of a route may run more than once.
@@ -80,8 +82,20 @@
 	Name string
 	// HasEngines is set for services of model engines.
 	HasEngines bool
-	// CacheStoreAddress is set if the service is a KV cache store, which serves no client requests.
-	CacheStoreAddress string
+	// CacheStore is set if the service is a KV cache store, which serves no client requests.
+	CacheStore *CacheStore
+	// KVTokenBytes is the size in bytes of one token's KV cache on the service's engines, or 0 if it is not
+	// known.
+	KVTokenBytes int
+}
+
+// CacheStore is a KV cache store, which keeps KV cache outside of the engines.
+type CacheStore struct {
+	Address    string
+	DataCentre string
+	// LinkMbps is the bandwidth of the store's link in Mbit/s, or 0 if it is not known.
+	LinkMbps float64
+	nameHash uint64
 }
 
 // Workspace is a workspace with its API keys.
@@ -112,9 +126,9 @@
 	Workspaces []Workspace
 	Limits     Limits
 
-	cacheStoreAddress string
-	byHost            map[string][]*Route
-	byKey             map[string]*Workspace
+	cacheStores []CacheStore
+	byHost      map[string][]*Route
+	byKey       map[string]*Workspace
 }
 
 // Build creates the indexes of the configuration and returns c. It must be called once before use.
@@ -128,8 +142,9 @@
 		slices.SortStableFunc(list, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
 	}
 	for _, name := range slices.Sorted(maps.Keys(c.Services)) {
-		if address := c.Services[name].CacheStoreAddress; address != "" && c.cacheStoreAddress == "" {
-			c.cacheStoreAddress = address
+		if store := c.Services[name].CacheStore; store != nil {
+			store.nameHash = rendezvous.Hash(store.Address)
+			c.cacheStores = append(c.cacheStores, *store)
 		}
 	}
 	c.byKey = map[string]*Workspace{}
@@ -151,9 +166,22 @@
 	return nil
 }
 
-// CacheStoreAddress returns the address of the KV cache store, or "". If several services have one, the
-// first by service name is used.
-func (c *Config) CacheStoreAddress() string { return c.cacheStoreAddress }
+// CacheStores returns the KV cache stores, in the order of their services' names.
+func (c *Config) CacheStores() []CacheStore { return c.cacheStores }
+
+// CacheStoreFor returns the KV cache store that keeps a shared prefix, or nil if there is none. With several
+// stores, each keeps its own part of the prefixes, so that their memory and links add up.
+func (c *Config) CacheStoreFor(prefix uint64) *CacheStore {
+	var best *CacheStore
+	var bestScore uint64
+	for i := range c.cacheStores {
+		store := &c.cacheStores[i]
+		if score := rendezvous.Score(store.nameHash, prefix); best == nil || score > bestScore {
+			best, bestScore = store, score
+		}
+	}
+	return best
+}
 
 // RequiresAPIKeys reports whether requests to routes that are not Public need an API key.
 func (c *Config) RequiresAPIKeys() bool { return len(c.Workspaces) > 0 }
--- a/pkg/gateway/weights/controller.go
+++ b/pkg/gateway/weights/controller.go
@@ -125,11 +125,16 @@
 	Backends *backends.Registry
 	Engines  Engines
 	Leases   LeaseStore
-	// NotifyPeers schedules a leader heartbeat, which sends the loading state of the engines and the
-	// lease to the other nodes. It returns the time until the heartbeat is sent.
+	// NotifyPeers schedules a message of the leader, which sends the loading state of the engines to the
+	// other nodes. It returns the time until the message is sent.
 	NotifyPeers func() time.Duration
-	Logger      *slog.Logger
-	Metrics     *metrics.Registry
+	// AnnounceLease sends the lease to the other nodes.
+	AnnounceLease func()
+	// MayCallStore reports whether the controller may compete for the lease. A node that has just started
+	// first learns from its peers who holds it.
+	MayCallStore func() bool
+	Logger       *slog.Logger
+	Metrics      *metrics.Registry
 }
 
 // Controller competes for the lease and sends orders to engines while it holds the lease. Run may be
@@ -173,7 +178,7 @@
 	c.advanceLease(ctx, false)
 	c.inFlight.Wait()
 	// The heartbeat with the released lease spares the other nodes the wait for its expiry.
-	c.opt.NotifyPeers()
+	c.opt.AnnounceLease()
 }
 
 // HoldsLease reports whether this node holds the lease and may send orders.
@@ -226,7 +231,9 @@
 
 // reconcile makes the next lease call and orders the next loads of each model.
 func (c *Controller) reconcile(ctx context.Context) {
-	c.advanceLease(ctx, true)
+	if c.opt.MayCallStore() {
+		c.advanceLease(ctx, true)
+	}
 	newest, _ := c.opt.Versions.Newest()
 	for model, version := range newest {
 		c.orderLoads(ctx, model, version)
