--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -89,5 +89,6 @@
 	NoBackend          = define(923, "no backend", slog.LevelInfo, "look up why each backend server was left out")
 	SendFailed         = define(924, "send failed", slog.LevelInfo, "check the backend server if it repeats")
 	RequestAnswered    = define(925, "request answered", slog.LevelInfo, "none")
+	TaskPanicked       = define(927, "task panicked", slog.LevelError, "report the stack as a bug; the process goes on and loops run again")
 	RequestNotServed   = define(926, "request not served", slog.LevelInfo, "run cassiawall explain with the request's id")
 )
--- a/pkg/gateway/backends/pick.go
+++ b/pkg/gateway/backends/pick.go
@@ -1,6 +1,7 @@
 package backends
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -15,7 +16,7 @@
 	remoteFactor = 1.25
 	// affinityFactor is how many times more than another engine the preferred engine of a prefix must cost
 	// before the other is picked: fetching or recomputing the prefix delays all requests of an engine.
-	affinityFactor = 4.0
+	affinityFactor = 8.0
 	// longEngineFactor is how many times more an engine without long requests must cost before one with long
 	// requests is picked for a short request.
 	longEngineFactor = 30.0
@@ -32,7 +33,11 @@
 	PreferVersion int
 	// Affinity is the key of the request's shared prefix, or 0.
 	Affinity uint64
-	// HomeDataCentre is the data centre whose engines should serve the shared prefix, or "" for any.
+	// PrefixRate is the rate of requests with the shared prefix over all nodes, in requests a second, or 0 if
+	// the prefix is not frequent.
+	PrefixRate int
+	// HomeDataCentre is the data centre whose engines should serve the shared prefix, or "" for any; see
+	// Registry.HomeDataCentre.
 	HomeDataCentre string
 	// PrefixEngine is the cachemap.EngineHash of the engine that is assumed to have the prefix in memory, or
 	// 0.
@@ -49,9 +54,6 @@
 	// Version is the version of the model's weights that the engine is assumed to have.
 	Version int
 	Pool    *exchange.Pool
-	// HomeAddress is the address of the preferred engine of the shared prefix if another one was picked, and
-	// that engine has the same version. Otherwise it is "".
-	HomeAddress string
 
 	// Counts describes the backend servers that were considered.
 	Counts CandidateCounts
@@ -111,7 +113,7 @@
 		return nil, counts
 	}
 	candidates = filterPreferred(q, candidates)
-	var best, home *member
+	var best *member
 	var longEngines []*member
 	if q.Model != "" && !q.Long {
 		candidates, longEngines = separateLong(candidates, now)
@@ -119,7 +121,7 @@
 	if q.Long && q.Model != "" {
 		best = r.pickForLong(q, candidates, now)
 	} else if q.Affinity != 0 {
-		best, home = r.pickByAffinity(q, candidates, now)
+		best = r.pickByAffinity(q, candidates, now)
 	} else {
 		best = r.pickCheapest(candidates, r.dataCentre, now)
 	}
@@ -137,14 +139,10 @@
 	if now.Before(best.assignmentExpiry) {
 		counts.HeartbeatAge = assignmentTTL - best.assignmentExpiry.Sub(now)
 	}
-	choice := &Choice{
+	return &Choice{
 		Backend: best.Backend, Version: best.version(q.Model), Pool: best.pool, Counts: counts,
 		registry: r, member: best, long: q.Long,
-	}
-	if home != nil && home != best && home.version(q.Model) == choice.Version {
-		choice.HomeAddress = home.Address
-	}
-	return choice, counts
+	}, counts
 }
 
 // currentAssignment returns the assignment of the last leader heartbeat, or a zero value if it has expired.
@@ -329,28 +327,52 @@
 	return local
 }
 
-// pickByAffinity picks the preferred engine of a prefix (its home), unless another is much cheaper. The home is
-// the engine that has the prefix in memory, or else the first in rendezvous order, so that all nodes know it
-// without messages. Engines of the home data centre are preferred, both as the home and in its place. It returns
-// the picked engine and the home.
-func (r *Registry) pickByAffinity(q Query, candidates []*member, now time.Time) (picked, home *member) {
+// maxRatePerHome is the rate of requests in requests a second up to which one engine is the home of a prefix.
+// The prefill of a prompt takes up to some hundred milliseconds.
+const maxRatePerHome = 20
+
+// homesOf returns the engines that should have a prefix in memory: the one that is known to have it, or else the
+// first in rendezvous order, so that all nodes agree without messages. A prefix with more requests than one
+// engine can prefill has as many homes as it needs.
+func homesOf(q Query, candidates []*member) []*member {
+	count := min(1+q.PrefixRate/maxRatePerHome, len(candidates))
+	if count == 1 && q.PrefixEngine != 0 {
+		for _, m := range candidates {
+			if m.idHash == q.PrefixEngine {
+				return []*member{m}
+			}
+		}
+	}
+	type scored struct {
+		*member
+		score uint64
+	}
+	// homes are the best candidates so far, the best first.
+	homes := make([]scored, 0, count+1)
+	for _, m := range candidates {
+		s := scored{m, rendezvous.Score(m.rendezvousHash, q.Affinity)}
+		at, _ := slices.BinarySearchFunc(homes, s, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
+		if at < count {
+			homes = slices.Insert(homes, at, s)[:min(len(homes)+1, count)]
+		}
+	}
+	members := make([]*member, len(homes))
+	for i, h := range homes {
+		members[i] = h.member
+	}
+	return members
+}
+
+// pickByAffinity picks an engine that should have the prefix in memory (its home), unless another is much
+// cheaper. Engines of the home data centre are preferred, both as the home and in its place.
+func (r *Registry) pickByAffinity(q Query, candidates []*member, now time.Time) *member {
 	nearHome, otherDataCentre := candidates, r.dataCentre
 	if q.HomeDataCentre != "" {
 		if local := inDataCentre(candidates, q.HomeDataCentre); len(local) > 0 {
 			nearHome, otherDataCentre = local, q.HomeDataCentre
 		}
 	}
-	var homeScore uint64
-	for _, m := range nearHome {
-		if q.PrefixEngine != 0 && m.idHash == q.PrefixEngine {
-			home = m
-			break
-		}
-		if s := rendezvous.Score(m.rendezvousHash, q.Affinity); home == nil || s > homeScore {
-			home, homeScore = m, s
-		}
-	}
-	picked = home
+	picked := r.pickCheapest(homesOf(q, nearHome), "", now)
 	for _, others := range [][]*member{nearHome, candidates} {
 		other := r.pickCheapest(others, otherDataCentre, now)
 		if r.cost(picked, now) > affinityFactor*r.cost(other, now) {
@@ -358,7 +380,21 @@
 		}
 		otherDataCentre = r.dataCentre
 	}
-	return picked, home
+	return picked
+}
+
+// HomeDataCentre returns the data centre of the first server of a service in rendezvous order, leaving servers
+// included, or "" if there is none. Data centres get parts of all prefixes in proportion to their servers.
+func (r *Registry) HomeDataCentre(service string, affinity uint64) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	home, homeScore := "", uint64(0)
+	for _, m := range r.byService[service] {
+		if s := rendezvous.Score(m.rendezvousHash, affinity); home == "" || s > homeScore {
+			home, homeScore = m.DataCentre, s
+		}
+	}
+	return home
 }
 
 // CacheSource returns the address of the engine with that idHash, or "" if other engines cannot fetch cached
--- a/pkg/gateway/backends/states.go
+++ b/pkg/gateway/backends/states.go
@@ -161,7 +161,7 @@
 	for _, s := range states {
 		known, ok := a.announced[s.Hash]
 		repeats := max(known.repeats-1, 0)
-		if !ok || !s.sameFlags(known.State) {
+		if ok && !s.sameFlags(known.State) {
 			repeats = flagRepeats
 		}
 		a.announced[s.Hash] = announcement{State: s, round: a.round, repeats: repeats}
--- a/pkg/gateway/exchange/conn.go
+++ b/pkg/gateway/exchange/conn.go
@@ -7,6 +7,8 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
+	"math"
 	"net"
 	"sync"
 	"syscall"
@@ -63,6 +65,8 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	// limit bounds the bytes that reader may read next.
+	limit *limitedReader
 	// rawConn allows a non-blocking read in isClean. It is nil if the connection does not support it.
 	rawConn syscall.RawConn
 	// idleTimeout is the time for which the idle connection may be reused.
@@ -71,7 +75,8 @@
 }
 
 func newConn(c net.Conn) *conn {
-	pooled := &conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferBytes)}
+	limit := &limitedReader{reader: c, left: math.MaxInt64}
+	pooled := &conn{Conn: c, reader: bufio.NewReaderSize(limit, readBufferBytes), limit: limit}
 	if s, ok := c.(syscall.Conn); ok {
 		// On an error rawConn stays nil, and isClean skips its check of the socket.
 		pooled.rawConn, _ = s.SyscallConn()
@@ -79,6 +84,22 @@
 	return pooled
 }
 
+// limitedReader fails with errHeadTooLong once it has read a number of bytes.
+type limitedReader struct {
+	reader io.Reader
+	left   int64
+}
+
+// Read implements io.Reader.
+func (r *limitedReader) Read(p []byte) (int, error) {
+	if r.left <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := r.reader.Read(p[:min(int64(len(p)), r.left)])
+	r.left -= int64(n)
+	return n, err
+}
+
 // isClean reports whether the connection is open and has no unread data. Data on an idle connection
 // belongs to no request.
 func (c *conn) isClean() bool {
--- a/pkg/gateway/exchange/exchange.go
+++ b/pkg/gateway/exchange/exchange.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -21,6 +22,11 @@
 	maxSkippedBytes = 256 << 10
 	// maxSkippedResponses limits the responses to earlier requests that are skipped.
 	maxSkippedResponses = 2
+	// MaxHeadBytes limits the status line and the headers of a response. A faulty server may send bytes
+	// without end.
+	MaxHeadBytes = 64 << 10
+	// maxInformational limits the informational responses (1xx) before a response.
+	maxInformational = 8
 )
 
 // Request is a request to a server. Its fields are written as they are.
@@ -233,9 +239,17 @@
 	return w, nil
 }
 
+// Causes of an Error after a response that breaks a limit.
+var (
+	errHeadTooLong          = fmt.Errorf("the head of the response is longer than %d bytes", MaxHeadBytes)
+	errTooManyInformational = fmt.Errorf("more than %d informational responses", maxInformational)
+)
+
 // readResponse reads the header of the next response. Informational responses other than 101 are skipped.
 func readResponse(c *conn, method string) (*http.Response, error) {
-	for {
+	defer func() { c.limit.left = math.MaxInt64 }()
+	for range maxInformational + 1 {
+		c.limit.left = MaxHeadBytes
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, err
@@ -244,4 +258,5 @@
 			return response, nil
 		}
 	}
+	return nil, errTooManyInformational
 }
--- a/pkg/gateway/exchange/transport.go
+++ b/pkg/gateway/exchange/transport.go
@@ -17,7 +17,9 @@
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
-		ReadBufferSize:      readBufferBytes,
-		WriteBufferSize:     readBufferBytes,
+		// Calls of the node itself have short headers.
+		MaxResponseHeaderBytes: MaxHeadBytes,
+		ReadBufferSize:         readBufferBytes,
+		WriteBufferSize:        readBufferBytes,
 	}
 }
--- a/pkg/gateway/forward/active_request.go
+++ b/pkg/gateway/forward/active_request.go
@@ -11,6 +11,7 @@
 	"cassiawall.example/cassiawall/pkg/gateway/cachemap"
 	"cassiawall.example/cassiawall/pkg/gateway/decisions"
 	"cassiawall.example/cassiawall/pkg/gateway/exchange"
+	"cassiawall.example/cassiawall/pkg/gateway/popularity"
 	"cassiawall.example/cassiawall/pkg/gateway/routes"
 	"cassiawall.example/cassiawall/pkg/wait"
 )
@@ -35,8 +36,9 @@
 	// avoided. The platform counts responses from older weights as less valuable from 1.5 s on; the
 	// difference allows for the time that a request is in flight.
 	preferNewestDelay = 1200 * time.Millisecond
-	// maxBufferedBytes is the size in bytes up to which a response is buffered before it is relayed.
-	maxBufferedBytes = 1 << 20
+	// maxBufferedBytes is the size in bytes up to which a response is buffered before it is relayed. With 64
+	// endless responses at once, a node stays below the memory of the smallest VMs (120 MB).
+	maxBufferedBytes = 256 << 10
 )
 
 // activeRequest is the state of one client request that is being forwarded. It is used by a single
@@ -161,6 +163,7 @@
 			}
 		}
 		query.PrefixEngine = a.engineWithPrefix(prefixVersion, now)
+		query.PrefixRate = a.router.opt.PrefixRates.Rate(popularity.Key(query.Affinity), now)
 		c, considered := a.router.opt.Backends.Pick(query, now)
 		if c != nil {
 			return c
--- a/pkg/gateway/forward/cache.go
+++ b/pkg/gateway/forward/cache.go
@@ -20,6 +20,9 @@
 	// prompt that is saved. An engine saves the whole prompt, and the link of the KV cache store is
 	// narrow.
 	maxOwnToSharedRatio = 0.4
+	// savesPerSecond and saveBurst limit the rate at which one node requests that prompts be saved.
+	savesPerSecond = 4
+	saveBurst      = 4
 )
 
 // cacheSalt returns the salt that separates KV cache entries by the weights version that produced them
@@ -70,21 +73,21 @@
 // cacheStore returns the KV cache store that keeps the request's shared prefix, or nil if there is none or it is
 // down.
 func (a *activeRequest) cacheStore() *routes.CacheStore {
-	store := a.config.CacheStoreFor(a.affinityKey())
+	store := a.config.CacheStoreFor(a.affinityKey(), a.homeDataCentre())
 	if store == nil || !a.router.opt.Prefixes.StoreUp(store.Address) {
 		return nil
 	}
 	return store
 }
 
-// homeDataCentre returns the data centre whose engines should serve the request's shared prefix, or "" for any:
-// the one of the store that keeps the prefix, if there are several stores. A transfer between data centres takes
-// longer and is billed.
+// homeDataCentre returns the data centre whose engines should serve the request's shared prefix, or "" for any. With
+// several KV cache stores, the prefix is kept near these engines: a transfer between data centres takes longer and is
+// billed.
 func (a *activeRequest) homeDataCentre() string {
 	if len(a.config.CacheStores()) < 2 || a.affinityKey() == 0 {
 		return ""
 	}
-	return a.config.CacheStoreFor(a.affinityKey()).DataCentre
+	return a.router.opt.Backends.HomeDataCentre(a.service, a.affinityKey())
 }
 
 // sharedPrefixHashes returns the hashes of the shared prefixes of at least minSharedTokens, longest
@@ -133,23 +136,25 @@
 		storeAddress = store.Address
 	}
 	whole := a.router.opt.Prefixes.Lookup(hashes[0], storeAddress, now)
-	if store != nil && !whole.Saved && a.shouldSave(c, store, now) {
+	if store != nil && !whole.Saved && a.shouldSave(c) {
 		saveTo = storeAddress
 	}
 	a.saveRequested = saveTo != ""
 	if whole.RecentlyProcessed && whole.Engine == cachemap.EngineHash(c.ID) {
 		return "", saveTo
 	}
-	fetchFrom = a.fetchAddress(whole, c, storeAddress, now)
+	fetchFrom = a.knownSource(whole, c, storeAddress, now)
 	for _, hash := range hashes[1:] {
-		if fetchFrom != "" {
-			break
-		}
 		part := a.router.opt.Prefixes.Lookup(hash, storeAddress, now)
-		if part.RecentlyProcessed && part.Engine == cachemap.EngineHash(c.ID) {
+		if fetchFrom != "" || part.RecentlyProcessed && part.Engine == cachemap.EngineHash(c.ID) {
 			break
 		}
-		fetchFrom = a.fetchAddress(part, c, storeAddress, now)
+		fetchFrom = a.knownSource(part, c, storeAddress, now)
+	}
+	if fetchFrom == "" {
+		// The store may have a prefix that this node has no record of, and a miss costs only about a
+		// millisecond.
+		fetchFrom = storeAddress
 	}
 	return fetchFrom, saveTo
 }
@@ -167,35 +172,28 @@
 	a.router.opt.Metrics.Counter("shared_tokens", "fetched_from", source).Inc(int64(a.sharedTokens()))
 }
 
-// fetchAddress returns the address of an engine or of the KV cache store to fetch a prefix from, or "".
+// knownSource returns the address of an engine or of the KV cache store that is known to have a prefix, or "".
 // Engines are preferred because all fetches from a store share its link. store is "" if there is none.
-func (a *activeRequest) fetchAddress(found cachemap.PrefixState, c *backends.Choice, store string, now time.Time) string {
+func (a *activeRequest) knownSource(found cachemap.PrefixState, c *backends.Choice, store string, now time.Time) string {
 	if found.Cached && found.Engine != cachemap.EngineHash(c.ID) {
 		if address := a.router.opt.Backends.CacheSource(found.Engine, a.request.Model, c.Version, now); address != "" {
 			return address
 		}
 	}
-	if !found.Saved && c.HomeAddress != "" {
-		return c.HomeAddress
-	}
-	if !found.Saved {
-		return ""
+	if found.Saved {
+		return store
 	}
-	return store
+	return ""
 }
 
 // shouldSave reports whether the engine should save the prompt to the KV cache store. If so, the
-// save counts against the limit of saves. An engine of another data centre leaves it to those of the store's.
-func (a *activeRequest) shouldSave(c *backends.Choice, store *routes.CacheStore, now time.Time) bool {
-	if len(a.config.CacheStores()) > 1 && c.DataCentre != store.DataCentre {
+// save counts against the limit of saves. An engine of another data centre leaves it to those of the home.
+func (a *activeRequest) shouldSave(c *backends.Choice) bool {
+	if home := a.homeDataCentre(); home != "" && c.DataCentre != home {
 		return false
 	}
 	ownTokens := a.request.PromptParts[len(a.request.PromptParts)-1].Tokens
-	if float64(ownTokens) > maxOwnToSharedRatio*float64(a.sharedTokens()) {
-		return false
-	}
-	promptTokens := ownTokens + a.sharedTokens()
-	return a.router.saves.allow(a.config.CacheStores(), a.config.Services[a.service].KVTokenBytes, promptTokens, a.router.opt.Nodes(), now)
+	return float64(ownTokens) <= maxOwnToSharedRatio*float64(a.sharedTokens()) && a.router.saveLimiter.Allow()
 }
 
 // recordCachedPrompt records that an engine has processed the prompt and has its prefixes cached.
--- a/pkg/gateway/forward/forward_test.go
+++ b/pkg/gateway/forward/forward_test.go
@@ -20,6 +20,7 @@
 
 	"cassiawall.example/cassiawall/pkg/gateway/backends"
 	"cassiawall.example/cassiawall/pkg/gateway/cachemap"
+	"cassiawall.example/cassiawall/pkg/gateway/popularity"
 	"cassiawall.example/cassiawall/pkg/gateway/routes"
 	"cassiawall.example/cassiawall/pkg/metrics"
 )
@@ -161,7 +162,7 @@
 	opt := Options{
 		Protocol: testProtocol{}, Backends: registry, Weights: fixedWeights{newest: 3}, Prefixes: cachemap.New(),
 		RetryBudget: NewRetryBudget(RetryBudgetLimits{BaseRetries: 1000, Window: 10 * time.Second}), Config: func() *routes.Config { return config },
-		Nodes:    func() int { return 1 },
+		PrefixCounts: popularity.NewCounter(), PrefixRates: popularity.NewRates(),
 		Draining: func() bool { return false }, Logger: slog.New(slog.DiscardHandler), Metrics: metrics.New(),
 	}
 	opt.RetryBudget.SetNodes(40, time.Now())
--- a/pkg/gateway/forward/relay.go
+++ b/pkg/gateway/forward/relay.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -77,7 +78,16 @@
 // streamReadBytes is the size of the read buffer of a stream. Events have a few hundred bytes at most.
 const streamReadBytes = 2 << 10
 
-// streamIdleTimeout is the time without data after which a resumable stream continues at another
+// maxEventBytes is the size of an event from which a stream counts as truncated. Events have a few hundred
+// bytes; a faulty engine may send bytes without end.
+const maxEventBytes = 256 << 10
+
+var (
+	errEventTooLong = fmt.Errorf("an event is longer than %d bytes", maxEventBytes)
+	errStreamIdle   = fmt.Errorf("no complete event for %v", streamIdleTimeout)
+)
+
+// streamIdleTimeout is the time without a complete event after which a resumable stream continues at another
 // engine. Engines send an event at least every few hundred milliseconds, and clients time out after two
 // seconds.
 const streamIdleTimeout = 1500 * time.Millisecond
@@ -87,23 +97,26 @@
 	flusher := http.NewResponseController(a.w)
 	var buffer [streamReadBytes]byte
 	var latency time.Duration
+	lastEventAt := time.Now()
 	for {
-		if a.route.Resumable {
-			if err := response.SetReadTimeout(streamIdleTimeout); err != nil {
-				a.recordSendFailed(c, "set read deadline: "+err.Error(), response.Status)
-			}
-		}
-		n, err := response.Read(buffer[:])
+		n, err := a.readStream(response, buffer[:], lastEventAt)
 		if n > 0 {
 			if latency == 0 {
 				latency = time.Since(sentAt)
 				a.recordCachedPrompt(c, time.Now())
 			}
-			if !a.relayEvents(flusher, response, a.events.push(buffer[:n])) {
+			events := a.events.push(buffer[:n])
+			if len(events) > 0 {
+				lastEventAt = time.Now()
+			}
+			if !a.relayEvents(flusher, response, events) {
 				c.Done(backends.Neutral, 0)
 				panic(http.ErrAbortHandler)
 			}
 		}
+		if err == nil && len(a.events.pending) > maxEventBytes {
+			err = errEventTooLong
+		}
 		switch {
 		case err == nil:
 		case err == io.EOF && (response.Framed || len(a.events.pending) == 0):
@@ -127,6 +140,22 @@
 	}
 }
 
+// readStream reads from a stream. A resumable stream without a complete event since streamIdleTimeout fails,
+// also if other bytes arrive: it can continue at another engine. Any other stream may take until the timeout.
+func (a *activeRequest) readStream(response *exchange.Response, buffer []byte, lastEventAt time.Time) (int, error) {
+	if !a.route.Resumable {
+		return response.Read(buffer)
+	}
+	left := streamIdleTimeout - time.Since(lastEventAt)
+	if left <= 0 {
+		return 0, errStreamIdle
+	}
+	if err := response.SetReadTimeout(left); err != nil {
+		return 0, fmt.Errorf("set read deadline: %w", err)
+	}
+	return response.Read(buffer)
+}
+
 // writeStreamHeader writes the header of the first engine's response. It is also the header of a stream
 // that continues at another engine.
 func (a *activeRequest) writeStreamHeader(response *exchange.Response) {
--- a/pkg/gateway/forward/router.go
+++ b/pkg/gateway/forward/router.go
@@ -14,8 +14,10 @@
 	"cassiawall.example/cassiawall/pkg/gateway/backends"
 	"cassiawall.example/cassiawall/pkg/gateway/cachemap"
 	"cassiawall.example/cassiawall/pkg/gateway/decisions"
+	"cassiawall.example/cassiawall/pkg/gateway/popularity"
 	"cassiawall.example/cassiawall/pkg/gateway/routes"
 	"cassiawall.example/cassiawall/pkg/metrics"
+	"cassiawall.example/cassiawall/pkg/recovery"
 )
 
 // DesiredWeights provides the desired versions of model weights.
@@ -35,10 +37,11 @@
 	Weights     DesiredWeights
 	RetryBudget *RetryBudget
 	Prefixes    *cachemap.Map
+	// PrefixCounts counts the requests by shared prefix, and PrefixRates are the rates over all nodes.
+	PrefixCounts *popularity.Counter
+	PrefixRates  *popularity.Rates
 	// Config returns the configuration in force, or nil before the first one.
 	Config func() *routes.Config
-	// Nodes returns the number of nodes, for limits that all nodes share, or 0 if it is not known.
-	Nodes func() int
 	// Draining reports whether the node is shutting down.
 	Draining func() bool
 	Logger   *slog.Logger
@@ -47,15 +50,15 @@
 
 // Router is the http.Handler for clients' requests. It is safe for concurrent use.
 type Router struct {
-	opt   Options
-	saves *saveLimiter
+	opt         Options
+	saveLimiter *rate.Limiter
 	// rejectionLogLimiter limits the rate of log lines about requests that are rejected.
 	rejectionLogLimiter *rate.Limiter
 }
 
 // NewRouter returns a router.
 func NewRouter(opt Options) *Router {
-	return &Router{opt: opt, saves: newSaveLimiter(), rejectionLogLimiter: rate.NewLimiter(rejectionLogsPerSecond, rejectionLogsPerSecond)}
+	return &Router{opt: opt, saveLimiter: rate.NewLimiter(savesPerSecond, saveBurst), rejectionLogLimiter: rate.NewLimiter(rejectionLogsPerSecond, rejectionLogsPerSecond)}
 }
 
 // rejectionLogsPerSecond is the rate and the burst of log lines about requests that are rejected.
@@ -86,6 +89,7 @@
 
 // ServeHTTP implements http.Handler.
 func (r *Router) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	defer r.containPanic()
 	receivedAt := time.Now()
 	if r.opt.Draining() {
 		w.Header().Set("Connection", "close")
@@ -129,6 +133,18 @@
 	})
 }
 
+// containPanic closes the client's connection after an unexpected panic, without a response that could be wrong.
+func (r *Router) containPanic() {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if cause != http.ErrAbortHandler {
+		recovery.Guard{Logger: r.opt.Logger, Metrics: r.opt.Metrics}.Report("request", cause)
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // forward sends an accepted request to backend servers and relays the response.
 func (r *Router) forward(w http.ResponseWriter, req *http.Request, a activeRequest) {
 	timeout := a.route.Timeout
@@ -147,6 +163,9 @@
 	a.trace = decisions.NewTrace(r.opt.Logger, a.request.ID)
 	a.traceAdmitted()
 	r.opt.RetryBudget.RecordRequest(a.service, a.receivedAt)
+	if key := a.affinityKey(); key != 0 {
+		r.opt.PrefixCounts.Record(popularity.Key(key))
+	}
 	a.sendWithRetries()
 }
 
--- a/pkg/gateway/node/board.go
+++ b/pkg/gateway/node/board.go
@@ -11,6 +11,7 @@
 	"cassiawall.example/cassiawall/pkg/gateway/backends"
 	"cassiawall.example/cassiawall/pkg/gateway/mirror"
 	"cassiawall.example/cassiawall/pkg/gateway/peers"
+	"cassiawall.example/cassiawall/pkg/gateway/popularity"
 )
 
 // peerFetchDelay is the time for which another node must have newer objects before they are fetched from it.
@@ -37,25 +38,30 @@
 	fetchIntervalPerNode = 2 * time.Millisecond
 	// maxPushedBytes is the size of a mirror's content up to which the leader sends it in its messages.
 	maxPushedBytes = 512
-	// startWait is the time for which a starting node tries to get the objects from its peers before it calls
-	// the store: a list of all objects takes many calls. firstStartWait is that at the first start of all
-	// nodes, when the objects must reach each node from few others.
-	startWait      = 400 * time.Millisecond
+	// startWait is the time for which a starting node waits for the response of a peer that has objects before
+	// it calls the store: a list of all objects takes many calls. startFetchWait is the time from that response
+	// for the fetches and the leader's first heartbeat. firstStartWait replaces startWait at the first start of
+	// all nodes, when the objects must reach each node from few others.
+	startWait      = 150 * time.Millisecond
+	startFetchWait = 400 * time.Millisecond
 	firstStartWait = 3 * time.Second
 )
 
 // board gives the link access to the node's state. It implements peers.Board.
 type board struct {
 	node *Node
-	// awaitPeersUntil is the time until which this node does not call the store because its peers may have the
-	// objects.
-	awaitPeersUntil time.Time
+	// prefixTotals are in use while this node acts as the leader.
+	prefixTotals *popularity.Totals
 
 	announcerMu sync.Mutex
 	announcer   *backends.Announcer
 
-	mu        sync.Mutex
-	lagByKind map[string]lag
+	mu sync.Mutex
+	// awaitPeersUntil is the time until which this node does not call the store because its peers may have the
+	// objects. peersHaveObjects is set once a peer has reported some.
+	awaitPeersUntil  time.Time
+	peersHaveObjects bool
+	lagByKind        map[string]lag
 	// lastSyncedHeartbeat is the time of the last heartbeat of a leader, or response of a standby, that is
 	// in sync with the store.
 	lastSyncedHeartbeat time.Time
@@ -77,7 +83,7 @@
 var _ peers.Board = (*board)(nil)
 
 func newBoard(n *Node) *board {
-	b := &board{node: n, lagByKind: map[string]lag{}, announcer: backends.NewAnnouncer()}
+	b := &board{node: n, lagByKind: map[string]lag{}, announcer: backends.NewAnnouncer(), prefixTotals: popularity.NewTotals()}
 	s := n.opt.Settings
 	isOther := func(seed string) bool { return seed != s.PeerAddress }
 	// The seeds themselves, and at the first start the nodes that are suited as leaders, get the objects from
@@ -96,7 +102,24 @@
 
 // awaitsPeers reports whether this node has just started and waits for objects from its peers.
 func (b *board) awaitsPeers() bool {
-	return time.Now().Before(b.awaitPeersUntil) && !b.node.controller.ActingLeader()
+	b.mu.Lock()
+	until := b.awaitPeersUntil
+	b.mu.Unlock()
+	return time.Now().Before(until) && !b.node.controller.ActingLeader()
+}
+
+// extendWait lets a node that waits for its peers wait for the objects of one that has some.
+func (b *board) extendWait() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	if b.peersHaveObjects || !now.Before(b.awaitPeersUntil) {
+		return
+	}
+	b.peersHaveObjects = true
+	if until := now.Add(startFetchWait); until.After(b.awaitPeersUntil) {
+		b.awaitPeersUntil = until
+	}
 }
 
 // Loads implements peers.Board.
@@ -119,6 +142,18 @@
 	b.node.prefixes.Merge(prefixes, relay, time.Now())
 }
 
+// TakeCounts implements peers.Board.
+func (b *board) TakeCounts() []byte { return b.node.prefixCounts.Take() }
+
+// AddCounts implements peers.Board.
+func (b *board) AddCounts(counts []byte) { b.prefixTotals.Add(counts, time.Now()) }
+
+// Frequent implements peers.Board.
+func (b *board) Frequent() []byte { return b.prefixTotals.Frequent(time.Now()) }
+
+// ApplyFrequent implements peers.Board.
+func (b *board) ApplyFrequent(rates []byte) { b.node.prefixRates.Set(rates, time.Now()) }
+
 // BuildHeartbeat implements peers.Board.
 func (b *board) BuildHeartbeat(nodes int) peers.Heartbeat {
 	heartbeat := peers.Heartbeat{Nodes: nodes, Synced: b.Synced(), StoreEpochs: b.node.prefixes.StoreEpochs()}
@@ -201,13 +236,6 @@
 	}
 }
 
-// countNodes returns the number of nodes in the last heartbeat, or 0 before the first.
-func (b *board) countNodes() int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.nodeCount
-}
-
 // isFollower reports whether the leader or a standby relays store changes to this node, so that it need not
 // watch the store. It logs changes of the result.
 func (b *board) isFollower() bool {
@@ -259,6 +287,8 @@
 		}
 		return
 	}
+	b.extendWait()
+	awaiting := b.awaitsPeers()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
@@ -267,23 +297,25 @@
 		l = lag{revision: revision, since: now, lastFetch: l.lastFetch}
 	}
 	interval := max(minFetchInterval, time.Duration(b.nodeCount)*fetchIntervalPerNode)
-	due := relayed || b.awaitsPeers() || now.Sub(l.since) >= peerFetchDelay
+	due := relayed || awaiting || now.Sub(l.since) >= peerFetchDelay
 	if !l.fetching && now.Sub(l.lastFetch) >= interval && due {
 		l.fetching, l.lastFetch = true, now
-		go b.fetchFromPeer(peer, m, relayed)
+		go b.node.guard().Run("fetch from a peer", func() { b.fetchFromPeer(peer, m, relayed) })
 	}
 	b.lagByKind[kind] = l
 }
 
 // fetchFromPeer imports the objects that changed since the mirror's revision from a peer.
 func (b *board) fetchFromPeer(peer string, m *mirror.Mirror, relayed bool) {
+	defer func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		l := b.lagByKind[m.Kind()]
+		l.fetching = false
+		b.lagByKind[m.Kind()] = l
+	}()
 	content, err := b.node.fetcher.Fetch(context.Background(), peer, m.Kind(), m.Revision())
 	imported := err == nil && m.Import(content, relayed)
-	b.mu.Lock()
-	l := b.lagByKind[m.Kind()]
-	l.fetching = false
-	b.lagByKind[m.Kind()] = l
-	b.mu.Unlock()
 	if err != nil {
 		event.ObjectsNotFetched.Emit(b.node.opt.Logger, "kind", m.Kind(), "peer", peer, "error", err.Error())
 		return
--- a/pkg/gateway/node/cachestore.go
+++ b/pkg/gateway/node/cachestore.go
@@ -45,7 +45,7 @@
 			}
 			watched[address] = true
 			go func() {
-				n.watchCacheStore(ctx, address)
+				n.guard().Run("cache store", func() { n.watchCacheStore(ctx, address) })
 				select {
 				case stopped <- address:
 				case <-ctx.Done():
--- a/pkg/gateway/node/node.go
+++ b/pkg/gateway/node/node.go
@@ -16,9 +16,11 @@
 	"cassiawall.example/cassiawall/pkg/gateway/forward"
 	"cassiawall.example/cassiawall/pkg/gateway/mirror"
 	"cassiawall.example/cassiawall/pkg/gateway/peers"
+	"cassiawall.example/cassiawall/pkg/gateway/popularity"
 	"cassiawall.example/cassiawall/pkg/gateway/routes"
 	"cassiawall.example/cassiawall/pkg/gateway/weights"
 	"cassiawall.example/cassiawall/pkg/metrics"
+	"cassiawall.example/cassiawall/pkg/recovery"
 	"cassiawall.example/cassiawall/pkg/wait"
 )
 
@@ -100,6 +102,9 @@
 	mirrors     []*mirror.Mirror
 	fetcher     *peers.Fetcher
 	prefixes    *cachemap.Map
+	// prefixCounts counts the requests by shared prefix, and prefixRates are the rates that the leader announced.
+	prefixCounts *popularity.Counter
+	prefixRates  *popularity.Rates
 	// controller and link are set by connect.
 	controller *weights.Controller
 	board      *board
@@ -117,6 +122,8 @@
 		config:      &configTarget{decoder: opt.Decoder, logger: opt.Logger},
 		fetcher:     peers.NewFetcher(),
 		prefixes:    cachemap.New(),
+
+		prefixCounts: popularity.NewCounter(), prefixRates: popularity.NewRates(),
 	}
 	n.mirrors = []*mirror.Mirror{
 		n.newMirror(opt.Kinds.Config, n.config, 0),
@@ -162,7 +169,7 @@
 	link, err := peers.Listen(peers.Options{
 		Address: s.PeerAddress, Seeds: s.Seeds, Leader: n.controller.Leader, HoldsLease: n.controller.HoldsLease,
 		ActingLeader: n.controller.ActingLeader,
-		Board:        n.board, Logger: n.opt.Logger,
+		Board:        n.board, Logger: n.opt.Logger, Guard: n.guard(),
 	})
 	n.link = link
 	return err
@@ -221,23 +228,18 @@
 // startBackground starts the background tasks. It returns a function that stops the weights controller and
 // waits until it has released the lease.
 func (n *Node) startBackground(ctx context.Context) (stopController func()) {
+	guard := n.guard()
 	for _, m := range n.mirrors {
-		go m.Run(ctx)
+		go guard.Loop(ctx, "mirror of "+m.Kind(), m.Run)
 	}
-	go n.link.Run(ctx)
-	go n.watchCacheStores(ctx)
-	go wait.Every(ctx, sweepInterval, func(context.Context) {
-		now := time.Now()
-		n.registry.Sweep(now)
-		if gone := n.registry.RemoveSuspects(now, suspectTimeout); len(gone) > 0 {
-			event.BackendGone.Emit(n.opt.Logger, "backends", gone)
-		}
-	})
+	go guard.Loop(ctx, "peers", n.link.Run)
+	go guard.Loop(ctx, "cache stores", n.watchCacheStores)
+	go guard.Loop(ctx, "sweep", n.sweep)
 	controllerCtx, cancel := context.WithCancel(ctx)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		n.controller.Run(controllerCtx)
+		guard.Loop(controllerCtx, "weights", n.controller.Run)
 	}()
 	return func() {
 		cancel()
@@ -245,11 +247,27 @@
 	}
 }
 
+// sweep closes idle connections and removes suspect backend servers until ctx ends.
+func (n *Node) sweep(ctx context.Context) {
+	wait.Every(ctx, sweepInterval, func(context.Context) {
+		now := time.Now()
+		n.registry.Sweep(now)
+		if gone := n.registry.RemoveSuspects(now, suspectTimeout); len(gone) > 0 {
+			event.BackendGone.Emit(n.opt.Logger, "backends", gone)
+		}
+	})
+}
+
+// guard contains panics of the node's tasks.
+func (n *Node) guard() recovery.Guard {
+	return recovery.Guard{Logger: n.opt.Logger, Metrics: n.opt.Metrics}
+}
+
 func (n *Node) router() *forward.Router {
 	return forward.NewRouter(forward.Options{
 		Protocol: n.opt.Protocol, Backends: n.registry, Weights: n.versions, RetryBudget: n.retryBudget, Prefixes: n.prefixes,
+		PrefixCounts: n.prefixCounts, PrefixRates: n.prefixRates,
 		Config:   func() *routes.Config { return n.config.current.Load() },
-		Nodes:    n.board.countNodes,
 		Draining: n.draining.Load, Logger: n.opt.Logger, Metrics: n.opt.Metrics,
 	})
 }
--- a/pkg/gateway/peers/link.go
+++ b/pkg/gateway/peers/link.go
@@ -12,6 +12,7 @@
 
 	"cassiawall.example/cassiawall/pkg/event"
 	"cassiawall.example/cassiawall/pkg/gateway/backends"
+	"cassiawall.example/cassiawall/pkg/recovery"
 	"cassiawall.example/cassiawall/pkg/wait"
 )
 
@@ -52,6 +53,12 @@
 	// adds entries of other nodes, and queues them for the next message if relay is set.
 	TakePrefixUpdates() []byte
 	MergePrefixUpdates(updates []byte, relay bool)
+	// TakeCounts returns and clears this node's counts of requests by prefix. AddCounts adds those of another
+	// node, Frequent returns the rates of the frequent prefixes, and ApplyFrequent applies those of the leader.
+	TakeCounts() []byte
+	AddCounts(counts []byte)
+	Frequent() []byte
+	ApplyFrequent(rates []byte)
 	// Revisions returns those of this node's mirrors.
 	Revisions() []Revision
 	// BuildHeartbeat returns the heartbeat of a leader to which nodes report.
@@ -107,6 +114,8 @@
 	ActingLeader func() bool
 	Board        Board
 	Logger       *slog.Logger
+	// Guard contains panics while messages are handled.
+	Guard recovery.Guard
 }
 
 // Link exchanges datagrams with other nodes. Run may be called once.
@@ -169,7 +178,7 @@
 func (l *Link) Run(ctx context.Context) {
 	stop := context.AfterFunc(ctx, func() { l.conn.Close() })
 	defer stop()
-	go l.receive(ctx)
+	go l.opt.Guard.Loop(ctx, "peer messages", l.receive)
 	for {
 		if l.opt.ActingLeader() {
 			l.sendHeartbeat()
@@ -224,7 +233,7 @@
 			l.mu.Lock()
 			p.pending = false
 			l.mu.Unlock()
-			send()
+			l.opt.Guard.Run("leader message", send)
 		})
 	}
 	l.mu.Unlock()
@@ -278,7 +287,10 @@
 	listPeers := l.heartbeatsSent%heartbeatsPerPeerList == 0
 	l.standbys = pickEvenly(targets, standbyCount)
 	l.mu.Unlock()
+	l.opt.Board.AddCounts(l.opt.Board.TakeCounts())
 	m := l.buildHeartbeat()
+	m.Frequent = l.opt.Board.Frequent()
+	l.opt.Board.ApplyFrequent(m.Frequent)
 	m.States, m.PrefixUpdates = l.opt.Board.States(total, ForHeartbeat), l.opt.Board.TakePrefixUpdates()
 	l.opt.Board.ApplyHeartbeat(m.Heartbeat)
 	l.opt.Board.ApplyStates(m.States)
@@ -358,7 +370,7 @@
 // sendReport reports this node's running requests to the leader. While the leader is silent, it queries the
 // standbys and reports to random peers.
 func (l *Link) sendReport() {
-	m := &message{From: l.opt.Address, Revisions: l.opt.Board.Revisions(), Loads: l.opt.Board.Loads(), PrefixUpdates: l.opt.Board.TakePrefixUpdates()}
+	m := &message{From: l.opt.Address, Revisions: l.opt.Board.Revisions(), Loads: l.opt.Board.Loads(), PrefixUpdates: l.opt.Board.TakePrefixUpdates(), Counts: l.opt.Board.TakeCounts()}
 	var targets []string
 	l.mu.Lock()
 	l.leadingSince = time.Time{}
--- a/pkg/gateway/peers/message.go
+++ b/pkg/gateway/peers/message.go
@@ -47,6 +47,9 @@
 	// Contents are the whole content of the leader's mirrors of few small objects, so that the nodes need not
 	// fetch them.
 	Contents []KindContent
+	// Counts are the encoded counts of a report's node by prefix, and Frequent the leader's encoded rates of
+	// frequent prefixes; see package popularity.
+	Counts, Frequent []byte
 	// IsUpdate marks a message of the leader between two heartbeats, with changed States only. IsReply is set
 	// as well, because nodes of earlier versions then ignore its content.
 	IsUpdate bool
--- a/pkg/gateway/peers/peers_test.go
+++ b/pkg/gateway/peers/peers_test.go
@@ -89,6 +89,14 @@
 	b.states = string(states)
 }
 
+func (b *fakeBoard) TakeCounts() []byte { return nil }
+
+func (b *fakeBoard) AddCounts([]byte) {}
+
+func (b *fakeBoard) Frequent() []byte { return nil }
+
+func (b *fakeBoard) ApplyFrequent([]byte) {}
+
 func (b *fakeBoard) SmallContents() []KindContent { return nil }
 
 func (b *fakeBoard) ImportContents([]KindContent) {}
--- a/pkg/gateway/peers/receive.go
+++ b/pkg/gateway/peers/receive.go
@@ -25,12 +25,14 @@
 			}
 			continue
 		}
-		m, err := decode(buffer[:n])
-		if err != nil {
-			event.PeerMessageSkipped.Emit(l.opt.Logger, "error", err.Error())
-			continue
-		}
-		l.handle(m)
+		l.opt.Guard.Run("peer message", func() {
+			m, err := decode(buffer[:n])
+			if err != nil {
+				event.PeerMessageSkipped.Emit(l.opt.Logger, "error", err.Error())
+				return
+			}
+			l.handle(m)
+		})
 	}
 }
 
@@ -72,6 +74,7 @@
 	if current {
 		l.opt.Board.ApplyHeartbeat(m.Heartbeat)
 		l.opt.Board.ApplyStates(m.States)
+		l.opt.Board.ApplyFrequent(m.Frequent)
 		l.opt.Board.MergePrefixUpdates(m.PrefixUpdates, false)
 	}
 }
@@ -133,6 +136,9 @@
 		l.sendHeartbeatTo(m.From)
 	}
 	l.opt.Board.MergePrefixUpdates(m.PrefixUpdates, leading)
+	if leading {
+		l.opt.Board.AddCounts(m.Counts)
+	}
 	if m.ReplyRequested && !leading {
 		reply := &message{From: l.opt.Address, IsReply: true, Synced: l.opt.Board.Synced(), Revisions: l.opt.Board.Revisions(), Peers: peers}
 		reply.Heartbeat.Lease, reply.Heartbeat.LeaseVersion = l.opt.Board.Lease()
--- a/pkg/gateway/routes/routes.go
+++ b/pkg/gateway/routes/routes.go
@@ -84,18 +84,14 @@
 	HasEngines bool
 	// CacheStore is set if the service is a KV cache store, which serves no client requests.
 	CacheStore *CacheStore
-	// KVTokenBytes is the size in bytes of one token's KV cache on the service's engines, or 0 if it is not
-	// known.
-	KVTokenBytes int
 }
 
 // CacheStore is a KV cache store, which keeps KV cache outside of the engines.
 type CacheStore struct {
 	Address    string
 	DataCentre string
-	// LinkMbps is the bandwidth of the store's link in Mbit/s, or 0 if it is not known.
-	LinkMbps float64
-	nameHash uint64
+	// addressHash is the rendezvous hash of Address.
+	addressHash uint64
 }
 
 // Workspace is a workspace with its API keys.
@@ -143,7 +139,7 @@
 	}
 	for _, name := range slices.Sorted(maps.Keys(c.Services)) {
 		if store := c.Services[name].CacheStore; store != nil {
-			store.nameHash = rendezvous.Hash(store.Address)
+			store.addressHash = rendezvous.Hash(store.Address)
 			c.cacheStores = append(c.cacheStores, *store)
 		}
 	}
@@ -169,14 +165,18 @@
 // CacheStores returns the KV cache stores, in the order of their services' names.
 func (c *Config) CacheStores() []CacheStore { return c.cacheStores }
 
-// CacheStoreFor returns the KV cache store that keeps a shared prefix, or nil if there is none. With several
-// stores, each keeps its own part of the prefixes, so that their memory and links add up.
-func (c *Config) CacheStoreFor(prefix uint64) *CacheStore {
+// CacheStoreFor returns the KV cache store that keeps a shared prefix whose home is in a data centre, or nil if
+// there is none: a store of that data centre or, if it has none, any other. With several stores, each keeps its
+// own part of the prefixes, so that their memory and links add up.
+func (c *Config) CacheStoreFor(prefix uint64, dataCentre string) *CacheStore {
 	var best *CacheStore
 	var bestScore uint64
 	for i := range c.cacheStores {
 		store := &c.cacheStores[i]
-		if score := rendezvous.Score(store.nameHash, prefix); best == nil || score > bestScore {
+		score := rendezvous.Score(store.addressHash, prefix)
+		nearer := best != nil && store.DataCentre == dataCentre && best.DataCentre != dataCentre
+		farther := best != nil && store.DataCentre != dataCentre && best.DataCentre == dataCentre
+		if best == nil || nearer || !farther && score > bestScore {
 			best, bestScore = store, score
 		}
 	}
--- a/pkg/gateway/weights/controller.go
+++ b/pkg/gateway/weights/controller.go
@@ -12,6 +12,7 @@
 	"cassiawall.example/cassiawall/pkg/lease"
 	"cassiawall.example/cassiawall/pkg/metrics"
 	"cassiawall.example/cassiawall/pkg/objects"
+	"cassiawall.example/cassiawall/pkg/recovery"
 	"cassiawall.example/cassiawall/pkg/wait"
 )
 
@@ -251,6 +252,7 @@
 		return
 	}
 	c.inFlight.Go(func() {
+		defer c.containPanic()
 		callCtx, cancel := context.WithTimeout(ctx, leaseCallTimeout)
 		defer cancel()
 		var version uint64
@@ -272,6 +274,13 @@
 	})
 }
 
+// containPanic keeps a panic in a call to the store or an engine from ending the process.
+func (c *Controller) containPanic() {
+	if cause := recover(); cause != nil {
+		recovery.Guard{Logger: c.opt.Logger, Metrics: c.opt.Metrics}.Report("weights", cause)
+	}
+}
+
 // updateHeldLocked records and logs whether this node holds the lease. A change discards the records of
 // orders, because another leader may have sent orders in the meantime.
 func (c *Controller) updateHeldLocked() {
@@ -314,7 +323,10 @@
 			c.engineOrders[id] = o
 		}
 		o.pending = true
-		c.inFlight.Go(func() { c.runOrder(ctx, targets[id], model, version, o) })
+		c.inFlight.Go(func() {
+			defer c.containPanic()
+			c.runOrder(ctx, targets[id], model, version, o)
+		})
 	}
 }
 
