--- a/pkg/gateway/peers/link.go
+++ b/pkg/gateway/peers/link.go
@@ -20,6 +20,8 @@
 	// minReportInterval is the minimum time between a node's reports. Requests run for some hundred
 	// milliseconds, so older reports would be out of date.
 	minReportInterval = 200 * time.Millisecond
+	// startInterval is the time between the reports of a node that has received no heartbeat since its start.
+	startInterval = 100 * time.Millisecond
 	// reportIntervalPerNode lengthens the interval with the number of nodes, so that the leader handles at
 	// most 200 reports a second. The interval stops growing at maxReportInterval.
 	reportIntervalPerNode = 5 * time.Millisecond
@@ -197,6 +199,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	interval := Interval(l.nodes)
+	if l.heartbeatAt.IsZero() && !l.opt.ActingLeader() {
+		interval = startInterval
+	}
 	if untilQuery := time.Until(l.syncedHeartbeatAt.Add(heartbeatsDuration(minQueryTimeout, queryTimeoutHeartbeats, l.nodes))); untilQuery > 0 {
 		return min(interval, untilQuery)
 	}
