--- a/pkg/gateway/backends/pick.go
+++ b/pkg/gateway/backends/pick.go
@@ -333,8 +333,7 @@
 }
 
 // maxRatePerHome is the rate of requests in requests a second up to which one engine is the home of a prefix.
-// The
-// prefill of what such requests do not share takes an engine some ten milliseconds each.
+// The prefill of what such requests do not share takes an engine some ten milliseconds each.
 const maxRatePerHome = 20
 
 // homesOf returns the engines that should have a prefix in memory: the one that is known to have it, or else the
