Let starting nodes wait 800 ms for the objects of their peers; strengthen a test

The nodes now leave the seeds more time to list and pass on the objects. The test of endless bodies passed without the limits, because its engines sent too little; both limits are now seen to matter.

--- a/pkg/gateway/forward/endless_test.go
+++ b/pkg/gateway/forward/endless_test.go
@@ -101,7 +101,7 @@
 // Guards against a node that runs out of memory, or serves nothing else, while many engines send events or bodies
 // without end. The limit leaves the rest of a process of 120 MB for the runtime and its buffers.
 func TestEndlessBodiesTakeLittleMemory(t *testing.T) {
-	const endless, maxHeapBytes, blockPause = 64, 60 << 20, 50 * time.Millisecond
+	const endless, maxHeapBytes, blockPause = 64, 60 << 20, 5 * time.Millisecond
 	block := make([]byte, 16<<10)
 	for i := range block {
 		block[i] = 'x'
@@ -135,7 +135,7 @@
 		}
 		require.Eventually(t, func() bool { return started.Load() >= endless }, 7*time.Second, 5*time.Millisecond)
 		var highest uint64
-		for range 10 {
+		for range 20 {
 			var stats runtime.MemStats
 			runtime.ReadMemStats(&stats)
 			highest = max(highest, stats.HeapInuse)
--- a/pkg/gateway/node/board.go
+++ b/pkg/gateway/node/board.go
@@ -42,7 +42,7 @@
 	// it calls the store: a list of all objects takes many calls. startFetchWait is the time from that response
 	// for the fetches and the leader's first heartbeat. firstStartWait replaces startWait at the first start of
 	// all nodes, when the objects must reach each node from few others.
-	startWait      = 350 * time.Millisecond
+	startWait      = 800 * time.Millisecond
 	startFetchWait = 400 * time.Millisecond
 	firstStartWait = 3 * time.Second
 )
