--- a/pkg/gateway/peers/objects.go
+++ b/pkg/gateway/peers/objects.go
@@ -143,7 +143,7 @@
 		return mirror.Content{}, fmt.Errorf("fetch objects from peer: %w", err)
 	}
 	defer resp.Body.Close()
-	var body io.Reader = io.LimitReader(resp.Body, maxResponseBytes)
+	body := io.LimitReader(resp.Body, maxResponseBytes)
 	if resp.Header.Get("Content-Encoding") == encodingGzip {
 		if body, err = gzip.NewReader(body); err != nil {
 			return mirror.Content{}, fmt.Errorf("read objects from peer %s: %w", address, err)
