Size the spare engines for long requests by the age of the loads

With loads of 0.2 s, the spare capacity for a growth of 30% took an engine of 18 from the short requests.

--- a/pkg/gateway/backends/assign.go
+++ b/pkg/gateway/backends/assign.go
@@ -11,11 +11,11 @@
 	// minLongEngines is the minimum number of engines for long requests, so that one crash does not interrupt
 	// all of them.
 	minLongEngines = 2
-	// minLongShare is the minimum share of the engines for long requests, and longGrowth the factor by which
-	// they may increase before the next heartbeat. They answer the load of a large fleet: with two engines for
-	// all of its first long requests, hundreds would start there before the next assignment.
-	minLongShare = 0.1
-	longGrowth   = 1.3
+	// minLongShare is the minimum share of the engines for long requests, and longGrowthPerSecond the share by
+	// which they may increase in a second. They answer the load of a large fleet, whose loads are old: with two
+	// engines for all of its first long requests, hundreds would start there before the next assignment.
+	minLongShare        = 0.1
+	longGrowthPerSecond = 0.4
 )
 
 // minDownReports is the number of nodes that must fail to connect to a backend server before all nodes avoid
@@ -40,7 +40,7 @@
 // enginesForLong returns the engines that should get long requests: as few as have the capacity for them, those
 // with the newest weights first and then those that run the most long requests already. The others stay free of
 // long requests, so that they can load new weights without waiting.
-func enginesForLong(engines []engineLoad) map[string]bool {
+func enginesForLong(engines []engineLoad, loadAge time.Duration) map[string]bool {
 	engines = slices.Clone(engines)
 	slices.SortFunc(engines, func(a, b engineLoad) int {
 		return cmp.Or(cmp.Compare(b.version, a.version), cmp.Compare(b.long, a.long), cmp.Compare(a.id, b.id))
@@ -54,7 +54,7 @@
 	capacity := 0
 	for _, e := range engines {
 		// The spare capacity is for long requests that start before the next assignment.
-		spare := max(targetLongRequests(e.slots), int((longGrowth-1)*float64(total)))
+		spare := max(targetLongRequests(e.slots), int(longGrowthPerSecond*loadAge.Seconds()*float64(total)))
 		if capacity >= total+spare && len(selected) >= minEngines {
 			break
 		}
@@ -89,7 +89,7 @@
 		}
 	}
 	for _, group := range groups {
-		for id := range enginesForLong(group) {
+		for id := range enginesForLong(group, r.loadAge) {
 			a := assignments[id]
 			a.TakesLong = true
 			assignments[id] = a
--- a/pkg/gateway/backends/backends.go
+++ b/pkg/gateway/backends/backends.go
@@ -115,7 +115,9 @@
 type Registry struct {
 	dataCentre string
 
-	mu        sync.Mutex
+	mu sync.Mutex
+	// loadAge is the time between two heartbeats of the leader.
+	loadAge   time.Duration
 	members   map[string]*member
 	byService map[string][]*member
 	// byHash holds the members by idHash.
@@ -127,6 +129,13 @@
 	return &Registry{dataCentre: dataCentre, members: map[string]*member{}, byService: map[string][]*member{}, byHash: map[uint32]*member{}}
 }
 
+// SetLoadAge sets the time between two heartbeats of the leader, for the assignments that this node computes.
+func (r *Registry) SetLoadAge(age time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.loadAge = age
+}
+
 // Put adds or replaces a backend server. If the server has restarted, its observed state is reset and its
 // connections are closed. Put reports whether the server is new, has restarted or has changed Leaving or
 // Models; it returns false for an entry that is only renewed.
--- a/pkg/gateway/node/board.go
+++ b/pkg/gateway/node/board.go
@@ -156,6 +156,7 @@
 
 // BuildHeartbeat implements peers.Board.
 func (b *board) BuildHeartbeat(nodes int) peers.Heartbeat {
+	b.node.registry.SetLoadAge(peers.Interval(nodes))
 	heartbeat := peers.Heartbeat{Nodes: nodes, Synced: b.Synced(), StoreEpochs: b.node.prefixes.StoreEpochs()}
 	heartbeat.Lease, heartbeat.LeaseVersion = b.node.controller.LeaseRecord()
 	for id, models := range b.node.registry.ObservedVersions() {
