--- a/pkg/gateway/backends/backends.go
+++ b/pkg/gateway/backends/backends.go
@@ -56,6 +56,8 @@
 type member struct {
 	Backend
 	rendezvousHash uint64
+	// dataCentreHash is the rendezvous hash of DataCentre.
+	dataCentreHash uint64
 	// idHash is the hash of the ID that a cachemap uses.
 	idHash uint32
 	pool   *exchange.Pool
@@ -152,7 +154,7 @@
 	if old != nil {
 		r.removeLocked(old)
 	}
-	m := &member{Backend: b, rendezvousHash: rendezvous.Hash(b.ID), idHash: cachemap.EngineHash(b.ID), pool: exchange.NewPool(b.Address), observedVersions: map[string]int{}}
+	m := &member{Backend: b, rendezvousHash: rendezvous.Hash(b.ID), dataCentreHash: rendezvous.Hash(b.DataCentre), idHash: cachemap.EngineHash(b.ID), pool: exchange.NewPool(b.Address), observedVersions: map[string]int{}}
 	r.members[b.ID], r.byHash[m.idHash] = m, m
 	list := append(r.byService[b.Service], m)
 	slices.SortFunc(list, func(a, c *member) int { return cmp.Compare(a.ID, c.ID) })
--- a/pkg/gateway/backends/pick.go
+++ b/pkg/gateway/backends/pick.go
@@ -388,14 +388,14 @@
 	return picked
 }
 
-// HomeDataCentre returns the data centre of the first server of a service in rendezvous order, leaving servers
-// included, or "" if there is none. Data centres get parts of all prefixes in proportion to their servers.
+// HomeDataCentre returns the data centre whose servers of a service should serve a prefix, or "" if the service has
+// no servers. It stays the same while servers come and go, so that a store there keeps its use.
 func (r *Registry) HomeDataCentre(service string, affinity uint64) string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	home, homeScore := "", uint64(0)
 	for _, m := range r.byService[service] {
-		if s := rendezvous.Score(m.rendezvousHash, affinity); home == "" || s > homeScore {
+		if s := rendezvous.Score(m.dataCentreHash, affinity); home == "" || s > homeScore {
 			home, homeScore = m.DataCentre, s
 		}
 	}
--- a/pkg/gateway/backends/states_test.go
+++ b/pkg/gateway/backends/states_test.go
@@ -118,6 +118,26 @@
 	assert.Len(t, countPicks(r, Query{Service: "s", Model: "m", Affinity: 3, HomeDataCentre: "dc2"}), 1)
 }
 
+// Guards against prefixes whose home moves to another data centre, away from the store that keeps them, when
+// engines crash. Replays the loss of a quarter of the engines.
+func TestHomeDataCentreIsStable(t *testing.T) {
+	r := newRegistry(24, func(i int, b *Backend) { b.DataCentre = fmt.Sprint("dc", i%3) })
+	before, counts := map[uint64]string{}, map[string]int{}
+	for affinity := range uint64(3000) {
+		before[affinity] = r.HomeDataCentre("s", affinity)
+		counts[before[affinity]]++
+	}
+	for _, n := range counts {
+		assert.InDelta(t, 1000, n, 100)
+	}
+	for i := range 6 {
+		r.Remove(fmt.Sprint("e", i*4))
+	}
+	for affinity, home := range before {
+		assert.Equal(t, home, r.HomeDataCentre("s", affinity))
+	}
+}
+
 // Guards against a large fleet whose first long requests all go to the same two engines. Replays 300 nodes that
 // start 150 long requests on 60 engines of 12 slots before the first loads are known.
 func TestFirstLongRequestsAreSpread(t *testing.T) {
--- a/pkg/gateway/forward/cache.go
+++ b/pkg/gateway/forward/cache.go
@@ -143,18 +143,13 @@
 	if whole.RecentlyProcessed && whole.Engine == cachemap.EngineHash(c.ID) {
 		return "", saveTo
 	}
-	fetchFrom = a.knownSource(whole, c, storeAddress, now)
+	fetchFrom = a.fetchAddress(whole, c, storeAddress, now)
 	for _, hash := range hashes[1:] {
 		part := a.router.opt.Prefixes.Lookup(hash, storeAddress, now)
 		if fetchFrom != "" || part.RecentlyProcessed && part.Engine == cachemap.EngineHash(c.ID) {
 			break
 		}
-		fetchFrom = a.knownSource(part, c, storeAddress, now)
-	}
-	if fetchFrom == "" {
-		// The store may have a prefix that this node has no record of, and a miss costs only about a
-		// millisecond.
-		fetchFrom = storeAddress
+		fetchFrom = a.fetchAddress(part, c, storeAddress, now)
 	}
 	return fetchFrom, saveTo
 }
@@ -172,18 +167,17 @@
 	a.router.opt.Metrics.Counter("shared_tokens", "fetched_from", source).Inc(int64(a.sharedTokens()))
 }
 
-// knownSource returns the address of an engine or of the KV cache store that is known to have a prefix, or "".
+// fetchAddress returns the address of an engine or of the KV cache store to fetch a prefix from, or "".
 // Engines are preferred because all fetches from a store share its link. store is "" if there is none.
-func (a *activeRequest) knownSource(found cachemap.PrefixState, c *backends.Choice, store string, now time.Time) string {
+func (a *activeRequest) fetchAddress(found cachemap.PrefixState, c *backends.Choice, store string, now time.Time) string {
 	if found.Cached && found.Engine != cachemap.EngineHash(c.ID) {
 		if address := a.router.opt.Backends.CacheSource(found.Engine, a.request.Model, c.Version, now); address != "" {
 			return address
 		}
 	}
-	if found.Saved {
-		return store
-	}
-	return ""
+	// The store may have a prefix that this node has no record of, and a miss costs only about a
+	// millisecond.
+	return store
 }
 
 // shouldSave reports whether the engine should save the prompt to the KV cache store. If so, the
