--- a/pkg/gateway/backends/backends.go
+++ b/pkg/gateway/backends/backends.go
@@ -86,7 +86,8 @@
 	return max(m.Backend.version(model), m.observedVersions[model])
 }
 
-// Assignment is what the leader decides about one backend server.
+// Assignment is what the leader decides about one backend server. Heartbeats of earlier versions encode it as an
+// array, so the order and types of its fields are a format.
 type Assignment struct {
 	// Long and Short are the running requests of all nodes.
 	Long, Short int
--- /dev/null
+++ b/pkg/gateway/peers/leader.go
@@ -0,0 +1,169 @@
+package peers
+
+import (
+	"slices"
+	"time"
+
+	"cassiawall.example/cassiawall/pkg/gateway/backends"
+)
+
+// RequestHeartbeat sends a heartbeat, at once or as soon as the minimum gap has passed. It returns the time until
+// it is sent. On a node that does not act as the leader it does nothing and returns 0.
+func (l *Link) RequestHeartbeat() time.Duration {
+	return l.request(&l.heartbeats, minHeartbeatGapPerNode, l.sendHeartbeat)
+}
+
+// RequestUpdate is like RequestHeartbeat for an update, which contains the changed states of backend servers and
+// the revisions only.
+func (l *Link) RequestUpdate() time.Duration {
+	return l.request(&l.updates, minUpdateGapPerNode, l.sendUpdate)
+}
+
+func (l *Link) request(p *pacer, gapPerNode time.Duration, send func()) time.Duration {
+	if !l.opt.ActingLeader() {
+		return 0
+	}
+	l.mu.Lock()
+	left := time.Duration(l.nodes)*gapPerNode - time.Since(p.sentAt)
+	if left > 0 && !p.pending {
+		p.pending = true
+		time.AfterFunc(left, func() {
+			l.mu.Lock()
+			p.pending = false
+			l.mu.Unlock()
+			l.opt.Guard.Run("leader message", send)
+		})
+	}
+	l.mu.Unlock()
+	if left > 0 {
+		return left
+	}
+	send()
+	return 0
+}
+
+// collectReportsLocked returns the nodes that report to this one and the sum of all loads. It drops reports that
+// are too old.
+func (l *Link) collectReportsLocked(now time.Time) (targets []string, total map[string]backends.Load) {
+	total = map[string]backends.Load{}
+	addLoads(total, l.opt.Board.Loads())
+	for address, r := range l.reports {
+		if now.Sub(r.at) > reportTTL {
+			delete(l.reports, address)
+			continue
+		}
+		addLoads(total, r.loads)
+		targets = append(targets, address)
+	}
+	return targets, total
+}
+
+// countNodesLocked sets the number of nodes from that of reporting nodes. A new leader keeps the number of its
+// predecessor until each node has had time to report to it: a number that is too low would make each node use
+// too large a part of the shared retry budget.
+func (l *Link) countNodesLocked(reporting int, now time.Time) {
+	if l.leadingSince.IsZero() {
+		l.leadingSince = now
+	}
+	counted := reporting + 1
+	if now.Sub(l.leadingSince) >= reportTTL {
+		l.nodes, l.nodesSettled = counted, true
+		return
+	}
+	l.nodes = max(l.nodes, counted)
+}
+
+// beginHeartbeat returns the receivers of the next heartbeat, the sum of all loads, and whether the heartbeat lists
+// peers.
+func (l *Link) beginHeartbeat(now time.Time) (targets []string, total map[string]backends.Load, listPeers bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	targets, total = l.collectReportsLocked(now)
+	l.countNodesLocked(len(targets), now)
+	l.heartbeats.sentAt = now
+	l.heartbeatsSent++
+	l.standbys = pickEvenly(targets, standbyCount)
+	return targets, total, l.heartbeatsSent%heartbeatsPerPeerList == 0
+}
+
+// collectReports is collectReportsLocked for messages between heartbeats.
+func (l *Link) collectReports() (targets []string, total map[string]backends.Load) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.collectReportsLocked(time.Now())
+}
+
+// sendHeartbeat sends a heartbeat with the states of backend servers to all nodes that report to this one, and
+// applies it to this node.
+func (l *Link) sendHeartbeat() {
+	targets, total, listPeers := l.beginHeartbeat(time.Now())
+	l.opt.Board.AddCounts(l.opt.Board.TakeCounts())
+	m := l.buildHeartbeat()
+	m.Frequent = l.opt.Board.Frequent()
+	l.opt.Board.ApplyFrequent(m.Frequent)
+	m.States, m.PrefixUpdates = l.opt.Board.States(total, ForHeartbeat), l.opt.Board.TakePrefixUpdates()
+	l.opt.Board.ApplyHeartbeat(m.Heartbeat)
+	l.opt.Board.ApplyStates(m.States)
+	if listPeers {
+		m.Peers = pickRandom(targets, maxPeersListed)
+	}
+	l.mu.Lock()
+	l.announcedRevisions = m.Revisions
+	l.mu.Unlock()
+	l.send(m, targets...)
+}
+
+// buildHeartbeat returns a heartbeat without states and prefixes.
+func (l *Link) buildHeartbeat() *message {
+	l.mu.Lock()
+	nodes, settled, standbys := l.nodes, l.nodesSettled, l.standbys
+	l.mu.Unlock()
+	heartbeat := l.opt.Board.BuildHeartbeat(nodes)
+	heartbeat.NodesSettled, heartbeat.Standbys = settled, standbys
+	return &message{From: l.opt.Address, Leader: true, Revisions: l.opt.Board.Revisions(), Heartbeat: heartbeat, Contents: l.opt.Board.SmallContents()}
+}
+
+// sendHeartbeatTo sends a heartbeat to a node that has reported to this leader for the first time.
+func (l *Link) sendHeartbeatTo(address string) {
+	_, total := l.collectReports()
+	m := l.buildHeartbeat()
+	m.States = l.opt.Board.States(total, ForNewNode)
+	l.send(m, address)
+}
+
+// sendUpdate sends the states of backend servers that have changed since the last message to all nodes, and the
+// revisions. It sends nothing if neither has changed.
+func (l *Link) sendUpdate() {
+	targets, total := l.collectReports()
+	l.mu.Lock()
+	l.updates.sentAt = time.Now()
+	announced := l.announcedRevisions
+	l.mu.Unlock()
+	m := &message{
+		From: l.opt.Address, IsReply: true, IsUpdate: true, Synced: l.opt.Board.Synced(), Revisions: l.opt.Board.Revisions(),
+		States: l.opt.Board.States(total, ForUpdate),
+	}
+	changed := !slices.Equal(announced, m.Revisions)
+	if len(m.States) == 0 && !changed {
+		return
+	}
+	if changed {
+		m.Contents = l.opt.Board.SmallContents()
+	}
+	l.opt.Board.ApplyStates(m.States)
+	l.mu.Lock()
+	l.announcedRevisions = m.Revisions
+	l.mu.Unlock()
+	l.send(m, targets...)
+}
+
+func addLoads(total map[string]backends.Load, loads []backends.Load) {
+	for _, load := range loads {
+		sum := total[load.Backend]
+		sum.Backend = load.Backend
+		sum.Long += load.Long
+		sum.Short += load.Short
+		sum.Unreachable += load.Unreachable
+		total[load.Backend] = sum
+	}
+}
