--- a/pkg/gateway/forward/active_request.go
+++ b/pkg/gateway/forward/active_request.go
@@ -75,6 +75,9 @@
 	// prefixHashes caches the result of sharedPrefixHashes for prefixHashesVersion.
 	prefixHashes        []cachemap.Key
 	prefixHashesVersion int
+	// affinity caches the result of affinityKey once affinityKnown is set.
+	affinity      uint64
+	affinityKnown bool
 	// failedResponse is the last complete response with a 5xx status, or nil. It is relayed if no
 	// retry succeeds.
 	failedResponse *bufferedResponse
--- a/pkg/gateway/forward/cache.go
+++ b/pkg/gateway/forward/cache.go
@@ -56,6 +56,13 @@
 // if the shared prefix is shorter than minSharedTokens. An isolated workspace has cached prefixes of its own,
 // and so a key of its own.
 func (a *activeRequest) affinityKey() uint64 {
+	if !a.affinityKnown {
+		a.affinity, a.affinityKnown = a.computeAffinityKey(), true
+	}
+	return a.affinity
+}
+
+func (a *activeRequest) computeAffinityKey() uint64 {
 	if a.sharedTokens() < minSharedTokens {
 		return 0
 	}
--- a/pkg/gateway/weights/controller.go
+++ b/pkg/gateway/weights/controller.go
@@ -251,8 +251,7 @@
 	if action.Kind == lease.None {
 		return
 	}
-	c.inFlight.Go(func() {
-		defer c.containPanic()
+	c.start(func() {
 		callCtx, cancel := context.WithTimeout(ctx, leaseCallTimeout)
 		defer cancel()
 		var version uint64
@@ -274,11 +273,10 @@
 	})
 }
 
-// containPanic keeps a panic in a call to the store or an engine from ending the process.
-func (c *Controller) containPanic() {
-	if cause := recover(); cause != nil {
-		recovery.Guard{Logger: c.opt.Logger, Metrics: c.opt.Metrics}.Report("weights", cause)
-	}
+// start runs a call to the store or an engine in a goroutine. A panic of the call does not end the process.
+func (c *Controller) start(call func()) {
+	guard := recovery.Guard{Logger: c.opt.Logger, Metrics: c.opt.Metrics}
+	c.inFlight.Go(func() { guard.Run("weights", call) })
 }
 
 // updateHeldLocked records and logs whether this node holds the lease. A change discards the records of
@@ -323,10 +321,7 @@
 			c.engineOrders[id] = o
 		}
 		o.pending = true
-		c.inFlight.Go(func() {
-			defer c.containPanic()
-			c.runOrder(ctx, targets[id], model, version, o)
-		})
+		c.start(func() { c.runOrder(ctx, targets[id], model, version, o) })
 	}
 }
 
