--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -90,5 +90,6 @@
 	SendFailed         = define(924, "send failed", slog.LevelInfo, "check the backend server if it repeats")
 	RequestAnswered    = define(925, "request answered", slog.LevelInfo, "none")
 	TaskPanicked       = define(927, "task panicked", slog.LevelError, "report the stack as a bug; the process goes on and loops run again")
+	ProcessPaused      = define(928, "process paused", slog.LevelInfo, "check the load of this VM and of its host if it repeats")
 	RequestNotServed   = define(926, "request not served", slog.LevelInfo, "run cassiawall explain with the request's id")
 )
--- a/pkg/gateway/mirror/mirror.go
+++ b/pkg/gateway/mirror/mirror.go
@@ -54,6 +54,9 @@
 	Interrupted bool
 	// MaxDelay is the longest time for which the change may already have been in the store.
 	MaxDelay time.Duration
+	// ConfirmedBy names what MaxDelay is counted from: the last list, watch or peer that showed that the content
+	// was current. It is "" before the first.
+	ConfirmedBy string
 }
 
 // initialMaxDelay is the MaxDelay that is reported before the mirror has been in sync with the store for the
@@ -112,6 +115,8 @@
 	reachedAt time.Time
 	// currentAt is the last time at which the mirror is known to have held all changes.
 	currentAt time.Time
+	// currentBy is the Freshness.ConfirmedBy that belongs to currentAt.
+	currentBy string
 	entries   map[string]Entry
 	// revision is the highest revision of a change of this kind that is known.
 	revision int64
@@ -204,19 +209,21 @@
 	return true
 }
 
-// MarkCurrent records that a node in sync with the store has no newer change than this mirror.
-func (m *Mirror) MarkCurrent() {
+// MarkCurrent records that a peer in sync with the store has no newer change than this mirror.
+func (m *Mirror) MarkCurrent(peer string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.currentAt = time.Now()
+	m.setCurrentLocked("peer " + peer)
 }
 
+func (m *Mirror) setCurrentLocked(by string) { m.currentAt, m.currentBy = time.Now(), by }
+
 // freshnessLocked returns the freshness of content that arrives now.
 func (m *Mirror) freshnessLocked(interrupted bool) Freshness {
 	if m.currentAt.IsZero() {
 		return Freshness{Interrupted: interrupted, MaxDelay: initialMaxDelay}
 	}
-	return Freshness{Interrupted: interrupted, MaxDelay: time.Since(m.currentAt)}
+	return Freshness{Interrupted: interrupted, MaxDelay: time.Since(m.currentAt), ConfirmedBy: m.currentBy}
 }
 
 // Run replicates the store until ctx ends.
@@ -256,7 +263,7 @@
 func (m *Mirror) applyList(entries []Entry) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	defer func() { m.currentAt = time.Now() }()
+	defer m.setCurrentLocked("list")
 	if !m.differsLocked(entries) {
 		return
 	}
@@ -343,7 +350,7 @@
 	for _, c := range changes {
 		m.applyLocked(c, freshness)
 	}
-	m.currentAt = time.Now()
+	m.setCurrentLocked("watch")
 	if m.revision != before {
 		m.notifyChange()
 	}
--- a/pkg/gateway/node/board.go
+++ b/pkg/gateway/node/board.go
@@ -284,7 +284,7 @@
 	}
 	if m.Revision() >= revision {
 		if relayed && b.isFollower() {
-			m.MarkCurrent()
+			m.MarkCurrent(peer)
 		}
 		return
 	}
--- a/pkg/gateway/node/mirrors.go
+++ b/pkg/gateway/node/mirrors.go
@@ -135,25 +135,26 @@
 // Reset implements mirror.Target.
 func (t *versionTarget) Reset(entries []mirror.Entry, freshness mirror.Freshness) {
 	for _, e := range entries {
-		t.add(e, freshness.MaxDelay)
+		t.add(e, freshness)
 	}
 }
 
 // Apply implements mirror.Target.
 func (t *versionTarget) Apply(c mirror.Change, freshness mirror.Freshness) {
 	if !c.Deleted {
-		t.add(c.Entry, freshness.MaxDelay)
+		t.add(c.Entry, freshness)
 	}
 }
 
-// add adds a version that was stored at most maxAge ago.
-func (t *versionTarget) add(e mirror.Entry, maxAge time.Duration) {
+// add adds a version that was stored at most freshness.MaxDelay ago.
+func (t *versionTarget) add(e mirror.Entry, freshness mirror.Freshness) {
 	v, err := t.decoder.DesiredVersion(e)
 	if err != nil {
 		event.EntrySkipped.Emit(t.logger, "name", e.Name, "revision", e.Revision, "error", err.Error())
 		return
 	}
-	if t.versions.Add(v.Name, v.Version, maxAge, time.Now()) {
-		event.WeightsNamed.Emit(t.logger, "model", v.Name, "version", v.Version, "revision", e.Revision, "max_delay_ms", maxAge.Milliseconds())
+	if t.versions.Add(v.Name, v.Version, freshness.MaxDelay, time.Now()) {
+		event.WeightsNamed.Emit(t.logger, "model", v.Name, "version", v.Version, "revision", e.Revision, "max_delay_ms", freshness.MaxDelay.Milliseconds(),
+			"confirmed_by", freshness.ConfirmedBy)
 	}
 }
