--- a/pkg/gateway/mirror/mirror_test.go
+++ b/pkg/gateway/mirror/mirror_test.go
@@ -105,6 +105,8 @@
 	mu    sync.Mutex
 	names map[string]bool
 	last  Freshness
+	// lastAt is the time at which last was received.
+	lastAt time.Time
 }
 
 func (c *recordingTarget) Reset(entries []Entry, f Freshness) {
@@ -114,7 +116,7 @@
 	for _, e := range entries {
 		c.names[e.Name] = true
 	}
-	c.last = f
+	c.last, c.lastAt = f, time.Now()
 }
 
 func (c *recordingTarget) Apply(change Change, f Freshness) {
@@ -125,7 +127,7 @@
 	} else {
 		c.names[change.Name] = true
 	}
-	c.last = f
+	c.last, c.lastAt = f, time.Now()
 }
 
 func (c *recordingTarget) sortedNames() []string {
@@ -185,6 +187,76 @@
 	}
 }
 
+// pausedSource is a store after whose first response to a call the process is paused. afterResponse runs at the
+// start of the pause.
+type pausedSource struct {
+	*fakeSource
+	call          string
+	pause         time.Duration
+	afterResponse func()
+}
+
+func (s *pausedSource) pauseAfter(call string) {
+	if call == s.call {
+		s.call = ""
+		s.afterResponse()
+		time.Sleep(s.pause)
+	}
+}
+
+func (s *pausedSource) List(ctx context.Context, kind string) ([]Entry, int64, error) {
+	defer s.pauseAfter("list")
+	return s.fakeSource.List(ctx, kind)
+}
+
+func (s *pausedSource) Watch(ctx context.Context, kind string, after int64, wait time.Duration) ([]Change, int64, error) {
+	defer s.pauseAfter("watch")
+	return s.fakeSource.Watch(ctx, kind, after, wait)
+}
+
+// Guards against content that counts as current although the process was paused after the store had responded: a
+// change that was stored during the pause would seem to be new.
+func TestPauseAfterAResponseCountsInMaxDelay(t *testing.T) {
+	for _, call := range []string{"list", "watch"} {
+		t.Run(call, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				source, c, isFollower := newFakeSource(), &recordingTarget{}, &atomic.Bool{}
+				source.put("a")
+				var storedAt time.Time
+				s := &pausedSource{fakeSource: source, call: call, pause: 4 * time.Second, afterResponse: func() {
+					source.put("b")
+					storedAt = time.Now()
+				}}
+				ctx, cancel := context.WithCancel(t.Context())
+				go newMirror(s, c, isFollower).Run(ctx)
+				time.Sleep(7 * time.Second)
+				assert.Equal(t, []string{"a", "b"}, c.sortedNames())
+				assert.GreaterOrEqual(t, c.last.MaxDelay, c.lastAt.Sub(storedAt), "confirmed by %s", c.last.ConfirmedBy)
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
+
+// Guards against a node that claims to be in sync with the store because it reads, after a pause, a response from
+// before it.
+func TestPauseAfterAResponseEndsSync(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source, c, isFollower := newFakeSource(), &recordingTarget{}, &atomic.Bool{}
+		source.put("a")
+		s := &pausedSource{fakeSource: source, call: "list", pause: 4 * time.Second, afterResponse: func() { source.locked(func() { source.down = true }) }}
+		m := newMirror(s, c, isFollower)
+		ctx, cancel := context.WithCancel(t.Context())
+		go m.Run(ctx)
+		time.Sleep(4001 * time.Millisecond)
+		assert.Equal(t, []string{"a"}, c.sortedNames())
+		assert.False(t, m.ReachedWithin(time.Second))
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // Guards against calls to the store by a node to which the leader relays store changes.
 func TestFollowerMirrorDoesNotCallStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -45,9 +45,7 @@
 // that run twice or although they were refused, requests attributed to the wrong workspace, cache entries
 // of old weights, orders of two leaders under one fencing token, and nodes that do not recover.
 func TestSoak(t *testing.T) {
-	binary := filepath.Join(t.TempDir(), "cassiawall-node")
-	out, err := exec.Command("go", "build", "-race", "-o", binary, "cassiawall.example/cassiawall/cmd/cassiawall-node").CombinedOutput()
-	require.NoError(t, err, string(out))
+	binary := buildNode(t)
 	selected := []uint64{defaultSeed}
 	for seed := range regressions {
 		selected = append(selected, seed)
@@ -67,6 +65,15 @@
 	}
 }
 
+// buildNode builds the node's program and returns its path.
+func buildNode(t *testing.T) string {
+	t.Helper()
+	binary := filepath.Join(t.TempDir(), "cassiawall-node")
+	out, err := exec.Command("go", "build", "-race", "-o", binary, "cassiawall.example/cassiawall/cmd/cassiawall-node").CombinedOutput()
+	require.NoError(t, err, string(out))
+	return binary
+}
+
 // runSeed starts a fleet, injects the random faults of a seed, then runs planned changes without faults and
 // checks the outcome.
 func runSeed(t *testing.T, binary string, seed uint64) {
