Date responses of the store by the time of their call

Callers' requests began on old weights after a pause of their node. A mirror recorded that it was current at the time at which it read a response; a response that waited in the socket while the process was paused therefore made content count as current that was as old as the pause, and a change stored meanwhile as new. The node also claimed to be in sync with the store, and so relayed old revisions to its followers.

Responses now count from the time of their call, or for a watch without changes from the end of the requested wait, before which the store does not respond: the node has seen these times on its own clock before the response existed.

--- a/pkg/gateway/mirror/mirror.go
+++ b/pkg/gateway/mirror/mirror.go
@@ -111,9 +111,10 @@
 
 	mu          sync.Mutex
 	recoveredAt time.Time
-	// reachedAt is the time of the store's last response.
+	// reachedAt is the last time at which the store is known to have responded.
 	reachedAt time.Time
-	// currentAt is the last time at which the mirror is known to have held all changes.
+	// currentAt is the last time at which the mirror is known to have held all changes. Like reachedAt it is the
+	// time of the call, not that of its response: a response may wait in the socket while the process is paused.
 	currentAt time.Time
 	// currentBy is the Freshness.ConfirmedBy that belongs to currentAt.
 	currentBy string
@@ -213,10 +214,15 @@
 func (m *Mirror) MarkCurrent(peer string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.setCurrentLocked("peer " + peer)
+	m.confirmLocked(time.Now(), "peer "+peer)
 }
 
-func (m *Mirror) setCurrentLocked(by string) { m.currentAt, m.currentBy = time.Now(), by }
+// confirmLocked records that the mirror held all changes at a time.
+func (m *Mirror) confirmLocked(at time.Time, by string) {
+	if at.After(m.currentAt) {
+		m.currentAt, m.currentBy = at, by
+	}
+}
 
 // freshnessLocked returns the freshness of content that arrives now.
 func (m *Mirror) freshnessLocked(interrupted bool) Freshness {
@@ -245,12 +251,13 @@
 func (m *Mirror) list(ctx context.Context) (int64, bool) {
 	pause := minRetryPause
 	for {
+		calledAt := time.Now()
 		callCtx, cancel := context.WithTimeout(ctx, listTimeout)
 		entries, revision, err := m.opt.Source.List(callCtx, m.opt.Kind)
 		cancel()
 		if err == nil {
-			m.recordSuccess()
-			m.applyList(entries)
+			m.recordSuccess(calledAt)
+			m.applyList(entries, calledAt)
 			return revision, true
 		}
 		if !m.backOff(ctx, err, &pause) {
@@ -259,11 +266,11 @@
 	}
 }
 
-// applyList replaces the content by a list from the store if they differ.
-func (m *Mirror) applyList(entries []Entry) {
+// applyList replaces the content by a list from the store if they differ. The list was requested at calledAt.
+func (m *Mirror) applyList(entries []Entry, calledAt time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	defer m.setCurrentLocked("list")
+	defer m.confirmLocked(calledAt, "list")
 	if !m.differsLocked(entries) {
 		return
 	}
@@ -317,6 +324,7 @@
 		if left <= 0 || m.opt.IsFollower() {
 			return
 		}
+		calledAt := time.Now()
 		callCtx, cancel := context.WithTimeout(ctx, left+watchSlack)
 		changes, next, err := m.opt.Source.Watch(callCtx, m.opt.Kind, revision, left)
 		cancel()
@@ -332,9 +340,14 @@
 			}
 			continue
 		}
-		m.recordSuccess()
+		respondedAt := calledAt
+		if len(changes) == 0 && time.Since(calledAt) >= left {
+			// The store responds to a watch without changes only after the requested wait.
+			respondedAt = calledAt.Add(left.Truncate(time.Millisecond))
+		}
+		m.recordSuccess(respondedAt)
 		pause = minRetryPause
-		m.apply(changes)
+		m.apply(changes, respondedAt)
 		revision = next
 		if m.opt.BatchDelay > 0 && len(changes) > 0 && !wait.Pause(ctx, m.opt.BatchDelay) {
 			return
@@ -342,15 +355,16 @@
 	}
 }
 
-// apply applies changes that are newer than the known revisions of their objects.
-func (m *Mirror) apply(changes []Change) {
+// apply applies changes that are newer than the known revisions of their objects. The store responded with them at
+// respondedAt or later.
+func (m *Mirror) apply(changes []Change, respondedAt time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	before, freshness := m.revision, m.freshnessLocked(m.interruptedLocked())
 	for _, c := range changes {
 		m.applyLocked(c, freshness)
 	}
-	m.setCurrentLocked("watch")
+	m.confirmLocked(respondedAt, "watch")
 	if m.revision != before {
 		m.notifyChange()
 	}
@@ -391,20 +405,20 @@
 	return ok
 }
 
-// recordSuccess records a response of the store and logs the end of an outage.
-func (m *Mirror) recordSuccess() {
+// recordSuccess records that the store responded at a time or later, and logs the end of an outage.
+func (m *Mirror) recordSuccess(at time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.reachedAt = time.Now()
+	m.reachedAt = at
 	if !m.failing {
 		return
 	}
 	m.failing = false
-	m.recoveredAt = m.reachedAt
+	m.recoveredAt = time.Now()
 	event.StoreRegained.Emit(m.opt.Logger, "kind", m.opt.Kind, "outage_ms", time.Since(m.failingSince).Milliseconds())
 }
 
-// ReachedWithin reports whether the store last responded less than limit ago.
+// ReachedWithin reports whether the store is known to have responded less than limit ago.
 func (m *Mirror) ReachedWithin(limit time.Duration) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/pkg/gateway/mirror/mirror_test.go
+++ b/pkg/gateway/mirror/mirror_test.go
@@ -297,14 +297,14 @@
 				s.put(name)
 			}
 			if rapid.Bool().Draw(t, "apply") {
-				source.apply(s.log[seen:])
+				source.apply(s.log[seen:], time.Now())
 				seen = len(s.log)
 			}
 			if rapid.Bool().Draw(t, "copy") {
 				copied.Import(source.Export(copied.Revision()), true)
 			}
 		}
-		source.apply(s.log[seen:])
+		source.apply(s.log[seen:], time.Now())
 		content := source.Export(copied.Revision())
 		copied.Import(content, true)
 		assert.Equal(t, from.sortedNames(), to.sortedNames())
