Date messages between nodes by the report that they follow

Callers' requests began on weights that had been replaced more than versionMs before, at nodes that had been paused. The heartbeats that arrived during a pause wait in the socket; the node took each for the leader's state of the moment at which it read it.

Each report now has a timestamp of its sender, which the messages in return repeat with the time since its receipt. The content of such a message was read after that moment of the receiver's own clock, wherever the message was held up: in a socket, in the network or at a paused leader. The age of the leader's own mirrors is added. Followers stay followers, and mirrors current, from that moment and not from the arrival. No clocks of two nodes are compared. Messages of nodes of the previous version confirm nothing, so a new node calls the store itself while such a node leads.

--- a/pkg/clock/suspended.go
+++ b/pkg/clock/suspended.go
@@ -6,6 +6,9 @@
 	"golang.org/x/sys/unix"
 )
 
+// suspendedResolution hides the time between the readings of the two clocks.
+const suspendedResolution = 10 * time.Millisecond
+
 // Suspended returns the time for which the VM has been suspended since it started: the time that
 // CLOCK_BOOTTIME counts and CLOCK_MONOTONIC, which time.Time uses, does not. It returns 0 if the system has
 // no such clock.
@@ -17,5 +20,15 @@
 	return time.Duration(boot.Nano() - monotonic.Nano()).Truncate(suspendedResolution)
 }
 
-// suspendedResolution hides the time between the readings of the two clocks.
-const suspendedResolution = 10 * time.Millisecond
+// Stopwatch measures the time since its start, including the time for which the VM was suspended. It is safe for
+// concurrent use.
+type Stopwatch struct {
+	started   time.Time
+	suspended time.Duration
+}
+
+// NewStopwatch returns a stopwatch that starts now.
+func NewStopwatch() Stopwatch { return Stopwatch{started: time.Now(), suspended: Suspended()} }
+
+// Elapsed returns the time since the start.
+func (s Stopwatch) Elapsed() time.Duration { return time.Since(s.started) + Suspended() - s.suspended }
--- a/pkg/gateway/mirror/mirror.go
+++ b/pkg/gateway/mirror/mirror.go
@@ -210,11 +210,19 @@
 	return true
 }
 
-// MarkCurrent records that a peer in sync with the store has no newer change than this mirror.
-func (m *Mirror) MarkCurrent(peer string) {
+// MarkCurrent records that a peer held all changes at a time, and no newer ones than this mirror.
+func (m *Mirror) MarkCurrent(peer string, at time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.confirmLocked(time.Now(), "peer "+peer)
+	m.confirmLocked(at, "peer "+peer)
+}
+
+// CurrentAge returns the time since the mirror is known to have held all changes. ok is false before the first such
+// time.
+func (m *Mirror) CurrentAge() (age time.Duration, ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return time.Since(m.currentAt), !m.currentAt.IsZero()
 }
 
 // confirmLocked records that the mirror held all changes at a time.
--- a/pkg/gateway/node/board.go
+++ b/pkg/gateway/node/board.go
@@ -62,8 +62,8 @@
 	awaitPeersUntil  time.Time
 	peersHaveObjects bool
 	lagByKind        map[string]lag
-	// lastSyncedHeartbeat is the time of the last heartbeat of a leader, or response of a standby, that is
-	// in sync with the store.
+	// lastSyncedHeartbeat is the last time at which the leader, or a standby that relays store changes to this
+	// node, was known to be in sync with the store.
 	lastSyncedHeartbeat time.Time
 	nodeCount           int
 	// wasFollower is the last result of isFollower, whose changes are logged.
@@ -129,7 +129,13 @@
 func (b *board) Revisions() []peers.Revision {
 	var revisions []peers.Revision
 	for _, m := range b.node.mirrors {
-		revisions = append(revisions, peers.Revision{Kind: m.Kind(), Revision: m.Revision()})
+		// The age is read first: a change in between must not count as known for longer than it is.
+		age, known := m.CurrentAge()
+		r := peers.Revision{Kind: m.Kind(), Revision: m.Revision(), AgeMS: peers.UnknownAge}
+		if known {
+			r.AgeMS = age.Milliseconds() + 1
+		}
+		revisions = append(revisions, r)
 	}
 	return revisions
 }
@@ -218,11 +224,12 @@
 }
 
 // ApplyHeartbeat implements peers.Board.
-func (b *board) ApplyHeartbeat(heartbeat peers.Heartbeat) {
+func (b *board) ApplyHeartbeat(heartbeat peers.Heartbeat, readAt time.Time) {
 	if heartbeat.Synced {
 		b.mu.Lock()
-		b.lastSyncedHeartbeat, b.nodeCount = time.Now(), heartbeat.Nodes
+		b.nodeCount = heartbeat.Nodes
 		b.mu.Unlock()
+		b.RenewFollower(readAt)
 	}
 	if heartbeat.NodesSettled {
 		b.node.retryBudget.SetNodes(heartbeat.Nodes, time.Now())
@@ -258,10 +265,12 @@
 }
 
 // RenewFollower implements peers.Board: it extends the time for which this node stays a follower.
-func (b *board) RenewFollower() {
+func (b *board) RenewFollower(readAt time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.lastSyncedHeartbeat = time.Now()
+	if readAt.After(b.lastSyncedHeartbeat) {
+		b.lastSyncedHeartbeat = readAt
+	}
 }
 
 // Synced implements peers.Board: it reports whether all mirrors are in sync with the store, so that this node
@@ -277,14 +286,14 @@
 
 // HandlePeerRevision implements peers.Board. It fetches newer objects of a kind at once if the leader or a standby
 // relays them to this node or this node has just started, and from any other node after peerFetchDelay.
-func (b *board) HandlePeerRevision(peer, kind string, revision int64, relayed bool) {
+func (b *board) HandlePeerRevision(peer, kind string, revision int64, relayed bool, currentAt time.Time) {
 	m := b.node.mirrorByKind(kind)
 	if m == nil {
 		return
 	}
 	if m.Revision() >= revision {
-		if relayed && b.isFollower() {
-			m.MarkCurrent(peer)
+		if relayed {
+			m.MarkCurrent(peer, currentAt)
 		}
 		return
 	}
--- a/pkg/gateway/peers/leader.go
+++ b/pkg/gateway/peers/leader.go
@@ -1,7 +1,6 @@
 package peers
 
 import (
-	"slices"
 	"time"
 
 	"cassiawall.example/cassiawall/pkg/gateway/backends"
@@ -43,8 +42,8 @@
 }
 
 // collectReportsLocked returns the nodes that report to this one and the sum of all loads. It drops reports that
-// are too old.
-func (l *Link) collectReportsLocked(now time.Time) (targets []string, total map[string]backends.Load) {
+// are too old. The content of a message to the targets must be read afterwards.
+func (l *Link) collectReportsLocked(now time.Time) (targets []target, total map[string]backends.Load) {
 	total = map[string]backends.Load{}
 	addLoads(total, l.opt.Board.Loads())
 	for address, r := range l.reports {
@@ -53,7 +52,7 @@
 			continue
 		}
 		addLoads(total, r.loads)
-		targets = append(targets, address)
+		targets = append(targets, target{address: address, echo: r.echo()})
 	}
 	return targets, total
 }
@@ -75,19 +74,19 @@
 
 // beginHeartbeat returns the receivers of the next heartbeat, the sum of all loads, and whether the heartbeat lists
 // peers.
-func (l *Link) beginHeartbeat(now time.Time) (targets []string, total map[string]backends.Load, listPeers bool) {
+func (l *Link) beginHeartbeat(now time.Time) (targets []target, total map[string]backends.Load, listPeers bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	targets, total = l.collectReportsLocked(now)
 	l.countNodesLocked(len(targets), now)
 	l.heartbeats.sentAt = now
 	l.heartbeatsSent++
-	l.standbys = pickEvenly(targets, standbyCount)
+	l.standbys = pickEvenly(addresses(targets), standbyCount)
 	return targets, total, l.heartbeatsSent%heartbeatsPerPeerList == 0
 }
 
 // collectReports is collectReportsLocked for messages between heartbeats.
-func (l *Link) collectReports() (targets []string, total map[string]backends.Load) {
+func (l *Link) collectReports() (targets []target, total map[string]backends.Load) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.collectReportsLocked(time.Now())
@@ -96,16 +95,17 @@
 // sendHeartbeat sends a heartbeat with the states of backend servers to all nodes that report to this one, and
 // applies it to this node.
 func (l *Link) sendHeartbeat() {
-	targets, total, listPeers := l.beginHeartbeat(time.Now())
+	now := time.Now()
+	targets, total, listPeers := l.beginHeartbeat(now)
 	l.opt.Board.AddCounts(l.opt.Board.TakeCounts())
 	m := l.buildHeartbeat()
 	m.Frequent = l.opt.Board.Frequent()
 	l.opt.Board.ApplyFrequent(m.Frequent)
 	m.States, m.PrefixUpdates = l.opt.Board.States(total, ForHeartbeat), l.opt.Board.TakePrefixUpdates()
-	l.opt.Board.ApplyHeartbeat(m.Heartbeat)
+	l.opt.Board.ApplyHeartbeat(m.Heartbeat, now)
 	l.opt.Board.ApplyStates(m.States)
 	if listPeers {
-		m.Peers = pickRandom(targets, maxPeersListed)
+		m.Peers = pickRandom(addresses(targets), maxPeersListed)
 	}
 	l.mu.Lock()
 	l.announcedRevisions = m.Revisions
@@ -123,12 +123,21 @@
 	return &message{From: l.opt.Address, Leader: true, Revisions: l.opt.Board.Revisions(), Heartbeat: heartbeat, Contents: l.opt.Board.SmallContents()}
 }
 
+// addresses returns the addresses of targets.
+func addresses(targets []target) []string {
+	list := make([]string, len(targets))
+	for i, t := range targets {
+		list[i] = t.address
+	}
+	return list
+}
+
 // sendHeartbeatTo sends a heartbeat to a node that has reported to this leader for the first time.
-func (l *Link) sendHeartbeatTo(address string) {
+func (l *Link) sendHeartbeatTo(to target) {
 	_, total := l.collectReports()
 	m := l.buildHeartbeat()
 	m.States = l.opt.Board.States(total, ForNewNode)
-	l.send(m, address)
+	l.send(m, to)
 }
 
 // sendUpdate sends the states of backend servers that have changed since the last message to all nodes, and the
@@ -143,7 +152,7 @@
 		From: l.opt.Address, IsReply: true, IsUpdate: true, Synced: l.opt.Board.Synced(), Revisions: l.opt.Board.Revisions(),
 		States: l.opt.Board.States(total, ForUpdate),
 	}
-	changed := !slices.Equal(announced, m.Revisions)
+	changed := !sameRevisions(announced, m.Revisions)
 	if len(m.States) == 0 && !changed {
 		return
 	}
--- a/pkg/gateway/peers/link.go
+++ b/pkg/gateway/peers/link.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"cassiawall.example/cassiawall/pkg/clock"
 	"cassiawall.example/cassiawall/pkg/event"
 	"cassiawall.example/cassiawall/pkg/gateway/backends"
 	"cassiawall.example/cassiawall/pkg/recovery"
@@ -68,8 +69,9 @@
 	Revisions() []Revision
 	// BuildHeartbeat returns the heartbeat of a leader to which nodes report.
 	BuildHeartbeat(nodes int) Heartbeat
-	// ApplyHeartbeat applies the leader's heartbeat.
-	ApplyHeartbeat(heartbeat Heartbeat)
+	// ApplyHeartbeat applies the leader's heartbeat, whose content was read at readAt or later. readAt is zero if
+	// the heartbeat does not show it.
+	ApplyHeartbeat(heartbeat Heartbeat, readAt time.Time)
 	// States returns encoded states of backend servers for a message of the leader, from the loads of all nodes
 	// by backend server ID.
 	States(total map[string]backends.Load, scope StateScope) []byte
@@ -86,11 +88,12 @@
 	// Synced reports whether this node is in sync with the platform's store, that is, whether the store
 	// responded to it a moment ago.
 	Synced() bool
-	// RenewFollower records that a standby in sync with the store relays store changes to this node.
-	RenewFollower()
+	// RenewFollower records that a node in sync with the store at readAt relays store changes to this node.
+	RenewFollower(readAt time.Time)
 	// HandlePeerRevision compares the revision of a peer's mirror with that of this node's, so that newer
-	// objects are fetched. relayed is set if the peer relays store changes to this node.
-	HandlePeerRevision(peer, kind string, revision int64, relayed bool)
+	// objects are fetched. relayed is set if the peer relays store changes to this node. The mirror held all
+	// changes at currentAt, which is zero if that is not known.
+	HandlePeerRevision(peer, kind string, revision int64, relayed bool, currentAt time.Time)
 }
 
 // StateScope determines which states of backend servers a message of the leader contains.
@@ -125,8 +128,9 @@
 
 // Link exchanges datagrams with other nodes. Run may be called once.
 type Link struct {
-	opt  Options
-	conn *net.UDPConn
+	opt        Options
+	conn       *net.UDPConn
+	timestamps timestamps
 
 	mu         sync.Mutex
 	reports    map[string]loadReport
@@ -134,7 +138,7 @@
 	// heartbeatAt is the time of the last leader heartbeat, and heartbeatFrom its sender.
 	heartbeatAt   time.Time
 	heartbeatFrom string
-	// syncedHeartbeatAt is the time of the last heartbeat of a leader in sync with the platform's store.
+	// syncedHeartbeatAt is the time at which the leader was last known to be in sync with the platform's store.
 	syncedHeartbeatAt time.Time
 	// standbys are those that the last leader heartbeat lists.
 	standbys []string
@@ -162,6 +166,17 @@
 type loadReport struct {
 	at    time.Time
 	loads []backends.Load
+	// sentAt is the timestamp of the report, and held the time since its receipt.
+	sentAt int64
+	held   clock.Stopwatch
+}
+
+// echo returns what a message in return states about the report, if its content is read from now on.
+func (r loadReport) echo() echo {
+	if r.sentAt == 0 {
+		return echo{}
+	}
+	return echo{SentAt: r.sentAt, HeldMS: r.held.Elapsed().Milliseconds()}
 }
 
 // Listen returns a link that is bound to its address.
@@ -174,7 +189,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen on peer address: %w; check that no other process uses it", err)
 	}
-	l := &Link{opt: opt, conn: conn, reports: map[string]loadReport{}, nodes: 1}
+	l := &Link{opt: opt, conn: conn, timestamps: newTimestamps(), reports: map[string]loadReport{}, nodes: 1}
 	l.AddPeers(opt.Seeds)
 	return l, nil
 }
@@ -230,25 +245,27 @@
 	m := &message{From: l.opt.Address, Revisions: l.opt.Board.Revisions(), Loads: l.opt.Board.Loads(), PrefixUpdates: l.opt.Board.TakePrefixUpdates(), Counts: l.opt.Board.TakeCounts()}
 	targets, replyRequested := l.reportTargets()
 	m.ReplyRequested = replyRequested
+	m.SentAt = l.timestamps.next()
 	l.send(m, targets...)
 }
 
 // reportTargets returns the receivers of the next report and whether they should reply.
-func (l *Link) reportTargets() (targets []string, replyRequested bool) {
+func (l *Link) reportTargets() (targets []target, replyRequested bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.leadingSince = time.Time{}
+	var addresses []string
 	leaderSilent := time.Since(l.heartbeatAt) > leaderTimeout
 	leader := l.opt.Leader()
 	if leader == "" && !leaderSilent {
 		leader = l.heartbeatFrom
 	}
 	if leader != "" && leader != l.opt.Address {
-		targets = append(targets, leader)
+		addresses = append(addresses, leader)
 	}
 	if time.Since(l.syncedHeartbeatAt) > heartbeatsDuration(minQueryTimeout, queryTimeoutHeartbeats, l.nodes) && !slices.Contains(l.standbys, l.opt.Address) {
 		replyRequested = true
-		targets = append(targets, l.standbys...)
+		addresses = append(addresses, l.standbys...)
 	}
 	if leaderSilent {
 		replyRequested = true
@@ -256,27 +273,41 @@
 		if l.heartbeatAt.IsZero() {
 			count = startPeerCount
 		}
-		targets = append(targets, pickRandom(l.knownPeers, count)...)
+		addresses = append(addresses, pickRandom(l.knownPeers, count)...)
 	}
-	slices.Sort(targets)
-	return slices.Compact(targets), replyRequested
+	slices.Sort(addresses)
+	for _, a := range slices.Compact(addresses) {
+		targets = append(targets, target{address: a})
+	}
+	return targets, replyRequested
 }
 
-func (l *Link) send(m *message, to ...string) {
+// send sends a message to each target, followed by the target's echo if it has one.
+func (l *Link) send(m *message, to ...target) {
 	data, err := encode(m)
 	if err != nil {
 		event.PeerMessageNotSent.Emit(l.opt.Logger, "error", err.Error())
 		return
 	}
-	for _, address := range to {
-		target, err := net.ResolveUDPAddr("udp4", address)
-		if err == nil {
-			_, err = l.conn.WriteToUDP(data, target)
+	for _, t := range to {
+		if err := l.sendDatagram(data, t); err != nil {
+			l.opt.Logger.Debug("peer message not sent", "to", t.address, "error", err.Error())
 		}
-		if err != nil {
-			l.opt.Logger.Debug("peer message not sent", "to", address, "error", err.Error())
+	}
+}
+
+func (l *Link) sendDatagram(data []byte, to target) error {
+	address, err := net.ResolveUDPAddr("udp4", to.address)
+	if err != nil {
+		return err
+	}
+	if to.echo != (echo{}) {
+		if data, err = appendEncoded(slices.Clip(data), &to.echo); err != nil {
+			return err
 		}
 	}
+	_, err = l.conn.WriteToUDP(data, address)
+	return err
 }
 
 // maxKnownPeers bounds the recorded addresses. The oldest are dropped first.
--- a/pkg/gateway/peers/message.go
+++ b/pkg/gateway/peers/message.go
@@ -8,7 +8,10 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
+	"io"
+	"slices"
 
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -53,6 +56,12 @@
 	// IsUpdate marks a message of the leader between two heartbeats, with changed States only. IsReply is set
 	// as well, because nodes of earlier versions then ignore its content.
 	IsUpdate bool
+	// SentAt is the timestamp of a report, or 0 in reports of earlier versions.
+	SentAt int64
+
+	// echo follows the message in the datagram, because it differs between the receivers of a message. It is zero
+	// in reports and in messages of earlier versions.
+	echo echo
 }
 
 // Heartbeat is what the leader sends to all nodes. It is encoded as an array, like message.
@@ -90,14 +99,29 @@
 type Revision struct {
 	Kind     string
 	Revision int64
+	// AgeMS is the time in milliseconds since the mirror is known to have held all changes, or UnknownAge. Nodes of
+	// earlier versions send none.
+	AgeMS int64
+}
+
+// UnknownAge is the Revision.AgeMS of a mirror that is not known to have held all changes.
+const UnknownAge = -1
+
+// sameRevisions reports whether two lists differ in their ages only.
+func sameRevisions(a, b []Revision) bool {
+	return slices.EqualFunc(a, b, func(x, y Revision) bool { return x.Kind == y.Kind && x.Revision == y.Revision })
 }
 
 // encode writes structs as arrays, because the names of fields would make up most of a datagram.
-func encode(m *message) ([]byte, error) {
-	var data bytes.Buffer
-	e := msgpack.NewEncoder(&data)
+func encode(m *message) ([]byte, error) { return appendEncoded(nil, m) }
+
+// appendEncoded appends an encoded message or echo to a datagram.
+func appendEncoded(datagram []byte, value any) ([]byte, error) {
+	data := bytes.NewBuffer(datagram)
+	e := msgpack.NewEncoder(data)
 	e.UseArrayEncodedStructs(true)
-	if err := e.Encode(m); err != nil {
+	e.UseCompactInts(true)
+	if err := e.Encode(value); err != nil {
 		return nil, fmt.Errorf("encode peer message: %w", err)
 	}
 	return data.Bytes(), nil
@@ -105,8 +129,12 @@
 
 func decode(data []byte) (*message, error) {
 	var m message
-	if err := msgpack.Unmarshal(data, &m); err != nil {
+	d := msgpack.NewDecoder(bytes.NewReader(data))
+	if err := d.Decode(&m); err != nil {
 		return nil, fmt.Errorf("decode peer message of %d bytes: %w", len(data), err)
 	}
+	if err := d.Decode(&m.echo); err != nil && !errors.Is(err, io.EOF) {
+		return nil, fmt.Errorf("decode echo after a peer message of %d bytes: %w", len(data), err)
+	}
 	return &m, nil
 }
--- a/pkg/gateway/peers/peers_test.go
+++ b/pkg/gateway/peers/peers_test.go
@@ -34,14 +34,19 @@
 	update []byte
 	states string
 	lease  []byte
+	// readRevision replaces revision, and onRevision is called with each revision of a peer. Both may be nil.
+	readRevision func() int64
+	onRevision   func(revision int64, currentAt time.Time)
 }
 
 func (b *fakeBoard) Synced() bool { return b.synced }
 
-func (b *fakeBoard) RenewFollower() {
+func (b *fakeBoard) RenewFollower(readAt time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.renewals++
+	if !readAt.IsZero() {
+		b.renewals++
+	}
 }
 
 func (b *fakeBoard) renewalCount() int {
@@ -69,7 +74,12 @@
 	}
 }
 
-func (b *fakeBoard) Revisions() []Revision { return []Revision{{Kind: "k", Revision: b.revision}} }
+func (b *fakeBoard) Revisions() []Revision {
+	if b.readRevision != nil {
+		return []Revision{{Kind: "k", Revision: b.readRevision()}}
+	}
+	return []Revision{{Kind: "k", Revision: b.revision}}
+}
 
 func (b *fakeBoard) BuildHeartbeat(nodes int) Heartbeat {
 	return Heartbeat{Nodes: nodes, Synced: true, Versions: []Version{{Backend: "e", Model: "m", Version: 2}}}
@@ -111,13 +121,16 @@
 	b.lease = record
 }
 
-func (b *fakeBoard) ApplyHeartbeat(heartbeat Heartbeat) {
+func (b *fakeBoard) ApplyHeartbeat(heartbeat Heartbeat, _ time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.heartbeat = heartbeat
 }
 
-func (b *fakeBoard) HandlePeerRevision(peer, kind string, revision int64, relayed bool) {
+func (b *fakeBoard) HandlePeerRevision(peer, kind string, revision int64, relayed bool, currentAt time.Time) {
+	if b.onRevision != nil {
+		b.onRevision(revision, currentAt)
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if revision > b.revision && relayed {
@@ -346,7 +359,7 @@
 func TestControlTrafficOfANodeIsBounded(t *testing.T) {
 	for _, size := range []struct{ nodes, engines int }{{20, 12}, {295, 252}, {400, 790}, {1000, 3000}} {
 		heartbeat := &message{
-			From: "10.200.100.100:8000", Leader: true, Revisions: []Revision{{"config", 1 << 30}, {"servers", 1 << 30}, {"versions", 1 << 30}},
+			From: "10.200.100.100:8000", Leader: true, Revisions: []Revision{{"config", 1 << 30, 5000}, {"servers", 1 << 30, 5000}, {"versions", 1 << 30, 5000}},
 			PrefixUpdates: make([]byte, 240*8), States: make([]byte, min(size.engines, backends.MaxStates)*9), Frequent: make([]byte, 64*6),
 			Heartbeat: Heartbeat{
 				Nodes: size.nodes, Lease: make([]byte, 160), LeaseVersion: 1 << 30, Synced: true, NodesSettled: true,
@@ -354,12 +367,17 @@
 			},
 			Contents: []KindContent{{Kind: "versions", Content: mirror.Content{Complete: true, Entries: []mirror.Entry{{Value: make([]byte, 100)}}}}},
 		}
-		data, err := encode(heartbeat)
-		require.NoError(t, err)
+		withEcho := func(m *message) []byte {
+			data, err := encode(m)
+			require.NoError(t, err)
+			data, err = appendEncoded(data, &echo{SentAt: 1 << 60, HeldMS: 1000})
+			require.NoError(t, err)
+			return data
+		}
+		data := withEcho(heartbeat)
 		// A rollout changes the state of a fifth of the engines and back in about a second, in several updates.
 		update := &message{From: heartbeat.From, IsReply: true, IsUpdate: true, Revisions: heartbeat.Revisions, States: make([]byte, 9)}
-		updateData, err := encode(update)
-		require.NoError(t, err)
+		updateData := withEcho(update)
 		updates := min(time.Second.Seconds()/(float64(size.nodes)*minUpdateGapPerNode.Seconds()), 2*float64(size.engines)/5)
 		bytesPerSecond := float64(len(data))/Interval(size.nodes).Seconds() + updates*float64(len(updateData)) + 2*float64(size.engines)/5*9
 		t.Logf("%d nodes, %d engines: heartbeat %d bytes, at most %.0f bytes a second", size.nodes, size.engines, len(data), bytesPerSecond)
--- a/pkg/gateway/peers/receive.go
+++ b/pkg/gateway/peers/receive.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"cassiawall.example/cassiawall/pkg/clock"
 	"cassiawall.example/cassiawall/pkg/event"
 	"cassiawall.example/cassiawall/pkg/wait"
 )
@@ -57,21 +58,23 @@
 // handleHeartbeat applies the heartbeat of the leader, or that of another node if no leader is known or the
 // leader is silent. The node that holds the lease ignores heartbeats.
 func (l *Link) handleHeartbeat(m *message) {
-	current := l.acceptHeartbeat(m)
+	readAt := l.timestamps.readAt(m.echo, time.Now())
+	current := l.acceptHeartbeat(m, readAt)
 	if current {
 		l.opt.Board.ImportContents(m.Contents)
 	}
-	l.compareRevisions(m, current)
+	l.compareRevisions(m, current, readAt)
 	if current {
-		l.opt.Board.ApplyHeartbeat(m.Heartbeat)
+		l.opt.Board.ApplyHeartbeat(m.Heartbeat, readAt)
 		l.opt.Board.ApplyStates(m.States)
 		l.opt.Board.ApplyFrequent(m.Frequent)
 		l.opt.Board.MergePrefixUpdates(m.PrefixUpdates, false)
 	}
 }
 
-// acceptHeartbeat records a heartbeat and reports whether this node applies it.
-func (l *Link) acceptHeartbeat(m *message) bool {
+// acceptHeartbeat records a heartbeat, whose content was read at readAt or later, and reports whether this node
+// applies it.
+func (l *Link) acceptHeartbeat(m *message, readAt time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.opt.HoldsLease() || m.From != l.opt.Leader() && l.opt.Leader() != "" && time.Since(l.heartbeatAt) <= leaderTimeout {
@@ -80,13 +83,20 @@
 	l.heartbeatAt, l.heartbeatFrom, l.standbys = time.Now(), m.From, m.Heartbeat.Standbys
 	l.nodes, l.nodesSettled = m.Heartbeat.Nodes, m.Heartbeat.NodesSettled
 	if m.Heartbeat.Synced {
-		l.syncedHeartbeatAt = l.heartbeatAt
+		l.recordSyncedLocked(readAt)
 	}
 	return true
 }
 
-// acceptUpdate records an update and reports whether this node applies it.
-func (l *Link) acceptUpdate(m *message) bool {
+// recordSyncedLocked records that the leader was in sync with the platform's store at a time.
+func (l *Link) recordSyncedLocked(at time.Time) {
+	if at.After(l.syncedHeartbeatAt) {
+		l.syncedHeartbeatAt = at
+	}
+}
+
+// acceptUpdate is acceptHeartbeat for updates.
+func (l *Link) acceptUpdate(m *message, readAt time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.opt.HoldsLease() || m.From != l.heartbeatFrom {
@@ -94,21 +104,22 @@
 	}
 	l.heartbeatAt = time.Now()
 	if m.Synced {
-		l.syncedHeartbeatAt = l.heartbeatAt
+		l.recordSyncedLocked(readAt)
 	}
 	return true
 }
 
 // handleUpdate applies an update of the leader whose heartbeats this node follows.
 func (l *Link) handleUpdate(m *message) {
-	current := l.acceptUpdate(m)
+	readAt := l.timestamps.readAt(m.echo, time.Now())
+	current := l.acceptUpdate(m, readAt)
 	if current && m.Synced {
-		l.opt.Board.RenewFollower()
+		l.opt.Board.RenewFollower(readAt)
 	}
 	if current {
 		l.opt.Board.ImportContents(m.Contents)
 	}
-	l.compareRevisions(m, current)
+	l.compareRevisions(m, current, readAt)
 	if current {
 		l.opt.Board.ApplyStates(m.States)
 	}
@@ -120,10 +131,11 @@
 	l.mu.Lock()
 	relayed := m.Synced && slices.Contains(l.standbys, m.From) && !slices.Contains(l.standbys, l.opt.Address)
 	l.mu.Unlock()
+	readAt := l.timestamps.readAt(m.echo, time.Now())
 	if relayed {
-		l.opt.Board.RenewFollower()
+		l.opt.Board.RenewFollower(readAt)
 	}
-	l.compareRevisions(m, relayed)
+	l.compareRevisions(m, relayed, readAt)
 	if m.Heartbeat.LeaseVersion == 0 || l.opt.Leader() != "" {
 		return
 	}
@@ -136,16 +148,18 @@
 
 // handleReport records another node's load and replies if that node requests it.
 func (l *Link) handleReport(m *message) {
-	l.compareRevisions(m, false)
+	l.compareRevisions(m, false, time.Time{})
+	report := loadReport{at: time.Now(), loads: m.Loads, sentAt: m.SentAt, held: clock.NewStopwatch()}
+	sender := target{address: m.From, echo: report.echo()}
 	l.mu.Lock()
 	_, known := l.reports[m.From]
-	l.reports[m.From] = loadReport{at: time.Now(), loads: m.Loads}
+	l.reports[m.From] = report
 	peers := pickRandom(l.knownPeers, maxPeersListed)
 	l.mu.Unlock()
 	leading := l.opt.ActingLeader()
 	if !known && leading {
 		// The node watches the store itself until it receives a heartbeat.
-		l.sendHeartbeatTo(m.From)
+		l.sendHeartbeatTo(sender)
 	}
 	l.opt.Board.MergePrefixUpdates(m.PrefixUpdates, leading)
 	if leading {
@@ -154,13 +168,17 @@
 	if m.ReplyRequested && !leading {
 		reply := &message{From: l.opt.Address, IsReply: true, Synced: l.opt.Board.Synced(), Revisions: l.opt.Board.Revisions(), Peers: peers}
 		reply.Heartbeat.Lease, reply.Heartbeat.LeaseVersion = l.opt.Board.Lease()
-		l.send(reply, m.From)
+		l.send(reply, sender)
 	}
 }
 
-// compareRevisions passes the revisions of the sender's mirrors to the board.
-func (l *Link) compareRevisions(m *message, relayed bool) {
+// compareRevisions passes the revisions of the sender's mirrors, which it read at readAt or later, to the board.
+func (l *Link) compareRevisions(m *message, relayed bool, readAt time.Time) {
 	for _, r := range m.Revisions {
-		l.opt.Board.HandlePeerRevision(m.From, r.Kind, r.Revision, relayed)
+		var currentAt time.Time
+		if !readAt.IsZero() && r.AgeMS != UnknownAge {
+			currentAt = readAt.Add(-time.Duration(r.AgeMS) * time.Millisecond)
+		}
+		l.opt.Board.HandlePeerRevision(m.From, r.Kind, r.Revision, relayed, currentAt)
 	}
 }
