Check the start deadline of a request while it waits at an engine

A request may begin on replaced weights only for a limited time. Its deadline was read once, when it was sent: a request that was sent before the newer weights became known had none, and could begin on the old ones whenever its engine reached it. The deadline is now read again at most every 200 ms until the engine responds, and the earliest counts.

TestQueuedRequestIsCancelledIfItsWeightsAreReplacedMeanwhile failed before (status 504 after 1.94 s) and passes.

--- a/pkg/gateway/forward/active_request.go
+++ b/pkg/gateway/forward/active_request.go
@@ -246,7 +246,7 @@
 		Method: a.req.Method, Target: a.req.RequestURI, Host: a.req.Host, Body: a.body,
 		Header: a.router.opt.Protocol.EncodeRequest(a.req.Header, backendReq),
 	}
-	ctx, stopTimer := a.withStartDeadline(c, sentAt)
+	ctx, stopTimer := a.withStartDeadline(c)
 	response, err := exchange.Do(ctx, c.Pool, request, func(h http.Header) bool {
 		return a.router.opt.Protocol.DecodeResponse(h).RequestID == a.request.ID
 	})
@@ -275,27 +275,6 @@
 	return a.relayBuffered(c, response, sentAt)
 }
 
-// withStartDeadline returns a context that is cancelled at the latest time at which the request may
-// start on the weights of the chosen engine. The end of the context closes the connection, and the
-// engine then drops a request that is still in its queue. stopTimer must be called once the engine has
-// responded.
-func (a *activeRequest) withStartDeadline(c *backends.Choice, now time.Time) (ctx context.Context, stopTimer func()) {
-	if a.request.Model == "" {
-		return a.ctx, func() {}
-	}
-	deadline := a.router.opt.Weights.StartDeadline(a.request.Model, c.Version)
-	if deadline.IsZero() {
-		return a.ctx, func() {}
-	}
-	ctx, cancel := context.WithCancelCause(a.ctx)
-	timer := time.AfterFunc(deadline.Sub(now), func() { cancel(errStartDeadline) })
-	return ctx, func() { timer.Stop() }
-}
-
-// errStartDeadline is the cause of a cancelled send whose request was queued at an engine until its
-// weights were too old to start on.
-var errStartDeadline = errors.New("request did not start before the deadline for requests on older weights")
-
 // handleNoResponse returns the next step after a send that got no response. ctx is the context of the
 // send.
 func (a *activeRequest) handleNoResponse(ctx context.Context, c *backends.Choice, err error) sendOutcome {
--- a/pkg/gateway/forward/forward_test.go
+++ b/pkg/gateway/forward/forward_test.go
@@ -406,6 +406,36 @@
 	assert.Less(t, time.Since(start), 1500*time.Millisecond)
 }
 
+// replacedWeights is a DesiredWeights of which a newer version becomes known at a time and is mandatory at once.
+type replacedWeights struct {
+	fixedWeights
+	replacedAt time.Time
+}
+
+func (w replacedWeights) StartDeadline(string, int) time.Time {
+	if time.Now().Before(w.replacedAt) {
+		return time.Time{}
+	}
+	return w.replacedAt
+}
+
+// Guards against a request that begins on old weights because they were replaced only after it had been sent to an
+// engine, in whose queue it waits.
+func TestQueuedRequestIsCancelledIfItsWeightsAreReplacedMeanwhile(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	b := startBackend(t, func(*http.Request) string {
+		<-release
+		return ""
+	})
+	weights := replacedWeights{fixedWeights: fixedWeights{newest: 3}, replacedAt: time.Now().Add(200 * time.Millisecond)}
+	s := startGateway(t, routes.Unsafe, func(_ *routes.Config, o *Options) { o.Weights = weights }, b)
+	start := time.Now()
+	r := postRequest(t, s, "/p/x", http.Header{"M": {"m"}, "Wait": {"1900"}})
+	assert.Equal(t, http.StatusBadGateway, r.status)
+	assert.Less(t, time.Since(start), 1500*time.Millisecond)
+}
+
 // Guards against more retries than this node's part of the budget.
 func TestRetryBudget(t *testing.T) {
 	b := NewRetryBudget(RetryBudgetLimits{Ratio: 0.2, BaseRetries: 100, Window: 10 * time.Second})
--- /dev/null
+++ b/pkg/gateway/forward/start_deadline.go
@@ -0,0 +1,82 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"cassiawall.example/cassiawall/pkg/gateway/backends"
+)
+
+// startCheckInterval is the longest time between two checks of a request's start deadline. Newer weights may become
+// known, or the deadline may pass faster than a timer shows, while the request waits at an engine.
+const startCheckInterval = 200 * time.Millisecond
+
+// errStartDeadline is the cause of a cancelled send whose request was queued at an engine until its
+// weights were too old to start on.
+var errStartDeadline = errors.New("request did not start before the deadline for requests on older weights")
+
+// withStartDeadline returns a context that is cancelled at the latest time at which the request may
+// start on the weights of the chosen engine. The end of the context closes the connection, and the
+// engine then drops a request that is still in its queue. stopTimer must be called once the engine has
+// responded.
+func (a *activeRequest) withStartDeadline(c *backends.Choice) (ctx context.Context, stopTimer func()) {
+	if a.request.Model == "" {
+		return a.ctx, func() {}
+	}
+	ctx, cancel := context.WithCancelCause(a.ctx)
+	w := &startWatch{deadline: func() time.Time { return a.router.opt.Weights.StartDeadline(a.request.Model, c.Version) }, expire: func() { cancel(errStartDeadline) }}
+	w.start()
+	return ctx, w.stop
+}
+
+// startWatch calls expire at a deadline, unless it is stopped before.
+type startWatch struct {
+	// deadline returns the deadline as it is known now, or the zero time if there is none. The earliest one counts.
+	deadline func() time.Time
+	expire   func()
+
+	mu       sync.Mutex
+	earliest time.Time
+	timer    *time.Timer
+	stopped  bool
+}
+
+func (w *startWatch) start() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer = time.AfterFunc(w.leftLocked(), w.check)
+}
+
+// leftLocked returns the time until the deadline, or startCheckInterval if that is less or there is no deadline yet.
+func (w *startWatch) leftLocked() time.Duration {
+	if d := w.deadline(); w.earliest.IsZero() || !d.IsZero() && d.Before(w.earliest) {
+		w.earliest = d
+	}
+	if w.earliest.IsZero() {
+		return startCheckInterval
+	}
+	return min(time.Until(w.earliest), startCheckInterval)
+}
+
+func (w *startWatch) check() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.stopped {
+		return
+	}
+	left := w.leftLocked()
+	if left <= 0 {
+		w.expire()
+		return
+	}
+	w.timer.Reset(left)
+}
+
+func (w *startWatch) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopped = true
+	w.timer.Stop()
+}
