Count the time for which the VM was suspended in ages and start deadlines

The monotonic clock, on which time.Time measures, stands still while a VM is suspended. The age of a weights version, the time since a mirror was current and the start deadline of a waiting request were then too young by that time, with the effect of the incident: requests begin on replaced weights. They are now measured on clock.Now, which adds what CLOCK_BOOTTIME counts and CLOCK_MONOTONIC does not. It does not jump with the wall clock.

Found by looking for the cause of the incident elsewhere.

--- a/pkg/clock/suspended.go
+++ b/pkg/clock/suspended.go
@@ -9,10 +9,14 @@
 // suspendedResolution hides the time between the readings of the two clocks.
 const suspendedResolution = 10 * time.Millisecond
 
-// Suspended returns the time for which the VM has been suspended since it started: the time that
+var suspendedAtStart = readSuspended()
+
+// Suspended returns the time for which the VM has been suspended since the start of the process: the time that
 // CLOCK_BOOTTIME counts and CLOCK_MONOTONIC, which time.Time uses, does not. It returns 0 if the system has
 // no such clock.
-func Suspended() time.Duration {
+func Suspended() time.Duration { return max(0, readSuspended()-suspendedAtStart) }
+
+func readSuspended() time.Duration {
 	var monotonic, boot unix.Timespec
 	if unix.ClockGettime(unix.CLOCK_MONOTONIC, &monotonic) != nil || unix.ClockGettime(unix.CLOCK_BOOTTIME, &boot) != nil {
 		return 0
@@ -20,15 +24,12 @@
 	return time.Duration(boot.Nano() - monotonic.Nano()).Truncate(suspendedResolution)
 }
 
-// Stopwatch measures the time since its start, including the time for which the VM was suspended. It is safe for
-// concurrent use.
-type Stopwatch struct {
-	started   time.Time
-	suspended time.Duration
-}
+// Now returns the current time on a clock that also counts the time for which the VM was suspended. It is ahead of
+// time.Now by that time, so its results must only be compared with each other.
+func Now() time.Time { return time.Now().Add(Suspended()) }
 
-// NewStopwatch returns a stopwatch that starts now.
-func NewStopwatch() Stopwatch { return Stopwatch{started: time.Now(), suspended: Suspended()} }
+// Since returns the time since t, a result of Now.
+func Since(t time.Time) time.Duration { return Now().Sub(t) }
 
-// Elapsed returns the time since the start.
-func (s Stopwatch) Elapsed() time.Duration { return time.Since(s.started) + Suspended() - s.suspended }
+// Until returns the time until t, a time on the clock of Now.
+func Until(t time.Time) time.Duration { return t.Sub(Now()) }
--- a/pkg/gateway/forward/active_request.go
+++ b/pkg/gateway/forward/active_request.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"cassiawall.example/cassiawall/pkg/clock"
 	"cassiawall.example/cassiawall/pkg/gateway/backends"
 	"cassiawall.example/cassiawall/pkg/gateway/cachemap"
 	"cassiawall.example/cassiawall/pkg/gateway/decisions"
@@ -157,11 +158,12 @@
 			return nil
 		}
 		if a.request.Model != "" {
-			newest, since, lowest := a.router.opt.Weights.DesiredVersions(a.request.Model, now)
+			weightsNow := clock.Now()
+			newest, since, lowest := a.router.opt.Weights.DesiredVersions(a.request.Model, weightsNow)
 			query.MinVersion = lowest
 			query.PreferVersion = 0
 			prefixVersion = newest
-			if now.Sub(since) >= preferNewestDelay {
+			if weightsNow.Sub(since) >= preferNewestDelay {
 				query.PreferVersion = newest
 			}
 		}
--- a/pkg/gateway/forward/router.go
+++ b/pkg/gateway/forward/router.go
@@ -20,7 +20,7 @@
 	"cassiawall.example/cassiawall/pkg/recovery"
 )
 
-// DesiredWeights provides the desired versions of model weights.
+// DesiredWeights provides the desired versions of model weights. Its times are on the clock of clock.Now.
 type DesiredWeights interface {
 	// DesiredVersions returns the newest version, the time from which it counts as set, and the lowest
 	// version on which a request may still start. Zero values mean that no version is set.
--- a/pkg/gateway/forward/start_deadline.go
+++ b/pkg/gateway/forward/start_deadline.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"cassiawall.example/cassiawall/pkg/clock"
 	"cassiawall.example/cassiawall/pkg/gateway/backends"
 )
 
@@ -26,7 +27,10 @@
 		return a.ctx, func() {}
 	}
 	ctx, cancel := context.WithCancelCause(a.ctx)
-	w := &startWatch{deadline: func() time.Time { return a.router.opt.Weights.StartDeadline(a.request.Model, c.Version) }, expire: func() { cancel(errStartDeadline) }}
+	w := &startWatch{
+		deadline: func() time.Time { return a.router.opt.Weights.StartDeadline(a.request.Model, c.Version) },
+		expire:   func() { cancel(errStartDeadline) }, now: clock.Now,
+	}
 	w.start()
 	return ctx, w.stop
 }
@@ -36,6 +40,8 @@
 	// deadline returns the deadline as it is known now, or the zero time if there is none. The earliest one counts.
 	deadline func() time.Time
 	expire   func()
+	// now is clock.Now. A timer alone would be late by the time for which the VM was suspended.
+	now func() time.Time
 
 	mu       sync.Mutex
 	earliest time.Time
@@ -57,7 +63,7 @@
 	if w.earliest.IsZero() {
 		return startCheckInterval
 	}
-	return min(time.Until(w.earliest), startCheckInterval)
+	return min(w.earliest.Sub(w.now()), startCheckInterval)
 }
 
 func (w *startWatch) check() {
--- a/pkg/gateway/forward/trace.go
+++ b/pkg/gateway/forward/trace.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"cassiawall.example/cassiawall/pkg/clock"
 	"cassiawall.example/cassiawall/pkg/event"
 	"cassiawall.example/cassiawall/pkg/gateway/backends"
 )
@@ -20,8 +21,9 @@
 		"config_age_ms", a.receivedAt.Sub(a.config.AppliedAt).Milliseconds(),
 	}
 	if a.request.Model != "" {
-		newest, since, lowest := a.router.opt.Weights.DesiredVersions(a.request.Model, a.receivedAt)
-		args = append(args, "model", a.request.Model, "weights", newest, "weights_age_ms", a.receivedAt.Sub(since).Milliseconds(),
+		now := clock.Now()
+		newest, since, lowest := a.router.opt.Weights.DesiredVersions(a.request.Model, now)
+		args = append(args, "model", a.request.Model, "weights", newest, "weights_age_ms", now.Sub(since).Milliseconds(),
 			"weights_lowest", lowest, "shared_tokens", a.sharedTokens(), "long", a.isDecodeHeavy())
 	}
 	a.trace.Add(event.RequestAdmitted, args...)
--- a/pkg/gateway/mirror/mirror.go
+++ b/pkg/gateway/mirror/mirror.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"cassiawall.example/cassiawall/pkg/clock"
 	"cassiawall.example/cassiawall/pkg/event"
 	"cassiawall.example/cassiawall/pkg/objects"
 	"cassiawall.example/cassiawall/pkg/wait"
@@ -105,6 +106,8 @@
 // concurrent use.
 type Mirror struct {
 	opt Options
+	// now is clock.Now: ages count the time for which the VM was suspended.
+	now func() time.Time
 
 	failing      bool
 	failingSince time.Time
@@ -129,7 +132,7 @@
 
 // New returns an empty mirror.
 func New(opt Options) *Mirror {
-	return &Mirror{opt: opt, entries: map[string]Entry{}, tombstones: map[string]int64{}}
+	return &Mirror{opt: opt, now: clock.Now, entries: map[string]Entry{}, tombstones: map[string]int64{}}
 }
 
 // Kind returns the kind of objects that the mirror holds.
@@ -210,7 +213,8 @@
 	return true
 }
 
-// MarkCurrent records that a peer held all changes at a time, and no newer ones than this mirror.
+// MarkCurrent records that a peer held all changes at a time on the clock of clock.Now, and no newer ones than this
+// mirror.
 func (m *Mirror) MarkCurrent(peer string, at time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -222,7 +226,7 @@
 func (m *Mirror) CurrentAge() (age time.Duration, ok bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return time.Since(m.currentAt), !m.currentAt.IsZero()
+	return m.now().Sub(m.currentAt), !m.currentAt.IsZero()
 }
 
 // confirmLocked records that the mirror held all changes at a time.
@@ -237,7 +241,7 @@
 	if m.currentAt.IsZero() {
 		return Freshness{Interrupted: interrupted, MaxDelay: initialMaxDelay}
 	}
-	return Freshness{Interrupted: interrupted, MaxDelay: time.Since(m.currentAt), ConfirmedBy: m.currentBy}
+	return Freshness{Interrupted: interrupted, MaxDelay: m.now().Sub(m.currentAt), ConfirmedBy: m.currentBy}
 }
 
 // Run replicates the store until ctx ends.
@@ -251,7 +255,7 @@
 		if !ok {
 			return
 		}
-		m.watch(ctx, revision, time.Now().Add(m.opt.ListInterval()))
+		m.watch(ctx, revision, m.now().Add(m.opt.ListInterval()))
 	}
 }
 
@@ -259,7 +263,7 @@
 func (m *Mirror) list(ctx context.Context) (int64, bool) {
 	pause := minRetryPause
 	for {
-		calledAt := time.Now()
+		calledAt := m.now()
 		callCtx, cancel := context.WithTimeout(ctx, listTimeout)
 		entries, revision, err := m.opt.Source.List(callCtx, m.opt.Kind)
 		cancel()
@@ -328,11 +332,11 @@
 func (m *Mirror) watch(ctx context.Context, revision int64, deadline time.Time) {
 	pause := minRetryPause
 	for ctx.Err() == nil {
-		left := time.Until(deadline)
+		left := deadline.Sub(m.now())
 		if left <= 0 || m.opt.IsFollower() {
 			return
 		}
-		calledAt := time.Now()
+		calledAt := m.now()
 		callCtx, cancel := context.WithTimeout(ctx, left+watchSlack)
 		changes, next, err := m.opt.Source.Watch(callCtx, m.opt.Kind, revision, left)
 		cancel()
@@ -349,7 +353,7 @@
 			continue
 		}
 		respondedAt := calledAt
-		if len(changes) == 0 && time.Since(calledAt) >= left {
+		if len(changes) == 0 && m.now().Sub(calledAt) >= left {
 			// The store responds to a watch without changes only after the requested wait.
 			respondedAt = calledAt.Add(left.Truncate(time.Millisecond))
 		}
@@ -405,7 +409,7 @@
 		return false
 	}
 	if !m.failing {
-		m.failing, m.failingSince = true, time.Now()
+		m.failing, m.failingSince = true, m.now()
 		event.StoreLost.Emit(m.opt.Logger, "kind", m.opt.Kind, "error", err.Error())
 	}
 	ok := wait.Pause(ctx, *pause/2+rand.N(*pause/2))
@@ -422,18 +426,18 @@
 		return
 	}
 	m.failing = false
-	m.recoveredAt = time.Now()
-	event.StoreRegained.Emit(m.opt.Logger, "kind", m.opt.Kind, "outage_ms", time.Since(m.failingSince).Milliseconds())
+	m.recoveredAt = m.now()
+	event.StoreRegained.Emit(m.opt.Logger, "kind", m.opt.Kind, "outage_ms", m.now().Sub(m.failingSince).Milliseconds())
 }
 
 // ReachedWithin reports whether the store is known to have responded less than limit ago.
 func (m *Mirror) ReachedWithin(limit time.Duration) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return !m.reachedAt.IsZero() && time.Since(m.reachedAt) < limit
+	return !m.reachedAt.IsZero() && m.now().Sub(m.reachedAt) < limit
 }
 
 // interruptedLocked reports whether an outage of the store ended less than recoveryDuration ago.
 func (m *Mirror) interruptedLocked() bool {
-	return !m.recoveredAt.IsZero() && time.Since(m.recoveredAt) < recoveryDuration
+	return !m.recoveredAt.IsZero() && m.now().Sub(m.recoveredAt) < recoveryDuration
 }
--- a/pkg/gateway/mirror/mirror_test.go
+++ b/pkg/gateway/mirror/mirror_test.go
@@ -257,6 +257,28 @@
 	})
 }
 
+// Guards against ages that do not count the time for which the VM was suspended, which the monotonic clock omits.
+func TestSuspensionCountsInMaxDelay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, c, isFollower := newFakeSource(), &recordingTarget{}, &atomic.Bool{}
+		s.put("a")
+		m := newMirror(s, c, isFollower)
+		var suspended atomic.Int64
+		m.now = func() time.Time { return time.Now().Add(time.Duration(suspended.Load())) }
+		ctx, cancel := context.WithCancel(t.Context())
+		go m.Run(ctx)
+		time.Sleep(2500 * time.Millisecond)
+		suspended.Store(int64(4 * time.Second))
+		assert.False(t, m.ReachedWithin(2*time.Second))
+		s.put("b")
+		time.Sleep(100 * time.Millisecond)
+		assert.Equal(t, []string{"a", "b"}, c.sortedNames())
+		assert.GreaterOrEqual(t, c.last.MaxDelay, 4*time.Second)
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // Guards against calls to the store by a node to which the leader relays store changes.
 func TestFollowerMirrorDoesNotCallStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/pkg/gateway/node/board.go
+++ b/pkg/gateway/node/board.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"cassiawall.example/cassiawall/pkg/clock"
 	"cassiawall.example/cassiawall/pkg/event"
 	"cassiawall.example/cassiawall/pkg/gateway/backends"
 	"cassiawall.example/cassiawall/pkg/gateway/mirror"
@@ -254,7 +255,7 @@
 	if b.node.link.IsStandby() {
 		timeout = peers.StandbyTimeout(b.nodeCount)
 	}
-	age := time.Since(b.lastSyncedHeartbeat)
+	age := clock.Since(b.lastSyncedHeartbeat)
 	follower := age < timeout && !b.node.controller.ActingLeader()
 	if follower != b.wasFollower {
 		b.wasFollower = follower
--- a/pkg/gateway/node/mirrors.go
+++ b/pkg/gateway/node/mirrors.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"cassiawall.example/cassiawall/pkg/clock"
 	"cassiawall.example/cassiawall/pkg/event"
 	"cassiawall.example/cassiawall/pkg/gateway/backends"
 	"cassiawall.example/cassiawall/pkg/gateway/mirror"
@@ -153,7 +154,7 @@
 		event.EntrySkipped.Emit(t.logger, "name", e.Name, "revision", e.Revision, "error", err.Error())
 		return
 	}
-	if t.versions.Add(v.Name, v.Version, freshness.MaxDelay, time.Now()) {
+	if t.versions.Add(v.Name, v.Version, freshness.MaxDelay, clock.Now()) {
 		event.WeightsNamed.Emit(t.logger, "model", v.Name, "version", v.Version, "revision", e.Revision, "max_delay_ms", freshness.MaxDelay.Milliseconds(),
 			"confirmed_by", freshness.ConfirmedBy)
 	}
--- a/pkg/gateway/peers/echo.go
+++ b/pkg/gateway/peers/echo.go
@@ -31,22 +31,22 @@
 type timestamps struct {
 	// offset differs between the starts of a node, so that a message to an earlier one is not mistaken for one
 	// to this.
-	offset int64
-	clock  clock.Stopwatch
+	offset    int64
+	startedAt time.Time
 }
 
 func newTimestamps() timestamps {
 	// The lowest bits stay free, so that offset plus the microseconds since the start does not overflow.
-	return timestamps{offset: 1 + rand.Int64N(1<<60), clock: clock.NewStopwatch()}
+	return timestamps{offset: 1 + rand.Int64N(1<<60), startedAt: clock.Now()}
 }
 
 // next returns the timestamp of a report that is sent now.
-func (t timestamps) next() int64 { return t.offset + t.clock.Elapsed().Microseconds() }
+func (t timestamps) next() int64 { return t.offset + clock.Since(t.startedAt).Microseconds() }
 
 // readAt returns the earliest time at which the sender of a message can have read its content, or the zero time if
-// the message repeats no timestamp of this node.
+// the message repeats no timestamp of this node. now is the time of clock.Now.
 func (t timestamps) readAt(e echo, now time.Time) time.Time {
-	elapsed := t.clock.Elapsed()
+	elapsed := now.Sub(t.startedAt)
 	sent := e.SentAt - t.offset
 	if e.SentAt < t.offset || sent > elapsed.Microseconds() || e.HeldMS < 0 {
 		return time.Time{}
--- a/pkg/gateway/peers/echo_test.go
+++ b/pkg/gateway/peers/echo_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"cassiawall.example/cassiawall/pkg/clock"
 	"cassiawall.example/cassiawall/pkg/gateway/backends"
 )
 
@@ -18,7 +19,7 @@
 // node, or were read by the leader long before it sent them.
 func TestRevisionsAreNotCurrentAfterTheyWereRead(t *testing.T) {
 	const pause = 700 * time.Millisecond
-	started := time.Now()
+	started := clock.Now()
 	leader := freeAddress(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -31,7 +32,7 @@
 		go l.Run(ctx)
 	}
 	// The revision is the time in microseconds at which the leader reads it.
-	leading := &pausingBoard{fakeBoard: &fakeBoard{synced: true, readRevision: func() int64 { return time.Since(started).Microseconds() }}}
+	leading := &pausingBoard{fakeBoard: &fakeBoard{synced: true, readRevision: func() int64 { return clock.Since(started).Microseconds() }}}
 	var mu sync.Mutex
 	confirmed, tooLate, reads := 0, 0, 0
 	follower := &fakeBoard{onRevision: func(revision int64, currentAt time.Time) {
@@ -78,12 +79,13 @@
 func TestReadAtRefusesForeignTimestamps(t *testing.T) {
 	own := newTimestamps()
 	time.Sleep(20 * time.Millisecond)
-	now := time.Now()
 	sentAt := own.next()
+	now := clock.Now()
 	readAt := own.readAt(echo{SentAt: sentAt, HeldMS: 0}, now)
 	assert.WithinDuration(t, now, readAt, 10*time.Millisecond)
 	assert.WithinDuration(t, now.Add(-15*time.Millisecond), own.readAt(echo{SentAt: own.offset, HeldMS: 5}, now), 10*time.Millisecond)
 	assert.False(t, own.readAt(echo{SentAt: sentAt, HeldMS: 5000}, now).After(now), "a peer cannot have read its state in the future")
+	assert.WithinDuration(t, now, own.readAt(echo{SentAt: sentAt}, now.Add(4*time.Second)), 10*time.Millisecond, "a suspension of the VM counts")
 	for name, e := range map[string]echo{
 		"none": {}, "earlier start": {SentAt: newTimestamps().next()}, "not sent yet": {SentAt: sentAt + int64(time.Hour/time.Microsecond)},
 		"largest": {SentAt: math.MaxInt64}, "negative": {SentAt: math.MinInt64}, "negative time held": {SentAt: sentAt, HeldMS: -1},
--- a/pkg/gateway/peers/leader.go
+++ b/pkg/gateway/peers/leader.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"cassiawall.example/cassiawall/pkg/clock"
 	"cassiawall.example/cassiawall/pkg/gateway/backends"
 )
 
@@ -95,14 +96,14 @@
 // sendHeartbeat sends a heartbeat with the states of backend servers to all nodes that report to this one, and
 // applies it to this node.
 func (l *Link) sendHeartbeat() {
-	now := time.Now()
-	targets, total, listPeers := l.beginHeartbeat(now)
+	readAt := clock.Now()
+	targets, total, listPeers := l.beginHeartbeat(time.Now())
 	l.opt.Board.AddCounts(l.opt.Board.TakeCounts())
 	m := l.buildHeartbeat()
 	m.Frequent = l.opt.Board.Frequent()
 	l.opt.Board.ApplyFrequent(m.Frequent)
 	m.States, m.PrefixUpdates = l.opt.Board.States(total, ForHeartbeat), l.opt.Board.TakePrefixUpdates()
-	l.opt.Board.ApplyHeartbeat(m.Heartbeat, now)
+	l.opt.Board.ApplyHeartbeat(m.Heartbeat, readAt)
 	l.opt.Board.ApplyStates(m.States)
 	if listPeers {
 		m.Peers = pickRandom(addresses(targets), maxPeersListed)
--- a/pkg/gateway/peers/link.go
+++ b/pkg/gateway/peers/link.go
@@ -51,7 +51,8 @@
 	maxPeersListed = 24
 )
 
-// Board is the state of a node that its link reads and updates.
+// Board is the state of a node that its link reads and updates. The times that it receives are on the clock of
+// clock.Now.
 type Board interface {
 	// Loads returns this node's running requests.
 	Loads() []backends.Load
@@ -166,9 +167,9 @@
 type loadReport struct {
 	at    time.Time
 	loads []backends.Load
-	// sentAt is the timestamp of the report, and held the time since its receipt.
-	sentAt int64
-	held   clock.Stopwatch
+	// sentAt is the timestamp of the report, and receivedAt the time of its receipt on the clock of clock.Now.
+	sentAt     int64
+	receivedAt time.Time
 }
 
 // echo returns what a message in return states about the report, if its content is read from now on.
@@ -176,7 +177,7 @@
 	if r.sentAt == 0 {
 		return echo{}
 	}
-	return echo{SentAt: r.sentAt, HeldMS: r.held.Elapsed().Milliseconds()}
+	return echo{SentAt: r.sentAt, HeldMS: clock.Since(r.receivedAt).Milliseconds()}
 }
 
 // Listen returns a link that is bound to its address.
@@ -220,7 +221,7 @@
 	if l.heartbeatAt.IsZero() && !l.opt.ActingLeader() {
 		interval = startInterval
 	}
-	if untilQuery := time.Until(l.syncedHeartbeatAt.Add(heartbeatsDuration(minQueryTimeout, queryTimeoutHeartbeats, l.nodes))); untilQuery > 0 {
+	if untilQuery := clock.Until(l.syncedHeartbeatAt.Add(heartbeatsDuration(minQueryTimeout, queryTimeoutHeartbeats, l.nodes))); untilQuery > 0 {
 		return min(interval, untilQuery)
 	}
 	return interval
@@ -263,7 +264,7 @@
 	if leader != "" && leader != l.opt.Address {
 		addresses = append(addresses, leader)
 	}
-	if time.Since(l.syncedHeartbeatAt) > heartbeatsDuration(minQueryTimeout, queryTimeoutHeartbeats, l.nodes) && !slices.Contains(l.standbys, l.opt.Address) {
+	if clock.Since(l.syncedHeartbeatAt) > heartbeatsDuration(minQueryTimeout, queryTimeoutHeartbeats, l.nodes) && !slices.Contains(l.standbys, l.opt.Address) {
 		replyRequested = true
 		addresses = append(addresses, l.standbys...)
 	}
--- a/pkg/gateway/peers/receive.go
+++ b/pkg/gateway/peers/receive.go
@@ -58,7 +58,7 @@
 // handleHeartbeat applies the heartbeat of the leader, or that of another node if no leader is known or the
 // leader is silent. The node that holds the lease ignores heartbeats.
 func (l *Link) handleHeartbeat(m *message) {
-	readAt := l.timestamps.readAt(m.echo, time.Now())
+	readAt := l.timestamps.readAt(m.echo, clock.Now())
 	current := l.acceptHeartbeat(m, readAt)
 	if current {
 		l.opt.Board.ImportContents(m.Contents)
@@ -111,7 +111,7 @@
 
 // handleUpdate applies an update of the leader whose heartbeats this node follows.
 func (l *Link) handleUpdate(m *message) {
-	readAt := l.timestamps.readAt(m.echo, time.Now())
+	readAt := l.timestamps.readAt(m.echo, clock.Now())
 	current := l.acceptUpdate(m, readAt)
 	if current && m.Synced {
 		l.opt.Board.RenewFollower(readAt)
@@ -131,7 +131,7 @@
 	l.mu.Lock()
 	relayed := m.Synced && slices.Contains(l.standbys, m.From) && !slices.Contains(l.standbys, l.opt.Address)
 	l.mu.Unlock()
-	readAt := l.timestamps.readAt(m.echo, time.Now())
+	readAt := l.timestamps.readAt(m.echo, clock.Now())
 	if relayed {
 		l.opt.Board.RenewFollower(readAt)
 	}
@@ -149,7 +149,7 @@
 // handleReport records another node's load and replies if that node requests it.
 func (l *Link) handleReport(m *message) {
 	l.compareRevisions(m, false, time.Time{})
-	report := loadReport{at: time.Now(), loads: m.Loads, sentAt: m.SentAt, held: clock.NewStopwatch()}
+	report := loadReport{at: time.Now(), loads: m.Loads, sentAt: m.SentAt, receivedAt: clock.Now()}
 	sender := target{address: m.From, echo: report.echo()}
 	l.mu.Lock()
 	_, known := l.reports[m.From]
--- a/pkg/gateway/weights/versions.go
+++ b/pkg/gateway/weights/versions.go
@@ -18,7 +18,8 @@
 )
 
 // Versions holds the weight versions that the operator has set for each model, with the time from which
-// each counts. It is safe for concurrent use.
+// each counts. Its times are on the clock of clock.Now, so that ages count the time for which the VM was suspended. It is
+// safe for concurrent use.
 type Versions struct {
 	// oldVersionLimit is the time after a new version is set from which no request may start on an
 	// older one.
