Ignore a list of the store that is older than the mirror's content

An engine that was set to leaving could get requests again, for as long as its node stayed a follower: a node without a leader lists the store, a change follows, and the leader's message with it arrives before the response to the list. The list then replaced the newer content, under a revision of its own invention above the leader's, so that nothing was fetched again.

The store states the revision up to which a list is complete. A list below the mirror's own revision is now dropped and requested again. Where only deletions differ, the new revision is that of the list. TestLateListDoesNotUndoNewerContent failed before in each of its cases.

--- a/pkg/gateway/mirror/mirror.go
+++ b/pkg/gateway/mirror/mirror.go
@@ -269,8 +269,13 @@
 		cancel()
 		if err == nil {
 			m.recordSuccess(calledAt)
-			m.applyList(entries, calledAt)
-			return revision, true
+			if m.applyList(entries, revision, calledAt) {
+				return revision, true
+			}
+			if !wait.Pause(ctx, minRetryPause) {
+				return 0, false
+			}
+			continue
 		}
 		if !m.backOff(ctx, err, &pause) {
 			return 0, false
@@ -278,13 +283,18 @@
 	}
 }
 
-// applyList replaces the content by a list from the store if they differ. The list was requested at calledAt.
-func (m *Mirror) applyList(entries []Entry, calledAt time.Time) {
+// applyList replaces the content by a list from the store if they differ. The list was requested at calledAt and has
+// all changes up to revision. applyList returns false, and applies nothing, if newer content has arrived from a peer
+// since then.
+func (m *Mirror) applyList(entries []Entry, revision int64, calledAt time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if revision < m.revision {
+		return false
+	}
 	defer m.confirmLocked(calledAt, "list")
 	if !m.differsLocked(entries) {
-		return
+		return true
 	}
 	newest := m.revision
 	for _, e := range entries {
@@ -292,10 +302,11 @@
 	}
 	if newest == m.revision {
 		// Only deletions differ; the revision of the newest of them is not known.
-		newest++
+		newest = revision
 	}
 	m.resetLocked(entries, newest, m.freshnessLocked(m.interruptedLocked()))
 	m.notifyChange()
+	return true
 }
 
 // notifyChange calls OnChange, if it is set, without waiting for it.
--- a/pkg/gateway/mirror/mirror_test.go
+++ b/pkg/gateway/mirror/mirror_test.go
@@ -257,6 +257,56 @@
 	})
 }
 
+// Guards against a list that was read late and undoes newer content from a peer: a follower would not list again.
+func TestLateListDoesNotUndoNewerContent(t *testing.T) {
+	entry := func(name string, revision int64) Entry { return Entry{Name: name, Revision: revision} }
+	tests := map[string]struct {
+		// peer is the content of a peer that arrives while the response to the list is under way.
+		peer Content
+		want []Entry
+	}{
+		"added": {
+			peer: Content{Revision: 5, Complete: true, Entries: []Entry{entry("a", 2), entry("b", 3), entry("c", 5)}},
+			want: []Entry{entry("a", 2), entry("b", 3), entry("c", 5)},
+		},
+		"changed": {
+			peer: Content{Revision: 5, Complete: true, Entries: []Entry{entry("a", 2), entry("b", 5)}},
+			want: []Entry{entry("a", 2), entry("b", 5)},
+		},
+		"removed, complete content": {
+			peer: Content{Revision: 5, Complete: true, Entries: []Entry{entry("a", 2)}},
+			want: []Entry{entry("a", 2)},
+		},
+		"removed": {
+			peer: Content{Revision: 5, Entries: []Entry{entry("a", 2)}, Deleted: []string{"b"}},
+			want: []Entry{entry("a", 2)},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				source, c, isFollower := newFakeSource(), &recordingTarget{}, &atomic.Bool{}
+				source.put("a")
+				source.put("b")
+				var m *Mirror
+				s := &pausedSource{fakeSource: source, call: "list", pause: time.Second, afterResponse: func() {
+					m.Import(test.peer, true)
+					isFollower.Store(true)
+					source.locked(func() { source.down = true })
+				}}
+				m = newMirror(s, c, isFollower)
+				m.Import(Content{Revision: 3, Complete: true, Entries: []Entry{entry("a", 2), entry("b", 3)}}, true)
+				ctx, cancel := context.WithCancel(t.Context())
+				go m.Run(ctx)
+				time.Sleep(10 * time.Second)
+				assert.Equal(t, Content{Revision: 5, Complete: true, Entries: test.want}, m.Export(0))
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
+
 // Guards against ages that do not count the time for which the VM was suspended, which the monotonic clock omits.
 func TestSuspensionCountsInMaxDelay(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
