Truncate the time of suspension after subtracting its value at the start

A VM that was suspended before the process started could make clock.Now jump by 10 ms either way: the difference of the two clocks was truncated before the value at the start was subtracted, and could lie just at a multiple of the resolution.

--- a/pkg/clock/suspended.go
+++ b/pkg/clock/suspended.go
@@ -13,15 +13,17 @@
 
 // Suspended returns the time for which the VM has been suspended since the start of the process: the time that
 // CLOCK_BOOTTIME counts and CLOCK_MONOTONIC, which time.Time uses, does not. It returns 0 if the system has
-// no such clock.
-func Suspended() time.Duration { return max(0, readSuspended()-suspendedAtStart) }
+// no such clock or it cannot be read.
+func Suspended() time.Duration {
+	return max(0, readSuspended()-suspendedAtStart).Truncate(suspendedResolution)
+}
 
 func readSuspended() time.Duration {
 	var monotonic, boot unix.Timespec
 	if unix.ClockGettime(unix.CLOCK_MONOTONIC, &monotonic) != nil || unix.ClockGettime(unix.CLOCK_BOOTTIME, &boot) != nil {
 		return 0
 	}
-	return time.Duration(boot.Nano() - monotonic.Nano()).Truncate(suspendedResolution)
+	return time.Duration(boot.Nano() - monotonic.Nano())
 }
 
 // Now returns the current time on a clock that also counts the time for which the VM was suspended. It is ahead of
