Pass on when content was current instead of its age

The age of a weights version was computed when its change was applied and subtracted from a later reading of the clock: a pause in between, such as while a long list is decoded, did not count. Targets now get the time itself. TestPauseBeforeTheTargetReadsTheClockCounts fails with an age in place of the time (0 s instead of 4 s).

--- a/pkg/gateway/mirror/mirror.go
+++ b/pkg/gateway/mirror/mirror.go
@@ -53,13 +53,22 @@
 	// Interrupted is set if entries may be missing for a moment: the store was unavailable until shortly
 	// before, or the content comes from a node that may not reach the store either.
 	Interrupted bool
-	// MaxDelay is the longest time for which the change may already have been in the store.
-	MaxDelay time.Duration
-	// ConfirmedBy names what MaxDelay is counted from: the last list, watch or peer that showed that the content
-	// was current. It is "" before the first.
+	// CurrentAt is the last time, on the clock of clock.Now, at which the mirror is known to have held all changes. It is
+	// zero before the first.
+	CurrentAt time.Time
+	// ConfirmedBy names what showed that: a list, a watch or a peer. It is "" before the first.
 	ConfirmedBy string
 }
 
+// MaxDelay returns the longest time for which the change may already have been in the store. now is the time of
+// clock.Now.
+func (f Freshness) MaxDelay(now time.Time) time.Duration {
+	if f.CurrentAt.IsZero() {
+		return initialMaxDelay
+	}
+	return now.Sub(f.CurrentAt)
+}
+
 // initialMaxDelay is the MaxDelay that is reported before the mirror has been in sync with the store for the
 // first time.
 const initialMaxDelay = time.Hour
@@ -238,10 +247,7 @@
 
 // freshnessLocked returns the freshness of content that arrives now.
 func (m *Mirror) freshnessLocked(interrupted bool) Freshness {
-	if m.currentAt.IsZero() {
-		return Freshness{Interrupted: interrupted, MaxDelay: initialMaxDelay}
-	}
-	return Freshness{Interrupted: interrupted, MaxDelay: m.now().Sub(m.currentAt), ConfirmedBy: m.currentBy}
+	return Freshness{Interrupted: interrupted, CurrentAt: m.currentAt, ConfirmedBy: m.currentBy}
 }
 
 // Run replicates the store until ctx ends.
--- a/pkg/gateway/mirror/mirror_test.go
+++ b/pkg/gateway/mirror/mirror_test.go
@@ -105,8 +105,23 @@
 	mu    sync.Mutex
 	names map[string]bool
 	last  Freshness
-	// lastAt is the time at which last was received.
-	lastAt time.Time
+	// lastAt is the time at which last was received, and maxDelay its MaxDelay at that time.
+	lastAt   time.Time
+	maxDelay time.Duration
+	// pause is the time for which the process is paused before the target reads the clock now, or time.Now if it is
+	// nil.
+	pause time.Duration
+	now   func() time.Time
+}
+
+func (c *recordingTarget) record(f Freshness) {
+	time.Sleep(c.pause)
+	now := time.Now
+	if c.now != nil {
+		now = c.now
+	}
+	c.last, c.lastAt = f, now()
+	c.maxDelay = f.MaxDelay(c.lastAt)
 }
 
 func (c *recordingTarget) Reset(entries []Entry, f Freshness) {
@@ -116,7 +131,7 @@
 	for _, e := range entries {
 		c.names[e.Name] = true
 	}
-	c.last, c.lastAt = f, time.Now()
+	c.record(f)
 }
 
 func (c *recordingTarget) Apply(change Change, f Freshness) {
@@ -127,7 +142,7 @@
 	} else {
 		c.names[change.Name] = true
 	}
-	c.last, c.lastAt = f, time.Now()
+	c.record(f)
 }
 
 func (c *recordingTarget) sortedNames() []string {
@@ -175,10 +190,10 @@
 				assert.Equal(t, []string{"b"}, c.sortedNames())
 				if name == "store unavailable" {
 					assert.True(t, c.last.Interrupted)
-					assert.GreaterOrEqual(t, c.last.MaxDelay, 3*time.Second)
+					assert.GreaterOrEqual(t, c.maxDelay, 3*time.Second)
 				} else {
 					assert.False(t, c.last.Interrupted)
-					assert.LessOrEqual(t, c.last.MaxDelay, 1200*time.Millisecond)
+					assert.LessOrEqual(t, c.maxDelay, 1200*time.Millisecond)
 				}
 				cancel()
 				synctest.Wait()
@@ -231,7 +246,7 @@
 				go newMirror(s, c, isFollower).Run(ctx)
 				time.Sleep(7 * time.Second)
 				assert.Equal(t, []string{"a", "b"}, c.sortedNames())
-				assert.GreaterOrEqual(t, c.last.MaxDelay, c.lastAt.Sub(storedAt), "confirmed by %s", c.last.ConfirmedBy)
+				assert.GreaterOrEqual(t, c.maxDelay, c.lastAt.Sub(storedAt), "confirmed by %s", c.last.ConfirmedBy)
 				cancel()
 				synctest.Wait()
 			})
@@ -315,6 +330,7 @@
 		m := newMirror(s, c, isFollower)
 		var suspended atomic.Int64
 		m.now = func() time.Time { return time.Now().Add(time.Duration(suspended.Load())) }
+		c.now = m.now
 		ctx, cancel := context.WithCancel(t.Context())
 		go m.Run(ctx)
 		time.Sleep(2500 * time.Millisecond)
@@ -323,12 +339,24 @@
 		s.put("b")
 		time.Sleep(100 * time.Millisecond)
 		assert.Equal(t, []string{"a", "b"}, c.sortedNames())
-		assert.GreaterOrEqual(t, c.last.MaxDelay, 4*time.Second)
+		assert.GreaterOrEqual(t, c.maxDelay, 4*time.Second)
 		cancel()
 		synctest.Wait()
 	})
 }
 
+// Guards against an age that a pause makes too young after it was computed and before it is used.
+func TestPauseBeforeTheTargetReadsTheClockCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		target := &recordingTarget{pause: 4 * time.Second}
+		m := New(Options{Kind: "k", Target: target})
+		currentAt := time.Now()
+		m.MarkCurrent("peer", currentAt)
+		m.Import(Content{Revision: 3, Complete: true, Entries: []Entry{{Name: "a", Revision: 2}}}, true)
+		assert.Equal(t, time.Since(currentAt), target.maxDelay)
+	})
+}
+
 // Guards against calls to the store by a node to which the leader relays store changes.
 func TestFollowerMirrorDoesNotCallStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/pkg/gateway/node/mirrors.go
+++ b/pkg/gateway/node/mirrors.go
@@ -147,15 +147,17 @@
 	}
 }
 
-// add adds a version that was stored at most freshness.MaxDelay ago.
+// add adds a version that was stored at freshness.CurrentAt or later.
 func (t *versionTarget) add(e mirror.Entry, freshness mirror.Freshness) {
 	v, err := t.decoder.DesiredVersion(e)
 	if err != nil {
 		event.EntrySkipped.Emit(t.logger, "name", e.Name, "revision", e.Revision, "error", err.Error())
 		return
 	}
-	if t.versions.Add(v.Name, v.Version, freshness.MaxDelay, clock.Now()) {
-		event.WeightsNamed.Emit(t.logger, "model", v.Name, "version", v.Version, "revision", e.Revision, "max_delay_ms", freshness.MaxDelay.Milliseconds(),
+	now := clock.Now()
+	maxDelay := freshness.MaxDelay(now)
+	if t.versions.Add(v.Name, v.Version, maxDelay, now) {
+		event.WeightsNamed.Emit(t.logger, "model", v.Name, "version", v.Version, "revision", e.Revision, "max_delay_ms", maxDelay.Milliseconds(),
 			"confirmed_by", freshness.ConfirmedBy)
 	}
 }
