Do not count a mirror as current because a watch heard nothing

A watch misses changes when the store drops its history, which is why the objects are listed again. A watch that ended empty nevertheless made the mirror count as current, so that weights which the next list brought were taken for new. Only lists and peers show now that a mirror is current. Ages grow by at most the time since the last list.

--- a/pkg/gateway/mirror/mirror.go
+++ b/pkg/gateway/mirror/mirror.go
@@ -56,7 +56,7 @@
 	// CurrentAt is the last time, on the clock of clock.Now, at which the mirror is known to have held all changes. It is
 	// zero before the first.
 	CurrentAt time.Time
-	// ConfirmedBy names what showed that: a list, a watch or a peer. It is "" before the first.
+	// ConfirmedBy names what showed that: a list or a peer. It is "" before the first.
 	ConfirmedBy string
 }
 
@@ -376,7 +376,7 @@
 		}
 		m.recordSuccess(respondedAt)
 		pause = minRetryPause
-		m.apply(changes, respondedAt)
+		m.apply(changes)
 		revision = next
 		if m.opt.BatchDelay > 0 && len(changes) > 0 && !wait.Pause(ctx, m.opt.BatchDelay) {
 			return
@@ -384,16 +384,15 @@
 	}
 }
 
-// apply applies changes that are newer than the known revisions of their objects. The store responded with them at
-// respondedAt or later.
-func (m *Mirror) apply(changes []Change, respondedAt time.Time) {
+// apply applies changes that are newer than the known revisions of their objects. They do not show that the mirror is
+// current, because a watch misses changes when the store drops its history.
+func (m *Mirror) apply(changes []Change) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	before, freshness := m.revision, m.freshnessLocked(m.interruptedLocked())
 	for _, c := range changes {
 		m.applyLocked(c, freshness)
 	}
-	m.confirmLocked(respondedAt, "watch")
 	if m.revision != before {
 		m.notifyChange()
 	}
--- a/pkg/gateway/mirror/mirror_test.go
+++ b/pkg/gateway/mirror/mirror_test.go
@@ -357,6 +357,26 @@
 	})
 }
 
+// Guards against content that counts as current because a watch heard nothing: a watch misses changes when the store
+// drops its history.
+func TestChangeMissedByAWatchIsNotNew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, c, isFollower := newFakeSource(), &recordingTarget{}, &atomic.Bool{}
+		s.put("a")
+		ctx, cancel := context.WithCancel(t.Context())
+		go newMirror(s, c, isFollower).Run(ctx)
+		time.Sleep(2100 * time.Millisecond)
+		s.locked(func() { s.suppressChanges = true })
+		s.put("b")
+		storedAt := time.Now()
+		time.Sleep(1200 * time.Millisecond)
+		assert.Equal(t, []string{"a", "b"}, c.sortedNames())
+		assert.GreaterOrEqual(t, c.maxDelay, c.lastAt.Sub(storedAt), "confirmed by %s", c.last.ConfirmedBy)
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // Guards against calls to the store by a node to which the leader relays store changes.
 func TestFollowerMirrorDoesNotCallStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -397,14 +417,14 @@
 				s.put(name)
 			}
 			if rapid.Bool().Draw(t, "apply") {
-				source.apply(s.log[seen:], time.Now())
+				source.apply(s.log[seen:])
 				seen = len(s.log)
 			}
 			if rapid.Bool().Draw(t, "copy") {
 				copied.Import(source.Export(copied.Revision()), true)
 			}
 		}
-		source.apply(s.log[seen:], time.Now())
+		source.apply(s.log[seen:])
 		content := source.Export(copied.Revision())
 		copied.Import(content, true)
 		assert.Equal(t, from.sortedNames(), to.sortedNames())
