Check the start deadline again before a request is sent

An engine is chosen with regard to the oldest weights that a request may begin on. If the node is paused between that choice and the send, the request went out on weights that had meanwhile become too old; only a cancellation that raced with the send could stop it. The deadline is now checked before the send, and another engine is chosen.

--- a/pkg/gateway/forward/active_request.go
+++ b/pkg/gateway/forward/active_request.go
@@ -237,6 +237,10 @@
 // send sends the request to one backend server and relays its response.
 func (a *activeRequest) send(c *backends.Choice) sendOutcome {
 	sentAt := time.Now()
+	if a.startDeadlinePassed(c) {
+		c.Done(backends.Neutral, 0)
+		return a.retryIf(wait.Pause(a.ctx, pickInterval))
+	}
 	a.sends++
 	a.tried = append(a.tried, c.ID)
 	backendReq := a.backendRequest(c, sentAt)
--- a/pkg/gateway/forward/forward_test.go
+++ b/pkg/gateway/forward/forward_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -436,6 +437,20 @@
 	assert.Less(t, time.Since(start), 1500*time.Millisecond)
 }
 
+// Guards against a request that is sent on old weights because the node was paused after it had chosen the engine.
+func TestRequestIsNotSentAfterItsStartDeadline(t *testing.T) {
+	var arrivals atomic.Int32
+	b := startBackend(t, func(*http.Request) string {
+		arrivals.Add(1)
+		return ""
+	})
+	weights := replacedWeights{fixedWeights: fixedWeights{newest: 3}, replacedAt: time.Now().Add(-time.Millisecond)}
+	s := startGateway(t, routes.Unsafe, func(_ *routes.Config, o *Options) { o.Weights = weights }, b)
+	r := postRequest(t, s, "/p/x", http.Header{"M": {"m"}, "Wait": {"300"}})
+	assert.Equal(t, http.StatusServiceUnavailable, r.status)
+	assert.Zero(t, arrivals.Load())
+}
+
 // Guards against more retries than this node's part of the budget.
 func TestRetryBudget(t *testing.T) {
 	b := NewRetryBudget(RetryBudgetLimits{Ratio: 0.2, BaseRetries: 100, Window: 10 * time.Second})
--- a/pkg/gateway/forward/start_deadline.go
+++ b/pkg/gateway/forward/start_deadline.go
@@ -18,6 +18,16 @@
 // weights were too old to start on.
 var errStartDeadline = errors.New("request did not start before the deadline for requests on older weights")
 
+// startDeadlinePassed reports whether the request must not start any more on the weights of the chosen engine. They were
+// checked when the engine was chosen, and the process may have been paused since.
+func (a *activeRequest) startDeadlinePassed(c *backends.Choice) bool {
+	if a.request.Model == "" {
+		return false
+	}
+	deadline := a.router.opt.Weights.StartDeadline(a.request.Model, c.Version)
+	return !deadline.IsZero() && clock.Until(deadline) <= 0
+}
+
 // withStartDeadline returns a context that is cancelled at the latest time at which the request may
 // start on the weights of the chosen engine. The end of the context closes the connection, and the
 // engine then drops a request that is still in its queue. stopTimer must be called once the engine has
