Allow for the time of slow calls when a mirror counts as in sync

The limit now grows by twice the time of the last list, up to 300 ms each.

TestMirrorOfSlowStoreStaysInSync fails without the allowance.

--- a/pkg/gateway/mirror/mirror.go
+++ b/pkg/gateway/mirror/mirror.go
@@ -82,6 +82,9 @@
 	maxTombstones = 256
 	// listTimeout bounds a list call. It allows for a store that responds fifty times slower than usual.
 	listTimeout = 1500 * time.Millisecond
+	// maxLatency bounds the time that InSync allows for a call, so that a paused node or a store that hardly responds
+	// does not count as in sync.
+	maxLatency = 300 * time.Millisecond
 	// minRetryPause and maxRetryPause bound the pause after a failed call.
 	minRetryPause = 80 * time.Millisecond
 	maxRetryPause = 500 * time.Millisecond
@@ -125,6 +128,8 @@
 	recoveredAt time.Time
 	// reachedAt is the last time at which the store is known to have responded.
 	reachedAt time.Time
+	// latency is the time that the last list took, at most maxLatency.
+	latency time.Duration
 	// currentAt is the last time at which the mirror is known to have held all changes. Like reachedAt it is the
 	// time of the call, not that of its response: a response may wait in the socket while the process is paused.
 	currentAt time.Time
@@ -275,6 +280,7 @@
 		cancel()
 		if err == nil {
 			m.recordSuccess(calledAt)
+			m.recordLatency(m.now().Sub(calledAt))
 			if m.applyList(entries, revision, calledAt) {
 				return revision, true
 			}
@@ -446,6 +452,21 @@
 	event.StoreRegained.Emit(m.opt.Logger, "kind", m.opt.Kind, "outage_ms", m.now().Sub(m.failingSince).Milliseconds())
 }
 
+func (m *Mirror) recordLatency(took time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.latency = min(took, maxLatency)
+}
+
+// InSync is ReachedWithin for a limit that applies to a store which responds at once. A response shows that the store
+// was reached at the time of its call, and two calls may be under way before the next one shows more.
+func (m *Mirror) InSync(limit time.Duration) bool {
+	m.mu.Lock()
+	latency := m.latency
+	m.mu.Unlock()
+	return m.ReachedWithin(limit + 2*latency)
+}
+
 // ReachedWithin reports whether the store is known to have responded less than limit ago.
 func (m *Mirror) ReachedWithin(limit time.Duration) bool {
 	m.mu.Lock()
--- a/pkg/gateway/mirror/mirror_test.go
+++ b/pkg/gateway/mirror/mirror_test.go
@@ -267,6 +267,7 @@
 		time.Sleep(4001 * time.Millisecond)
 		assert.Equal(t, []string{"a"}, c.sortedNames())
 		assert.False(t, m.ReachedWithin(time.Second))
+		assert.False(t, m.InSync(time.Second))
 		cancel()
 		synctest.Wait()
 	})
@@ -322,6 +323,49 @@
 	}
 }
 
+// slowSource is a store whose responses take a time to arrive.
+type slowSource struct {
+	*fakeSource
+	latency time.Duration
+}
+
+func (s *slowSource) List(ctx context.Context, kind string) ([]Entry, int64, error) {
+	defer time.Sleep(s.latency)
+	return s.fakeSource.List(ctx, kind)
+}
+
+func (s *slowSource) Watch(ctx context.Context, kind string, after int64, wait time.Duration) ([]Change, int64, error) {
+	defer time.Sleep(s.latency)
+	return s.fakeSource.Watch(ctx, kind, after, wait)
+}
+
+// Guards against a leader that counts as out of sync between two calls of a slow store, so that all nodes call the
+// store themselves.
+func TestMirrorOfSlowStoreStaysInSync(t *testing.T) {
+	for _, latency := range []time.Duration{2 * time.Millisecond, 100 * time.Millisecond, 250 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			source, isFollower := newFakeSource(), &atomic.Bool{}
+			source.put("a")
+			m := newMirror(&slowSource{fakeSource: source, latency: latency}, &recordingTarget{}, isFollower)
+			m.opt.ListInterval = func() time.Duration { return 700 * time.Millisecond }
+			ctx, cancel := context.WithCancel(t.Context())
+			go m.Run(ctx)
+			time.Sleep(time.Second)
+			unsynced := 0
+			for range 2000 {
+				time.Sleep(10 * time.Millisecond)
+				if !m.InSync(900 * time.Millisecond) {
+					unsynced++
+				}
+			}
+			assert.Zero(t, unsynced, "latency %v", latency)
+			cancel()
+			time.Sleep(latency)
+			synctest.Wait()
+		})
+	}
+}
+
 // Guards against ages that do not count the time for which the VM was suspended, which the monotonic clock omits.
 func TestSuspensionCountsInMaxDelay(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/pkg/gateway/node/board.go
+++ b/pkg/gateway/node/board.go
@@ -29,8 +29,8 @@
 	// catchUpTime is the time from the end of the follower timeout until a node has listed the objects. The
 	// follower timeout ends that long before Settings.ChangeDeadline.
 	catchUpTime = 1400 * time.Millisecond
-	// syncedTTL is the time after the store's last response for which a mirror counts as in sync with the
-	// store.
+	// syncedTTL is the time after the last call of the store that was answered for which a mirror counts as in sync
+	// with the store, if the store responds at once.
 	syncedTTL = 900 * time.Millisecond
 	// minFetchInterval is the shortest time between fetches of one kind of objects, and fetchIntervalPerNode
 	// times the number of nodes if that is longer: a rollout changes objects all the time, and all nodes fetch
@@ -278,7 +278,7 @@
 // can relay store changes to followers.
 func (b *board) Synced() bool {
 	for _, m := range b.node.mirrors {
-		if !m.ReachedWithin(syncedTTL) {
+		if !m.InSync(syncedTTL) {
 			return false
 		}
 	}
