Count a stream that ends inside an event as truncated however it is framed

What callers saw: a stream whose engine stopped inside an event, but whose response ended with its last chunk or at its length, reached the client as complete, with half an event at its end. A resumable stream was not continued at another engine.

Cause: relayStream relayed the incomplete rest of a stream as part of a complete one if the response had a length or chunks. The framing says where the response ends, not that the run did.

Evidence: TestFramedStreamThatEndsInsideEventIsTruncated failed before this change in all 8 cases (chunked and length, inside a line and without the blank line, with 0 and 3 events before): the client got status 200 and a body that ended with "id: 4\nda" or without the blank line, without an error, after one send.

Why this works: the end of an event is the only sign that the engine has finished what it began, so that the same rule applies to each framing. Such a stream continues at another engine after its last complete event, or the client's connection is closed without the last chunk. A response that has no events is still judged by its framing (TestFramedResponseOfOtherTypeIsRelayedByStreamRoute, which passed before).

--- /dev/null
+++ b/pkg/gateway/forward/framing_test.go
@@ -0,0 +1,100 @@
+package forward
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"cassiawall.example/cassiawall/pkg/gateway/routes"
+)
+
+const (
+	eventStreamType = "Content-Type: text/event-stream"
+	chunkedEncoding = "Transfer-Encoding: chunked"
+)
+
+// responseHead returns the status line and the headers of a signed response, with further header lines.
+func responseHead(req *http.Request, status int, lines ...string) string {
+	return fmt.Sprintf("HTTP/1.1 %d X\r\nId: %s\r\nSig: s\r\n%s\r\n", status, req.Header.Get("Id"), strings.Join(append(lines, ""), "\r\n"))
+}
+
+// chunkedResponse returns a complete response in a single chunk.
+func chunkedResponse(req *http.Request, body string, lines ...string) string {
+	return fmt.Sprintf("%s%x\r\n%s\r\n0\r\n\r\n", responseHead(req, 200, append(lines, chunkedEncoding)...), len(body), body)
+}
+
+// eventsText returns the events from first to last, whose lines end with lineEnd.
+func eventsText(first, last int, lineEnd string) string {
+	var b strings.Builder
+	for i := first; i <= last; i++ {
+		fmt.Fprintf(&b, "id: %d%[2]sdata: x%[2]s%[2]s", i, lineEnd)
+	}
+	return b.String()
+}
+
+// lastTestEvent is the last event of the streams that openStream requests.
+const lastTestEvent = 6
+
+// openStream requests a stream. The first send is answered by first, a further one with the complete rest of the
+// events. It returns the client's result and the number of sends.
+func openStream(t *testing.T, resumable bool, first func(c net.Conn, req *http.Request)) (clientResult, int64) {
+	t.Helper()
+	var sends atomic.Int64
+	respond := func(c net.Conn, req *http.Request) {
+		if sends.Add(1) == 1 {
+			first(c, req)
+			return
+		}
+		// Without a valid ID the stream starts with the first event.
+		after, _ := strconv.Atoi(req.Header.Get("After"))
+		fmt.Fprint(c, chunkedResponse(req, eventsText(after+1, lastTestEvent, "\n"), eventStreamType))
+	}
+	s := startGateway(t, routes.Stream, func(c *routes.Config, _ *Options) { c.Routes[0].Resumable = resumable }, startWriter(t, respond), startWriter(t, respond))
+	r := postRequest(t, s, "/p/x", http.Header{"Wait": {"1500"}})
+	return r, sends.Load()
+}
+
+// Guards against a stream that ends inside an event and looks complete, because the framing of the engine's response is
+// complete.
+func TestFramedStreamThatEndsInsideEventIsTruncated(t *testing.T) {
+	for name, rest := range map[string]string{"inside a line": "id: 4\nda", "without the blank line": "id: 4\ndata: x\n"} {
+		for _, relayed := range []int{0, 3} {
+			text := eventsText(1, relayed, "\n") + rest
+			tests := map[string]func(c net.Conn, req *http.Request){
+				"chunked": func(c net.Conn, req *http.Request) { fmt.Fprint(c, chunkedResponse(req, text, eventStreamType)) },
+				"length": func(c net.Conn, req *http.Request) {
+					fmt.Fprint(c, responseHead(req, 200, eventStreamType, fmt.Sprint("Content-Length: ", len(text)))+text)
+				},
+			}
+			for framing, first := range tests {
+				t.Run(fmt.Sprintf("%s, %s, %d events before", framing, name, relayed), func(t *testing.T) {
+					r, sends := openStream(t, false, first)
+					assert.True(t, r.err != nil || r.status == http.StatusBadGateway, "the client got %d %q as complete", r.status, r.body)
+					assert.Equal(t, int64(1), sends)
+					r, sends = openStream(t, true, first)
+					assert.NoError(t, r.err)
+					assert.Equal(t, eventsText(1, lastTestEvent, "\n"), r.body)
+					assert.Equal(t, int64(2), sends)
+				})
+			}
+		}
+	}
+}
+
+// Guards against a complete response of another type on a route of streams that is cut because its body does not end
+// like an event.
+func TestFramedResponseOfOtherTypeIsRelayedByStreamRoute(t *testing.T) {
+	const text = "{\n\n\"a\": 1}"
+	r, sends := openStream(t, true, func(c net.Conn, req *http.Request) {
+		fmt.Fprint(c, chunkedResponse(req, text, "Content-Type: application/json"))
+	})
+	assert.NoError(t, r.err)
+	assert.Equal(t, text, r.body)
+	assert.Equal(t, int64(1), sends)
+}
--- a/pkg/gateway/forward/relay.go
+++ b/pkg/gateway/forward/relay.go
@@ -1,8 +1,10 @@
 package forward
 
 import (
+	"errors"
 	"fmt"
 	"io"
+	"mime"
 	"net/http"
 	"strconv"
 	"time"
@@ -85,6 +87,7 @@
 var (
 	errEventTooLong = fmt.Errorf("an event is longer than %d bytes", maxEventBytes)
 	errStreamIdle   = fmt.Errorf("no complete event for %v", streamIdleTimeout)
+	errInsideEvent  = errors.New("the stream ended inside an event")
 )
 
 // streamIdleTimeout is the time without a complete event after which a resumable stream continues at another
@@ -119,7 +122,7 @@
 		}
 		switch {
 		case err == nil:
-		case err == io.EOF && (response.Framed || len(a.events.pending) == 0):
+		case err == io.EOF && a.isStreamComplete(response):
 			c.Done(backends.Success, latency)
 			if !a.headerWritten {
 				a.writeStreamHeader(response)
@@ -132,6 +135,9 @@
 			c.Done(backends.Neutral, 0)
 			return outcomeFail
 		default:
+			if err == io.EOF {
+				err = errInsideEvent
+			}
 			c.Done(backends.Failure, 0)
 			a.recordSendFailed(c, "stream was cut: "+err.Error(), response.Status)
 			a.events.reset()
@@ -140,6 +146,24 @@
 	}
 }
 
+// isStreamComplete reports whether a response that was read to its end is complete. A stream that ends inside an
+// event is truncated even if its framing is complete. A response of another type has no events, so that its framing
+// decides.
+func (a *activeRequest) isStreamComplete(response *exchange.Response) bool {
+	if len(a.events.pending) == 0 {
+		return true
+	}
+	hasEvents := a.events.lastID != "" || isEventStream(response.Header)
+	return response.Framed && !hasEvents
+}
+
+// isEventStream reports whether the media type of a response is that of server-sent events.
+func isEventStream(h http.Header) bool {
+	// A type that cannot be parsed is none of server-sent events.
+	mediaType, _, _ := mime.ParseMediaType(h.Get("Content-Type"))
+	return mediaType == "text/event-stream"
+}
+
 // readStream reads from a stream. A resumable stream without a complete event since streamIdleTimeout fails,
 // also if other bytes arrive: it can continue at another engine. Any other stream may take until the timeout.
 func (a *activeRequest) readStream(response *exchange.Response, buffer []byte, lastEventAt time.Time) (int, error) {
