Recognize events whose lines end with CRLF

What callers saw: a stream whose lines end with CRLF came in one piece at its end if it had a length or chunks. One that ended with its connection was cut as truncated although it was complete: a client got 502, and a resumable stream was run again at another engine.

Cause: eventSplitter looked for the blank line after an event only as two LF. text/event-stream allows CRLF as well.

Evidence: TestEventsThatEndWithCRLFAreRelayedAsTheyArrive failed before this change: the splitter returned no event, the client of a stream that is not resumable got "the backend server failed", and the resumable one was sent twice. No engine of the platform is known to send CRLF.

Why this works: the end of an event is a line end and a blank line, each with LF or CRLF, and a search from the last two bytes before finds it at any split. Lines that end with CR alone are not supported: an event that ends with CR cannot be told from the first byte of a CRLF.

--- a/pkg/gateway/forward/events.go
+++ b/pkg/gateway/forward/events.go
@@ -10,28 +10,42 @@
 	lastID string
 }
 
+// The blank line that ends an event follows the end of another line. Lines end with LF or CRLF.
 var (
-	eventEnd = []byte("\n\n")
-	idField  = []byte("id:")
+	eventEndLF   = []byte("\n\n")
+	eventEndCRLF = []byte("\n\r\n")
 )
 
+var idField = []byte("id:")
+
 // push appends data and returns the complete events that were not returned before. The result is valid
 // until the next call.
 func (s *eventSplitter) push(p []byte) []byte {
-	// The data before holds no complete event, so that only its last byte can begin an event's end.
-	searchFrom := max(len(s.pending)-len(eventEnd)+1, 0)
+	// The data before holds no complete event, so that only its last bytes can begin an event's end.
+	searchFrom := max(len(s.pending)-len(eventEndCRLF)+1, 0)
 	s.pending = append(s.pending, p...)
-	end := bytes.LastIndex(s.pending[searchFrom:], eventEnd)
+	end := lastEventEnd(s.pending[searchFrom:])
 	if end < 0 {
 		return nil
 	}
-	end += searchFrom + len(eventEnd)
+	end += searchFrom
 	complete := s.pending[:end]
 	s.pending = s.pending[end:]
 	s.recordLastID(complete)
 	return complete
 }
 
+// lastEventEnd returns the index after the last event that ends in p, or -1.
+func lastEventEnd(p []byte) int {
+	end := -1
+	for _, blank := range [][]byte{eventEndLF, eventEndCRLF} {
+		if at := bytes.LastIndex(p, blank); at >= 0 {
+			end = max(end, at+len(blank))
+		}
+	}
+	return end
+}
+
 // recordLastID sets lastID to that of the last event that has one.
 func (s *eventSplitter) recordLastID(events []byte) {
 	at := bytes.LastIndex(events, idField)
--- a/pkg/gateway/forward/framing_test.go
+++ b/pkg/gateway/forward/framing_test.go
@@ -98,3 +98,26 @@
 	assert.Equal(t, text, r.body)
 	assert.Equal(t, int64(1), sends)
 }
+
+// Guards against a stream whose lines end with CRLF that is delayed until its end or cut as truncated.
+func TestEventsThatEndWithCRLFAreRelayedAsTheyArrive(t *testing.T) {
+	text := eventsText(1, lastTestEvent, "\r\n")
+	var s eventSplitter
+	relayed := ""
+	for i := range len(text) {
+		if complete := s.push([]byte{text[i]}); len(complete) > 0 {
+			relayed += string(complete)
+			assert.Equal(t, text[:i+1], relayed)
+			assert.Equal(t, strconv.Itoa(strings.Count(relayed, "id")), s.lastID)
+		}
+	}
+	assert.Equal(t, text, relayed)
+	for _, resumable := range []bool{false, true} {
+		r, sends := openStream(t, resumable, func(c net.Conn, req *http.Request) {
+			fmt.Fprint(c, responseHead(req, 200, eventStreamType)+text)
+		})
+		assert.NoError(t, r.err)
+		assert.Equal(t, text, r.body)
+		assert.Equal(t, int64(1), sends)
+	}
+}
