Accept a blank line after the last event of a stream

What callers saw: a complete stream that ends with its connection was cut, or run again at another engine, if a further blank line arrived after its last event in a read of its own.

Cause: relayStream counted all bytes after the last complete event as an event that had begun. A blank line between events begins none.

Evidence: TestBlankLineAfterLastEventIsNoTruncation failed before this change: the client got "unexpected EOF", and the resumable stream was sent twice. Whether an engine of the platform sends such a line is not known.

Why this works: only bytes other than line ends can belong to an event. The blank line itself still reaches the client.

--- a/pkg/gateway/forward/events.go
+++ b/pkg/gateway/forward/events.go
@@ -62,5 +62,8 @@
 	s.lastID = string(bytes.TrimSpace(line))
 }
 
+// insideEvent reports whether an event has begun that is not complete. Blank lines between events begin none.
+func (s *eventSplitter) insideEvent() bool { return len(bytes.Trim(s.pending, "\r\n")) > 0 }
+
 // reset discards an incomplete event before the stream continues at another engine.
 func (s *eventSplitter) reset() { s.pending = s.pending[:0] }
--- a/pkg/gateway/forward/framing_test.go
+++ b/pkg/gateway/forward/framing_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 
@@ -121,3 +122,23 @@
 		assert.Equal(t, int64(1), sends)
 	}
 }
+
+// Guards against a complete stream that is cut because a further blank line arrives after its last event.
+func TestBlankLineAfterLastEventIsNoTruncation(t *testing.T) {
+	for _, blank := range []string{"\n", "\r\n"} {
+		text := eventsText(1, lastTestEvent, "\n")
+		for _, resumable := range []bool{false, true} {
+			r, sends := openStream(t, resumable, func(c net.Conn, req *http.Request) {
+				fmt.Fprint(c, responseHead(req, 200, eventStreamType)+text)
+				time.Sleep(segmentPause)
+				fmt.Fprint(c, blank)
+			})
+			assert.NoError(t, r.err)
+			assert.Equal(t, text+blank, r.body)
+			assert.Equal(t, int64(1), sends)
+		}
+	}
+}
+
+// segmentPause separates two writes of a server, so that a node reads them separately.
+const segmentPause = 30 * time.Millisecond
--- a/pkg/gateway/forward/relay.go
+++ b/pkg/gateway/forward/relay.go
@@ -150,7 +150,7 @@
 // event is truncated even if its framing is complete. A response of another type has no events, so that its framing
 // decides.
 func (a *activeRequest) isStreamComplete(response *exchange.Response) bool {
-	if len(a.events.pending) == 0 {
+	if !a.events.insideEvent() {
 		return true
 	}
 	hasEvents := a.events.lastID != "" || isEventStream(response.Header)
