Retry after an unframed refusal without waiting for its end

What callers saw: a request that an engine refused with a response without length or chunks was retried only when the engine closed the connection. If that took longer than the client waits, the client got 503 without a second engine having been asked.

Cause: handleRefusal reads the body of each refusal, which allows the reuse of the connection. The body of an unframed response ends with its connection, so that there is nothing to reuse.

Evidence: TestUnframedRefusalIsRetriedAtOnce failed before this change for all three kinds of routes: status 503 after 1.5 s, one send.

Why this works: the status and the headers are the refusal. The node closes the connection and retries at once, as after any other refusal.

--- a/pkg/gateway/forward/active_request.go
+++ b/pkg/gateway/forward/active_request.go
@@ -328,8 +328,11 @@
 
 // handleRefusal returns the next step after a backend server has reported that it did not run the request.
 func (a *activeRequest) handleRefusal(c *backends.Choice, response *exchange.Response, info ResponseInfo) sendOutcome {
-	if _, err := io.Copy(io.Discard, io.LimitReader(response, maxBufferedBytes)); err != nil {
-		a.recordSendFailed(c, "refusal truncated: "+err.Error(), response.Status)
+	if response.Framed {
+		// The body is read only so that the connection can be reused.
+		if _, err := io.Copy(io.Discard, io.LimitReader(response, maxBufferedBytes)); err != nil {
+			a.recordSendFailed(c, "refusal truncated: "+err.Error(), response.Status)
+		}
 	}
 	c.Done(backends.Neutral, 0)
 	a.recordSendFailed(c, "refused", response.Status)
--- a/pkg/gateway/forward/framing_test.go
+++ b/pkg/gateway/forward/framing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -11,6 +12,7 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"cassiawall.example/cassiawall/pkg/gateway/routes"
 )
@@ -142,3 +144,24 @@
 
 // segmentPause separates two writes of a server, so that a node reads them separately.
 const segmentPause = 30 * time.Millisecond
+
+// Guards against a retry that waits for the end of a refusal's body, which has no length and is not needed.
+func TestUnframedRefusalIsRetriedAtOnce(t *testing.T) {
+	for _, kind := range []routes.Kind{routes.Safe, routes.Unsafe, routes.Stream} {
+		var sends atomic.Int64
+		respond := func(c net.Conn, req *http.Request) {
+			if sends.Add(1) > 1 {
+				fmt.Fprint(c, chunkedResponse(req, eventsText(1, 1, "\n"), eventStreamType))
+				return
+			}
+			fmt.Fprint(c, responseHead(req, 503, "Not-Run: 1")+"full")
+			// Returns once the node has closed the connection.
+			_, _ = io.Copy(io.Discard, c)
+		}
+		s := startGateway(t, kind, nil, startWriter(t, respond), startWriter(t, respond))
+		r := postRequest(t, s, "/p/x", http.Header{"Wait": {"1500"}})
+		require.NoError(t, r.err)
+		assert.Equal(t, http.StatusOK, r.status)
+		assert.Equal(t, int64(2), sends.Load())
+	}
+}
