Keep the engine's length in the response to HEAD

What callers saw: each response to a HEAD request said "Content-Length: 0", whatever length the engine had stated for the body.

Cause: writeBuffered set the length of the body that it had read. A response to HEAD has none; its Content-Length is that of the response to GET.

Evidence: TestLengthInResponseToHeadIsThatOfEngine failed before this change with 0 where the engine had said 4, and with 0 where it had stated no length (chunked and unframed).

Why this works: for HEAD the engine's header is the only source of the length, and without one the node states none either.

--- a/pkg/gateway/forward/framing_test.go
+++ b/pkg/gateway/forward/framing_test.go
@@ -165,3 +165,32 @@
 		assert.Equal(t, int64(2), sends.Load())
 	}
 }
+
+// Guards against a response to HEAD that states another length than the engine did: its body is empty, but its length is
+// that of the body that GET returns. The engine keeps the connection open, as after any response without a body.
+func TestLengthInResponseToHeadIsThatOfEngine(t *testing.T) {
+	for name, test := range map[string]struct {
+		line   string
+		length int64
+	}{
+		"length":   {"Content-Length: 4", 4},
+		"empty":    {"Content-Length: 0", 0},
+		"chunked":  {chunkedEncoding, -1},
+		"unframed": {"Etag: 1", -1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := startGateway(t, routes.Safe, nil, startWriter(t, func(c net.Conn, req *http.Request) {
+				fmt.Fprint(c, responseHead(req, 200, test.line))
+				_, _ = io.Copy(io.Discard, c)
+			}))
+			req, err := http.NewRequestWithContext(t.Context(), http.MethodHead, s.URL+"/p/x", nil)
+			require.NoError(t, err)
+			req.Host, req.Header = "h", http.Header{"Id": {"i1"}, "Wait": {"1500"}}
+			response, err := http.DefaultClient.Do(req)
+			require.NoError(t, err)
+			response.Body.Close()
+			assert.Equal(t, http.StatusOK, response.StatusCode)
+			assert.Equal(t, test.length, response.ContentLength)
+		})
+	}
+}
--- a/pkg/gateway/forward/relay.go
+++ b/pkg/gateway/forward/relay.go
@@ -45,8 +45,8 @@
 		panic(http.ErrAbortHandler)
 	}
 	a.router.opt.Protocol.CopyResponseHeader(a.w.Header(), stored.header)
-	if len(stored.body) > 0 || stored.status != http.StatusNoContent && stored.status != http.StatusNotModified {
-		a.w.Header().Set("Content-Length", strconv.Itoa(len(stored.body)))
+	if length := stored.contentLength(a.req.Method); length != "" {
+		a.w.Header().Set("Content-Length", length)
 	}
 	a.writeHeader(stored.status)
 	if _, err := a.w.Write(stored.body); err != nil {
@@ -54,6 +54,18 @@
 	}
 }
 
+// contentLength returns the Content-Length of the response to a request with the given method, or "" for none. In a
+// response to HEAD it is the length that the backend server states for GET.
+func (r *bufferedResponse) contentLength(method string) string {
+	switch {
+	case method == http.MethodHead:
+		return r.header.Get("Content-Length")
+	case len(r.body) == 0 && (r.status == http.StatusNoContent || r.status == http.StatusNotModified):
+		return ""
+	}
+	return strconv.Itoa(len(r.body))
+}
+
 // writeHeader writes the status line and the header of the response.
 func (a *activeRequest) writeHeader(status int) {
 	a.headerWritten, a.firstByteAt = true, time.Now()
