Fail at once after a foreign response that ends with its connection

What callers saw: if a response to an earlier request came first on a connection and had no length, the client waited until the engine closed the connection, or until the deadline, for a send that could not succeed.

Cause: exchange.Do read the body of the foreign response to its end before it looked whether another response can follow.

Evidence: TestUnframedForeignResponseFailsAtOnce failed before this change: Do returned at the end of its context, after 5 s.

Why this works: the header already says that the connection ends with this response. The outcome is the same error as before, which states that the request was sent.

--- a/pkg/gateway/exchange/exchange.go
+++ b/pkg/gateway/exchange/exchange.go
@@ -169,14 +169,15 @@
 				bodyWriter: writer, reusable: !response.Close && response.ProtoAtLeast(1, 1) && skipped == 0 && c.setIdleTimeout(response.Header),
 			}, nil
 		}
-		if skipped++; skipped > maxSkippedResponses {
+		// No response can follow one after which the server closes the connection.
+		if skipped++; skipped > maxSkippedResponses || response.Close {
 			return fail(errForeignResponses)
 		}
 		n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSkippedBytes))
 		if err != nil {
 			return fail(err)
 		}
-		if n == maxSkippedBytes || response.Close {
+		if n == maxSkippedBytes {
 			return fail(errForeignResponses)
 		}
 	}
