Count an unframed stream without any event as truncated

What callers saw: if an engine closed the connection after the header of an unframed stream and before its first event, the client got an empty stream with status 200 and the engine's signature, as if it were complete. A resumable stream was not run at another engine.

Cause: relayStream took the end of the connection outside an event for the end of the stream. A stream that starts has at least one event; only one that continues after an event may have none left.

Evidence: TestUnframedStreamWithoutEventsIsTruncated failed before this change: status 200 and an empty body instead of 502, and one send instead of two. TestContinuedStreamWithoutFurtherEventsIsComplete passed before and guards the other side: a stream that the client or the node continues may end without an event.

Why this works: the node knows from Last-Event-Id and from what it has relayed whether a stream starts. An empty stream with a length or a last chunk is still relayed, because its engine stated its end. That an engine of the platform closes a connection at this point is suspected, not seen: its crash may show as a reset, which was handled before.

--- a/pkg/gateway/forward/forward_test.go
+++ b/pkg/gateway/forward/forward_test.go
@@ -30,7 +30,7 @@
 
 func (testProtocol) DecodeRequest(h http.Header) (Request, error) {
 	ms, _ := strconv.Atoi(h.Get("Wait"))
-	req := Request{ID: h.Get("Id"), APIKey: h.Get("Key"), Model: h.Get("M"), Timeout: time.Duration(ms) * time.Millisecond}
+	req := Request{ID: h.Get("Id"), APIKey: h.Get("Key"), Model: h.Get("M"), LastEventID: h.Get("After"), Timeout: time.Duration(ms) * time.Millisecond}
 	if h.Get("Parts") != "" {
 		req.PromptParts = []PromptPart{{ID: "a", Tokens: 2000}, {ID: "own", Tokens: 100}}
 	}
--- a/pkg/gateway/forward/framing_test.go
+++ b/pkg/gateway/forward/framing_test.go
@@ -194,3 +194,45 @@
 		})
 	}
 }
+
+// Guards against a stream that looks complete because its engine closed the connection before the first event.
+func TestUnframedStreamWithoutEventsIsTruncated(t *testing.T) {
+	empty := func(c net.Conn, req *http.Request) { fmt.Fprint(c, responseHead(req, 200, eventStreamType)) }
+	r, sends := openStream(t, false, empty)
+	assert.Equal(t, http.StatusBadGateway, r.status)
+	assert.Equal(t, int64(1), sends)
+	r, sends = openStream(t, true, empty)
+	assert.NoError(t, r.err)
+	assert.Equal(t, eventsText(1, lastTestEvent, "\n"), r.body)
+	assert.Equal(t, int64(2), sends)
+}
+
+// Guards against a continued stream that is cut because no event is left after the last one that was received.
+func TestContinuedStreamWithoutFurtherEventsIsComplete(t *testing.T) {
+	last := strconv.Itoa(lastTestEvent)
+	for name, test := range map[string]struct {
+		clientHeader http.Header
+		body         string
+		sends        int64
+	}{
+		"by the client": {http.Header{"Wait": {"1500"}, "After": {last}}, "", 1},
+		"by the node":   {http.Header{"Wait": {"1500"}}, eventsText(1, lastTestEvent, "\n"), 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var sends atomic.Int64
+			respond := func(c net.Conn, req *http.Request) {
+				text := ""
+				if sends.Add(1) < test.sends {
+					text = eventsText(1, lastTestEvent, "\n") + "id"
+				}
+				fmt.Fprint(c, responseHead(req, 200, eventStreamType)+text)
+			}
+			s := startGateway(t, routes.Stream, func(c *routes.Config, _ *Options) { c.Routes[0].Resumable = true }, startWriter(t, respond), startWriter(t, respond))
+			r := postRequest(t, s, "/p/x", test.clientHeader)
+			assert.NoError(t, r.err)
+			assert.Equal(t, http.StatusOK, r.status)
+			assert.Equal(t, test.body, r.body)
+			assert.Equal(t, test.sends, sends.Load())
+		})
+	}
+}
--- a/pkg/gateway/forward/protocol.go
+++ b/pkg/gateway/forward/protocol.go
@@ -44,6 +44,9 @@
 	// ExpectedOutputTokens is the client's estimate of the length of the output in tokens. 0 means
 	// unspecified.
 	ExpectedOutputTokens int
+	// LastEventID is the ID of the last event that the client received before this request, which continues a
+	// stream. "" means that the request starts one.
+	LastEventID string
 	// PromptParts lists the parts of the prompt in order. Other requests may share all but the last.
 	PromptParts []PromptPart
 }
--- a/pkg/gateway/forward/relay.go
+++ b/pkg/gateway/forward/relay.go
@@ -100,6 +100,7 @@
 	errEventTooLong = fmt.Errorf("an event is longer than %d bytes", maxEventBytes)
 	errStreamIdle   = fmt.Errorf("no complete event for %v", streamIdleTimeout)
 	errInsideEvent  = errors.New("the stream ended inside an event")
+	errNoEvent      = errors.New("the connection was closed before the first event")
 )
 
 // streamIdleTimeout is the time without a complete event after which a resumable stream continues at another
@@ -132,9 +133,12 @@
 		if err == nil && len(a.events.pending) > maxEventBytes {
 			err = errEventTooLong
 		}
+		if err == io.EOF {
+			err = a.checkStreamEnd(response)
+		}
 		switch {
 		case err == nil:
-		case err == io.EOF && a.isStreamComplete(response):
+		case err == io.EOF:
 			c.Done(backends.Success, latency)
 			if !a.headerWritten {
 				a.writeStreamHeader(response)
@@ -147,9 +151,6 @@
 			c.Done(backends.Neutral, 0)
 			return outcomeFail
 		default:
-			if err == io.EOF {
-				err = errInsideEvent
-			}
 			c.Done(backends.Failure, 0)
 			a.recordSendFailed(c, "stream was cut: "+err.Error(), response.Status)
 			a.events.reset()
@@ -158,15 +159,19 @@
 	}
 }
 
-// isStreamComplete reports whether a response that was read to its end is complete. A stream that ends inside an
-// event is truncated even if its framing is complete. A response of another type has no events, so that its framing
-// decides.
-func (a *activeRequest) isStreamComplete(response *exchange.Response) bool {
-	if !a.events.insideEvent() {
-		return true
-	}
+// checkStreamEnd returns io.EOF if a response that was read to its end is complete, and the reason otherwise. A stream
+// that ends inside an event is truncated even if its framing is complete. A response of another type has no events, so
+// that its framing decides.
+func (a *activeRequest) checkStreamEnd(response *exchange.Response) error {
 	hasEvents := a.events.lastID != "" || isEventStream(response.Header)
-	return response.Framed && !hasEvents
+	startsStream := !a.headerWritten && a.request.LastEventID == ""
+	switch {
+	case a.events.insideEvent() && (hasEvents || !response.Framed):
+		return errInsideEvent
+	case !a.events.insideEvent() && startsStream && !response.Framed:
+		return errNoEvent
+	}
+	return io.EOF
 }
 
 // isEventStream reports whether the media type of a response is that of server-sent events.
