--- a/pkg/gateway/forward/framing_test.go
+++ b/pkg/gateway/forward/framing_test.go
@@ -236,3 +236,131 @@
 		})
 	}
 }
+
+// resetAfter writes text and resets the connection once the node has read it.
+func resetAfter(c net.Conn, text string) {
+	fmt.Fprint(c, text)
+	time.Sleep(segmentPause)
+	// Close sends RST instead of FIN.
+	_ = c.(*net.TCPConn).SetLinger(0)
+}
+
+// Guards against an unframed response that is not relayed in full, that is requested again although it is complete, or
+// that looks complete although its connection was reset.
+func TestUnframedResponseIsCompleteUnlessReset(t *testing.T) {
+	long := strings.Repeat("x", maxBufferedBytes+1)
+	for name, text := range map[string]string{"empty": "", "short": "fine", "with blank lines": "a\n\nb", "over the buffer": long} {
+		for _, kind := range []routes.Kind{routes.Safe, routes.Unsafe} {
+			for _, broken := range []bool{false, true} {
+				for _, proto := range []string{"HTTP/1.1", "HTTP/1.0"} {
+					t.Run(fmt.Sprintf("%s, kind %v, %s, reset %v", name, kind, proto, broken), func(t *testing.T) {
+						t.Parallel()
+						var sends atomic.Int64
+						respond := func(c net.Conn, req *http.Request) {
+							answer := strings.Replace(responseHead(req, 200), "HTTP/1.1", proto, 1) + text
+							if sends.Add(1) == 1 && broken {
+								// A body that exceeds the buffer is relayed before its end, so that only a part is sent here.
+								resetAfter(c, answer[:min(len(answer), maxBufferedBytes/2)])
+								return
+							}
+							fmt.Fprint(c, answer)
+						}
+						s := startGateway(t, kind, nil, startWriter(t, respond), startWriter(t, respond))
+						r := postRequest(t, s, "/p/x", http.Header{"Wait": {"1500"}})
+						switch {
+						case broken && kind == routes.Unsafe:
+							assert.Equal(t, http.StatusBadGateway, r.status)
+							assert.Equal(t, int64(1), sends.Load())
+						default:
+							assert.NoError(t, r.err)
+							assert.Equal(t, http.StatusOK, r.status)
+							assert.Equal(t, "s", r.header.Get("Sig"))
+							assert.Equal(t, text, r.body)
+							assert.Equal(t, map[bool]int64{false: 1, true: 2}[broken], sends.Load())
+						}
+					})
+				}
+			}
+		}
+	}
+}
+
+// Guards against an unframed response over the buffer that looks complete although its connection was reset.
+func TestLongUnframedResponseIsCutAfterReset(t *testing.T) {
+	for _, kind := range []routes.Kind{routes.Safe, routes.Unsafe} {
+		headReceived := make(chan struct{})
+		s := startGateway(t, kind, nil, startWriter(t, func(c net.Conn, req *http.Request) {
+			fmt.Fprint(c, responseHead(req, 200)+strings.Repeat("x", 2*maxBufferedBytes))
+			<-headReceived
+			resetAfter(c, "")
+		}))
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, s.URL+"/p/x", strings.NewReader("body"))
+		require.NoError(t, err)
+		req.Host, req.Header = "h", http.Header{"Id": {"i1"}, "Wait": {"5000"}}
+		response, err := http.DefaultClient.Do(req)
+		require.NoError(t, err)
+		close(headReceived)
+		_, err = io.Copy(io.Discard, response.Body)
+		response.Body.Close()
+		assert.Error(t, err)
+	}
+}
+
+// Guards against an unframed stream that is cut although it is complete, and against one that looks complete although
+// it was broken off.
+func TestUnframedStreamIsCompleteBetweenEventsOnly(t *testing.T) {
+	const relayed = 3
+	for name, test := range map[string]struct {
+		rest            string
+		reset, complete bool
+	}{
+		"closed between events":      {"", false, true},
+		"closed inside an event":     {"id: 4\nda", false, false},
+		"closed before a blank line": {"id: 4\ndata: x\n", false, false},
+		"reset between events":       {"", true, false},
+		"reset inside an event":      {"id: 4\nda", true, false},
+	} {
+		for _, proto := range []string{"HTTP/1.1", "HTTP/1.0"} {
+			t.Run(name+", "+proto, func(t *testing.T) {
+				t.Parallel()
+				first := func(c net.Conn, req *http.Request) {
+					text := strings.Replace(responseHead(req, 200, eventStreamType), "HTTP/1.1", proto, 1) + eventsText(1, relayed, "\n") + test.rest
+					if test.reset {
+						resetAfter(c, text)
+						return
+					}
+					fmt.Fprint(c, text)
+				}
+				r, sends := openStream(t, false, first)
+				assert.Equal(t, test.complete, r.err == nil, "%v", r.err)
+				assert.Equal(t, eventsText(1, relayed, "\n"), r.body)
+				assert.Equal(t, int64(1), sends)
+				r, sends = openStream(t, true, first)
+				assert.NoError(t, r.err)
+				if test.complete {
+					assert.Equal(t, eventsText(1, relayed, "\n"), r.body)
+					assert.Equal(t, int64(1), sends)
+					return
+				}
+				assert.Equal(t, eventsText(1, lastTestEvent, "\n"), r.body)
+				assert.Equal(t, int64(2), sends)
+			})
+		}
+	}
+}
+
+// Guards against waiting for the end of the connection after a response that has no body by its status.
+func TestResponseWithoutBodyIsNotAwaited(t *testing.T) {
+	for _, kind := range []routes.Kind{routes.Safe, routes.Stream} {
+		for _, status := range []int{http.StatusNoContent, http.StatusNotModified} {
+			s := startGateway(t, kind, nil, startWriter(t, func(c net.Conn, req *http.Request) {
+				fmt.Fprint(c, responseHead(req, status))
+				_, _ = io.Copy(io.Discard, c)
+			}))
+			r := postRequest(t, s, "/p/x", http.Header{"Wait": {"1500"}})
+			assert.NoError(t, r.err)
+			assert.Equal(t, status, r.status)
+			assert.Empty(t, r.body+r.header.Get("Content-Length"))
+		}
+	}
+}
