--- a/pkg/gateway/forward/relay.go
+++ b/pkg/gateway/forward/relay.go
@@ -1,8 +1,10 @@
 package forward
 
 import (
+	"errors"
 	"fmt"
 	"io"
+	"mime"
 	"net/http"
 	"strconv"
 	"time"
@@ -43,8 +45,8 @@
 		panic(http.ErrAbortHandler)
 	}
 	a.router.opt.Protocol.CopyResponseHeader(a.w.Header(), stored.header)
-	if len(stored.body) > 0 || stored.status != http.StatusNoContent && stored.status != http.StatusNotModified {
-		a.w.Header().Set("Content-Length", strconv.Itoa(len(stored.body)))
+	if length := stored.contentLength(a.req.Method); length != "" {
+		a.w.Header().Set("Content-Length", length)
 	}
 	a.writeHeader(stored.status)
 	if _, err := a.w.Write(stored.body); err != nil {
@@ -52,6 +54,18 @@
 	}
 }
 
+// contentLength returns the Content-Length of the response to a request with the given method, or "" for none. In a
+// response to HEAD it is the length that the backend server states for GET.
+func (r *bufferedResponse) contentLength(method string) string {
+	switch {
+	case method == http.MethodHead:
+		return r.header.Get("Content-Length")
+	case len(r.body) == 0 && (r.status == http.StatusNoContent || r.status == http.StatusNotModified):
+		return ""
+	}
+	return strconv.Itoa(len(r.body))
+}
+
 // writeHeader writes the status line and the header of the response.
 func (a *activeRequest) writeHeader(status int) {
 	a.headerWritten, a.firstByteAt = true, time.Now()
@@ -85,6 +99,8 @@
 var (
 	errEventTooLong = fmt.Errorf("an event is longer than %d bytes", maxEventBytes)
 	errStreamIdle   = fmt.Errorf("no complete event for %v", streamIdleTimeout)
+	errInsideEvent  = errors.New("the stream ended inside an event")
+	errNoEvent      = errors.New("the connection was closed before the first event")
 )
 
 // streamIdleTimeout is the time without a complete event after which a resumable stream continues at another
@@ -117,9 +133,12 @@
 		if err == nil && len(a.events.pending) > maxEventBytes {
 			err = errEventTooLong
 		}
+		if err == io.EOF {
+			err = a.checkStreamEnd(response)
+		}
 		switch {
 		case err == nil:
-		case err == io.EOF && (response.Framed || len(a.events.pending) == 0):
+		case err == io.EOF:
 			c.Done(backends.Success, latency)
 			if !a.headerWritten {
 				a.writeStreamHeader(response)
@@ -140,6 +159,28 @@
 	}
 }
 
+// checkStreamEnd returns io.EOF if a response that was read to its end is complete, and the reason otherwise. A stream
+// that ends inside an event is truncated even if its framing is complete. A response of another type has no events, so
+// that its framing decides.
+func (a *activeRequest) checkStreamEnd(response *exchange.Response) error {
+	hasEvents := a.events.lastID != "" || isEventStream(response.Header)
+	startsStream := !a.headerWritten && a.request.LastEventID == ""
+	switch {
+	case a.events.insideEvent() && (hasEvents || !response.Framed):
+		return errInsideEvent
+	case !a.events.insideEvent() && startsStream && !response.Framed:
+		return errNoEvent
+	}
+	return io.EOF
+}
+
+// isEventStream reports whether the media type of a response is that of server-sent events.
+func isEventStream(h http.Header) bool {
+	// A type that cannot be parsed is none of server-sent events.
+	mediaType, _, _ := mime.ParseMediaType(h.Get("Content-Type"))
+	return mediaType == "text/event-stream"
+}
+
 // readStream reads from a stream. A resumable stream without a complete event since streamIdleTimeout fails,
 // also if other bytes arrive: it can continue at another engine. Any other stream may take until the timeout.
 func (a *activeRequest) readStream(response *exchange.Response, buffer []byte, lastEventAt time.Time) (int, error) {
