State the phase and the prompt parts of a failed send

The log could not tell whether requests that end engines have something in common: event 924 named the engine and the request only. It now states how far the send had come, the start of the engine and the IDs of the shared parts, and sends_failed counts by phase.

--- a/pkg/gateway/forward/active_request.go
+++ b/pkg/gateway/forward/active_request.go
@@ -75,6 +75,8 @@
 	// prefixHashes caches the result of sharedPrefixHashes for prefixHashesVersion.
 	prefixHashes        []cachemap.Key
 	prefixHashesVersion int
+	// eventDelivered is set once the current send has delivered a complete event.
+	eventDelivered bool
 	// affinity caches the result of affinityKey once affinityKnown is set.
 	affinity      uint64
 	affinityKnown bool
@@ -236,6 +238,7 @@
 func (a *activeRequest) send(c *backends.Choice) sendOutcome {
 	sentAt := time.Now()
 	a.sends++
+	a.eventDelivered = false
 	a.tried = append(a.tried, c.ID)
 	backendReq := a.backendRequest(c, sentAt)
 	a.traceBackendChosen(c, backendReq)
@@ -266,7 +269,7 @@
 	a.runs++
 	if !info.Signed || response.Status < 200 {
 		c.Done(backends.Failure, 0)
-		a.recordSendFailed(c, "response is not signed", response.Status)
+		a.recordSendFailed(c, phaseResponse, "response is not signed", response.Status)
 		return a.retryAfterRun()
 	}
 	if a.route.Kind == routes.Stream && response.Status < 300 {
@@ -317,7 +320,11 @@
 	if mayHaveRun {
 		a.runs++
 	}
-	a.recordSendFailed(c, reason, 0)
+	phase := phaseConnect
+	if mayHaveRun {
+		phase = phaseNoResponse
+	}
+	a.recordSendFailed(c, phase, reason, 0)
 	if !mayHaveRun {
 		a.sends--
 		a.router.opt.Backends.MarkUnreachable(c.ID, time.Now().Add(unreachableBackoff))
@@ -329,10 +336,10 @@
 // handleRefusal returns the next step after a backend server has reported that it did not run the request.
 func (a *activeRequest) handleRefusal(c *backends.Choice, response *exchange.Response, info ResponseInfo) sendOutcome {
 	if _, err := io.Copy(io.Discard, io.LimitReader(response, maxBufferedBytes)); err != nil {
-		a.recordSendFailed(c, "refusal truncated: "+err.Error(), response.Status)
+		a.recordSendFailed(c, phaseRefused, "refusal truncated: "+err.Error(), response.Status)
 	}
 	c.Done(backends.Neutral, 0)
-	a.recordSendFailed(c, "refused", response.Status)
+	a.recordSendFailed(c, phaseRefused, "refused", response.Status)
 	a.router.opt.Backends.Pause(c.ID, time.Now().Add(refusedBackoff))
 	return a.retryIf(len(a.tried) < maxRefusedSends+a.route.MaxAttempts)
 }
--- a/pkg/gateway/forward/cache.go
+++ b/pkg/gateway/forward/cache.go
@@ -44,6 +44,18 @@
 	return a.request.PromptParts[:len(a.request.PromptParts)-1]
 }
 
+// sharedPartIDs returns the IDs of the prompt's parts that other requests may share.
+func (a *activeRequest) sharedPartIDs() []string {
+	if len(a.request.PromptParts) == 0 {
+		return nil
+	}
+	ids := make([]string, 0, len(a.request.PromptParts)-1)
+	for _, p := range a.request.PromptParts[:len(a.request.PromptParts)-1] {
+		ids = append(ids, p.ID)
+	}
+	return ids
+}
+
 func (a *activeRequest) sharedTokens() int {
 	tokens := 0
 	for _, p := range a.sharedParts() {
--- a/pkg/gateway/forward/relay.go
+++ b/pkg/gateway/forward/relay.go
@@ -18,7 +18,7 @@
 	body, err := io.ReadAll(io.LimitReader(response, maxBufferedBytes+1))
 	if err != nil {
 		c.Done(backends.Failure, 0)
-		a.recordSendFailed(c, "response truncated: "+err.Error(), response.Status)
+		a.recordSendFailed(c, phaseResponse, "response truncated: "+err.Error(), response.Status)
 		return a.retryAfterRun()
 	}
 	stored := &bufferedResponse{status: response.Status, header: response.Header, body: body}
@@ -28,7 +28,7 @@
 	}
 	if response.Status >= 500 {
 		c.Done(backends.Failure, 0)
-		a.recordSendFailed(c, "backend server returned a server error", response.Status)
+		a.recordSendFailed(c, phaseResponse, "backend server returned a server error", response.Status)
 		a.failedResponse = stored
 		return a.retryAfterRun()
 	}
@@ -107,7 +107,7 @@
 			}
 			events := a.events.push(buffer[:n])
 			if len(events) > 0 {
-				lastEventAt = time.Now()
+				lastEventAt, a.eventDelivered = time.Now(), true
 			}
 			if !a.relayEvents(flusher, response, events) {
 				c.Done(backends.Neutral, 0)
@@ -133,7 +133,11 @@
 			return outcomeFail
 		default:
 			c.Done(backends.Failure, 0)
-			a.recordSendFailed(c, "stream was cut: "+err.Error(), response.Status)
+			phase := phaseNoEvent
+			if a.eventDelivered {
+				phase = phaseStream
+			}
+			a.recordSendFailed(c, phase, "stream was cut: "+err.Error(), response.Status)
 			a.events.reset()
 			return a.retryAfterRun()
 		}
--- a/pkg/gateway/forward/trace.go
+++ b/pkg/gateway/forward/trace.go
@@ -45,11 +45,26 @@
 	a.trace.Add(event.NoBackend, "leaving", counts.Leaving, "loading", counts.Loading, "tried", counts.Tried, "old_weights", counts.OldWeights)
 }
 
+// sendPhase is how far a failed send had come, in log lines and metric labels.
+type sendPhase string
+
+const (
+	// phaseConnect is a send without a connection, and phaseRefused one that the backend server did not run.
+	phaseConnect sendPhase = "connect"
+	phaseRefused sendPhase = "refused"
+	// phaseNoResponse is a send without a response, and phaseNoEvent a stream without a complete event.
+	phaseNoResponse sendPhase = "no response"
+	phaseNoEvent    sendPhase = "no event"
+	// phaseStream is a stream that had delivered an event, and phaseResponse any other response.
+	phaseStream   sendPhase = "stream"
+	phaseResponse sendPhase = "response"
+)
+
 // recordSendFailed records a send that did not return a complete response.
-func (a *activeRequest) recordSendFailed(c *backends.Choice, reason string, status int) {
-	a.router.count("sends_failed")
-	a.trace.Add(event.SendFailed, "backend", c.ID, "status", status, "reason", reason, "sends", a.sends, "runs", a.runs,
-		"version", c.Version, "age_ms", time.Since(a.receivedAt).Milliseconds())
+func (a *activeRequest) recordSendFailed(c *backends.Choice, phase sendPhase, reason string, status int) {
+	a.router.count("sends_failed", "phase", string(phase))
+	a.trace.Add(event.SendFailed, "backend", c.ID, "started", c.Started, "status", status, "phase", string(phase), "reason", reason,
+		"sends", a.sends, "runs", a.runs, "version", c.Version, "parts", a.sharedPartIDs(), "age_ms", time.Since(a.receivedAt).Milliseconds())
 }
 
 // recordAnswered records metrics of a request with a response and ends its trace. The trace is always
