--- a/pkg/gateway/forward/forward_test.go
+++ b/pkg/gateway/forward/forward_test.go
@@ -34,13 +34,18 @@
 	if h.Get("Parts") != "" {
 		req.PromptParts = []PromptPart{{ID: "a", Tokens: 2000}, {ID: "own", Tokens: 100}}
 	}
+	if h.Get("Prompt") != "" {
+		for id := range strings.SplitSeq(h.Get("Prompt"), ",") {
+			req.PromptParts = append(req.PromptParts, PromptPart{ID: id, Tokens: 100})
+		}
+	}
 	return req, nil
 }
 
 func (testProtocol) EncodeRequest(client http.Header, c BackendRequest) http.Header {
 	return http.Header{
 		"Id": client["Id"], "Backend": {c.BackendID}, "After": {c.LastEventID}, "Tenant": {c.Workspace},
-		"Namespace": {c.CacheSalt}, "V": {strconv.Itoa(c.WeightsVersion)}, "Left": {strconv.FormatInt(c.Timeout.Milliseconds(), 10)},
+		"Namespace": {c.CacheSalt}, "V": {strconv.Itoa(c.WeightsVersion)}, "Prompt": client["Prompt"], "Left": {strconv.FormatInt(c.Timeout.Milliseconds(), 10)},
 	}
 }
 
