Quarantine prompt parts on which engines crash

Cause: a failure that travels with the request was treated as one of the engine. A node sent the request to the next engine, the client sent it to the next node, and no node knew what the others had seen.

A part that crashes engines never succeeds; the sound parts that are in doubt beside it do.

Change: package quarantine keeps pairs of a part in doubt and an engine that ended. A success voids the pairs of its parts. A part in doubt in three crashes at different moments, seen by two nodes, is quarantined, unless another part explains these crashes: requests with it get 503 at once, and those that wait at an engine are cancelled. A request that has just ended an engine does not go to a further one if a part of it was in doubt before. The leader tries a quarantined part with one request after a minute without a crash, and then more and more rarely.

--- a/pkg/gateway/forward/active_request.go
+++ b/pkg/gateway/forward/active_request.go
@@ -12,6 +12,7 @@
 	"cassiawall.example/cassiawall/pkg/gateway/decisions"
 	"cassiawall.example/cassiawall/pkg/gateway/exchange"
 	"cassiawall.example/cassiawall/pkg/gateway/popularity"
+	"cassiawall.example/cassiawall/pkg/gateway/quarantine"
 	"cassiawall.example/cassiawall/pkg/gateway/routes"
 	"cassiawall.example/cassiawall/pkg/wait"
 )
@@ -77,6 +78,13 @@
 	prefixHashesVersion int
 	// eventDelivered is set once the current send has delivered a complete event.
 	eventDelivered bool
+	// partHashes caches the result of hashedParts. waiting is the current send until its first event. trial is set
+	// if the request may be sent although a part is quarantined. retryAfter is the time until such a part may be
+	// sent again, if the request is refused because of it.
+	partHashes []quarantine.Part
+	waiting    *waitingSend
+	trial      bool
+	retryAfter time.Duration
 	// affinity caches the result of affinityKey once affinityKnown is set.
 	affinity      uint64
 	affinityKnown bool
@@ -100,12 +108,20 @@
 	// outcomeRetry is returned only if the request was not run or may run again.
 	outcomeRetry
 	outcomeFail
+	// outcomeQuarantined is returned if a part was quarantined, and outcomeInDoubt if a part may be the cause of
+	// several crashes.
+	outcomeQuarantined
+	outcomeInDoubt
 )
 
 // sendWithRetries sends the request to one backend server after another until the client has a
 // response.
 func (a *activeRequest) sendWithRetries() {
 	for {
+		if a.isQuarantined() {
+			a.failRequest(causeQuarantined)
+			return
+		}
 		choice := a.pickBackend()
 		if choice == nil {
 			a.failRequest(causeNoBackend)
@@ -123,6 +139,12 @@
 		case outcomeFail:
 			a.failRequest(a.failureCause())
 			return
+		case outcomeQuarantined:
+			a.failRequest(causeQuarantined)
+			return
+		case outcomeInDoubt:
+			a.failRequest(causeInDoubt)
+			return
 		}
 	}
 }
@@ -237,6 +259,12 @@
 // send sends the request to one backend server and relays its response.
 func (a *activeRequest) send(c *backends.Choice) sendOutcome {
 	sentAt := time.Now()
+	tracked, untrack, ok := a.trackSend(a.ctx)
+	if !ok {
+		c.Done(backends.Neutral, 0)
+		return outcomeQuarantined
+	}
+	defer untrack()
 	a.sends++
 	a.eventDelivered = false
 	a.tried = append(a.tried, c.ID)
@@ -249,7 +277,7 @@
 		Method: a.req.Method, Target: a.req.RequestURI, Host: a.req.Host, Body: a.body,
 		Header: a.router.opt.Protocol.EncodeRequest(a.req.Header, backendReq),
 	}
-	ctx, stopTimer := a.withStartDeadline(c, sentAt)
+	ctx, stopTimer := a.withStartDeadline(tracked, c, sentAt)
 	response, err := exchange.Do(ctx, c.Pool, request, func(h http.Header) bool {
 		return a.router.opt.Protocol.DecodeResponse(h).RequestID == a.request.ID
 	})
@@ -273,24 +301,24 @@
 		return a.retryAfterRun()
 	}
 	if a.route.Kind == routes.Stream && response.Status < 300 {
-		return a.relayStream(c, response, sentAt)
+		return a.relayStream(ctx, c, response, sentAt)
 	}
-	return a.relayBuffered(c, response, sentAt)
+	return a.relayBuffered(ctx, c, response, sentAt)
 }
 
 // withStartDeadline returns a context that is cancelled at the latest time at which the request may
 // start on the weights of the chosen engine. The end of the context closes the connection, and the
 // engine then drops a request that is still in its queue. stopTimer must be called once the engine has
 // responded.
-func (a *activeRequest) withStartDeadline(c *backends.Choice, now time.Time) (ctx context.Context, stopTimer func()) {
+func (a *activeRequest) withStartDeadline(parent context.Context, c *backends.Choice, now time.Time) (ctx context.Context, stopTimer func()) {
 	if a.request.Model == "" {
-		return a.ctx, func() {}
+		return parent, func() {}
 	}
 	deadline := a.router.opt.Weights.StartDeadline(a.request.Model, c.Version)
 	if deadline.IsZero() {
-		return a.ctx, func() {}
+		return parent, func() {}
 	}
-	ctx, cancel := context.WithCancelCause(a.ctx)
+	ctx, cancel := context.WithCancelCause(parent)
 	timer := time.AfterFunc(deadline.Sub(now), func() { cancel(errStartDeadline) })
 	return ctx, func() { timer.Stop() }
 }
@@ -311,6 +339,9 @@
 		}
 		return outcomeFail
 	}
+	if context.Cause(ctx) == errQuarantined {
+		return a.endQuarantined(c, mayHaveRun)
+	}
 	c.Done(backends.Failure, 0)
 	reason := err.Error()
 	if cause := context.Cause(ctx); cause != nil {
@@ -330,9 +361,24 @@
 		a.router.opt.Backends.MarkUnreachable(c.ID, time.Now().Add(unreachableBackoff))
 		return a.retryIf(len(a.tried) < maxRefusedSends+a.route.MaxAttempts)
 	}
+	if a.recordEnd(ctx, c, err) {
+		return outcomeInDoubt
+	}
 	return a.retryAfterRun()
 }
 
+// endQuarantined ends a send that was cancelled because a part of the request is quarantined.
+func (a *activeRequest) endQuarantined(c *backends.Choice, mayHaveRun bool) sendOutcome {
+	c.Done(backends.Neutral, 0)
+	phase := phaseConnect
+	if mayHaveRun {
+		a.runs++
+		phase = phaseNoResponse
+	}
+	a.recordSendFailed(c, phase, errQuarantined.Error(), 0)
+	return outcomeQuarantined
+}
+
 // handleRefusal returns the next step after a backend server has reported that it did not run the request.
 func (a *activeRequest) handleRefusal(c *backends.Choice, response *exchange.Response, info ResponseInfo) sendOutcome {
 	if _, err := io.Copy(io.Discard, io.LimitReader(response, maxBufferedBytes)); err != nil {
--- a/pkg/gateway/forward/errors.go
+++ b/pkg/gateway/forward/errors.go
@@ -26,7 +26,11 @@
 		panic(http.ErrAbortHandler)
 	case a.runs == 0:
 		a.recordNotServed(reason, "refused")
-		writeRefusal(a.w, reason, min(refusalRetryAfter, a.remaining(time.Now())/4))
+		retryAfter := min(refusalRetryAfter, a.remaining(time.Now())/4)
+		if reason == causeQuarantined {
+			retryAfter = max(a.retryAfter, minQuarantineRetryAfter)
+		}
+		writeRefusal(a.w, reason, retryAfter)
 	case a.failedResponse != nil:
 		a.recordNotServed(reason, "failed")
 		a.writeBuffered(a.failedResponse)
--- a/pkg/gateway/forward/forward_test.go
+++ b/pkg/gateway/forward/forward_test.go
@@ -174,12 +174,22 @@
 	if change != nil {
 		change(config, &opt)
 	}
+	if opt.Quarantine == nil {
+		opt.Quarantine = testQuarantine("n", func() {}, time.Now)
+	}
 	config.Build()
 	s := httptest.NewServer(NewRouter(opt))
 	t.Cleanup(s.Close)
 	return s
 }
 
+// testQuarantine returns a quarantine of a node that may not try quarantined parts.
+func testQuarantine(node string, announce func(), now func() time.Time) *Quarantine {
+	return NewQuarantine(QuarantineOptions{
+		Node: node, MayTry: func() bool { return false }, Announce: announce, Now: now, Logger: slog.New(slog.DiscardHandler),
+	})
+}
+
 type clientResult struct {
 	status int
 	body   string
--- /dev/null
+++ b/pkg/gateway/forward/quarantine.go
@@ -0,0 +1,259 @@
+package forward
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"io"
+	"log/slog"
+	"math"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cassiawall.example/cassiawall/pkg/event"
+	"cassiawall.example/cassiawall/pkg/gateway/backends"
+	"cassiawall.example/cassiawall/pkg/gateway/quarantine"
+)
+
+// QuarantineOptions configures a Quarantine. All fields are required.
+type QuarantineOptions struct {
+	// Node identifies this node among the witnesses of a crash.
+	Node string
+	// MayTry reports whether this node may send a request with a quarantined part, to see whether engines still
+	// crash on it. It must hold on one node of the fleet.
+	MayTry func() bool
+	// Announce is called after an engine has crashed under a request, and when the quarantined parts have changed,
+	// so that the other nodes learn of it.
+	Announce func()
+	// Now returns the current time.
+	Now    func() time.Time
+	Logger *slog.Logger
+}
+
+// Quarantine refuses requests with prompt parts on which engines crash. It is safe for concurrent use.
+type Quarantine struct {
+	opt     QuarantineOptions
+	witness uint8
+	table   *quarantine.Table
+
+	mu sync.Mutex
+	// waiting holds the sends that have got no event.
+	waiting map[*waitingSend]struct{}
+	// logged holds the quarantined parts that were logged.
+	logged map[quarantine.Part]bool
+}
+
+// waitingSend is a send of a request with shared parts that has got no event.
+type waitingSend struct {
+	parts  []quarantine.Part
+	cancel context.CancelCauseFunc
+}
+
+// NewQuarantine returns a quarantine without parts.
+func NewQuarantine(opt QuarantineOptions) *Quarantine {
+	return &Quarantine{
+		opt: opt, witness: uint8(xxhash.Sum64String(opt.Node)) & math.MaxInt8, table: quarantine.NewTable(),
+		waiting: map[*waitingSend]struct{}{}, logged: map[quarantine.Part]bool{},
+	}
+}
+
+// errQuarantined is the cause of a cancelled send whose request has a part that was quarantined after the send.
+var errQuarantined = errors.New("a prompt part was quarantined before the first event")
+
+// Encode returns the evidence for the other nodes; see quarantine.Table.Encode.
+func (q *Quarantine) Encode(scope quarantine.Scope, after uint64, maxBytes int) (data []byte, changes uint64) {
+	return q.table.Encode(scope, after, maxBytes, q.opt.Now())
+}
+
+// Merge adds evidence of another node, which is part of this node's messages too if relay is set. It reports
+// whether the quarantined parts have changed.
+func (q *Quarantine) Merge(data []byte, relay bool) (changed bool) {
+	if len(data) == 0 || !q.table.Merge(data, relay, q.opt.Now()) {
+		return false
+	}
+	q.apply()
+	return true
+}
+
+// Expire drops evidence that no longer counts.
+func (q *Quarantine) Expire() {
+	if q.table.Expire(q.opt.Now()) {
+		q.apply()
+	}
+}
+
+// Size returns the number of quarantined parts.
+func (q *Quarantine) Size() int { return len(q.table.Suspects()) }
+
+// apply cancels the sends whose requests have quarantined parts and no event, and logs the parts.
+func (q *Quarantine) apply() {
+	suspects := q.table.Suspects()
+	now := q.opt.Now()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	cancelled := 0
+	for s := range q.waiting {
+		if q.table.Judge(s.parts, false, now).Refuse {
+			delete(q.waiting, s)
+			cancelled++
+			// Closing a connection may take a system call.
+			go s.cancel(errQuarantined)
+		}
+	}
+	quarantined := make(map[quarantine.Part]bool, len(suspects))
+	for _, s := range suspects {
+		quarantined[s.Part] = true
+		if !q.logged[s.Part] {
+			event.PartQuarantined.Emit(q.opt.Logger, "part", s.Part.String(), "engines", s.Engines, "nodes", s.Nodes,
+				"alternatives", s.Alternatives, "cancelled", cancelled)
+		}
+	}
+	for part := range q.logged {
+		if !quarantined[part] {
+			event.PartReleased.Emit(q.opt.Logger, "part", part.String())
+		}
+	}
+	q.logged = quarantined
+}
+
+// admit decides whether a request with parts may be sent.
+func (q *Quarantine) admit(parts []quarantine.Part) quarantine.Verdict {
+	if len(parts) == 0 {
+		return quarantine.Verdict{}
+	}
+	return q.table.Judge(parts, q.opt.MayTry(), q.opt.Now())
+}
+
+// track notes a send that waits for its first event, so that it is cancelled when one of its parts is quarantined.
+// It returns nil if that has already happened.
+func (q *Quarantine) track(parts []quarantine.Part, cancel context.CancelCauseFunc) *waitingSend {
+	s := &waitingSend{parts: parts, cancel: cancel}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.table.Judge(parts, false, q.opt.Now()).Refuse {
+		return nil
+	}
+	q.waiting[s] = struct{}{}
+	return s
+}
+
+func (q *Quarantine) untrack(s *waitingSend) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	delete(q.waiting, s)
+}
+
+// recordCrash records that an engine ended while a request with parts had got no event. It reports whether one of
+// the parts was in doubt in another crash too.
+func (q *Quarantine) recordCrash(parts []quarantine.Part, engine uint32) (inDoubt bool) {
+	now := q.opt.Now()
+	if q.table.RecordCrash(parts, quarantine.Crash{Engine: engine, Witness: q.witness}, now) {
+		q.apply()
+	}
+	q.opt.Announce()
+	return q.table.InDoubt(parts, engine, now)
+}
+
+// recordSuccess records that a request with parts has got an event or a complete response.
+func (q *Quarantine) recordSuccess(parts []quarantine.Part) {
+	if q.table.RecordSuccess(parts, q.opt.Now()) {
+		q.apply()
+		q.opt.Announce()
+	}
+}
+
+// engineHash returns the hash of an engine's incarnation.
+func engineHash(b *backends.Backend) uint32 {
+	h := xxhash.New()
+	// Writes to a hash do not fail.
+	_, _ = h.WriteString(b.ID)
+	var started [8]byte
+	binary.BigEndian.PutUint64(started[:], uint64(b.Started))
+	_, _ = h.Write(started[:])
+	return uint32(h.Sum64())
+}
+
+// endedByBackend reports whether an error states that the other side ended the connection.
+func endedByBackend(err error) bool {
+	var netErr net.Error
+	if errors.As(err, &netErr) && netErr.Timeout() {
+		return false
+	}
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
+// hashedParts returns the hashes of the parts that other requests may share.
+func (a *activeRequest) hashedParts() []quarantine.Part {
+	if a.partHashes == nil && len(a.request.PromptParts) > 1 {
+		for _, p := range a.request.PromptParts[:len(a.request.PromptParts)-1] {
+			a.partHashes = append(a.partHashes, quarantine.PartOf(a.request.Model, p.ID))
+		}
+	}
+	return a.partHashes
+}
+
+// isQuarantined reports whether the request must not be sent because of one of its parts.
+func (a *activeRequest) isQuarantined() bool {
+	if a.trial {
+		return false
+	}
+	verdict := a.router.opt.Quarantine.admit(a.hashedParts())
+	if verdict.Trial {
+		a.trial = true
+		event.PartTried.Emit(a.router.opt.Logger, "request", a.request.ID, "parts", a.sharedPartIDs())
+	}
+	if verdict.Refuse {
+		a.retryAfter = verdict.RetryAfter
+		a.trace.Add(event.PartRefused, "part", a.request.PromptParts[verdict.Index].ID, "hash", a.hashedParts()[verdict.Index].String(),
+			"retry_after_ms", verdict.RetryAfter.Milliseconds())
+	}
+	return verdict.Refuse
+}
+
+// trackSend returns a context that ends when one of the request's parts is quarantined before the first event. It
+// reports false if that has already happened. stop must be called at the end of the send.
+func (a *activeRequest) trackSend(parent context.Context) (ctx context.Context, stop func(), ok bool) {
+	a.waiting = nil
+	parts := a.hashedParts()
+	if len(parts) == 0 || a.trial || a.headerWritten {
+		return parent, func() {}, true
+	}
+	ctx, cancel := context.WithCancelCause(parent)
+	s := a.router.opt.Quarantine.track(parts, cancel)
+	if s == nil {
+		cancel(nil)
+		return nil, nil, false
+	}
+	a.waiting = s
+	return ctx, func() {
+		a.router.opt.Quarantine.untrack(s)
+		cancel(nil)
+	}, true
+}
+
+// recordFirstEvent records that the engine has delivered an event or a complete response, and so has not crashed on
+// one of the request's parts.
+func (a *activeRequest) recordFirstEvent() {
+	a.eventDelivered = true
+	if a.waiting != nil {
+		a.router.opt.Quarantine.untrack(a.waiting)
+		a.waiting = nil
+	}
+	if parts := a.hashedParts(); len(parts) > 0 {
+		a.router.opt.Quarantine.recordSuccess(parts)
+	}
+}
+
+// recordEnd records that an engine ended the connection of a send before the first event. It reports whether the
+// request should not go to a further engine, because one of its parts was in doubt in another crash too.
+func (a *activeRequest) recordEnd(ctx context.Context, c *backends.Choice, err error) (inDoubt bool) {
+	parts := a.hashedParts()
+	if len(parts) == 0 || a.eventDelivered || context.Cause(ctx) != nil || a.req.Context().Err() != nil || !endedByBackend(err) {
+		return false
+	}
+	return a.router.opt.Quarantine.recordCrash(parts, engineHash(&c.Backend))
+}
--- a/pkg/gateway/forward/quarantine_test.go
+++ b/pkg/gateway/forward/quarantine_test.go
@@ -7,9 +7,11 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 
+	"cassiawall.example/cassiawall/pkg/gateway/quarantine"
 	"cassiawall.example/cassiawall/pkg/gateway/routes"
 )
 
@@ -17,10 +19,12 @@
 // three sends may follow the fifth crash, over all nodes, and requests that share the other parts are served.
 func TestPromptPartThatCrashesEnginesIsNotSentOn(t *testing.T) {
 	const engineCount, nodeCount, badRequests, crashes, allowed = 12, 3, 20, 5, 3
-	var badSends atomic.Int64
+	var badSends, clockMS atomic.Int64
+	now := func() time.Time { return time.UnixMilli(clockMS.Load()) }
 	respond := func(req *http.Request) string {
 		if strings.Contains(req.Header.Get("Prompt"), "bad") {
 			badSends.Add(1)
+			clockMS.Add(200)
 			return ""
 		}
 		return okResponse(req)
@@ -29,9 +33,18 @@
 	for range engineCount {
 		engines = append(engines, startBackend(t, respond))
 	}
+	quarantines := make([]*Quarantine, nodeCount)
+	for i := range quarantines {
+		quarantines[i] = testQuarantine(fmt.Sprint("n", i), func() {
+			data, _ := quarantines[i].Encode(quarantine.All, 0, 960)
+			for _, other := range quarantines {
+				other.Merge(data, false)
+			}
+		}, now)
+	}
 	var nodes []*httptest.Server
-	for range nodeCount {
-		nodes = append(nodes, startGateway(t, routes.Safe, nil, engines...))
+	for i := range nodeCount {
+		nodes = append(nodes, startGateway(t, routes.Safe, func(_ *routes.Config, opt *Options) { opt.Quarantine = quarantines[i] }, engines...))
 	}
 	for i := range badRequests {
 		node := nodes[i%nodeCount]
--- a/pkg/gateway/forward/relay.go
+++ b/pkg/gateway/forward/relay.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -13,12 +14,20 @@
 
 // relayBuffered reads the whole response and relays it. A 5xx response is kept instead, because a retry
 // may succeed.
-func (a *activeRequest) relayBuffered(c *backends.Choice, response *exchange.Response, sentAt time.Time) sendOutcome {
+func (a *activeRequest) relayBuffered(ctx context.Context, c *backends.Choice, response *exchange.Response, sentAt time.Time) sendOutcome {
 	latency := time.Since(sentAt)
 	body, err := io.ReadAll(io.LimitReader(response, maxBufferedBytes+1))
 	if err != nil {
+		if context.Cause(ctx) == errQuarantined {
+			c.Done(backends.Neutral, 0)
+			a.recordSendFailed(c, phaseResponse, errQuarantined.Error(), response.Status)
+			return outcomeQuarantined
+		}
 		c.Done(backends.Failure, 0)
 		a.recordSendFailed(c, phaseResponse, "response truncated: "+err.Error(), response.Status)
+		if a.recordEnd(ctx, c, err) {
+			return outcomeInDoubt
+		}
 		return a.retryAfterRun()
 	}
 	stored := &bufferedResponse{status: response.Status, header: response.Header, body: body}
@@ -33,6 +42,9 @@
 		return a.retryAfterRun()
 	}
 	c.Done(backends.Success, latency)
+	if response.Status < 300 {
+		a.recordFirstEvent()
+	}
 	a.writeBuffered(stored)
 	return outcomeDone
 }
@@ -93,7 +105,7 @@
 const streamIdleTimeout = 1500 * time.Millisecond
 
 // relayStream relays complete events as they arrive.
-func (a *activeRequest) relayStream(c *backends.Choice, response *exchange.Response, sentAt time.Time) sendOutcome {
+func (a *activeRequest) relayStream(ctx context.Context, c *backends.Choice, response *exchange.Response, sentAt time.Time) sendOutcome {
 	flusher := http.NewResponseController(a.w)
 	var buffer [streamReadBytes]byte
 	var latency time.Duration
@@ -107,7 +119,10 @@
 			}
 			events := a.events.push(buffer[:n])
 			if len(events) > 0 {
-				lastEventAt, a.eventDelivered = time.Now(), true
+				lastEventAt = time.Now()
+				if !a.eventDelivered {
+					a.recordFirstEvent()
+				}
 			}
 			if !a.relayEvents(flusher, response, events) {
 				c.Done(backends.Neutral, 0)
@@ -131,6 +146,10 @@
 		case a.req.Context().Err() != nil:
 			c.Done(backends.Neutral, 0)
 			return outcomeFail
+		case context.Cause(ctx) == errQuarantined:
+			c.Done(backends.Neutral, 0)
+			a.recordSendFailed(c, phaseNoEvent, errQuarantined.Error(), response.Status)
+			return outcomeQuarantined
 		default:
 			c.Done(backends.Failure, 0)
 			phase := phaseNoEvent
@@ -139,6 +158,9 @@
 			}
 			a.recordSendFailed(c, phase, "stream was cut: "+err.Error(), response.Status)
 			a.events.reset()
+			if a.recordEnd(ctx, c, err) {
+				return outcomeInDoubt
+			}
 			return a.retryAfterRun()
 		}
 	}
--- a/pkg/gateway/forward/router.go
+++ b/pkg/gateway/forward/router.go
@@ -40,6 +40,7 @@
 	// PrefixCounts counts the requests by shared prefix, and PrefixRates are the rates over all nodes.
 	PrefixCounts *popularity.Counter
 	PrefixRates  *popularity.Rates
+	Quarantine   *Quarantine
 	// Config returns the configuration in force, or nil before the first one.
 	Config func() *routes.Config
 	// Draining reports whether the node is shutting down.
@@ -79,6 +80,8 @@
 	causeRetryBudget = "retry budget is spent"
 	causeBackend     = "backend server failed"
 	causeRefused     = "backend servers refused"
+	causeQuarantined = "prompt part is quarantined: engines crash on it"
+	causeInDoubt     = "engines crash on requests like this"
 )
 
 // defaultMaxBodyBytes limits a request body if the configuration sets no limit.
@@ -87,6 +90,9 @@
 // refusalRetryAfter is the longest Retry-After of a request that was not run.
 const refusalRetryAfter = 250 * time.Millisecond
 
+// minQuarantineRetryAfter is the shortest Retry-After of a request with a quarantined part.
+const minQuarantineRetryAfter = time.Second
+
 // ServeHTTP implements http.Handler.
 func (r *Router) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	defer r.containPanic()
--- a/pkg/gateway/node/node.go
+++ b/pkg/gateway/node/node.go
@@ -109,6 +109,7 @@
 	controller *weights.Controller
 	board      *board
 	link       *peers.Link
+	quarantine *forward.Quarantine
 	draining   atomic.Bool
 }
 
@@ -125,6 +126,7 @@
 
 		prefixCounts: popularity.NewCounter(), prefixRates: popularity.NewRates(),
 	}
+	n.quarantine = n.newQuarantine()
 	n.mirrors = []*mirror.Mirror{
 		n.newMirror(opt.Kinds.Config, n.config, 0),
 		n.newMirror(opt.Kinds.Backends, &backendTarget{decoder: opt.Decoder, logger: opt.Logger, registry: n.registry}, backendBatchDelay),
@@ -252,6 +254,7 @@
 	wait.Every(ctx, sweepInterval, func(context.Context) {
 		now := time.Now()
 		n.registry.Sweep(now)
+		n.quarantine.Expire()
 		if gone := n.registry.RemoveSuspects(now, suspectTimeout); len(gone) > 0 {
 			event.BackendGone.Emit(n.opt.Logger, "backends", gone)
 		}
@@ -266,7 +269,7 @@
 func (n *Node) router() *forward.Router {
 	return forward.NewRouter(forward.Options{
 		Protocol: n.opt.Protocol, Backends: n.registry, Weights: n.versions, RetryBudget: n.retryBudget, Prefixes: n.prefixes,
-		PrefixCounts: n.prefixCounts, PrefixRates: n.prefixRates,
+		PrefixCounts: n.prefixCounts, PrefixRates: n.prefixRates, Quarantine: n.quarantine,
 		Config:   func() *routes.Config { return n.config.current.Load() },
 		Draining: n.draining.Load, Logger: n.opt.Logger, Metrics: n.opt.Metrics,
 	})
--- a/pkg/gateway/peers/leader.go
+++ b/pkg/gateway/peers/leader.go
@@ -24,14 +24,22 @@
 		return 0
 	}
 	l.mu.Lock()
-	left := time.Duration(l.nodes)*gapPerNode - time.Since(p.sentAt)
+	gap := time.Duration(l.nodes) * gapPerNode
+	l.mu.Unlock()
+	return l.pace(p, gap, send)
+}
+
+// pace sends a message at once or as soon as the minimum gap has passed. It returns the time until it is sent.
+func (l *Link) pace(p *pacer, gap time.Duration, send func()) time.Duration {
+	l.mu.Lock()
+	left := gap - time.Since(p.sentAt)
 	if left > 0 && !p.pending {
 		p.pending = true
 		time.AfterFunc(left, func() {
 			l.mu.Lock()
 			p.pending = false
 			l.mu.Unlock()
-			l.opt.Guard.Run("leader message", send)
+			l.opt.Guard.Run("peer message", send)
 		})
 	}
 	l.mu.Unlock()
@@ -102,6 +110,7 @@
 	m.Frequent = l.opt.Board.Frequent()
 	l.opt.Board.ApplyFrequent(m.Frequent)
 	m.States, m.PrefixUpdates = l.opt.Board.States(total, ForHeartbeat), l.opt.Board.TakePrefixUpdates()
+	l.addEvidenceToHeartbeat(m)
 	l.opt.Board.ApplyHeartbeat(m.Heartbeat)
 	l.opt.Board.ApplyStates(m.States)
 	if listPeers {
@@ -128,6 +137,7 @@
 	_, total := l.collectReports()
 	m := l.buildHeartbeat()
 	m.States = l.opt.Board.States(total, ForNewNode)
+	m.Evidence, _ = l.opt.Board.Evidence(0, maxEvidenceBytes)
 	l.send(m, address)
 }
 
@@ -144,7 +154,8 @@
 		States: l.opt.Board.States(total, ForUpdate),
 	}
 	changed := !slices.Equal(announced, m.Revisions)
-	if len(m.States) == 0 && !changed {
+	l.addEvidenceToUpdate(m)
+	if len(m.States) == 0 && len(m.Evidence) == 0 && !changed {
 		return
 	}
 	if changed {
--- a/pkg/gateway/peers/link.go
+++ b/pkg/gateway/peers/link.go
@@ -64,6 +64,11 @@
 	AddCounts(counts []byte)
 	Frequent() []byte
 	ApplyFrequent(rates []byte)
+	// Evidence returns the encoded evidence about prompt parts on which engines crash that has changed after a
+	// number of changes, in at most maxBytes, and the present number of changes. MergeEvidence adds that of another
+	// node, which is relayed in further messages if relay is set.
+	Evidence(after uint64, maxBytes int) (data []byte, changes uint64)
+	MergeEvidence(data []byte, relay bool)
 	// Revisions returns those of this node's mirrors.
 	Revisions() []Revision
 	// BuildHeartbeat returns the heartbeat of a leader to which nodes report.
@@ -147,6 +152,10 @@
 	leadingSince time.Time
 	// heartbeats and updates pace the messages of the leader.
 	heartbeats, updates pacer
+	// reports paces the reports between the regular ones.
+	reportPacer pacer
+	// hints are the sizes of the leader's messages since the last heartbeat.
+	hints hintBudget
 	// announcedRevisions are those in the last message of the leader to all nodes.
 	announcedRevisions []Revision
 }
@@ -230,6 +239,10 @@
 	m := &message{From: l.opt.Address, Revisions: l.opt.Board.Revisions(), Loads: l.opt.Board.Loads(), PrefixUpdates: l.opt.Board.TakePrefixUpdates(), Counts: l.opt.Board.TakeCounts()}
 	targets, replyRequested := l.reportTargets()
 	m.ReplyRequested = replyRequested
+	m.Evidence, _ = l.opt.Board.Evidence(0, maxEvidenceBytes)
+	l.mu.Lock()
+	l.reportPacer.sentAt = time.Now()
+	l.mu.Unlock()
 	l.send(m, targets...)
 }
 
--- a/pkg/gateway/peers/message.go
+++ b/pkg/gateway/peers/message.go
@@ -53,6 +53,8 @@
 	// IsUpdate marks a message of the leader between two heartbeats, with changed States only. IsReply is set
 	// as well, because nodes of earlier versions then ignore its content.
 	IsUpdate bool
+	// Evidence is the encoded evidence about prompt parts on which engines crash; see package quarantine.
+	Evidence []byte
 }
 
 // Heartbeat is what the leader sends to all nodes. It is encoded as an array, like message.
--- a/pkg/gateway/peers/peers_test.go
+++ b/pkg/gateway/peers/peers_test.go
@@ -34,6 +34,27 @@
 	update []byte
 	states string
 	lease  []byte
+	// evidence is what the board returns, and mergedEvidence what it has received. relayed is set if some of it is
+	// to be relayed.
+	evidence, mergedEvidence []byte
+	relayed                  bool
+}
+
+func (b *fakeBoard) Evidence(after uint64, maxBytes int) (data []byte, changes uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if after >= uint64(len(b.evidence)) {
+		return nil, after
+	}
+	return b.evidence[:min(len(b.evidence), maxBytes)], uint64(len(b.evidence))
+}
+
+func (b *fakeBoard) MergeEvidence(data []byte, relay bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(data) > 0 {
+		b.mergedEvidence, b.relayed = data, relay
+	}
 }
 
 func (b *fakeBoard) Synced() bool { return b.synced }
@@ -342,9 +363,15 @@
 )
 
 // Guards against messages of the leader that outgrow the budget of a node at the target size. The messages are the
-// largest ones that occur: all engines, prefixes and frequent keys that a message may hold, during a rollout.
+// largest ones that occur: all engines, prefixes and frequent keys that a message may hold, during a rollout, with
+// and without the most evidence about prompt parts that the messages may hold.
 func TestControlTrafficOfANodeIsBounded(t *testing.T) {
-	for _, size := range []struct{ nodes, engines int }{{20, 12}, {295, 252}, {400, 790}, {1000, 3000}} {
+	for _, size := range []struct {
+		nodes, engines, evidence int
+	}{
+		{20, 12, 0}, {295, 252, 0}, {400, 790, 0}, {1000, 3000, 0}, {20, 12, 60}, {295, 252, 60}, {400, 790, 60}, {400, 790, 1 << 20}, {1000, 3000, 60},
+	} {
+		link := &Link{opt: Options{Board: evidenceBoard{bytes: size.evidence}}}
 		heartbeat := &message{
 			From: "10.200.100.100:8000", Leader: true, Revisions: []Revision{{"config", 1 << 30}, {"servers", 1 << 30}, {"versions", 1 << 30}},
 			PrefixUpdates: make([]byte, 240*8), States: make([]byte, min(size.engines, backends.MaxStates)*9), Frequent: make([]byte, 64*6),
@@ -354,15 +381,22 @@
 			},
 			Contents: []KindContent{{Kind: "versions", Content: mirror.Content{Complete: true, Entries: []mirror.Entry{{Value: make([]byte, 100)}}}}},
 		}
-		data, err := encode(heartbeat)
-		require.NoError(t, err)
 		// A rollout changes the state of a fifth of the engines and back in about a second, in several updates.
-		update := &message{From: heartbeat.From, IsReply: true, IsUpdate: true, Revisions: heartbeat.Revisions, States: make([]byte, 9)}
-		updateData, err := encode(update)
-		require.NoError(t, err)
 		updates := min(time.Second.Seconds()/(float64(size.nodes)*minUpdateGapPerNode.Seconds()), 2*float64(size.engines)/5)
-		bytesPerSecond := float64(len(data))/Interval(size.nodes).Seconds() + updates*float64(len(updateData)) + 2*float64(size.engines)/5*9
-		t.Logf("%d nodes, %d engines: heartbeat %d bytes, at most %.0f bytes a second", size.nodes, size.engines, len(data), bytesPerSecond)
+		updatesPerHeartbeat := updates * Interval(size.nodes).Seconds()
+		updateBytes := 0.0
+		for sent := 0.0; sent < updatesPerHeartbeat; sent++ {
+			update := &message{From: heartbeat.From, IsReply: true, IsUpdate: true, Revisions: heartbeat.Revisions, States: make([]byte, 9)}
+			link.addEvidenceToUpdate(update)
+			updateData, err := encode(update)
+			require.NoError(t, err)
+			updateBytes += min(updatesPerHeartbeat-sent, 1) * float64(len(updateData))
+		}
+		link.addEvidenceToHeartbeat(heartbeat)
+		data, err := encode(heartbeat)
+		require.NoError(t, err)
+		bytesPerSecond := (float64(len(data))+updateBytes)/Interval(size.nodes).Seconds() + 2*float64(size.engines)/5*9
+		t.Logf("%d nodes, %d engines: heartbeat %d bytes, evidence %d, at most %.0f bytes a second", size.nodes, size.engines, len(data), len(heartbeat.Evidence), bytesPerSecond)
 		if size.nodes >= 295 && size.nodes <= targetNodes {
 			assert.LessOrEqual(t, bytesPerSecond, float64(maxControlBytes))
 		}
@@ -370,6 +404,19 @@
 	}
 }
 
+// evidenceBoard returns as much evidence as a message may hold, but at most that number of bytes.
+type evidenceBoard struct {
+	Board
+	bytes int
+}
+
+func (b evidenceBoard) Evidence(after uint64, maxBytes int) (data []byte, changes uint64) {
+	if size := min(b.bytes, maxBytes); size > 0 {
+		return make([]byte, size), after + 1
+	}
+	return nil, after
+}
+
 // Guards against standbys that are all close to each other, and against a set of standbys that changes with
 // each heartbeat.
 func TestPickEvenly(t *testing.T) {
--- a/pkg/gateway/peers/receive.go
+++ b/pkg/gateway/peers/receive.go
@@ -68,6 +68,8 @@
 		l.opt.Board.ApplyFrequent(m.Frequent)
 		l.opt.Board.MergePrefixUpdates(m.PrefixUpdates, false)
 	}
+	// Evidence holds whoever sends it.
+	l.opt.Board.MergeEvidence(m.Evidence, false)
 }
 
 // acceptHeartbeat records a heartbeat and reports whether this node applies it.
@@ -112,6 +114,7 @@
 	if current {
 		l.opt.Board.ApplyStates(m.States)
 	}
+	l.opt.Board.MergeEvidence(m.Evidence, false)
 }
 
 // handleReply makes this node a follower if the reply comes from a standby in sync with the store. Standbys
@@ -124,6 +127,7 @@
 		l.opt.Board.RenewFollower()
 	}
 	l.compareRevisions(m, relayed)
+	l.opt.Board.MergeEvidence(m.Evidence, false)
 	if m.Heartbeat.LeaseVersion == 0 || l.opt.Leader() != "" {
 		return
 	}
@@ -148,12 +152,14 @@
 		l.sendHeartbeatTo(m.From)
 	}
 	l.opt.Board.MergePrefixUpdates(m.PrefixUpdates, leading)
+	l.opt.Board.MergeEvidence(m.Evidence, true)
 	if leading {
 		l.opt.Board.AddCounts(m.Counts)
 	}
 	if m.ReplyRequested && !leading {
 		reply := &message{From: l.opt.Address, IsReply: true, Synced: l.opt.Board.Synced(), Revisions: l.opt.Board.Revisions(), Peers: peers}
 		reply.Heartbeat.Lease, reply.Heartbeat.LeaseVersion = l.opt.Board.Lease()
+		reply.Evidence, _ = l.opt.Board.Evidence(0, maxEvidenceBytes)
 		l.send(reply, m.From)
 	}
 }
--- /dev/null
+++ b/pkg/gateway/quarantine/table_test.go
@@ -0,0 +1,222 @@
+package quarantine
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(seconds float64) time.Time {
+	return start.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+// Guards against a request that is refused because of a single crash, of crashes with a common cause, of crashes that
+// one node alone has seen, or of a part that has succeeded since; and against one that is sent although a part
+// crashes engines.
+func TestJudge(t *testing.T) {
+	// step is the crash of an engine, or a success if there is no engine.
+	type step struct {
+		at      float64
+		engine  uint32
+		witness uint8
+		parts   []Part
+	}
+	p := func(parts ...Part) []Part { return parts }
+	tests := map[string]struct {
+		steps   []step
+		request []Part
+		refuse  bool
+	}{
+		"two crashes":                            {[]step{{0, 1, 1, p(7)}, {1, 2, 2, p(7)}}, p(7), false},
+		"three":                                  {[]step{{0, 1, 1, p(7)}, {1, 2, 2, p(7)}, {2, 3, 1, p(7)}}, p(5, 7), true},
+		"other parts":                            {[]step{{0, 1, 1, p(7)}, {1, 2, 2, p(7)}, {2, 3, 1, p(7)}}, p(5, 6), false},
+		"the same engine, seen by several nodes": {[]step{{0, 1, 1, p(7)}, {0, 1, 2, p(7)}, {0.2, 1, 3, p(7)}, {0.4, 1, 4, p(7)}}, p(7), false},
+		"at one moment":                          {[]step{{0, 1, 1, p(7)}, {0.02, 2, 2, p(7)}, {0.04, 3, 1, p(7)}, {0.06, 4, 1, p(7)}}, p(7), false},
+		"seen by one node":                       {[]step{{0, 1, 1, p(7)}, {1, 2, 1, p(7)}, {2, 3, 1, p(7)}}, p(7), false},
+		"five seen by one node":                  {[]step{{0, 1, 1, p(7)}, {1, 2, 1, p(7)}, {2, 3, 1, p(7)}, {3, 4, 1, p(7)}, {4, 5, 1, p(7)}}, p(7), true},
+		"a success in between":                   {[]step{{0, 1, 1, p(7)}, {1, 2, 2, p(7)}, {1.5, 0, 0, p(7)}, {2, 3, 1, p(7)}}, p(7), false},
+		"too long ago":                           {[]step{{0, 1, 1, p(7)}, {1, 2, 2, p(7)}, {62, 3, 1, p(7)}}, p(7), false},
+		"sound a moment before":                  {[]step{{0, 0, 0, p(7)}, {0.5, 1, 1, p(7)}, {1, 2, 2, p(7)}, {1.5, 3, 1, p(7)}}, p(7), false},
+		"sound before, and crashes for seconds":  {[]step{{0, 0, 0, p(7)}, {0.5, 1, 1, p(7)}, {1, 2, 2, p(7)}, {3, 3, 1, p(7)}}, p(7), true},
+		"sound long before":                      {[]step{{0, 0, 0, p(7)}, {20, 1, 1, p(7)}, {20.5, 2, 2, p(7)}, {21, 3, 1, p(7)}}, p(7), true},
+		"explained by another part":              {[]step{{0, 1, 1, p(7, 8)}, {1, 2, 2, p(7, 8)}, {2, 3, 1, p(7, 8)}, {3, 4, 1, p(7)}}, p(8), false},
+		"the part that explains":                 {[]step{{0, 1, 1, p(7, 8)}, {1, 2, 2, p(7, 8)}, {2, 3, 1, p(7, 8)}, {3, 4, 1, p(7)}}, p(7), true},
+		"one of two that explain equally":        {[]step{{0, 1, 1, p(7, 8)}, {1, 2, 2, p(7, 8)}, {2, 3, 1, p(7, 8)}}, p(7), false},
+		"both of two that explain equally":       {[]step{{0, 1, 1, p(7, 8)}, {1, 2, 2, p(7, 8)}, {2, 3, 1, p(7, 8)}}, p(7, 8), true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			table := NewTable()
+			now := start
+			for _, s := range test.steps {
+				now = at(s.at)
+				if s.engine == 0 {
+					table.RecordSuccess(s.parts, now)
+				} else {
+					table.RecordCrash(s.parts, Crash{Engine: s.engine, Witness: s.witness}, now)
+				}
+			}
+			verdict := table.Judge(test.request, false, now)
+			assert.Equal(t, test.refuse, verdict.Refuse)
+			if verdict.Refuse {
+				assert.Positive(t, verdict.RetryAfter)
+				assert.Equal(t, Part(7), test.request[verdict.Index])
+			}
+		})
+	}
+}
+
+// quarantined returns a table in which part 7 is quarantined since second 2.
+func quarantined(t *testing.T) *Table {
+	t.Helper()
+	table := NewTable()
+	for i := range 3 {
+		table.RecordCrash([]Part{7}, Crash{Engine: uint32(i), Witness: uint8(i)}, at(float64(i)))
+	}
+	require.True(t, table.Judge([]Part{7}, false, at(2)).Refuse)
+	return table
+}
+
+// Guards against several trials of a quarantined part at a time, trials by all nodes, trials in quick succession
+// although engines crash in them, and a part that stays quarantined after a success.
+func TestTrials(t *testing.T) {
+	table := quarantined(t)
+	assert.True(t, table.Judge([]Part{7}, true, at(61)).Refuse, "too early")
+	assert.True(t, table.Judge([]Part{7}, false, at(63)).Refuse, "not on this node")
+	assert.Equal(t, Verdict{Trial: true}, table.Judge([]Part{7}, true, at(63)))
+	assert.True(t, table.Judge([]Part{7}, true, at(63)).Refuse, "one at a time")
+	table.RecordCrash([]Part{7}, Crash{Engine: 9, Witness: 1}, at(64))
+	assert.True(t, table.Judge([]Part{7}, true, at(64+127)).Refuse, "the delay grows")
+	assert.True(t, table.Judge([]Part{7}, true, at(64+129)).Trial)
+	table.RecordSuccess([]Part{7}, at(195))
+	assert.Equal(t, Verdict{}, table.Judge([]Part{7}, false, at(195)))
+}
+
+// Guards against trials so frequent that they use up more engines than requests with one part may end after its fifth
+// crash, and against quarantines that never end.
+func TestTrialsAreRareAndQuarantinesEnd(t *testing.T) {
+	table := quarantined(t)
+	trials := 0
+	for second := 3.0; second < 600; second += 0.5 {
+		if table.Judge([]Part{7}, true, at(second)).Trial {
+			trials++
+			table.RecordCrash([]Part{7}, Crash{Engine: uint32(100 + trials), Witness: 1}, at(second))
+		}
+	}
+	assert.Equal(t, 3, trials)
+	table.Expire(at(600 + forgetAfter.Seconds()))
+	assert.Empty(t, table.Suspects())
+}
+
+// Guards against a sound request that is not sent to another engine after a crash, and against one that goes on to
+// crash engines.
+func TestInDoubt(t *testing.T) {
+	table := NewTable()
+	table.RecordCrash([]Part{7, 8}, Crash{Engine: 1}, at(0))
+	assert.False(t, table.InDoubt([]Part{7}, 1, at(0)), "the request's own crash")
+	table.RecordCrash([]Part{8}, Crash{Engine: 2}, at(0.05))
+	assert.False(t, table.InDoubt([]Part{8}, 2, at(0.05)), "at the same moment")
+	table.RecordCrash([]Part{7, 8}, Crash{Engine: 3}, at(1))
+	assert.True(t, table.InDoubt([]Part{7}, 3, at(1)))
+	table.RecordSuccess([]Part{8}, at(0.5))
+	table.RecordCrash([]Part{9}, Crash{Engine: 3}, at(1))
+	assert.False(t, table.InDoubt([]Part{9}, 3, at(1)))
+}
+
+// Guards against nodes that judge differently after they have got the same messages in another order, late or
+// repeatedly, and against parts of which the messages tell nothing.
+func TestMergeInAnyOrder(t *testing.T) {
+	for seed := range uint64(50) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		sources := []*Table{NewTable(), NewTable(), NewTable()}
+		now := start
+		type message struct {
+			data []byte
+			sent time.Time
+		}
+		var messages []message
+		for step := range 60 {
+			now = now.Add(time.Duration(random.Int64N(int64(300 * time.Millisecond))))
+			source := random.IntN(len(sources))
+			parts := []Part{Part(random.IntN(3)), Part(10 + random.IntN(3))}
+			if random.IntN(3) > 0 {
+				sources[source].RecordCrash(append(parts, 7), Crash{Engine: random.Uint32(), Witness: uint8(source)}, now)
+			} else {
+				sources[source].RecordSuccess(parts, now)
+			}
+			if step%3 == 0 || step > 56 {
+				for i, s := range sources {
+					if data, _ := s.Encode(All, 0, 4000, now); i == source || step > 56 {
+						messages = append(messages, message{data, now})
+					}
+				}
+			}
+		}
+		verdicts := map[Part]int{}
+		const tables = 5
+		for range tables {
+			table := NewTable()
+			random.Shuffle(len(messages), func(i, j int) { messages[i], messages[j] = messages[j], messages[i] })
+			for _, m := range append(messages, messages[:len(messages)/2]...) {
+				// All are received without delay, so the times are the same in each order.
+				table.Merge(m.data, false, m.sent)
+			}
+			for _, s := range table.Suspects() {
+				verdicts[s.Part]++
+			}
+		}
+		require.Equal(t, tables, verdicts[7], "seed %d: %v", seed, verdicts)
+	}
+}
+
+// Guards against messages that are larger than allowed, or lack the parts with the most evidence.
+func TestEncodeIsBounded(t *testing.T) {
+	table := quarantined(t)
+	for part := range Part(200) {
+		table.RecordCrash([]Part{1000 + part}, Crash{Engine: 50}, at(3))
+	}
+	data, _ := table.Encode(All, 0, 300, at(3))
+	assert.LessOrEqual(t, len(data), 300)
+	other := NewTable()
+	assert.True(t, other.Merge(data, false, at(3)))
+	assert.True(t, other.Judge([]Part{7}, false, at(3)).Refuse)
+	data, changes := table.Encode(All, 0, 0, at(3))
+	assert.Nil(t, data)
+	data, _ = table.Encode(All, changes, 300, at(3))
+	assert.Nil(t, data, "nothing has changed")
+	data, _ = table.Encode(Recent, 0, 300, at(100))
+	assert.Nil(t, data)
+	data, _ = table.Encode(All, 0, 300, at(100))
+	assert.LessOrEqual(t, len(data), 32, "only the quarantined part")
+}
+
+// Guards against a node that was out of reach when a part was released and keeps it quarantined.
+func TestReleaseReachesLateNode(t *testing.T) {
+	leader, late := quarantined(t), quarantined(t)
+	leader.RecordSuccess([]Part{7}, at(10))
+	report, _ := late.Encode(All, 0, 900, at(30))
+	leader.Merge(report, true, at(30))
+	heartbeat, _ := leader.Encode(All, 0, 900, at(30))
+	assert.True(t, late.Merge(heartbeat, false, at(30)))
+	assert.Empty(t, late.Suspects())
+}
+
+// Guards against malformed messages that crash a node.
+func FuzzMerge(f *testing.F) {
+	table := NewTable()
+	table.RecordCrash([]Part{7, 8}, Crash{Engine: 1, Witness: 2}, start)
+	table.RecordSuccess([]Part{8}, at(1))
+	data, _ := table.Encode(All, 0, 900, at(1))
+	f.Add(data)
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		table := NewTable()
+		table.Merge(data, true, start)
+		table.Judge([]Part{7}, true, start)
+		table.Expire(start)
+	})
+}
