--- a/pkg/gateway/forward/forward_test.go
+++ b/pkg/gateway/forward/forward_test.go
@@ -35,13 +35,18 @@
 	if h.Get("Parts") != "" {
 		req.PromptParts = []PromptPart{{ID: "a", Tokens: 2000}, {ID: "own", Tokens: 100}}
 	}
+	if h.Get("Prompt") != "" {
+		for id := range strings.SplitSeq(h.Get("Prompt"), ",") {
+			req.PromptParts = append(req.PromptParts, PromptPart{ID: id, Tokens: 100})
+		}
+	}
 	return req, nil
 }
 
 func (testProtocol) EncodeRequest(client http.Header, c BackendRequest) http.Header {
 	return http.Header{
 		"Id": client["Id"], "Backend": {c.BackendID}, "After": {c.LastEventID}, "Tenant": {c.Workspace},
-		"Namespace": {c.CacheSalt}, "V": {strconv.Itoa(c.WeightsVersion)}, "Left": {strconv.FormatInt(c.Timeout.Milliseconds(), 10)},
+		"Namespace": {c.CacheSalt}, "V": {strconv.Itoa(c.WeightsVersion)}, "Prompt": client["Prompt"], "Left": {strconv.FormatInt(c.Timeout.Milliseconds(), 10)},
 	}
 }
 
@@ -170,12 +175,22 @@
 	if change != nil {
 		change(config, &opt)
 	}
+	if opt.Quarantine == nil {
+		opt.Quarantine = testQuarantine("n", func() {}, time.Now)
+	}
 	config.Build()
 	s := httptest.NewServer(NewRouter(opt))
 	t.Cleanup(s.Close)
 	return s
 }
 
+// testQuarantine returns a quarantine of a node that may not try quarantined parts.
+func testQuarantine(node string, announce func(), now func() time.Time) *Quarantine {
+	return NewQuarantine(QuarantineOptions{
+		Node: node, MayTry: func() bool { return false }, Announce: announce, Now: now, Logger: slog.New(slog.DiscardHandler),
+	})
+}
+
 type clientResult struct {
 	status int
 	body   string
--- a/pkg/gateway/forward/start_deadline.go
+++ b/pkg/gateway/forward/start_deadline.go
@@ -32,11 +32,11 @@
 // start on the weights of the chosen engine. The end of the context closes the connection, and the
 // engine then drops a request that is still in its queue. stopTimer must be called once the engine has
 // responded.
-func (a *activeRequest) withStartDeadline(c *backends.Choice) (ctx context.Context, stopTimer func()) {
+func (a *activeRequest) withStartDeadline(parent context.Context, c *backends.Choice) (ctx context.Context, stopTimer func()) {
 	if a.request.Model == "" {
-		return a.ctx, func() {}
+		return parent, func() {}
 	}
-	ctx, cancel := context.WithCancelCause(a.ctx)
+	ctx, cancel := context.WithCancelCause(parent)
 	w := &startWatch{
 		deadline: func() time.Time { return a.router.opt.Weights.StartDeadline(a.request.Model, c.Version) },
 		expire:   func() { cancel(errStartDeadline) }, now: clock.Now,
--- a/pkg/gateway/peers/message.go
+++ b/pkg/gateway/peers/message.go
@@ -58,6 +58,8 @@
 	IsUpdate bool
 	// SentAt is the timestamp of a report, or 0 in reports of earlier versions.
 	SentAt int64
+	// Evidence is the encoded evidence about prompt parts on which engines crash; see package quarantine.
+	Evidence []byte
 
 	// echo follows the message in the datagram, because it differs between the receivers of a message. It is zero
 	// in reports and in messages of earlier versions.
