--- a/pkg/gateway/forward/active_request.go
+++ b/pkg/gateway/forward/active_request.go
@@ -13,6 +13,7 @@
 	"cassiawall.example/cassiawall/pkg/gateway/decisions"
 	"cassiawall.example/cassiawall/pkg/gateway/exchange"
 	"cassiawall.example/cassiawall/pkg/gateway/popularity"
+	"cassiawall.example/cassiawall/pkg/gateway/quarantine"
 	"cassiawall.example/cassiawall/pkg/gateway/routes"
 	"cassiawall.example/cassiawall/pkg/wait"
 )
@@ -76,6 +77,15 @@
 	// prefixHashes caches the result of sharedPrefixHashes for prefixHashesVersion.
 	prefixHashes        []cachemap.Key
 	prefixHashesVersion int
+	// eventDelivered is set once the current send has delivered a complete event.
+	eventDelivered bool
+	// partHashes caches the result of hashedParts. waiting is the current send until its first event. trial is set
+	// if the request may be sent although a part is quarantined. retryAfter is the time until such a part may be
+	// sent again, if the request is refused because of it.
+	partHashes []quarantine.Part
+	waiting    *waitingSend
+	trial      bool
+	retryAfter time.Duration
 	// affinity caches the result of affinityKey once affinityKnown is set.
 	affinity      uint64
 	affinityKnown bool
@@ -99,12 +109,20 @@
 	// outcomeRetry is returned only if the request was not run or may run again.
 	outcomeRetry
 	outcomeFail
+	// outcomeQuarantined is returned if a part was quarantined, and outcomeInDoubt if a part may be the cause of
+	// several crashes.
+	outcomeQuarantined
+	outcomeInDoubt
 )
 
 // sendWithRetries sends the request to one backend server after another until the client has a
 // response.
 func (a *activeRequest) sendWithRetries() {
 	for {
+		if a.isQuarantined() {
+			a.failRequest(causeQuarantined)
+			return
+		}
 		choice := a.pickBackend()
 		if choice == nil {
 			a.failRequest(causeNoBackend)
@@ -122,6 +140,12 @@
 		case outcomeFail:
 			a.failRequest(a.failureCause())
 			return
+		case outcomeQuarantined:
+			a.failRequest(causeQuarantined)
+			return
+		case outcomeInDoubt:
+			a.failRequest(causeInDoubt)
+			return
 		}
 	}
 }
@@ -241,7 +265,14 @@
 		c.Done(backends.Neutral, 0)
 		return a.retryIf(wait.Pause(a.ctx, pickInterval))
 	}
+	tracked, untrack, ok := a.trackSend(a.ctx)
+	if !ok {
+		c.Done(backends.Neutral, 0)
+		return outcomeQuarantined
+	}
+	defer untrack()
 	a.sends++
+	a.eventDelivered = false
 	a.tried = append(a.tried, c.ID)
 	backendReq := a.backendRequest(c, sentAt)
 	a.traceBackendChosen(c, backendReq)
@@ -252,7 +283,7 @@
 		Method: a.req.Method, Target: a.req.RequestURI, Host: a.req.Host, Body: a.body,
 		Header: a.router.opt.Protocol.EncodeRequest(a.req.Header, backendReq),
 	}
-	ctx, stopTimer := a.withStartDeadline(c)
+	ctx, stopTimer := a.withStartDeadline(tracked, c)
 	response, err := exchange.Do(ctx, c.Pool, request, func(h http.Header) bool {
 		return a.router.opt.Protocol.DecodeResponse(h).RequestID == a.request.ID
 	})
@@ -272,13 +303,13 @@
 	a.runs++
 	if !info.Signed || response.Status < 200 {
 		c.Done(backends.Failure, 0)
-		a.recordSendFailed(c, "response is not signed", response.Status)
+		a.recordSendFailed(c, phaseResponse, "response is not signed", response.Status)
 		return a.retryAfterRun()
 	}
 	if a.route.Kind == routes.Stream && response.Status < 300 {
-		return a.relayStream(c, response, sentAt)
+		return a.relayStream(ctx, c, response, sentAt)
 	}
-	return a.relayBuffered(c, response, sentAt)
+	return a.relayBuffered(ctx, c, response, sentAt)
 }
 
 // handleNoResponse returns the next step after a send that got no response. ctx is the context of the
@@ -293,6 +324,9 @@
 		}
 		return outcomeFail
 	}
+	if context.Cause(ctx) == errQuarantined {
+		return a.endQuarantined(c, mayHaveRun)
+	}
 	c.Done(backends.Failure, 0)
 	reason := err.Error()
 	if cause := context.Cause(ctx); cause != nil {
@@ -302,25 +336,44 @@
 	if mayHaveRun {
 		a.runs++
 	}
-	a.recordSendFailed(c, reason, 0)
+	phase := phaseConnect
+	if mayHaveRun {
+		phase = phaseNoResponse
+	}
+	a.recordSendFailed(c, phase, reason, 0)
 	if !mayHaveRun {
 		a.sends--
 		a.router.opt.Backends.MarkUnreachable(c.ID, time.Now().Add(unreachableBackoff))
 		return a.retryIf(len(a.tried) < maxRefusedSends+a.route.MaxAttempts)
 	}
+	if a.recordEnd(ctx, c, err) {
+		return outcomeInDoubt
+	}
 	return a.retryAfterRun()
 }
 
+// endQuarantined ends a send that was cancelled because a part of the request is quarantined.
+func (a *activeRequest) endQuarantined(c *backends.Choice, mayHaveRun bool) sendOutcome {
+	c.Done(backends.Neutral, 0)
+	phase := phaseConnect
+	if mayHaveRun {
+		a.runs++
+		phase = phaseNoResponse
+	}
+	a.recordSendFailed(c, phase, errQuarantined.Error(), 0)
+	return outcomeQuarantined
+}
+
 // handleRefusal returns the next step after a backend server has reported that it did not run the request.
 func (a *activeRequest) handleRefusal(c *backends.Choice, response *exchange.Response, info ResponseInfo) sendOutcome {
 	if response.Framed {
 		// The body is read only so that the connection can be reused.
 		if _, err := io.Copy(io.Discard, io.LimitReader(response, maxBufferedBytes)); err != nil {
-			a.recordSendFailed(c, "refusal truncated: "+err.Error(), response.Status)
+			a.recordSendFailed(c, phaseRefused, "refusal truncated: "+err.Error(), response.Status)
 		}
 	}
 	c.Done(backends.Neutral, 0)
-	a.recordSendFailed(c, "refused", response.Status)
+	a.recordSendFailed(c, phaseRefused, "refused", response.Status)
 	a.router.opt.Backends.Pause(c.ID, time.Now().Add(refusedBackoff))
 	return a.retryIf(len(a.tried) < maxRefusedSends+a.route.MaxAttempts)
 }
--- a/pkg/gateway/forward/relay.go
+++ b/pkg/gateway/forward/relay.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -15,12 +16,20 @@
 
 // relayBuffered reads the whole response and relays it. A 5xx response is kept instead, because a retry
 // may succeed.
-func (a *activeRequest) relayBuffered(c *backends.Choice, response *exchange.Response, sentAt time.Time) sendOutcome {
+func (a *activeRequest) relayBuffered(ctx context.Context, c *backends.Choice, response *exchange.Response, sentAt time.Time) sendOutcome {
 	latency := time.Since(sentAt)
 	body, err := io.ReadAll(io.LimitReader(response, maxBufferedBytes+1))
 	if err != nil {
+		if context.Cause(ctx) == errQuarantined {
+			c.Done(backends.Neutral, 0)
+			a.recordSendFailed(c, phaseResponse, errQuarantined.Error(), response.Status)
+			return outcomeQuarantined
+		}
 		c.Done(backends.Failure, 0)
-		a.recordSendFailed(c, "response truncated: "+err.Error(), response.Status)
+		a.recordSendFailed(c, phaseResponse, "response truncated: "+err.Error(), response.Status)
+		if a.recordEnd(ctx, c, err) {
+			return outcomeInDoubt
+		}
 		return a.retryAfterRun()
 	}
 	stored := &bufferedResponse{status: response.Status, header: response.Header, body: body}
@@ -30,11 +39,14 @@
 	}
 	if response.Status >= 500 {
 		c.Done(backends.Failure, 0)
-		a.recordSendFailed(c, "backend server returned a server error", response.Status)
+		a.recordSendFailed(c, phaseResponse, "backend server returned a server error", response.Status)
 		a.failedResponse = stored
 		return a.retryAfterRun()
 	}
 	c.Done(backends.Success, latency)
+	if response.Status < 300 {
+		a.recordFirstEvent()
+	}
 	a.writeBuffered(stored)
 	return outcomeDone
 }
@@ -109,7 +121,7 @@
 const streamIdleTimeout = 1500 * time.Millisecond
 
 // relayStream relays complete events as they arrive.
-func (a *activeRequest) relayStream(c *backends.Choice, response *exchange.Response, sentAt time.Time) sendOutcome {
+func (a *activeRequest) relayStream(ctx context.Context, c *backends.Choice, response *exchange.Response, sentAt time.Time) sendOutcome {
 	flusher := http.NewResponseController(a.w)
 	var buffer [streamReadBytes]byte
 	var latency time.Duration
@@ -124,6 +136,9 @@
 			events := a.events.push(buffer[:n])
 			if len(events) > 0 {
 				lastEventAt = time.Now()
+				if !a.eventDelivered {
+					a.recordFirstEvent()
+				}
 			}
 			if !a.relayEvents(flusher, response, events) {
 				c.Done(backends.Neutral, 0)
@@ -150,10 +165,21 @@
 		case a.req.Context().Err() != nil:
 			c.Done(backends.Neutral, 0)
 			return outcomeFail
+		case context.Cause(ctx) == errQuarantined:
+			c.Done(backends.Neutral, 0)
+			a.recordSendFailed(c, phaseNoEvent, errQuarantined.Error(), response.Status)
+			return outcomeQuarantined
 		default:
 			c.Done(backends.Failure, 0)
-			a.recordSendFailed(c, "stream was cut: "+err.Error(), response.Status)
+			phase := phaseNoEvent
+			if a.eventDelivered {
+				phase = phaseStream
+			}
+			a.recordSendFailed(c, phase, "stream was cut: "+err.Error(), response.Status)
 			a.events.reset()
+			if a.recordEnd(ctx, c, err) {
+				return outcomeInDoubt
+			}
 			return a.retryAfterRun()
 		}
 	}
