Keep the evidence about quarantined prompt parts in the store

The leader now writes it when the quarantined parts change, at most every two seconds; a node that starts without a leader reads it, and any other node gets it from the leader's messages.

--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -94,6 +94,7 @@
 	PartQuarantined    = define(930, "prompt part quarantined", slog.LevelWarn, "find the prompt part by event 924 and the fault of the engines; see the runbook")
 	PartReleased       = define(931, "prompt part released", slog.LevelInfo, "none")
 	PartRefused        = define(933, "prompt part refused", slog.LevelInfo, "see event 930")
+	EvidenceNotSynced  = define(934, "evidence not synced", slog.LevelInfo, "check the platform's store if it repeats; the nodes keep the evidence in memory")
 	PartTried          = define(932, "prompt part tried again", slog.LevelInfo, "none; an engine may crash once")
 	RequestNotServed   = define(926, "request not served", slog.LevelInfo, "run cassiawall explain with the request's id")
 )
--- a/pkg/gateway/forward/quarantine.go
+++ b/pkg/gateway/forward/quarantine.go
@@ -41,6 +41,8 @@
 	table   *quarantine.Table
 
 	mu sync.Mutex
+	// generation counts the changes of the quarantined parts.
+	generation uint64
 	// waiting holds the sends that have got no event.
 	waiting map[*waitingSend]struct{}
 	// logged holds the quarantined parts that were logged.
@@ -79,6 +81,20 @@
 	return true
 }
 
+// MergeSaved adds evidence that was encoded an age ago.
+func (q *Quarantine) MergeSaved(data []byte, age time.Duration) {
+	if q.table.Merge(data, true, q.opt.Now().Add(-age)) {
+		q.apply()
+	}
+}
+
+// Generation returns the number of changes of the quarantined parts.
+func (q *Quarantine) Generation() uint64 {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.generation
+}
+
 // Expire drops evidence that no longer counts.
 func (q *Quarantine) Expire() {
 	if q.table.Expire(q.opt.Now()) {
@@ -95,6 +111,7 @@
 	now := q.opt.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.generation++
 	cancelled := 0
 	for s := range q.waiting {
 		if q.table.Judge(s.parts, false, now).Refuse {
--- a/pkg/gateway/node/node.go
+++ b/pkg/gateway/node/node.go
@@ -238,6 +238,7 @@
 	go guard.Loop(ctx, "cache stores", n.watchCacheStores)
 	go guard.Loop(ctx, "sweep", n.sweep)
 	go guard.Loop(ctx, "pauses", n.watchPauses)
+	go guard.Loop(ctx, "quarantine", n.newQuarantineStore().run)
 	controllerCtx, cancel := context.WithCancel(ctx)
 	done := make(chan struct{})
 	go func() {
--- a/pkg/gateway/node/quarantine.go
+++ b/pkg/gateway/node/quarantine.go
@@ -1,8 +1,7 @@
 package node
 
 import (
-	"time"
-
+	"cassiawall.example/cassiawall/pkg/clock"
 	"cassiawall.example/cassiawall/pkg/gateway/forward"
 	"cassiawall.example/cassiawall/pkg/gateway/quarantine"
 )
@@ -11,7 +10,7 @@
 func (n *Node) newQuarantine() *forward.Quarantine {
 	return forward.NewQuarantine(forward.QuarantineOptions{
 		Node: n.opt.Settings.PeerAddress, MayTry: func() bool { return n.controller.ActingLeader() },
-		Announce: func() { n.link.AnnounceEvidence() }, Now: time.Now, Logger: n.opt.Logger,
+		Announce: func() { n.link.AnnounceEvidence() }, Now: clock.Now, Logger: n.opt.Logger,
 	})
 }
 
@@ -26,3 +25,11 @@
 		b.node.link.RequestUpdate()
 	}
 }
+
+// newQuarantineStore returns what keeps the evidence about quarantined parts in the platform's store.
+func (n *Node) newQuarantineStore() *quarantineStore {
+	return &quarantineStore{
+		evidence: n.quarantine, store: n.opt.Store, logger: n.opt.Logger, isLeader: n.controller.HoldsLease, hasLeader: n.board.isFollower,
+		mayCall: func() bool { return !n.board.awaitsPeers() },
+	}
+}
