Date evidence about prompt parts by the report that its message follows

A node dated evidence by its arrival. Messages in return to a report now count from that report. TestLateSuccessDoesNotVoidLaterCrashes fails if the age is left out.

--- a/pkg/gateway/forward/quarantine.go
+++ b/pkg/gateway/forward/quarantine.go
@@ -71,23 +71,16 @@
 	return q.table.Encode(scope, after, maxBytes, q.opt.Now())
 }
 
-// Merge adds evidence of another node, which is part of this node's messages too if relay is set. It reports
-// whether the quarantined parts have changed.
-func (q *Quarantine) Merge(data []byte, relay bool) (changed bool) {
-	if len(data) == 0 || !q.table.Merge(data, relay, q.opt.Now()) {
+// Merge adds evidence that was encoded an age ago or later, by another node or before a restart. It is part of this
+// node's messages too if relay is set. Merge reports whether the quarantined parts have changed.
+func (q *Quarantine) Merge(data []byte, relay bool, age time.Duration) (changed bool) {
+	if len(data) == 0 || !q.table.Merge(data, relay, q.opt.Now().Add(-age)) {
 		return false
 	}
 	q.apply()
 	return true
 }
 
-// MergeSaved adds evidence that was encoded an age ago.
-func (q *Quarantine) MergeSaved(data []byte, age time.Duration) {
-	if q.table.Merge(data, true, q.opt.Now().Add(-age)) {
-		q.apply()
-	}
-}
-
 // Generation returns the number of changes of the quarantined parts.
 func (q *Quarantine) Generation() uint64 {
 	q.mu.Lock()
--- a/pkg/gateway/forward/quarantine_test.go
+++ b/pkg/gateway/forward/quarantine_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"cassiawall.example/cassiawall/pkg/gateway/quarantine"
 	"cassiawall.example/cassiawall/pkg/gateway/routes"
@@ -38,7 +39,7 @@
 		quarantines[i] = testQuarantine(fmt.Sprint("n", i), func() {
 			data, _ := quarantines[i].Encode(quarantine.All, 0, 960)
 			for _, other := range quarantines {
-				other.Merge(data, false)
+				other.Merge(data, false, 0)
 			}
 		}, now)
 	}
@@ -55,3 +56,22 @@
 	}
 	assert.LessOrEqual(t, badSends.Load(), int64(crashes+allowed))
 }
+
+// Guards against a success that waited in the socket of a paused node and voids the crashes after it.
+func TestLateSuccessDoesNotVoidLaterCrashes(t *testing.T) {
+	now := time.Unix(1000, 0)
+	newNode := func(name string) *Quarantine { return testQuarantine(name, func() {}, func() time.Time { return now }) }
+	other, paused := newNode("a"), newNode("b")
+	parts := []quarantine.Part{1}
+	other.recordCrash(parts, 1)
+	now = now.Add(time.Second)
+	other.recordSuccess(parts)
+	late, _ := other.Encode(quarantine.All, 0, 1000)
+	for engine := range uint32(6) {
+		now = now.Add(time.Second)
+		paused.recordCrash(parts, 10+engine)
+	}
+	require.True(t, paused.admit(parts).Refuse)
+	paused.Merge(late, false, 6*time.Second)
+	assert.True(t, paused.admit(parts).Refuse)
+}
--- a/pkg/gateway/node/quarantine.go
+++ b/pkg/gateway/node/quarantine.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"time"
+
 	"cassiawall.example/cassiawall/pkg/clock"
 	"cassiawall.example/cassiawall/pkg/gateway/forward"
 	"cassiawall.example/cassiawall/pkg/gateway/quarantine"
@@ -20,8 +22,12 @@
 }
 
 // MergeEvidence implements peers.Board. The leader tells all nodes at once when the quarantined parts change.
-func (b *board) MergeEvidence(data []byte, relay bool) {
-	if b.node.quarantine.Merge(data, relay) && b.node.controller.ActingLeader() {
+func (b *board) MergeEvidence(data []byte, relay bool, readAt time.Time) {
+	var age time.Duration
+	if !readAt.IsZero() {
+		age = clock.Since(readAt)
+	}
+	if b.node.quarantine.Merge(data, relay, age) && b.node.controller.ActingLeader() {
 		b.node.link.RequestUpdate()
 	}
 }
--- a/pkg/gateway/node/quarantine_store.go
+++ b/pkg/gateway/node/quarantine_store.go
@@ -39,7 +39,7 @@
 // quarantineEvidence is the part of a forward.Quarantine that is kept in the store.
 type quarantineEvidence interface {
 	Encode(scope quarantine.Scope, after uint64, maxBytes int) (data []byte, changes uint64)
-	MergeSaved(data []byte, age time.Duration)
+	Merge(data []byte, relay bool, age time.Duration) (changed bool)
 	// Generation returns a number that changes with the quarantined parts. It is 0 before the first.
 	Generation() uint64
 }
@@ -109,7 +109,7 @@
 		return object.Version, nil
 	}
 	// A wall clock that was set back must not make the evidence newer than it is now.
-	s.evidence.MergeSaved(saved.Evidence, max(0, time.Since(time.UnixMilli(saved.SavedAtMS))))
+	s.evidence.Merge(saved.Evidence, true, max(0, time.Since(time.UnixMilli(saved.SavedAtMS))))
 	return object.Version, nil
 }
 
--- a/pkg/gateway/node/quarantine_store_test.go
+++ b/pkg/gateway/node/quarantine_store_test.go
@@ -67,10 +67,11 @@
 	return e.Table.Encode(scope, after, maxBytes, time.Now())
 }
 
-func (e *fakeEvidence) MergeSaved(data []byte, age time.Duration) {
-	if e.Merge(data, true, time.Now().Add(-age)) {
+func (e *fakeEvidence) Merge(data []byte, relay bool, age time.Duration) (changed bool) {
+	if changed = e.Table.Merge(data, relay, time.Now().Add(-age)); changed {
 		e.generation.Add(1)
 	}
+	return changed
 }
 
 func (e *fakeEvidence) Generation() uint64 { return e.generation.Load() }
--- a/pkg/gateway/peers/link.go
+++ b/pkg/gateway/peers/link.go
@@ -68,9 +68,10 @@
 	ApplyFrequent(rates []byte)
 	// Evidence returns the encoded evidence about prompt parts on which engines crash that has changed after a
 	// number of changes, in at most maxBytes, and the present number of changes. MergeEvidence adds that of another
-	// node, which is relayed in further messages if relay is set.
+	// node, which encoded it at readAt or later, and relays it in further messages if relay is set. readAt is zero if
+	// that is not known.
 	Evidence(after uint64, maxBytes int) (data []byte, changes uint64)
-	MergeEvidence(data []byte, relay bool)
+	MergeEvidence(data []byte, relay bool, readAt time.Time)
 	// Revisions returns those of this node's mirrors.
 	Revisions() []Revision
 	// BuildHeartbeat returns the heartbeat of a leader to which nodes report.
--- a/pkg/gateway/peers/peers_test.go
+++ b/pkg/gateway/peers/peers_test.go
@@ -52,7 +52,7 @@
 	return b.evidence[:min(len(b.evidence), maxBytes)], uint64(len(b.evidence))
 }
 
-func (b *fakeBoard) MergeEvidence(data []byte, relay bool) {
+func (b *fakeBoard) MergeEvidence(data []byte, relay bool, _ time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if len(data) > 0 {
--- a/pkg/gateway/peers/receive.go
+++ b/pkg/gateway/peers/receive.go
@@ -71,7 +71,7 @@
 		l.opt.Board.MergePrefixUpdates(m.PrefixUpdates, false)
 	}
 	// Evidence holds whoever sends it.
-	l.opt.Board.MergeEvidence(m.Evidence, false)
+	l.opt.Board.MergeEvidence(m.Evidence, false, readAt)
 }
 
 // acceptHeartbeat records a heartbeat, whose content was read at readAt or later, and reports whether this node
@@ -125,7 +125,7 @@
 	if current {
 		l.opt.Board.ApplyStates(m.States)
 	}
-	l.opt.Board.MergeEvidence(m.Evidence, false)
+	l.opt.Board.MergeEvidence(m.Evidence, false, readAt)
 }
 
 // handleReply makes this node a follower if the reply comes from a standby in sync with the store. Standbys
@@ -139,7 +139,7 @@
 		l.opt.Board.RenewFollower(readAt)
 	}
 	l.compareRevisions(m, relayed, readAt)
-	l.opt.Board.MergeEvidence(m.Evidence, false)
+	l.opt.Board.MergeEvidence(m.Evidence, false, readAt)
 	if m.Heartbeat.LeaseVersion == 0 || l.opt.Leader() != "" {
 		return
 	}
@@ -166,7 +166,7 @@
 		l.sendHeartbeatTo(sender)
 	}
 	l.opt.Board.MergePrefixUpdates(m.PrefixUpdates, leading)
-	l.opt.Board.MergeEvidence(m.Evidence, true)
+	l.opt.Board.MergeEvidence(m.Evidence, true, time.Time{})
 	if leading {
 		l.opt.Board.AddCounts(m.Counts)
 	}
