Keep quarantined prompt parts in the platform's store

When all nodes lost power, the parts on which engines crash were learned again at the cost of three engines. The leader now keeps them in an object of the store: a write for each change, a read when it takes the lease.

--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -94,5 +94,6 @@
 	PartReleased       = define(931, "prompt part released", slog.LevelInfo, "none")
 	PartRefused        = define(933, "prompt part refused", slog.LevelInfo, "see event 930")
 	PartTried          = define(932, "prompt part tried again", slog.LevelInfo, "none; an engine may crash once")
+	QuarantineNotKept  = define(934, "quarantine not kept", slog.LevelInfo, "check the platform's store if it repeats")
 	RequestNotServed   = define(926, "request not served", slog.LevelInfo, "run cassiawall explain with the request's id")
 )
--- a/pkg/gateway/forward/quarantine.go
+++ b/pkg/gateway/forward/quarantine.go
@@ -79,6 +79,15 @@
 	return true
 }
 
+// Restore adds evidence that was encoded an age ago. It reports whether the quarantined parts have changed.
+func (q *Quarantine) Restore(data []byte, age time.Duration) (changed bool) {
+	if !q.table.Restore(data, age, q.opt.Now()) {
+		return false
+	}
+	q.apply()
+	return true
+}
+
 // Expire drops evidence that no longer counts.
 func (q *Quarantine) Expire() {
 	if q.table.Expire(q.opt.Now()) {
@@ -86,8 +95,8 @@
 	}
 }
 
-// Size returns the number of quarantined parts.
-func (q *Quarantine) Size() int { return len(q.table.Suspects()) }
+// Suspects returns the quarantined parts.
+func (q *Quarantine) Suspects() []quarantine.Suspect { return q.table.Suspects() }
 
 // apply cancels the sends whose requests have quarantined parts and no event, and logs the parts.
 func (q *Quarantine) apply() {
--- a/pkg/gateway/node/node.go
+++ b/pkg/gateway/node/node.go
@@ -237,6 +237,7 @@
 	go guard.Loop(ctx, "peers", n.link.Run)
 	go guard.Loop(ctx, "cache stores", n.watchCacheStores)
 	go guard.Loop(ctx, "sweep", n.sweep)
+	go guard.Loop(ctx, "quarantine", n.keepQuarantine)
 	controllerCtx, cancel := context.WithCancel(ctx)
 	done := make(chan struct{})
 	go func() {
--- a/pkg/gateway/node/quarantine.go
+++ b/pkg/gateway/node/quarantine.go
@@ -1,10 +1,13 @@
 package node
 
 import (
+	"context"
+	"slices"
 	"time"
 
 	"cassiawall.example/cassiawall/pkg/gateway/forward"
 	"cassiawall.example/cassiawall/pkg/gateway/quarantine"
+	"cassiawall.example/cassiawall/pkg/wait"
 )
 
 // newQuarantine returns the node's quarantine, which tells the other nodes of new evidence.
@@ -15,6 +18,17 @@
 	})
 }
 
+// keepQuarantine keeps the quarantined parts in the platform's store until ctx ends.
+func (n *Node) keepQuarantine(ctx context.Context) {
+	k := &quarantineKeeper{
+		store: n.opt.Store, quarantine: n.quarantine, holdsLease: n.controller.HoldsLease,
+		readsAtStart: slices.Contains(n.opt.Settings.Seeds, n.opt.Settings.PeerAddress),
+		announce:     func() { n.link.AnnounceEvidence() }, logger: n.opt.Logger,
+	}
+	k.step(ctx, time.Now())
+	wait.Every(ctx, keepInterval, func(ctx context.Context) { k.step(ctx, time.Now()) })
+}
+
 // Evidence implements peers.Board.
 func (b *board) Evidence(after uint64, maxBytes int) (data []byte, changes uint64) {
 	return b.node.quarantine.Encode(quarantine.All, after, maxBytes)
--- a/pkg/gateway/quarantine/encoding.go
+++ b/pkg/gateway/quarantine/encoding.go
@@ -28,6 +28,8 @@
 	Recent Scope = iota
 	// All are the recent records and the quarantined parts.
 	All
+	// Quarantined are the quarantined parts only.
+	Quarantined
 )
 
 // Encode returns the records in scope that have changed after a number of changes, in at most maxBytes, and the
@@ -41,7 +43,7 @@
 	var parts []Part
 	for part, r := range t.records {
 		_, quarantined := t.suspects[part]
-		if r.change > after && (now.Before(r.announceUntil) || scope == All && quarantined) {
+		if r.change > after && (scope != Quarantined && now.Before(r.announceUntil) || scope != Recent && quarantined) {
 			parts = append(parts, part)
 		}
 	}
@@ -93,6 +95,16 @@
 // Merge adds encoded records of another node. What is new is part of this node's messages too if relay is set. Merge
 // ignores the rest of malformed data. It reports whether the quarantined parts have changed.
 func (t *Table) Merge(data []byte, relay bool, now time.Time) (changed bool) {
+	return t.merge(data, relay, now, now)
+}
+
+// Restore is like Merge for records that were encoded an age before now, and are part of this node's messages.
+func (t *Table) Restore(data []byte, age time.Duration, now time.Time) (changed bool) {
+	return t.merge(data, true, now.Add(-age), now)
+}
+
+// merge adds records that were encoded at a time.
+func (t *Table) merge(data []byte, relay bool, encodedAt, now time.Time) (changed bool) {
 	if len(data) == 0 {
 		return false
 	}
@@ -101,7 +113,7 @@
 	news := false
 	for len(data) > partBytes {
 		part := Part(binary.BigEndian.Uint64(data))
-		received, rest, ok := decodeRecord(data[partBytes:], now)
+		received, rest, ok := decodeRecord(data[partBytes:], encodedAt)
 		if !ok {
 			break
 		}
@@ -163,7 +175,7 @@
 	return changed
 }
 
-// decodeRecord decodes a record without its part and returns the remaining data.
+// decodeRecord decodes a record without its part, as of now, and returns the remaining data.
 func decodeRecord(data []byte, now time.Time) (r record, rest []byte, ok bool) {
 	header := data[0]
 	data = data[1:]
