--- a/pkg/gateway/forward/quarantine.go
+++ b/pkg/gateway/forward/quarantine.go
@@ -41,8 +41,6 @@
 	table   *quarantine.Table
 
 	mu sync.Mutex
-	// generation counts the changes of the quarantined parts.
-	generation uint64
 	// waiting holds the sends that have got no event.
 	waiting map[*waitingSend]struct{}
 	// logged holds the quarantined parts that were logged.
@@ -81,11 +79,13 @@
 	return true
 }
 
-// Generation returns the number of changes of the quarantined parts.
-func (q *Quarantine) Generation() uint64 {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return q.generation
+// Restore adds evidence that was encoded an age ago. It reports whether the quarantined parts have changed.
+func (q *Quarantine) Restore(data []byte, age time.Duration) (changed bool) {
+	if !q.table.Restore(data, age, q.opt.Now()) {
+		return false
+	}
+	q.apply()
+	return true
 }
 
 // Expire drops evidence that no longer counts.
@@ -95,8 +95,8 @@
 	}
 }
 
-// Size returns the number of quarantined parts.
-func (q *Quarantine) Size() int { return len(q.table.Suspects()) }
+// Suspects returns the quarantined parts.
+func (q *Quarantine) Suspects() []quarantine.Suspect { return q.table.Suspects() }
 
 // apply cancels the sends whose requests have quarantined parts and no event, and logs the parts.
 func (q *Quarantine) apply() {
@@ -104,7 +104,6 @@
 	now := q.opt.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.generation++
 	cancelled := 0
 	for s := range q.waiting {
 		if q.table.Judge(s.parts, false, now).Refuse {
