Learn quarantines that are older than the time for which evidence counts

A node that started, took the lease or read the stored evidence more than a minute after the crashes sent requests with a quarantined part again: merging dropped each earlier pair as expired before enough of them were together to show the quarantine. The pairs of a message are now judged together. TestOldQuarantineIsLearned failed before in 16 cases of 36.

--- a/pkg/gateway/quarantine/encoding.go
+++ b/pkg/gateway/quarantine/encoding.go
@@ -164,7 +164,7 @@
 		changed = r.succeed(received.soundAt) && (later || len(r.pairs) < pairs)
 	}
 	for _, p := range received.pairs {
-		changed = r.add(p, now) || changed
+		changed = r.add(p) || changed
 	}
 	if len(r.pairs) > 0 && received.lastAt.After(r.soundAt) {
 		changed = r.observeLast(received.lastAt) || changed
@@ -172,6 +172,8 @@
 	if received.spread && !r.spread && len(r.pairs) >= minMoments {
 		r.spread, changed = true, true
 	}
+	// The pairs are judged together: those of a quarantine do not expire.
+	r.expire(now)
 	return changed
 }
 
--- a/pkg/gateway/quarantine/table.go
+++ b/pkg/gateway/quarantine/table.go
@@ -130,7 +130,8 @@
 	defer t.mu.Unlock()
 	for _, part := range parts {
 		r := t.recordLocked(part, now)
-		if r.add(pair{crash: crash, at: now, soundBefore: now.Sub(t.lastSoundLocked(part)) <= soundTTL}, now) {
+		r.expire(now)
+		if r.add(pair{crash: crash, at: now, soundBefore: now.Sub(t.lastSoundLocked(part)) <= soundTTL}) {
 			t.changedLocked(r, now, true)
 		}
 	}
@@ -212,7 +213,7 @@
 }
 
 // add adds a pair unless it is known or void. It reports whether the record has changed.
-func (r *record) add(p pair, now time.Time) (changed bool) {
+func (r *record) add(p pair) (changed bool) {
 	if !p.at.After(r.soundAt) {
 		return false
 	}
@@ -227,7 +228,6 @@
 		}
 		return changed
 	}
-	r.expire(now)
 	changed = r.observeLast(p.at)
 	if i, _ = slices.BinarySearchFunc(r.pairs, p, comparePairs); i == maxPairs {
 		return changed
--- a/pkg/gateway/quarantine/table_test.go
+++ b/pkg/gateway/quarantine/table_test.go
@@ -220,3 +220,26 @@
 		table.Expire(start)
 	})
 }
+
+// Guards against nodes that start, or read the stored evidence, more than evidenceTTL after the crashes, and then send
+// requests with a quarantined part.
+func TestOldQuarantineIsLearned(t *testing.T) {
+	for _, crashes := range []int{3, 5, 8, 12} {
+		for _, age := range []time.Duration{30 * time.Second, 2 * time.Minute, 30 * time.Minute} {
+			known, started, restored := NewTable(), NewTable(), NewTable()
+			for i := range crashes {
+				known.RecordCrash([]Part{7}, Crash{Engine: uint32(i*977 + 5), Witness: uint8(i % 3)}, start.Add(time.Duration(i)*400*time.Millisecond))
+			}
+			encodedAt := start.Add(6 * time.Second)
+			stored, _ := known.Encode(Quarantined, 0, 4096, encodedAt)
+			now := start.Add(age)
+			known.Expire(now)
+			message, _ := known.Encode(All, 0, 960, now)
+			started.Merge(message, false, now)
+			restored.Restore(stored, now.Sub(encodedAt), now)
+			for name, table := range map[string]*Table{"known": known, "started": started, "restored": restored} {
+				assert.True(t, table.Judge([]Part{7}, false, now).Refuse, "%s, %d crashes, %v", name, crashes, age)
+			}
+		}
+	}
+}
