Count a crash after an unframed header as one

And a stream that the node continued at such an engine looked complete to the client, without its last events (TestUnframedContinuationWithoutEventIsTruncated failed before).

--- a/pkg/gateway/forward/relay.go
+++ b/pkg/gateway/forward/relay.go
@@ -190,14 +190,20 @@
 // that its framing decides.
 func (a *activeRequest) checkStreamEnd(response *exchange.Response) error {
 	hasEvents := a.events.lastID != "" || isEventStream(response.Header)
-	startsStream := !a.headerWritten && a.request.LastEventID == ""
+	var truncated error
 	switch {
 	case a.events.insideEvent() && (hasEvents || !response.Framed):
-		return errInsideEvent
-	case !a.events.insideEvent() && startsStream && !response.Framed:
-		return errNoEvent
+		truncated = errInsideEvent
+	case !response.Framed && !a.eventDelivered && a.request.LastEventID == "":
+		truncated = errNoEvent
+	default:
+		return io.EOF
 	}
-	return io.EOF
+	if hasEvents && !response.Framed {
+		// The engine ended the connection.
+		return fmt.Errorf("%w (%w)", truncated, io.ErrUnexpectedEOF)
+	}
+	return truncated
 }
 
 // isEventStream reports whether the media type of a response is that of server-sent events.
