Count every complete response as a success of its prompt parts

A response without events on a stream route, and one over the size that is buffered, did not count as a success: the parts of such requests stayed suspect after crashes of other causes, and sound requests were refused. An empty body without length no longer counts as one, since a crash after the header leaves the same.

--- a/pkg/gateway/forward/quarantine_test.go
+++ b/pkg/gateway/forward/quarantine_test.go
@@ -19,9 +19,29 @@
 	"cassiawall.example/cassiawall/pkg/gateway/routes"
 )
 
-// Guards against requests with a prompt part that crashes engines reaching one engine after the other: at most
-// three sends may follow the fifth crash, over all nodes, and requests that share the other parts are served.
+// Guards against requests with a prompt part that crashes engines reaching one engine after the other, in whatever form
+// their connections end: at most three sends may follow the fifth crash, over all nodes, and requests that share the
+// other parts are served.
 func TestPromptPartThatCrashesEnginesIsNotSentOn(t *testing.T) {
+	unframed := func(req *http.Request, body string) string {
+		return "HTTP/1.1 200 OK\r\nId: " + req.Header.Get("Id") + "\r\nSig: s\r\nContent-Type: text/event-stream\r\n\r\n" + body
+	}
+	tests := map[string]struct {
+		kind  routes.Kind
+		crash func(*http.Request) string
+	}{
+		"no response":                {routes.Safe, func(*http.Request) string { return "" }},
+		"stream in chunks, no event": {routes.Stream, func(req *http.Request) string { return eventStream(req, 1, 1, false) }},
+		"stream without length":      {routes.Stream, func(req *http.Request) string { return unframed(req, "") }},
+		"stream without length, cut": {routes.Stream, func(req *http.Request) string { return unframed(req, "id: 1\ndata") }},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) { checkCrashingPart(t, test.kind, test.crash) })
+	}
+}
+
+// checkCrashingPart sends requests with a part on which engines crash, and others, to several nodes.
+func checkCrashingPart(t *testing.T, kind routes.Kind, crash func(*http.Request) string) {
 	const engineCount, nodeCount, badRequests, crashes, allowed = 12, 3, 20, 5, 3
 	var badSends, clockMS atomic.Int64
 	now := func() time.Time { return time.UnixMilli(clockMS.Load()) }
@@ -29,7 +49,10 @@
 		if strings.Contains(req.Header.Get("Prompt"), "bad") {
 			badSends.Add(1)
 			clockMS.Add(200)
-			return ""
+			return crash(req)
+		}
+		if kind == routes.Stream {
+			return eventStream(req, 1, 3, true)
 		}
 		return okResponse(req)
 	}
@@ -48,7 +71,10 @@
 	}
 	var nodes []*httptest.Server
 	for i := range nodeCount {
-		nodes = append(nodes, startGateway(t, routes.Safe, func(_ *routes.Config, opt *Options) { opt.Quarantine = quarantines[i] }, engines...))
+		nodes = append(nodes, startGateway(t, kind, func(c *routes.Config, opt *Options) {
+			c.Routes[0].Resumable = kind == routes.Stream
+			opt.Quarantine = quarantines[i]
+		}, engines...))
 	}
 	for i := range badRequests {
 		node := nodes[i%nodeCount]
@@ -213,3 +239,31 @@
 	assert.Equal(t, http.StatusOK, send())
 	assert.Empty(t, q.Suspects())
 }
+
+// Guards against parts that count as suspect although requests with them succeed: complete responses that are not made
+// of events, and those over the size that is buffered.
+func TestEveryCompleteResponseIsASuccess(t *testing.T) {
+	tests := map[string]struct {
+		kind routes.Kind
+		body string
+	}{
+		"no events on a stream route": {routes.Stream, "{}"},
+		"large response":              {routes.Safe, strings.Repeat("x", maxBufferedBytes+1)},
+		"small response":              {routes.Safe, "x"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var clockMS atomic.Int64
+			q := testQuarantine("n", func() {}, func() time.Time { return time.UnixMilli(clockMS.Load()) })
+			engine := startBackend(t, func(req *http.Request) string { return signedResponse(req, 200, test.body) })
+			node := startGateway(t, test.kind, func(_ *routes.Config, opt *Options) { opt.Quarantine = q }, engine)
+			for e := range uint32(6) {
+				clockMS.Add(3000)
+				q.recordCrash([]quarantine.Part{quarantine.PartOf("", "shared")}, 100+e)
+				clockMS.Add(500)
+				r := postRequest(t, node, "/p/x", http.Header{"Prompt": {"shared,own"}, "Wait": {"1500"}})
+				assert.Equal(t, http.StatusOK, r.status)
+			}
+		})
+	}
+}
--- a/pkg/gateway/forward/relay.go
+++ b/pkg/gateway/forward/relay.go
@@ -35,6 +35,9 @@
 	stored := &bufferedResponse{status: response.Status, header: response.Header, body: body}
 	if len(body) > maxBufferedBytes {
 		c.Done(backends.Success, latency)
+		if response.Status < 300 {
+			a.recordFirstEvent()
+		}
 		return a.relayOversized(stored, response)
 	}
 	if response.Status >= 500 {
@@ -44,7 +47,8 @@
 		return a.retryAfterRun()
 	}
 	c.Done(backends.Success, latency)
-	if response.Status < 300 {
+	// An engine that crashes after the header also leaves an empty body without length.
+	if response.Status < 300 && (response.Framed || len(body) > 0) {
 		a.recordFirstEvent()
 	}
 	a.writeBuffered(stored)
@@ -155,6 +159,9 @@
 		case err == nil:
 		case err == io.EOF:
 			c.Done(backends.Success, latency)
+			if !a.eventDelivered {
+				a.recordFirstEvent()
+			}
 			if !a.headerWritten {
 				a.writeStreamHeader(response)
 			}
