Do not break off a stream that has begun because of a quarantine

A send that is cancelled because a part of its request was quarantined may have just delivered its first event, which shows that the parts are sound. The client's stream was then cut; it now continues at another engine where the route allows it. TestStreamThatHasBegunIsNotCutByQuarantine failed before.

--- a/pkg/gateway/forward/quarantine_test.go
+++ b/pkg/gateway/forward/quarantine_test.go
@@ -4,8 +4,11 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"maps"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -267,3 +270,40 @@
 		})
 	}
 }
+
+// Guards against a stream that is broken off because its send was cancelled by a quarantine while its first event
+// arrived.
+func TestStreamThatHasBegunIsNotCutByQuarantine(t *testing.T) {
+	begin, end := make(chan struct{}), make(chan struct{})
+	defer close(end)
+	var sends atomic.Int64
+	respond := func(c net.Conn, req *http.Request) {
+		if sends.Add(1) > 1 {
+			fmt.Fprint(c, eventStream(req, 2, 2, true))
+			return
+		}
+		<-begin
+		fmt.Fprint(c, eventStream(req, 1, 2, false))
+		<-end
+	}
+	q := testQuarantine("n", func() {}, time.Now)
+	s := startGateway(t, routes.Stream, func(c *routes.Config, opt *Options) {
+		c.Routes[0].Resumable, opt.Quarantine = true, q
+	}, startWriter(t, respond), startWriter(t, respond))
+	result := make(chan clientResult, 1)
+	go func() { result <- postRequest(t, s, "/p/x", http.Header{"Prompt": {"shared,own"}, "Wait": {"1500"}}) }()
+	waiting := func() (sends []*waitingSend) {
+		q.mu.Lock()
+		defer q.mu.Unlock()
+		return slices.Collect(maps.Keys(q.waiting))
+	}
+	require.Eventually(t, func() bool { return len(waiting()) == 1 }, time.Second, time.Millisecond)
+	first := waiting()[0]
+	close(begin)
+	require.Eventually(t, func() bool { return len(waiting()) == 0 }, time.Second, time.Millisecond)
+	first.cancel(errQuarantined)
+	r := <-result
+	assert.NoError(t, r.err)
+	assert.Equal(t, http.StatusOK, r.status)
+	assert.Equal(t, int64(2), sends.Load())
+}
--- a/pkg/gateway/forward/relay.go
+++ b/pkg/gateway/forward/relay.go
@@ -172,10 +172,16 @@
 		case a.req.Context().Err() != nil:
 			c.Done(backends.Neutral, 0)
 			return outcomeFail
-		case context.Cause(ctx) == errQuarantined:
+		case context.Cause(ctx) == errQuarantined && !a.eventDelivered:
 			c.Done(backends.Neutral, 0)
 			a.recordSendFailed(c, phaseNoEvent, errQuarantined.Error(), response.Status)
 			return outcomeQuarantined
+		case context.Cause(ctx) == errQuarantined:
+			// The first event arrived as the send was cancelled. It shows that the parts are sound.
+			c.Done(backends.Neutral, 0)
+			a.recordSendFailed(c, phaseStream, errQuarantined.Error(), response.Status)
+			a.events.reset()
+			return a.retryAfterRun()
 		default:
 			c.Done(backends.Failure, 0)
 			phase := phaseNoEvent
