Send one update of the leader at a time

Two updates could be sent at the same time, because the time of the last one was set only when the message was built. Together they took more bytes for evidence than there are, and the next heartbeat panicked in its round. The gap is now counted from the decision to send, and a budget that is used up is not negative. TestUpdatesAtTheSameTimeStayInTheBudget fails without either.

--- a/pkg/gateway/peers/evidence.go
+++ b/pkg/gateway/peers/evidence.go
@@ -43,7 +43,7 @@
 func (l *Link) addEvidenceToHeartbeat(m *message) {
 	data, changes := l.opt.Board.Evidence(0, maxEvidenceBytes)
 	l.mu.Lock()
-	left := maxHintBytes - len(data) - l.hints.updateBytes
+	left := max(0, maxHintBytes-len(data)-l.hints.updateBytes)
 	l.hints = hintBudget{sent: changes}
 	l.mu.Unlock()
 	m.Evidence = data
@@ -55,7 +55,7 @@
 // addEvidenceToUpdate adds the evidence that has changed since the last message to all nodes.
 func (l *Link) addEvidenceToUpdate(m *message) {
 	l.mu.Lock()
-	after, left := l.hints.sent, maxUpdateEvidenceBytes-l.hints.updateBytes
+	after, left := l.hints.sent, max(0, maxUpdateEvidenceBytes-l.hints.updateBytes)
 	l.mu.Unlock()
 	data, changes := l.opt.Board.Evidence(after, left)
 	l.mu.Lock()
--- a/pkg/gateway/peers/evidence_test.go
+++ b/pkg/gateway/peers/evidence_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -56,3 +58,41 @@
 	l.addEvidenceToUpdate(update)
 	assert.Empty(t, update.Evidence)
 }
+
+// fullBoard has more evidence than a message holds. Both of the first two messages read it before either is sent.
+type fullBoard struct {
+	*fakeBoard
+	readers  sync.WaitGroup
+	barriers atomic.Int32
+}
+
+func (b *fullBoard) Evidence(_ uint64, maxBytes int) ([]byte, uint64) {
+	if b.barriers.Add(-1) >= 0 {
+		b.readers.Done()
+		b.readers.Wait()
+	}
+	return make([]byte, maxBytes), 1
+}
+
+// Guards against updates that are sent at the same time and together use more bytes than they may, and a heartbeat
+// that then panics.
+func TestUpdatesAtTheSameTimeStayInTheBudget(t *testing.T) {
+	b := &fullBoard{fakeBoard: &fakeBoard{prefixes: make([]byte, 240*prefixUpdateBytes)}}
+	b.readers.Add(2)
+	b.barriers.Store(2)
+	l, err := Listen(Options{
+		Address: freeAddress(t), Leader: func() string { return "" }, HoldsLease: func() bool { return true }, ActingLeader: func() bool { return true },
+		Board: b, Logger: slog.New(slog.DiscardHandler),
+	})
+	require.NoError(t, err)
+	var group sync.WaitGroup
+	for range 2 {
+		group.Go(l.sendUpdate)
+	}
+	group.Wait()
+	assert.NotPanics(t, l.sendHeartbeat)
+	l.updates.sentAt = time.Time{}
+	assert.Zero(t, l.pace(&l.updates, time.Minute, func() {
+		assert.NotZero(t, l.pace(&l.updates, time.Minute, func() { t.Error("two updates at the same time") }))
+	}))
+}
--- a/pkg/gateway/peers/leader.go
+++ b/pkg/gateway/peers/leader.go
@@ -33,11 +33,14 @@
 func (l *Link) pace(p *pacer, gap time.Duration, send func()) time.Duration {
 	l.mu.Lock()
 	left := gap - time.Since(p.sentAt)
-	if left > 0 && !p.pending {
+	if left <= 0 {
+		// Another call must not send at the same time.
+		p.sentAt = time.Now()
+	} else if !p.pending {
 		p.pending = true
 		time.AfterFunc(left, func() {
 			l.mu.Lock()
-			p.pending = false
+			p.pending, p.sentAt = false, time.Now()
 			l.mu.Unlock()
 			l.opt.Guard.Run("peer message", send)
 		})
--- a/pkg/gateway/peers/link.go
+++ b/pkg/gateway/peers/link.go
@@ -158,7 +158,7 @@
 	leadingSince time.Time
 	// heartbeats and updates pace the messages of the leader.
 	heartbeats, updates pacer
-	// reports paces the reports between the regular ones.
+	// reportPacer paces the reports between the regular ones.
 	reportPacer pacer
 	// hints are the sizes of the leader's messages since the last heartbeat.
 	hints hintBudget
