Find a bad prompt part that follows an earlier one

Of a part with many crashes only a sample of eight is kept, and all engines beyond the sample were assumed to be explained by it, also those that ended long after its last crash. A second bad part then ended up to 75 engines in the test before it was quarantined. Only crashes between the first and the last of a record are now assumed to be explained. TestLaterBadPartIsFound failed before (up to 75 sends, 5 allowed).

--- a/pkg/gateway/quarantine/table.go
+++ b/pkg/gateway/quarantine/table.go
@@ -385,9 +385,9 @@
 func (r *record) highestEngine() uint32 { return r.pairs[len(r.pairs)-1].crash.Engine }
 
 // explains reports whether the part was in doubt in a crash too. In a full record, that is unknown, and assumed, for
-// the engines with higher hashes than it keeps.
+// the engines with higher hashes than it keeps, if the crash was between the first and the last of the record.
 func (r *record) explains(p pair) bool {
-	if len(r.pairs) == maxPairs && p.crash.Engine > r.highestEngine() {
+	if len(r.pairs) == maxPairs && p.crash.Engine > r.highestEngine() && r.firstAt().Sub(p.at) < momentGap && p.at.Sub(r.lastAt) < momentGap {
 		return true
 	}
 	_, found := slices.BinarySearchFunc(r.pairs, p, comparePairs)
@@ -462,14 +462,20 @@
 	return Verdict{Trial: true}
 }
 
-// trialAt returns the time from which the part may be tried again.
-func (r *record) trialAt() time.Time {
-	first, last := r.lastAt, r.lastAt
+// firstAt returns the time of the first crash that the record keeps.
+func (r *record) firstAt() time.Time {
+	first := r.lastAt
 	for _, p := range r.pairs {
 		if p.at.Before(first) {
 			first = p.at
 		}
 	}
+	return first
+}
+
+// trialAt returns the time from which the part may be tried again.
+func (r *record) trialAt() time.Time {
+	first, last := r.firstAt(), r.lastAt
 	if r.triedAt.After(last) {
 		last = r.triedAt
 	}
--- a/pkg/gateway/quarantine/table_test.go
+++ b/pkg/gateway/quarantine/table_test.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -243,3 +244,30 @@
 		}
 	}
 }
+
+// Guards against a second bad part that hides behind an earlier one, whose record is full: its later crashes seemed to
+// be explained by it.
+func TestLaterBadPartIsFound(t *testing.T) {
+	const shared, first, second = Part(2), Part(1), Part(3)
+	for _, crashes := range []int{5, 20, 70} {
+		for seed := range 40 {
+			table := NewTable()
+			engine := func(i int) uint32 { return uint32(PartOf("engine", fmt.Sprint(seed, i))) }
+			for i := range crashes {
+				table.RecordCrash([]Part{shared, first}, Crash{Engine: engine(i), Witness: uint8(i % 15)}, start.Add(time.Duration(i)*2*time.Second/time.Duration(crashes)))
+			}
+			table.RecordSuccess([]Part{shared}, start.Add(3*time.Second))
+			sends := 0
+			for i := range 100 {
+				now := start.Add(100*time.Second + time.Duration(i)*500*time.Millisecond)
+				table.RecordSuccess([]Part{shared}, now.Add(-50*time.Millisecond))
+				if !table.Judge([]Part{shared, second}, false, now).Refuse {
+					sends++
+					table.RecordCrash([]Part{shared, second}, Crash{Engine: engine(1000 + i), Witness: uint8(i % 15)}, now)
+				}
+			}
+			assert.LessOrEqual(t, sends, 5, "%d crashes of the first part, seed %d", crashes, seed)
+			assert.True(t, table.Judge([]Part{first}, false, start.Add(150*time.Second)).Refuse)
+		}
+	}
+}
