Try a part again soon that was sound before an outage of all engines

When all engines crashed repeatedly for some seconds, the part that begins most prompts was quarantined, and requests with it were refused for a minute after the engines were back.

--- a/pkg/gateway/quarantine/table.go
+++ b/pkg/gateway/quarantine/table.go
@@ -62,11 +62,13 @@
 	// evidenceTTL is the time for which a pair counts, unless its part is quarantined.
 	evidenceTTL = 60 * time.Second
 	// minTrialDelay is the shortest time without a crash after which a quarantined part is tried again by one
-	// request, and maxTrialDelay the longest. The delay is trialDelayFactor times the time from the first crash to
+	// request, and maxTrialDelay the longest. minTrialDelaySoundBefore replaces the shortest if requests with the part
+	// succeeded a moment before a crash: after an outage of all engines, most requests have such a part. The delay is trialDelayFactor times the time from the first crash to
 	// the last one, and so grows with each failed trial. A trial can end an engine with all of its requests.
-	minTrialDelay    = 60 * time.Second
-	maxTrialDelay    = 30 * time.Minute
-	trialDelayFactor = 2
+	minTrialDelay            = 60 * time.Second
+	minTrialDelaySoundBefore = 5 * time.Second
+	maxTrialDelay            = 30 * time.Minute
+	trialDelayFactor         = 2
 	// forgetAfter is the time after the last crash at which a quarantine ends if no request has asked for the part.
 	forgetAfter = 2 * maxTrialDelay
 	// maxPairs bounds the pairs of a part. Those with the lowest engine hashes are kept: of two parts that were in
@@ -479,7 +481,11 @@
 	if r.triedAt.After(last) {
 		last = r.triedAt
 	}
-	return last.Add(min(max(minTrialDelay, trialDelayFactor*last.Sub(first)), maxTrialDelay))
+	shortest := minTrialDelay
+	if wasSound(r.pairs) {
+		shortest = minTrialDelaySoundBefore
+	}
+	return last.Add(min(max(shortest, trialDelayFactor*last.Sub(first)), maxTrialDelay))
 }
 
 // InDoubt reports whether one of the parts was also in doubt when another engine crashed at another moment, and has
--- a/pkg/gateway/quarantine/table_test.go
+++ b/pkg/gateway/quarantine/table_test.go
@@ -271,3 +271,25 @@
 		}
 	}
 }
+
+// Guards against a part of most requests that stays refused for a minute after an outage in which all engines crashed:
+// it had been sound, and is tried again soon.
+func TestPartThatWasSoundIsTriedSoonAfterAnOutage(t *testing.T) {
+	const outageFrom, outageTo = 10 * time.Second, 14 * time.Second
+	table := NewTable()
+	refusedUntil := time.Duration(0)
+	for i, at := 0, time.Duration(0); at < time.Minute; i, at = i+1, at+50*time.Millisecond {
+		now := start.Add(at)
+		parts := []Part{1, Part(100 + i%30)}
+		switch {
+		case table.Judge(parts, i%15 == 0, now).Refuse:
+			refusedUntil = at
+		case at >= outageFrom && at < outageTo:
+			// The engines restart, so that each crash ends another incarnation.
+			table.RecordCrash(parts, Crash{Engine: uint32((i*7919%18 + 100*int(at/(1500*time.Millisecond))) * 2654435761), Witness: uint8(i % 15)}, now)
+		default:
+			table.RecordSuccess(parts, now)
+		}
+	}
+	assert.Less(t, refusedUntil, outageTo+15*time.Second)
+}
