Count crashes of a prompt part for ten minutes

A part of which a request comes each 31 s ended an engine each time and was never quarantined (100 of 100 requests in TestRareBadPartIsFound, 8 allowed), because evidence counted for 60 s. A success voids the evidence about sound parts, so it may count for longer.

--- a/pkg/gateway/quarantine/table.go
+++ b/pkg/gateway/quarantine/table.go
@@ -59,8 +59,9 @@
 	// momentGap is the time within which the ends of several engines count as one: they have a common cause, such
 	// as a reset of a node's connections or a loss of power, and not a request each.
 	momentGap = 100 * time.Millisecond
-	// evidenceTTL is the time for which a pair counts, unless its part is quarantined.
-	evidenceTTL = 60 * time.Second
+	// evidenceTTL is the time for which a pair counts, unless its part is quarantined. Requests with a bad part may be
+	// minutes apart.
+	evidenceTTL = 10 * time.Minute
 	// minTrialDelay is the shortest time without a crash after which a quarantined part is tried again by one
 	// request, and maxTrialDelay the longest. minTrialDelaySoundBefore replaces the shortest if requests with the part
 	// succeeded a moment before a crash: after an outage of all engines, most requests have such a part. The delay is trialDelayFactor times the time from the first crash to
