Bound the judgement, the writes and the clock of the quarantine

The stored object was written for each change, up to five calls a second during an outage: at most each two seconds, and only when the parts change. Evidence of a writer whose clock was more than 10 s ahead has an unknown age and is not restored: a part was quarantined again after its release. Tests: TestJudgementIsBounded, TestQuarantineIsNotWrittenForEachChange, TestQuarantineOfAClockAheadIsNotRestored.

--- a/pkg/gateway/node/quarantine_keeper.go
+++ b/pkg/gateway/node/quarantine_keeper.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"log/slog"
 	"slices"
 	"time"
@@ -23,6 +24,11 @@
 	// the store.
 	keepInterval   = 200 * time.Millisecond
 	keepRetryPause = 2 * time.Second
+	// minWriteGap is the minimum time between two writes.
+	minWriteGap = 2 * time.Second
+	// maxClockLead is the time by which the clock of the writer may be ahead. With a larger one, the age of the evidence
+	// is not known, and an old quarantine would be taken for a new one.
+	maxClockLead = 10 * time.Second
 	// keepCallTimeout bounds one call.
 	keepCallTimeout = time.Second
 )
@@ -52,8 +58,8 @@
 	// the parts that it holds.
 	read    bool
 	version uint64
-	stored  []quarantine.Suspect
-	// pausedUntil is the time until which no call is made after a failed one.
+	stored  []quarantine.Part
+	// pausedUntil is the time until which no call is made, after a write or a failed call.
 	pausedUntil time.Time
 }
 
@@ -71,8 +77,8 @@
 	var err error
 	if !k.read {
 		err = k.readObject(ctx, now)
-	} else if suspects := k.quarantine.Suspects(); !slices.Equal(suspects, k.stored) {
-		err = k.writeObject(ctx, suspects, now)
+	} else if parts := partsOf(k.quarantine.Suspects()); !slices.Equal(parts, k.stored) {
+		err = k.writeObject(ctx, parts, now)
 	}
 	if err != nil {
 		k.pausedUntil = now.Add(keepRetryPause)
@@ -95,17 +101,29 @@
 		// The next write replaces a damaged object.
 		return err
 	}
-	age := max(now.Sub(time.UnixMilli(stored.Written)), 0)
+	age := now.Sub(time.UnixMilli(stored.Written))
+	if age < -maxClockLead {
+		return fmt.Errorf("evidence was written %v in the future; check the clocks of this VM and of the writer", -age)
+	}
+	age = max(age, 0)
 	if k.quarantine.Restore(stored.Evidence, age) {
 		k.announce()
 	}
 	kept := quarantine.NewTable()
 	kept.Restore(stored.Evidence, age, now)
-	k.stored = kept.Suspects()
+	k.stored = partsOf(kept.Suspects())
 	return nil
 }
 
-func (k *quarantineKeeper) writeObject(ctx context.Context, suspects []quarantine.Suspect, now time.Time) error {
+func partsOf(suspects []quarantine.Suspect) []quarantine.Part {
+	parts := make([]quarantine.Part, len(suspects))
+	for i, s := range suspects {
+		parts[i] = s.Part
+	}
+	return parts
+}
+
+func (k *quarantineKeeper) writeObject(ctx context.Context, parts []quarantine.Part, now time.Time) error {
 	evidence, _ := k.quarantine.Encode(quarantine.Quarantined, 0, maxStoredEvidenceBytes)
 	value, err := json.Marshal(storedQuarantine{Evidence: evidence, Written: now.UnixMilli()})
 	if err != nil {
@@ -117,6 +135,6 @@
 		k.read = false
 		return err
 	}
-	k.version, k.stored = version, suspects
+	k.version, k.stored, k.pausedUntil = version, parts, now.Add(minWriteGap)
 	return nil
 }
--- a/pkg/gateway/node/quarantine_keeper_test.go
+++ b/pkg/gateway/node/quarantine_keeper_test.go
@@ -142,3 +142,39 @@
 	f.run(next, time.Second)
 	assert.Len(t, next.quarantine.Suspects(), 1)
 }
+
+// Guards against a leader that writes the object for each change while many parts come and go.
+func TestQuarantineIsNotWrittenForEachChange(t *testing.T) {
+	f := &keeperFleet{store: &keeperStore{}, now: time.Unix(1000, 0)}
+	k := f.newKeeper()
+	f.run(k, time.Second)
+	started := f.now
+	for part := range quarantine.Part(10) {
+		table := quarantine.NewTable()
+		for i := range 3 {
+			table.RecordCrash([]quarantine.Part{100 + part}, quarantine.Crash{Engine: uint32(part)*10 + uint32(i), Witness: uint8(i)}, f.now.Add(time.Duration(i-3)*time.Second))
+		}
+		data, _ := table.Encode(quarantine.All, 0, 900, f.now)
+		k.quarantine.Merge(data, true, 0)
+		f.run(k, 2*keepInterval)
+	}
+	f.run(k, minWriteGap)
+	assert.LessOrEqual(t, f.store.writes, 1+int(f.now.Sub(started)/minWriteGap))
+	next := f.newKeeper()
+	f.run(next, time.Second)
+	assert.Len(t, next.quarantine.Suspects(), 10)
+}
+
+// Guards against an old quarantine that is taken for a new one because the clock of the node that wrote it was ahead.
+func TestQuarantineOfAClockAheadIsNotRestored(t *testing.T) {
+	f := &keeperFleet{store: &keeperStore{}, now: time.Unix(10_000, 0)}
+	ahead := f.newKeeper()
+	f.run(ahead, time.Second)
+	f.crash(ahead, 7)
+	f.run(ahead, time.Second)
+	require.Equal(t, 1, f.store.writes)
+	f.now = f.now.Add(-40 * time.Minute)
+	next := f.newKeeper()
+	f.run(next, 2*keepRetryPause)
+	assert.Empty(t, next.quarantine.Suspects())
+}
--- a/pkg/gateway/quarantine/table.go
+++ b/pkg/gateway/quarantine/table.go
@@ -77,6 +77,8 @@
 	maxPairs = 8
 	// maxParts bounds the parts. Those with the fewest and oldest pairs are dropped first.
 	maxParts = 2048
+	// maxIncriminated bounds the parts that are compared with each other. Those with the most crashes are compared.
+	maxIncriminated = 64
 	// announceTime is the time for which a change is part of all messages.
 	announceTime = 5 * time.Second
 )
@@ -351,6 +353,7 @@
 		return false
 	}
 	slices.SortFunc(incriminated, func(a, b Part) int { return cmp.Or(compareRecords(t.records[a], t.records[b]), cmp.Compare(a, b)) })
+	incriminated = incriminated[:min(len(incriminated), maxIncriminated)]
 	suspects := make(map[Part][]Part, len(incriminated))
 	var found []*record
 	for i, part := range incriminated {
--- a/pkg/gateway/quarantine/table_test.go
+++ b/pkg/gateway/quarantine/table_test.go
@@ -308,3 +308,16 @@
 	}
 	assert.LessOrEqual(t, sends, 8)
 }
+
+// Guards against a judgement that takes long, with all requests waiting for it, while many parts are in doubt.
+func TestJudgementIsBounded(t *testing.T) {
+	table := NewTable()
+	for i := range 1000 {
+		for e := range 4 {
+			table.recordLocked(Part(i), start).add(pair{crash: Crash{Engine: uint32(i*13 + e), Witness: uint8(e)}, at: at(float64(e))})
+		}
+	}
+	table.judgeLocked(at(4))
+	assert.LessOrEqual(t, len(table.suspects), maxIncriminated)
+	assert.NotEmpty(t, table.suspects)
+}
