Share one comparison of flags, and use the terms of the field in the quarantine

compareBool had three copies: package compare has the one. Witness, incriminates and hintBudget become Observer, suffices and evidenceBudget. No behaviour changes.

--- a/pkg/gateway/cachemap/cachemap.go
+++ b/pkg/gateway/cachemap/cachemap.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"cassiawall.example/cassiawall/pkg/compare"
 )
 
 // Key is a 32-bit hash of a shared prefix and its cache salt. Keys may collide: a collision costs a fetch that
@@ -136,7 +138,7 @@
 	entries := slices.Collect(maps.Values(m.pending))
 	clear(m.pending)
 	slices.SortFunc(entries, func(a, b pendingEntry) int {
-		return cmp.Or(compareBool(b.Saved, a.Saved), cmp.Compare(b.count, a.count), cmp.Compare(a.Key, b.Key))
+		return cmp.Or(compare.Bool(b.Saved, a.Saved), cmp.Compare(b.count, a.count), cmp.Compare(a.Key, b.Key))
 	})
 	entries = entries[:min(len(entries), maxSent)]
 	data := make([]byte, 0, len(entries)*entryBytes)
@@ -151,17 +153,6 @@
 	return data
 }
 
-// compareBool orders false before true.
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	}
-	return 1
-}
-
 // Merge adds encoded entries of other nodes. If relay is set, as on the leader, it also queues them for this
 // node's next report.
 func (m *Map) Merge(data []byte, relay bool, now time.Time) {
--- a/pkg/gateway/forward/quarantine.go
+++ b/pkg/gateway/forward/quarantine.go
@@ -21,7 +21,7 @@
 
 // QuarantineOptions configures a Quarantine. All fields are required.
 type QuarantineOptions struct {
-	// Node identifies this node among the witnesses of a crash.
+	// Node identifies this node among the observers of a crash.
 	Node string
 	// MayTry reports whether this node may send a request with a quarantined part, to see whether engines still
 	// crash on it. It must hold on one node of the fleet.
@@ -36,9 +36,9 @@
 
 // Quarantine refuses requests with prompt parts on which engines crash. It is safe for concurrent use.
 type Quarantine struct {
-	opt     QuarantineOptions
-	witness uint8
-	table   *quarantine.Table
+	opt      QuarantineOptions
+	observer uint8
+	table    *quarantine.Table
 
 	mu sync.Mutex
 	// waiting holds the sends that have got no event.
@@ -56,7 +56,7 @@
 // NewQuarantine returns a quarantine without parts.
 func NewQuarantine(opt QuarantineOptions) *Quarantine {
 	return &Quarantine{
-		opt: opt, witness: uint8(xxhash.Sum64String(opt.Node)) & math.MaxInt8, table: quarantine.NewTable(),
+		opt: opt, observer: uint8(xxhash.Sum64String(opt.Node)) & math.MaxInt8, table: quarantine.NewTable(),
 		waiting: map[*waitingSend]struct{}{}, logged: map[quarantine.Part]bool{},
 	}
 }
@@ -160,7 +160,7 @@
 // the parts was in doubt in another crash too.
 func (q *Quarantine) recordCrash(parts []quarantine.Part, engine uint32) (inDoubt bool) {
 	now := q.opt.Now()
-	if q.table.RecordCrash(parts, quarantine.Crash{Engine: engine, Witness: q.witness}, now) {
+	if q.table.RecordCrash(parts, quarantine.Crash{Engine: engine, Observer: q.observer}, now) {
 		q.apply()
 	}
 	q.opt.Announce()
--- a/pkg/gateway/forward/quarantine_test.go
+++ b/pkg/gateway/forward/quarantine_test.go
@@ -113,7 +113,7 @@
 	t.Helper()
 	table := quarantine.NewTable()
 	for i := range 3 {
-		table.RecordCrash([]quarantine.Part{quarantine.PartOf("", id)}, quarantine.Crash{Engine: uint32(i), Witness: uint8(i)}, now.Add(time.Duration(i-2)*time.Second))
+		table.RecordCrash([]quarantine.Part{quarantine.PartOf("", id)}, quarantine.Crash{Engine: uint32(i), Observer: uint8(i)}, now.Add(time.Duration(i-2)*time.Second))
 	}
 	data, _ := table.Encode(quarantine.All, 0, 960, now)
 	require.NotEmpty(t, data)
--- a/pkg/gateway/node/quarantine_keeper_test.go
+++ b/pkg/gateway/node/quarantine_keeper_test.go
@@ -67,7 +67,7 @@
 	table := quarantine.NewTable()
 	for i := range 3 {
 		f.now = f.now.Add(time.Second)
-		table.RecordCrash([]quarantine.Part{part}, quarantine.Crash{Engine: uint32(part)*10 + uint32(i), Witness: uint8(i)}, f.now)
+		table.RecordCrash([]quarantine.Part{part}, quarantine.Crash{Engine: uint32(part)*10 + uint32(i), Observer: uint8(i)}, f.now)
 	}
 	data, _ := table.Encode(quarantine.All, 0, 900, f.now)
 	k.quarantine.Merge(data, true, 0)
@@ -152,7 +152,7 @@
 	for part := range quarantine.Part(10) {
 		table := quarantine.NewTable()
 		for i := range 3 {
-			table.RecordCrash([]quarantine.Part{100 + part}, quarantine.Crash{Engine: uint32(part)*10 + uint32(i), Witness: uint8(i)}, f.now.Add(time.Duration(i-3)*time.Second))
+			table.RecordCrash([]quarantine.Part{100 + part}, quarantine.Crash{Engine: uint32(part)*10 + uint32(i), Observer: uint8(i)}, f.now.Add(time.Duration(i-3)*time.Second))
 		}
 		data, _ := table.Encode(quarantine.All, 0, 900, f.now)
 		k.quarantine.Merge(data, true, 0)
--- a/pkg/gateway/peers/evidence.go
+++ b/pkg/gateway/peers/evidence.go
@@ -18,8 +18,8 @@
 	reportGapPerInterval = 0.25
 )
 
-// hintBudget bounds the evidence in updates.
-type hintBudget struct {
+// evidenceBudget bounds the evidence in updates.
+type evidenceBudget struct {
 	// updateBytes is the size of the evidence in the updates since the last heartbeat, and sent the number of
 	// changes of the evidence that messages to all nodes contain.
 	updateBytes int
@@ -43,8 +43,8 @@
 func (l *Link) addEvidenceToHeartbeat(m *message) {
 	data, changes := l.opt.Board.Evidence(0, maxEvidenceBytes)
 	l.mu.Lock()
-	left := max(0, maxHintBytes-len(data)-l.hints.updateBytes)
-	l.hints = hintBudget{sent: changes}
+	left := max(0, maxHintBytes-len(data)-l.evidenceBudget.updateBytes)
+	l.evidenceBudget = evidenceBudget{sent: changes}
 	l.mu.Unlock()
 	m.Evidence = data
 	if len(m.PrefixUpdates) > left {
@@ -55,12 +55,12 @@
 // addEvidenceToUpdate adds the evidence that has changed since the last message to all nodes.
 func (l *Link) addEvidenceToUpdate(m *message) {
 	l.mu.Lock()
-	after, left := l.hints.sent, max(0, maxUpdateEvidenceBytes-l.hints.updateBytes)
+	after, left := l.evidenceBudget.sent, max(0, maxUpdateEvidenceBytes-l.evidenceBudget.updateBytes)
 	l.mu.Unlock()
 	data, changes := l.opt.Board.Evidence(after, left)
 	l.mu.Lock()
-	l.hints.updateBytes += len(data)
-	l.hints.sent = max(l.hints.sent, changes)
+	l.evidenceBudget.updateBytes += len(data)
+	l.evidenceBudget.sent = max(l.evidenceBudget.sent, changes)
 	l.mu.Unlock()
 	m.Evidence = data
 }
--- a/pkg/gateway/peers/link.go
+++ b/pkg/gateway/peers/link.go
@@ -160,8 +160,8 @@
 	heartbeats, updates pacer
 	// reportPacer paces the reports between the regular ones.
 	reportPacer pacer
-	// hints are the sizes of the leader's messages since the last heartbeat.
-	hints hintBudget
+	// evidenceBudget is what the messages of the leader have used since the last heartbeat.
+	evidenceBudget evidenceBudget
 	// announcedRevisions are those in the last message of the leader to all nodes.
 	announcedRevisions []Revision
 }
--- a/pkg/gateway/quarantine/encoding.go
+++ b/pkg/gateway/quarantine/encoding.go
@@ -11,7 +11,7 @@
 	// ageUnit is the unit of encoded ages. An age up to 2 s takes one byte, and one up to 4 min two.
 	ageUnit = 16 * time.Millisecond
 	// soundFlag is set in the count of the pairs of an encoded record that has a time of success, and in the
-	// witness of a crash before which the part was sound.
+	// observer of a crash before which the part was sound.
 	soundFlag = 0x80
 	// spreadFlag is set in that count if a node has counted enough moments.
 	spreadFlag = 0x40
@@ -78,11 +78,11 @@
 	}
 	for _, p := range r.pairs {
 		data = binary.BigEndian.AppendUint32(data, p.crash.Engine)
-		witness := p.crash.Witness &^ soundFlag
+		observer := p.crash.Observer &^ soundFlag
 		if p.soundBefore {
-			witness |= soundFlag
+			observer |= soundFlag
 		}
-		data = append(data, witness)
+		data = append(data, observer)
 		data = appendAge(data, now.Sub(p.at))
 	}
 	return data
@@ -197,7 +197,7 @@
 		if len(data) < crashBytes {
 			return r, nil, false
 		}
-		p := pair{crash: Crash{Engine: binary.BigEndian.Uint32(data), Witness: data[4] &^ soundFlag}, soundBefore: data[4]&soundFlag != 0}
+		p := pair{crash: Crash{Engine: binary.BigEndian.Uint32(data), Observer: data[4] &^ soundFlag}, soundBefore: data[4]&soundFlag != 0}
 		if p.at, data, ok = decodeTime(data[crashBytes:], now); !ok {
 			return r, nil, false
 		}
--- a/pkg/gateway/quarantine/simulation_test.go
+++ b/pkg/gateway/quarantine/simulation_test.go
@@ -328,7 +328,7 @@
 
 // end ends a request's connection without an event.
 func (f *fleet) end(r *simRequest, incarnation uint32) {
-	if f.tables[r.node].RecordCrash(r.parts, Crash{Engine: incarnation, Witness: uint8(r.node)}, f.now) {
+	if f.tables[r.node].RecordCrash(r.parts, Crash{Engine: incarnation, Observer: uint8(r.node)}, f.now) {
 		f.applied(r.node)
 	}
 	node := r.node
--- a/pkg/gateway/quarantine/table.go
+++ b/pkg/gateway/quarantine/table.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"cassiawall.example/cassiawall/pkg/compare"
 )
 
 // Part is the hash of a model and the ID of a prompt part.
@@ -38,15 +40,15 @@
 type Crash struct {
 	// Engine is the hash of the engine's incarnation.
 	Engine uint32
-	// Witness is a 7-bit hash of the node that observed it.
-	Witness uint8
+	// Observer is a 7-bit hash of the node that observed it.
+	Observer uint8
 }
 
 const (
 	// minMoments is the number of crashes at different moments from which a part is quarantined, if at least
-	// minWitnesses nodes have observed them. A node whose own connections fail is no second witness.
+	// minObservers nodes have observed them. A node whose own connections fail is no second observer.
 	minMoments   = 3
-	minWitnesses = 2
+	minObservers = 2
 	// minMomentsAlone replaces minMoments if a single node has observed all of them.
 	minMomentsAlone = 5
 	// minSpanSoundBefore is the time between the first and the last crash that is also necessary if requests with
@@ -77,8 +79,8 @@
 	maxPairs = 8
 	// maxParts bounds the parts. Those with the fewest and oldest pairs are dropped first.
 	maxParts = 2048
-	// maxIncriminated bounds the parts that are compared with each other. Those with the most crashes are compared.
-	maxIncriminated = 64
+	// maxCandidates bounds the parts that are compared with each other. Those with the most crashes are compared.
+	maxCandidates = 64
 	// announceTime is the time for which a change is part of all messages.
 	announceTime = 5 * time.Second
 )
@@ -274,7 +276,7 @@
 	if len(r.pairs) == 0 {
 		return
 	}
-	if r.incriminates(r.pairs) {
+	if r.suffices(r.pairs) {
 		if now.Sub(r.lastAt) > forgetAfter {
 			r.pairs = nil
 		}
@@ -283,16 +285,16 @@
 	r.deletePairs(func(p pair) bool { return now.Sub(p.at) > evidenceTTL })
 }
 
-// incriminates reports whether pairs, which are some or all of the record's, suffice for a quarantine.
-func (r *record) incriminates(pairs []pair) bool {
+// suffices reports whether pairs, which are some or all of the record's, suffice for a quarantine.
+func (r *record) suffices(pairs []pair) bool {
 	if len(pairs) < minMoments {
 		return false
 	}
 	byTime := slices.SortedFunc(slices.Values(pairs), func(a, b pair) int { return a.at.Compare(b.at) })
-	moments, witnesses := 0, map[uint8]bool{}
+	moments, observers := 0, map[uint8]bool{}
 	var last time.Time
 	for _, p := range byTime {
-		witnesses[p.crash.Witness] = true
+		observers[p.crash.Observer] = true
 		if moments == 0 || p.at.Sub(last) >= momentGap {
 			moments++
 			last = p.at
@@ -306,7 +308,7 @@
 		enough = enough || r.spread || moments == minMoments-1 && r.lastAt.Sub(last) >= momentGap
 		r.spread = enough
 	}
-	return enough && len(witnesses) >= minWitnesses || moments >= minMomentsAlone
+	return enough && len(observers) >= minObservers || moments >= minMomentsAlone
 }
 
 // wasSound reports whether a request with the part succeeded a moment before one of the crashes.
@@ -340,31 +342,31 @@
 // has one cause, and all parts of the requests in doubt have a pair. judgeLocked reports whether the suspects have
 // changed.
 func (t *Table) judgeLocked(now time.Time) (changed bool) {
-	var incriminated []Part
+	var candidates []Part
 	for part, r := range t.records {
 		if len(r.pairs) >= minMoments {
 			r.expire(now)
-			if r.incriminates(r.pairs) {
-				incriminated = append(incriminated, part)
+			if r.suffices(r.pairs) {
+				candidates = append(candidates, part)
 			}
 		}
 	}
-	if len(incriminated) == 0 && len(t.suspects) == 0 {
+	if len(candidates) == 0 && len(t.suspects) == 0 {
 		return false
 	}
-	slices.SortFunc(incriminated, func(a, b Part) int { return cmp.Or(compareRecords(t.records[a], t.records[b]), cmp.Compare(a, b)) })
-	incriminated = incriminated[:min(len(incriminated), maxIncriminated)]
-	suspects := make(map[Part][]Part, len(incriminated))
+	slices.SortFunc(candidates, func(a, b Part) int { return cmp.Or(compareRecords(t.records[a], t.records[b]), cmp.Compare(a, b)) })
+	candidates = candidates[:min(len(candidates), maxCandidates)]
+	suspects := make(map[Part][]Part, len(candidates))
 	var found []*record
-	for i, part := range incriminated {
+	for i, part := range candidates {
 		r := t.records[part]
-		if !r.incriminates(slices.DeleteFunc(slices.Clone(r.pairs), func(p pair) bool {
+		if !r.suffices(slices.DeleteFunc(slices.Clone(r.pairs), func(p pair) bool {
 			return slices.ContainsFunc(found, func(suspect *record) bool { return suspect.explains(p) })
 		})) {
 			continue
 		}
 		same := []Part{part}
-		for _, other := range incriminated[i+1:] {
+		for _, other := range candidates[i+1:] {
 			if r.sameCrashes(t.records[other]) {
 				same = append(same, other)
 			}
@@ -382,7 +384,7 @@
 // compareRecords orders records of parts that had not been sound before first, then those with more crashes, then
 // those with a later last one.
 func compareRecords(a, b *record) int {
-	return cmp.Or(compareBool(wasSound(a.pairs), wasSound(b.pairs)), cmp.Compare(len(b.pairs), len(a.pairs)),
+	return cmp.Or(compare.Bool(wasSound(a.pairs), wasSound(b.pairs)), cmp.Compare(len(b.pairs), len(a.pairs)),
 		cmp.Compare(a.highestEngine(), b.highestEngine()), b.lastAt.Compare(a.lastAt))
 }
 
@@ -407,17 +409,6 @@
 		slices.EqualFunc(r.pairs, other.pairs, func(a, b pair) bool { return a.crash.Engine == b.crash.Engine })
 }
 
-// compareBool orders false before true.
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	}
-	return 1
-}
-
 // Verdict is the decision about a request.
 type Verdict struct {
 	// Refuse is set if the request must not be sent. Index is then that of the part in the request.
@@ -531,11 +522,11 @@
 	var suspects []Suspect
 	for _, part := range slices.Sorted(maps.Keys(t.suspects)) {
 		pairs := t.records[part].pairs
-		witnesses := map[uint8]bool{}
+		observers := map[uint8]bool{}
 		for _, p := range pairs {
-			witnesses[p.crash.Witness] = true
+			observers[p.crash.Observer] = true
 		}
-		suspects = append(suspects, Suspect{Part: part, Engines: len(pairs), Nodes: len(witnesses), Alternatives: len(t.suspects[part]) - 1})
+		suspects = append(suspects, Suspect{Part: part, Engines: len(pairs), Nodes: len(observers), Alternatives: len(t.suspects[part]) - 1})
 	}
 	return suspects
 }
--- a/pkg/gateway/quarantine/table_test.go
+++ b/pkg/gateway/quarantine/table_test.go
@@ -22,10 +22,10 @@
 func TestJudge(t *testing.T) {
 	// step is the crash of an engine, or a success if there is no engine.
 	type step struct {
-		at      float64
-		engine  uint32
-		witness uint8
-		parts   []Part
+		at       float64
+		engine   uint32
+		observer uint8
+		parts    []Part
 	}
 	p := func(parts ...Part) []Part { return parts }
 	tests := map[string]struct {
@@ -59,7 +59,7 @@
 				if s.engine == 0 {
 					table.RecordSuccess(s.parts, now)
 				} else {
-					table.RecordCrash(s.parts, Crash{Engine: s.engine, Witness: s.witness}, now)
+					table.RecordCrash(s.parts, Crash{Engine: s.engine, Observer: s.observer}, now)
 				}
 			}
 			verdict := table.Judge(test.request, false, now)
@@ -77,7 +77,7 @@
 	t.Helper()
 	table := NewTable()
 	for i := range 3 {
-		table.RecordCrash([]Part{7}, Crash{Engine: uint32(i), Witness: uint8(i)}, at(float64(i)))
+		table.RecordCrash([]Part{7}, Crash{Engine: uint32(i), Observer: uint8(i)}, at(float64(i)))
 	}
 	require.True(t, table.Judge([]Part{7}, false, at(2)).Refuse)
 	return table
@@ -91,7 +91,7 @@
 	assert.True(t, table.Judge([]Part{7}, false, at(63)).Refuse, "not on this node")
 	assert.Equal(t, Verdict{Trial: true}, table.Judge([]Part{7}, true, at(63)))
 	assert.True(t, table.Judge([]Part{7}, true, at(63)).Refuse, "one at a time")
-	table.RecordCrash([]Part{7}, Crash{Engine: 9, Witness: 1}, at(64))
+	table.RecordCrash([]Part{7}, Crash{Engine: 9, Observer: 1}, at(64))
 	assert.True(t, table.Judge([]Part{7}, true, at(64+127)).Refuse, "the delay grows")
 	assert.True(t, table.Judge([]Part{7}, true, at(64+129)).Trial)
 	table.RecordSuccess([]Part{7}, at(195))
@@ -106,7 +106,7 @@
 	for second := 3.0; second < 600; second += 0.5 {
 		if table.Judge([]Part{7}, true, at(second)).Trial {
 			trials++
-			table.RecordCrash([]Part{7}, Crash{Engine: uint32(100 + trials), Witness: 1}, at(second))
+			table.RecordCrash([]Part{7}, Crash{Engine: uint32(100 + trials), Observer: 1}, at(second))
 		}
 	}
 	assert.Equal(t, 3, trials)
@@ -146,7 +146,7 @@
 			source := random.IntN(len(sources))
 			parts := []Part{Part(random.IntN(3)), Part(10 + random.IntN(3))}
 			if random.IntN(3) > 0 {
-				sources[source].RecordCrash(append(parts, 7), Crash{Engine: random.Uint32(), Witness: uint8(source)}, now)
+				sources[source].RecordCrash(append(parts, 7), Crash{Engine: random.Uint32(), Observer: uint8(source)}, now)
 			} else {
 				sources[source].RecordSuccess(parts, now)
 			}
@@ -210,7 +210,7 @@
 // Guards against malformed messages that crash a node.
 func FuzzMerge(f *testing.F) {
 	table := NewTable()
-	table.RecordCrash([]Part{7, 8}, Crash{Engine: 1, Witness: 2}, start)
+	table.RecordCrash([]Part{7, 8}, Crash{Engine: 1, Observer: 2}, start)
 	table.RecordSuccess([]Part{8}, at(1))
 	data, _ := table.Encode(All, 0, 900, at(1))
 	f.Add(data)
@@ -229,7 +229,7 @@
 		for _, age := range []time.Duration{30 * time.Second, 2 * time.Minute, 30 * time.Minute} {
 			known, started, restored := NewTable(), NewTable(), NewTable()
 			for i := range crashes {
-				known.RecordCrash([]Part{7}, Crash{Engine: uint32(i*977 + 5), Witness: uint8(i % 3)}, start.Add(time.Duration(i)*400*time.Millisecond))
+				known.RecordCrash([]Part{7}, Crash{Engine: uint32(i*977 + 5), Observer: uint8(i % 3)}, start.Add(time.Duration(i)*400*time.Millisecond))
 			}
 			encodedAt := start.Add(6 * time.Second)
 			stored, _ := known.Encode(Quarantined, 0, 4096, encodedAt)
@@ -254,7 +254,7 @@
 			table := NewTable()
 			engine := func(i int) uint32 { return uint32(PartOf("engine", fmt.Sprint(seed, i))) }
 			for i := range crashes {
-				table.RecordCrash([]Part{shared, first}, Crash{Engine: engine(i), Witness: uint8(i % 15)}, start.Add(time.Duration(i)*2*time.Second/time.Duration(crashes)))
+				table.RecordCrash([]Part{shared, first}, Crash{Engine: engine(i), Observer: uint8(i % 15)}, start.Add(time.Duration(i)*2*time.Second/time.Duration(crashes)))
 			}
 			table.RecordSuccess([]Part{shared}, start.Add(3*time.Second))
 			sends := 0
@@ -263,7 +263,7 @@
 				table.RecordSuccess([]Part{shared}, now.Add(-50*time.Millisecond))
 				if !table.Judge([]Part{shared, second}, false, now).Refuse {
 					sends++
-					table.RecordCrash([]Part{shared, second}, Crash{Engine: engine(1000 + i), Witness: uint8(i % 15)}, now)
+					table.RecordCrash([]Part{shared, second}, Crash{Engine: engine(1000 + i), Observer: uint8(i % 15)}, now)
 				}
 			}
 			assert.LessOrEqual(t, sends, 5, "%d crashes of the first part, seed %d", crashes, seed)
@@ -286,7 +286,7 @@
 			refusedUntil = at
 		case at >= outageFrom && at < outageTo:
 			// The engines restart, so that each crash ends another incarnation.
-			table.RecordCrash(parts, Crash{Engine: uint32((i*7919%18 + 100*int(at/(1500*time.Millisecond))) * 2654435761), Witness: uint8(i % 15)}, now)
+			table.RecordCrash(parts, Crash{Engine: uint32((i*7919%18 + 100*int(at/(1500*time.Millisecond))) * 2654435761), Observer: uint8(i % 15)}, now)
 		default:
 			table.RecordSuccess(parts, now)
 		}
@@ -303,7 +303,7 @@
 		table.Expire(now)
 		if !table.Judge([]Part{7}, false, now).Refuse {
 			sends++
-			table.RecordCrash([]Part{7}, Crash{Engine: uint32(i), Witness: uint8(i % 15)}, now)
+			table.RecordCrash([]Part{7}, Crash{Engine: uint32(i), Observer: uint8(i % 15)}, now)
 		}
 	}
 	assert.LessOrEqual(t, sends, 8)
@@ -314,10 +314,10 @@
 	table := NewTable()
 	for i := range 1000 {
 		for e := range 4 {
-			table.recordLocked(Part(i), start).add(pair{crash: Crash{Engine: uint32(i*13 + e), Witness: uint8(e)}, at: at(float64(e))})
+			table.recordLocked(Part(i), start).add(pair{crash: Crash{Engine: uint32(i*13 + e), Observer: uint8(e)}, at: at(float64(e))})
 		}
 	}
 	table.judgeLocked(at(4))
-	assert.LessOrEqual(t, len(table.suspects), maxIncriminated)
+	assert.LessOrEqual(t, len(table.suspects), maxCandidates)
 	assert.NotEmpty(t, table.suspects)
 }
--- a/pkg/gateway/weights/plan.go
+++ b/pkg/gateway/weights/plan.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"slices"
+
+	"cassiawall.example/cassiawall/pkg/compare"
 )
 
 // enginesPerLoad is the number of a model's engines per concurrent load: with 5, one engine in five
@@ -41,7 +43,7 @@
 		}
 	}
 	slices.SortStableFunc(outdated, func(a, b Candidate) int {
-		return cmp.Or(compareBool(a.Unreachable, b.Unreachable), cmp.Compare(a.remainingWork(), b.remainingWork()), cmp.Compare(a.Version, b.Version))
+		return cmp.Or(compare.Bool(a.Unreachable, b.Unreachable), cmp.Compare(a.remainingWork(), b.remainingWork()), cmp.Compare(a.Version, b.Version))
 	})
 	capacity := max(0, maxConcurrentLoads(len(engines))-loading)
 	var next []string
@@ -57,15 +59,5 @@
 // remainingWork estimates the work of the engine's running requests, in short requests.
 func (c Candidate) remainingWork() int { return longRequestWeight*c.LongRequests + c.ShortRequests }
 
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return 1
-	}
-	return -1
-}
-
 // maxConcurrentLoads returns the number of engines that may load at a time.
 func maxConcurrentLoads(engines int) int { return (engines + enginesPerLoad - 1) / enginesPerLoad }
