Merge evidence by one function, whatever its age

Evidence of peers and evidence from the store were merged by two functions that differed in how they took the age into account: a late message set its receiver's own clock back by the message's age, which shortened the time for which the news is announced by as much. Table.Merge takes the age of the records and the present time, and Quarantine.Restore and Table.Restore go. The tests keep their assertions; their calls state an age of 0.

--- a/pkg/gateway/forward/quarantine.go
+++ b/pkg/gateway/forward/quarantine.go
@@ -72,16 +72,7 @@
 // Merge adds evidence that was encoded an age ago or later, by another node or before a restart. It is part of this
 // node's messages too if relay is set. Merge reports whether the quarantined parts have changed.
 func (q *Quarantine) Merge(data []byte, relay bool, age time.Duration) (changed bool) {
-	if len(data) == 0 || !q.table.Merge(data, relay, q.opt.Now().Add(-age)) {
-		return false
-	}
-	q.apply()
-	return true
-}
-
-// Restore adds evidence that was encoded an age ago. It reports whether the quarantined parts have changed.
-func (q *Quarantine) Restore(data []byte, age time.Duration) (changed bool) {
-	if !q.table.Restore(data, age, q.opt.Now()) {
+	if len(data) == 0 || !q.table.Merge(data, relay, age, q.opt.Now()) {
 		return false
 	}
 	q.apply()
--- a/pkg/gateway/node/quarantine_keeper.go
+++ b/pkg/gateway/node/quarantine_keeper.go
@@ -106,11 +106,11 @@
 		return fmt.Errorf("evidence was written %v in the future; check the clocks of this VM and of the writer", -age)
 	}
 	age = max(age, 0)
-	if k.quarantine.Restore(stored.Evidence, age) {
+	if k.quarantine.Merge(stored.Evidence, true, age) {
 		k.announce()
 	}
 	kept := quarantine.NewTable()
-	kept.Restore(stored.Evidence, age, now)
+	kept.Merge(stored.Evidence, true, age, now)
 	k.stored = partsOf(kept.Suspects())
 	return nil
 }
--- a/pkg/gateway/quarantine/encoding.go
+++ b/pkg/gateway/quarantine/encoding.go
@@ -92,19 +92,10 @@
 	return binary.AppendUvarint(data, uint64(max(age, 0)/ageUnit))
 }
 
-// Merge adds encoded records of another node. What is new is part of this node's messages too if relay is set. Merge
-// ignores the rest of malformed data. It reports whether the quarantined parts have changed.
-func (t *Table) Merge(data []byte, relay bool, now time.Time) (changed bool) {
-	return t.merge(data, relay, now, now)
-}
-
-// Restore is like Merge for records that were encoded an age before now, and are part of this node's messages.
-func (t *Table) Restore(data []byte, age time.Duration, now time.Time) (changed bool) {
-	return t.merge(data, true, now.Add(-age), now)
-}
-
-// merge adds records that were encoded at a time.
-func (t *Table) merge(data []byte, relay bool, encodedAt, now time.Time) (changed bool) {
+// Merge adds records that were encoded an age before now, by another node or before a restart. What is new is part of
+// this node's messages too if relay is set. Merge ignores the rest of malformed data. It reports whether the quarantined
+// parts have changed.
+func (t *Table) Merge(data []byte, relay bool, age time.Duration, now time.Time) (changed bool) {
 	if len(data) == 0 {
 		return false
 	}
@@ -113,7 +104,7 @@
 	news := false
 	for len(data) > partBytes {
 		part := Part(binary.BigEndian.Uint64(data))
-		received, rest, ok := decodeRecord(data[partBytes:], encodedAt)
+		received, rest, ok := decodeRecord(data[partBytes:], now.Add(-age))
 		if !ok {
 			break
 		}
--- a/pkg/gateway/quarantine/simulation_test.go
+++ b/pkg/gateway/quarantine/simulation_test.go
@@ -136,7 +136,7 @@
 		return
 	}
 	deliver := func() {
-		if f.tables[to].Merge(data, relay, f.now) {
+		if f.tables[to].Merge(data, relay, 0, f.now) {
 			f.applied(to)
 		}
 	}
--- a/pkg/gateway/quarantine/table_test.go
+++ b/pkg/gateway/quarantine/table_test.go
@@ -165,7 +165,7 @@
 			random.Shuffle(len(messages), func(i, j int) { messages[i], messages[j] = messages[j], messages[i] })
 			for _, m := range append(messages, messages[:len(messages)/2]...) {
 				// All are received without delay, so the times are the same in each order.
-				table.Merge(m.data, false, m.sent)
+				table.Merge(m.data, false, 0, m.sent)
 			}
 			for _, s := range table.Suspects() {
 				verdicts[s.Part]++
@@ -184,7 +184,7 @@
 	data, _ := table.Encode(All, 0, 300, at(3))
 	assert.LessOrEqual(t, len(data), 300)
 	other := NewTable()
-	assert.True(t, other.Merge(data, false, at(3)))
+	assert.True(t, other.Merge(data, false, 0, at(3)))
 	assert.True(t, other.Judge([]Part{7}, false, at(3)).Refuse)
 	data, changes := table.Encode(All, 0, 0, at(3))
 	assert.Nil(t, data)
@@ -201,9 +201,9 @@
 	leader, late := quarantined(t), quarantined(t)
 	leader.RecordSuccess([]Part{7}, at(10))
 	report, _ := late.Encode(All, 0, 900, at(30))
-	leader.Merge(report, true, at(30))
+	leader.Merge(report, true, 0, at(30))
 	heartbeat, _ := leader.Encode(All, 0, 900, at(30))
-	assert.True(t, late.Merge(heartbeat, false, at(30)))
+	assert.True(t, late.Merge(heartbeat, false, 0, at(30)))
 	assert.Empty(t, late.Suspects())
 }
 
@@ -216,7 +216,7 @@
 	f.Add(data)
 	f.Fuzz(func(_ *testing.T, data []byte) {
 		table := NewTable()
-		table.Merge(data, true, start)
+		table.Merge(data, true, 0, start)
 		table.Judge([]Part{7}, true, start)
 		table.Expire(start)
 	})
@@ -236,8 +236,8 @@
 			now := start.Add(age)
 			known.Expire(now)
 			message, _ := known.Encode(All, 0, 960, now)
-			started.Merge(message, false, now)
-			restored.Restore(stored, now.Sub(encodedAt), now)
+			started.Merge(message, false, 0, now)
+			restored.Merge(stored, true, now.Sub(encodedAt), now)
 			for name, table := range map[string]*Table{"known": known, "started": started, "restored": restored} {
 				assert.True(t, table.Judge([]Part{7}, false, now).Refuse, "%s, %d crashes, %v", name, crashes, age)
 			}
