Count the reads of a test's board without a data race

The race detector failed TestRevisionsAreNotCurrentAfterTheyWereRead in 3 of 36 runs, three copies at a time beside six busy loops on two CPUs: the board of the test counted its reads in a plain field, but a link reads its board both for the heartbeats of its loop and for the first heartbeat to a new node, in the goroutine that receives messages. The fault was in the test alone. The check stays as it was.

--- a/pkg/gateway/peers/echo_test.go
+++ b/pkg/gateway/peers/echo_test.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"math"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -62,14 +63,15 @@
 	assert.Zero(t, tooLate, "of %d", confirmed)
 }
 
-// pausingBoard is the board of a leader that is paused, every third time, after it has read its revisions.
+// pausingBoard is the board of a leader that is paused, every third time, after it has read its revisions. A link calls
+// it from the goroutine of its heartbeats and from that of its receiver.
 type pausingBoard struct {
 	*fakeBoard
-	reads int
+	reads atomic.Int32
 }
 
 func (b *pausingBoard) SmallContents() []KindContent {
-	if b.reads++; b.reads%3 == 0 {
+	if b.reads.Add(1)%3 == 0 {
 		time.Sleep(300 * time.Millisecond)
 	}
 	return nil
