Let followers fetch changes that their watches have missed

A watch misses changes when the store drops its history, and may bring a later one. A node that then became a follower had the leader's revision: it counted as current at that time and fetched only what came after, so that the missed change never arrived. A missed weights version stays unknown, and requests begin on old weights without a limit; a missed removal keeps an engine in use.

The mirror now records the revision up to which it has all changes, which lists and relayed content raise and watches do not. Followers compare that revision with the leader's and fetch from it on.

--- a/pkg/gateway/mirror/mirror.go
+++ b/pkg/gateway/mirror/mirror.go
@@ -142,6 +142,8 @@
 	// not recorded.
 	tombstones        map[string]int64
 	compactedRevision int64
+	// completeRevision is the revision up to which the content has all changes. Changes from a watch do not raise it.
+	completeRevision int64
 }
 
 // New returns an empty mirror.
@@ -159,6 +161,14 @@
 	return m.revision
 }
 
+// CompleteRevision returns the revision up to which the mirror is known to hold all changes. It is below Revision if a
+// watch, or a node that relays no store changes to this one, brought the newer ones: they may not be all.
+func (m *Mirror) CompleteRevision() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.completeRevision
+}
+
 // Size returns the size of all objects in bytes.
 func (m *Mirror) Size() int {
 	m.mu.Lock()
@@ -203,15 +213,19 @@
 	return c
 }
 
-// Import applies the content of another node if it is newer, and reports whether it was. relayed is set if
-// that node relays store changes to this one, so that the content is as current as the store's own; otherwise
-// the target receives it with Freshness.Interrupted set.
+// Import applies the content of another node, all of it or the changes since CompleteRevision, if it is newer, and
+// reports whether it was. relayed is set if that node relays store changes to this one, so that the content is as
+// current as the store's own; otherwise the target receives it with Freshness.Interrupted set. Relayed content of the
+// same revision adds changes that a watch has missed.
 func (m *Mirror) Import(c Content, relayed bool) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if c.Revision <= m.revision {
+	if c.Revision <= m.revision && !m.completesLocked(c, relayed) {
 		return false
 	}
+	if relayed {
+		defer func() { m.completeRevision = c.Revision }()
+	}
 	if c.Complete {
 		m.resetLocked(c.Entries, c.Revision, m.freshnessLocked(!relayed))
 		return true
@@ -223,10 +237,16 @@
 	for _, name := range c.Deleted {
 		m.applyLocked(Change{Entry: Entry{Name: name, Revision: c.Revision}, Deleted: true}, freshness)
 	}
-	m.revision = c.Revision
+	m.revision = max(m.revision, c.Revision)
 	return true
 }
 
+// completesLocked reports whether content that is not newer than the mirror's may have changes that it lacks. All
+// objects of an earlier revision would undo newer changes.
+func (m *Mirror) completesLocked(c Content, relayed bool) bool {
+	return relayed && c.Revision > m.completeRevision && (!c.Complete || c.Revision == m.revision)
+}
+
 // MarkCurrent records that a peer held all changes at a time on the clock of clock.Now, and no newer ones than this
 // mirror.
 func (m *Mirror) MarkCurrent(peer string, at time.Time) {
@@ -304,7 +324,10 @@
 	if revision < m.revision {
 		return false
 	}
-	defer m.confirmLocked(calledAt, "list")
+	defer func() {
+		m.completeRevision = m.revision
+		m.confirmLocked(calledAt, "list")
+	}()
 	if !m.differsLocked(entries) {
 		return true
 	}
--- a/pkg/gateway/mirror/mirror_test.go
+++ b/pkg/gateway/mirror/mirror_test.go
@@ -421,6 +421,41 @@
 	})
 }
 
+// Guards against a node that becomes a follower after its watch has missed a change but not a later one: it must still
+// get the missed one from the leader.
+func TestFollowerGetsAChangeThatItsWatchMissed(t *testing.T) {
+	for name, after := range map[string]func(*fakeSource){
+		"same revision":  func(*fakeSource) {},
+		"newer revision": func(s *fakeSource) { s.put("d") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s, leading, following, isFollower := newFakeSource(), &recordingTarget{}, &recordingTarget{}, &atomic.Bool{}
+				s.put("a")
+				ctx, cancel := context.WithCancel(t.Context())
+				leader, m := newMirror(s, leading, &atomic.Bool{}), newMirror(s, following, isFollower)
+				go leader.Run(ctx)
+				go m.Run(ctx)
+				time.Sleep(1100 * time.Millisecond)
+				s.put("b")
+				s.put("c")
+				s.locked(func() { s.log = s.log[len(s.log)-1:] })
+				time.Sleep(100 * time.Millisecond)
+				assert.Equal(t, []string{"a", "c"}, following.sortedNames())
+				isFollower.Store(true)
+				after(s)
+				time.Sleep(3 * time.Second)
+				assert.True(t, m.Import(leader.Export(m.CompleteRevision()), true))
+				assert.Equal(t, leading.sortedNames(), following.sortedNames())
+				assert.Equal(t, leader.Revision(), m.CompleteRevision())
+				assert.False(t, m.Import(leader.Export(m.CompleteRevision()), true), "nothing is missing any more")
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
+
 // Guards against calls to the store by a node to which the leader relays store changes.
 func TestFollowerMirrorDoesNotCallStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/pkg/gateway/node/board.go
+++ b/pkg/gateway/node/board.go
@@ -292,7 +292,11 @@
 	if m == nil {
 		return
 	}
-	if m.Revision() >= revision {
+	held := m.Revision
+	if relayed {
+		held = m.CompleteRevision
+	}
+	if held() >= revision {
 		if relayed {
 			m.MarkCurrent(peer, currentAt)
 		}
@@ -304,7 +308,7 @@
 	defer b.mu.Unlock()
 	now := time.Now()
 	l, ok := b.lagByKind[kind]
-	if !ok || m.Revision() >= l.revision {
+	if !ok || held() >= l.revision {
 		l = lag{revision: revision, since: now, lastFetch: l.lastFetch}
 	}
 	interval := max(minFetchInterval, time.Duration(b.nodeCount)*fetchIntervalPerNode)
@@ -316,7 +320,7 @@
 	b.lagByKind[kind] = l
 }
 
-// fetchFromPeer imports the objects that changed since the mirror's revision from a peer.
+// fetchFromPeer imports the objects that changed since the mirror's complete revision from a peer.
 func (b *board) fetchFromPeer(peer string, m *mirror.Mirror, relayed bool) {
 	defer func() {
 		b.mu.Lock()
@@ -325,7 +329,7 @@
 		l.fetching = false
 		b.lagByKind[m.Kind()] = l
 	}()
-	content, err := b.node.fetcher.Fetch(context.Background(), peer, m.Kind(), m.Revision())
+	content, err := b.node.fetcher.Fetch(context.Background(), peer, m.Kind(), m.CompleteRevision())
 	imported := err == nil && m.Import(content, relayed)
 	if err != nil {
 		event.ObjectsNotFetched.Emit(b.node.opt.Logger, "kind", m.Kind(), "peer", peer, "error", err.Error())
