Date the leader's states by the time at which they were read

States of backend servers (loads, loading, down, leaving) counted from their arrival. A node that was paused found old messages in its socket and used their states for up to 1.5 s: it sent requests to engines that were loading new weights, which refuse them, and by loads of before the pause.

The receiver already knows when the leader read a message at the earliest, from the timestamp of its own report that the message repeats. States now expire 1.5 s after that time. Weights versions in old states still count, because weights never go back. Messages of nodes of the previous version, which repeat no timestamp, count from their arrival as before.

TestStatesCountFromTheTimeAtWhichTheyWereRead fails with the expiry of before: the states of a message that is 4 s old are in use.

--- a/pkg/gateway/backends/backends.go
+++ b/pkg/gateway/backends/backends.go
@@ -101,7 +101,7 @@
 	Leaving bool
 }
 
-// assignmentTTL is the time after which an assignment expires if the leader is silent.
+// assignmentTTL is the time after which an assignment expires, from the time at which the leader read it.
 const assignmentTTL = 1500 * time.Millisecond
 
 // Load is the load of one node, or of all nodes, on a backend server. It is encoded as an array, so the order,
--- a/pkg/gateway/backends/states.go
+++ b/pkg/gateway/backends/states.go
@@ -185,13 +185,15 @@
 	return states
 }
 
-// ApplyStates stores states that the leader announced. The earlier states of other servers stay valid.
-func (r *Registry) ApplyStates(states []State, now time.Time) {
+// ApplyStates stores states that the leader announced and read at readAt or later. The earlier states of other servers
+// stay valid.
+func (r *Registry) ApplyStates(states []State, readAt, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	expiry := now.Add(assignmentTTL)
+	expiry := readAt.Add(assignmentTTL)
+	expired := !now.Before(expiry)
 	for _, m := range r.members {
-		if now.Before(m.assignmentExpiry) {
+		if now.Before(m.assignmentExpiry) && m.assignmentExpiry.Before(expiry) {
 			m.assignmentExpiry = expiry
 		}
 	}
@@ -200,7 +202,9 @@
 		if m == nil {
 			continue
 		}
-		m.assignment, m.assignmentExpiry = s.Assignment, expiry
+		if !expired {
+			m.assignment, m.assignmentExpiry = s.Assignment, expiry
+		}
 		if len(m.Models) > 0 {
 			m.observeVersion(m.Models[0].Name, s.Version)
 		}
--- a/pkg/gateway/backends/states_test.go
+++ b/pkg/gateway/backends/states_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -73,18 +74,38 @@
 	leader.SetLoading("e1", now.Add(1e9))
 	leader.ObserveVersion("e2", "m", 2)
 	states := leader.States(map[string]Load{"e3": {Unreachable: minDownReports}}, now)
-	follower.ApplyStates(DecodeStates(EncodeStates(states)), now)
+	follower.ApplyStates(DecodeStates(EncodeStates(states)), now, now)
 	q := Query{Service: "s", Model: "m"}
 	assert.Equal(t, []string{"e2"}, pickedIDs(countPicks(follower, q)))
 	c, _ := follower.Pick(q, now)
 	assert.Equal(t, 2, c.Version)
 	// Later messages without a server's state keep it valid.
 	later := now.Add(assignmentTTL / 2)
-	follower.ApplyStates(nil, later)
+	follower.ApplyStates(nil, later, later)
 	assert.True(t, follower.members["e1"].isLoading(later.Add(assignmentTTL-1)))
 	assert.False(t, follower.members["e1"].isLoading(later.Add(assignmentTTL)))
 }
 
+// Guards against states that a paused node uses after its pause: the messages waited in its socket and are old when
+// they are read.
+func TestStatesCountFromTheTimeAtWhichTheyWereRead(t *testing.T) {
+	leader, follower := newRegistry(2, nil), newRegistry(2, nil)
+	leader.SetLoading("e1", now.Add(time.Hour))
+	leader.ObserveVersion("e0", "m", 2)
+	states := leader.States(map[string]Load{"e0": {Long: 3}}, now)
+	isLoading := func(at time.Time) bool { return follower.members["e1"].isLoading(at) }
+	later := now.Add(4 * time.Second)
+	follower.ApplyStates(states, now, later)
+	assert.False(t, isLoading(later), "the states are older than assignmentTTL")
+	assert.Zero(t, follower.members["e0"].running(later))
+	assert.Equal(t, 2, follower.members["e0"].version("m"), "weights never go back")
+	follower.ApplyStates(states, later.Add(-time.Second), later)
+	assert.True(t, isLoading(later))
+	assert.False(t, isLoading(later.Add(assignmentTTL-time.Second)))
+	follower.ApplyStates(nil, now, later)
+	assert.True(t, isLoading(later), "older messages do not shorten the time")
+}
+
 // Guards against a frequent prefix that overloads one engine, and against a rare one that several engines prefill.
 // Replays a hot key with a third of 600 requests a second while the nodes know no loads.
 func TestFrequentPrefixHasSeveralHomes(t *testing.T) {
@@ -148,7 +169,7 @@
 		b.Slots = 12
 		r.Put(b)
 	}
-	r.ApplyStates(r.States(nil, now), now)
+	r.ApplyStates(r.States(nil, now), now, now)
 	counts := map[string]int{}
 	for range 150 {
 		// Each request comes from another node, which knows no load.
@@ -166,7 +187,7 @@
 	for i := range states {
 		states[i].TakesLong = states[i].Long > 0
 	}
-	r.ApplyStates(states, now)
+	r.ApplyStates(states, now, now)
 	for range 1000 {
 		c, _ := r.Pick(Query{Service: "s", Model: "m", Long: true}, now)
 		require.NotContains(t, counts, c.ID)
--- a/pkg/gateway/node/board.go
+++ b/pkg/gateway/node/board.go
@@ -191,8 +191,13 @@
 }
 
 // ApplyStates implements peers.Board.
-func (b *board) ApplyStates(states []byte) {
-	b.node.registry.ApplyStates(backends.DecodeStates(states), time.Now())
+func (b *board) ApplyStates(states []byte, readAt time.Time) {
+	now := time.Now()
+	var age time.Duration
+	if !readAt.IsZero() {
+		age = clock.Since(readAt)
+	}
+	b.node.registry.ApplyStates(backends.DecodeStates(states), now.Add(-age), now)
 }
 
 // SmallContents implements peers.Board.
--- a/pkg/gateway/peers/leader.go
+++ b/pkg/gateway/peers/leader.go
@@ -116,7 +116,7 @@
 	m.States, m.PrefixUpdates = l.opt.Board.States(total, ForHeartbeat), l.opt.Board.TakePrefixUpdates()
 	l.addEvidenceToHeartbeat(m)
 	l.opt.Board.ApplyHeartbeat(m.Heartbeat, readAt)
-	l.opt.Board.ApplyStates(m.States)
+	l.opt.Board.ApplyStates(m.States, readAt)
 	if listPeers {
 		m.Peers = pickRandom(addresses(targets), maxPeersListed)
 	}
@@ -157,6 +157,7 @@
 // sendUpdate sends the states of backend servers that have changed since the last message to all nodes, and the
 // revisions. It sends nothing if neither has changed.
 func (l *Link) sendUpdate() {
+	readAt := clock.Now()
 	targets, total := l.collectReports()
 	l.mu.Lock()
 	l.updates.sentAt = time.Now()
@@ -174,7 +175,7 @@
 	if changed {
 		m.Contents = l.opt.Board.SmallContents()
 	}
-	l.opt.Board.ApplyStates(m.States)
+	l.opt.Board.ApplyStates(m.States, readAt)
 	l.mu.Lock()
 	l.announcedRevisions = m.Revisions
 	l.mu.Unlock()
--- a/pkg/gateway/peers/link.go
+++ b/pkg/gateway/peers/link.go
@@ -82,8 +82,9 @@
 	// States returns encoded states of backend servers for a message of the leader, from the loads of all nodes
 	// by backend server ID.
 	States(total map[string]backends.Load, scope StateScope) []byte
-	// ApplyStates applies the states in a message of the leader.
-	ApplyStates(states []byte)
+	// ApplyStates applies the states in a message of the leader, which read them at readAt or later. readAt is zero if
+	// that is not known.
+	ApplyStates(states []byte, readAt time.Time)
 	// SmallContents returns the content of the mirrors of few small objects. ImportContents applies that of
 	// the leader.
 	SmallContents() []KindContent
--- a/pkg/gateway/peers/peers_test.go
+++ b/pkg/gateway/peers/peers_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"cassiawall.example/cassiawall/pkg/clock"
 	"cassiawall.example/cassiawall/pkg/gateway/backends"
 	"cassiawall.example/cassiawall/pkg/gateway/mirror"
 	"cassiawall.example/cassiawall/pkg/metrics"
@@ -33,7 +34,9 @@
 	// update are the states of updates, states the last received ones.
 	update []byte
 	states string
-	lease  []byte
+	// statesReadAt is the readAt of states.
+	statesReadAt time.Time
+	lease        []byte
 	// readRevision replaces revision, and onRevision is called with each revision of a peer. Both may be nil.
 	readRevision func() int64
 	onRevision   func(revision int64, currentAt time.Time)
@@ -116,10 +119,10 @@
 	return []byte("states")
 }
 
-func (b *fakeBoard) ApplyStates(states []byte) {
+func (b *fakeBoard) ApplyStates(states []byte, readAt time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.states = string(states)
+	b.states, b.statesReadAt = string(states), readAt
 }
 
 func (b *fakeBoard) TakeCounts() []byte { return nil }
@@ -310,6 +313,9 @@
 		return received("changed")()
 	}, 10*time.Second, time.Millisecond)
 	assert.Positive(t, follower.renewalCount())
+	follower.mu.Lock()
+	assert.WithinDuration(t, clock.Now(), follower.statesReadAt, 5*time.Second)
+	follower.mu.Unlock()
 	renewals := follower.renewalCount()
 	f.handle(&message{From: "127.0.0.1:9", IsReply: true, IsUpdate: true, Synced: true, States: []byte("foreign")})
 	assert.False(t, received("foreign")())
