Call the store for changes that cannot be fetched from the leader

A follower learns from datagrams that the leader has newer objects, and fetches them over TCP. Where datagrams arrived and connections failed, each message renewed the permission to rely on the leader, and the node stayed without the changes for as long as that lasted. Small contents, such as few weights versions, are in the messages themselves; the configuration, the backend servers and many versions are not.

After a failed fetch, the mirror of that kind now calls the store until it has reached the revision that the leader announced; then it relies on the leader again.

--- a/pkg/gateway/node/board.go
+++ b/pkg/gateway/node/board.go
@@ -79,6 +79,9 @@
 	since     time.Time
 	fetching  bool
 	lastFetch time.Time
+	// fetchFailed is set if the last fetch from a peer that relays store changes failed. This node then calls the store
+	// until it has reached revision.
+	fetchFailed bool
 }
 
 var _ peers.Board = (*board)(nil)
@@ -270,6 +273,18 @@
 	return follower
 }
 
+// isRelayed reports whether the changes of one kind of objects reach this node from the leader or a standby, so that its
+// mirror need not call the store. They do not if the messages arrive and the fetches fail.
+func (b *board) isRelayed(m *mirror.Mirror) bool {
+	if !b.isFollower() {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l := b.lagByKind[m.Kind()]
+	return !l.fetchFailed || m.CompleteRevision() >= l.revision
+}
+
 // RenewFollower implements peers.Board: it extends the time for which this node stays a follower.
 func (b *board) RenewFollower(readAt time.Time) {
 	b.mu.Lock()
@@ -327,16 +342,21 @@
 
 // fetchFromPeer imports the objects that changed since the mirror's complete revision from a peer.
 func (b *board) fetchFromPeer(peer string, m *mirror.Mirror, relayed bool) {
+	failed := false
 	defer func() {
 		b.mu.Lock()
 		defer b.mu.Unlock()
 		l := b.lagByKind[m.Kind()]
 		l.fetching = false
+		if relayed {
+			l.fetchFailed = failed
+		}
 		b.lagByKind[m.Kind()] = l
 	}()
 	content, err := b.node.fetcher.Fetch(context.Background(), peer, m.Kind(), m.CompleteRevision())
 	imported := err == nil && m.Import(content, relayed)
 	if err != nil {
+		failed = true
 		event.ObjectsNotFetched.Emit(b.node.opt.Logger, "kind", m.Kind(), "peer", peer, "error", err.Error())
 		return
 	}
--- a/pkg/gateway/node/node.go
+++ b/pkg/gateway/node/node.go
@@ -139,7 +139,7 @@
 func (n *Node) newMirror(kind string, target mirror.Target, batchDelay time.Duration) *mirror.Mirror {
 	return mirror.New(mirror.Options{
 		Kind: kind, Source: n.opt.Store, Target: target, Logger: n.opt.Logger, BatchDelay: batchDelay,
-		IsFollower: func() bool { return n.board.isFollower() },
+		IsFollower: func() bool { return n.board.isRelayed(n.mirrorByKind(kind)) },
 		MayCall:    func() bool { return !n.board.awaitsPeers() },
 		OnChange:   func() { n.link.RequestUpdate() },
 		ListInterval: func() time.Duration {
