Ignore weights versions of before an engine's restart

An engine may restart under its id and load the weights of its listing. A response, a report or a state in a message of the leader that was read before the restart and applied after the new listing set the version of before for the new start. As versions never go back in a node's view, the engine then refused each request of that node, and a leader with that view would not have ordered it to load the version. The platform's engines keep their version over a restart, so that this was not seen; the code must not rest on it.

Versions from responses and reports now count for the start (the engine's own start time) that they came from. States and versions in messages of the leader count if the leader had the listings up to the first listing of the present start, which the revisions in the same message show. These revisions were sent before, so that messages between old and new nodes stay as they are; a leader reads them before the versions.

TestVersionsOfBeforeARestartAreIgnored fails without the checks: the response, the state and the announced version each set version 2.

--- a/pkg/gateway/backends/backends.go
+++ b/pkg/gateway/backends/backends.go
@@ -32,6 +32,8 @@
 	Leaving bool
 	// Started is the time of the start in Unix milliseconds, or 0 if the listing does not state it.
 	Started int64
+	// Revision is that of the listing in the store.
+	Revision int64
 	// Slots is the number of requests that an engine runs at the same time.
 	Slots  int
 	Models []Model
@@ -60,7 +62,9 @@
 	dataCentreHash uint64
 	// idHash is the hash of the ID that a cachemap uses.
 	idHash uint32
-	pool   *exchange.Pool
+	// generationRevision is the revision of the first listing since the server's last restart that this node has received.
+	generationRevision int64
+	pool               *exchange.Pool
 
 	// ownLong and ownShort count this node's running requests by their expected duration.
 	ownLong, ownShort int
@@ -155,7 +159,7 @@
 	if old != nil {
 		r.removeLocked(old)
 	}
-	m := &member{Backend: b, rendezvousHash: rendezvous.Hash(b.ID), dataCentreHash: rendezvous.Hash(b.DataCentre), idHash: cachemap.EngineHash(b.ID), pool: exchange.NewPool(b.Address), observedVersions: map[string]int{}}
+	m := &member{Backend: b, generationRevision: b.Revision, rendezvousHash: rendezvous.Hash(b.ID), dataCentreHash: rendezvous.Hash(b.DataCentre), idHash: cachemap.EngineHash(b.ID), pool: exchange.NewPool(b.Address), observedVersions: map[string]int{}}
 	r.members[b.ID], r.byHash[m.idHash] = m, m
 	list := append(r.byService[b.Service], m)
 	slices.SortFunc(list, func(a, c *member) int { return cmp.Compare(a.ID, c.ID) })
@@ -225,6 +229,8 @@
 // Engine is an engine that serves a model.
 type Engine struct {
 	ID, Address string
+	// Started is Backend.Started.
+	Started int64
 	// Version is that of the model's weights.
 	Version int
 	// Long and Short are the requests that run on it.
@@ -240,7 +246,7 @@
 	var found []Engine
 	for _, m := range r.members {
 		if v := m.version(model); v > 0 && !m.Leaving && m.suspectSince.IsZero() {
-			found = append(found, Engine{ID: m.ID, Address: m.Address, Version: v, Long: m.runningLong(now), Short: m.running(now) - m.runningLong(now), Down: m.isDown(now)})
+			found = append(found, Engine{ID: m.ID, Address: m.Address, Started: m.Started, Version: v, Long: m.runningLong(now), Short: m.running(now) - m.runningLong(now), Down: m.isDown(now)})
 		}
 	}
 	slices.SortFunc(found, func(a, b Engine) int { return cmp.Compare(a.ID, b.ID) })
@@ -248,11 +254,12 @@
 }
 
 // ObserveVersion records a version of a model's weights that an engine's response has reported. Versions that are
-// not newer than the known one are ignored.
-func (r *Registry) ObserveVersion(id, model string, version int) {
+// not newer than the known one are ignored, and so are those of an engine that has restarted since. started is the
+// Backend.Started of the engine that responded, or 0 if it is not known.
+func (r *Registry) ObserveVersion(id string, started int64, model string, version int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if m := r.members[id]; m != nil {
+	if m := r.members[id]; m != nil && (started == 0 || m.Started == 0 || started == m.Started) {
 		m.observeVersion(model, version)
 	}
 }
--- a/pkg/gateway/backends/states_test.go
+++ b/pkg/gateway/backends/states_test.go
@@ -72,16 +72,16 @@
 	b.Leaving = true
 	leader.Put(b)
 	leader.SetLoading("e1", now.Add(1e9))
-	leader.ObserveVersion("e2", "m", 2)
+	leader.ObserveVersion("e2", 0, "m", 2)
 	states := leader.States(map[string]Load{"e3": {Unreachable: minDownReports}}, now)
-	follower.ApplyStates(DecodeStates(EncodeStates(states)), now, now)
+	follower.ApplyStates(DecodeStates(EncodeStates(states)), 0, now, now)
 	q := Query{Service: "s", Model: "m"}
 	assert.Equal(t, []string{"e2"}, pickedIDs(countPicks(follower, q)))
 	c, _ := follower.Pick(q, now)
 	assert.Equal(t, 2, c.Version)
 	// Later messages without a server's state keep it valid.
 	later := now.Add(assignmentTTL / 2)
-	follower.ApplyStates(nil, later, later)
+	follower.ApplyStates(nil, 0, later, later)
 	assert.True(t, follower.members["e1"].isLoading(later.Add(assignmentTTL-1)))
 	assert.False(t, follower.members["e1"].isLoading(later.Add(assignmentTTL)))
 }
@@ -91,21 +91,46 @@
 func TestStatesCountFromTheTimeAtWhichTheyWereRead(t *testing.T) {
 	leader, follower := newRegistry(2, nil), newRegistry(2, nil)
 	leader.SetLoading("e1", now.Add(time.Hour))
-	leader.ObserveVersion("e0", "m", 2)
+	leader.ObserveVersion("e0", 0, "m", 2)
 	states := leader.States(map[string]Load{"e0": {Long: 3}}, now)
 	isLoading := func(at time.Time) bool { return follower.members["e1"].isLoading(at) }
 	later := now.Add(4 * time.Second)
-	follower.ApplyStates(states, now, later)
+	follower.ApplyStates(states, 0, now, later)
 	assert.False(t, isLoading(later), "the states are older than assignmentTTL")
 	assert.Zero(t, follower.members["e0"].running(later))
 	assert.Equal(t, 2, follower.members["e0"].version("m"), "weights never go back")
-	follower.ApplyStates(states, later.Add(-time.Second), later)
+	follower.ApplyStates(states, 0, later.Add(-time.Second), later)
 	assert.True(t, isLoading(later))
 	assert.False(t, isLoading(later.Add(assignmentTTL-time.Second)))
-	follower.ApplyStates(nil, now, later)
+	follower.ApplyStates(nil, 0, now, later)
 	assert.True(t, isLoading(later), "older messages do not shorten the time")
 }
 
+// Guards against an engine that counts as having the weights of before its restart: it would refuse each request, and
+// the leader would not order it to load them.
+func TestVersionsOfBeforeARestartAreIgnored(t *testing.T) {
+	r := newRegistry(1, func(_ int, b *Backend) { b.Started, b.Revision = 7, 10 })
+	restarted := engine("e0", 1)
+	restarted.Started, restarted.Revision = 8, 20
+	r.Put(restarted)
+	state := []State{{Hash: r.members["e0"].idHash, Assignment: Assignment{Long: 3}, Version: 2}}
+	version := func() int { return r.members["e0"].version("m") }
+	r.ObserveVersion("e0", 7, "m", 2)
+	assert.Equal(t, 1, version(), "response of before the restart")
+	r.ApplyStates(state, 19, now, now)
+	assert.Equal(t, 1, version(), "state of before the restart")
+	r.ApplyVersion("e0", "m", 2, 19)
+	assert.Equal(t, 1, version(), "version of before the restart")
+	assert.Zero(t, r.members["e0"].running(now))
+	renewed := restarted
+	renewed.Revision = 30
+	r.Put(renewed)
+	r.ApplyStates(state, 20, now, now)
+	assert.Equal(t, 2, version(), "the leader had the listing of the restart")
+	r.ObserveVersion("e0", 8, "m", 3)
+	assert.Equal(t, 3, version())
+}
+
 // Guards against a frequent prefix that overloads one engine, and against a rare one that several engines prefill.
 // Replays a hot key with a third of 600 requests a second while the nodes know no loads.
 func TestFrequentPrefixHasSeveralHomes(t *testing.T) {
@@ -169,7 +194,7 @@
 		b.Slots = 12
 		r.Put(b)
 	}
-	r.ApplyStates(r.States(nil, now), now, now)
+	r.ApplyStates(r.States(nil, now), 0, now, now)
 	counts := map[string]int{}
 	for range 150 {
 		// Each request comes from another node, which knows no load.
@@ -187,7 +212,7 @@
 	for i := range states {
 		states[i].TakesLong = states[i].Long > 0
 	}
-	r.ApplyStates(states, now, now)
+	r.ApplyStates(states, 0, now, now)
 	for range 1000 {
 		c, _ := r.Pick(Query{Service: "s", Model: "m", Long: true}, now)
 		require.NotContains(t, counts, c.ID)
--- a/pkg/gateway/forward/active_request.go
+++ b/pkg/gateway/forward/active_request.go
@@ -295,7 +295,7 @@
 	a.router.observe("backend_first_byte_ms", time.Since(sentAt))
 	info := a.router.opt.Protocol.DecodeResponse(response.Header)
 	if a.request.Model != "" && info.WeightsVersion > 0 {
-		a.router.opt.Backends.ObserveVersion(c.ID, a.request.Model, info.WeightsVersion)
+		a.router.opt.Backends.ObserveVersion(c.ID, c.Started, a.request.Model, info.WeightsVersion)
 	}
 	if info.NotRun || response.Status == http.StatusMisdirectedRequest {
 		return a.handleRefusal(c, response, info)
--- a/pkg/gateway/node/board.go
+++ b/pkg/gateway/node/board.go
@@ -194,13 +194,23 @@
 }
 
 // ApplyStates implements peers.Board.
-func (b *board) ApplyStates(states []byte, readAt time.Time) {
+func (b *board) ApplyStates(states []byte, revisions []peers.Revision, readAt time.Time) {
 	now := time.Now()
 	var age time.Duration
 	if !readAt.IsZero() {
 		age = clock.Since(readAt)
 	}
-	b.node.registry.ApplyStates(backends.DecodeStates(states), now.Add(-age), now)
+	b.node.registry.ApplyStates(backends.DecodeStates(states), b.listingRevision(revisions), now.Add(-age), now)
+}
+
+// listingRevision returns the revision of the listings of backend servers among revisions, or 0.
+func (b *board) listingRevision(revisions []peers.Revision) int64 {
+	for _, r := range revisions {
+		if r.Kind == b.node.opt.Kinds.Backends {
+			return r.Revision
+		}
+	}
+	return 0
 }
 
 // SmallContents implements peers.Board.
@@ -233,7 +243,7 @@
 }
 
 // ApplyHeartbeat implements peers.Board.
-func (b *board) ApplyHeartbeat(heartbeat peers.Heartbeat, readAt time.Time) {
+func (b *board) ApplyHeartbeat(heartbeat peers.Heartbeat, revisions []peers.Revision, readAt time.Time) {
 	if heartbeat.Synced {
 		b.mu.Lock()
 		b.nodeCount = heartbeat.Nodes
@@ -246,7 +256,7 @@
 	b.node.controller.ObserveLease(heartbeat.Lease, heartbeat.LeaseVersion, time.Now())
 	b.node.registry.ApplyAssignments(heartbeat.Assignments, time.Now())
 	for _, v := range heartbeat.Versions {
-		b.node.registry.ObserveVersion(v.Backend, v.Model, v.Version)
+		b.node.registry.ApplyVersion(v.Backend, v.Model, v.Version, b.listingRevision(revisions))
 	}
 	for _, s := range heartbeat.StoreEpochs {
 		b.node.prefixes.SetStoreEpoch(s.Address, s.Epoch, time.Now())
--- a/pkg/gateway/node/board_test.go
+++ b/pkg/gateway/node/board_test.go
@@ -90,7 +90,7 @@
 			defer cancel()
 			hears := func(d time.Duration, revision int64) {
 				for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-					n.board.ApplyHeartbeat(peers.Heartbeat{Nodes: 2, Synced: true}, clock.Now())
+					n.board.ApplyHeartbeat(peers.Heartbeat{Nodes: 2, Synced: true}, nil, clock.Now())
 					n.board.HandlePeerRevision(leader, "versions", revision, true, clock.Now())
 				}
 			}
--- a/pkg/gateway/node/mirrors.go
+++ b/pkg/gateway/node/mirrors.go
@@ -102,6 +102,7 @@
 		t.registry.Remove(e.Name)
 		return
 	}
+	b.Revision = e.Revision
 	if t.registry.Put(b) {
 		event.BackendListed.Emit(t.logger, "backend", b.ID, "service", b.Service, "address", b.Address, "leaving", b.Leaving,
 			"models", b.Models, "revision", e.Revision)
--- a/pkg/gateway/peers/leader.go
+++ b/pkg/gateway/peers/leader.go
@@ -115,8 +115,8 @@
 	l.opt.Board.ApplyFrequent(m.Frequent)
 	m.States, m.PrefixUpdates = l.opt.Board.States(total, ForHeartbeat), l.opt.Board.TakePrefixUpdates()
 	l.addEvidenceToHeartbeat(m)
-	l.opt.Board.ApplyHeartbeat(m.Heartbeat, readAt)
-	l.opt.Board.ApplyStates(m.States, readAt)
+	l.opt.Board.ApplyHeartbeat(m.Heartbeat, m.Revisions, readAt)
+	l.opt.Board.ApplyStates(m.States, m.Revisions, readAt)
 	if listPeers {
 		m.Peers = pickRandom(addresses(targets), maxPeersListed)
 	}
@@ -131,9 +131,11 @@
 	l.mu.Lock()
 	nodes, settled, standbys := l.nodes, l.nodesSettled, l.standbys
 	l.mu.Unlock()
+	// The revisions are read first: receivers ignore states of servers that were listed again after them.
+	revisions := l.opt.Board.Revisions()
 	heartbeat := l.opt.Board.BuildHeartbeat(nodes)
 	heartbeat.NodesSettled, heartbeat.Standbys = settled, standbys
-	return &message{From: l.opt.Address, Leader: true, Revisions: l.opt.Board.Revisions(), Heartbeat: heartbeat, Contents: l.opt.Board.SmallContents()}
+	return &message{From: l.opt.Address, Leader: true, Revisions: revisions, Heartbeat: heartbeat, Contents: l.opt.Board.SmallContents()}
 }
 
 // addresses returns the addresses of targets.
@@ -175,7 +177,7 @@
 	if changed {
 		m.Contents = l.opt.Board.SmallContents()
 	}
-	l.opt.Board.ApplyStates(m.States, readAt)
+	l.opt.Board.ApplyStates(m.States, m.Revisions, readAt)
 	l.mu.Lock()
 	l.announcedRevisions = m.Revisions
 	l.mu.Unlock()
--- a/pkg/gateway/peers/link.go
+++ b/pkg/gateway/peers/link.go
@@ -76,15 +76,15 @@
 	Revisions() []Revision
 	// BuildHeartbeat returns the heartbeat of a leader to which nodes report.
 	BuildHeartbeat(nodes int) Heartbeat
-	// ApplyHeartbeat applies the leader's heartbeat, whose content was read at readAt or later. readAt is zero if
-	// the heartbeat does not show it.
-	ApplyHeartbeat(heartbeat Heartbeat, readAt time.Time)
+	// ApplyHeartbeat applies the leader's heartbeat, whose content was read at readAt or later, with the revisions that
+	// the leader's mirrors had. readAt is zero if the heartbeat does not show it.
+	ApplyHeartbeat(heartbeat Heartbeat, revisions []Revision, readAt time.Time)
 	// States returns encoded states of backend servers for a message of the leader, from the loads of all nodes
 	// by backend server ID.
 	States(total map[string]backends.Load, scope StateScope) []byte
-	// ApplyStates applies the states in a message of the leader, which read them at readAt or later. readAt is zero if
-	// that is not known.
-	ApplyStates(states []byte, readAt time.Time)
+	// ApplyStates applies the states in a message of the leader, which read them at readAt or later, and after the
+	// revisions of its mirrors. readAt is zero if that is not known.
+	ApplyStates(states []byte, revisions []Revision, readAt time.Time)
 	// SmallContents returns the content of the mirrors of few small objects. ImportContents applies that of
 	// the leader.
 	SmallContents() []KindContent
--- a/pkg/gateway/peers/peers_test.go
+++ b/pkg/gateway/peers/peers_test.go
@@ -119,7 +119,7 @@
 	return []byte("states")
 }
 
-func (b *fakeBoard) ApplyStates(states []byte, readAt time.Time) {
+func (b *fakeBoard) ApplyStates(states []byte, _ []Revision, readAt time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.states, b.statesReadAt = string(states), readAt
@@ -145,7 +145,7 @@
 	b.lease = record
 }
 
-func (b *fakeBoard) ApplyHeartbeat(heartbeat Heartbeat, _ time.Time) {
+func (b *fakeBoard) ApplyHeartbeat(heartbeat Heartbeat, _ []Revision, _ time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.heartbeat = heartbeat
--- a/pkg/gateway/peers/receive.go
+++ b/pkg/gateway/peers/receive.go
@@ -65,8 +65,8 @@
 	}
 	l.compareRevisions(m, current, readAt)
 	if current {
-		l.opt.Board.ApplyHeartbeat(m.Heartbeat, readAt)
-		l.opt.Board.ApplyStates(m.States, readAt)
+		l.opt.Board.ApplyHeartbeat(m.Heartbeat, m.Revisions, readAt)
+		l.opt.Board.ApplyStates(m.States, m.Revisions, readAt)
 		l.opt.Board.ApplyFrequent(m.Frequent)
 		l.opt.Board.MergePrefixUpdates(m.PrefixUpdates, false)
 	}
@@ -123,7 +123,7 @@
 	}
 	l.compareRevisions(m, current, readAt)
 	if current {
-		l.opt.Board.ApplyStates(m.States, readAt)
+		l.opt.Board.ApplyStates(m.States, m.Revisions, readAt)
 	}
 	l.opt.Board.MergeEvidence(m.Evidence, false, readAt)
 }
--- a/pkg/gateway/weights/controller.go
+++ b/pkg/gateway/weights/controller.go
@@ -1,6 +1,7 @@
 package weights
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"log/slog"
@@ -20,6 +21,8 @@
 type Target struct {
 	ID      string
 	Address string
+	// Started is the start time of the engine in Unix milliseconds, or 0 if it is not known.
+	Started int64
 }
 
 // EngineState is the state that an engine reports.
@@ -307,7 +310,7 @@
 	targets := map[string]Target{}
 	candidates := make([]Candidate, 0, len(engines))
 	for _, e := range engines {
-		targets[e.ID] = Target{ID: e.ID, Address: e.Address}
+		targets[e.ID] = Target{ID: e.ID, Address: e.Address, Started: e.Started}
 		o := c.engineOrders[e.ID]
 		if o != nil && !o.pending && now.Before(o.retryAt) {
 			continue
@@ -366,7 +369,7 @@
 		}
 		o.acceptedOrders, o.acceptedOrdersKnown = state.AcceptedOrders, true
 		if state.Versions[model] >= version {
-			c.opt.Backends.ObserveVersion(t.ID, model, state.Versions[model])
+			c.opt.Backends.ObserveVersion(t.ID, cmp.Or(state.Started, t.Started), model, state.Versions[model])
 			return outcomeDone
 		}
 	}
@@ -379,7 +382,7 @@
 	}
 	switch reply {
 	case AlreadyLoaded:
-		c.opt.Backends.ObserveVersion(t.ID, model, version)
+		c.opt.Backends.ObserveVersion(t.ID, t.Started, model, version)
 		return outcomeDone
 	case Accepted:
 		o.acceptedOrders++
@@ -395,7 +398,7 @@
 			return err.Error()
 		}
 		if !state.Busy && state.Versions[model] >= version {
-			c.opt.Backends.ObserveVersion(t.ID, model, state.Versions[model])
+			c.opt.Backends.ObserveVersion(t.ID, cmp.Or(state.Started, t.Started), model, state.Versions[model])
 			return outcomeDone
 		}
 	}
