Repeat an order that its engine has lost in a restart

The leader polls an engine after it has accepted an order. An engine that restarted between two polls reported that it was idle, with the old version, and the leader waited until the end of the load timeout, 6 s after the order, before it sent the order again.

The report states the start time of the engine, which was decoded and not used. The leader now keeps the one that came with the number of accepted orders, and ends the wait if it has changed; the usual retry follows.

TestOrderLostInARestartIsRepeated fails without the check: 6.3 s instead of less than half the load timeout.

--- a/pkg/gateway/weights/controller.go
+++ b/pkg/gateway/weights/controller.go
@@ -161,6 +161,8 @@
 	// acceptedOrdersKnown is set.
 	acceptedOrders      int64
 	acceptedOrdersKnown bool
+	// started is the start time that the engine reported with acceptedOrders.
+	started int64
 	// lastFailed is set if the last order failed, so that it does not delay orders to other engines.
 	lastFailed bool
 	// retryAt is the earliest time of the next order.
@@ -367,7 +369,7 @@
 		if state.Busy {
 			return "engine is busy with another order"
 		}
-		o.acceptedOrders, o.acceptedOrdersKnown = state.AcceptedOrders, true
+		o.acceptedOrders, o.acceptedOrdersKnown, o.started = state.AcceptedOrders, true, state.Started
 		if state.Versions[model] >= version {
 			c.opt.Backends.ObserveVersion(t.ID, cmp.Or(state.Started, t.Started), model, state.Versions[model])
 			return outcomeDone
@@ -397,6 +399,9 @@
 		if err != nil {
 			return err.Error()
 		}
+		if state.Started != o.started {
+			return "engine has restarted"
+		}
 		if !state.Busy && state.Versions[model] >= version {
 			c.opt.Backends.ObserveVersion(t.ID, cmp.Or(state.Started, t.Started), model, state.Versions[model])
 			return outcomeDone
--- a/pkg/gateway/weights/weights_test.go
+++ b/pkg/gateway/weights/weights_test.go
@@ -130,6 +130,7 @@
 	orders   map[string]int64
 	versions map[string]int
 	busy     map[string]time.Time
+	started  map[string]int64
 	// dropResponses makes Load return an error for orders that are accepted.
 	dropResponses bool
 }
@@ -139,6 +140,7 @@
 	defer e.mu.Unlock()
 	return EngineState{
 		Busy: time.Now().Before(e.busy[t.ID]), AcceptedOrders: e.orders[t.ID], Versions: map[string]int{"m": e.versions[t.ID]},
+		Started: e.started[t.ID],
 	}, nil
 }
 
@@ -171,7 +173,7 @@
 func newFleet() *fleet {
 	f := &fleet{
 		store:    &fakeStore{},
-		engines:  &fakeEngines{orders: map[string]int64{}, versions: map[string]int{}, busy: map[string]time.Time{}},
+		engines:  &fakeEngines{orders: map[string]int64{}, versions: map[string]int{}, busy: map[string]time.Time{}, started: map[string]int64{}},
 		versions: NewVersions(8*time.Second, 3*time.Second),
 	}
 	f.versions.Add("m", 1, time.Hour, time.Now())
@@ -346,6 +348,43 @@
 	})
 }
 
+// restart lets an engine start again under its ID, with a version and without its orders.
+func (e *fakeEngines) restart(id string, version int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.orders[id], e.versions[id], e.busy[id] = 0, version, time.Time{}
+	e.started[id]++
+}
+
+// Guards against a leader that waits until loadTimeout for an order that the engine has lost in a restart.
+func TestOrderLostInARestartIsRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		var wg sync.WaitGroup
+		ctx, cancel := context.WithCancel(t.Context())
+		run(ctx, &wg, f.node("a"))
+		time.Sleep(time.Second)
+		f.versions.Add("m", 2, 0, time.Now())
+		version := func() int {
+			f.engines.mu.Lock()
+			defer f.engines.mu.Unlock()
+			return f.engines.versions["e0"]
+		}
+		for version() != 2 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		f.engines.restart("e0", 1)
+		restartedAt := time.Now()
+		for version() != 2 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		// Loads of the other engines, one at a time, may come first.
+		assert.Less(t, time.Since(restartedAt), loadTimeout/2)
+		cancel()
+		wg.Wait()
+	})
+}
+
 // Guards against an order of a node whose lease expired between planning the order and sending it.
 func TestOrderRequiresLeaseWhenSent(t *testing.T) {
 	f := newFleet()
