Date limit shares by the demands that they answer

In the node of the product's own interface, a share of a workspace's limit counted from its arrival. A node that was paused found a share of before the pause in its socket and used it for up to 4 s as if it were new, while the allocator had given it to the other nodes: together they admitted more than the limit.

The reply now repeats the sequence number of the demands, a field that both messages had, and the share counts from the time at which the node sent these. Shares that have expired, or are older than the known one, are dropped. Allocators of earlier versions send a number of their own; their shares count from their arrival as before.

TestShareCountsFromItsDemand fails with the time of arrival: the share that waited for 2 s counts as new, and the expired one is stored.

--- a/pkg/controller/gossip/demands.go
+++ b/pkg/controller/gossip/demands.go
@@ -1,7 +1,9 @@
 package gossip
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -13,6 +15,17 @@
 	"cassiawall.example/cassiawall/pkg/rendezvous"
 )
 
+// maxSentDemands bounds the recorded messages with demands. A share that was decided on an earlier one counts from its
+// arrival.
+const maxSentDemands = 1024
+
+// sentDemands is a message with demands that this node has sent.
+type sentDemands struct {
+	sequence  uint64
+	allocator string
+	at        time.Time
+}
+
 // demandOverheadBytes is the maximum size of the protobuf tag and length that precede a demand in a
 // message.
 const demandOverheadBytes = 3
@@ -26,6 +39,8 @@
 	allocator *limits.Allocator
 	// sentVersion is the version of the board's demands that was last reported.
 	sentVersion uint64
+	// sent are the last maxSentDemands messages, in the order of their sequence numbers.
+	sent []sentDemands
 
 	budgetVersion uint64
 	budgets       map[string]limits.Budget
@@ -63,10 +78,10 @@
 	d.sentVersion = version
 	for allocator, list := range byAllocator {
 		if allocator == c.options.Name {
-			c.storeShares(now, c.allocate(now, allocator, list))
+			c.storeShares(now, now, c.allocate(now, allocator, list))
 			continue
 		}
-		c.reportDemands(allocator, list)
+		c.reportDemands(now, allocator, list)
 	}
 }
 
@@ -83,7 +98,7 @@
 }
 
 // reportDemands sends demands to an allocator in as few messages as possible.
-func (c *Controller) reportDemands(allocator string, list []*peerpb.LimitDemand) {
+func (c *Controller) reportDemands(now time.Time, allocator string, list []*peerpb.LimitDemand) {
 	member, known := c.machine.Member(allocator)
 	if !known {
 		return
@@ -102,23 +117,43 @@
 			list = list[1:]
 			continue
 		}
+		c.demands.recordSent(sentDemands{sequence: message.Sequence, allocator: allocator, at: now})
 		c.send(member.GossipAddress, message)
 	}
 }
 
+func (d *demandExchange) recordSent(s sentDemands) {
+	if len(d.sent) >= maxSentDemands {
+		d.sent = d.sent[1:]
+	}
+	d.sent = append(d.sent, s)
+}
+
+// decidedAt returns the earliest time at which an allocator can have decided on the shares of a reply that arrives now:
+// the time at which the demands were sent. The reply may have waited in the socket while this node was paused.
+// Allocators of earlier versions do not repeat the sequence number; their shares count from their arrival.
+func (d *demandExchange) decidedAt(reply *peerpb.Gossip, now time.Time) time.Time {
+	i, found := slices.BinarySearchFunc(d.sent, reply.Sequence, func(s sentDemands, sequence uint64) int { return cmp.Compare(s.sequence, sequence) })
+	if !found || d.sent[i].allocator != reply.From {
+		return now
+	}
+	return d.sent[i].at
+}
+
 // handleDemands replies to a demand report with shares, or records the shares of a reply.
 func (c *Controller) handleDemands(now time.Time, from string, message *peerpb.Gossip) {
 	switch message.Kind {
 	case peerpb.Gossip_DEMAND:
 		c.demands.refreshBudgets(c.options.Board)
 		reply := c.machine.Message(peerpb.Gossip_SHARES)
+		reply.Sequence = message.Sequence
 		reply.Shares = c.allocate(now, message.From, message.Demands)
 		if member, known := c.machine.Member(message.From); known {
 			from = member.GossipAddress
 		}
 		c.send(from, reply)
 	case peerpb.Gossip_SHARES:
-		c.storeShares(now, message.Shares)
+		c.storeShares(now, c.demands.decidedAt(message, now), message.Shares)
 	}
 }
 
@@ -147,13 +182,21 @@
 	return shares
 }
 
-func (c *Controller) storeShares(now time.Time, shares []*peerpb.LimitShare) {
+// storeShares records shares that were decided on at decidedAt or later, except those that are older than the known
+// ones or have expired.
+func (c *Controller) storeShares(now, decidedAt time.Time, shares []*peerpb.LimitShare) {
+	if now.Sub(decidedAt) >= limits.ShareTTL {
+		return
+	}
 	for _, s := range shares {
+		if known, ok := c.options.Board.Shares.Get(s.Workspace); ok && decidedAt.Before(known.Evidence.ObservedAt) {
+			continue
+		}
 		c.options.Board.Shares.Put(s.Workspace, blackboard.ShareEntry{
 			RequestsPerSecond: float64(s.RequestsMilli) / 1000,
 			TokensPerSecond:   float64(s.Tokens),
 			Concurrency:       int(s.Concurrency),
-		}, c.evidence(now))
+		}, c.evidence(decidedAt))
 	}
 }
 
--- a/pkg/controller/gossip/gossip_test.go
+++ b/pkg/controller/gossip/gossip_test.go
@@ -16,8 +16,10 @@
 
 	"cassiawall.example/cassiawall/pkg/blackboard"
 	"cassiawall.example/cassiawall/pkg/config"
+	"cassiawall.example/cassiawall/pkg/limits"
 	"cassiawall.example/cassiawall/pkg/peer"
 	"cassiawall.example/cassiawall/pkg/peer/peerpb"
+	"cassiawall.example/cassiawall/pkg/rendezvous"
 )
 
 // fakeNetwork delivers messages between the transports of one test by address. Messages to an unknown
@@ -281,6 +283,62 @@
 	})
 }
 
+// Guards against a share that a paused node uses as if it were new: it waited in the socket, and the allocator has given
+// the share to others meanwhile.
+func TestShareCountsFromItsDemand(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network, nodes := startNodes(t, 2)
+		node, allocator := nodes[0], nodes[1]
+		time.Sleep(10 * time.Second)
+		require.Equal(t, 2, countLive(node))
+		workspace := "w"
+		for rendezvous.Best(workspace, []string{"n0", "n1"}) != "n1" {
+			workspace += "w"
+		}
+		parsed := &config.Config{Workspaces: []config.Workspace{{Name: workspace, Limits: config.Limits{Concurrency: 40}}}}
+		allocator.board.Config.Put(blackboard.ConfigKey, blackboard.ConfigEntry{Version: 1, Config: parsed}, blackboard.Evidence{})
+		stopNodes(nodes)
+		// next returns the next message of a kind that has arrived at an address.
+		next := func(address string, kind peerpb.Gossip_Kind) *peerpb.Gossip {
+			for {
+				var message peerpb.Gossip
+				require.NoError(t, proto.Unmarshal((<-network.inboxes[address]).data, &message))
+				if message.Kind == kind {
+					return &message
+				}
+			}
+		}
+		exchange := func() *peerpb.Gossip {
+			node.board.Demands.Put(blackboard.DemandKey{Node: "n0", Workspace: workspace}, blackboard.DemandEntry{DesiredConcurrency: 3}, blackboard.Evidence{})
+			node.sendDemands(time.Now())
+			allocator.receive(t.Context(), "g0", next("g1", peerpb.Gossip_DEMAND))
+			return next("g0", peerpb.Gossip_SHARES)
+		}
+		observedAt := func() time.Time {
+			share, _ := node.board.Shares.Get(workspace)
+			return share.Evidence.ObservedAt
+		}
+		sentAt := time.Now()
+		early := exchange()
+		time.Sleep(2 * time.Second)
+		late := exchange()
+		node.receive(t.Context(), "g1", early)
+		assert.Equal(t, sentAt, observedAt())
+		node.receive(t.Context(), "g1", late)
+		assert.Equal(t, time.Now(), observedAt())
+		node.receive(t.Context(), "g1", early)
+		assert.Equal(t, time.Now(), observedAt(), "an earlier share does not replace a later one")
+		time.Sleep(limits.ShareTTL)
+		node.board.Shares.Delete(workspace)
+		node.receive(t.Context(), "g1", late)
+		assert.Zero(t, observedAt(), "the share has expired")
+		earlierVersion := exchange()
+		earlierVersion.Sequence = 1 << 40
+		node.receive(t.Context(), "g1", earlierVersion)
+		assert.Equal(t, time.Now(), observedAt())
+	})
+}
+
 // Guards against a restarted node without seeds that does not contact the members from its bootstrap
 // reply and so stays alone.
 func TestBootstrapMembersAreUsed(t *testing.T) {
--- a/pkg/limits/limiter.go
+++ b/pkg/limits/limiter.go
@@ -57,7 +57,7 @@
 	return l.liveNodes
 }
 
-// SetShare applies a share that was received from the workspace's allocator at now. It has no effect
+// SetShare applies a share on which the workspace's allocator decided at now or later. It has no effect
 // if the limiter has no state of the workspace.
 func (l *Limiter) SetShare(now time.Time, workspace string, share Share) {
 	l.mu.Lock()
--- a/pkg/limits/limits.go
+++ b/pkg/limits/limits.go
@@ -67,7 +67,7 @@
 }
 
 const (
-	// ShareTTL is how long a node uses a share after receiving it. It tolerates three lost
+	// ShareTTL is how long a node uses a share after it was decided on. It tolerates three lost
 	// exchanges with the allocator.
 	ShareTTL = 4 * time.Second
 	// ReportInterval is the interval at which a node reports its demand.
