--- a/pkg/gateway/backends/states.go
+++ b/pkg/gateway/backends/states.go
@@ -185,22 +185,36 @@
 	return states
 }
 
-// ApplyStates stores states that the leader announced. The earlier states of other servers stay valid.
-func (r *Registry) ApplyStates(states []State, now time.Time) {
+// ApplyVersion records the version of a model's weights that the leader announced for an engine, when it had the listings
+// up to revision. It is ignored if the engine has restarted since.
+func (r *Registry) ApplyVersion(id, model string, version int, revision int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	expiry := now.Add(assignmentTTL)
+	if m := r.members[id]; m != nil && m.generationRevision <= revision {
+		m.observeVersion(model, version)
+	}
+}
+
+// ApplyStates stores states that the leader announced and read at readAt or later, when it had the listings up to
+// revision. States of a server that has restarted since are ignored. The earlier states of other servers stay valid.
+func (r *Registry) ApplyStates(states []State, revision int64, readAt, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	expiry := readAt.Add(assignmentTTL)
+	expired := !now.Before(expiry)
 	for _, m := range r.members {
-		if now.Before(m.assignmentExpiry) {
+		if now.Before(m.assignmentExpiry) && m.assignmentExpiry.Before(expiry) {
 			m.assignmentExpiry = expiry
 		}
 	}
 	for _, s := range states {
 		m := r.byHash[s.Hash]
-		if m == nil {
+		if m == nil || m.generationRevision > revision {
 			continue
 		}
-		m.assignment, m.assignmentExpiry = s.Assignment, expiry
+		if !expired {
+			m.assignment, m.assignmentExpiry = s.Assignment, expiry
+		}
 		if len(m.Models) > 0 {
 			m.observeVersion(m.Models[0].Name, s.Version)
 		}
--- a/pkg/gateway/node/board.go
+++ b/pkg/gateway/node/board.go
@@ -79,6 +79,9 @@
 	since     time.Time
 	fetching  bool
 	lastFetch time.Time
+	// fetchFailed is set if the last fetch from a peer that relays store changes failed. This node then calls the store
+	// until it has reached revision.
+	fetchFailed bool
 }
 
 var _ peers.Board = (*board)(nil)
@@ -191,8 +194,23 @@
 }
 
 // ApplyStates implements peers.Board.
-func (b *board) ApplyStates(states []byte) {
-	b.node.registry.ApplyStates(backends.DecodeStates(states), time.Now())
+func (b *board) ApplyStates(states []byte, revisions []peers.Revision, readAt time.Time) {
+	now := time.Now()
+	var age time.Duration
+	if !readAt.IsZero() {
+		age = clock.Since(readAt)
+	}
+	b.node.registry.ApplyStates(backends.DecodeStates(states), b.listingRevision(revisions), now.Add(-age), now)
+}
+
+// listingRevision returns the revision of the listings of backend servers among revisions, or 0.
+func (b *board) listingRevision(revisions []peers.Revision) int64 {
+	for _, r := range revisions {
+		if r.Kind == b.node.opt.Kinds.Backends {
+			return r.Revision
+		}
+	}
+	return 0
 }
 
 // SmallContents implements peers.Board.
@@ -225,7 +243,7 @@
 }
 
 // ApplyHeartbeat implements peers.Board.
-func (b *board) ApplyHeartbeat(heartbeat peers.Heartbeat, readAt time.Time) {
+func (b *board) ApplyHeartbeat(heartbeat peers.Heartbeat, revisions []peers.Revision, readAt time.Time) {
 	if heartbeat.Synced {
 		b.mu.Lock()
 		b.nodeCount = heartbeat.Nodes
@@ -238,7 +256,7 @@
 	b.node.controller.ObserveLease(heartbeat.Lease, heartbeat.LeaseVersion, time.Now())
 	b.node.registry.ApplyAssignments(heartbeat.Assignments, time.Now())
 	for _, v := range heartbeat.Versions {
-		b.node.registry.ObserveVersion(v.Backend, v.Model, v.Version)
+		b.node.registry.ApplyVersion(v.Backend, v.Model, v.Version, b.listingRevision(revisions))
 	}
 	for _, s := range heartbeat.StoreEpochs {
 		b.node.prefixes.SetStoreEpoch(s.Address, s.Epoch, time.Now())
@@ -265,6 +283,18 @@
 	return follower
 }
 
+// isRelayed reports whether the changes of one kind of objects reach this node from the leader or a standby, so that its
+// mirror need not call the store. They do not if the messages arrive and the fetches fail.
+func (b *board) isRelayed(m *mirror.Mirror) bool {
+	if !b.isFollower() {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l := b.lagByKind[m.Kind()]
+	return !l.fetchFailed || m.CompleteRevision() >= l.revision
+}
+
 // RenewFollower implements peers.Board: it extends the time for which this node stays a follower.
 func (b *board) RenewFollower(readAt time.Time) {
 	b.mu.Lock()
@@ -292,7 +322,11 @@
 	if m == nil {
 		return
 	}
-	if m.Revision() >= revision {
+	held := m.Revision
+	if relayed {
+		held = m.CompleteRevision
+	}
+	if held() >= revision {
 		if relayed {
 			m.MarkCurrent(peer, currentAt)
 		}
@@ -304,7 +338,7 @@
 	defer b.mu.Unlock()
 	now := time.Now()
 	l, ok := b.lagByKind[kind]
-	if !ok || m.Revision() >= l.revision {
+	if !ok || held() >= l.revision {
 		l = lag{revision: revision, since: now, lastFetch: l.lastFetch}
 	}
 	interval := max(minFetchInterval, time.Duration(b.nodeCount)*fetchIntervalPerNode)
@@ -316,18 +350,23 @@
 	b.lagByKind[kind] = l
 }
 
-// fetchFromPeer imports the objects that changed since the mirror's revision from a peer.
+// fetchFromPeer imports the objects that changed since the mirror's complete revision from a peer.
 func (b *board) fetchFromPeer(peer string, m *mirror.Mirror, relayed bool) {
+	failed := false
 	defer func() {
 		b.mu.Lock()
 		defer b.mu.Unlock()
 		l := b.lagByKind[m.Kind()]
 		l.fetching = false
+		if relayed {
+			l.fetchFailed = failed
+		}
 		b.lagByKind[m.Kind()] = l
 	}()
-	content, err := b.node.fetcher.Fetch(context.Background(), peer, m.Kind(), m.Revision())
+	content, err := b.node.fetcher.Fetch(context.Background(), peer, m.Kind(), m.CompleteRevision())
 	imported := err == nil && m.Import(content, relayed)
 	if err != nil {
+		failed = true
 		event.ObjectsNotFetched.Emit(b.node.opt.Logger, "kind", m.Kind(), "peer", peer, "error", err.Error())
 		return
 	}
--- a/pkg/gateway/weights/controller.go
+++ b/pkg/gateway/weights/controller.go
@@ -1,6 +1,7 @@
 package weights
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"log/slog"
@@ -20,6 +21,8 @@
 type Target struct {
 	ID      string
 	Address string
+	// Started is the start time of the engine in Unix milliseconds, or 0 if it is not known.
+	Started int64
 }
 
 // EngineState is the state that an engine reports.
@@ -158,6 +161,8 @@
 	// acceptedOrdersKnown is set.
 	acceptedOrders      int64
 	acceptedOrdersKnown bool
+	// started is the start time that the engine reported with acceptedOrders.
+	started int64
 	// lastFailed is set if the last order failed, so that it does not delay orders to other engines.
 	lastFailed bool
 	// retryAt is the earliest time of the next order.
@@ -307,7 +312,7 @@
 	targets := map[string]Target{}
 	candidates := make([]Candidate, 0, len(engines))
 	for _, e := range engines {
-		targets[e.ID] = Target{ID: e.ID, Address: e.Address}
+		targets[e.ID] = Target{ID: e.ID, Address: e.Address, Started: e.Started}
 		o := c.engineOrders[e.ID]
 		if o != nil && !o.pending && now.Before(o.retryAt) {
 			continue
@@ -364,9 +369,9 @@
 		if state.Busy {
 			return "engine is busy with another order"
 		}
-		o.acceptedOrders, o.acceptedOrdersKnown = state.AcceptedOrders, true
+		o.acceptedOrders, o.acceptedOrdersKnown, o.started = state.AcceptedOrders, true, state.Started
 		if state.Versions[model] >= version {
-			c.opt.Backends.ObserveVersion(t.ID, model, state.Versions[model])
+			c.opt.Backends.ObserveVersion(t.ID, cmp.Or(state.Started, t.Started), model, state.Versions[model])
 			return outcomeDone
 		}
 	}
@@ -379,7 +384,7 @@
 	}
 	switch reply {
 	case AlreadyLoaded:
-		c.opt.Backends.ObserveVersion(t.ID, model, version)
+		c.opt.Backends.ObserveVersion(t.ID, t.Started, model, version)
 		return outcomeDone
 	case Accepted:
 		o.acceptedOrders++
@@ -394,8 +399,11 @@
 		if err != nil {
 			return err.Error()
 		}
+		if state.Started != o.started {
+			return "engine has restarted"
+		}
 		if !state.Busy && state.Versions[model] >= version {
-			c.opt.Backends.ObserveVersion(t.ID, model, state.Versions[model])
+			c.opt.Backends.ObserveVersion(t.ID, cmp.Or(state.Started, t.Started), model, state.Versions[model])
 			return outcomeDone
 		}
 	}
