Keep a second observer of crashes that a node has seen itself

A pair of a part and an engine incarnation held the node that was first known to have observed it. A node that had requests with a bad part on each engine that ended kept itself as the only observer of all pairs, whatever the others reported, and needed five moments instead of three, while the others refused the part already; if all nodes had such requests, none refused it.

A known pair that another node has observed too now takes that observer if all pairs of the record have the same one. The judgement no longer depends on which report came first. Nothing changes on the wire.

TestNodeThatObservedAllCrashesLearnsOfOtherObservers failed before (three of three nodes still sent the part on after three crashes seen by two nodes).

--- a/pkg/gateway/quarantine/table.go
+++ b/pkg/gateway/quarantine/table.go
@@ -229,6 +229,10 @@
 		old := &r.pairs[i]
 		changed = p.soundBefore && !old.soundBefore
 		old.soundBefore = old.soundBefore || p.soundBefore
+		// A pair holds one of its observers. That there are two is kept in one pair at least.
+		if p.crash.Observer != old.crash.Observer && r.hasSingleObserver() {
+			old.crash.Observer, changed = p.crash.Observer, true
+		}
 		// A message makes a crash look later than it was, never earlier.
 		if old.at.Sub(p.at) >= momentGap {
 			old.at, changed = p.at, true
@@ -244,6 +248,12 @@
 	return true
 }
 
+// hasSingleObserver reports whether all pairs hold the same observer. With one pair, a second observer would replace
+// the first one, and each of two nodes would announce that again and again.
+func (r *record) hasSingleObserver() bool {
+	return len(r.pairs) > 1 && !slices.ContainsFunc(r.pairs, func(p pair) bool { return p.crash.Observer != r.pairs[0].crash.Observer })
+}
+
 // observeLast updates the time of the last crash. It reports whether that has changed the record.
 func (r *record) observeLast(at time.Time) (changed bool) {
 	if at.Sub(r.lastAt) < momentGap {
--- a/pkg/gateway/quarantine/table_test.go
+++ b/pkg/gateway/quarantine/table_test.go
@@ -207,6 +207,30 @@
 	assert.Empty(t, late.Suspects())
 }
 
+// Guards against a node that observed all crashes itself and goes on to send requests with a part that the others
+// refuse: a second node had observed the same crashes, but the node kept itself as the only observer.
+func TestNodeThatObservedAllCrashesLearnsOfOtherObservers(t *testing.T) {
+	tables := []*Table{NewTable(), NewTable(), NewTable()}
+	now := start
+	for crash := range 3 {
+		now = at(float64(crash))
+		for observer, table := range tables[:2] {
+			table.RecordCrash([]Part{7}, Crash{Engine: uint32(crash), Observer: uint8(observer)}, now)
+		}
+	}
+	for range 2 {
+		for _, from := range tables {
+			data, _ := from.Encode(All, 0, 960, now)
+			for _, to := range tables {
+				to.Merge(data, true, 0, now)
+			}
+		}
+	}
+	for i, table := range tables {
+		assert.True(t, table.Judge([]Part{7}, false, now).Refuse, "node %d", i)
+	}
+}
+
 // Guards against malformed messages that crash a node.
 func FuzzMerge(f *testing.F) {
 	table := NewTable()
