End a trial of a quarantined part after one crash

A trial of a part that had been sound a moment before its crashes went to a second engine after it had ended the first one: crashes after a success do not put a request in doubt, and the request of a trial is exempt from the quarantine. Each such trial could cost two engines.

The end of a trial's connection before the first event now ends the request. TestTrialEndsOneEngineOnly failed before (two engines).

--- a/pkg/gateway/forward/quarantine.go
+++ b/pkg/gateway/forward/quarantine.go
@@ -249,11 +249,13 @@
 }
 
 // recordEnd records that an engine ended the connection of a send before the first event. It reports whether the
-// request should not go to a further engine, because one of its parts was in doubt in another crash too.
+// request should not go to a further engine, because it was a trial or one of its parts was in doubt in another crash
+// too.
 func (a *activeRequest) recordEnd(ctx context.Context, c *backends.Choice, err error) (inDoubt bool) {
 	parts := a.hashedParts()
 	if len(parts) == 0 || a.eventDelivered || context.Cause(ctx) != nil || a.req.Context().Err() != nil || !endedByBackend(err) {
 		return false
 	}
-	return a.router.opt.Quarantine.recordCrash(parts, engineHash(&c.Backend))
+	inDoubt = a.router.opt.Quarantine.recordCrash(parts, engineHash(&c.Backend))
+	return inDoubt || a.trial
 }
--- a/pkg/gateway/forward/quarantine_test.go
+++ b/pkg/gateway/forward/quarantine_test.go
@@ -243,6 +243,28 @@
 	assert.Empty(t, q.Suspects())
 }
 
+// Guards against a trial of a part that had been sound a moment before its crashes, and is sent to a second engine after
+// it has ended the first one.
+func TestTrialEndsOneEngineOnly(t *testing.T) {
+	var clockMS atomic.Int64
+	clockMS.Store(1_000_000)
+	now := func() time.Time { return time.UnixMilli(clockMS.Load()) }
+	engines := []*fakeBackend{startBackend(t, noResponse), startBackend(t, noResponse)}
+	q := NewQuarantine(QuarantineOptions{Node: "n", MayTry: func() bool { return true }, Announce: func() {}, Now: now, Logger: slog.New(slog.DiscardHandler)})
+	s := startGateway(t, routes.Safe, func(_ *routes.Config, opt *Options) { opt.Quarantine = q }, engines...)
+	parts := []quarantine.Part{quarantine.PartOf("", "bad")}
+	q.recordSuccess(parts)
+	for engine := range uint32(5) {
+		clockMS.Add(1000)
+		q.recordCrash(parts, 100+engine)
+	}
+	require.True(t, q.admit(parts).Refuse)
+	clockMS.Add(20_000)
+	r := postRequest(t, s, "/p/x", http.Header{"Prompt": {"bad,own"}, "Wait": {"1500"}})
+	assert.Equal(t, http.StatusBadGateway, r.status)
+	assert.Equal(t, 1, engines[0].runs()+engines[1].runs())
+}
+
 // Guards against parts that count as suspect although requests with them succeed: complete responses that are not made
 // of events, and those over the size that is buffered.
 func TestEveryCompleteResponseIsASuccess(t *testing.T) {
