Void the evidence of engines that go on serving

Cause: the end of a connection counted as the crash of an engine, although the engine went on serving. A rare part whose requests hit three such engines in a row has the evidence of a bad one, and nothing voids it while it is refused.

A pair is now void if its engine delivers an event or a complete response to any request that was sent within a second after the crash. A crashed engine cannot, and one that restarts loads its weights first. Nodes tell each other in records of the form that they have; nothing changes in the encoding.

TestEngineThatRespondsHasNotCrashed and TestEngineThatGoesOnServingHasNotCrashed fail without it (checked with the call left out).

--- a/pkg/gateway/forward/active_request.go
+++ b/pkg/gateway/forward/active_request.go
@@ -82,10 +82,12 @@
 	// partHashes caches the result of hashedParts. waiting is the current send until its first event. trial is set
 	// if the request may be sent although a part is quarantined. retryAfter is the time until such a part may be
 	// sent again, if the request is refused because of it.
-	partHashes []quarantine.Part
-	waiting    *waitingSend
-	trial      bool
-	retryAfter time.Duration
+	// quarantineSentAt is the time of the current send on the clock of the quarantine.
+	partHashes       []quarantine.Part
+	waiting          *waitingSend
+	trial            bool
+	retryAfter       time.Duration
+	quarantineSentAt time.Time
 	// affinity caches the result of affinityKey once affinityKnown is set.
 	affinity      uint64
 	affinityKnown bool
@@ -284,6 +286,7 @@
 		Header: a.router.opt.Protocol.EncodeRequest(a.req.Header, backendReq),
 	}
 	ctx, stopTimer := a.withStartDeadline(tracked, c)
+	a.quarantineSentAt = a.router.opt.Quarantine.opt.Now()
 	response, err := exchange.Do(ctx, c.Pool, request, func(h http.Header) bool {
 		return a.router.opt.Protocol.DecodeResponse(h).RequestID == a.request.ID
 	})
--- a/pkg/gateway/forward/quarantine.go
+++ b/pkg/gateway/forward/quarantine.go
@@ -166,6 +166,15 @@
 	}
 }
 
+// recordResponse records that an engine has delivered an event or a complete response to a request that was sent at a
+// time.
+func (q *Quarantine) recordResponse(engine uint32, sentAt time.Time) {
+	if q.table.RecordResponse(engine, sentAt, q.opt.Now()) {
+		q.apply()
+		q.opt.Announce()
+	}
+}
+
 // engineHash returns the hash of an engine's incarnation.
 func engineHash(b *backends.Backend) uint32 {
 	h := xxhash.New()
@@ -236,13 +245,15 @@
 }
 
 // recordFirstEvent records that the engine has delivered an event or a complete response, and so has not crashed on
-// one of the request's parts.
-func (a *activeRequest) recordFirstEvent() {
+// one of the request's parts. A header alone is no sign of that: the process that accepts requests may outlive the one
+// that generates.
+func (a *activeRequest) recordFirstEvent(c *backends.Choice) {
 	a.eventDelivered = true
 	if a.waiting != nil {
 		a.router.opt.Quarantine.untrack(a.waiting)
 		a.waiting = nil
 	}
+	a.router.opt.Quarantine.recordResponse(engineHash(&c.Backend), a.quarantineSentAt)
 	if parts := a.hashedParts(); len(parts) > 0 {
 		a.router.opt.Quarantine.recordSuccess(parts)
 	}
--- a/pkg/gateway/forward/quarantine_test.go
+++ b/pkg/gateway/forward/quarantine_test.go
@@ -18,6 +18,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"cassiawall.example/cassiawall/pkg/gateway/backends"
 	"cassiawall.example/cassiawall/pkg/gateway/quarantine"
 	"cassiawall.example/cassiawall/pkg/gateway/routes"
 )
@@ -265,6 +266,68 @@
 	assert.Equal(t, 1, engines[0].runs()+engines[1].runs())
 }
 
+// Guards against sound parts that are refused because engines end single connections, but go on to serve other requests.
+// An engine that serves them seconds later may have restarted.
+func TestEngineThatGoesOnServingHasNotCrashed(t *testing.T) {
+	const engineCount, rareRequests = 6, 12
+	tests := map[string]struct {
+		nextAfter time.Duration
+		refuses   bool
+	}{
+		"engines go on":   {300 * time.Millisecond, false},
+		"engines restart": {5 * time.Second, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var clockMS atomic.Int64
+			clockMS.Store(1_000_000)
+			var last atomic.Int64
+			var engines []*fakeBackend
+			for i := range engineCount {
+				engines = append(engines, startBackend(t, func(req *http.Request) string {
+					last.Store(int64(i))
+					if strings.Contains(req.Header.Get("Prompt"), "rare") {
+						return ""
+					}
+					return okResponse(req)
+				}))
+			}
+			quarantines := make([]*Quarantine, 2)
+			exchange := func() {
+				for i, q := range quarantines {
+					data, _ := q.Encode(quarantine.All, 0, 960)
+					quarantines[1-i].Merge(data, true, 0)
+				}
+			}
+			for i := range quarantines {
+				quarantines[i] = testQuarantine(fmt.Sprint("n", i), func() {}, func() time.Time { return time.UnixMilli(clockMS.Load()) })
+			}
+			node := startGateway(t, routes.Unsafe, func(_ *routes.Config, opt *Options) { opt.Quarantine = quarantines[0] }, engines...)
+			// The other node has requests for each engine.
+			var others []*httptest.Server
+			for i, engine := range engines {
+				others = append(others, startGateway(t, routes.Unsafe, func(_ *routes.Config, opt *Options) {
+					opt.Quarantine, opt.Backends = quarantines[1], backends.NewRegistry("dc")
+					opt.Backends.Put(backends.Backend{ID: fmt.Sprint("b", i), Service: "s", Address: engine.address, DataCentre: "dc", Slots: 4})
+				}))
+			}
+			refused := 0
+			for range rareRequests {
+				clockMS.Add(2000)
+				if r := postRequest(t, node, "/p/x", http.Header{"Prompt": {"rare,own"}, "Wait": {"1500"}}); r.status == http.StatusServiceUnavailable {
+					refused++
+				}
+				exchange()
+				clockMS.Add(test.nextAfter.Milliseconds())
+				r := postRequest(t, others[last.Load()], "/p/x", http.Header{"Prompt": {"common,own"}, "Wait": {"1500"}})
+				require.Equal(t, http.StatusOK, r.status)
+				exchange()
+			}
+			assert.Equal(t, test.refuses, refused > 0)
+		})
+	}
+}
+
 // Guards against parts that count as suspect although requests with them succeed: complete responses that are not made
 // of events, and those over the size that is buffered.
 func TestEveryCompleteResponseIsASuccess(t *testing.T) {
--- a/pkg/gateway/forward/relay.go
+++ b/pkg/gateway/forward/relay.go
@@ -36,7 +36,7 @@
 	if len(body) > maxBufferedBytes {
 		c.Done(backends.Success, latency)
 		if response.Status < 300 {
-			a.recordFirstEvent()
+			a.recordFirstEvent(c)
 		}
 		return a.relayOversized(stored, response)
 	}
@@ -49,7 +49,7 @@
 	c.Done(backends.Success, latency)
 	// An engine that crashes after the header also leaves an empty body without length.
 	if response.Status < 300 && (response.Framed || len(body) > 0) {
-		a.recordFirstEvent()
+		a.recordFirstEvent(c)
 	}
 	a.writeBuffered(stored)
 	return outcomeDone
@@ -141,7 +141,7 @@
 			if len(events) > 0 {
 				lastEventAt = time.Now()
 				if !a.eventDelivered {
-					a.recordFirstEvent()
+					a.recordFirstEvent(c)
 				}
 			}
 			if !a.relayEvents(flusher, response, events) {
@@ -160,7 +160,7 @@
 		case err == io.EOF:
 			c.Done(backends.Success, latency)
 			if !a.eventDelivered {
-				a.recordFirstEvent()
+				a.recordFirstEvent(c)
 			}
 			if !a.headerWritten {
 				a.writeStreamHeader(response)
--- a/pkg/gateway/quarantine/encoding.go
+++ b/pkg/gateway/quarantine/encoding.go
@@ -123,7 +123,13 @@
 			// The sender does not know of the success.
 			t.changedLocked(r, now, relay)
 		}
+		for _, p := range received.pairs {
+			if now.Sub(p.at) <= endedTTL {
+				t.noteEndLocked(p.crash.Engine, p.at)
+			}
+		}
 	}
+	news = t.applySurvivalLocked(now, relay) || news
 	return news && t.judgeLocked(now)
 }
 
--- a/pkg/gateway/quarantine/table.go
+++ b/pkg/gateway/quarantine/table.go
@@ -2,7 +2,8 @@
 // incarnation: the engine's connection ended while a request with the part had got no event. A crash leaves such a pair
 // for each part of each request in doubt, most of them sound. What tells the sound parts apart is that requests
 // with them succeed elsewhere, which voids their pairs. A part that collects pairs at several engines and succeeds
-// nowhere is quarantined: requests with it are refused.
+// nowhere is quarantined: requests with it are refused. An engine that serves a request that was sent just after the
+// crash has not crashed; only its connection ended.
 //
 // The state merges in any order and any number of times, so that nodes can exchange it in datagrams.
 package quarantine
@@ -12,6 +13,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -61,6 +63,11 @@
 	// momentGap is the time within which the ends of several engines count as one: they have a common cause, such
 	// as a reset of a node's connections or a loss of power, and not a request each.
 	momentGap = 100 * time.Millisecond
+	// maxSurvivalDelay is the time after the end of a connection within which a request must have been sent for its
+	// response to show that the engine is still the same process. An engine that restarts loads its weights first.
+	maxSurvivalDelay = time.Second
+	// endedTTL is the time for which an engine is noted whose connection ended. Messages may tell later that it survived.
+	endedTTL = 2 * announceTime
 	// evidenceTTL is the time for which a pair counts, unless its part is quarantined. Requests with a bad part may be
 	// minutes apart.
 	evidenceTTL = 10 * time.Minute
@@ -123,11 +130,13 @@
 	// sound holds the times of this node's successes since soundSince, and soundBefore those of the time before.
 	sound, soundBefore map[Part]time.Time
 	soundSince         time.Time
+	// ended holds the engines with pairs from the last endedTTL, with the time of the first of them.
+	ended map[uint32]time.Time
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{records: map[Part]*record{}, suspects: map[Part][]Part{}, sound: map[Part]time.Time{}}
+	return &Table{records: map[Part]*record{}, suspects: map[Part][]Part{}, sound: map[Part]time.Time{}, ended: map[uint32]time.Time{}}
 }
 
 // RecordCrash records that an engine ended while a request with parts had got no event. It reports whether the
@@ -142,9 +151,77 @@
 			t.changedLocked(r, now, true)
 		}
 	}
+	t.noteEndLocked(crash.Engine, now)
 	return t.judgeLocked(now)
 }
 
+// noteEndLocked notes that a connection of an engine ended.
+func (t *Table) noteEndLocked(engine uint32, at time.Time) {
+	if first, ok := t.ended[engine]; !ok || at.Before(first) {
+		t.ended[engine] = at
+	}
+}
+
+// RecordResponse records that an engine has delivered an event or a complete response to a request that was sent at a
+// time. It reports whether the
+// quarantined parts have changed.
+func (t *Table) RecordResponse(engine uint32, sentAt, now time.Time) (changed bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if first, ok := t.ended[engine]; !ok || !sentAt.After(first) {
+		return false
+	}
+	return t.surviveLocked(engine, sentAt, now, true) && t.judgeLocked(now)
+}
+
+// survivalPart returns the part under which messages tell that an engine has survived. The time of success in its record
+// is that at which the request was sent.
+func survivalPart(engine uint32) Part {
+	return PartOf("\x00engine", strconv.FormatUint(uint64(engine), 16))
+}
+
+// surviveLocked deletes the pairs of an engine that has responded to a request that was sent at a time. It reports whether
+// there were any.
+func (t *Table) surviveLocked(engine uint32, sentAt, now time.Time, announce bool) (deleted bool) {
+	delete(t.ended, engine)
+	for part, r := range t.records {
+		i, found := slices.BinarySearchFunc(r.pairs, pair{crash: Crash{Engine: engine}}, comparePairs)
+		if !found {
+			continue
+		}
+		at := r.pairs[i].at
+		if delay := sentAt.Sub(at); delay <= 0 || delay > maxSurvivalDelay {
+			if delay <= 0 {
+				t.noteEndLocked(engine, at)
+			}
+			continue
+		}
+		r.deletePairs(func(p pair) bool { return p.crash.Engine == engine })
+		if t.changedLocked(r, now, false); len(r.pairs) == 0 && r.soundAt.IsZero() {
+			delete(t.records, part)
+		}
+		deleted = true
+	}
+	if deleted {
+		survival := t.recordLocked(survivalPart(engine), now)
+		if sentAt.After(survival.soundAt) {
+			survival.soundAt = sentAt
+		}
+		t.changedLocked(survival, now, announce)
+	}
+	return deleted
+}
+
+// applySurvivalLocked deletes the pairs of engines that have survived as other nodes tell.
+func (t *Table) applySurvivalLocked(now time.Time, relay bool) (deleted bool) {
+	for engine, first := range t.ended {
+		if survival := t.records[survivalPart(engine)]; survival != nil && survival.soundAt.After(first) {
+			deleted = t.surviveLocked(engine, survival.soundAt, now, relay) || deleted
+		}
+	}
+	return deleted
+}
+
 // RecordSuccess records that a request with parts has got an event or a complete response. It reports whether the
 // quarantined parts have changed.
 func (t *Table) RecordSuccess(parts []Part, now time.Time) (changed bool) {
@@ -330,7 +407,7 @@
 func (t *Table) Expire(now time.Time) (changed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if len(t.records) == 0 {
+	if len(t.records) == 0 && len(t.ended) == 0 {
 		return false
 	}
 	t.expireLocked(now)
@@ -338,6 +415,7 @@
 }
 
 func (t *Table) expireLocked(now time.Time) {
+	maps.DeleteFunc(t.ended, func(_ uint32, at time.Time) bool { return now.Sub(at) > endedTTL })
 	for part, r := range t.records {
 		r.expire(now)
 		// The last success is kept for as long as messages may still report pairs before it.
--- a/pkg/gateway/quarantine/table_test.go
+++ b/pkg/gateway/quarantine/table_test.go
@@ -231,6 +231,48 @@
 	}
 }
 
+// Guards against sound parts that are quarantined because engines, or a network, end single connections: the engines go
+// on to serve other requests. A response from before the crash, or of an engine that has restarted, shows nothing.
+func TestEngineThatRespondsHasNotCrashed(t *testing.T) {
+	tests := map[string]struct {
+		// sentAfter is the time from a crash until a request is sent to which the engine responds.
+		sentAfter time.Duration
+		refuse    bool
+	}{
+		"sent just after":  {300 * time.Millisecond, false},
+		"sent before":      {-300 * time.Millisecond, true},
+		"sent long after":  {maxSurvivalDelay + 100*time.Millisecond, true},
+		"at the same time": {0, true},
+		"sent a bit later": {900 * time.Millisecond, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			observer, other, late := NewTable(), NewTable(), NewTable()
+			exchange := func(from, to *Table, now time.Time) {
+				data, _ := from.Encode(All, 0, 960, now)
+				to.Merge(data, true, 0, now)
+			}
+			now := start
+			for engine := range uint32(4) {
+				now = at(2 * float64(engine))
+				observer.RecordCrash([]Part{7, 8}, Crash{Engine: engine, Observer: uint8(engine % 2)}, now)
+				exchange(observer, other, now)
+				exchange(observer, late, now)
+				responseAt := now.Add(1200 * time.Millisecond)
+				other.RecordResponse(engine, now.Add(test.sentAfter), responseAt)
+				exchange(other, observer, responseAt)
+			}
+			// A node that has missed the news learns it, and does not bring back the evidence.
+			now = now.Add(1300 * time.Millisecond)
+			exchange(late, observer, now)
+			exchange(observer, late, now)
+			for name, table := range map[string]*Table{"observer": observer, "other": other, "late": late} {
+				assert.Equal(t, test.refuse, table.Judge([]Part{7, 8}, false, now).Refuse, name)
+			}
+		})
+	}
+}
+
 // Guards against malformed messages that crash a node.
 func FuzzMerge(f *testing.F) {
 	table := NewTable()
