--- a/pkg/gateway/quarantine/table_test.go
+++ b/pkg/gateway/quarantine/table_test.go
@@ -207,6 +207,72 @@
 	assert.Empty(t, late.Suspects())
 }
 
+// Guards against a node that observed all crashes itself and goes on to send requests with a part that the others
+// refuse: a second node had observed the same crashes, but the node kept itself as the only observer.
+func TestNodeThatObservedAllCrashesLearnsOfOtherObservers(t *testing.T) {
+	tables := []*Table{NewTable(), NewTable(), NewTable()}
+	now := start
+	for crash := range 3 {
+		now = at(float64(crash))
+		for observer, table := range tables[:2] {
+			table.RecordCrash([]Part{7}, Crash{Engine: uint32(crash), Observer: uint8(observer)}, now)
+		}
+	}
+	for range 2 {
+		for _, from := range tables {
+			data, _ := from.Encode(All, 0, 960, now)
+			for _, to := range tables {
+				to.Merge(data, true, 0, now)
+			}
+		}
+	}
+	for i, table := range tables {
+		assert.True(t, table.Judge([]Part{7}, false, now).Refuse, "node %d", i)
+	}
+}
+
+// Guards against sound parts that are quarantined because engines, or a network, end single connections: the engines go
+// on to serve other requests. A response from before the crash, or of an engine that has restarted, shows nothing.
+func TestEngineThatRespondsHasNotCrashed(t *testing.T) {
+	tests := map[string]struct {
+		// sentAfter is the time from a crash until a request is sent to which the engine responds.
+		sentAfter time.Duration
+		refuse    bool
+	}{
+		"sent just after":  {300 * time.Millisecond, false},
+		"sent before":      {-300 * time.Millisecond, true},
+		"sent long after":  {maxSurvivalDelay + 100*time.Millisecond, true},
+		"at the same time": {0, true},
+		"sent a bit later": {900 * time.Millisecond, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			observer, other, late := NewTable(), NewTable(), NewTable()
+			exchange := func(from, to *Table, now time.Time) {
+				data, _ := from.Encode(All, 0, 960, now)
+				to.Merge(data, true, 0, now)
+			}
+			now := start
+			for engine := range uint32(4) {
+				now = at(2 * float64(engine))
+				observer.RecordCrash([]Part{7, 8}, Crash{Engine: engine, Observer: uint8(engine % 2)}, now)
+				exchange(observer, other, now)
+				exchange(observer, late, now)
+				responseAt := now.Add(1200 * time.Millisecond)
+				other.RecordResponse(engine, now.Add(test.sentAfter), responseAt)
+				exchange(other, observer, responseAt)
+			}
+			// A node that has missed the news learns it, and does not bring back the evidence.
+			now = now.Add(1300 * time.Millisecond)
+			exchange(late, observer, now)
+			exchange(observer, late, now)
+			for name, table := range map[string]*Table{"observer": observer, "other": other, "late": late} {
+				assert.Equal(t, test.refuse, table.Judge([]Part{7, 8}, false, now).Refuse, name)
+			}
+		})
+	}
+}
+
 // Guards against malformed messages that crash a node.
 func FuzzMerge(f *testing.F) {
 	table := NewTable()
