--- a/pkg/gateway/forward/cache.go
+++ b/pkg/gateway/forward/cache.go
@@ -56,6 +56,16 @@
 	return ids
 }
 
+// sharedPartSizes returns the parts of the prompt that other requests may share, as ID:TOKENS.
+func (a *activeRequest) sharedPartSizes() []string {
+	parts := a.sharedParts()
+	sizes := make([]string, len(parts))
+	for i, p := range parts {
+		sizes[i] = p.ID + ":" + strconv.Itoa(p.Tokens)
+	}
+	return sizes
+}
+
 func (a *activeRequest) sharedTokens() int {
 	tokens := 0
 	for _, p := range a.sharedParts() {
--- a/pkg/gateway/forward/trace.go
+++ b/pkg/gateway/forward/trace.go
@@ -24,7 +24,7 @@
 		now := clock.Now()
 		newest, since, lowest := a.router.opt.Weights.DesiredVersions(a.request.Model, now)
 		args = append(args, "model", a.request.Model, "weights", newest, "weights_age_ms", now.Sub(since).Milliseconds(),
-			"weights_lowest", lowest, "shared_tokens", a.sharedTokens(), "long", a.isDecodeHeavy())
+			"weights_lowest", lowest, "prompt_tokens", a.request.PromptTokens, "output_tokens", a.request.MaxOutputTokens, "shared_tokens", a.sharedTokens(), "long", a.isDecodeHeavy())
 	}
 	a.trace.Add(event.RequestAdmitted, args...)
 }
@@ -35,7 +35,7 @@
 	a.trace.Add(event.BackendChosen, "backend", c.ID, "address", c.Address, "version", c.Version, "running", counts.Running,
 		"heartbeat_age_ms", counts.HeartbeatAge.Milliseconds(), "available", counts.Available, "paused", counts.Paused, "leaving", counts.Leaving, "loading", counts.Loading,
 		"tried", counts.Tried, "old_weights", counts.OldWeights, "left_ms", backendReq.Timeout.Milliseconds(), "fetch_from", backendReq.FetchFrom,
-		"save_to", backendReq.SaveTo, "resume_after", backendReq.LastEventID, "send", a.sends)
+		"save_to", backendReq.SaveTo, "salt", backendReq.CacheSalt, "prefix", a.sharedPartSizes(), "resume_after", backendReq.LastEventID, "send", a.sends)
 }
 
 // traceNoBackend records, once for a request, why no backend server is available.
