Use a KV cache store until it is announced to be down

After a restart of all nodes there is no leader for about five seconds, and a store without an announced epoch counted as down: shared prefixes were computed again although the store had them. A store now counts as up until the leader says that it is not; prefixes saved before its first known epoch count as kept. If the store is in fact down, a fetch costs some hundred milliseconds until the first announcement.

TestStoreIsUsedBeforeItsEpochIsKnown failed before.

--- a/pkg/gateway/cachemap/cachemap.go
+++ b/pkg/gateway/cachemap/cachemap.go
@@ -74,7 +74,8 @@
 type storeState struct {
 	// epoch identifies the store's generation since its last restart; 0 means that the store is down.
 	epoch int64
-	// since is when the epoch was first known. The store has no prefix that was saved before.
+	// since is when the epoch replaced another. The store has no prefix that was saved before. It is zero for the
+	// first known epoch.
 	since time.Time
 }
 
@@ -189,11 +190,14 @@
 func (m *Map) SetStoreEpoch(address string, epoch int64, now time.Time) (previous int64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	previous = m.stores[address].epoch
-	if epoch != previous {
+	known, ok := m.stores[address]
+	switch {
+	case !ok && epoch != 0:
+		m.stores[address] = storeState{epoch: epoch}
+	case !ok || epoch != known.epoch:
 		m.stores[address] = storeState{epoch: epoch, since: now}
 	}
-	return previous
+	return known.epoch
 }
 
 // StoreEpochs returns the known stores in order of their addresses.
@@ -208,11 +212,14 @@
 	return epochs
 }
 
-// StoreUp reports whether the store at an address is assumed to be available.
+// StoreUp reports whether the store at an address is assumed to be available. A store is, until the leader announces
+// that it is not: after all nodes have restarted, there is no leader for seconds, and each shared prefix would be
+// computed again although the store has it.
 func (m *Map) StoreUp(address string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.stores[address].epoch != 0
+	s, known := m.stores[address]
+	return !known || s.epoch != 0
 }
 
 // PrefixState is the last known state of a prefix.
@@ -228,8 +235,8 @@
 	Saved bool
 }
 
-// Lookup returns the state of a prefix, which the store at an address keeps. The zero value means that the
-// prefix is not known.
+// Lookup returns the state of a prefix, which the store at an address keeps, or "" for none. The zero value means
+// that the prefix is not known.
 func (m *Map) Lookup(key Key, store string, now time.Time) PrefixState {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -239,9 +246,10 @@
 			return PrefixState{}
 		}
 	}
-	s := m.stores[store]
+	s, known := m.stores[store]
+	kept := !known || s.epoch != 0 && !loc.savedAt.Before(s.since)
 	return PrefixState{
 		Engine: loc.engine, Cached: now.Sub(loc.processedAt) < engineTTL, RecentlyProcessed: now.Sub(loc.processedAt) < recentlyProcessedTTL,
-		Saved: !loc.savedAt.IsZero() && now.Sub(loc.savedAt) < savedTTL && s.epoch != 0 && !loc.savedAt.Before(s.since),
+		Saved: store != "" && kept && !loc.savedAt.IsZero() && now.Sub(loc.savedAt) < savedTTL,
 	}
 }
--- a/pkg/gateway/cachemap/cachemap_test.go
+++ b/pkg/gateway/cachemap/cachemap_test.go
@@ -55,6 +55,26 @@
 	assert.True(t, m.Lookup(1, store, later).Saved)
 }
 
+// Guards against shared prefixes that are computed again although the store has them, in the seconds after a restart
+// of all nodes in which there is no leader that announces the store's epoch.
+func TestStoreIsUsedBeforeItsEpochIsKnown(t *testing.T) {
+	m := New()
+	assert.True(t, m.StoreUp(store))
+	m.Record(Entry{Key: 1, Engine: 5, Saved: true}, start)
+	assert.True(t, m.Lookup(1, store, start).Saved)
+	assert.False(t, m.Lookup(1, "", start).Saved)
+	m.SetStoreEpoch(store, 7, start.Add(time.Second))
+	assert.True(t, m.Lookup(1, store, start.Add(time.Second)).Saved)
+
+	m = New()
+	m.Record(Entry{Key: 1, Engine: 5, Saved: true}, start)
+	m.SetStoreEpoch(store, 0, start.Add(time.Second))
+	assert.False(t, m.StoreUp(store))
+	m.SetStoreEpoch(store, 7, start.Add(2*time.Second))
+	assert.True(t, m.StoreUp(store))
+	assert.False(t, m.Lookup(1, store, start.Add(2*time.Second)).Saved)
+}
+
 // Guards against saved prefixes and prefixes of many requests that other nodes do not learn of, because more
 // prefixes were processed than a message has room for.
 func TestImportantPrefixesAreSentFirst(t *testing.T) {
