Fetch a prefix from the engine that processed it last if the store is not known to have it

A node asked the store for each shared prefix that no engine had processed within a second, also where the store had nothing: after a load of new weights, whose salt no saved prefix bears, and for prompts that are not saved. It now asks the engine that processed the prefix within the last 5 s if the store is not known to have it, first for the whole prefix, then for shorter ones. The decision is a function of its own, fetchSource.

--- a/pkg/gateway/cachemap/cachemap.go
+++ b/pkg/gateway/cachemap/cachemap.go
@@ -49,6 +49,9 @@
 	engineTTL = 1000 * time.Millisecond
 	// recentlyProcessedTTL is the time for which an engine almost certainly still has a prefix in memory.
 	recentlyProcessedTTL = 700 * time.Millisecond
+	// sourceTTL is the time for which an engine is worth asking for a prefix that it has processed, if no better
+	// source is known: a fetch that finds nothing costs about a millisecond, a prefill a hundred.
+	sourceTTL = 5 * time.Second
 	// savedTTL is the time for which the store is assumed to keep a prefix.
 	savedTTL = 60 * time.Second
 	// maxEntries bounds the map. Older entries are evicted.
@@ -228,6 +231,8 @@
 	Engine uint32
 	// Cached is set if the engine is assumed to have the prefix in memory.
 	Cached bool
+	// MaybeCached is set if the engine may still have the prefix in memory.
+	MaybeCached bool
 	// RecentlyProcessed is set if the engine processed the prefix so recently that it need not fetch it from
 	// the store.
 	RecentlyProcessed bool
@@ -248,8 +253,9 @@
 	}
 	s, known := m.stores[store]
 	kept := !known || s.epoch != 0 && !loc.savedAt.Before(s.since)
+	age := now.Sub(loc.processedAt)
 	return PrefixState{
-		Engine: loc.engine, Cached: now.Sub(loc.processedAt) < engineTTL, RecentlyProcessed: now.Sub(loc.processedAt) < recentlyProcessedTTL,
+		Engine: loc.engine, Cached: age < engineTTL, MaybeCached: age < sourceTTL, RecentlyProcessed: age < recentlyProcessedTTL,
 		Saved: store != "" && kept && !loc.savedAt.IsZero() && now.Sub(loc.savedAt) < savedTTL,
 	}
 }
--- a/pkg/gateway/cachemap/cachemap_test.go
+++ b/pkg/gateway/cachemap/cachemap_test.go
@@ -27,9 +27,10 @@
 	m := New()
 	m.SetStoreEpoch(store, 7, start)
 	m.Record(Entry{Key: 1, Engine: 5, Saved: true}, start)
-	assert.Equal(t, PrefixState{Engine: 5, Cached: true, RecentlyProcessed: true, Saved: true}, m.Lookup(1, store, start.Add(recentlyProcessedTTL/2)))
-	assert.Equal(t, PrefixState{Engine: 5, Cached: true, Saved: true}, m.Lookup(1, store, start.Add(recentlyProcessedTTL)))
-	assert.Equal(t, PrefixState{Engine: 5, Saved: true}, m.Lookup(1, store, start.Add(engineTTL)))
+	assert.Equal(t, PrefixState{Engine: 5, Cached: true, MaybeCached: true, RecentlyProcessed: true, Saved: true}, m.Lookup(1, store, start.Add(recentlyProcessedTTL/2)))
+	assert.Equal(t, PrefixState{Engine: 5, Cached: true, MaybeCached: true, Saved: true}, m.Lookup(1, store, start.Add(recentlyProcessedTTL)))
+	assert.Equal(t, PrefixState{Engine: 5, MaybeCached: true, Saved: true}, m.Lookup(1, store, start.Add(engineTTL)))
+	assert.Equal(t, PrefixState{Engine: 5, Saved: true}, m.Lookup(1, store, start.Add(sourceTTL)))
 	assert.Equal(t, PrefixState{Engine: 5}, m.Lookup(1, store, start.Add(savedTTL)))
 	assert.Equal(t, PrefixState{}, m.Lookup(2, store, start))
 }
--- a/pkg/gateway/forward/cache.go
+++ b/pkg/gateway/forward/cache.go
@@ -164,23 +164,49 @@
 	if store != nil {
 		storeAddress = store.Address
 	}
-	whole := a.router.opt.Prefixes.Lookup(hashes[0], storeAddress, now)
-	if store != nil && !whole.Saved && a.shouldSave(c) {
+	prefixes := make([]cachemap.PrefixState, len(hashes))
+	for i, hash := range hashes {
+		prefixes[i] = a.router.opt.Prefixes.Lookup(hash, storeAddress, now)
+	}
+	if store != nil && !prefixes[0].Saved && a.shouldSave(c) {
 		saveTo = storeAddress
 	}
 	a.saveRequested = saveTo != ""
-	if whole.RecentlyProcessed && whole.Engine == cachemap.EngineHash(c.ID) {
-		return "", saveTo
-	}
-	fetchFrom = a.fetchAddress(whole, c, storeAddress, now)
-	for _, hash := range hashes[1:] {
-		part := a.router.opt.Prefixes.Lookup(hash, storeAddress, now)
-		if fetchFrom != "" || part.RecentlyProcessed && part.Engine == cachemap.EngineHash(c.ID) {
+	engineAddress := func(engine uint32) string {
+		return a.router.opt.Backends.CacheSource(engine, a.request.Model, c.Version, now)
+	}
+	return fetchSource(prefixes, cachemap.EngineHash(c.ID), engineAddress, storeAddress), saveTo
+}
+
+// fetchSource returns the address of the engine or of the KV cache store that the chosen engine should fetch the
+// longest possible prefix from, or "". The prefixes are in order of their length, the longest first. engineAddress
+// returns the address of an engine, or "" if nothing can be fetched from it. store is "" if there is none.
+func fetchSource(prefixes []cachemap.PrefixState, chosen uint32, engineAddress func(uint32) string, store string) string {
+	for i, p := range prefixes {
+		whole := i == 0
+		if p.Engine == chosen && p.RecentlyProcessed {
+			if whole {
+				return ""
+			}
 			break
 		}
-		fetchFrom = a.fetchAddress(part, c, storeAddress, now)
+		other := ""
+		if p.Engine != chosen && p.MaybeCached {
+			other = engineAddress(p.Engine)
+		}
+		switch {
+		case other != "" && whole && p.Cached:
+			// All fetches from a store share its link.
+			return other
+		case p.Saved:
+			// The store may also have a longer prefix that this node has no record of.
+			return store
+		case other != "":
+			return other
+		}
 	}
-	return fetchFrom, saveTo
+	// The store may have a prefix that this node has no record of, and a miss costs only about a millisecond.
+	return store
 }
 
 // countSharedTokens counts the shared tokens of a send by the source that the engine fetches them from.
@@ -196,19 +222,6 @@
 	a.router.opt.Metrics.Counter("shared_tokens", "fetched_from", source).Inc(int64(a.sharedTokens()))
 }
 
-// fetchAddress returns the address of an engine or of the KV cache store to fetch a prefix from, or "".
-// Engines are preferred because all fetches from a store share its link. store is "" if there is none.
-func (a *activeRequest) fetchAddress(found cachemap.PrefixState, c *backends.Choice, store string, now time.Time) string {
-	if found.Cached && found.Engine != cachemap.EngineHash(c.ID) {
-		if address := a.router.opt.Backends.CacheSource(found.Engine, a.request.Model, c.Version, now); address != "" {
-			return address
-		}
-	}
-	// The store may have a prefix that this node has no record of, and a miss costs only about a
-	// millisecond.
-	return store
-}
-
 // shouldSave reports whether the engine should save the prompt to the KV cache store. If so, the
 // save counts against the limit of saves. An engine of another data centre leaves it to those of the home.
 func (a *activeRequest) shouldSave(c *backends.Choice) bool {
