Fetch short shared prefixes from the engine that processed them last

Shared prefixes under 1,000 tokens were computed on each engine: no engine is preferred for them and nothing was fetched. They are not saved to the KV cache store. The lowest bit of a key marks a short prefix, so that the format of the messages stays.

TestShortPrefixIsFetchedFromAnotherEngine and TestShortPrefixesAreSentLast guard it; the first expects a fetch that the node did not ask for before. TestImportantPrefixesAreSentFirst uses even keys, because an odd one now is a short prefix; it expects the same as before.

--- a/pkg/gateway/cachemap/cachemap.go
+++ b/pkg/gateway/cachemap/cachemap.go
@@ -16,9 +16,18 @@
 )
 
 // Key is a 32-bit hash of a shared prefix and its cache salt. Keys may collide: a collision costs a fetch that
-// finds nothing, because engines compare the parts themselves.
+// finds nothing, because engines compare the parts themselves. Its lowest bit is set for short prefixes, which are
+// announced to other nodes after all others.
 type Key uint32
 
+// shortBit marks the key of a short prefix.
+const shortBit Key = 1
+
+// ShortKeyOf returns the key of a short prefix.
+func ShortKeyOf(salt string, parts ...string) Key { return KeyOf(salt, parts...) | shortBit }
+
+func (k Key) short() bool { return k&shortBit != 0 }
+
 // KeyOf returns the key of the prefix that consists of parts, under a cache salt.
 func KeyOf(salt string, parts ...string) Key {
 	h := xxhash.New()
@@ -28,7 +37,7 @@
 		_, _ = h.WriteString("\x00")
 		_, _ = h.WriteString(p)
 	}
-	return Key(h.Sum64())
+	return Key(h.Sum64()) &^ shortBit
 }
 
 // EngineHash returns the 31-bit hash of an engine's ID that an Entry holds. The top bit stays free for
@@ -132,7 +141,7 @@
 
 // TakeUpdates returns the most important of the queued entries in encoded form and clears the queue: saved
 // prefixes first, because a node that does not know of one has it saved again, then those that were processed
-// most often. It returns nil if there are none.
+// most often, short ones last. It returns nil if there are none.
 func (m *Map) TakeUpdates() []byte {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -142,7 +151,7 @@
 	entries := slices.Collect(maps.Values(m.pending))
 	clear(m.pending)
 	slices.SortFunc(entries, func(a, b pendingEntry) int {
-		return cmp.Or(compare.Bool(b.Saved, a.Saved), cmp.Compare(b.count, a.count), cmp.Compare(a.Key, b.Key))
+		return cmp.Or(compare.Bool(b.Saved, a.Saved), compare.Bool(a.Key.short(), b.Key.short()), cmp.Compare(b.count, a.count), cmp.Compare(a.Key, b.Key))
 	})
 	entries = entries[:min(len(entries), maxSent)]
 	data := make([]byte, 0, len(entries)*entryBytes)
--- a/pkg/gateway/cachemap/cachemap_test.go
+++ b/pkg/gateway/cachemap/cachemap_test.go
@@ -81,10 +81,10 @@
 func TestImportantPrefixesAreSentFirst(t *testing.T) {
 	from, to := New(), New()
 	to.SetStoreEpoch(store, 1, start)
-	const frequent, saved = 1, 2
+	const frequent, saved = 2, 4
 	from.Record(Entry{Key: frequent, Engine: 8}, start)
 	for i := range 2 * maxSent {
-		from.Record(Entry{Key: Key(i + 10), Engine: 1}, start)
+		from.Record(Entry{Key: Key(2*i + 10), Engine: 1}, start)
 	}
 	from.Record(Entry{Key: frequent, Engine: 9}, start)
 	from.Record(Entry{Key: saved, Engine: 1, Saved: true}, start)
@@ -95,6 +95,27 @@
 	assert.Equal(t, uint32(9), to.Lookup(frequent, store, start).Engine)
 }
 
+// Guards against short prefixes of many requests that displace long ones from the messages of a large fleet, and against
+// short prefixes that are not announced although there is room.
+func TestShortPrefixesAreSentLast(t *testing.T) {
+	short, long := ShortKeyOf("1", "a"), KeyOf("1", "a")
+	assert.NotEqual(t, short, long)
+	from, to := New(), New()
+	for range 9 {
+		from.Record(Entry{Key: short, Engine: 8}, start)
+	}
+	for i := range maxSent {
+		from.Record(Entry{Key: KeyOf("1", "a", string(rune(i))), Engine: 1}, start)
+	}
+	to.Merge(from.TakeUpdates(), false, start)
+	assert.Equal(t, PrefixState{}, to.Lookup(short, store, start))
+	from.Record(Entry{Key: short, Engine: 8}, start)
+	from.Record(Entry{Key: long, Engine: 9}, start)
+	to.Merge(from.TakeUpdates(), false, start)
+	assert.Equal(t, uint32(8), to.Lookup(short, store, start).Engine)
+	assert.Equal(t, uint32(9), to.Lookup(long, store, start).Engine)
+}
+
 // Guards against updates that are lost or changed on their way through the leader to another node.
 func TestUpdatesReachOtherNodes(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/pkg/gateway/forward/cache.go
+++ b/pkg/gateway/forward/cache.go
@@ -16,6 +16,9 @@
 	// minSharedTokens is the length of a shared prefix in tokens from which its prefill costs more
 	// than the usual difference in waiting time between engines.
 	minSharedTokens = 1000
+	// minFetchTokens is the length of a shared prefix in tokens from which a prefill takes longer than a fetch
+	// from another engine.
+	minFetchTokens = 64
 	// maxOwnToSharedRatio is the highest ratio of the request's own tokens to the shared tokens of a
 	// prompt that is saved. An engine saves the whole prompt, and the link of the KV cache store is
 	// narrow.
@@ -99,9 +102,12 @@
 	return h.Sum64()
 }
 
-// cacheStore returns the KV cache store that keeps the request's shared prefix, or nil if there is none or it is
-// down.
+// cacheStore returns the KV cache store that keeps the request's shared prefix, or nil if there is none, it is down or
+// the prefix is shorter than minSharedTokens. Short prefixes would use up the store's rate of saves.
 func (a *activeRequest) cacheStore() *routes.CacheStore {
+	if a.sharedTokens() < minSharedTokens {
+		return nil
+	}
 	store := a.config.CacheStoreFor(a.affinityKey(), a.homeDataCentre())
 	if store == nil || !a.router.opt.Prefixes.StoreUp(store.Address) {
 		return nil
@@ -119,20 +125,24 @@
 	return a.router.opt.Backends.HomeDataCentre(a.service, a.affinityKey())
 }
 
-// sharedPrefixHashes returns the hashes of the shared prefixes of at least minSharedTokens, longest
-// first.
+// sharedPrefixHashes returns the hashes of the shared prefixes of at least minSharedTokens, longest first. If there is
+// none, it returns those of at least minFetchTokens.
 func (a *activeRequest) sharedPrefixHashes(version int) []cachemap.Key {
 	if a.prefixHashesVersion == version && a.prefixHashes != nil {
 		return a.prefixHashes
 	}
 	salt := cacheSalt(version, a.workspace)
+	minTokens, keyOf := minSharedTokens, cachemap.KeyOf
+	if a.sharedTokens() < minSharedTokens {
+		minTokens, keyOf = minFetchTokens, cachemap.ShortKeyOf
+	}
 	var hashes []cachemap.Key
 	var ids []string
 	tokens := 0
 	for _, p := range a.sharedParts() {
 		ids = append(ids, p.ID)
-		if tokens += p.Tokens; tokens >= minSharedTokens {
-			hashes = append([]cachemap.Key{cachemap.KeyOf(salt, ids...)}, hashes...)
+		if tokens += p.Tokens; tokens >= minTokens {
+			hashes = append([]cachemap.Key{keyOf(salt, ids...)}, hashes...)
 		}
 	}
 	a.prefixHashes, a.prefixHashesVersion = hashes, version
--- a/pkg/gateway/forward/cache_test.go
+++ b/pkg/gateway/forward/cache_test.go
@@ -1,13 +1,35 @@
 package forward
 
 import (
+	"net/http"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
+	"cassiawall.example/cassiawall/pkg/gateway/backends"
 	"cassiawall.example/cassiawall/pkg/gateway/cachemap"
+	"cassiawall.example/cassiawall/pkg/gateway/routes"
 )
 
+// Guards against short shared prefixes of many requests that each engine computes by itself: such requests go to any
+// engine, and no engine fetched their prefix from another.
+func TestShortPrefixIsFetchedFromAnotherEngine(t *testing.T) {
+	b := startBackend(t, okResponse)
+	s := startGateway(t, routes.Safe, func(c *routes.Config, opt *Options) {
+		c.Services["s"] = routes.Service{Name: "s", HasEngines: true}
+		c.Services["store"] = routes.Service{Name: "store", CacheStore: &routes.CacheStore{Address: "store:1"}}
+		c.Routes[0].Sticky = true
+		opt.Backends.Put(backends.Backend{ID: "source", Service: "other", Address: "source:1", DataCentre: "dc", Models: []backends.Model{{Name: "m", Version: 3}}})
+		opt.Prefixes.Record(cachemap.Entry{Key: cachemap.ShortKeyOf("3", "base"), Engine: cachemap.EngineHash("source")}, time.Now())
+	}, b)
+	for prompt, want := range map[string]string{"base,own": "source:1", "base,inner,own": "source:1", "inner,own": "", "own": ""} {
+		require.Equal(t, 200, postRequest(t, s, "/p/x", http.Header{"M": {"m"}, "Prompt": {prompt}}).status)
+		assert.Equal(t, want, b.seen[len(b.seen)-1].Header.Get("Fetch"), prompt)
+	}
+}
+
 // Guards against shared parts that an engine computes again although another engine or the store has them: in the
 // first seconds after a load of new weights the store has nothing for their salt, and only engines do; on a prefix of
 // few requests the last request was seconds ago.
--- a/pkg/gateway/forward/forward_test.go
+++ b/pkg/gateway/forward/forward_test.go
@@ -46,7 +46,7 @@
 func (testProtocol) EncodeRequest(client http.Header, c BackendRequest) http.Header {
 	return http.Header{
 		"Id": client["Id"], "Backend": {c.BackendID}, "After": {c.LastEventID}, "Tenant": {c.Workspace},
-		"Namespace": {c.CacheSalt}, "V": {strconv.Itoa(c.WeightsVersion)}, "Prompt": client["Prompt"], "Left": {strconv.FormatInt(c.Timeout.Milliseconds(), 10)},
+		"Namespace": {c.CacheSalt}, "V": {strconv.Itoa(c.WeightsVersion)}, "Prompt": client["Prompt"], "Fetch": {c.FetchFrom}, "Left": {strconv.FormatInt(c.Timeout.Milliseconds(), 10)},
 	}
 }
 
