--- a/pkg/gateway/cachemap/cachemap.go
+++ b/pkg/gateway/cachemap/cachemap.go
@@ -16,9 +16,18 @@
 )
 
 // Key is a 32-bit hash of a shared prefix and its cache salt. Keys may collide: a collision costs a fetch that
-// finds nothing, because engines compare the parts themselves.
+// finds nothing, because engines compare the parts themselves. Its lowest bit is set for short prefixes, which are
+// announced to other nodes after all others.
 type Key uint32
 
+// shortBit marks the key of a short prefix.
+const shortBit Key = 1
+
+// ShortKeyOf returns the key of a short prefix.
+func ShortKeyOf(salt string, parts ...string) Key { return KeyOf(salt, parts...) | shortBit }
+
+func (k Key) short() bool { return k&shortBit != 0 }
+
 // KeyOf returns the key of the prefix that consists of parts, under a cache salt.
 func KeyOf(salt string, parts ...string) Key {
 	h := xxhash.New()
@@ -28,7 +37,7 @@
 		_, _ = h.WriteString("\x00")
 		_, _ = h.WriteString(p)
 	}
-	return Key(h.Sum64())
+	return Key(h.Sum64()) &^ shortBit
 }
 
 // EngineHash returns the 31-bit hash of an engine's ID that an Entry holds. The top bit stays free for
@@ -49,6 +58,9 @@
 	engineTTL = 1000 * time.Millisecond
 	// recentlyProcessedTTL is the time for which an engine almost certainly still has a prefix in memory.
 	recentlyProcessedTTL = 700 * time.Millisecond
+	// sourceTTL is the time for which an engine is worth asking for a prefix that it has processed, if no better
+	// source is known: a fetch that finds nothing costs about a millisecond, a prefill a hundred.
+	sourceTTL = 5 * time.Second
 	// savedTTL is the time for which the store is assumed to keep a prefix.
 	savedTTL = 60 * time.Second
 	// maxEntries bounds the map. Older entries are evicted.
@@ -74,7 +86,8 @@
 type storeState struct {
 	// epoch identifies the store's generation since its last restart; 0 means that the store is down.
 	epoch int64
-	// since is when the epoch was first known. The store has no prefix that was saved before.
+	// since is when the epoch replaced another. The store has no prefix that was saved before. It is zero for the
+	// first known epoch.
 	since time.Time
 }
 
@@ -128,7 +141,7 @@
 
 // TakeUpdates returns the most important of the queued entries in encoded form and clears the queue: saved
 // prefixes first, because a node that does not know of one has it saved again, then those that were processed
-// most often. It returns nil if there are none.
+// most often, short ones last. It returns nil if there are none.
 func (m *Map) TakeUpdates() []byte {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -138,7 +151,7 @@
 	entries := slices.Collect(maps.Values(m.pending))
 	clear(m.pending)
 	slices.SortFunc(entries, func(a, b pendingEntry) int {
-		return cmp.Or(compare.Bool(b.Saved, a.Saved), cmp.Compare(b.count, a.count), cmp.Compare(a.Key, b.Key))
+		return cmp.Or(compare.Bool(b.Saved, a.Saved), compare.Bool(a.Key.short(), b.Key.short()), cmp.Compare(b.count, a.count), cmp.Compare(a.Key, b.Key))
 	})
 	entries = entries[:min(len(entries), maxSent)]
 	data := make([]byte, 0, len(entries)*entryBytes)
@@ -189,11 +202,14 @@
 func (m *Map) SetStoreEpoch(address string, epoch int64, now time.Time) (previous int64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	previous = m.stores[address].epoch
-	if epoch != previous {
+	known, ok := m.stores[address]
+	switch {
+	case !ok && epoch != 0:
+		m.stores[address] = storeState{epoch: epoch}
+	case !ok || epoch != known.epoch:
 		m.stores[address] = storeState{epoch: epoch, since: now}
 	}
-	return previous
+	return known.epoch
 }
 
 // StoreEpochs returns the known stores in order of their addresses.
@@ -208,11 +224,14 @@
 	return epochs
 }
 
-// StoreUp reports whether the store at an address is assumed to be available.
+// StoreUp reports whether the store at an address is assumed to be available. A store is, until the leader announces
+// that it is not: after all nodes have restarted, there is no leader for seconds, and each shared prefix would be
+// computed again although the store has it.
 func (m *Map) StoreUp(address string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.stores[address].epoch != 0
+	s, known := m.stores[address]
+	return !known || s.epoch != 0
 }
 
 // PrefixState is the last known state of a prefix.
@@ -221,6 +240,8 @@
 	Engine uint32
 	// Cached is set if the engine is assumed to have the prefix in memory.
 	Cached bool
+	// MaybeCached is set if the engine may still have the prefix in memory.
+	MaybeCached bool
 	// RecentlyProcessed is set if the engine processed the prefix so recently that it need not fetch it from
 	// the store.
 	RecentlyProcessed bool
@@ -228,8 +249,8 @@
 	Saved bool
 }
 
-// Lookup returns the state of a prefix, which the store at an address keeps. The zero value means that the
-// prefix is not known.
+// Lookup returns the state of a prefix, which the store at an address keeps, or "" for none. The zero value means
+// that the prefix is not known.
 func (m *Map) Lookup(key Key, store string, now time.Time) PrefixState {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -239,9 +260,11 @@
 			return PrefixState{}
 		}
 	}
-	s := m.stores[store]
+	s, known := m.stores[store]
+	kept := !known || s.epoch != 0 && !loc.savedAt.Before(s.since)
+	age := now.Sub(loc.processedAt)
 	return PrefixState{
-		Engine: loc.engine, Cached: now.Sub(loc.processedAt) < engineTTL, RecentlyProcessed: now.Sub(loc.processedAt) < recentlyProcessedTTL,
-		Saved: !loc.savedAt.IsZero() && now.Sub(loc.savedAt) < savedTTL && s.epoch != 0 && !loc.savedAt.Before(s.since),
+		Engine: loc.engine, Cached: age < engineTTL, MaybeCached: age < sourceTTL, RecentlyProcessed: age < recentlyProcessedTTL,
+		Saved: store != "" && kept && !loc.savedAt.IsZero() && now.Sub(loc.savedAt) < savedTTL,
 	}
 }
--- a/pkg/gateway/cachemap/cachemap_test.go
+++ b/pkg/gateway/cachemap/cachemap_test.go
@@ -27,9 +27,10 @@
 	m := New()
 	m.SetStoreEpoch(store, 7, start)
 	m.Record(Entry{Key: 1, Engine: 5, Saved: true}, start)
-	assert.Equal(t, PrefixState{Engine: 5, Cached: true, RecentlyProcessed: true, Saved: true}, m.Lookup(1, store, start.Add(recentlyProcessedTTL/2)))
-	assert.Equal(t, PrefixState{Engine: 5, Cached: true, Saved: true}, m.Lookup(1, store, start.Add(recentlyProcessedTTL)))
-	assert.Equal(t, PrefixState{Engine: 5, Saved: true}, m.Lookup(1, store, start.Add(engineTTL)))
+	assert.Equal(t, PrefixState{Engine: 5, Cached: true, MaybeCached: true, RecentlyProcessed: true, Saved: true}, m.Lookup(1, store, start.Add(recentlyProcessedTTL/2)))
+	assert.Equal(t, PrefixState{Engine: 5, Cached: true, MaybeCached: true, Saved: true}, m.Lookup(1, store, start.Add(recentlyProcessedTTL)))
+	assert.Equal(t, PrefixState{Engine: 5, MaybeCached: true, Saved: true}, m.Lookup(1, store, start.Add(engineTTL)))
+	assert.Equal(t, PrefixState{Engine: 5, Saved: true}, m.Lookup(1, store, start.Add(sourceTTL)))
 	assert.Equal(t, PrefixState{Engine: 5}, m.Lookup(1, store, start.Add(savedTTL)))
 	assert.Equal(t, PrefixState{}, m.Lookup(2, store, start))
 }
@@ -55,15 +56,35 @@
 	assert.True(t, m.Lookup(1, store, later).Saved)
 }
 
+// Guards against shared prefixes that are computed again although the store has them, in the seconds after a restart
+// of all nodes in which there is no leader that announces the store's epoch.
+func TestStoreIsUsedBeforeItsEpochIsKnown(t *testing.T) {
+	m := New()
+	assert.True(t, m.StoreUp(store))
+	m.Record(Entry{Key: 1, Engine: 5, Saved: true}, start)
+	assert.True(t, m.Lookup(1, store, start).Saved)
+	assert.False(t, m.Lookup(1, "", start).Saved)
+	m.SetStoreEpoch(store, 7, start.Add(time.Second))
+	assert.True(t, m.Lookup(1, store, start.Add(time.Second)).Saved)
+
+	m = New()
+	m.Record(Entry{Key: 1, Engine: 5, Saved: true}, start)
+	m.SetStoreEpoch(store, 0, start.Add(time.Second))
+	assert.False(t, m.StoreUp(store))
+	m.SetStoreEpoch(store, 7, start.Add(2*time.Second))
+	assert.True(t, m.StoreUp(store))
+	assert.False(t, m.Lookup(1, store, start.Add(2*time.Second)).Saved)
+}
+
 // Guards against saved prefixes and prefixes of many requests that other nodes do not learn of, because more
 // prefixes were processed than a message has room for.
 func TestImportantPrefixesAreSentFirst(t *testing.T) {
 	from, to := New(), New()
 	to.SetStoreEpoch(store, 1, start)
-	const frequent, saved = 1, 2
+	const frequent, saved = 2, 4
 	from.Record(Entry{Key: frequent, Engine: 8}, start)
 	for i := range 2 * maxSent {
-		from.Record(Entry{Key: Key(i + 10), Engine: 1}, start)
+		from.Record(Entry{Key: Key(2*i + 10), Engine: 1}, start)
 	}
 	from.Record(Entry{Key: frequent, Engine: 9}, start)
 	from.Record(Entry{Key: saved, Engine: 1, Saved: true}, start)
@@ -74,6 +95,27 @@
 	assert.Equal(t, uint32(9), to.Lookup(frequent, store, start).Engine)
 }
 
+// Guards against short prefixes of many requests that displace long ones from the messages of a large fleet, and against
+// short prefixes that are not announced although there is room.
+func TestShortPrefixesAreSentLast(t *testing.T) {
+	short, long := ShortKeyOf("1", "a"), KeyOf("1", "a")
+	assert.NotEqual(t, short, long)
+	from, to := New(), New()
+	for range 9 {
+		from.Record(Entry{Key: short, Engine: 8}, start)
+	}
+	for i := range maxSent {
+		from.Record(Entry{Key: KeyOf("1", "a", string(rune(i))), Engine: 1}, start)
+	}
+	to.Merge(from.TakeUpdates(), false, start)
+	assert.Equal(t, PrefixState{}, to.Lookup(short, store, start))
+	from.Record(Entry{Key: short, Engine: 8}, start)
+	from.Record(Entry{Key: long, Engine: 9}, start)
+	to.Merge(from.TakeUpdates(), false, start)
+	assert.Equal(t, uint32(8), to.Lookup(short, store, start).Engine)
+	assert.Equal(t, uint32(9), to.Lookup(long, store, start).Engine)
+}
+
 // Guards against updates that are lost or changed on their way through the leader to another node.
 func TestUpdatesReachOtherNodes(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/pkg/gateway/forward/cache.go
+++ b/pkg/gateway/forward/cache.go
@@ -16,6 +16,9 @@
 	// minSharedTokens is the length of a shared prefix in tokens from which its prefill costs more
 	// than the usual difference in waiting time between engines.
 	minSharedTokens = 1000
+	// minFetchTokens is the length of a shared prefix in tokens from which a prefill takes longer than a fetch
+	// from another engine.
+	minFetchTokens = 64
 	// maxOwnToSharedRatio is the highest ratio of the request's own tokens to the shared tokens of a
 	// prompt that is saved. An engine saves the whole prompt, and the link of the KV cache store is
 	// narrow.
@@ -56,6 +59,16 @@
 	return ids
 }
 
+// sharedPartSizes returns the parts of the prompt that other requests may share, as ID:TOKENS.
+func (a *activeRequest) sharedPartSizes() []string {
+	parts := a.sharedParts()
+	sizes := make([]string, len(parts))
+	for i, p := range parts {
+		sizes[i] = p.ID + ":" + strconv.Itoa(p.Tokens)
+	}
+	return sizes
+}
+
 func (a *activeRequest) sharedTokens() int {
 	tokens := 0
 	for _, p := range a.sharedParts() {
@@ -89,9 +102,12 @@
 	return h.Sum64()
 }
 
-// cacheStore returns the KV cache store that keeps the request's shared prefix, or nil if there is none or it is
-// down.
+// cacheStore returns the KV cache store that keeps the request's shared prefix, or nil if there is none, it is down or
+// the prefix is shorter than minSharedTokens. Short prefixes would use up the store's rate of saves.
 func (a *activeRequest) cacheStore() *routes.CacheStore {
+	if a.sharedTokens() < minSharedTokens {
+		return nil
+	}
 	store := a.config.CacheStoreFor(a.affinityKey(), a.homeDataCentre())
 	if store == nil || !a.router.opt.Prefixes.StoreUp(store.Address) {
 		return nil
@@ -109,20 +125,24 @@
 	return a.router.opt.Backends.HomeDataCentre(a.service, a.affinityKey())
 }
 
-// sharedPrefixHashes returns the hashes of the shared prefixes of at least minSharedTokens, longest
-// first.
+// sharedPrefixHashes returns the hashes of the shared prefixes of at least minSharedTokens, longest first. If there is
+// none, it returns those of at least minFetchTokens.
 func (a *activeRequest) sharedPrefixHashes(version int) []cachemap.Key {
 	if a.prefixHashesVersion == version && a.prefixHashes != nil {
 		return a.prefixHashes
 	}
 	salt := cacheSalt(version, a.workspace)
+	minTokens, keyOf := minSharedTokens, cachemap.KeyOf
+	if a.sharedTokens() < minSharedTokens {
+		minTokens, keyOf = minFetchTokens, cachemap.ShortKeyOf
+	}
 	var hashes []cachemap.Key
 	var ids []string
 	tokens := 0
 	for _, p := range a.sharedParts() {
 		ids = append(ids, p.ID)
-		if tokens += p.Tokens; tokens >= minSharedTokens {
-			hashes = append([]cachemap.Key{cachemap.KeyOf(salt, ids...)}, hashes...)
+		if tokens += p.Tokens; tokens >= minTokens {
+			hashes = append([]cachemap.Key{keyOf(salt, ids...)}, hashes...)
 		}
 	}
 	a.prefixHashes, a.prefixHashesVersion = hashes, version
@@ -154,23 +174,49 @@
 	if store != nil {
 		storeAddress = store.Address
 	}
-	whole := a.router.opt.Prefixes.Lookup(hashes[0], storeAddress, now)
-	if store != nil && !whole.Saved && a.shouldSave(c) {
+	prefixes := make([]cachemap.PrefixState, len(hashes))
+	for i, hash := range hashes {
+		prefixes[i] = a.router.opt.Prefixes.Lookup(hash, storeAddress, now)
+	}
+	if store != nil && !prefixes[0].Saved && a.shouldSave(c) {
 		saveTo = storeAddress
 	}
 	a.saveRequested = saveTo != ""
-	if whole.RecentlyProcessed && whole.Engine == cachemap.EngineHash(c.ID) {
-		return "", saveTo
+	engineAddress := func(engine uint32) string {
+		return a.router.opt.Backends.CacheSource(engine, a.request.Model, c.Version, now)
 	}
-	fetchFrom = a.fetchAddress(whole, c, storeAddress, now)
-	for _, hash := range hashes[1:] {
-		part := a.router.opt.Prefixes.Lookup(hash, storeAddress, now)
-		if fetchFrom != "" || part.RecentlyProcessed && part.Engine == cachemap.EngineHash(c.ID) {
+	return fetchSource(prefixes, cachemap.EngineHash(c.ID), engineAddress, storeAddress), saveTo
+}
+
+// fetchSource returns the address of the engine or of the KV cache store that the chosen engine should fetch the
+// longest possible prefix from, or "". The prefixes are in order of their length, the longest first. engineAddress
+// returns the address of an engine, or "" if nothing can be fetched from it. store is "" if there is none.
+func fetchSource(prefixes []cachemap.PrefixState, chosen uint32, engineAddress func(uint32) string, store string) string {
+	for i, p := range prefixes {
+		whole := i == 0
+		if p.Engine == chosen && p.RecentlyProcessed {
+			if whole {
+				return ""
+			}
 			break
 		}
-		fetchFrom = a.fetchAddress(part, c, storeAddress, now)
+		other := ""
+		if p.Engine != chosen && p.MaybeCached {
+			other = engineAddress(p.Engine)
+		}
+		switch {
+		case other != "" && whole && p.Cached:
+			// All fetches from a store share its link.
+			return other
+		case p.Saved:
+			// The store may also have a longer prefix that this node has no record of.
+			return store
+		case other != "":
+			return other
+		}
 	}
-	return fetchFrom, saveTo
+	// The store may have a prefix that this node has no record of, and a miss costs only about a millisecond.
+	return store
 }
 
 // countSharedTokens counts the shared tokens of a send by the source that the engine fetches them from.
@@ -186,19 +232,6 @@
 	a.router.opt.Metrics.Counter("shared_tokens", "fetched_from", source).Inc(int64(a.sharedTokens()))
 }
 
-// fetchAddress returns the address of an engine or of the KV cache store to fetch a prefix from, or "".
-// Engines are preferred because all fetches from a store share its link. store is "" if there is none.
-func (a *activeRequest) fetchAddress(found cachemap.PrefixState, c *backends.Choice, store string, now time.Time) string {
-	if found.Cached && found.Engine != cachemap.EngineHash(c.ID) {
-		if address := a.router.opt.Backends.CacheSource(found.Engine, a.request.Model, c.Version, now); address != "" {
-			return address
-		}
-	}
-	// The store may have a prefix that this node has no record of, and a miss costs only about a
-	// millisecond.
-	return store
-}
-
 // shouldSave reports whether the engine should save the prompt to the KV cache store. If so, the
 // save counts against the limit of saves. An engine of another data centre leaves it to those of the home.
 func (a *activeRequest) shouldSave(c *backends.Choice) bool {
