Save prompts to the KV cache store if at least half of their tokens are shared

Only prompts whose own tokens were at most 0.4 of the shared ones were saved. On a deployment with 2,890 own tokens to 6,300 shared ones in the mean, many prefixes waited for a short request while longer ones computed them again. Now the own tokens may be as many as the shared ones.

TestPromptsAreSavedIfHalfOfTheirTokensAreShared failed with 0.4.

--- a/pkg/gateway/forward/cache.go
+++ b/pkg/gateway/forward/cache.go
@@ -19,10 +19,10 @@
 	// minFetchTokens is the length of a shared prefix in tokens from which a prefill takes longer than a fetch
 	// from another engine.
 	minFetchTokens = 64
-	// maxOwnToSharedRatio is the highest ratio of the request's own tokens to the shared tokens of a
-	// prompt that is saved. An engine saves the whole prompt, and the link of the KV cache store is
-	// narrow.
-	maxOwnToSharedRatio = 0.4
+	// maxOwnToSharedRatio is the highest ratio of the request's own tokens to the shared tokens of a prompt that is
+	// saved. An engine saves the whole prompt, and the store's memory and link should serve shared tokens in the first
+	// place.
+	maxOwnToSharedRatio = 1.0
 	// savesPerSecond and saveBurst limit the rate at which one node requests that prompts be saved.
 	savesPerSecond = 4
 	saveBurst      = 4
@@ -239,7 +239,13 @@
 		return false
 	}
 	ownTokens := a.request.PromptParts[len(a.request.PromptParts)-1].Tokens
-	return float64(ownTokens) <= maxOwnToSharedRatio*float64(a.sharedTokens()) && a.router.saveLimiter.Allow()
+	return worthSaving(ownTokens, a.sharedTokens()) && a.router.saveLimiter.Allow()
+}
+
+// worthSaving reports whether a prompt with that many tokens of its own and shared tokens is worth its memory in the
+// KV cache store.
+func worthSaving(ownTokens, sharedTokens int) bool {
+	return float64(ownTokens) <= maxOwnToSharedRatio*float64(sharedTokens)
 }
 
 // recordCachedPrompt records that an engine has processed the prompt and has its prefixes cached.
--- a/pkg/gateway/forward/cache_test.go
+++ b/pkg/gateway/forward/cache_test.go
@@ -64,3 +64,12 @@
 		assert.Equal(t, c.want, fetchSource([]cachemap.PrefixState{c.whole, c.base}, chosen, address, c.store), name)
 	}
 }
+
+// Guards against prefixes that are computed again because no request saved them in time: prompts of some deployments
+// have nearly as many tokens of their own as shared ones. Guards also against a store that is full of tokens that no
+// other request uses.
+func TestPromptsAreSavedIfHalfOfTheirTokensAreShared(t *testing.T) {
+	assert.True(t, worthSaving(100, 6000))
+	assert.True(t, worthSaving(6000, 6000))
+	assert.False(t, worthSaving(7000, 6000))
+}
