Count an unframed continuation without events as no success

A stream that a client continues and whose response has neither a length nor chunks nor a byte of body may be complete, or its engine has crashed after the header. It is relayed as complete, since no event may be left, but it also counted as a success of all parts of its prompt, which voided the evidence of engines that crash on one of them, and released it from the quarantine. It now tells nothing, as with a response that is no stream.

--- a/pkg/gateway/forward/quarantine_test.go
+++ b/pkg/gateway/forward/quarantine_test.go
@@ -328,6 +328,36 @@
 	}
 }
 
+// Guards against the end of a connection without an event that voids the evidence against a part: a client continues a
+// stream, and the node cannot tell a crash after the header of an unframed response from a stream without further events.
+func TestContinuedStreamWithoutEventIsNoSuccess(t *testing.T) {
+	tests := map[string]struct {
+		framing string
+		success bool
+	}{
+		"ends with the connection": {"", false},
+		"has a length":             {"Content-Length: 0\r\n", true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			q := testQuarantine("n", func() {}, time.Now)
+			q.Merge(crashEvidence(t, "bad", time.Now()), false, 0)
+			parts := []quarantine.Part{quarantine.PartOf("", "bad"), quarantine.PartOf("", "other")}
+			engine := startBackend(t, func(req *http.Request) string {
+				return "HTTP/1.1 200 OK\r\nId: " + req.Header.Get("Id") + "\r\nSig: s\r\nContent-Type: text/event-stream\r\n" + test.framing + "\r\n"
+			})
+			// Another part was in doubt in the same crashes, so that requests with one of them are sent.
+			q.Merge(crashEvidence(t, "other", time.Now()), false, 0)
+			require.True(t, q.admit(parts).Refuse)
+			require.False(t, q.admit(parts[:1]).Refuse)
+			s := startGateway(t, routes.Stream, func(c *routes.Config, opt *Options) { c.Routes[0].Resumable, opt.Quarantine = true, q }, engine)
+			r := postRequest(t, s, "/p/x", http.Header{"Prompt": {"bad,own"}, "Wait": {"1500"}, "After": {"3"}})
+			assert.Equal(t, http.StatusOK, r.status)
+			assert.Equal(t, test.success, q.admit(parts[1:]).Refuse, "after a success of the first part, only the other one remains")
+		})
+	}
+}
+
 // Guards against parts that count as suspect although requests with them succeed: complete responses that are not made
 // of events, and those over the size that is buffered.
 func TestEveryCompleteResponseIsASuccess(t *testing.T) {
--- a/pkg/gateway/forward/relay.go
+++ b/pkg/gateway/forward/relay.go
@@ -159,7 +159,8 @@
 		case err == nil:
 		case err == io.EOF:
 			c.Done(backends.Success, latency)
-			if !a.eventDelivered {
+			// An engine that crashes after the header also leaves an empty body without length.
+			if !a.eventDelivered && (response.Framed || latency > 0) {
 				a.recordFirstEvent(c)
 			}
 			if !a.headerWritten {
