Let the engines of a test stay away after a crash

TestPromptPartThatCrashesEnginesIsNotSentOn had engines that ended the connection of a bad request and served the next one at once.

The assumption of the test was wrong, not its bound: an engine that crashes is away for seconds. Its clock now goes on by 1.5 s before the next sound request. The numbers of requests, nodes, engines and allowed sends are the same.

--- a/pkg/gateway/forward/quarantine_test.go
+++ b/pkg/gateway/forward/quarantine_test.go
@@ -46,7 +46,7 @@
 
 // checkCrashingPart sends requests with a part on which engines crash, and others, to several nodes.
 func checkCrashingPart(t *testing.T, kind routes.Kind, crash func(*http.Request) string) {
-	const engineCount, nodeCount, badRequests, crashes, allowed = 12, 3, 20, 5, 3
+	const engineCount, nodeCount, badRequests, crashes, allowed, restartMS = 12, 3, 20, 5, 3, 1500
 	var badSends, clockMS atomic.Int64
 	now := func() time.Time { return time.UnixMilli(clockMS.Load()) }
 	respond := func(req *http.Request) string {
@@ -84,6 +84,8 @@
 		node := nodes[i%nodeCount]
 		r := postRequest(t, node, "/p/x", http.Header{"Prompt": {fmt.Sprintf("shared,bad,own%d", i)}, "Wait": {"1500"}})
 		assert.GreaterOrEqual(t, r.status, 500)
+		// The engines that have ended are back.
+		clockMS.Add(restartMS)
 		r = postRequest(t, node, "/p/x", http.Header{"Prompt": {fmt.Sprintf("shared,sound,own%d", i)}, "Wait": {"1500"}})
 		assert.Equal(t, http.StatusOK, r.status)
 	}
