Do not count a trial that reaches no engine

A quarantined part may be tried again by one request, and the next trial comes at the earliest after twice the time since the first crash. The trial was used up when a request was admitted, also if it then found no engine: after an outage of all engines, a sound part of most requests could stay refused although it was due, for as long as the engines were full or away.

Such a trial is now cancelled, so that the next request is one. TestTrialThatReachesNoEngineIsRepeated failed before (503 instead of 200).

--- a/pkg/gateway/forward/active_request.go
+++ b/pkg/gateway/forward/active_request.go
@@ -120,6 +120,7 @@
 // sendWithRetries sends the request to one backend server after another until the client has a
 // response.
 func (a *activeRequest) sendWithRetries() {
+	defer a.cancelUnusedTrial()
 	for {
 		if a.isQuarantined() {
 			a.failRequest(causeQuarantined)
--- a/pkg/gateway/forward/quarantine.go
+++ b/pkg/gateway/forward/quarantine.go
@@ -223,6 +223,13 @@
 	return verdict.Refuse
 }
 
+// cancelUnusedTrial allows a further trial if this one has reached no engine.
+func (a *activeRequest) cancelUnusedTrial() {
+	if a.trial && a.sends == 0 {
+		a.router.opt.Quarantine.table.CancelTrial(a.hashedParts())
+	}
+}
+
 // trackSend returns a context that ends when one of the request's parts is quarantined before the first event. It
 // reports false if that has already happened. stop must be called at the end of the send.
 func (a *activeRequest) trackSend(parent context.Context) (ctx context.Context, stop func(), ok bool) {
--- a/pkg/gateway/forward/quarantine_test.go
+++ b/pkg/gateway/forward/quarantine_test.go
@@ -360,6 +360,28 @@
 	}
 }
 
+// Guards against a trial that is used up by a request that reaches no engine: after an outage, a sound part would stay
+// refused for twice the time of the outage and longer.
+func TestTrialThatReachesNoEngineIsRepeated(t *testing.T) {
+	var clockMS atomic.Int64
+	clockMS.Store(1_000_000)
+	now := func() time.Time { return time.UnixMilli(clockMS.Load()) }
+	q := NewQuarantine(QuarantineOptions{Node: "n", MayTry: func() bool { return true }, Announce: func() {}, Now: now, Logger: slog.New(slog.DiscardHandler)})
+	require.True(t, q.Merge(crashEvidence(t, "sound", now()), false, 0))
+	clockMS.Add(61_000)
+	use := func(_ *routes.Config, opt *Options) { opt.Quarantine = q }
+	unreachable := startBackend(t, okResponse)
+	unreachable.address = "127.0.0.1:1"
+	headers := http.Header{"Prompt": {"sound,own"}, "Wait": {"300"}}
+	for _, engines := range [][]*fakeBackend{nil, {unreachable}} {
+		r := postRequest(t, startGateway(t, routes.Safe, use, engines...), "/p/x", headers)
+		assert.Equal(t, http.StatusServiceUnavailable, r.status)
+	}
+	r := postRequest(t, startGateway(t, routes.Safe, use, startBackend(t, okResponse)), "/p/x", headers)
+	assert.Equal(t, http.StatusOK, r.status)
+	assert.Empty(t, q.Suspects())
+}
+
 // Guards against parts that count as suspect although requests with them succeed: complete responses that are not made
 // of events, and those over the size that is buffered.
 func TestEveryCompleteResponseIsASuccess(t *testing.T) {
--- a/pkg/gateway/quarantine/table.go
+++ b/pkg/gateway/quarantine/table.go
@@ -547,6 +547,17 @@
 	return Verdict{Trial: true}
 }
 
+// CancelTrial allows the next request to try parts whose trial has reached no engine.
+func (t *Table) CancelTrial(parts []Part) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, part := range parts {
+		if r := t.records[part]; r != nil {
+			r.triedAt = time.Time{}
+		}
+	}
+}
+
 // firstAt returns the time of the first crash that the record keeps.
 func (r *record) firstAt() time.Time {
 	first := r.lastAt
