Test the bounds of the quarantine and its sample of crashes

The postmortem lists mechanisms without a test that fails without them. Each of these fails if the mechanism is taken out: TestNodesThatDateCrashesDifferentlyJudgeAlike (enough moments are passed on), TestRecordsOfManyCrashesKeepTheSameOnes (a full record keeps the lowest engine hashes), TestTableIsBounded (bounds on parts and successes, and the order in which parts are dropped).

--- a/pkg/gateway/quarantine/table_test.go
+++ b/pkg/gateway/quarantine/table_test.go
@@ -387,3 +387,60 @@
 	assert.LessOrEqual(t, len(table.suspects), maxCandidates)
 	assert.NotEmpty(t, table.suspects)
 }
+
+// Guards against a node that dates crashes some milliseconds closer together than the others, counts fewer moments, and
+// goes on to send requests with a part that the others refuse.
+func TestNodesThatDateCrashesDifferentlyJudgeAlike(t *testing.T) {
+	dating := func(gap time.Duration) *Table {
+		table := NewTable()
+		for i := range 3 {
+			table.RecordCrash([]Part{7}, Crash{Engine: uint32(i), Observer: uint8(i)}, start.Add(time.Duration(i)*gap))
+		}
+		return table
+	}
+	apart, close := dating(momentGap+5*time.Millisecond), dating(momentGap-5*time.Millisecond)
+	now := at(1)
+	require.True(t, apart.Judge([]Part{7}, false, now).Refuse)
+	require.False(t, close.Judge([]Part{7}, false, now).Refuse)
+	data, _ := apart.Encode(All, 0, 960, now)
+	close.Merge(data, false, 0, now)
+	assert.True(t, close.Judge([]Part{7}, false, now).Refuse)
+}
+
+// Guards against nodes that keep different crashes of many, so that two parts which were in doubt in the same ones no
+// longer explain each other.
+func TestRecordsOfManyCrashesKeepTheSameOnes(t *testing.T) {
+	const crashes = 5 * maxPairs
+	random := rand.New(rand.NewPCG(1, 1))
+	var kept [][]uint32
+	for range 5 {
+		table := NewTable()
+		for _, i := range random.Perm(crashes) {
+			table.RecordCrash([]Part{7}, Crash{Engine: uint32(i+1) * 2654435761, Observer: uint8(i % 5)}, at(1))
+		}
+		var engines []uint32
+		for _, p := range table.records[7].pairs {
+			engines = append(engines, p.crash.Engine)
+		}
+		require.Len(t, engines, maxPairs)
+		kept = append(kept, engines)
+	}
+	for _, engines := range kept[1:] {
+		assert.Equal(t, kept[0], engines)
+	}
+}
+
+// Guards against memory that grows with the number of parts in doubt, or that were sound, and against the loss of a
+// quarantined part because of many others.
+func TestTableIsBounded(t *testing.T) {
+	table := quarantined(t)
+	for i := range 3 * maxParts {
+		table.RecordCrash([]Part{Part(1000 + i)}, Crash{Engine: 50, Observer: 1}, at(3))
+	}
+	assert.LessOrEqual(t, len(table.records), maxParts)
+	assert.True(t, table.Judge([]Part{7}, false, at(3)).Refuse)
+	for i := range 5 * maxSound {
+		table.RecordSuccess([]Part{Part(100_000 + i)}, at(4))
+	}
+	assert.LessOrEqual(t, len(table.sound)+len(table.soundBefore), 2*maxSound)
+}
