--- a/pkg/gateway/forward/quarantine_test.go
+++ b/pkg/gateway/forward/quarantine_test.go
@@ -46,7 +46,7 @@
 
 // checkCrashingPart sends requests with a part on which engines crash, and others, to several nodes.
 func checkCrashingPart(t *testing.T, kind routes.Kind, crash func(*http.Request) string) {
-	const engineCount, nodeCount, badRequests, crashes, allowed = 12, 3, 20, 5, 3
+	const engineCount, nodeCount, badRequests, crashes, allowed, restartMS = 12, 3, 20, 5, 3, 1500
 	var badSends, clockMS atomic.Int64
 	now := func() time.Time { return time.UnixMilli(clockMS.Load()) }
 	respond := func(req *http.Request) string {
@@ -84,6 +84,8 @@
 		node := nodes[i%nodeCount]
 		r := postRequest(t, node, "/p/x", http.Header{"Prompt": {fmt.Sprintf("shared,bad,own%d", i)}, "Wait": {"1500"}})
 		assert.GreaterOrEqual(t, r.status, 500)
+		// The engines that have ended are back.
+		clockMS.Add(restartMS)
 		r = postRequest(t, node, "/p/x", http.Header{"Prompt": {fmt.Sprintf("shared,sound,own%d", i)}, "Wait": {"1500"}})
 		assert.Equal(t, http.StatusOK, r.status)
 	}
@@ -328,6 +330,58 @@
 	}
 }
 
+// Guards against the end of a connection without an event that voids the evidence against a part: a client continues a
+// stream, and the node cannot tell a crash after the header of an unframed response from a stream without further events.
+func TestContinuedStreamWithoutEventIsNoSuccess(t *testing.T) {
+	tests := map[string]struct {
+		framing string
+		success bool
+	}{
+		"ends with the connection": {"", false},
+		"has a length":             {"Content-Length: 0\r\n", true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			q := testQuarantine("n", func() {}, time.Now)
+			q.Merge(crashEvidence(t, "bad", time.Now()), false, 0)
+			parts := []quarantine.Part{quarantine.PartOf("", "bad"), quarantine.PartOf("", "other")}
+			engine := startBackend(t, func(req *http.Request) string {
+				return "HTTP/1.1 200 OK\r\nId: " + req.Header.Get("Id") + "\r\nSig: s\r\nContent-Type: text/event-stream\r\n" + test.framing + "\r\n"
+			})
+			// Another part was in doubt in the same crashes, so that requests with one of them are sent.
+			q.Merge(crashEvidence(t, "other", time.Now()), false, 0)
+			require.True(t, q.admit(parts).Refuse)
+			require.False(t, q.admit(parts[:1]).Refuse)
+			s := startGateway(t, routes.Stream, func(c *routes.Config, opt *Options) { c.Routes[0].Resumable, opt.Quarantine = true, q }, engine)
+			r := postRequest(t, s, "/p/x", http.Header{"Prompt": {"bad,own"}, "Wait": {"1500"}, "After": {"3"}})
+			assert.Equal(t, http.StatusOK, r.status)
+			assert.Equal(t, test.success, q.admit(parts[1:]).Refuse, "after a success of the first part, only the other one remains")
+		})
+	}
+}
+
+// Guards against a trial that is used up by a request that reaches no engine: after an outage, a sound part would stay
+// refused for twice the time of the outage and longer.
+func TestTrialThatReachesNoEngineIsRepeated(t *testing.T) {
+	var clockMS atomic.Int64
+	clockMS.Store(1_000_000)
+	now := func() time.Time { return time.UnixMilli(clockMS.Load()) }
+	q := NewQuarantine(QuarantineOptions{Node: "n", MayTry: func() bool { return true }, Announce: func() {}, Now: now, Logger: slog.New(slog.DiscardHandler)})
+	require.True(t, q.Merge(crashEvidence(t, "sound", now()), false, 0))
+	clockMS.Add(61_000)
+	use := func(_ *routes.Config, opt *Options) { opt.Quarantine = q }
+	unreachable := startBackend(t, okResponse)
+	unreachable.address = "127.0.0.1:1"
+	headers := http.Header{"Prompt": {"sound,own"}, "Wait": {"300"}}
+	for _, engines := range [][]*fakeBackend{nil, {unreachable}} {
+		r := postRequest(t, startGateway(t, routes.Safe, use, engines...), "/p/x", headers)
+		assert.Equal(t, http.StatusServiceUnavailable, r.status)
+	}
+	r := postRequest(t, startGateway(t, routes.Safe, use, startBackend(t, okResponse)), "/p/x", headers)
+	assert.Equal(t, http.StatusOK, r.status)
+	assert.Empty(t, q.Suspects())
+}
+
 // Guards against parts that count as suspect although requests with them succeed: complete responses that are not made
 // of events, and those over the size that is buffered.
 func TestEveryCompleteResponseIsASuccess(t *testing.T) {
