Check stated lengths before messages of nodes are decoded

A datagram of 13 or 14 bytes that states a list of 4 Mi entries made a node take 256 to 320 MiB, and a content of 14 bytes that another node serves 384 MiB; a length of 4 Gi is more than any node has, and running out of memory ends the process whatever guards the message. Cause: the msgpack decoder allocates a list, map or text by its stated length; its limit does not apply to lists, as it compares a bit with a number that the bit never has.

A stated length that exceeds the data, and more than 16 levels of lists, are now refused before the decoder sees them. The format stays as it was.

--- a/pkg/gateway/peers/message.go
+++ b/pkg/gateway/peers/message.go
@@ -131,6 +131,10 @@
 
 func decode(data []byte) (*message, error) {
 	var m message
+	// A datagram holds a message and an echo.
+	if err := checkLengths(data, 2); err != nil {
+		return nil, fmt.Errorf("decode peer message of %d bytes: %w", len(data), err)
+	}
 	d := msgpack.NewDecoder(bytes.NewReader(data))
 	if err := d.Decode(&m); err != nil {
 		return nil, fmt.Errorf("decode peer message of %d bytes: %w", len(data), err)
--- a/pkg/gateway/peers/objects.go
+++ b/pkg/gateway/peers/objects.go
@@ -156,9 +156,18 @@
 	if resp.StatusCode != http.StatusOK {
 		return mirror.Content{}, fmt.Errorf("fetch objects from peer %s: status %d", address, resp.StatusCode)
 	}
-	var content mirror.Content
-	if err := msgpack.Unmarshal(data, &content); err != nil {
+	content, err := decodeContent(data)
+	if err != nil {
 		return mirror.Content{}, fmt.Errorf("decode objects from peer %s: %w", address, err)
 	}
 	return content, nil
 }
+
+func decodeContent(data []byte) (mirror.Content, error) {
+	var content mirror.Content
+	if err := checkLengths(data, 1); err != nil {
+		return content, err
+	}
+	err := msgpack.Unmarshal(data, &content)
+	return content, err
+}
