--- a/pkg/gateway/quarantine/table_test.go
+++ b/pkg/gateway/quarantine/table_test.go
@@ -207,16 +207,41 @@
 	assert.Empty(t, late.Suspects())
 }
 
-// Guards against malformed messages that crash a node.
+// Guards against malformed evidence that crashes a node or grows its table without bound, and against evidence that
+// changes when it is passed on.
 func FuzzMerge(f *testing.F) {
 	table := NewTable()
 	table.RecordCrash([]Part{7, 8}, Crash{Engine: 1, Observer: 2}, start)
 	table.RecordSuccess([]Part{8}, at(1))
 	data, _ := table.Encode(All, 0, 900, at(1))
 	f.Add(data)
-	f.Fuzz(func(_ *testing.T, data []byte) {
-		table := NewTable()
+	f.Fuzz(func(t *testing.T, data []byte) {
+		table, other := NewTable(), NewTable()
 		table.Merge(data, true, 0, start)
+		require.LessOrEqual(t, len(table.records), min(maxParts, len(data)/(partBytes+1)))
+		for _, r := range table.records {
+			require.LessOrEqual(t, len(r.pairs), maxPairs)
+		}
+		sent, _ := table.Encode(All, 0, 2*len(data)+900, start)
+		other.Merge(sent, true, 0, start)
+		relayed, _ := other.Encode(All, 0, 2*len(data)+900, start)
+		other.Merge(sent, true, 0, start)
+		repeated, _ := other.Encode(All, 0, 2*len(data)+900, start)
+		require.Equal(t, relayed, repeated)
+		// The time of the last crash may differ by less than momentGap, in which crashes count as one.
+		for part, r := range table.records {
+			crashes := map[Crash]bool{}
+			for _, p := range r.pairs {
+				crashes[p.crash] = p.soundBefore
+			}
+			passedOn := map[Crash]bool{}
+			if o := other.records[part]; o != nil {
+				for _, p := range o.pairs {
+					passedOn[p.crash] = p.soundBefore
+				}
+			}
+			require.Equal(t, crashes, passedOn, "part %v", part)
+		}
 		table.Judge([]Part{7}, true, start)
 		table.Expire(start)
 	})
