Repeat an order that gets no response at once

Change: a call with an order may take 100 ms, and the next ones 200 and 400 ms, within the same 0.7 s. Each call expects the same number of accepted orders, so that the engine carries out one of them at most, and refuses the delayed ones. A conflict after a call without response is taken for an accepted order until the engine's state shows otherwise.

TestUnansweredOrdersAreRepeatedSoon replays the load pattern; without the change both of its cases fail (engines without version 2 after 3 s), with it both pass.

--- a/pkg/gateway/weights/controller.go
+++ b/pkg/gateway/weights/controller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"log/slog"
 	"sync"
 	"time"
@@ -88,6 +89,9 @@
 	leaseCallTimeout = 550 * time.Millisecond
 	// engineCallTimeout bounds one call to an engine.
 	engineCallTimeout = 700 * time.Millisecond
+	// orderTimeout bounds the first call with an order. Engines respond at once and carry out the order afterwards.
+	// Each further call may take twice as long, until all took engineCallTimeout, so that a distant engine can respond.
+	orderTimeout = engineCallTimeout / 7
 	// firstPollDelay is the time from an accepted order to the first poll of the engine's state, and
 	// pollInterval the time between further polls. Loads take some hundred milliseconds.
 	firstPollDelay = 550 * time.Millisecond
@@ -350,8 +354,11 @@
 	}
 }
 
-// outcomeDone is the outcome of an order whose version the engine serves.
-const outcomeDone = "done"
+// Outcomes of an order. outcomeDone means that the engine serves the version.
+const (
+	outcomeDone    = "done"
+	outcomeRefused = "order refused"
+)
 
 // loadVersion sends the order and waits until the engine serves the version. It returns outcomeDone or
 // the reason for the failure.
@@ -373,7 +380,7 @@
 	// The engine refuses requests after it has accepted the order, so the other nodes are notified first.
 	c.opt.Backends.SetLoading(t.ID, time.Now().Add(loadTimeout))
 	wait.Pause(ctx, c.opt.NotifyPeers()+heartbeatDelay)
-	reply, err := c.sendOrder(ctx, t, model, version, o.acceptedOrders)
+	reply, repeated, err := c.sendOrder(ctx, t, model, version, o.acceptedOrders)
 	if err != nil {
 		return err.Error()
 	}
@@ -386,16 +393,26 @@
 	case Misdirected:
 		c.opt.Backends.Pause(t.ID, time.Now().Add(retryPause))
 		return "another backend server has the address"
+	case Conflict:
+		if !repeated {
+			return outcomeRefused
+		}
+		// The engine may have accepted one of the calls that got no response.
+		o.acceptedOrdersKnown = false
 	default:
-		return "order refused"
+		return outcomeRefused
 	}
 	for pause := firstPollDelay; wait.Pause(ctx, pause); pause = pollInterval {
 		state, err := c.engineState(ctx, t)
 		if err != nil {
 			return err.Error()
 		}
+		if reply == Conflict && !state.Busy && state.Versions[model] < version {
+			return outcomeRefused
+		}
 		if !state.Busy && state.Versions[model] >= version {
 			c.opt.Backends.ObserveVersion(t.ID, model, state.Versions[model])
+			o.acceptedOrders, o.acceptedOrdersKnown = state.AcceptedOrders, true
 			return outcomeDone
 		}
 	}
@@ -408,15 +425,30 @@
 	return c.opt.Engines.State(ctx, t)
 }
 
-// sendOrder sends an order if this node still holds the lease; otherwise it returns Fenced.
-func (c *Controller) sendOrder(ctx context.Context, t Target, model string, version int, orders int64) (Reply, error) {
+// sendOrder sends an order if this node still holds the lease; otherwise it returns Fenced. It repeats an order that
+// gets no response, which does no harm: the engine accepts one of the calls at most, because each expects the same
+// number of accepted orders. repeated is set if an earlier call than the one of the reply may have been accepted.
+func (c *Controller) sendOrder(ctx context.Context, t Target, model string, version int, orders int64) (reply Reply, repeated bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, engineCallTimeout)
+	defer cancel()
+	for timeout := orderTimeout; ; timeout *= 2 {
+		reply, err = c.callOrder(ctx, timeout, t, model, version, orders)
+		if !errors.Is(err, context.DeadlineExceeded) || ctx.Err() != nil {
+			return reply, repeated, err
+		}
+		repeated = true
+	}
+}
+
+// callOrder makes one call of sendOrder.
+func (c *Controller) callOrder(ctx context.Context, timeout time.Duration, t Target, model string, version int, orders int64) (Reply, error) {
 	c.mu.Lock()
 	fencingToken, held := c.lease.MaySend(time.Now())
 	c.mu.Unlock()
 	if !held {
 		return Fenced, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, engineCallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	return c.opt.Engines.Load(ctx, t, Order{Model: model, Version: version, Holder: c.opt.PeerAddress, FencingToken: fencingToken, ExpectedOrders: orders})
 }
--- a/pkg/gateway/weights/weights_test.go
+++ b/pkg/gateway/weights/weights_test.go
@@ -132,6 +132,10 @@
 	busy     map[string]time.Time
 	// dropResponses makes Load return an error for orders that are accepted.
 	dropResponses bool
+	// unanswered is the number of further orders to each engine that get no response and are carried out after
+	// lateBy.
+	unanswered map[string]int
+	lateBy     time.Duration
 }
 
 func (e *fakeEngines) State(_ context.Context, t Target) (EngineState, error) {
@@ -142,9 +146,24 @@
 	}, nil
 }
 
-func (e *fakeEngines) Load(_ context.Context, t Target, o Order) (Reply, error) {
+func (e *fakeEngines) Load(ctx context.Context, t Target, o Order) (Reply, error) {
 	e.mu.Lock()
+	if e.unanswered[t.ID] > 0 {
+		e.unanswered[t.ID]--
+		e.mu.Unlock()
+		time.AfterFunc(e.lateBy, func() {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			_, _ = e.executeLocked(t, o)
+		})
+		<-ctx.Done()
+		return 0, fault.Wrap(ctx.Err(), fault.EngineFailed, "no response").WithWork(fault.Unknown)
+	}
 	defer e.mu.Unlock()
+	return e.executeLocked(t, o)
+}
+
+func (e *fakeEngines) executeLocked(t Target, o Order) (Reply, error) {
 	e.received = append(e.received, receivedOrder{at: time.Now(), holder: o.Holder, fencing: o.FencingToken, engine: t.ID, version: o.Version})
 	if o.ExpectedOrders != e.orders[t.ID] || time.Now().Before(e.busy[t.ID]) {
 		return Conflict, nil
@@ -349,8 +368,71 @@
 // Guards against an order of a node whose lease expired between planning the order and sending it.
 func TestOrderRequiresLeaseWhenSent(t *testing.T) {
 	f := newFleet()
-	reply, err := f.node("a").sendOrder(t.Context(), Target{ID: "e0"}, "m", 2, 0)
+	reply, _, err := f.node("a").sendOrder(t.Context(), Target{ID: "e0"}, "m", 2, 0)
 	require.NoError(t, err)
 	assert.Equal(t, Fenced, reply)
 	assert.Empty(t, f.engines.received)
 }
+
+// Guards against a rollout that is not complete before older weights expire, because each order without a response
+// keeps its engine and a load slot idle until the call times out, and the engine then waits for all others.
+func TestUnansweredOrdersAreRepeatedSoon(t *testing.T) {
+	for name, unanswered := range map[string]int{"each second order": 1, "two of three": 2} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet()
+				f.engines.unanswered, f.engines.lateBy = map[string]int{}, 5*time.Second
+				for i := range 6 {
+					f.engines.unanswered[fmt.Sprint("e", i)] = unanswered
+				}
+				var wg sync.WaitGroup
+				ctx, cancel := context.WithCancel(t.Context())
+				run(ctx, &wg, f.node("a"))
+				time.Sleep(time.Second)
+				f.versions.Add("m", 2, 0, time.Now())
+				// Two engines load at a time, in 0.7 s, so that three loads follow one another.
+				time.Sleep(3 * time.Second)
+				f.engines.mu.Lock()
+				for id, v := range f.engines.versions {
+					assert.Equal(t, 2, v, id)
+				}
+				f.engines.mu.Unlock()
+				// The first orders arrive late and must not be carried out once more.
+				time.Sleep(10 * time.Second)
+				f.engines.mu.Lock()
+				for id, n := range f.engines.orders {
+					assert.Equal(t, int64(1), n, id)
+				}
+				f.engines.mu.Unlock()
+				cancel()
+				wg.Wait()
+			})
+		})
+	}
+}
+
+// Guards against an engine that gets no requests for seconds because of an order that it never received, and against
+// an engine that restarts between two tries of an order.
+func TestConflictAfterAnUnansweredOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		f.engines.unanswered, f.engines.lateBy = map[string]int{"e0": 1}, time.Hour
+		f.engines.orders["e0"] = 7
+		c := f.node("a")
+		var wg sync.WaitGroup
+		ctx, cancel := context.WithCancel(t.Context())
+		run(ctx, &wg, c)
+		time.Sleep(time.Second)
+		f.versions.Add("m", 2, 0, time.Now())
+		time.Sleep(150 * time.Millisecond)
+		f.engines.mu.Lock()
+		f.engines.orders["e0"] = 0
+		f.engines.mu.Unlock()
+		time.Sleep(5 * time.Second)
+		f.engines.mu.Lock()
+		assert.Equal(t, 2, f.engines.versions["e0"])
+		f.engines.mu.Unlock()
+		cancel()
+		wg.Wait()
+	})
+}
