--- a/pkg/gateway/forward/quarantine.go
+++ b/pkg/gateway/forward/quarantine.go
@@ -166,8 +166,8 @@
 	}
 }
 
-// recordResponse records that an engine has delivered an event or a complete response to a request that was sent at a
-// time.
+// recordResponse records that an engine has delivered an event or a complete response to a request that was sent at
+// sentAt.
 func (q *Quarantine) recordResponse(engine uint32, sentAt time.Time) {
 	if q.table.RecordResponse(engine, sentAt, q.opt.Now()) {
 		q.apply()
--- a/pkg/gateway/quarantine/table.go
+++ b/pkg/gateway/quarantine/table.go
@@ -73,8 +73,9 @@
 	evidenceTTL = 10 * time.Minute
 	// minTrialDelay is the shortest time without a crash after which a quarantined part is tried again by one
 	// request, and maxTrialDelay the longest. minTrialDelaySoundBefore replaces the shortest if requests with the part
-	// succeeded a moment before a crash: after an outage of all engines, most requests have such a part. The delay is trialDelayFactor times the time from the first crash to
-	// the last one, and so grows with each failed trial. A trial can end an engine with all of its requests.
+	// succeeded a moment before a crash: after an outage of all engines, most requests have such a part. The delay is
+	// trialDelayFactor times the time from the first crash to the last one, and so grows with each failed trial. A trial
+	// can end an engine with all of its requests.
 	minTrialDelay            = 60 * time.Second
 	minTrialDelaySoundBefore = 5 * time.Second
 	maxTrialDelay            = 30 * time.Minute
@@ -162,9 +163,8 @@
 	}
 }
 
-// RecordResponse records that an engine has delivered an event or a complete response to a request that was sent at a
-// time. It reports whether the
-// quarantined parts have changed.
+// RecordResponse records that an engine has delivered an event or a complete response to a request that was sent at
+// sentAt. It reports whether the quarantined parts have changed.
 func (t *Table) RecordResponse(engine uint32, sentAt, now time.Time) (changed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -180,8 +180,8 @@
 	return PartOf("\x00engine", strconv.FormatUint(uint64(engine), 16))
 }
 
-// surviveLocked deletes the pairs of an engine that has responded to a request that was sent at a time. It reports whether
-// there were any.
+// surviveLocked deletes the pairs of an engine that has responded to a request which was sent at sentAt, within
+// maxSurvivalDelay after the end of the connection. It reports whether there were any.
 func (t *Table) surviveLocked(engine uint32, sentAt, now time.Time, announce bool) (deleted bool) {
 	delete(t.ended, engine)
 	for part, r := range t.records {
