Share the steps that end a send and the parts of a prompt in the router

Found by reading the change again; nothing that callers see changes.

- All parts of a prompt but the last were cut out in three places; leadingParts does it, and sharedParts uses it.
- Three branches ended a send that was cancelled by a quarantine, and two derived the phase of a stream: endQuarantined and streamPhase.
Runs are counted in one place after a send without response.
- The parts in event 922 were formatted for each send, although most traces are dropped; they are formatted when a trace is written.
"parts" of event 924 is null instead of an empty list for a prompt of a single part, as for one without parts.

--- a/pkg/gateway/forward/active_request.go
+++ b/pkg/gateway/forward/active_request.go
@@ -321,29 +321,25 @@
 func (a *activeRequest) handleNoResponse(ctx context.Context, c *backends.Choice, err error) sendOutcome {
 	var exchangeErr *exchange.Error
 	mayHaveRun := !errors.As(err, &exchangeErr) || exchangeErr.Sent
+	phase := phaseConnect
+	if mayHaveRun {
+		a.runs++
+		phase = phaseNoResponse
+	}
 	if a.req.Context().Err() != nil {
 		c.Done(backends.Neutral, 0)
-		if mayHaveRun {
-			a.runs++
-		}
 		return outcomeFail
 	}
-	if context.Cause(ctx) == errQuarantined {
-		return a.endQuarantined(c, mayHaveRun)
+	cause := context.Cause(ctx)
+	if cause == errQuarantined {
+		return a.endQuarantined(c, phase, 0)
 	}
 	c.Done(backends.Failure, 0)
 	reason := err.Error()
-	if cause := context.Cause(ctx); cause != nil {
+	if cause != nil {
 		// The error only reports that the connection was closed; the cause is the end of the context.
 		reason = cause.Error()
 	}
-	if mayHaveRun {
-		a.runs++
-	}
-	phase := phaseConnect
-	if mayHaveRun {
-		phase = phaseNoResponse
-	}
 	a.recordSendFailed(c, phase, reason, 0)
 	if !mayHaveRun {
 		a.sends--
@@ -357,14 +353,9 @@
 }
 
 // endQuarantined ends a send that was cancelled because a part of the request is quarantined.
-func (a *activeRequest) endQuarantined(c *backends.Choice, mayHaveRun bool) sendOutcome {
+func (a *activeRequest) endQuarantined(c *backends.Choice, phase sendPhase, status int) sendOutcome {
 	c.Done(backends.Neutral, 0)
-	phase := phaseConnect
-	if mayHaveRun {
-		a.runs++
-		phase = phaseNoResponse
-	}
-	a.recordSendFailed(c, phase, errQuarantined.Error(), 0)
+	a.recordSendFailed(c, phase, errQuarantined.Error(), status)
 	return outcomeQuarantined
 }
 
--- a/pkg/gateway/forward/cache.go
+++ b/pkg/gateway/forward/cache.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"log/slog"
 	"slices"
 	"strconv"
 	"time"
@@ -39,34 +40,39 @@
 	return salt
 }
 
-// sharedParts returns the parts of the prompt that other requests may share.
+// leadingParts returns all parts of the prompt but the last, which is the request's own.
+func (a *activeRequest) leadingParts() []PromptPart {
+	return a.request.PromptParts[:max(len(a.request.PromptParts)-1, 0)]
+}
+
+// sharedParts returns the parts of the prompt that other requests may share, on a route whose prompts are kept.
 func (a *activeRequest) sharedParts() []PromptPart {
-	if !a.route.Sticky || len(a.request.PromptParts) == 0 {
+	if !a.route.Sticky {
 		return nil
 	}
-	return a.request.PromptParts[:len(a.request.PromptParts)-1]
+	return a.leadingParts()
 }
 
-// sharedPartIDs returns the IDs of the prompt's parts that other requests may share.
-func (a *activeRequest) sharedPartIDs() []string {
-	if len(a.request.PromptParts) == 0 {
-		return nil
-	}
-	ids := make([]string, 0, len(a.request.PromptParts)-1)
-	for _, p := range a.request.PromptParts[:len(a.request.PromptParts)-1] {
+// leadingPartIDs returns the IDs of the leading parts.
+func (a *activeRequest) leadingPartIDs() []string {
+	var ids []string
+	for _, p := range a.leadingParts() {
 		ids = append(ids, p.ID)
 	}
 	return ids
 }
 
-// sharedPartSizes returns the parts of the prompt that other requests may share, as ID:TOKENS.
-func (a *activeRequest) sharedPartSizes() []string {
-	parts := a.sharedParts()
-	sizes := make([]string, len(parts))
-	for i, p := range parts {
-		sizes[i] = p.ID + ":" + strconv.Itoa(p.Tokens)
+// partSizes are parts that are logged as ID:TOKENS. Most traces are dropped, so they are formatted only when a trace is
+// written.
+type partSizes []PromptPart
+
+// LogValue implements slog.LogValuer.
+func (p partSizes) LogValue() slog.Value {
+	sizes := make([]string, len(p))
+	for i, part := range p {
+		sizes[i] = part.ID + ":" + strconv.Itoa(part.Tokens)
 	}
-	return sizes
+	return slog.AnyValue(sizes)
 }
 
 func (a *activeRequest) sharedTokens() int {
--- a/pkg/gateway/forward/quarantine.go
+++ b/pkg/gateway/forward/quarantine.go
@@ -195,10 +195,10 @@
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
-// hashedParts returns the hashes of the parts that other requests may share.
+// hashedParts returns the hashes of the leading parts.
 func (a *activeRequest) hashedParts() []quarantine.Part {
-	if a.partHashes == nil && len(a.request.PromptParts) > 1 {
-		for _, p := range a.request.PromptParts[:len(a.request.PromptParts)-1] {
+	if a.partHashes == nil {
+		for _, p := range a.leadingParts() {
 			a.partHashes = append(a.partHashes, quarantine.PartOf(a.request.Model, p.ID))
 		}
 	}
@@ -213,7 +213,7 @@
 	verdict := a.router.opt.Quarantine.admit(a.hashedParts())
 	if verdict.Trial {
 		a.trial = true
-		event.PartTried.Emit(a.router.opt.Logger, "request", a.request.ID, "parts", a.sharedPartIDs())
+		event.PartTried.Emit(a.router.opt.Logger, "request", a.request.ID, "parts", a.leadingPartIDs())
 	}
 	if verdict.Refuse {
 		a.retryAfter = verdict.RetryAfter
--- a/pkg/gateway/forward/relay.go
+++ b/pkg/gateway/forward/relay.go
@@ -21,9 +21,7 @@
 	body, err := io.ReadAll(io.LimitReader(response, maxBufferedBytes+1))
 	if err != nil {
 		if context.Cause(ctx) == errQuarantined {
-			c.Done(backends.Neutral, 0)
-			a.recordSendFailed(c, phaseResponse, errQuarantined.Error(), response.Status)
-			return outcomeQuarantined
+			return a.endQuarantined(c, phaseResponse, response.Status)
 		}
 		c.Done(backends.Failure, 0)
 		a.recordSendFailed(c, phaseResponse, "response truncated: "+err.Error(), response.Status)
@@ -173,23 +171,17 @@
 		case a.req.Context().Err() != nil:
 			c.Done(backends.Neutral, 0)
 			return outcomeFail
-		case context.Cause(ctx) == errQuarantined && !a.eventDelivered:
-			c.Done(backends.Neutral, 0)
-			a.recordSendFailed(c, phaseNoEvent, errQuarantined.Error(), response.Status)
-			return outcomeQuarantined
 		case context.Cause(ctx) == errQuarantined:
+			outcome := a.endQuarantined(c, a.streamPhase(), response.Status)
+			if !a.eventDelivered {
+				return outcome
+			}
 			// The first event arrived as the send was cancelled. It shows that the parts are sound.
-			c.Done(backends.Neutral, 0)
-			a.recordSendFailed(c, phaseStream, errQuarantined.Error(), response.Status)
 			a.events.reset()
 			return a.retryAfterRun()
 		default:
 			c.Done(backends.Failure, 0)
-			phase := phaseNoEvent
-			if a.eventDelivered {
-				phase = phaseStream
-			}
-			a.recordSendFailed(c, phase, "stream was cut: "+err.Error(), response.Status)
+			a.recordSendFailed(c, a.streamPhase(), "stream was cut: "+err.Error(), response.Status)
 			a.events.reset()
 			if a.recordEnd(ctx, c, err) {
 				return outcomeInDoubt
@@ -199,6 +191,14 @@
 	}
 }
 
+// streamPhase returns the phase of a stream that fails now.
+func (a *activeRequest) streamPhase() sendPhase {
+	if a.eventDelivered {
+		return phaseStream
+	}
+	return phaseNoEvent
+}
+
 // checkStreamEnd returns io.EOF if a response that was read to its end is complete, and the reason otherwise. A stream
 // that ends inside an event is truncated even if its framing is complete. A response of another type has no events, so
 // that its framing decides.
--- a/pkg/gateway/forward/trace.go
+++ b/pkg/gateway/forward/trace.go
@@ -35,7 +35,7 @@
 	a.trace.Add(event.BackendChosen, "backend", c.ID, "address", c.Address, "version", c.Version, "running", counts.Running,
 		"heartbeat_age_ms", counts.HeartbeatAge.Milliseconds(), "available", counts.Available, "paused", counts.Paused, "leaving", counts.Leaving, "loading", counts.Loading,
 		"tried", counts.Tried, "old_weights", counts.OldWeights, "left_ms", backendReq.Timeout.Milliseconds(), "fetch_from", backendReq.FetchFrom,
-		"save_to", backendReq.SaveTo, "salt", backendReq.CacheSalt, "prefix", a.sharedPartSizes(), "resume_after", backendReq.LastEventID, "send", a.sends)
+		"save_to", backendReq.SaveTo, "salt", backendReq.CacheSalt, "prefix", partSizes(a.sharedParts()), "resume_after", backendReq.LastEventID, "send", a.sends)
 }
 
 // traceNoBackend records, once for a request, why no backend server is available.
@@ -66,7 +66,7 @@
 func (a *activeRequest) recordSendFailed(c *backends.Choice, phase sendPhase, reason string, status int) {
 	a.router.count("sends_failed", "phase", string(phase))
 	a.trace.Add(event.SendFailed, "backend", c.ID, "started", c.Started, "status", status, "phase", string(phase), "reason", reason,
-		"sends", a.sends, "runs", a.runs, "version", c.Version, "parts", a.sharedPartIDs(), "age_ms", time.Since(a.receivedAt).Milliseconds())
+		"sends", a.sends, "runs", a.runs, "version", c.Version, "parts", a.leadingPartIDs(), "age_ms", time.Since(a.receivedAt).Milliseconds())
 }
 
 // recordAnswered records metrics of a request with a response and ends its trace. The trace is always
