--- a/pkg/gateway/node/board.go
+++ b/pkg/gateway/node/board.go
@@ -196,11 +196,15 @@
 // ApplyStates implements peers.Board.
 func (b *board) ApplyStates(states []byte, revisions []peers.Revision, readAt time.Time) {
 	now := time.Now()
-	var age time.Duration
-	if !readAt.IsZero() {
-		age = clock.Since(readAt)
+	b.node.registry.ApplyStates(backends.DecodeStates(states), b.listingRevision(revisions), now.Add(-ageOf(readAt)), now)
+}
+
+// ageOf returns the age of content that was read at readAt, or 0 if that is not known.
+func ageOf(readAt time.Time) time.Duration {
+	if readAt.IsZero() {
+		return 0
 	}
-	b.node.registry.ApplyStates(backends.DecodeStates(states), b.listingRevision(revisions), now.Add(-age), now)
+	return clock.Since(readAt)
 }
 
 // listingRevision returns the revision of the listings of backend servers among revisions, or 0.
@@ -255,8 +259,9 @@
 	}
 	b.node.controller.ObserveLease(heartbeat.Lease, heartbeat.LeaseVersion, time.Now())
 	b.node.registry.ApplyAssignments(heartbeat.Assignments, time.Now())
+	listed := b.listingRevision(revisions)
 	for _, v := range heartbeat.Versions {
-		b.node.registry.ApplyVersion(v.Backend, v.Model, v.Version, b.listingRevision(revisions))
+		b.node.registry.ApplyVersion(v.Backend, v.Model, v.Version, listed)
 	}
 	for _, s := range heartbeat.StoreEpochs {
 		b.node.prefixes.SetStoreEpoch(s.Address, s.Epoch, time.Now())
--- a/pkg/gateway/node/quarantine.go
+++ b/pkg/gateway/node/quarantine.go
@@ -37,11 +37,7 @@
 
 // MergeEvidence implements peers.Board. The leader tells all nodes at once when the quarantined parts change.
 func (b *board) MergeEvidence(data []byte, relay bool, readAt time.Time) {
-	var age time.Duration
-	if !readAt.IsZero() {
-		age = clock.Since(readAt)
-	}
-	if b.node.quarantine.Merge(data, relay, age) && b.node.controller.ActingLeader() {
+	if b.node.quarantine.Merge(data, relay, ageOf(readAt)) && b.node.controller.ActingLeader() {
 		b.node.link.RequestUpdate()
 	}
 }
