--- a/pkg/gateway/backends/pick.go
+++ b/pkg/gateway/backends/pick.go
@@ -181,6 +181,11 @@
 // runningLong is like running for long requests only.
 func (m *member) runningLong(now time.Time) int { return max(m.ownLong, m.currentAssignment(now).Long) }
 
+// hasLongCapacity reports whether the engine runs fewer long requests than it should.
+func (m *member) hasLongCapacity(now time.Time) bool {
+	return m.runningLong(now) < targetLongRequests(m.Slots)
+}
+
 // pickForLong picks an engine that is assigned to long requests. Those with the newest weights are filled
 // first: long requests keep an engine from loading newer weights.
 func (r *Registry) pickForLong(q Query, candidates []*member, now time.Time) *member {
@@ -194,7 +199,7 @@
 	}
 	var open []*member
 	for _, m := range assigned {
-		if m.version(q.Model) == newestVersion && m.runningLong(now) < targetLongRequests(m.Slots) {
+		if m.version(q.Model) == newestVersion && m.hasLongCapacity(now) {
 			open = append(open, m)
 		}
 	}
@@ -213,7 +218,7 @@
 func withoutFullLong(candidates []*member, now time.Time) []*member {
 	var others []*member
 	for _, m := range candidates {
-		if !m.currentAssignment(now).TakesLong || m.runningLong(now) < targetLongRequests(m.Slots) {
+		if !m.currentAssignment(now).TakesLong || m.hasLongCapacity(now) {
 			others = append(others, m)
 		}
 	}
--- a/pkg/gateway/peers/lengths.go
+++ b/pkg/gateway/peers/lengths.go
@@ -15,7 +15,8 @@
 )
 
 // checkLengths checks the first values of msgpack data, or as many as there are, before they are decoded. The decoder
-// allocates lists, maps and texts by their stated length, up to 4 Gi entries, before it reads them.
+// allocates lists, maps and texts by their stated length, up to 4 Gi entries, before it reads them. Its Skip cannot serve
+// as the check: it recurses for each level of nesting without bound.
 func checkLengths(data []byte, values int) error {
 	for range values {
 		if len(data) == 0 {
