--- a/test/soak/pause_test.go
+++ b/test/soak/pause_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"context"
 	"encoding/json"
 	"os"
 	"testing"
@@ -42,15 +41,7 @@
 // that waited in its sockets are dated by the time at which it reads them. Requests then begin on old weights.
 func TestPauseCountsInTheAgeOfWeights(t *testing.T) {
 	t.Parallel()
-	f := newFleet(t, buildNode(t))
-	defer f.stop()
-	for _, m := range f.members {
-		require.NoError(t, f.start(m))
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	go f.pollReadiness(ctx)
-	require.True(t, f.waitReady(), "nodes are not ready")
+	f, _ := startFleet(t, buildNode(t))
 	// The leader takes the lease and the others become followers.
 	time.Sleep(5 * time.Second)
 	for _, m := range f.members {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -74,20 +74,26 @@
 	return binary
 }
 
-// runSeed starts a fleet, injects the random faults of a seed, then runs planned changes without faults and
-// checks the outcome.
-func runSeed(t *testing.T, binary string, seed uint64) {
-	random := rand.New(rand.NewPCG(seed, 0))
-	scheduled := drawSchedule(random, *faultPeriod)
+// startFleet starts a fleet and waits until it is ready. The fleet stops, and the context ends, at the end of the test.
+func startFleet(t *testing.T, binary string) (*fleet, context.Context) {
 	f := newFleet(t, binary)
-	defer f.stop()
+	t.Cleanup(f.stop)
 	for _, m := range f.members {
 		require.NoError(t, f.start(m))
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
+	t.Cleanup(cancel)
 	go f.pollReadiness(ctx)
 	require.True(t, f.waitReady(), "nodes are not ready")
+	return f, ctx
+}
+
+// runSeed starts a fleet, injects the random faults of a seed, then runs planned changes without faults and
+// checks the outcome.
+func runSeed(t *testing.T, binary string, seed uint64) {
+	random := rand.New(rand.NewPCG(seed, 0))
+	scheduled := drawSchedule(random, *faultPeriod)
+	f, ctx := startFleet(t, binary)
 	load := &traffic{}
 	trafficCtx, endTraffic := context.WithCancel(ctx)
 	var group sync.WaitGroup
