Log the limits that backend servers state, and count what is sent to them

Cause: the logs could not tell whether a node reads a stated limit, keeps to it alone, or bursts. No decision uses them yet.

--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -96,5 +96,8 @@
 	PartRefused        = define(933, "prompt part refused", slog.LevelInfo, "see event 930")
 	PartTried          = define(932, "prompt part tried again", slog.LevelInfo, "none; an engine may crash once")
 	QuarantineNotKept  = define(934, "quarantine not kept", slog.LevelInfo, "check the platform's store if it repeats")
+	LimitStated        = define(935, "limit stated", slog.LevelInfo, "find out why the backend server asks for less load")
+	LimitEnded         = define(936, "limit ended", slog.LevelInfo, "none")
+	LimitInvalid       = define(937, "limit invalid", slog.LevelWarn, "correct the limit that the backend server states; until then it counts as unchanged")
 	RequestNotServed   = define(926, "request not served", slog.LevelInfo, "run cassiawall explain with the request's id")
 )
--- a/pkg/gateway/backends/backends.go
+++ b/pkg/gateway/backends/backends.go
@@ -10,6 +10,7 @@
 
 	"cassiawall.example/cassiawall/pkg/gateway/cachemap"
 	"cassiawall.example/cassiawall/pkg/gateway/exchange"
+	"cassiawall.example/cassiawall/pkg/gateway/quota"
 	"cassiawall.example/cassiawall/pkg/rendezvous"
 )
 
@@ -80,6 +81,7 @@
 	// loadingUntil is the time until which the engine gets no requests because it loads new weights.
 	loadingUntil time.Time
 	score        score
+	limit        quota.Server
 	// suspectSince is set while the entry is missing after an outage of the store.
 	suspectSince time.Time
 }
--- a/pkg/gateway/forward/active_request.go
+++ b/pkg/gateway/forward/active_request.go
@@ -288,6 +288,10 @@
 	}
 	ctx, stopTimer := a.withStartDeadline(tracked, c)
 	a.quarantineSentAt = a.router.opt.Quarantine.opt.Now()
+	sendTime := clock.Now()
+	if a.router.opt.Backends.Limited(c.ID) {
+		a.router.count("sends_to_limited_backends")
+	}
 	response, err := exchange.Do(ctx, c.Pool, request, func(h http.Header) bool {
 		return a.router.opt.Protocol.DecodeResponse(h).RequestID == a.request.ID
 	})
@@ -298,6 +302,7 @@
 	defer response.Close()
 	a.router.observe("backend_first_byte_ms", time.Since(sentAt))
 	info := a.router.opt.Protocol.DecodeResponse(response.Header)
+	a.observeLimit(c, info.Limit, sendTime)
 	if a.request.Model != "" && info.WeightsVersion > 0 {
 		a.router.opt.Backends.ObserveVersion(c.ID, c.Started, a.request.Model, info.WeightsVersion)
 	}
--- a/pkg/gateway/forward/protocol.go
+++ b/pkg/gateway/forward/protocol.go
@@ -6,6 +6,8 @@
 import (
 	"net/http"
 	"time"
+
+	"cassiawall.example/cassiawall/pkg/gateway/quota"
 )
 
 // Protocol maps the headers of clients and backend servers to the types of this package.
@@ -87,4 +89,6 @@
 	NotRun bool
 	// WeightsVersion is the version of the model weights that produced the response, or 0 if unknown.
 	WeightsVersion int
+	// Limit is what the backend server states about the rate of requests that it takes.
+	Limit quota.Statement
 }
