--- /dev/null
+++ b/test/fleet/fleet_test.go
@@ -0,0 +1,164 @@
+// Package fleet tests several nodes of the platform's program together, in one process and on loopback addresses, against
+// the stand-ins of the platform.
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"cassiawall.example/cassiawall/pkg/gateway/node"
+	"cassiawall.example/cassiawall/pkg/metrics"
+	"cassiawall.example/cassiawall/platform"
+	"cassiawall.example/cassiawall/platform/standin"
+)
+
+// startTimeout is the time within which all nodes must be ready.
+const startTimeout = 15 * time.Second
+
+// fleet is a store, engines and nodes.
+type fleet struct {
+	t       *testing.T
+	store   *standin.Store
+	journal *standin.Journal
+	engines []*standin.Engine
+	// clientAddresses are those at which the nodes accept requests.
+	clientAddresses []string
+	client          *http.Client
+	logs            *logBuffer
+	// cancels stop the nodes, which then send their results to ended.
+	cancels []context.CancelFunc
+	ended   []chan error
+}
+
+// logBuffer collects the log lines of all nodes.
+type logBuffer struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+// String returns the lines so far.
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
+// startFleet starts a fleet whose backend servers start adds, and waits until its nodes are ready. It ends with the test. The
+// log lines of a failed test are written to its output.
+func startFleet(t *testing.T, nodes int, start func(f *fleet)) *fleet {
+	t.Helper()
+	f := &fleet{t: t, store: standin.NewStore(), journal: standin.NewJournal(), logs: &logBuffer{}, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
+	storeServer := httptest.NewServer(f.store)
+	t.Cleanup(storeServer.CloseClientConnections)
+	standin.Configure(f.store, standin.Config{Version: 1, Timeout: 4 * time.Second, Tenants: []standin.Tenant{{Name: "north", Key: "key-north"}}})
+	standin.SetDesiredVersion(f.store, 1)
+	start(f)
+	settings := make([]standin.NodeSettings, nodes)
+	var seeds []string
+	for i := range settings {
+		settings[i] = standin.NodeSettings{
+			Name: fmt.Sprintf("node-%d", i), IP: "127.0.0.1", ClientAddress: freeAddress(t), ReadyAddress: freeAddress(t), PeerAddress: freeAddress(t),
+			StoreAddress: strings.TrimPrefix(storeServer.URL, "http://"),
+		}
+		seeds = append(seeds, settings[i].PeerAddress)
+	}
+	t.Cleanup(f.stop)
+	for _, s := range settings {
+		s.Seeds = seeds
+		f.startNode(s)
+	}
+	for _, s := range settings {
+		require.Eventually(t, func() bool { return standin.IsReady(t.Context(), f.client, s.ReadyAddress) }, startTimeout, 20*time.Millisecond)
+	}
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log(f.logs.String())
+		}
+	})
+	return f
+}
+
+// freeAddress returns a loopback address at which nothing listens.
+func freeAddress(t *testing.T) string {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// addEngines starts engines that serve standin.Model.
+func (f *fleet) addEngines(n int) { f.addBackends(n, standin.EngineService, standin.Model) }
+
+// addPlain starts backend servers of the plain service.
+func (f *fleet) addPlain(n int) { f.addBackends(n, standin.PlainService, "") }
+
+func (f *fleet) addBackends(n int, service, model string) {
+	for range n {
+		f.addBackend(service, model)
+	}
+}
+
+func (f *fleet) addBackend(service, model string) *standin.Engine {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(f.t, err)
+	e := standin.StartEngine(standin.EngineOptions{
+		ID: fmt.Sprintf("engine-%d", len(f.engines)), Service: service, Model: model, Version: 1, Store: f.store, Journal: f.journal, Listener: l,
+	})
+	f.t.Cleanup(e.Crash)
+	f.engines = append(f.engines, e)
+	return e
+}
+
+// startNode starts a node.
+func (f *fleet) startNode(s standin.NodeSettings) {
+	path := filepath.Join(f.t.TempDir(), "settings")
+	_, err := standin.WriteSettings(path, s)
+	require.NoError(f.t, err)
+	settings, err := platform.LoadSettings(path)
+	require.NoError(f.t, err)
+	registry := metrics.New()
+	n := node.New(node.Options{
+		Settings: settings, Protocol: platform.Headers{}, Store: platform.NewStore(settings.StoreAddress, func(string, time.Duration, error) {}),
+		Kinds:   node.Kinds{Config: platform.KindConfig, Backends: platform.KindServers, Versions: platform.KindVersions},
+		Decoder: platform.Decoder{}, Engines: platform.NewEngines(), CacheStore: platform.NewCacheStore(), ReadyPath: platform.ReadyPath,
+		Logger: slog.New(slog.NewTextHandler(f.logs, nil)).With("node", s.Name), Metrics: registry,
+	})
+	stop, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- n.Run(stop) }()
+	f.clientAddresses = append(f.clientAddresses, s.ClientAddress)
+	f.cancels, f.ended = append(f.cancels, cancel), append(f.ended, ended)
+}
+
+// stop stops all nodes at the same time.
+func (f *fleet) stop() {
+	for _, cancel := range f.cancels {
+		cancel()
+	}
+	for _, ended := range f.ended {
+		assert.NoError(f.t, <-ended)
+	}
+}
+
+// send sends one request with its ID to a node.
+func (f *fleet) send(node int, kind standin.Kind, id string) standin.Response {
+	return standin.Send(context.Background(), f.client, f.clientAddresses[node], standin.Request{ID: id, Kind: kind, Key: "key-north", Deadline: 3 * time.Second})
+}
