Let a backend server without results get requests beside faster ones

Beside two or three servers that respond faster, all of which are compared, it got no request that could have shown its latency. Change: it counts as the fastest of the compared ones. TestServerWithoutResultsIsTried fails before (one of three servers used) and passes now.

--- a/pkg/gateway/backends/backends_test.go
+++ b/pkg/gateway/backends/backends_test.go
@@ -180,3 +180,26 @@
 	r.SetLoading("e0", now.Add(time.Second))
 	assert.Empty(t, r.CacheSource(idHash, "m", 1, now))
 }
+
+// Guards against a backend server that gets no request because it has none behind it, while two or three others respond
+// faster than the latency that is assumed for it.
+func TestServerWithoutResultsIsTried(t *testing.T) {
+	r := NewRegistry("dc")
+	put := func(id string) {
+		r.Put(Backend{ID: id, Service: "s", Address: "127.0.0.1:1", DataCentre: "dc"})
+	}
+	picked := func() map[string]bool {
+		ids := map[string]bool{}
+		for range 20 {
+			c, _ := r.Pick(Query{Service: "s"}, time.Now())
+			ids[c.ID] = true
+			c.Done(Success, 15*time.Millisecond)
+		}
+		return ids
+	}
+	put("e0")
+	picked()
+	put("e1")
+	put("e2")
+	assert.Len(t, picked(), 3)
+}
--- a/pkg/gateway/backends/pick.go
+++ b/pkg/gateway/backends/pick.go
@@ -1,6 +1,7 @@
 package backends
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -300,8 +301,12 @@
 
 // cost estimates the time of one more request in milliseconds, weighted by failures and by the data centre.
 func (r *Registry) cost(m *member, now time.Time) float64 {
+	return r.costAtLatency(m, m.score.expectedLatencyMS(), now)
+}
+
+func (r *Registry) costAtLatency(m *member, latencyMS float64, now time.Time) float64 {
 	long := m.runningLong(now)
-	cost := (float64(m.running(now)-long) + longRequestLoad*float64(long) + 1) * m.score.expectedLatencyMS()
+	cost := (float64(m.running(now)-long) + longRequestLoad*float64(long) + 1) * latencyMS
 	success := m.score.successRate(now)
 	cost /= success * success
 	if m.DataCentre != r.dataCentre {
@@ -327,11 +332,22 @@
 		}
 		candidates = []*member{candidates[i], candidates[j]}
 	}
+	// A server without results is assumed to be as fast as the fastest of the others. With a higher latency it would get no
+	// request that could show its own.
+	initialLatency := float64(initialLatencyMS)
+	for _, m := range candidates {
+		initialLatency = min(initialLatency, m.score.expectedLatencyMS())
+	}
 	start := rand.IntN(len(candidates))
-	best, lowest := candidates[start], r.cost(candidates[start], now)
-	for k := 1; k < len(candidates); k++ {
+	var best *member
+	lowest := math.Inf(1)
+	for k := range candidates {
 		m := candidates[(start+k)%len(candidates)]
-		if c := r.cost(m, now); c < lowest {
+		latency := m.score.expectedLatencyMS()
+		if !m.score.hasLatency() {
+			latency = initialLatency
+		}
+		if c := r.costAtLatency(m, latency, now); best == nil || c < lowest {
 			best, lowest = m, c
 		}
 	}
--- a/pkg/gateway/backends/score.go
+++ b/pkg/gateway/backends/score.go
@@ -52,8 +52,11 @@
 	return (s.ok + 1) / (s.ok + s.failed + 1)
 }
 
+// hasLatency reports whether there is a result with a latency.
+func (s *score) hasLatency() bool { return s.latencyMS > 0 }
+
 func (s *score) expectedLatencyMS() float64 {
-	if s.latencyMS == 0 {
+	if !s.hasLatency() {
 		return initialLatencyMS
 	}
 	return s.latencyMS
