Keep the requests of all nodes within the limit that a backend server states

Cause: no node read the limit. Evidence: with the limits logged, 13 of 15 nodes know each of them within seconds and go on sending. Change: the leader issues permits, each for one request of one node, at the stated rate and in proportion to the nodes' demand; a node sends to a server with a limit only with a permit. Servers with limits are announced with their states. Without a leader, nodes draw permits that together are half of the limit. Requests that only limits exclude are refused as not run, with a spread Retry-After. Why it works: the number of permits is bounded whatever the number of nodes, and unused ones expire after 1.2 s.

--- a/pkg/gateway/backends/backends.go
+++ b/pkg/gateway/backends/backends.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"cassiawall.example/cassiawall/pkg/clock"
 	"cassiawall.example/cassiawall/pkg/gateway/cachemap"
 	"cassiawall.example/cassiawall/pkg/gateway/exchange"
 	"cassiawall.example/cassiawall/pkg/gateway/quota"
@@ -65,7 +66,9 @@
 	idHash uint32
 	// generationRevision is the revision of the first listing since the server's last restart that this node has received.
 	generationRevision int64
-	pool               *exchange.Pool
+	// listedAt is the time on the clock of clock.Now at which it was received.
+	listedAt time.Time
+	pool     *exchange.Pool
 
 	// ownLong and ownShort count this node's running requests by their expected duration.
 	ownLong, ownShort int
@@ -105,6 +108,8 @@
 	Down bool
 	// Leaving is set once the backend server has announced that it will stop.
 	Leaving bool
+	// Limited is set if the backend server states a limit of the rate of requests.
+	Limited bool
 }
 
 // assignmentTTL is the time after which an assignment expires, from the time at which the leader read it.
@@ -130,12 +135,13 @@
 	members   map[string]*member
 	byService map[string][]*member
 	// byHash holds the members by idHash.
-	byHash map[uint32]*member
+	byHash  map[uint32]*member
+	permits permitState
 }
 
 // NewRegistry returns an empty registry of a node in dataCentre.
 func NewRegistry(dataCentre string) *Registry {
-	return &Registry{dataCentre: dataCentre, members: map[string]*member{}, byService: map[string][]*member{}, byHash: map[uint32]*member{}}
+	return &Registry{dataCentre: dataCentre, members: map[string]*member{}, byService: map[string][]*member{}, byHash: map[uint32]*member{}, permits: permitState{demand: map[string]*quota.Meter{}}}
 }
 
 // SetLoadAge sets the time between two heartbeats of the leader, for the assignments that this node computes.
@@ -161,7 +167,7 @@
 	if old != nil {
 		r.removeLocked(old)
 	}
-	m := &member{Backend: b, generationRevision: b.Revision, rendezvousHash: rendezvous.Hash(b.ID), dataCentreHash: rendezvous.Hash(b.DataCentre), idHash: cachemap.EngineHash(b.ID), pool: exchange.NewPool(b.Address), observedVersions: map[string]int{}}
+	m := &member{Backend: b, generationRevision: b.Revision, listedAt: clock.Now(), rendezvousHash: rendezvous.Hash(b.ID), dataCentreHash: rendezvous.Hash(b.DataCentre), idHash: cachemap.EngineHash(b.ID), pool: exchange.NewPool(b.Address), observedVersions: map[string]int{}}
 	r.members[b.ID], r.byHash[m.idHash] = m, m
 	list := append(r.byService[b.Service], m)
 	slices.SortFunc(list, func(a, c *member) int { return cmp.Compare(a.ID, c.ID) })
--- a/pkg/gateway/backends/pick.go
+++ b/pkg/gateway/backends/pick.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"cassiawall.example/cassiawall/pkg/clock"
 	"cassiawall.example/cassiawall/pkg/gateway/exchange"
 )
 
@@ -65,7 +66,7 @@
 // CandidateCounts counts the backend servers of a service by their eligibility for a request: available,
 // or the reason why not.
 type CandidateCounts struct {
-	Available, Paused, Leaving, Loading, Tried, OldWeights int
+	Available, Paused, Leaving, Loading, Tried, OldWeights, Limited int
 	// Running is the number of requests known to be running on the picked server.
 	Running int
 	// HeartbeatAge is the age of the leader heartbeat with the picked one's assignment, or 0 if there is none
@@ -129,6 +130,7 @@
 			best = other
 		}
 	}
+	best.limit.Take(clock.Now())
 	if q.Long {
 		best.ownLong++
 	} else {
@@ -251,6 +253,7 @@
 func (r *Registry) candidates(q Query, now time.Time) ([]*member, CandidateCounts) {
 	var available, paused []*member
 	var counts CandidateCounts
+	permitNow := clock.Now()
 	for _, m := range r.byService[q.Service] {
 		switch {
 		case m.isLeaving(now):
@@ -261,6 +264,8 @@
 			counts.Tried++
 		case q.Model != "" && (m.version(q.Model) == 0 || m.version(q.Model) < q.MinVersion):
 			counts.OldWeights++
+		case !r.hasPermit(m, permitNow):
+			counts.Limited++
 		case m.isPaused(now):
 			counts.Paused++
 			paused = append(paused, m)
--- a/pkg/gateway/backends/states.go
+++ b/pkg/gateway/backends/states.go
@@ -6,6 +6,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"cassiawall.example/cassiawall/pkg/clock"
 )
 
 // State is what the leader announces about one backend server.
@@ -34,13 +36,14 @@
 	flagTakesLong
 	flagDown
 	flagLeaving
+	flagLimited
 )
 
 // EncodeStates encodes states in 9 bytes each. Counts above 255 and versions above 65,535 are encoded as these.
 func EncodeStates(states []State) []byte {
 	data := make([]byte, 0, len(states)*stateBytes)
 	for _, s := range states {
-		flags := bit(s.Loading, flagLoading) | bit(s.TakesLong, flagTakesLong) | bit(s.Down, flagDown) | bit(s.Leaving, flagLeaving)
+		flags := bit(s.Loading, flagLoading) | bit(s.TakesLong, flagTakesLong) | bit(s.Down, flagDown) | bit(s.Leaving, flagLeaving) | bit(s.Limited, flagLimited)
 		data = binary.BigEndian.AppendUint32(data, s.Hash)
 		data = append(data, flags, byte(min(s.Long, math.MaxUint8)), byte(min(s.Short, math.MaxUint8)))
 		data = binary.BigEndian.AppendUint16(data, uint16(min(s.Version, math.MaxUint16)))
@@ -65,7 +68,7 @@
 			Assignment: Assignment{
 				Long: int(data[5]), Short: int(data[6]),
 				Loading: flags&flagLoading != 0, TakesLong: flags&flagTakesLong != 0, Down: flags&flagDown != 0,
-				Leaving: flags&flagLeaving != 0,
+				Leaving: flags&flagLeaving != 0, Limited: flags&flagLimited != 0,
 			},
 			Version: int(binary.BigEndian.Uint16(data[7:])),
 		})
@@ -81,7 +84,7 @@
 // needsUpdate reports whether the change from other to s must reach the nodes at once: requests to a loading,
 // down or newly loaded engine fail or are late.
 func (s State) needsUpdate(other State) bool {
-	return s.Loading != other.Loading || s.Down != other.Down || s.Leaving != other.Leaving || s.Version != other.Version
+	return s.Loading != other.Loading || s.Down != other.Down || s.Leaving != other.Leaving || s.Limited != other.Limited || s.Version != other.Version
 }
 
 // loadDifference returns the difference of the running requests.
@@ -201,6 +204,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	expiry := readAt.Add(assignmentTTL)
+	announcedAt := clock.Now().Add(-now.Sub(readAt))
 	expired := !now.Before(expiry)
 	for _, m := range r.members {
 		if now.Before(m.assignmentExpiry) && m.assignmentExpiry.Before(expiry) {
@@ -215,6 +219,7 @@
 		if !expired {
 			m.assignment, m.assignmentExpiry = s.Assignment, expiry
 		}
+		m.limit.Announce(s.Limited, r.permits.authoritative, announcedAt)
 		if len(m.Models) > 0 {
 			m.observeVersion(m.Models[0].Name, s.Version)
 		}
--- a/pkg/gateway/forward/active_request.go
+++ b/pkg/gateway/forward/active_request.go
@@ -72,6 +72,8 @@
 	firstByteAt time.Time
 	// noBackendTraced is set once the trace records that no backend server was available.
 	noBackendTraced bool
+	// limited is set if the last pick found a backend server that only its limit excluded.
+	limited bool
 	// saveRequested is set if the current send requests that the engine save the prompt to the KV cache store.
 	saveRequested bool
 	// prefixHashes caches the result of sharedPrefixHashes for prefixHashesVersion.
@@ -128,7 +130,7 @@
 		}
 		choice := a.pickBackend()
 		if choice == nil {
-			a.failRequest(causeNoBackend)
+			a.failRequest(a.noBackendCause())
 			return
 		}
 		if a.sends > 0 && !a.allowRetry() {
@@ -200,6 +202,7 @@
 		if c != nil {
 			return c
 		}
+		a.limited = considered.Limited > 0
 		a.traceNoBackend(considered)
 		if a.runs == 0 {
 			// A backend server that refused the request may accept it now.
--- a/pkg/gateway/forward/errors.go
+++ b/pkg/gateway/forward/errors.go
@@ -26,9 +26,13 @@
 		panic(http.ErrAbortHandler)
 	case a.runs == 0:
 		a.recordNotServed(reason, "refused")
-		retryAfter := min(refusalRetryAfter, a.remaining(time.Now())/4)
-		if reason == causeQuarantined {
+		remaining := a.remaining(time.Now())
+		retryAfter := min(refusalRetryAfter, remaining/4)
+		switch reason {
+		case causeQuarantined:
 			retryAfter = max(a.retryAfter, minQuarantineRetryAfter)
+		case causeLimited:
+			retryAfter = spreadRetryAfter(remaining)
 		}
 		writeRefusal(a.w, reason, retryAfter)
 	case a.failedResponse != nil:
--- a/pkg/gateway/forward/limit.go
+++ b/pkg/gateway/forward/limit.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"cassiawall.example/cassiawall/pkg/clock"
@@ -9,6 +10,24 @@
 	"cassiawall.example/cassiawall/pkg/gateway/quota"
 )
 
+// noBackendCause returns the cause of a request for which no backend server was available.
+func (a *activeRequest) noBackendCause() string {
+	if a.limited {
+		return causeLimited
+	}
+	return causeNoBackend
+}
+
+// spreadRetryAfter returns a time from refusalRetryAfter to a quarter of the remaining time. Requests that the limits of
+// backend servers exclude then return as a rate that the permits of the next seconds can serve, and not all at once.
+func spreadRetryAfter(remaining time.Duration) time.Duration {
+	latest := remaining / 4
+	if latest <= refusalRetryAfter {
+		return max(latest, 0)
+	}
+	return refusalRetryAfter + rand.N(latest-refusalRetryAfter)
+}
+
 // observeLimit passes what a backend server states about its limit to the registry, and logs when a limit begins, changes
 // or ends. sentAt is the time on the clock of clock.Now at which the request was sent.
 func (a *activeRequest) observeLimit(c *backends.Choice, statement quota.Statement, sentAt time.Time) {
--- a/pkg/gateway/forward/router.go
+++ b/pkg/gateway/forward/router.go
@@ -82,6 +82,7 @@
 	causeRefused     = "backend servers refused"
 	causeQuarantined = "prompt part is quarantined: engines crash on it"
 	causeInDoubt     = "engines crash on requests like this"
+	causeLimited     = "backend servers are at the limits that they state"
 )
 
 // defaultMaxBodyBytes limits a request body if the configuration sets no limit.
@@ -169,6 +170,7 @@
 	a.trace = decisions.NewTrace(r.opt.Logger, a.request.ID)
 	a.traceAdmitted()
 	r.opt.RetryBudget.RecordRequest(a.service, a.receivedAt)
+	r.opt.Backends.CountDemand(a.service)
 	if key := a.affinityKey(); key != 0 {
 		r.opt.PrefixCounts.Record(popularity.Key(key))
 	}
--- a/pkg/gateway/forward/trace.go
+++ b/pkg/gateway/forward/trace.go
@@ -44,7 +44,7 @@
 		return
 	}
 	a.noBackendTraced = true
-	a.trace.Add(event.NoBackend, "leaving", counts.Leaving, "loading", counts.Loading, "tried", counts.Tried, "old_weights", counts.OldWeights)
+	a.trace.Add(event.NoBackend, "leaving", counts.Leaving, "loading", counts.Loading, "tried", counts.Tried, "old_weights", counts.OldWeights, "limited", counts.Limited)
 }
 
 // sendPhase is how far a failed send had come, in log lines and metric labels.
--- a/pkg/gateway/node/board.go
+++ b/pkg/gateway/node/board.go
@@ -13,6 +13,7 @@
 	"cassiawall.example/cassiawall/pkg/gateway/mirror"
 	"cassiawall.example/cassiawall/pkg/gateway/peers"
 	"cassiawall.example/cassiawall/pkg/gateway/popularity"
+	"cassiawall.example/cassiawall/pkg/gateway/quota"
 )
 
 // peerFetchDelay is the time for which another node must have newer objects before they are fetched from it.
@@ -57,6 +58,10 @@
 	announcerMu sync.Mutex
 	announcer   *backends.Announcer
 
+	distributorMu sync.Mutex
+	// distributor is in use while this node acts as the leader.
+	distributor *quota.Distributor
+
 	mu sync.Mutex
 	// awaitPeersUntil is the time until which this node does not call the store because its peers may have the
 	// objects. peersHaveObjects is set once a peer has reported some.
@@ -87,7 +92,7 @@
 var _ peers.Board = (*board)(nil)
 
 func newBoard(n *Node) *board {
-	b := &board{node: n, lagByKind: map[string]lag{}, announcer: backends.NewAnnouncer(), prefixTotals: popularity.NewTotals()}
+	b := &board{node: n, lagByKind: map[string]lag{}, announcer: backends.NewAnnouncer(), prefixTotals: popularity.NewTotals(), distributor: quota.NewDistributor()}
 	s := n.opt.Settings
 	isOther := func(seed string) bool { return seed != s.PeerAddress }
 	// The seeds themselves, and at the first start the nodes that are suited as leaders, get the objects from
@@ -180,6 +185,7 @@
 // States implements peers.Board.
 func (b *board) States(total map[string]backends.Load, scope peers.StateScope) []byte {
 	states := b.node.registry.States(total, time.Now())
+	b.setLimited(states)
 	b.announcerMu.Lock()
 	defer b.announcerMu.Unlock()
 	switch scope {
@@ -256,6 +262,7 @@
 	}
 	if heartbeat.NodesSettled {
 		b.node.retryBudget.SetNodes(heartbeat.Nodes, time.Now())
+		b.node.registry.SetNodes(heartbeat.Nodes)
 	}
 	b.node.controller.ObserveLease(heartbeat.Lease, heartbeat.LeaseVersion, time.Now())
 	b.node.registry.ApplyAssignments(heartbeat.Assignments, time.Now())
--- a/pkg/gateway/peers/echo.go
+++ b/pkg/gateway/peers/echo.go
@@ -19,8 +19,13 @@
 	// HeldMS is the time in milliseconds from the receipt of the report until the content of this message was
 	// read.
 	HeldMS int64
+	// Permits are the encoded quota.Permits that a heartbeat issues to its receiver.
+	Permits []byte
 }
 
+// isZero reports whether there is nothing to state.
+func (e echo) isZero() bool { return e.SentAt == 0 && e.HeldMS == 0 && len(e.Permits) == 0 }
+
 // target is a receiver of a message in return.
 type target struct {
 	address string
--- a/pkg/gateway/peers/leader.go
+++ b/pkg/gateway/peers/leader.go
@@ -115,6 +115,11 @@
 	l.opt.Board.ApplyFrequent(m.Frequent)
 	m.States, m.PrefixUpdates = l.opt.Board.States(total, ForHeartbeat), l.opt.Board.TakePrefixUpdates()
 	l.addEvidenceToHeartbeat(m)
+	permits := l.opt.Board.IssuePermits(append(addresses(targets), l.opt.Address))
+	for i := range targets {
+		targets[i].echo.Permits = permits[targets[i].address]
+	}
+	l.opt.Board.ApplyPermits(permits[l.opt.Address], readAt)
 	l.opt.Board.ApplyHeartbeat(m.Heartbeat, m.Revisions, readAt)
 	l.opt.Board.ApplyStates(m.States, m.Revisions, readAt)
 	if listPeers {
--- a/pkg/gateway/peers/link.go
+++ b/pkg/gateway/peers/link.go
@@ -72,6 +72,14 @@
 	// that is not known.
 	Evidence(after uint64, maxBytes int) (data []byte, changes uint64)
 	MergeEvidence(data []byte, relay bool, readAt time.Time)
+	// QuotaReport returns this node's encoded quota.Report. AddQuotaReport records that of another node at the leader, and
+	// reports whether the limit of a backend server has begun or ended by it.
+	QuotaReport() []byte
+	AddQuotaReport(node string, report []byte) (changed bool)
+	// IssuePermits returns the encoded permits that are due, by node, and ApplyPermits applies those that the leader issued
+	// at issuedAt or later. issuedAt is zero if that is not known.
+	IssuePermits(nodes []string) map[string][]byte
+	ApplyPermits(permits []byte, issuedAt time.Time)
 	// Revisions returns those of this node's mirrors.
 	Revisions() []Revision
 	// BuildHeartbeat returns the heartbeat of a leader to which nodes report.
@@ -254,7 +262,7 @@
 // sendReport reports this node's running requests to the leader. While the leader is silent, it queries the
 // standbys and reports to random peers.
 func (l *Link) sendReport() {
-	m := &message{From: l.opt.Address, Revisions: l.opt.Board.Revisions(), Loads: l.opt.Board.Loads(), PrefixUpdates: l.opt.Board.TakePrefixUpdates(), Counts: l.opt.Board.TakeCounts()}
+	m := &message{From: l.opt.Address, Revisions: l.opt.Board.Revisions(), Loads: l.opt.Board.Loads(), PrefixUpdates: l.opt.Board.TakePrefixUpdates(), Counts: l.opt.Board.TakeCounts(), Quota: l.opt.Board.QuotaReport()}
 	targets, replyRequested := l.reportTargets()
 	m.ReplyRequested = replyRequested
 	m.SentAt = l.timestamps.next()
@@ -317,7 +325,7 @@
 	if err != nil {
 		return err
 	}
-	if to.echo != (echo{}) {
+	if !to.echo.isZero() {
 		if data, err = appendEncoded(slices.Clip(data), &to.echo); err != nil {
 			return err
 		}
--- a/pkg/gateway/peers/message.go
+++ b/pkg/gateway/peers/message.go
@@ -60,6 +60,8 @@
 	SentAt int64
 	// Evidence is the encoded evidence about prompt parts on which engines crash; see package quarantine.
 	Evidence []byte
+	// Quota is the encoded quota.Report of a report's node.
+	Quota []byte
 
 	// echo follows the message in the datagram, because it differs between the receivers of a message. It is zero
 	// in reports and in messages of earlier versions.
--- a/pkg/gateway/peers/peers_test.go
+++ b/pkg/gateway/peers/peers_test.go
@@ -44,6 +44,12 @@
 	// to be relayed.
 	evidence, mergedEvidence []byte
 	relayed                  bool
+	// quotaReport is what the board reports, quotaReports what it has received, by node, and permits those issued to it,
+	// undatedPermits of them without a time.
+	quotaReport    []byte
+	quotaReports   map[string]string
+	permits        []string
+	undatedPermits int
 }
 
 func (b *fakeBoard) Evidence(after uint64, maxBytes int) (data []byte, changes uint64) {
@@ -129,6 +135,36 @@
 
 func (b *fakeBoard) AddCounts([]byte) {}
 
+func (b *fakeBoard) QuotaReport() []byte { return b.quotaReport }
+
+func (b *fakeBoard) AddQuotaReport(node string, report []byte) (changed bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.quotaReports == nil {
+		b.quotaReports = map[string]string{}
+	}
+	b.quotaReports[node] = string(report)
+	return false
+}
+
+// IssuePermits issues permits to each node that consist of its address.
+func (b *fakeBoard) IssuePermits(nodes []string) map[string][]byte {
+	permits := map[string][]byte{}
+	for _, node := range nodes {
+		permits[node] = []byte(node)
+	}
+	return permits
+}
+
+func (b *fakeBoard) ApplyPermits(permits []byte, issuedAt time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.permits = append(b.permits, string(permits))
+	if issuedAt.IsZero() {
+		b.undatedPermits++
+	}
+}
+
 func (b *fakeBoard) Frequent() []byte { return nil }
 
 func (b *fakeBoard) ApplyFrequent([]byte) {}
--- a/pkg/gateway/peers/receive.go
+++ b/pkg/gateway/peers/receive.go
@@ -65,6 +65,7 @@
 	}
 	l.compareRevisions(m, current, readAt)
 	if current {
+		l.opt.Board.ApplyPermits(m.echo.Permits, readAt)
 		l.opt.Board.ApplyHeartbeat(m.Heartbeat, m.Revisions, readAt)
 		l.opt.Board.ApplyStates(m.States, m.Revisions, readAt)
 		l.opt.Board.ApplyFrequent(m.Frequent)
@@ -169,6 +170,9 @@
 	l.opt.Board.MergeEvidence(m.Evidence, true, time.Time{})
 	if leading {
 		l.opt.Board.AddCounts(m.Counts)
+		if l.opt.Board.AddQuotaReport(m.From, m.Quota) {
+			l.RequestUpdate()
+		}
 	}
 	if m.ReplyRequested && !leading {
 		reply := &message{From: l.opt.Address, IsReply: true, Synced: l.opt.Board.Synced(), Revisions: l.opt.Board.Revisions(), Peers: peers}
