Record the timeline and the hypotheses of the store that came back from a copy

Event 938 logs a list that is dropped because it is older than the mirror, which tells the hypotheses apart.

--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -99,5 +99,6 @@
 	LimitStated        = define(935, "limit stated", slog.LevelInfo, "find out why the backend server asks for less load")
 	LimitEnded         = define(936, "limit ended", slog.LevelInfo, "none")
 	LimitInvalid       = define(937, "limit invalid", slog.LevelWarn, "correct the limit that the backend server states; until then it counts as unchanged")
+	StoreBehind        = define(938, "list is older than the mirror", slog.LevelInfo, "none; the objects are listed again")
 	RequestNotServed   = define(926, "request not served", slog.LevelInfo, "run cassiawall explain with the request's id")
 )
--- a/pkg/gateway/mirror/mirror.go
+++ b/pkg/gateway/mirror/mirror.go
@@ -322,6 +322,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if revision < m.revision {
+		event.StoreBehind.Emit(m.opt.Logger, "kind", m.opt.Kind, "revision", revision, "known_revision", m.revision)
 		return false
 	}
 	defer func() {
