Order the revisions of a store that was restored from a copy after those of before

Cause: revisions were compared as if they only rose. A restored store gives out lower ones again; mirrors dropped its lists as old answers until its revisions had passed those of before. Evidence: event 938, 1,245 dropped lists of the configuration from 17.0 to 24.5 s, the last ones at revision 58 of 59. Change: the client of the store folds the header that counts restorations into the revisions (objects.Position), so that all comparisons, also those of peers, order them rightly. Content of a new era counts as interrupted, because writers store again what was lost. Why it works: positions rise with each restoration; in the first era they equal the revisions, so that nodes of both versions understand each other.

--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -54,6 +54,7 @@
 	RolloutBlocked     = define(613, "rollout waits for serving engines", slog.LevelWarn, "bring engines back or lower min_serving")
 	LeaseDamaged       = define(614, "lease object damaged", slog.LevelError, "delete the named object 35 s after the last order; its shard gets no orders until then")
 	RolloutDamaged     = define(615, "rollout state damaged", slog.LevelError, "delete the object rollouts/current; rollouts start over from the engines' weights")
+	LeaseStoreRestored = define(617, "lease lost with its store", slog.LevelInfo, "none; the holder writes it again, or another node takes it after its time")
 	WeightsUnavailable = define(616, "weights unavailable, no further loads", slog.LevelWarn, "check that the weight store has the version and keeps up")
 
 	BackendUnreachable = define(701, "backend server unreachable", slog.LevelWarn, "check the backend server and the network to it")
@@ -100,5 +101,6 @@
 	LimitEnded         = define(936, "limit ended", slog.LevelInfo, "none")
 	LimitInvalid       = define(937, "limit invalid", slog.LevelWarn, "correct the limit that the backend server states; until then it counts as unchanged")
 	StoreBehind        = define(938, "list is older than the mirror", slog.LevelInfo, "none; the objects are listed again")
+	StoreRestored      = define(939, "store restored from a copy", slog.LevelWarn, "check that the operator's objects written since the copy are stored again")
 	RequestNotServed   = define(926, "request not served", slog.LevelInfo, "run cassiawall explain with the request's id")
 )
--- a/pkg/gateway/mirror/mirror.go
+++ b/pkg/gateway/mirror/mirror.go
@@ -50,8 +50,8 @@
 
 // Freshness describes how late or incomplete the content may be that a target receives.
 type Freshness struct {
-	// Interrupted is set if entries may be missing for a moment: the store was unavailable until shortly
-	// before, or the content comes from a node that may not reach the store either.
+	// Interrupted is set if entries may be missing for a moment: the store was unavailable or restored from a copy
+	// shortly before, or the content comes from a node that may not reach the store either.
 	Interrupted bool
 	// CurrentAt is the last time, on the clock of clock.Now, at which the mirror is known to have held all changes. It is
 	// zero before the first.
@@ -126,6 +126,8 @@
 
 	mu          sync.Mutex
 	recoveredAt time.Time
+	// restoredAt is the time at which a restoration of the store became known.
+	restoredAt time.Time
 	// reachedAt is the last time at which the store is known to have responded.
 	reachedAt time.Time
 	// latency is the time that the last list took, at most maxLatency.
@@ -136,7 +138,8 @@
 	// currentBy is the Freshness.ConfirmedBy that belongs to currentAt.
 	currentBy string
 	entries   map[string]Entry
-	// revision is the highest revision of a change of this kind that is known.
+	// revision is the highest revision of a change of this kind that is known. All revisions are positions, which order
+	// the revisions of a store that was restored after those of before; see objects.Position.
 	revision int64
 	// tombstones are the revisions of the deletions after compactedRevision, by name. Earlier deletions are
 	// not recorded.
@@ -226,11 +229,12 @@
 	if relayed {
 		defer func() { m.completeRevision = c.Revision }()
 	}
+	m.enterEraLocked(c.Revision)
+	freshness := m.freshnessLocked(!relayed || m.restoredLocked())
 	if c.Complete {
-		m.resetLocked(c.Entries, c.Revision, m.freshnessLocked(!relayed))
+		m.resetLocked(c.Entries, c.Revision, freshness)
 		return true
 	}
-	freshness := m.freshnessLocked(!relayed)
 	for _, e := range c.Entries {
 		m.applyLocked(Change{Entry: e}, freshness)
 	}
@@ -332,6 +336,7 @@
 	if !m.differsLocked(entries) {
 		return true
 	}
+	m.enterEraLocked(revision)
 	newest := m.revision
 	for _, e := range entries {
 		newest = max(newest, e.Revision)
@@ -345,6 +350,22 @@
 	return true
 }
 
+// enterEraLocked records and logs that the store was restored since the last content, if a revision shows it.
+func (m *Mirror) enterEraLocked(revision int64) {
+	if m.revision == 0 || objects.EraOf(revision) <= objects.EraOf(m.revision) {
+		return
+	}
+	m.restoredAt = m.now()
+	event.StoreRestored.Emit(m.opt.Logger, "kind", m.opt.Kind, "era", objects.EraOf(revision), "revision", objects.RevisionOf(revision),
+		"known_era", objects.EraOf(m.revision), "known_revision", objects.RevisionOf(m.revision))
+}
+
+// restoredLocked reports whether it has become known less than recoveryDuration ago that the store was restored. Its
+// writers then store again what it has lost.
+func (m *Mirror) restoredLocked() bool {
+	return !m.restoredAt.IsZero() && m.now().Sub(m.restoredAt) < recoveryDuration
+}
+
 // notifyChange calls OnChange, if it is set, without waiting for it.
 func (m *Mirror) notifyChange() {
 	if m.opt.OnChange != nil {
@@ -500,5 +521,5 @@
 
 // interruptedLocked reports whether an outage of the store ended less than recoveryDuration ago.
 func (m *Mirror) interruptedLocked() bool {
-	return !m.recoveredAt.IsZero() && m.now().Sub(m.recoveredAt) < recoveryDuration
+	return m.restoredLocked() || !m.recoveredAt.IsZero() && m.now().Sub(m.recoveredAt) < recoveryDuration
 }
--- a/pkg/objects/call.go
+++ b/pkg/objects/call.go
@@ -26,6 +26,8 @@
 	Write bool
 	// MaxResponseBytes limits the body of the response.
 	MaxResponseBytes int64
+	// OnResponse is called with the header of the response before its body is read. It may be nil.
+	OnResponse func(http.Header)
 }
 
 // Do makes the call and decodes the response into the value that into points to. Errors are of
@@ -47,6 +49,9 @@
 		return fault.Wrap(err, fault.PlatformUnavailable, "no response from the object store").WithWork(work)
 	}
 	defer response.Body.Close()
+	if c.OnResponse != nil {
+		c.OnResponse(response.Header)
+	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, c.MaxResponseBytes))
 	if err != nil {
 		return fault.Wrap(err, fault.PlatformUnavailable, "response of the object store was truncated").WithWork(work)
--- /dev/null
+++ b/test/fleet/restored_test.go
@@ -0,0 +1,70 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"cassiawall.example/cassiawall/platform/standin"
+)
+
+func (f *fleet) configure(version int64, extra bool) {
+	standin.Configure(f.store, standin.Config{Version: version, Extra: extra, Timeout: 4 * time.Second, Tenants: []standin.Tenant{{Name: "north", Key: "key-north"}}})
+}
+
+// servesExtra reports whether a node serves the route that Config.Extra adds.
+func (f *fleet) servesExtra(node int, id string) bool {
+	request := standin.Request{ID: id, Kind: standin.Safe, Path: standin.ExtraPath(id), Key: "key-north", Deadline: 3 * time.Second}
+	return standin.Send(context.Background(), f.client, f.clientAddresses[node], request).Status == http.StatusOK
+}
+
+// requireExtra checks that all nodes serve the added route within the platform's bound from now.
+func (f *fleet) requireExtra(what string) {
+	f.t.Helper()
+	acknowledged := time.Now()
+	for node := range f.clientAddresses {
+		tries := 0
+		require.Eventually(f.t, func() bool {
+			tries++
+			return f.servesExtra(node, fmt.Sprintf("%s-%s-%d-%d", f.t.Name(), what, node, tries))
+		}, time.Until(acknowledged.Add(standin.ConfigBound)), 20*time.Millisecond, "%s: node %d serves the route in time", what, node)
+	}
+}
+
+// Guards against a configuration that is not in force in time because the store came back from a copy and gave out its
+// revision before, and against an older one that is in force again.
+func TestConfigurationIsInForceAfterTheStoreWasRestored(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, 4, func(f *fleet) { f.addPlain(2) })
+	before := f.store.Copy()
+	for version := int64(2); version <= 12; version++ {
+		f.configure(version, true)
+	}
+	f.requireExtra("before")
+	f.store.SetFault(standin.StoreUnavailable)
+	time.Sleep(time.Second)
+	f.store.Restore(before)
+	f.store.SetFault(standin.StoreHealthy)
+	for try := range 20 {
+		for node := range f.clientAddresses {
+			assert.True(t, f.servesExtra(node, fmt.Sprintf("%s-meanwhile-%d-%d", t.Name(), node, try)), "the confirmed configuration stays in force")
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	f.configure(13, false)
+	require.Eventually(t, func() bool {
+		for node := range f.clientAddresses {
+			if f.servesExtra(node, fmt.Sprintf("%s-removed-%d-%d", t.Name(), node, time.Now().UnixNano())) {
+				return false
+			}
+		}
+		return true
+	}, standin.ConfigBound, 20*time.Millisecond, "a configuration stored after the return is in force in time")
+	f.configure(14, true)
+	f.requireExtra("after")
+}
