Keep the lease and the quarantine over a store that was restored from a copy

A store that has lost the lease's record lets another node take it at once, with a fencing token that was given before, and a conditional write of before can match a revision that was given out again. The quarantined parts were lost for good. Change: each era has a lease object of its own; a holder within its time writes it again with a higher token, any other node waits as long as the former holder may send orders. Tokens of an era are above those of the eras before. The leader stores the quarantined parts again.

--- a/pkg/gateway/node/quarantine_keeper.go
+++ b/pkg/gateway/node/quarantine_keeper.go
@@ -58,7 +58,9 @@
 	// the parts that it holds.
 	read    bool
 	version uint64
-	stored  []quarantine.Part
+	// era is the era of the store that read belongs to.
+	era    int64
+	stored []quarantine.Part
 	// pausedUntil is the time until which no call is made, after a write or a failed call.
 	pausedUntil time.Time
 }
@@ -66,8 +68,10 @@
 // step makes the call that is due, if any.
 func (k *quarantineKeeper) step(ctx context.Context, now time.Time) {
 	held := k.holdsLease()
-	if !held {
-		k.read = false
+	era, _ := k.store.Era()
+	if !held || era != k.era {
+		// Another leader may have written the object, or the store may have been restored from a copy.
+		k.read, k.era = false, era
 	}
 	if !held && !k.readsAtStart || now.Before(k.pausedUntil) {
 		return
--- a/pkg/gateway/node/quarantine_keeper_test.go
+++ b/pkg/gateway/node/quarantine_keeper_test.go
@@ -21,8 +21,11 @@
 	object        objects.Object
 	reads, writes int
 	err           error
+	era           int64
 }
 
+func (s *keeperStore) Era() (era int64, known bool) { return s.era, true }
+
 func (s *keeperStore) Get(context.Context, string) (objects.Object, error) {
 	s.reads++
 	if s.err == nil && s.object.Version == 0 {
@@ -178,3 +181,19 @@
 	f.run(next, 2*keepRetryPause)
 	assert.Empty(t, next.quarantine.Suspects())
 }
+
+// Guards against quarantined parts that a store which was restored from a copy has lost for good.
+func TestQuarantineIsStoredAgainAfterTheStoreWasRestored(t *testing.T) {
+	f := &keeperFleet{store: &keeperStore{}, now: time.Unix(1000, 0)}
+	leader := f.newKeeper()
+	f.run(leader, time.Second)
+	f.crash(leader, 7)
+	f.run(leader, 5*time.Second)
+	require.Equal(t, 1, f.store.writes)
+	f.store.object, f.store.era = objects.Object{}, 1
+	f.run(leader, 5*time.Second)
+	assert.Equal(t, 2, f.store.writes)
+	next := f.newKeeper()
+	f.run(next, time.Second)
+	assert.Len(t, next.quarantine.Suspects(), 1)
+}
--- a/pkg/gateway/weights/controller.go
+++ b/pkg/gateway/weights/controller.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"log/slog"
 	"sync"
 	"time"
@@ -78,6 +79,9 @@
 
 // LeaseStore reads and writes the lease object.
 type LeaseStore interface {
+	// Era returns the number of times that the store is known to have been restored from a copy; see objects.Position. known
+	// is false before the first response.
+	Era() (era int64, known bool)
 	// Get returns the object; the error is of kind NotFound if it does not exist.
 	Get(ctx context.Context, name string) (objects.Object, error)
 	// Put writes the object if its version is ifVersion, where 0 means that it must not exist. It
@@ -106,10 +110,22 @@
 	heartbeatDelay = 6 * time.Millisecond
 	// retryPause is the pause after a failed order before the same engine gets another.
 	retryPause = 300 * time.Millisecond
-	// leaseObjectName is the name of the lease object in the store.
+	// leaseObjectName is the name of the lease object in the store in era 0.
 	leaseObjectName = "leases/weights"
+	// tokensPerEra is the number of fencing tokens of an era. Those of the next one are above them, so that a node that knows
+	// no token of before the store was restored does not give one again.
+	tokensPerEra = 1 << 32
 )
 
+// leaseName returns the name of the lease object in an era. Each era has its own object: a write whose condition is from an
+// earlier era, and that reaches the restored store late, cannot change the lease.
+func leaseName(era int64) string {
+	if era == 0 {
+		return leaseObjectName
+	}
+	return fmt.Sprintf("%s-%d", leaseObjectName, era)
+}
+
 // LeaseTiming returns the lease timing for a platform that counts orders of two lease holders less than
 // leaderChangeGap apart as a conflict.
 func LeaseTiming(leaderChangeGap time.Duration) lease.Timing {
@@ -151,10 +167,15 @@
 	opt      Options
 	inFlight sync.WaitGroup
 
-	mu           sync.Mutex
-	lease        *lease.Lease
+	mu    sync.Mutex
+	lease *lease.Lease
+	// era is the era that lease belongs to. It is valid only if eraKnown is set.
+	era          int64
+	eraKnown     bool
 	holdsLease   bool
 	engineOrders map[string]*engineOrder
+	// leaseCallInProgress is set during a call that reads or writes the lease.
+	leaseCallInProgress bool
 }
 
 // engineOrder is the leader's record of its orders to one engine.
@@ -255,11 +276,16 @@
 func (c *Controller) advanceLease(ctx context.Context, desired bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.leaseCallInProgress || !c.enterEraLocked() {
+		return
+	}
 	action := c.lease.Next(time.Now(), desired, 0)
 	c.updateHeldLocked()
 	if action.Kind == lease.None {
 		return
 	}
+	name := leaseName(c.era)
+	c.leaseCallInProgress = true
 	c.start(func() {
 		callCtx, cancel := context.WithTimeout(ctx, leaseCallTimeout)
 		defer cancel()
@@ -267,21 +293,42 @@
 		var object objects.Object
 		var err error
 		if action.Kind == lease.Read {
-			object, err = c.opt.Leases.Get(callCtx, leaseObjectName)
+			object, err = c.opt.Leases.Get(callCtx, name)
 		} else {
-			version, err = c.opt.Leases.Put(callCtx, leaseObjectName, action.Value, action.IfVersion)
+			version, err = c.opt.Leases.Put(callCtx, name, action.Value, action.IfVersion)
 		}
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		if action.Kind == lease.Write {
+		c.leaseCallInProgress = false
+		if era, _ := c.opt.Leases.Era(); era != c.era {
+			// The call may have reached the restored store. What it did there concerns the object of an earlier era.
+			c.enterEraLocked()
+		} else if action.Kind == lease.Write {
 			c.lease.WriteDone(version, err, time.Now())
 		} else if damaged := c.lease.ReadDone(object, err, time.Now()); damaged != nil {
-			event.LeaseDamaged.Emit(c.opt.Logger, "object", leaseObjectName, "error", damaged.Error())
+			event.LeaseDamaged.Emit(c.opt.Logger, "object", name, "error", damaged.Error())
 		}
 		c.updateHeldLocked()
 	})
 }
 
+// enterEraLocked adapts the lease to the era of the store. It returns false while the era is not known.
+func (c *Controller) enterEraLocked() bool {
+	era, known := c.opt.Leases.Era()
+	if !known || c.eraKnown && era == c.era {
+		return known
+	}
+	minToken := uint64(era) * tokensPerEra
+	if c.eraKnown {
+		event.LeaseStoreRestored.Emit(c.opt.Logger, "era", era, "held", c.holdsLease)
+		c.lease.Restored(uint64(objects.Position(era, 0)), minToken, time.Now())
+	} else {
+		c.lease.SetMinToken(minToken)
+	}
+	c.era, c.eraKnown = era, true
+	return true
+}
+
 // start runs a call to the store or an engine in a goroutine. A panic of the call does not end the process.
 func (c *Controller) start(call func()) {
 	guard := recovery.Guard{Logger: c.opt.Logger, Metrics: c.opt.Metrics}
--- a/pkg/gateway/weights/weights_test.go
+++ b/pkg/gateway/weights/weights_test.go
@@ -83,6 +83,14 @@
 	unavailable        bool
 	dropWriteResponses bool
 	writes             int
+	// era is the number of times that the store was restored. Each era has an object of its own.
+	era int64
+}
+
+func (s *fakeStore) Era() (era int64, known bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era, true
 }
 
 func (s *fakeStore) Get(context.Context, string) (objects.Object, error) {
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -43,6 +43,9 @@
 	// AcquireDelay is added to each wait before this node acquires the lease, so that nodes with a
 	// shorter one are preferred.
 	AcquireDelay time.Duration
+	// RecordMayBeLost is set if the store may lose a record that it has acknowledged. A lease without a record is then
+	// acquired only after the time for which its former holder may send orders.
+	RecordMayBeLost bool
 }
 
 // DefaultTiming is the timing that New uses.
@@ -130,6 +133,9 @@
 	minValidSequence uint64
 	pendingWrite     Record
 	callInProgress   bool
+	// minVersion is the lowest version of a record that the store may still hold, and minToken the highest fencing token that
+	// may have been given before. They rise when the store is restored.
+	minVersion, minToken uint64
 	// retryAt is the time before which no call is made, after a failed one.
 	retryAt time.Time
 }
@@ -181,14 +187,14 @@
 	case l.held && !shouldHold:
 		return l.release(now)
 	case l.held && now.Sub(l.heldFrom) >= l.timing.RenewInterval:
-		return l.write(now, l.nextRecord(l.lastRecord.FencingToken))
+		return l.write(now, l.nextRecord(max(l.lastRecord.FencingToken, l.minToken+1)))
 	case l.held || !shouldHold:
 		return Action{}
 	case !l.recordCurrent:
 		l.callInProgress = true
 		return Action{Kind: Read}
 	case now.Sub(l.observedAt) >= l.acquireWait():
-		return l.write(now, l.nextRecord(max(l.lastRecord.FencingToken, minFencingToken)+1))
+		return l.write(now, l.nextRecord(max(l.lastRecord.FencingToken, minFencingToken, l.minToken)+1))
 	}
 	return Action{}
 }
@@ -198,8 +204,10 @@
 // flight. Only the monotonic clock is used: it cannot be set forward, which would shorten the wait.
 func (l *Lease) acquireWait() time.Duration {
 	switch {
-	case l.version == 0:
+	case l.version == 0 && !l.timing.RecordMayBeLost:
 		return l.timing.AcquireDelay
+	case l.version == 0:
+		return l.timing.TTL + l.timing.MaxDeliveryDelay + l.timing.AcquireDelay
 	case l.lastRecord.Released, l.lastRecord.Instance == l.instance:
 		return l.timing.HandoverDelay + l.timing.AcquireDelay
 	default:
@@ -238,6 +246,7 @@
 	l.callInProgress = false
 	switch {
 	case fault.Is(err, fault.NotFound):
+		l.minToken = max(l.minToken, l.lastRecord.FencingToken)
 		l.observe(Record{}, 0, now)
 		return nil
 	case err != nil:
@@ -278,12 +287,25 @@
 // been read at now. It is ignored if it is not newer than the last record or is this instance's own, and
 // while this instance holds the lease or a call is in progress.
 func (l *Lease) ObserveRemote(r Record, version uint64, now time.Time) {
-	if l.callInProgress || l.held || version <= l.version || r.Instance == l.instance {
+	if l.callInProgress || l.held || version <= l.version || version < l.minVersion || r.Instance == l.instance {
 		return
 	}
 	l.observe(r, version, now)
 }
 
+// Restored handles that the store was restored from a copy, so that the lease's object does not exist. minVersion is the
+// lowest version that the restored store gives, and minToken a fencing token that is at least as high as all tokens before.
+// The call in progress, if any, has ended without a valid result. A lease that this instance holds stays held for its time:
+// no other node may acquire it earlier, and the next renewal creates the object.
+func (l *Lease) Restored(minVersion, minToken uint64, now time.Time) {
+	l.callInProgress, l.timing.RecordMayBeLost = false, true
+	l.minVersion, l.minToken = minVersion, max(minToken, l.minToken)
+	l.version, l.observedAt, l.recordCurrent = 0, now, true
+}
+
+// SetMinToken sets a fencing token that is at least as high as all tokens before.
+func (l *Lease) SetMinToken(minToken uint64) { l.minToken = max(l.minToken, minToken) }
+
 // discardSendTimes removes the send times of writes with a lower sequence number than the stored record.
 func (l *Lease) discardSendTimes(stored uint64) {
 	for sequence := range l.sentAt {
