Do not use a backend server again that left before the store was restored from a copy

Found by looking for the cause of the lost configuration elsewhere: requests reached engines that had announced their stop, or had left, up to 3 s after a copy of the store listed them as ready again (TestEngineThatLeftStaysUnusedAfterTheStoreWasRestored, fails before). Cause: the newest listing counted, although a server that leaves does not change its mind and its weights never go back.

--- a/pkg/gateway/backends/backends.go
+++ b/pkg/gateway/backends/backends.go
@@ -36,6 +36,8 @@
 	Started int64
 	// Revision is that of the listing in the store.
 	Revision int64
+	// Heartbeat numbers what the server has said of itself since its start, or is 0 if the listing does not state it.
+	Heartbeat int64
 	// Slots is the number of requests that an engine runs at the same time.
 	Slots  int
 	Models []Model
@@ -85,8 +87,9 @@
 	loadingUntil time.Time
 	score        score
 	limit        quota.Server
-	// suspectSince is set while the entry is missing after an outage of the store.
-	suspectSince time.Time
+	// suspectSince is set while the entry is missing after an outage of the store. relistedAt is set if the same entry has
+	// been listed again since.
+	suspectSince, relistedAt time.Time
 }
 
 // version returns the highest version that the listing or a response has reported. The weights of an engine
@@ -135,13 +138,15 @@
 	members   map[string]*member
 	byService map[string][]*member
 	// byHash holds the members by idHash.
-	byHash  map[uint32]*member
-	permits permitState
+	byHash map[uint32]*member
+	// departed holds the last listings of servers that are no longer listed, by ID.
+	departed map[string]*departure
+	permits  permitState
 }
 
 // NewRegistry returns an empty registry of a node in dataCentre.
 func NewRegistry(dataCentre string) *Registry {
-	return &Registry{dataCentre: dataCentre, members: map[string]*member{}, byService: map[string][]*member{}, byHash: map[uint32]*member{}, permits: permitState{demand: map[string]*quota.Meter{}}}
+	return &Registry{dataCentre: dataCentre, members: map[string]*member{}, byService: map[string][]*member{}, byHash: map[uint32]*member{}, departed: map[string]*departure{}, permits: permitState{demand: map[string]*quota.Meter{}}}
 }
 
 // SetLoadAge sets the time between two heartbeats of the leader, for the assignments that this node computes.
@@ -153,15 +158,36 @@
 
 // Put adds or replaces a backend server. If the server has restarted, its observed state is reset and its
 // connections are closed. Put reports whether the server is new, has restarted or has changed Leaving or
-// Models; it returns false for an entry that is only renewed.
+// Models; it returns false for an entry that is only renewed, and for one of before the server left, which a store that
+// was restored from a copy lists again.
 func (r *Registry) Put(b Backend) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if d := r.departed[b.ID]; d != nil && d.precedes(b) {
+		d.relist(b)
+		return false
+	}
+	return r.putLocked(b)
+}
+
+func (r *Registry) putLocked(b Backend) bool {
+	delete(r.departed, b.ID)
 	old := r.members[b.ID]
 	if old != nil && old.sameGeneration(&b) {
+		// A server that leaves does not change its mind, and its weights never go back, whatever an older listing says.
+		b.Leaving = b.Leaving || old.Leaving
+		before := old.Models
 		changed := old.Leaving != b.Leaving || !slices.Equal(old.Models, b.Models)
+		relisted := !old.suspectSince.IsZero() && b.saysNothingNewerThan(&old.Backend)
 		old.Backend = b
-		old.suspectSince = time.Time{}
+		for _, model := range before {
+			old.observeVersion(model.Name, model.Version)
+		}
+		if relisted {
+			old.relistedAt = clock.Now()
+		} else {
+			old.suspectSince = time.Time{}
+		}
 		return changed
 	}
 	if old != nil {
@@ -179,11 +205,14 @@
 func (r *Registry) Remove(id string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if d := r.departed[id]; d != nil {
+		d.relisted = nil
+	}
 	m := r.members[id]
 	if m == nil {
 		return false
 	}
-	r.removeLocked(m)
+	r.departLocked(m)
 	return true
 }
 
@@ -202,8 +231,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, id := range ids {
+		if d := r.departed[id]; d != nil {
+			d.relisted = nil
+		}
 		if m := r.members[id]; m != nil && m.suspectSince.IsZero() {
-			m.suspectSince = now
+			m.suspectSince, m.relistedAt = now, time.Time{}
 		}
 	}
 }
@@ -215,7 +247,7 @@
 	var removed []string
 	for id, m := range r.members {
 		if !m.suspectSince.IsZero() && now.Sub(m.suspectSince) >= timeout {
-			r.removeLocked(m)
+			r.departLocked(m)
 			removed = append(removed, id)
 		}
 	}
--- /dev/null
+++ b/pkg/gateway/backends/departures_test.go
@@ -0,0 +1,88 @@
+package backends
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// Guards against a server that comes back by a listing of before it announced its stop or before it left, which a store
+// lists again that was restored from a copy, and against losing a server that really returns.
+func TestOlderListingDoesNotBringBackAServer(t *testing.T) {
+	listing := func(heartbeat int64) Backend {
+		return Backend{ID: "e", Service: "s", Address: "127.0.0.1:1", Started: 7, Heartbeat: heartbeat}
+	}
+	used := func(r *Registry) bool {
+		c, _ := r.Pick(Query{Service: "s"}, time.Now())
+		return c != nil
+	}
+	t.Run("announced its stop", func(t *testing.T) {
+		r := NewRegistry("dc")
+		leaving := listing(5)
+		leaving.Leaving = true
+		r.Put(leaving)
+		r.Put(listing(3))
+		assert.False(t, used(r))
+		r.Remove("e")
+		r.Put(listing(9))
+		assert.False(t, used(r), "it does not change its mind")
+		again := listing(1)
+		again.Started = 8
+		r.Put(again)
+		assert.True(t, used(r), "a new start under the same ID")
+	})
+	t.Run("no longer listed", func(t *testing.T) {
+		r := NewRegistry("dc")
+		r.Put(listing(5))
+		r.Remove("e")
+		r.Put(listing(5))
+		assert.False(t, used(r))
+		assert.Contains(t, r.ListedIDs(), "e")
+		assert.Empty(t, r.AdmitRelisted())
+		r.departed["e"].relistedAt = r.departed["e"].relistedAt.Add(-relistTime)
+		assert.Equal(t, []string{"e"}, r.AdmitRelisted(), "its listing would have lapsed if it were gone")
+		assert.True(t, used(r))
+	})
+	t.Run("no longer listed twice", func(t *testing.T) {
+		r := NewRegistry("dc")
+		r.Put(listing(5))
+		r.Remove("e")
+		r.Put(listing(5))
+		r.Remove("e")
+		r.departed["e"].relistedAt = r.departed["e"].relistedAt.Add(-relistTime)
+		assert.Empty(t, r.AdmitRelisted())
+	})
+	t.Run("lapsed and written again", func(t *testing.T) {
+		r := NewRegistry("dc")
+		r.Put(listing(5))
+		r.Remove("e")
+		r.Put(listing(6))
+		assert.True(t, used(r))
+	})
+	t.Run("in doubt", func(t *testing.T) {
+		r := NewRegistry("dc")
+		r.Put(listing(5))
+		r.MarkSuspect([]string{"e"}, time.Now().Add(-time.Minute))
+		r.Put(listing(5))
+		assert.Equal(t, []string{"e"}, r.RemoveSuspects(time.Now(), time.Second))
+		assert.False(t, used(r))
+		r.Put(listing(6))
+		assert.True(t, used(r))
+	})
+}
+
+// Guards against requests that demand weights which an engine no longer has, because a store that was restored from a copy
+// lists the ones before.
+func TestOlderListingDoesNotLowerTheVersionOfWeights(t *testing.T) {
+	r := NewRegistry("dc")
+	r.Put(engine("e", 3))
+	r.Put(engine("e", 2))
+	c, _ := r.Pick(Query{Service: "s", Model: "m"}, now)
+	assert.Equal(t, 3, c.Version)
+	restarted := engine("e", 2)
+	restarted.Started = 9
+	r.Put(restarted)
+	c, _ = r.Pick(Query{Service: "s", Model: "m"}, now)
+	assert.Equal(t, 2, c.Version)
+}
--- a/pkg/gateway/node/mirrors.go
+++ b/pkg/gateway/node/mirrors.go
@@ -77,7 +77,7 @@
 
 // Reset implements mirror.Target.
 func (t *backendTarget) Reset(entries []mirror.Entry, freshness mirror.Freshness) {
-	missing := t.registry.IDs()
+	missing := t.registry.ListedIDs()
 	for _, e := range entries {
 		t.put(e)
 		missing = slices.DeleteFunc(missing, func(id string) bool { return id == e.Name })
--- a/pkg/gateway/node/node.go
+++ b/pkg/gateway/node/node.go
@@ -259,6 +259,9 @@
 		now := time.Now()
 		n.registry.Sweep(now)
 		n.quarantine.Expire()
+		if back := n.registry.AdmitRelisted(); len(back) > 0 {
+			event.BackendListed.Emit(n.opt.Logger, "backends", back, "without_news", true)
+		}
 		if gone := n.registry.RemoveSuspects(now, suspectTimeout); len(gone) > 0 {
 			event.BackendGone.Emit(n.opt.Logger, "backends", gone)
 		}
--- a/test/fleet/restored_test.go
+++ b/test/fleet/restored_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"cassiawall.example/cassiawall/platform"
 	"cassiawall.example/cassiawall/platform/standin"
 )
 
@@ -68,3 +69,60 @@
 	f.configure(14, true)
 	f.requireExtra("after")
 }
+
+// Guards against requests to an engine that has announced that it will stop, or is no longer listed, because a copy of the
+// store lists it as ready.
+func TestEngineThatLeftStaysUnusedAfterTheStoreWasRestored(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, 3, func(f *fleet) { f.addPlain(4) })
+	before := f.store.Copy()
+	leaving, gone := f.engines[0], f.engines[1]
+	leaving.Drain()
+	f.store.Delete(platform.KindServers, gone.ID)
+	time.Sleep(standin.DrainBound)
+	f.store.Restore(before)
+	restored := time.Now()
+	for try := range 60 {
+		f.send(try%len(f.clientAddresses), standin.Safe, fmt.Sprintf("%s-%d", t.Name(), try))
+		time.Sleep(50 * time.Millisecond)
+	}
+	for _, e := range []*standin.Engine{leaving, gone} {
+		for _, at := range f.startsAt(e.ID) {
+			assert.True(t, at.Before(restored), "%s got a request %v after the return", e.ID, at.Sub(restored))
+		}
+	}
+}
+
+// Guards against fencing tokens that two lease holders use, and against a rollout that stops, because the store has lost
+// the lease.
+func TestLeaseSurvivesARestoredStore(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, 3, func(f *fleet) { f.addEngines(3) })
+	before := f.store.Copy()
+	loaded := func(version int) func() bool {
+		return func() bool {
+			for _, e := range f.engines {
+				if e.Version() != version {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	standin.SetDesiredVersion(f.store, 2)
+	require.Eventually(t, loaded(2), 15*time.Second, 20*time.Millisecond)
+	f.store.Restore(before)
+	standin.SetDesiredVersion(f.store, 2)
+	standin.SetDesiredVersion(f.store, 3)
+	require.Eventually(t, loaded(3), 20*time.Second, 20*time.Millisecond)
+	holders := map[int64]string{}
+	last := int64(0)
+	for _, o := range f.journal.Orders() {
+		if holders[o.FencingToken] == "" {
+			holders[o.FencingToken] = o.Holder
+		}
+		assert.Equal(t, holders[o.FencingToken], o.Holder, "two holders with the fencing token %d", o.FencingToken)
+		assert.GreaterOrEqual(t, o.FencingToken, last, "a lower fencing token after a higher one")
+		last = o.FencingToken
+	}
+}
