Do not send a refused request again on the connection that carried the refusal

Callers got 503, not run, for a request that an engine was running: a faulty engine wrote the refusal once more on the kept connection, and the copy bears the ID of the request that was sent again there. Foreign IDs were skipped before already. Change: a connection remembers the requests that were refused on it and does not carry them again. Test: TestSecondCopyOfARefusalIsNotTheResponseToTheRequestSentAgain, 503 for a request that ran before the change, 200 with it.

--- a/pkg/gateway/exchange/conn.go
+++ b/pkg/gateway/exchange/conn.go
@@ -10,6 +10,7 @@
 	"io"
 	"math"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -72,8 +73,13 @@
 	// idleTimeout is the time for which the idle connection may be reused.
 	idleTimeout time.Duration
 	idleSince   time.Time
+	// refused lists the IDs of the requests that were refused on the connection.
+	refused []string
 }
 
+// maxRefusals bounds conn.refused. A connection with more refusals is closed.
+const maxRefusals = 32
+
 func newConn(c net.Conn) *conn {
 	limit := &limitedReader{reader: c, left: math.MaxInt64}
 	pooled := &conn{Conn: c, reader: bufio.NewReaderSize(limit, readBufferBytes), limit: limit}
@@ -159,11 +165,12 @@
 	p.idle = valid
 }
 
-// get returns the most recently used idle connection that is still valid, or a new one.
-func (p *Pool) get(ctx context.Context) (*conn, error) {
+// get returns the most recently used idle connection that is still valid and has not refused the request with that ID, or a
+// new one. A faulty server may write an earlier refusal once more.
+func (p *Pool) get(ctx context.Context, requestID string) (*conn, error) {
 	now := time.Now()
 	for {
-		c := p.pop()
+		c := p.pop(requestID)
 		if c == nil {
 			break
 		}
@@ -182,15 +189,16 @@
 	return newConn(raw), nil
 }
 
-func (p *Pool) pop() *conn {
+func (p *Pool) pop(requestID string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle) == 0 {
-		return nil
+	for i, c := range slices.Backward(p.idle) {
+		if !slices.Contains(c.refused, requestID) {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return c
+		}
 	}
-	c := p.idle[len(p.idle)-1]
-	p.idle = p.idle[:len(p.idle)-1]
-	return c
+	return nil
 }
 
 func (p *Pool) put(c *conn) {
--- a/pkg/gateway/exchange/exchange.go
+++ b/pkg/gateway/exchange/exchange.go
@@ -31,6 +31,8 @@
 
 // Request is a request to a server. Its fields are written as they are.
 type Request struct {
+	// ID identifies the request among those to the server; see Response.MarkRefused.
+	ID     string
 	Method string
 	// Target is the request target: the path and query exactly as the client sent them.
 	Target string
@@ -69,9 +71,10 @@
 	// connection is closed, and a truncated body cannot be detected.
 	Framed bool
 
-	body io.ReadCloser
-	pool *Pool
-	conn *conn
+	requestID string
+	body      io.ReadCloser
+	pool      *Pool
+	conn      *conn
 	// stopWatching cancels the closing of the connection at the end of the context. It returns false
 	// if the context has already ended.
 	stopWatching func() bool
@@ -103,6 +106,15 @@
 	return r.conn.SetReadDeadline(deadline)
 }
 
+// MarkRefused records that the server has refused the request, so that the request is not sent again on the same
+// connection: a second copy of the refusal would seem to answer it.
+func (r *Response) MarkRefused() {
+	r.conn.refused = append(r.conn.refused, r.requestID)
+	if len(r.conn.refused) >= maxRefusals {
+		r.reusable = false
+	}
+}
+
 // Close returns the connection to the pool if the request was written, the response was read to its end,
 // no data followed it and both sides allow the reuse. Otherwise it closes the connection.
 func (r *Response) Close() {
@@ -142,7 +154,7 @@
 // are skipped, because a server may respond twice to an earlier request. The end of ctx closes the
 // connection. Errors are of type *Error.
 func Do(ctx context.Context, p *Pool, req Request, accept func(http.Header) bool) (*Response, error) {
-	c, err := p.get(ctx)
+	c, err := p.get(ctx, req.ID)
 	if err != nil {
 		return nil, &Error{cause: err}
 	}
@@ -165,8 +177,8 @@
 		if accept(response.Header) {
 			return &Response{
 				Status: response.StatusCode, Header: response.Header, body: response.Body, pool: p, conn: c, stopWatching: stopWatching,
-				Framed:     response.ContentLength >= 0 || len(response.TransferEncoding) > 0,
-				bodyWriter: writer, reusable: !response.Close && response.ProtoAtLeast(1, 1) && skipped == 0 && c.setIdleTimeout(response.Header),
+				Framed:    response.ContentLength >= 0 || len(response.TransferEncoding) > 0,
+				requestID: req.ID, bodyWriter: writer, reusable: !response.Close && response.ProtoAtLeast(1, 1) && skipped == 0 && c.setIdleTimeout(response.Header),
 			}, nil
 		}
 		// No response can follow one after which the server closes the connection.
--- a/pkg/gateway/forward/active_request.go
+++ b/pkg/gateway/forward/active_request.go
@@ -286,7 +286,7 @@
 		a.router.observe("queue_wait_ms", sentAt.Sub(a.receivedAt))
 	}
 	request := exchange.Request{
-		Method: a.req.Method, Target: a.req.RequestURI, Host: a.req.Host, Body: a.body,
+		ID: a.request.ID, Method: a.req.Method, Target: a.req.RequestURI, Host: a.req.Host, Body: a.body,
 		Header: a.router.opt.Protocol.EncodeRequest(a.req.Header, backendReq),
 	}
 	ctx, stopTimer := a.withStartDeadline(tracked, c)
@@ -369,6 +369,7 @@
 
 // handleRefusal returns the next step after a backend server has reported that it did not run the request.
 func (a *activeRequest) handleRefusal(c *backends.Choice, response *exchange.Response, info ResponseInfo) sendOutcome {
+	response.MarkRefused()
 	if response.Framed {
 		// The body is read only so that the connection can be reused.
 		if _, err := io.Copy(io.Discard, io.LimitReader(response, maxBufferedBytes)); err != nil {
