Attribute a refusal of an engine only to the request that it answers

The product's own node took the second copy of a refusal on a kept connection for the refusal of the next request, stated it as not run and could run it at a second engine. Change: engines repeat X-Request-Id in their responses; a refusal with another ID, or without one on a connection that was in use before, leaves the outcome unknown. A connection is closed after a refusal with a body.

--- a/pkg/engine/client.go
+++ b/pkg/engine/client.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"strings"
@@ -202,7 +203,9 @@
 
 // send returns the response if its status is 200, else an error. The caller closes the body.
 func (c *Client) send(request *http.Request) (*http.Response, error) {
-	response, err := c.http.Do(request)
+	var connection httptrace.GotConnInfo
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { connection = info }}
+	response, err := c.http.Do(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
 	if err != nil {
 		return nil, c.transportError(err)
 	}
@@ -210,9 +213,27 @@
 		return response, nil
 	}
 	defer response.Body.Close()
+	if response.ContentLength != 0 && connection.Conn != nil {
+		// A faulty engine may write a refusal once more, when the connection carries another request. Before the body is
+		// read, no other request uses the connection; most of the body has arrived with the header.
+		_ = connection.Conn.Close()
+	}
+	if !answers(response, request, connection.Reused) {
+		return nil, fault.New(fault.EngineFailed, "engine %s answered another request", c.baseURL).WithWork(fault.Unknown)
+	}
 	return nil, c.statusError(response)
 }
 
+// answers reports whether a response other than 200 belongs to a request. An engine repeats the ID of the request; without it,
+// only the first response on a connection is sure to belong to the request. Calls without an ID change nothing.
+func answers(response *http.Response, request *http.Request, reused bool) bool {
+	want, got := request.Header.Get(HeaderRequestID), response.Header.Get(HeaderRequestID)
+	if want == "" {
+		return true
+	}
+	return got == want || got == "" && !reused
+}
+
 // transportError maps a failed dial, after which no byte has reached the engine, to fault.NotRun and
 // failures on a connection to fault.Unknown.
 func (c *Client) transportError(err error) error {
--- a/pkg/standin/engine/respond.go
+++ b/pkg/standin/engine/respond.go
@@ -13,6 +13,9 @@
 const foreignRequestID = "request-of-another-caller"
 
 func (e *Engine) serveCompletion(w http.ResponseWriter, r *http.Request) {
+	if id := r.Header.Get(engine.HeaderRequestID); id != "" {
+		w.Header().Set(engine.HeaderRequestID, id)
+	}
 	var body engine.CompletionBody
 	if !decodeBody(w, r, &body) {
 		return
