Follow a list of the store that has one entry which cannot be decoded

One entry nested more than 10,000 levels deep made package encoding/json reject the whole list, so that nodes of the platform no longer followed it: a new backend server was not used (TestOddEntryAmongThoseOfTheBackendServersHidesNoOther, fails before). Change: package jsonsplit splits the response without decoding the objects' contents, which are decoded one by one.

--- a/cmd/cassiawall-node/main.go
+++ b/cmd/cassiawall-node/main.go
@@ -72,8 +72,10 @@
 	defer lines.Close(logFlushTimeout)
 	logger := slog.New(slog.NewJSONHandler(lines, &slog.HandlerOptions{Level: level}))
 	registry := metrics.New()
+	store := platform.NewStore(settings.StoreAddress, storeCallObserver(registry))
+	store.OnSkip = func(kind string, err error) { event.EntrySkipped.Emit(logger, "kind", kind, "error", err.Error()) }
 	n := node.New(node.Options{
-		Settings: settings, Protocol: platform.Headers{}, Store: platform.NewStore(settings.StoreAddress, storeCallObserver(registry)),
+		Settings: settings, Protocol: platform.Headers{}, Store: store,
 		Kinds:   node.Kinds{Config: platform.KindConfig, Backends: platform.KindServers, Versions: platform.KindVersions},
 		Decoder: platform.Decoder{}, Engines: platform.NewEngines(), CacheStore: platform.NewCacheStore(),
 		ReadyPath: platform.ReadyPath, Logger: logger, Metrics: registry, LinesDropped: lines.Dropped,
--- a/pkg/objects/call.go
+++ b/pkg/objects/call.go
@@ -30,8 +30,8 @@
 	OnResponse func(http.Header)
 }
 
-// Do makes the call and decodes the response into the value that into points to. Errors are of
-// package fault, except ErrHistoryGone.
+// Do makes the call and decodes the response into the value that into points to. A *[]byte receives the body as it is. Errors
+// are of package fault, except ErrHistoryGone.
 func (c Call) Do(ctx context.Context, client *http.Client, into any) error {
 	req, err := http.NewRequestWithContext(ctx, c.Method, c.URL, bytes.NewReader(c.Body))
 	if err != nil {
@@ -59,6 +59,10 @@
 	if response.StatusCode < 200 || response.StatusCode > 299 {
 		return statusError(response.StatusCode, body, work)
 	}
+	if raw, ok := into.(*[]byte); ok {
+		*raw = body
+		return nil
+	}
 	if err := json.Unmarshal(body, into); err != nil {
 		return fault.Wrap(err, fault.PlatformUnavailable, "invalid response from the object store").WithWork(work)
 	}
