--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -21,6 +21,7 @@
 	EngineOwnershipTaken = define(304, "engine ownership taken", slog.LevelInfo, "none")
 	DirectDispatch       = define(305, "dispatched without the engine's owner", slog.LevelInfo, "check the owner node if it repeats")
 	VMListUnavailable    = define(306, "VM list unavailable", slog.LevelWarn, "check the platform's VM list; the last known list stays in use")
+	VMListEntrySkipped   = define(307, "VM list entry skipped", slog.LevelWarn, "find the writer of the entry and correct it")
 	SlotExpired          = define(309, "slot expired without renewal", slog.LevelInfo, "check the entry node if it repeats")
 	CopyFailed           = define(320, "copy of cached pieces failed", slog.LevelInfo, "check the KV cache store if it repeats; the pieces are computed")
 
--- a/pkg/node/assemble.go
+++ b/pkg/node/assemble.go
@@ -19,6 +19,7 @@
 	"cassiawall.example/cassiawall/pkg/controller/rollout"
 	"cassiawall.example/cassiawall/pkg/engine"
 	"cassiawall.example/cassiawall/pkg/entry"
+	"cassiawall.example/cassiawall/pkg/event"
 	"cassiawall.example/cassiawall/pkg/limits"
 	"cassiawall.example/cassiawall/pkg/objects"
 	"cassiawall.example/cassiawall/pkg/peer"
@@ -63,7 +64,9 @@
 	n.store = objects.NewClient(s.Platform.Objects, client)
 	options := discovery.Options{Board: n.board, EngineRole: s.Engines.VMRole, Static: staticEngines(s), Logger: n.opt.Logger, Now: time.Now}
 	if s.Platform.VMs != "" {
-		options.VMs = vms.NewClient(s.Platform.VMs, client)
+		list := vms.NewClient(s.Platform.VMs, client)
+		list.OnSkip = func(err error) { event.VMListEntrySkipped.Emit(n.opt.Logger, "error", err.Error()) }
+		options.VMs = list
 	}
 	if s.Platform.Weights != "" {
 		n.weights = weights.NewClient(s.Platform.Weights, client)
