Keep errors of the next engine out of a stream that is continued

After a stream had begun and broken off, clients of the platform's node found a page, the text or the head of an error of the next engine in their stream if it came with status 200, and an empty response of another type ended the stream as if it were complete. Change: a continuation of a stream of events must be one, and a line that is no field of an event ends the send; complete events before it are relayed. Answers with an error status, refusals and unsigned answers were kept out before.

--- a/pkg/gateway/forward/events.go
+++ b/pkg/gateway/forward/events.go
@@ -8,6 +8,9 @@
 	pending []byte
 	// lastID is the ID of the last complete event that has one, or "".
 	lastID string
+	// strict is set if the stream is known to consist of events. malformed is set once it has had a line that none has, such as
+	// the head or the text of an error, which is not returned.
+	strict, malformed bool
 }
 
 // The blank line that ends an event follows the end of another line. Lines end with LF or CRLF.
@@ -31,10 +34,53 @@
 	end += searchFrom
 	complete := s.pending[:end]
 	s.pending = s.pending[end:]
+	if s.strict {
+		valid := validEvents(complete)
+		s.malformed = s.malformed || len(valid) < len(complete)
+		complete = valid
+	}
 	s.recordLastID(complete)
 	return complete
 }
 
+// validEvents returns the events before the first one with a line that is no field of an event.
+func validEvents(events []byte) []byte {
+	valid := 0
+	for at := 0; at < len(events); {
+		end := bytes.IndexByte(events[at:], '\n') + 1
+		if end == 0 {
+			end = len(events) - at
+		}
+		line := bytes.TrimRight(events[at:at+end], "\r\n")
+		at += end
+		if len(line) == 0 {
+			valid = at
+		} else if !isField(line) {
+			return events[:valid]
+		}
+	}
+	return events
+}
+
+// isField reports whether a line is a field of an event or a comment. The name of a field has no spaces; only the fields of
+// the specification may lack a value.
+func isField(line []byte) bool {
+	name, _, hasValue := bytes.Cut(line, []byte(":"))
+	if !hasValue {
+		switch string(name) {
+		case "data", "id", "event", "retry":
+			return true
+		}
+		return false
+	}
+	for _, c := range name {
+		if !('a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || '0' <= c && c <= '9' || c == '-' || c == '_') {
+			return false
+		}
+	}
+	return true
+}
+
 // lastEventEnd returns the index after the last event that ends in p, or -1.
 func lastEventEnd(p []byte) int {
 	end := -1
@@ -66,4 +112,4 @@
 func (s *eventSplitter) insideEvent() bool { return len(bytes.Trim(s.pending, "\r\n")) > 0 }
 
 // reset discards an incomplete event before the stream continues at another engine.
-func (s *eventSplitter) reset() { s.pending = s.pending[:0] }
+func (s *eventSplitter) reset() { s.pending, s.malformed = s.pending[:0], false }
--- a/pkg/gateway/forward/relay.go
+++ b/pkg/gateway/forward/relay.go
@@ -115,6 +115,8 @@
 	errStreamIdle   = fmt.Errorf("no complete event for %v", streamIdleTimeout)
 	errInsideEvent  = errors.New("the stream ended inside an event")
 	errNoEvent      = errors.New("the connection was closed before the first event")
+	errNoField      = errors.New("the stream has a line that is no field of an event")
+	errOtherType    = errors.New("the continuation of a stream of events has another type")
 )
 
 // streamIdleTimeout is the time without a complete event after which a resumable stream continues at another
@@ -128,6 +130,12 @@
 	var buffer [streamReadBytes]byte
 	var latency time.Duration
 	lastEventAt := time.Now()
+	a.events.strict = a.events.strict || isEventStream(response.Header)
+	if a.headerWritten && a.events.strict && !isEventStream(response.Header) {
+		c.Done(backends.Failure, 0)
+		a.recordSendFailed(c, phaseResponse, errOtherType.Error(), response.Status)
+		return a.retryAfterRun()
+	}
 	for {
 		n, err := a.readStream(response, buffer[:], lastEventAt)
 		if n > 0 {
@@ -153,6 +161,9 @@
 		if err == io.EOF {
 			err = a.checkStreamEnd(response)
 		}
+		if a.events.malformed {
+			err = errNoField
+		}
 		switch {
 		case err == nil:
 		case err == io.EOF:
