Heed servers that leave, or ask for a pause, in their responses

Shown first: with the store away, nodes went on sending to an engine that said in each response that it would stop (95 requests later than 2 s after they had heard it); a server that answered 503 with Retry-After 2 got 11 requests in the middle second of the pause, 50 in all. Cause: neither was read; a refusal only made other servers preferred for 250 ms. Change: what a server states in the header of a response becomes one value, read in one place (DecodeNotice, which also reads the limit), and reaches placement through the registry. A server that leaves gets nothing more until it starts again; a pause binds this node, whose return is spread. Requests for which all servers are paused are refused at once.

--- a/pkg/gateway/backends/assign.go
+++ b/pkg/gateway/backends/assign.go
@@ -82,7 +82,7 @@
 		}
 		loading := now.Before(m.loadingUntil)
 		assignments[m.ID] = Assignment{Long: load.Long, Short: load.Short, Loading: loading, Down: down}
-		if !loading && !down && !m.Leaving && m.suspectSince.IsZero() && now.After(m.pausedUntil) {
+		if !loading && !down && !m.leaves() && m.suspectSince.IsZero() && now.After(m.pausedUntil) {
 			groups[m.Service] = append(groups[m.Service], engineLoad{
 				id: m.ID, version: m.version(m.Models[0].Name), slots: m.Slots, long: load.Long,
 			})
--- a/pkg/gateway/backends/backends.go
+++ b/pkg/gateway/backends/backends.go
@@ -87,6 +87,9 @@
 	loadingUntil time.Time
 	score        score
 	limit        quota.Server
+	// statedLeavingAt is the time at which a response stated that the server will stop, and statedPauseUntil the time until
+	// which it wants no requests from this node. Both are on the clock of clock.Now.
+	statedLeavingAt, statedPauseUntil time.Time
 	// suspectSince is set while the entry is missing after an outage of the store. relistedAt is set if the same entry has
 	// been listed again since.
 	suspectSince, relistedAt time.Time
@@ -98,6 +101,9 @@
 	return max(m.Backend.version(model), m.observedVersions[model])
 }
 
+// leaves reports whether the server's listing or one of its responses states that it will stop.
+func (m *member) leaves() bool { return m.Leaving || !m.statedLeavingAt.IsZero() }
+
 // Assignment is what the leader decides about one backend server. Heartbeats of earlier versions encode it as an
 // array, so the order and types of its fields are a format.
 type Assignment struct {
@@ -141,7 +147,9 @@
 	byHash map[uint32]*member
 	// departed holds the last listings of servers that are no longer listed, by ID.
 	departed map[string]*departure
-	permits  permitState
+	// drainLimit is set by SetDrainLimit.
+	drainLimit time.Duration
+	permits    permitState
 }
 
 // NewRegistry returns an empty registry of a node in dataCentre.
@@ -285,7 +293,7 @@
 	defer r.mu.Unlock()
 	var found []Engine
 	for _, m := range r.members {
-		if v := m.version(model); v > 0 && !m.Leaving && m.suspectSince.IsZero() {
+		if v := m.version(model); v > 0 && !m.leaves() && m.suspectSince.IsZero() {
 			found = append(found, Engine{ID: m.ID, Address: m.Address, Started: m.Started, Version: v, Long: m.runningLong(now), Short: m.running(now) - m.runningLong(now), Down: m.isDown(now)})
 		}
 	}
--- a/pkg/gateway/backends/departures.go
+++ b/pkg/gateway/backends/departures.go
@@ -57,6 +57,7 @@
 	}
 	if len(r.departed) < maxDepartures {
 		d := &departure{Backend: m.Backend, at: clock.Now()}
+		d.Leaving = m.leaves()
 		if !m.relistedAt.IsZero() {
 			d.relisted, d.relistedAt = &d.Backend, m.relistedAt
 		}
--- a/pkg/gateway/backends/pick.go
+++ b/pkg/gateway/backends/pick.go
@@ -66,7 +66,9 @@
 // CandidateCounts counts the backend servers of a service by their eligibility for a request: available,
 // or the reason why not.
 type CandidateCounts struct {
-	Available, Paused, Leaving, Loading, Tried, OldWeights, Limited int
+	Available, Paused, Leaving, Loading, Tried, OldWeights, Limited, Shedding int
+	// SheddingUntil is the earliest end of a pause that a server has asked for, on the clock of clock.Now, or zero.
+	SheddingUntil time.Time
 	// Running is the number of requests known to be running on the picked server.
 	Running int
 	// HeartbeatAge is the age of the leader heartbeat with the picked one's assignment, or 0 if there is none
@@ -253,10 +255,11 @@
 func (r *Registry) candidates(q Query, now time.Time) ([]*member, CandidateCounts) {
 	var available, paused []*member
 	var counts CandidateCounts
-	permitNow := clock.Now()
+	noticeNow := clock.Now()
 	for _, m := range r.byService[q.Service] {
+		leaving := r.statedLeaving(m, noticeNow)
 		switch {
-		case m.isLeaving(now):
+		case m.isLeaving(now), leaving == left:
 			counts.Leaving++
 		case m.isLoading(now):
 			counts.Loading++
@@ -264,9 +267,14 @@
 			counts.Tried++
 		case q.Model != "" && (m.version(q.Model) == 0 || m.version(q.Model) < q.MinVersion):
 			counts.OldWeights++
-		case !r.hasPermit(m, permitNow):
+		case noticeNow.Before(m.statedPauseUntil):
+			counts.Shedding++
+			if counts.SheddingUntil.IsZero() || m.statedPauseUntil.Before(counts.SheddingUntil) {
+				counts.SheddingUntil = m.statedPauseUntil
+			}
+		case !r.hasPermit(m, noticeNow):
 			counts.Limited++
-		case m.isPaused(now):
+		case m.isPaused(now), leaving == lastResort:
 			counts.Paused++
 			paused = append(paused, m)
 		default:
--- a/pkg/gateway/backends/states.go
+++ b/pkg/gateway/backends/states.go
@@ -178,7 +178,7 @@
 	states := make([]State, 0, len(r.members))
 	for id, m := range r.members {
 		s := State{Hash: m.idHash, Assignment: assignments[id]}
-		s.Leaving = m.Leaving
+		s.Leaving = m.leaves()
 		if len(m.Models) > 0 {
 			s.Version = m.version(m.Models[0].Name)
 		}
--- a/pkg/gateway/forward/active_request.go
+++ b/pkg/gateway/forward/active_request.go
@@ -72,8 +72,8 @@
 	firstByteAt time.Time
 	// noBackendTraced is set once the trace records that no backend server was available.
 	noBackendTraced bool
-	// limited is set if the last pick found a backend server that only its limit excluded.
-	limited bool
+	// excluded counts why the last pick found no backend server.
+	excluded backends.CandidateCounts
 	// saveRequested is set if the current send requests that the engine save the prompt to the KV cache store.
 	saveRequested bool
 	// prefixHashes caches the result of sharedPrefixHashes for prefixHashesVersion.
@@ -202,7 +202,7 @@
 		if c != nil {
 			return c
 		}
-		a.limited = considered.Limited > 0
+		a.excluded = considered
 		a.traceNoBackend(considered)
 		if a.runs == 0 {
 			// A backend server that refused the request may accept it now.
@@ -212,6 +212,9 @@
 		if a.router.opt.Backends.Loading(a.service, now) {
 			maxWait = a.route.LatencyObjective / 2
 		}
+		if isPausedBeyond(considered, maxWait-now.Sub(a.receivedAt)) {
+			return nil
+		}
 		if now.Sub(a.receivedAt) > maxWait || !wait.Pause(a.ctx, pickInterval) {
 			return nil
 		}
@@ -305,7 +308,10 @@
 	defer response.Close()
 	a.router.observe("backend_first_byte_ms", time.Since(sentAt))
 	info := a.router.opt.Protocol.DecodeResponse(response.Header)
-	a.observeLimit(c, info.Limit, sendTime)
+	if response.Status != http.StatusMisdirectedRequest {
+		// With that status, another server may have responded.
+		a.router.notices.Observe(c.ID, c.Started, a.router.opt.Protocol.DecodeNotice(response.Status, response.Header), sendTime, a.request.ID)
+	}
 	if a.request.Model != "" && info.WeightsVersion > 0 {
 		a.router.opt.Backends.ObserveVersion(c.ID, c.Started, a.request.Model, info.WeightsVersion)
 	}
--- a/pkg/gateway/forward/errors.go
+++ b/pkg/gateway/forward/errors.go
@@ -33,6 +33,8 @@
 			retryAfter = max(a.retryAfter, minQuarantineRetryAfter)
 		case causeLimited:
 			retryAfter = spreadRetryAfter(remaining)
+		case causeShedding:
+			retryAfter = retryAfterPause(a.excluded.SheddingUntil)
 		}
 		writeRefusal(a.w, reason, retryAfter)
 	case a.failedResponse != nil:
--- a/pkg/gateway/forward/forward_test.go
+++ b/pkg/gateway/forward/forward_test.go
@@ -54,6 +54,14 @@
 	return ResponseInfo{RequestID: h.Get("Id"), Signed: h.Get("Sig") != "", NotRun: h.Get("Not-Run") != ""}
 }
 
+func (testProtocol) DecodeNotice(status int, h http.Header) backends.Notice {
+	n := backends.Notice{Leaving: h.Get("Leaving") != ""}
+	if seconds, err := strconv.ParseFloat(h.Get("Retry-After"), 64); err == nil && status == http.StatusServiceUnavailable {
+		n.Pause = time.Duration(seconds * float64(time.Second))
+	}
+	return n
+}
+
 func (testProtocol) CopyResponseHeader(dst, src http.Header) { dst.Set("Sig", src.Get("Sig")) }
 
 // fakeBackend is a backend server that responds with the result of a function and records its requests.
--- a/pkg/gateway/forward/protocol.go
+++ b/pkg/gateway/forward/protocol.go
@@ -7,7 +7,7 @@
 	"net/http"
 	"time"
 
-	"cassiawall.example/cassiawall/pkg/gateway/quota"
+	"cassiawall.example/cassiawall/pkg/gateway/backends"
 )
 
 // Protocol maps the headers of clients and backend servers to the types of this package.
@@ -20,6 +20,8 @@
 	EncodeRequest(client http.Header, backendReq BackendRequest) http.Header
 	// DecodeResponse parses the headers of a backend server's response.
 	DecodeResponse(h http.Header) ResponseInfo
+	// DecodeNotice returns what the headers of a response with that status state about the backend server.
+	DecodeNotice(status int, h http.Header) backends.Notice
 	// CopyResponseHeader copies the headers of a backend server's response that are meant for the client.
 	CopyResponseHeader(dst, src http.Header)
 }
@@ -89,6 +91,4 @@
 	NotRun bool
 	// WeightsVersion is the version of the model weights that produced the response, or 0 if unknown.
 	WeightsVersion int
-	// Limit is what the backend server states about the rate of requests that it takes.
-	Limit quota.Statement
 }
--- a/pkg/gateway/forward/router.go
+++ b/pkg/gateway/forward/router.go
@@ -55,11 +55,12 @@
 	saveLimiter *rate.Limiter
 	// rejectionLogLimiter limits the rate of log lines about requests that are rejected.
 	rejectionLogLimiter *rate.Limiter
+	notices             *Notices
 }
 
 // NewRouter returns a router.
 func NewRouter(opt Options) *Router {
-	return &Router{opt: opt, saveLimiter: rate.NewLimiter(savesPerSecond, saveBurst), rejectionLogLimiter: rate.NewLimiter(rejectionLogsPerSecond, rejectionLogsPerSecond)}
+	return &Router{opt: opt, notices: NewNotices(opt.Backends, opt.Logger, opt.Metrics), saveLimiter: rate.NewLimiter(savesPerSecond, saveBurst), rejectionLogLimiter: rate.NewLimiter(rejectionLogsPerSecond, rejectionLogsPerSecond)}
 }
 
 // rejectionLogsPerSecond is the rate and the burst of log lines about requests that are rejected.
@@ -82,6 +83,7 @@
 	causeRefused     = "backend servers refused"
 	causeQuarantined = "prompt part is quarantined: engines crash on it"
 	causeInDoubt     = "engines crash on requests like this"
+	causeShedding    = "backend servers have asked this node for a pause"
 	causeLimited     = "backend servers are at the limits that they state"
 )
 
--- a/pkg/gateway/forward/trace.go
+++ b/pkg/gateway/forward/trace.go
@@ -44,7 +44,7 @@
 		return
 	}
 	a.noBackendTraced = true
-	a.trace.Add(event.NoBackend, "leaving", counts.Leaving, "loading", counts.Loading, "tried", counts.Tried, "old_weights", counts.OldWeights, "limited", counts.Limited)
+	a.trace.Add(event.NoBackend, "leaving", counts.Leaving, "loading", counts.Loading, "tried", counts.Tried, "old_weights", counts.OldWeights, "limited", counts.Limited, "shedding", counts.Shedding)
 }
 
 // sendPhase is how far a failed send had come, in log lines and metric labels.
--- a/pkg/gateway/node/node.go
+++ b/pkg/gateway/node/node.go
@@ -35,6 +35,11 @@
 	Config, Backends, Versions string
 }
 
+// noticeSource is a client of the engines that passes on what they state about themselves.
+type noticeSource interface {
+	SetOnNotice(func(t weights.Target, n backends.Notice))
+}
+
 // Options configures a Node.
 type Options struct {
 	Settings Settings
@@ -126,6 +131,16 @@
 
 		prefixCounts: popularity.NewCounter(), prefixRates: popularity.NewRates(),
 	}
+	n.registry.SetDrainLimit(opt.Settings.ChangeDeadline)
+	if source, ok := opt.Engines.(noticeSource); ok {
+		notices := forward.NewNotices(n.registry, opt.Logger, opt.Metrics)
+		source.SetOnNotice(func(t weights.Target, notice backends.Notice) {
+			// Limits and pauses are for requests of clients.
+			if notice.Leaving {
+				notices.ObserveLeaving(t.ID, t.Started, "")
+			}
+		})
+	}
 	n.quarantine = n.newQuarantine()
 	n.mirrors = []*mirror.Mirror{
 		n.newMirror(opt.Kinds.Config, n.config, 0),
