--- a/pkg/gateway/backends/backends.go
+++ b/pkg/gateway/backends/backends.go
@@ -233,35 +233,6 @@
 	go m.pool.Close()
 }
 
-// MarkSuspect marks backend servers that are missing from a list which followed an outage of the store. Put
-// clears the mark.
-func (r *Registry) MarkSuspect(ids []string, now time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, id := range ids {
-		if d := r.departed[id]; d != nil {
-			d.relisted = nil
-		}
-		if m := r.members[id]; m != nil && m.suspectSince.IsZero() {
-			m.suspectSince, m.relistedAt = now, time.Time{}
-		}
-	}
-}
-
-// RemoveSuspects drops backend servers that have been suspect for timeout and returns their IDs.
-func (r *Registry) RemoveSuspects(now time.Time, timeout time.Duration) []string {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var removed []string
-	for id, m := range r.members {
-		if !m.suspectSince.IsZero() && now.Sub(m.suspectSince) >= timeout {
-			r.departLocked(m)
-			removed = append(removed, id)
-		}
-	}
-	return removed
-}
-
 // IDs returns the IDs of all known backend servers.
 func (r *Registry) IDs() []string {
 	r.mu.Lock()
--- a/pkg/gateway/forward/active_request.go
+++ b/pkg/gateway/forward/active_request.go
@@ -12,7 +12,6 @@
 	"cassiawall.example/cassiawall/pkg/gateway/cachemap"
 	"cassiawall.example/cassiawall/pkg/gateway/decisions"
 	"cassiawall.example/cassiawall/pkg/gateway/exchange"
-	"cassiawall.example/cassiawall/pkg/gateway/popularity"
 	"cassiawall.example/cassiawall/pkg/gateway/quarantine"
 	"cassiawall.example/cassiawall/pkg/gateway/routes"
 	"cassiawall.example/cassiawall/pkg/wait"
@@ -174,53 +173,6 @@
 	return false
 }
 
-// pickBackend returns a backend server, or nil if none becomes available in time. It waits for up to
-// half of the latency objective while engines load new weights, because they are soon available again.
-// Otherwise it waits for an eighth only: after an early refusal the client still has time to try another
-// node.
-func (a *activeRequest) pickBackend() *backends.Choice {
-	query := backends.Query{Service: a.service, Model: a.request.Model, Exclude: a.tried, Affinity: a.affinityKey(), HomeDataCentre: a.homeDataCentre(), Long: a.isDecodeHeavy()}
-	prefixVersion := 0
-	for {
-		now := time.Now()
-		if a.ctx.Err() != nil || a.req.Context().Err() != nil || a.remaining(now) < minRemaining {
-			return nil
-		}
-		if a.request.Model != "" {
-			weightsNow := clock.Now()
-			newest, since, lowest := a.router.opt.Weights.DesiredVersions(a.request.Model, weightsNow)
-			query.MinVersion = lowest
-			query.PreferVersion = 0
-			prefixVersion = newest
-			if weightsNow.Sub(since) >= preferNewestDelay {
-				query.PreferVersion = newest
-			}
-		}
-		query.PrefixEngine = a.engineWithPrefix(prefixVersion, now)
-		query.PrefixRate = a.router.opt.PrefixRates.Rate(popularity.Key(query.Affinity), now)
-		c, considered := a.router.opt.Backends.Pick(query, now)
-		if c != nil {
-			return c
-		}
-		a.excluded = considered
-		a.traceNoBackend(considered)
-		if a.runs == 0 {
-			// A backend server that refused the request may accept it now.
-			query.Exclude = nil
-		}
-		maxWait := a.route.LatencyObjective / 8
-		if a.router.opt.Backends.Loading(a.service, now) {
-			maxWait = a.route.LatencyObjective / 2
-		}
-		if isPausedBeyond(considered, maxWait-now.Sub(a.receivedAt)) {
-			return nil
-		}
-		if now.Sub(a.receivedAt) > maxWait || !wait.Pause(a.ctx, pickInterval) {
-			return nil
-		}
-	}
-}
-
 // remaining returns the time until the timeout of the client or the route.
 func (a *activeRequest) remaining(now time.Time) time.Duration {
 	return a.timeout - now.Sub(a.receivedAt)
--- a/pkg/gateway/forward/notice.go
+++ b/pkg/gateway/forward/notice.go
@@ -2,7 +2,6 @@
 
 import (
 	"log/slog"
-	"math/rand/v2"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -79,40 +78,3 @@
 		e.Emit(n.logger, args...)
 	}
 }
-
-// noBackendCause returns the cause of a request for which no backend server was available.
-func (a *activeRequest) noBackendCause() string {
-	switch {
-	case a.excluded.Limited > 0:
-		return causeLimited
-	case a.excluded.Shedding > 0:
-		return causeShedding
-	}
-	return causeNoBackend
-}
-
-// isPausedBeyond reports whether all backend servers that a request may use want no requests from this node until after a
-// time.
-func isPausedBeyond(counts backends.CandidateCounts, wait time.Duration) bool {
-	return counts.Shedding > 0 && counts.Limited == 0 && counts.Loading == 0 && clock.Until(counts.SheddingUntil) > wait
-}
-
-// spreadRetryAfter returns a time from refusalRetryAfter to a quarter of the remaining time. Requests that the limits of
-// backend servers exclude then return as a rate that the permits of the next seconds can serve, and not all at once.
-func spreadRetryAfter(remaining time.Duration) time.Duration {
-	latest := remaining / 4
-	if latest <= refusalRetryAfter {
-		return max(latest, 0)
-	}
-	return refusalRetryAfter + rand.N(latest-refusalRetryAfter)
-}
-
-// retryAfterPause returns the time until a pause ends, and up to a quarter or a second more, so that requests do not return all
-// at once.
-func retryAfterPause(until time.Time) time.Duration {
-	left := max(clock.Until(until), minPauseRetryAfter)
-	return left + rand.N(min(left/4, time.Second)+1)
-}
-
-// minPauseRetryAfter is the shortest Retry-After of a request that pauses exclude.
-const minPauseRetryAfter = 50 * time.Millisecond
--- a/pkg/gateway/weights/controller.go
+++ b/pkg/gateway/weights/controller.go
@@ -3,9 +3,7 @@
 import (
 	"cmp"
 	"context"
-	"encoding/json"
 	"errors"
-	"fmt"
 	"log/slog"
 	"sync"
 	"time"
@@ -117,15 +115,6 @@
 	tokensPerEra = 1 << 32
 )
 
-// leaseName returns the name of the lease object in an era. Each era has its own object: a write whose condition is from an
-// earlier era, and that reaches the restored store late, cannot change the lease.
-func leaseName(era int64) string {
-	if era == 0 {
-		return leaseObjectName
-	}
-	return fmt.Sprintf("%s-%d", leaseObjectName, era)
-}
-
 // LeaseTiming returns the lease timing for a platform that counts orders of two lease holders less than
 // leaderChangeGap apart as a conflict.
 func LeaseTiming(leaderChangeGap time.Duration) lease.Timing {
@@ -212,54 +201,6 @@
 	c.opt.AnnounceLease()
 }
 
-// HoldsLease reports whether this node holds the lease and may send orders.
-func (c *Controller) HoldsLease() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.holdsLease
-}
-
-// ActingLeader reports whether this node sends the leader heartbeats: while it holds the lease, and after
-// it has released the lease until another node takes it.
-func (c *Controller) ActingLeader() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.holdsLease || c.lease.Released()
-}
-
-// Leader returns the peer address of the last known lease holder, or "" if the lease is free or unknown.
-func (c *Controller) Leader() string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.lease.Holder()
-}
-
-// LeaseRecord returns the last known lease record in its stored form, and the version of the object.
-func (c *Controller) LeaseRecord() ([]byte, uint64) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	record, version := c.lease.LastRecord()
-	value, err := json.Marshal(record)
-	if err != nil {
-		// A record holds only strings, numbers and a flag.
-		panic(err)
-	}
-	return value, version
-}
-
-// ObserveLease applies a lease record in stored form that the leader has sent, as if it had been read
-// from the store. A record that does not decode is logged and ignored.
-func (c *Controller) ObserveLease(value []byte, version uint64, now time.Time) {
-	record, err := lease.DecodeRecord(value)
-	if err != nil {
-		event.LeaseDamaged.Emit(c.opt.Logger, "error", err.Error())
-		return
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.lease.ObserveRemote(record, version, now)
-}
-
 // reconcile makes the next lease call and orders the next loads of each model.
 func (c *Controller) reconcile(ctx context.Context) {
 	if c.opt.MayCallStore() {
@@ -271,86 +212,12 @@
 	}
 }
 
-// advanceLease starts the next call to acquire, renew or release the lease, if one is due. desired is
-// set if this node should hold the lease.
-func (c *Controller) advanceLease(ctx context.Context, desired bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.leaseCallInProgress || !c.enterEraLocked() {
-		return
-	}
-	action := c.lease.Next(time.Now(), desired, 0)
-	c.updateHeldLocked()
-	if action.Kind == lease.None {
-		return
-	}
-	name := leaseName(c.era)
-	c.leaseCallInProgress = true
-	c.start(func() {
-		callCtx, cancel := context.WithTimeout(ctx, leaseCallTimeout)
-		defer cancel()
-		var version uint64
-		var object objects.Object
-		var err error
-		if action.Kind == lease.Read {
-			object, err = c.opt.Leases.Get(callCtx, name)
-		} else {
-			version, err = c.opt.Leases.Put(callCtx, name, action.Value, action.IfVersion)
-		}
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		c.leaseCallInProgress = false
-		if era, _ := c.opt.Leases.Era(); era != c.era {
-			// The call may have reached the restored store. What it did there concerns the object of an earlier era.
-			c.enterEraLocked()
-		} else if action.Kind == lease.Write {
-			c.lease.WriteDone(version, err, time.Now())
-		} else if damaged := c.lease.ReadDone(object, err, time.Now()); damaged != nil {
-			event.LeaseDamaged.Emit(c.opt.Logger, "object", name, "error", damaged.Error())
-		}
-		c.updateHeldLocked()
-	})
-}
-
-// enterEraLocked adapts the lease to the era of the store. It returns false while the era is not known.
-func (c *Controller) enterEraLocked() bool {
-	era, known := c.opt.Leases.Era()
-	if !known || c.eraKnown && era == c.era {
-		return known
-	}
-	minToken := uint64(era) * tokensPerEra
-	if c.eraKnown {
-		event.LeaseStoreRestored.Emit(c.opt.Logger, "era", era, "held", c.holdsLease)
-		c.lease.Restored(uint64(objects.Position(era, 0)), minToken, time.Now())
-	} else {
-		c.lease.SetMinToken(minToken)
-	}
-	c.era, c.eraKnown = era, true
-	return true
-}
-
 // start runs a call to the store or an engine in a goroutine. A panic of the call does not end the process.
 func (c *Controller) start(call func()) {
 	guard := recovery.Guard{Logger: c.opt.Logger, Metrics: c.opt.Metrics}
 	c.inFlight.Go(func() { guard.Run("weights", call) })
 }
 
-// updateHeldLocked records and logs whether this node holds the lease. A change discards the records of
-// orders, because another leader may have sent orders in the meantime.
-func (c *Controller) updateHeldLocked() {
-	fencingToken, held := c.lease.MaySend(time.Now())
-	if held == c.holdsLease {
-		return
-	}
-	c.holdsLease = held
-	clear(c.engineOrders)
-	if held {
-		event.LeaseTaken.Emit(c.opt.Logger, "fencing", fencingToken)
-	} else {
-		event.LeaseLost.Emit(c.opt.Logger, "holder", c.lease.Holder())
-	}
-}
-
 // orderLoads orders the next engines of a model to load a version.
 func (c *Controller) orderLoads(ctx context.Context, model string, version int) {
 	c.mu.Lock()
