Let a fleet whose store was never restored take a missing lease at once

Cause: any missing record counted as lost. Only a store that was restored can have lost one. Change: the wait depends on the era.

--- a/pkg/gateway/forward/notice.go
+++ b/pkg/gateway/forward/notice.go
@@ -35,7 +35,8 @@
 		n.ObserveLeaving(id, started, request)
 	}
 	if notice.InvalidPause != "" {
-		n.invalid(event.PauseInvalid, "pauses_invalid", "backend", id, "retry_after", notice.InvalidPause, "pause_ms", notice.Pause.Milliseconds(), "request", request)
+		n.metrics.Counter("pauses_invalid").Inc(1)
+		n.logInvalid(event.PauseInvalid, "backend", id, "retry_after", notice.InvalidPause, "pause_ms", notice.Pause.Milliseconds(), "request", request)
 	}
 	if notice.Pause > 0 {
 		n.metrics.Counter("backend_pauses").Inc(1)
@@ -56,7 +57,8 @@
 func (n *Notices) observeLimit(id string, started int64, notice backends.Notice, sentAt time.Time, request string) {
 	statement := notice.Limit
 	if statement.Invalid != "" {
-		n.invalid(event.LimitInvalid, "limits_invalid", "backend", id, "limit", statement.Invalid, "request", request)
+		n.metrics.Counter("limits_invalid").Inc(1)
+		n.logInvalid(event.LimitInvalid, "backend", id, "limit", statement.Invalid, "request", request)
 		return
 	}
 	if statement.Limited {
@@ -72,8 +74,7 @@
 	}
 }
 
-func (n *Notices) invalid(e event.Event, counter string, args ...any) {
-	n.metrics.Counter(counter).Inc(1)
+func (n *Notices) logInvalid(e event.Event, args ...any) {
 	if n.logLimiter.Allow() {
 		e.Emit(n.logger, args...)
 	}
--- a/pkg/gateway/node/node.go
+++ b/pkg/gateway/node/node.go
@@ -173,8 +173,6 @@
 	s := n.opt.Settings
 	n.board = newBoard(n)
 	timing := weights.LeaseTiming(s.LeaderChangeGap)
-	// Only before the first start of all nodes is there no lease that the store could have lost.
-	timing.RecordMayBeLost = !s.FirstStart
 	if s.LinkMbps < minLeaderLinkMbps {
 		timing.AcquireDelay = slowLinkLeaseDelay
 	}
--- a/pkg/gateway/weights/holder.go
+++ b/pkg/gateway/weights/holder.go
@@ -116,11 +116,12 @@
 		return known
 	}
 	minToken := uint64(era) * tokensPerEra
-	if c.eraKnown {
+	switch {
+	case c.eraKnown:
 		event.LeaseStoreRestored.Emit(c.opt.Logger, "era", era, "held", c.holdsLease)
 		c.lease.Restored(uint64(objects.Position(era, 0)), minToken, time.Now())
-	} else {
-		c.lease.SetMinToken(minToken)
+	case era > 0:
+		c.lease.SetRecordMayBeLost(minToken)
 	}
 	c.era, c.eraKnown = era, true
 	return true
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -43,9 +43,6 @@
 	// AcquireDelay is added to each wait before this node acquires the lease, so that nodes with a
 	// shorter one are preferred.
 	AcquireDelay time.Duration
-	// RecordMayBeLost is set if the store may lose a record that it has acknowledged. A lease without a record is then
-	// acquired only after the time for which its former holder may send orders.
-	RecordMayBeLost bool
 }
 
 // DefaultTiming is the timing that New uses.
@@ -136,6 +133,8 @@
 	// minVersion is the lowest version of a record that the store may still hold, and minToken the highest fencing token that
 	// may have been given before. They rise when the store is restored.
 	minVersion, minToken uint64
+	// recordMayBeLost is set if the store was restored from a copy, so that a lease without a record may have a holder.
+	recordMayBeLost bool
 	// retryAt is the time before which no call is made, after a failed one.
 	retryAt time.Time
 }
@@ -204,7 +203,7 @@
 // flight. Only the monotonic clock is used: it cannot be set forward, which would shorten the wait.
 func (l *Lease) acquireWait() time.Duration {
 	switch {
-	case l.version == 0 && !l.timing.RecordMayBeLost:
+	case l.version == 0 && !l.recordMayBeLost:
 		return l.timing.AcquireDelay
 	case l.version == 0:
 		return l.timing.TTL + l.timing.MaxDeliveryDelay + l.timing.AcquireDelay
@@ -298,13 +297,17 @@
 // The call in progress, if any, has ended without a valid result. A lease that this instance holds stays held for its time:
 // no other node may acquire it earlier, and the next renewal creates the object.
 func (l *Lease) Restored(minVersion, minToken uint64, now time.Time) {
-	l.callInProgress, l.timing.RecordMayBeLost = false, true
-	l.minVersion, l.minToken = minVersion, max(minToken, l.minToken)
+	l.callInProgress = false
+	l.SetRecordMayBeLost(minToken)
+	l.minVersion = minVersion
 	l.version, l.observedAt, l.recordCurrent = 0, now, true
 }
 
-// SetMinToken sets a fencing token that is at least as high as all tokens before.
-func (l *Lease) SetMinToken(minToken uint64) { l.minToken = max(l.minToken, minToken) }
+// SetRecordMayBeLost sets that the store may have lost a record that it had acknowledged. A lease without a record is then
+// acquired only after the time for which its former holder may send orders, with a fencing token above minToken.
+func (l *Lease) SetRecordMayBeLost(minToken uint64) {
+	l.recordMayBeLost, l.minToken = true, max(l.minToken, minToken)
+}
 
 // discardSendTimes removes the send times of writes with a lower sequence number than the stored record.
 func (l *Lease) discardSendTimes(stored uint64) {
--- a/pkg/lease/restored_test.go
+++ b/pkg/lease/restored_test.go
@@ -49,10 +49,9 @@
 // because the store has lost the record.
 func TestLostRecordIsNotTakenForAFreeLease(t *testing.T) {
 	now := time.UnixMilli(1_800_000_000_000)
-	timing := DefaultTiming
-	timing.RecordMayBeLost = true
-	contenders := map[string]*Lease{"started after the store was restored": NewWithTiming("b", "b/1", timing)}
-	contenders["started after the store was restored"].SetMinToken(50)
+	started := New("b", "b/1")
+	started.SetRecordMayBeLost(50)
+	contenders := map[string]*Lease{"started after the store was restored": started}
 	before := New("b", "b/1")
 	before.ObserveRemote(Record{Holder: "a", Instance: "a/1", FencingToken: 70, Sequence: 1}, 5, now)
 	before.Restored(1000, 50, now)
