--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"fmt"
-	"maps"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -163,8 +161,7 @@
 }
 
 // drawSchedule draws random faults that begin within period, in series of 1 to 3 that overlap.
-func drawSchedule(random *rand.Rand, period time.Duration) []fault {
-	kinds := slices.Sorted(maps.Keys(faults))
+func drawSchedule(random *rand.Rand, kinds []string, period time.Duration) []fault {
 	var drawn []fault
 	for at := time.Duration(0); at < period; {
 		count := 1 + random.IntN(3)
@@ -188,7 +185,7 @@
 	for _, injected := range scheduled {
 		group.Go(func() {
 			time.Sleep(time.Until(started.Add(injected.at)))
-			faults[injected.kind](f, injected.target, injected.duration)
+			injectorOf(injected.kind)(f, injected.target, injected.duration)
 		})
 	}
 	group.Wait()
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -46,7 +46,7 @@
 // of old weights, orders of two leaders under one fencing token, and nodes that do not recover.
 func TestSoak(t *testing.T) {
 	binary := buildNode(t)
-	selected := []uint64{defaultSeed}
+	selected := []uint64{defaultSeed, firstNoticeSeed}
 	for seed := range regressions {
 		selected = append(selected, seed)
 	}
@@ -92,7 +92,7 @@
 // checks the outcome.
 func runSeed(t *testing.T, binary string, seed uint64) {
 	random := rand.New(rand.NewPCG(seed, 0))
-	scheduled := drawSchedule(random, *faultPeriod)
+	scheduled := drawSchedule(random, kindsOf(seed), *faultPeriod)
 	f, ctx := startFleet(t, binary)
 	load := &traffic{}
 	trafficCtx, endTraffic := context.WithCancel(ctx)
