Bound the work for huge limits, and keep the lease's state up to date during its calls

Found in the reading of the diff: a server that states a huge limit made the leader and nodes without a leader loop once for each permit, and a node without requests kept expired permits (TestHugeLimitsAndIdleNodesTakeLittle). While a call of the lease was in progress, a node did not notice that its lease had ended, for up to 0.55 s: orders check the lease themselves, but leader heartbeats went on. A node that learns of a restored store reads the new lease object before it competes for it.

--- a/pkg/gateway/quota/distributor.go
+++ b/pkg/gateway/quota/distributor.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -106,11 +107,7 @@
 		if weights[s.Service] == nil {
 			weights[s.Service] = d.weights(s.Service, nodes)
 		}
-		counts := map[string]int{}
-		for ; limit.due >= 1; limit.due-- {
-			counts[d.next(s.Service, nodes, weights[s.Service])]++
-		}
-		for node, n := range counts {
+		for node, n := range d.divide(limit, s.Service, nodes, weights[s.Service]) {
 			p := issued[node]
 			p.Permits = append(p.Permits, Permit{Server: s.ID, N: n})
 			issued[node] = p
@@ -119,6 +116,25 @@
 	return issued
 }
 
+// divide takes the permits that are due for a server and returns them by node: whole shares first, so that a high limit takes no
+// more time than a low one, and the rest one by one.
+func (d *Distributor) divide(limit *serverLimit, service uint32, nodes []string, weights []float64) map[string]int {
+	counts := map[string]int{}
+	due := math.Floor(limit.due)
+	limit.due -= due
+	rest := int(due)
+	for i, node := range nodes {
+		if n := int(due * weights[i]); n > 0 {
+			counts[node] = n
+			rest -= n
+		}
+	}
+	for ; rest > 0; rest-- {
+		counts[d.next(service, nodes, weights)]++
+	}
+	return counts
+}
+
 // dropOutdated forgets the limits of servers that are gone or have restarted since, and old reports.
 func (d *Distributor) dropOutdated(servers []ServerInfo, now time.Time) {
 	listedAt := make(map[uint32]time.Time, len(servers))
--- a/pkg/gateway/quota/encoding.go
+++ b/pkg/gateway/quota/encoding.go
@@ -123,7 +123,7 @@
 	data := append(make([]byte, 0, 1+len(p.Permits)*permitBytes), flags)
 	for _, permit := range p.Permits[:min(len(p.Permits), maxPermitEntries)] {
 		data = binary.BigEndian.AppendUint32(data, permit.Server)
-		data = append(data, byte(min(permit.N, math.MaxUint8)))
+		data = append(data, byte(min(permit.N, maxPermits)))
 	}
 	return data
 }
--- a/pkg/gateway/quota/quota_test.go
+++ b/pkg/gateway/quota/quota_test.go
@@ -138,3 +138,28 @@
 		assert.LessOrEqual(t, len(p.Permits)*permitBytes, len(data))
 	})
 }
+
+// Guards against a leader or a node that computes for long, or keeps permits without bound, because a server states a huge
+// limit or a node has no requests.
+func TestHugeLimitsAndIdleNodesTakeLittle(t *testing.T) {
+	d := NewDistributor()
+	servers := []ServerInfo{{ID: 1, Service: 7}}
+	var nodes []string
+	for i := range 300 {
+		nodes = append(nodes, string(rune('a'+i)))
+	}
+	d.AddReport("a", Report{Observations: []Observation{{Server: 1, Limited: true, Rate: math.MaxFloat32}}}, at(0))
+	begin := time.Now()
+	for ms := 0; ms < 5000; ms += 200 {
+		d.Issue(servers, nodes, at(ms))
+	}
+	assert.Less(t, time.Since(begin), 5*time.Second)
+	var s Server
+	s.Observe(Statement{Limited: true, Rate: math.MaxFloat64}, at(0), at(0))
+	for ms := 0; ms < 100000; ms += 500 {
+		s.Grant(1<<40, at(ms))
+	}
+	assert.LessOrEqual(t, len(s.permits), 4*maxPermits)
+	s.Draw(1, at(200000))
+	assert.True(t, s.Available(at(200000)))
+}
--- a/pkg/gateway/quota/server.go
+++ b/pkg/gateway/quota/server.go
@@ -5,6 +5,7 @@
 package quota
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 )
@@ -22,6 +23,8 @@
 	// reportDelay is the time after a response within which the leader has received this node's report about it, and after
 	// which the leader's view prevails.
 	reportDelay = 3 * time.Second
+	// maxPermits bounds the permits that a node gets at once for one server.
+	maxPermits = math.MaxUint8
 	// endReportTime is the time for which the end of a limit is reported.
 	endReportTime = 5 * time.Second
 )
@@ -86,7 +89,8 @@
 
 // Grant adds permits that the leader issued at a time.
 func (s *Server) Grant(n int, issuedAt time.Time) {
-	for range n {
+	s.dropExpired(issuedAt)
+	for range min(n, maxPermits) {
 		s.permits = append(s.permits, issuedAt.Add(PermitTTL))
 	}
 }
@@ -99,7 +103,7 @@
 	if !s.limited || nodes < 1 || elapsed <= 0 {
 		return
 	}
-	expected := leaderlessShare * max(s.rate, minRate) / float64(nodes) * elapsed.Seconds()
+	expected := min(leaderlessShare*max(s.rate, minRate)/float64(nodes)*elapsed.Seconds(), maxPermits)
 	n := int(expected)
 	if rand.Float64() < expected-float64(n) {
 		n++
--- a/pkg/gateway/weights/holder.go
+++ b/pkg/gateway/weights/holder.go
@@ -74,6 +74,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.leaseCallInProgress || !c.enterEraLocked() {
+		// The lease may end during a call.
+		c.updateHeldLocked()
 		return
 	}
 	action := c.lease.Next(time.Now(), desired, 0)
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -300,7 +300,8 @@
 	l.callInProgress = false
 	l.SetRecordMayBeLost(minToken)
 	l.minVersion = minVersion
-	l.version, l.observedAt, l.recordCurrent = 0, now, true
+	// Another node may have created the object already.
+	l.version, l.observedAt, l.recordCurrent = 0, now, l.held
 }
 
 // SetRecordMayBeLost sets that the store may have lost a record that it had acknowledged. A lease without a record is then
