--- a/pkg/gateway/backends/backends.go
+++ b/pkg/gateway/backends/backends.go
@@ -182,7 +182,7 @@
 	delete(r.departed, b.ID)
 	old := r.members[b.ID]
 	if old != nil && old.sameGeneration(&b) {
-		// A server that leaves does not change its mind, and its weights never go back, whatever an older listing says.
+		// Within one start, a server that leaves never stays and its weights never go back, whatever an older listing says.
 		b.Leaving = b.Leaving || old.Leaving
 		before := old.Models
 		changed := old.Leaving != b.Leaving || !slices.Equal(old.Models, b.Models)
--- a/pkg/gateway/backends/departures_test.go
+++ b/pkg/gateway/backends/departures_test.go
@@ -26,7 +26,7 @@
 		assert.False(t, used(r))
 		r.Remove("e")
 		r.Put(listing(9))
-		assert.False(t, used(r), "it does not change its mind")
+		assert.False(t, used(r), "leaving is final for a start")
 		again := listing(1)
 		again.Started = 8
 		r.Put(again)
--- a/pkg/gateway/backends/notice_test.go
+++ b/pkg/gateway/backends/notice_test.go
@@ -71,7 +71,7 @@
 	assert.Zero(t, r.ObservePause("other", 1, time.Second))
 }
 
-// Guards against a herd at the end of a pause: nodes that a server has paused at the same moment return one after the other.
+// Guards against requests of all nodes at once at the end of a pause: nodes that a server has paused at the same moment return one after the other.
 func TestPausesOfNodesEndAtDifferentTimes(t *testing.T) {
 	const nodes, pause = 100, 2 * time.Second
 	begin := clock.Now()
