Derive state that was kept twice, and spread pauses by one function

The controller's flag of a lease call repeats that of the lease; the spread of a pause stood in two places; each send took the registry's lock to learn what its choice can tell; the leader computed the known limits, and the hash of each server's service, on every message.

--- a/pkg/gateway/backends/limits.go
+++ b/pkg/gateway/backends/limits.go
@@ -26,14 +26,6 @@
 // leaderless reports whether no leader has issued permits for so long that all of them have expired.
 func (p *permitState) leaderless(now time.Time) bool { return now.Sub(p.issuedAt) >= quota.PermitTTL }
 
-// Limited reports whether a backend server is known to state a limit.
-func (r *Registry) Limited(id string) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	m := r.members[id]
-	return m != nil && m.limit.Limited()
-}
-
 // CountDemand counts a client's request for a service.
 func (r *Registry) CountDemand(service string) {
 	now := clock.Now()
@@ -76,8 +68,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	servers := make([]quota.ServerInfo, 0, len(r.members))
-	for _, m := range r.members {
-		servers = append(servers, quota.ServerInfo{ID: m.idHash, Service: cachemap.EngineHash(m.Service), ListedAt: m.listedAt})
+	for service, members := range r.byService {
+		hash := cachemap.EngineHash(service)
+		for _, m := range members {
+			servers = append(servers, quota.ServerInfo{ID: m.idHash, Service: hash, ListedAt: m.listedAt})
+		}
 	}
 	return servers
 }
--- a/pkg/gateway/backends/notice.go
+++ b/pkg/gateway/backends/notice.go
@@ -63,14 +63,17 @@
 	if m == nil || pause <= 0 {
 		return time.Time{}
 	}
-	pause = min(pause, MaxPause)
-	spread := min(time.Duration(pauseSpreadShare*float64(pause)), maxPauseSpread)
-	if until = clock.Now().Add(pause + rand.N(spread+1)); until.After(m.statedPauseUntil) {
+	if until = clock.Now().Add(SpreadPause(min(pause, MaxPause))); until.After(m.statedPauseUntil) {
 		m.statedPauseUntil = until
 	}
 	return m.statedPauseUntil
 }
 
+// SpreadPause lengthens a pause at random by up to a quarter of it or a second.
+func SpreadPause(pause time.Duration) time.Duration {
+	return pause + rand.N(min(time.Duration(pauseSpreadShare*float64(pause)), maxPauseSpread)+1)
+}
+
 // respondedLocked returns the member that responded, or nil if it is gone or has restarted since.
 func (r *Registry) respondedLocked(id string, started int64) *member {
 	if m := r.members[id]; m != nil && m.Started == started {
--- a/pkg/gateway/backends/pick.go
+++ b/pkg/gateway/backends/pick.go
@@ -54,6 +54,8 @@
 	// Version is the version of the model's weights that the engine is assumed to have.
 	Version int
 	Pool    *exchange.Pool
+	// Limited is set if the server is known to state a limit.
+	Limited bool
 
 	// Counts describes the backend servers that were considered.
 	Counts CandidateCounts
@@ -143,7 +145,7 @@
 		counts.HeartbeatAge = assignmentTTL - best.assignmentExpiry.Sub(now)
 	}
 	return &Choice{
-		Backend: best.Backend, Version: best.version(q.Model), Pool: best.pool, Counts: counts,
+		Backend: best.Backend, Version: best.version(q.Model), Pool: best.pool, Limited: best.limit.Limited(), Counts: counts,
 		registry: r, member: best, long: q.Long,
 	}, counts
 }
--- a/pkg/gateway/forward/active_request.go
+++ b/pkg/gateway/forward/active_request.go
@@ -247,7 +247,7 @@
 	ctx, stopTimer := a.withStartDeadline(tracked, c)
 	a.quarantineSentAt = a.router.opt.Quarantine.opt.Now()
 	sendTime := clock.Now()
-	if a.router.opt.Backends.Limited(c.ID) {
+	if c.Limited {
 		a.router.count("sends_to_limited_backends")
 	}
 	response, err := exchange.Do(ctx, c.Pool, request, func(h http.Header) bool {
--- a/pkg/gateway/forward/choose.go
+++ b/pkg/gateway/forward/choose.go
@@ -87,8 +87,7 @@
 // retryAfterPause returns the time until a pause ends, and up to a quarter or a second more, so that requests do not return all
 // at once.
 func retryAfterPause(until time.Time) time.Duration {
-	left := max(clock.Until(until), minPauseRetryAfter)
-	return left + rand.N(min(left/4, time.Second)+1)
+	return backends.SpreadPause(max(clock.Until(until), minPauseRetryAfter))
 }
 
 // minPauseRetryAfter is the shortest Retry-After of a request that pauses exclude.
--- a/pkg/gateway/node/limits.go
+++ b/pkg/gateway/node/limits.go
@@ -41,11 +41,13 @@
 // setLimited marks the states of the backend servers that state a limit. A new leader does not have the reports of all
 // nodes and adds what its predecessor announced.
 func (b *board) setLimited(states []backends.State) {
-	known := b.node.registry.LimitedHashes()
 	b.distributorMu.Lock()
 	defer b.distributorMu.Unlock()
-	authoritative := b.distributor.Authoritative(clock.Now())
+	var known map[uint32]bool
+	if !b.distributor.Authoritative(clock.Now()) {
+		known = b.node.registry.LimitedHashes()
+	}
 	for i := range states {
-		states[i].Limited = b.distributor.Limited(states[i].Hash) || !authoritative && known[states[i].Hash]
+		states[i].Limited = b.distributor.Limited(states[i].Hash) || known[states[i].Hash]
 	}
 }
--- a/pkg/gateway/weights/controller.go
+++ b/pkg/gateway/weights/controller.go
@@ -163,8 +163,6 @@
 	eraKnown     bool
 	holdsLease   bool
 	engineOrders map[string]*engineOrder
-	// leaseCallInProgress is set during a call that reads or writes the lease.
-	leaseCallInProgress bool
 }
 
 // engineOrder is the leader's record of its orders to one engine.
--- a/pkg/gateway/weights/holder.go
+++ b/pkg/gateway/weights/holder.go
@@ -73,9 +73,7 @@
 func (c *Controller) advanceLease(ctx context.Context, desired bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.leaseCallInProgress || !c.enterEraLocked() {
-		// The lease may end during a call.
-		c.updateHeldLocked()
+	if !c.lease.CallInProgress() && !c.enterEraLocked() {
 		return
 	}
 	action := c.lease.Next(time.Now(), desired, 0)
@@ -84,7 +82,6 @@
 		return
 	}
 	name := leaseName(c.era)
-	c.leaseCallInProgress = true
 	c.start(func() {
 		callCtx, cancel := context.WithTimeout(ctx, leaseCallTimeout)
 		defer cancel()
@@ -98,7 +95,6 @@
 		}
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		c.leaseCallInProgress = false
 		if era, _ := c.opt.Leases.Era(); era != c.era {
 			// The call may have reached the restored store. What it did there concerns the object of an earlier era.
 			c.enterEraLocked()
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -304,6 +304,9 @@
 	l.version, l.observedAt, l.recordCurrent = 0, now, l.held
 }
 
+// CallInProgress reports whether the result of the last action is still awaited.
+func (l *Lease) CallInProgress() bool { return l.callInProgress }
+
 // SetRecordMayBeLost sets that the store may have lost a record that it had acknowledged. A lease without a record is then
 // acquired only after the time for which its former holder may send orders, with a fencing token above minToken.
 func (l *Lease) SetRecordMayBeLost(minToken uint64) {
