Reach every member with the full form of engine summaries

Cause: each node sends a version four times to whichever members its next messages go to, often to ones that have it. A member drops the loads of an engine whose full form it lacks, so nothing repaired it before the next interval.

Change: repeats go to members that neither sent the version nor were sent it, as long as there are others; and a load from the engine's owner takes the full form once for each member.

--- a/pkg/controller/gossip/gossip.go
+++ b/pkg/controller/gossip/gossip.go
@@ -231,7 +231,7 @@
 	defer c.mu.Unlock()
 	now := c.options.Now()
 	c.performActions(ctx, now, c.machine.Receive(now, from, message))
-	c.applySummaries(now, message.Engines)
+	c.applySummaries(now, message.From, message.Engines)
 	c.handleDemands(now, from, message)
 }
 
--- a/pkg/controller/gossip/summaries.go
+++ b/pkg/controller/gossip/summaries.go
@@ -69,6 +69,11 @@
 	fullRepeatsLeft int
 	loadRepeatsLeft int
 	timesSent       int
+	// holders are the members that sent this node the latest version or were sent it.
+	holders []string
+	// informed holds, if this node is the engine's owner, the members to which it has sent the full form since
+	// fullQueuedAt.
+	informed map[string]bool
 }
 
 // summaryQueue selects the engine summaries that go into each message.
@@ -100,8 +105,10 @@
 	return e
 }
 
-func (s *summaryQueue) enqueue(e *engineSummary) {
+// enqueue queues a new version of a summary, which holders have already.
+func (s *summaryQueue) enqueue(e *engineSummary, holders ...string) {
 	e.timesSent = 0
+	e.holders = append(e.holders[:0], holders...)
 	if !slices.Contains(s.pending, e) {
 		s.pending = append(s.pending, e)
 	}
@@ -156,6 +163,7 @@
 	case !sameIdentity(entry, e.published) || now.Sub(e.fullQueuedAt) >= s.fullInterval():
 		e.fullQueuedAt = now
 		e.fullRepeatsLeft = fullRepeats
+		e.informed = map[string]bool{}
 	case now.Sub(e.loadQueuedAt) < s.loadInterval():
 		return
 	case loadChanged(entry, e.published) || now.Sub(e.loadQueuedAt) >= loadRefreshIntervals*s.loadInterval():
@@ -192,14 +200,15 @@
 	if !known || len(s.pending) == 0 {
 		return
 	}
+	others := c.machine.Live() - 1
 	withLoads := s.sendsLoadsToAll() || target.DataCentre == c.options.DataCentre
 	remaining := membership.DefaultMaxPayload - proto.Size(send.Message)
 	slices.SortFunc(s.pending, func(a, b *engineSummary) int {
 		return cmp.Or(cmp.Compare(a.timesSent, b.timesSent), cmp.Compare(a.engine, b.engine))
 	})
 	for _, e := range s.pending {
-		update := e.toProto(withLoads)
-		if update == nil {
+		update := e.toProto(send.Name, withLoads)
+		if update == nil || e.isRedundantFor(send.Name, others) {
 			continue
 		}
 		size := proto.Size(update) + summaryOverheadBytes
@@ -207,33 +216,47 @@
 			break
 		}
 		remaining -= size
-		e.recordSent()
+		e.recordSent(send.Name)
 		send.Message.Engines = append(send.Message.Engines, update)
 	}
 	s.pending = slices.DeleteFunc(s.pending, func(e *engineSummary) bool { return e.fullRepeatsLeft <= 0 && e.loadRepeatsLeft <= 0 })
 }
 
 // toProto returns the summary for a message, or nil if no form is due for the receiver. withLoads
-// states whether the receiver gets loads.
-func (e *engineSummary) toProto(withLoads bool) *peerpb.EngineSummary {
+// states whether the receiver gets loads. A load from the engine's owner takes the full form once for each member, since
+// members drop a load of an engine whose full form has not reached them.
+func (e *engineSummary) toProto(member string, withLoads bool) *peerpb.EngineSummary {
 	if e.fullRepeatsLeft <= 0 && (e.loadRepeatsLeft <= 0 || !withLoads) {
 		return nil
 	}
 	update := peer.SummaryProto(e.engine, e.latest)
-	if e.fullRepeatsLeft <= 0 {
+	if e.fullRepeatsLeft <= 0 && (e.informed == nil || e.informed[member]) {
 		update.Incarnation, update.Model, update.WeightsVersion = "", "", ""
 	}
 	return update
 }
 
-func (e *engineSummary) recordSent() {
+// isRedundantFor returns whether a message to member would spend one of the few repeats on a member that has the version
+// while one of others, the number of live members beside this node, may lack it. When each has been sent it, the rest of
+// the repeats replaces lost messages.
+func (e *engineSummary) isRedundantFor(member string, others int) bool {
+	return len(e.holders) < others && slices.Contains(e.holders, member)
+}
+
+func (e *engineSummary) recordSent(member string) {
+	if !slices.Contains(e.holders, member) {
+		e.holders = append(e.holders, member)
+	}
+	if e.informed != nil {
+		e.informed[member] = true
+	}
 	e.timesSent++
 	e.loadRepeatsLeft--
 	e.fullRepeatsLeft--
 }
 
 // applySummaries records newer summaries on the blackboard and queues them for other nodes.
-func (c *Controller) applySummaries(now time.Time, updates []*peerpb.EngineSummary) {
+func (c *Controller) applySummaries(now time.Time, from string, updates []*peerpb.EngineSummary) {
 	for _, update := range updates {
 		if update.Engine == "" || update.Owner == c.options.Name {
 			continue
@@ -249,7 +272,7 @@
 		} else {
 			summary.loadRepeatsLeft = loadRepeats - 1
 		}
-		c.summaries.enqueue(summary)
+		c.summaries.enqueue(summary, from)
 	}
 }
 
