--- a/pkg/gateway/backends/notice.go
+++ b/pkg/gateway/backends/notice.go
@@ -1,11 +1,11 @@
 package backends
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"cassiawall.example/cassiawall/pkg/clock"
 	"cassiawall.example/cassiawall/pkg/gateway/quota"
+	"cassiawall.example/cassiawall/pkg/retry"
 )
 
 // Notice is what a backend server states about itself in the header of a response.
@@ -19,18 +19,9 @@
 	InvalidPause string
 }
 
-// MaxPause bounds the pause that a server may ask for, so that none is lost for good by a wrong value.
-const MaxPause = 5 * time.Minute
-
-const (
-	// leavingGraceShare is the part of the time for requests to a leaving server in which it is still used if there is no
-	// other.
-	leavingGraceShare = 0.5
-	// pauseSpreadShare and maxPauseSpread bound the time by which a node lengthens a pause at random: the nodes that a
-	// server has paused then return one after the other.
-	pauseSpreadShare = 0.25
-	maxPauseSpread   = time.Second
-)
+// leavingGraceShare is the part of the time for requests to a leaving server in which it is still used if there is no
+// other.
+const leavingGraceShare = 0.5
 
 // ObserveLimit records what a backend server has stated about its limit in a response to a request that was sent at
 // sentAt, and reports whether that has changed. Like the other methods that observe, it ignores servers that have restarted
@@ -63,17 +54,12 @@
 	if m == nil || pause <= 0 {
 		return time.Time{}
 	}
-	if until = clock.Now().Add(SpreadPause(min(pause, MaxPause))); until.After(m.statedPauseUntil) {
+	if until = clock.Now().Add(retry.SpreadPause(min(pause, retry.MaxPause))); until.After(m.statedPauseUntil) {
 		m.statedPauseUntil = until
 	}
 	return m.statedPauseUntil
 }
 
-// SpreadPause lengthens a pause at random by up to a quarter of it or a second.
-func SpreadPause(pause time.Duration) time.Duration {
-	return pause + rand.N(min(time.Duration(pauseSpreadShare*float64(pause)), maxPauseSpread)+1)
-}
-
 // respondedLocked returns the member that responded, or nil if it is gone or has restarted since.
 func (r *Registry) respondedLocked(id string, started int64) *member {
 	if m := r.members[id]; m != nil && m.Started == started {
--- a/pkg/gateway/backends/notice_test.go
+++ b/pkg/gateway/backends/notice_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"cassiawall.example/cassiawall/pkg/clock"
+	"cassiawall.example/cassiawall/pkg/retry"
 )
 
 func plain(id string, started int64) Backend {
@@ -58,7 +59,7 @@
 	r := NewRegistry("dc")
 	r.Put(plain("e", 1))
 	until := r.ObservePause("e", 1, 2*time.Second)
-	assert.WithinRange(t, until, clock.Now().Add(1900*time.Millisecond), clock.Now().Add(2*time.Second+maxPauseSpread))
+	assert.WithinRange(t, until, clock.Now().Add(1900*time.Millisecond), clock.Now().Add(2*time.Second+time.Second))
 	assert.Equal(t, until, r.ObservePause("e", 1, time.Millisecond), "a shorter pause does not end the longer one")
 	c, counts := r.Pick(Query{Service: "s"}, time.Now())
 	require.Nil(t, c)
@@ -66,7 +67,7 @@
 	assert.Equal(t, until, counts.SheddingUntil)
 	r.members["e"].statedPauseUntil = clock.Now()
 	assert.Equal(t, "e", picked(r))
-	assert.WithinRange(t, r.ObservePause("e", 1, time.Hour), clock.Now(), clock.Now().Add(MaxPause+maxPauseSpread))
+	assert.WithinRange(t, r.ObservePause("e", 1, time.Hour), clock.Now(), clock.Now().Add(retry.MaxPause+time.Second))
 	assert.Zero(t, r.ObservePause("e", 7, time.Second), "a response of another start")
 	assert.Zero(t, r.ObservePause("other", 1, time.Second))
 }
--- a/pkg/gateway/forward/choose.go
+++ b/pkg/gateway/forward/choose.go
@@ -7,6 +7,7 @@
 	"cassiawall.example/cassiawall/pkg/clock"
 	"cassiawall.example/cassiawall/pkg/gateway/backends"
 	"cassiawall.example/cassiawall/pkg/gateway/popularity"
+	"cassiawall.example/cassiawall/pkg/retry"
 	"cassiawall.example/cassiawall/pkg/wait"
 )
 
@@ -87,7 +88,7 @@
 // retryAfterPause returns the time until a pause ends, and up to a quarter or a second more, so that requests do not return all
 // at once.
 func retryAfterPause(until time.Time) time.Duration {
-	return backends.SpreadPause(max(clock.Until(until), minPauseRetryAfter))
+	return retry.SpreadPause(max(clock.Until(until), minPauseRetryAfter))
 }
 
 // minPauseRetryAfter is the shortest Retry-After of a request that pauses exclude.
