Keep requests from engines that asked the product's own node for a pause

Seen: an engine that refuses with Retry-After 3 got 6 requests in 2.9 s from one node, with another engine free; with no other engine the next request waited 187 ms and was sent to it again, and its refusal had no Retry-After. Retry-After was read as a whole number only, without bound.

Cause: the error carried the time, but only the health of engines, which allows some traffic to failing ones, decided.

Change: routing.PauseRouter excludes the engine for the node that it told so, until the pause ends, the engine restarts or has loaded other weights; requests that were queued for it meanwhile go elsewhere; if all engines are paused, requests are refused at once with the new kind engines_paused and a Retry-After of the earliest end. Decimals are read, values are bound to 5 minutes, and the error names an invalid one.

--- a/pkg/engine/client.go
+++ b/pkg/engine/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -12,9 +13,9 @@
 	"net/url"
 	"strconv"
 	"strings"
-	"time"
 
 	"cassiawall.example/cassiawall/pkg/fault"
+	"cassiawall.example/cassiawall/pkg/retry"
 )
 
 const (
@@ -23,6 +24,8 @@
 	maxResponseBytes = 64 << 20
 	// maxErrorBytes limits the part of an error response that is copied into the error message.
 	maxErrorBytes = 4 << 10
+	// maxLoggedHeader bounds the part of a malformed header that an error message contains, in bytes.
+	maxLoggedHeader = 64
 )
 
 // Client is the HTTP client of an engine. It implements Engine and is safe for concurrent use.
@@ -252,7 +255,11 @@
 	case http.StatusConflict:
 		return fault.New(fault.EngineRefused, "engine %s refused: %s", c.baseURL, message)
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return fault.New(fault.Overloaded, "engine %s is busy: %s", c.baseURL, message).WithRetryAfter(retryAfter(response.Header))
+		pause, valid := retry.ParsePause(response.Header.Get("Retry-After"))
+		if !valid {
+			message = fmt.Sprintf("%s (invalid Retry-After %.*q)", message, maxLoggedHeader, response.Header.Get("Retry-After"))
+		}
+		return fault.New(fault.Overloaded, "engine %s is busy: %s", c.baseURL, message).WithRetryAfter(pause)
 	case http.StatusNotFound:
 		return fault.New(fault.NotFound, "engine %s: %s", c.baseURL, message)
 	}
@@ -270,11 +277,3 @@
 	}
 	return strings.TrimSpace(string(data))
 }
-
-func retryAfter(h http.Header) time.Duration {
-	seconds, err := strconv.Atoi(h.Get("Retry-After"))
-	if err != nil || seconds < 0 {
-		return 0
-	}
-	return time.Duration(seconds) * time.Second
-}
--- a/pkg/engine/client_test.go
+++ b/pkg/engine/client_test.go
@@ -4,12 +4,15 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"cassiawall.example/cassiawall/pkg/fault"
+	"cassiawall.example/cassiawall/pkg/retry"
 )
 
 // Guards against missing precondition headers: without them an engine cannot refuse a request that
@@ -80,3 +83,22 @@
 	require.NoError(t, l.Close())
 	return "http://" + l.Addr().String()
 }
+
+// Guards against an engine that is lost for good by a wrong Retry-After, and against one whose pause in decimals is ignored.
+func TestRetryAfterOfRefusals(t *testing.T) {
+	for text, want := range map[string]time.Duration{
+		"": 0, "2": 2 * time.Second, "0.25": 250 * time.Millisecond, "0": 0, "-1": 0, "soon": 0, "NaN": 0, "Inf": 0, "1e300": retry.MaxPause,
+	} {
+		t.Run(text, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Retry-After", text)
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}))
+			defer server.Close()
+			_, err := NewClient(server.URL, server.Client()).Generate(t.Context(), &Request{ID: "r1"})
+			assert.Equal(t, want, fault.As(err).RetryAfter)
+			_, valid := retry.ParsePause(text)
+			assert.Equal(t, valid, !strings.Contains(err.Error(), "invalid Retry-After"), "%v", err)
+		})
+	}
+}
--- a/pkg/entry/generate.go
+++ b/pkg/entry/generate.go
@@ -184,12 +184,15 @@
 	if src.permit != nil {
 		return false
 	}
+	if fault.Is(err, fault.EnginesPaused) {
+		return !delivered && src.pickOtherVersion()
+	}
 	if delivered && !src.resumed && src.slot != nil && fault.Is(err, fault.StreamBroken) {
 		src.resuming, src.resumed = true, true
 		return true
 	}
 	refused := fault.Is(err, fault.NoEngine) || src.slot != nil && fault.As(err).Work == fault.NotRun
-	src.excludeEngine()
+	src.excludeEngine(err)
 	if !delivered && refused && src.refusals < maxRefusals {
 		src.refusals++
 		src.retryDelay = src.server.retries.rerouteDelay()
@@ -199,12 +202,24 @@
 	return src.retryOnSecondEngine(err)
 }
 
+// pickOtherVersion reports whether engines of another weights version can take a request whose version has none left.
+func (src *source) pickOtherVersion() bool {
+	before := src.g.model.WeightsVersion
+	src.server.splitPrompt(src.g, src.failed)
+	if src.g.model.WeightsVersion == before || src.refusals >= maxRefusals {
+		return false
+	}
+	src.refusals++
+	src.retryDelay = src.server.retries.rerouteDelay()
+	return true
+}
+
 // excludeEngine releases the slot of a failed attempt and excludes its engine from further attempts.
-func (src *source) excludeEngine() {
+func (src *source) excludeEngine(err error) {
 	if src.slot == nil {
 		return
 	}
-	src.slot.Done(routing.Outcome{Failed: true})
+	src.slot.Done(routing.Outcome{Failed: true, Pause: requestedPause(err)})
 	src.failed[src.slot.Target().Engine] = true
 	src.lastFailedEngine = src.slot.Target().Engine
 	src.slot = nil
@@ -273,6 +288,14 @@
 // finish releases the slot of the last attempt.
 func (src *source) finish(err error, abandoned bool) {
 	if src.slot != nil {
-		src.slot.Done(routing.Outcome{Abandoned: abandoned, Failed: err != nil && !abandoned})
+		src.slot.Done(routing.Outcome{Abandoned: abandoned, Failed: err != nil && !abandoned, Pause: requestedPause(err)})
+	}
+}
+
+// requestedPause returns the time for which the engine of a failed attempt wants no requests, or 0.
+func requestedPause(err error) time.Duration {
+	if !fault.Is(err, fault.Overloaded) {
+		return 0
 	}
+	return fault.As(err).RetryAfter
 }
--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -23,6 +23,7 @@
 	VMListUnavailable    = define(306, "VM list unavailable", slog.LevelWarn, "check the platform's VM list; the last known list stays in use")
 	VMListEntrySkipped   = define(307, "VM list entry skipped", slog.LevelWarn, "find the writer of the entry and correct it")
 	SlotExpired          = define(309, "slot expired without renewal", slog.LevelInfo, "check the entry node if it repeats")
+	EnginePaused         = define(310, "engine paused", slog.LevelInfo, "find out why the engine turns requests away if it repeats")
 	CopyFailed           = define(320, "copy of cached pieces failed", slog.LevelInfo, "check the KV cache store if it repeats; the pieces are computed")
 
 	PeerCallRefused = define(401, "peer call refused", slog.LevelWarn, "check the peer keys and the clocks of both nodes")
--- a/pkg/fault/fault.go
+++ b/pkg/fault/fault.go
@@ -38,6 +38,7 @@
 	RateLimited           Kind = "rate_limited"
 	Overloaded            Kind = "overloaded"
 	DeadlineUnreachable   Kind = "deadline_unreachable"
+	EnginesPaused         Kind = "engines_paused"
 	NoEngine              Kind = "no_engine"
 	EngineFailed          Kind = "engine_failed"
 	EngineRefused         Kind = "engine_refused"
@@ -78,6 +79,7 @@
 	RateLimited:           {http.StatusTooManyRequests, "retry after the time in Retry-After or ask the operator for a higher limit"},
 	Overloaded:            {http.StatusServiceUnavailable, "retry after the time in Retry-After"},
 	DeadlineUnreachable:   {http.StatusServiceUnavailable, "retry later or allow a longer deadline"},
+	EnginesPaused:         {http.StatusServiceUnavailable, "retry after the time in Retry-After"},
 	NoEngine:              {http.StatusServiceUnavailable, "retry later; the operator checks the engines with 'cassiawall status'"},
 	EngineFailed:          {http.StatusBadGateway, "send the request again"},
 	EngineRefused:         {http.StatusBadGateway, "send the request again"},
--- a/pkg/node/assemble.go
+++ b/pkg/node/assemble.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"cassiawall.example/cassiawall/pkg/burn"
+	"cassiawall.example/cassiawall/pkg/config"
 	"cassiawall.example/cassiawall/pkg/controller/claims"
 	"cassiawall.example/cassiawall/pkg/controller/configwatch"
 	"cassiawall.example/cassiawall/pkg/controller/discovery"
@@ -186,9 +187,16 @@
 	if err != nil {
 		return err
 	}
+	pickVersion := routing.NewVersionPicker(n.board, newRandom()).Pick
+	if n.opt.Policy == "" {
+		pauses := routing.NewPauseRouter(router, n.board, n.opt.Logger, n.metrics, time.Now)
+		router = pauses
+		pick := pickVersion
+		pickVersion = func(model *config.Model, failed map[string]bool) string { return pick(model, pauses.Exclude(failed)) }
+	}
 	n.entry, err = entry.New(entry.Options{
 		Board: n.board, Router: router, Logger: n.opt.Logger, Now: time.Now, RequestID: newRequestID,
-		WeightsVersion: routing.NewVersionPicker(n.board, newRandom()).Pick, Limiter: n.limiter, Services: n.services, Guard: n.claims, Recorder: &requestRecorder{burn: n.recorder, metrics: n.metrics, versions: &n.versions},
+		WeightsVersion: pickVersion, Limiter: n.limiter, Services: n.services, Guard: n.claims, Recorder: &requestRecorder{burn: n.recorder, metrics: n.metrics, versions: &n.versions},
 		Engines: func(address string) engine.Generator { return n.engines.clientFor(address) },
 	})
 	return err
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -50,6 +50,8 @@
 	Abandoned bool
 	// Failed means that the engine failed or rejected the request.
 	Failed bool
+	// Pause is the time for which the engine wants no requests from this node, or 0.
+	Pause time.Duration
 }
 
 // Slot is the right to run one request on an engine. Calls after Done have no effect.
