Use no connection to a plain service again after a refusal

Seen: 12 of 12 requests that followed a refusal (429 or 503, GET or PUT) got the copy of the refusal as their answer, while the backend server ran them.

Cause: the responses of plain services repeat no ID, so the next response on a connection is taken for the answer to the next request.

Change: the connection takes no further write after a refusal. The transport sends the next request on another one, since nothing was written.

--- a/pkg/service/client.go
+++ b/pkg/service/client.go
@@ -44,7 +44,7 @@
 func NewClient() *Client {
 	c := &Client{dialer: net.Dialer{Timeout: dialTimeout}}
 	c.pooled = &http.Transport{
-		DialContext:         c.dialer.DialContext,
+		DialContext:         c.dialPooled,
 		MaxIdleConnsPerHost: maxIdleConnsPerBackend,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
@@ -69,14 +69,46 @@
 	return conn, nil
 }
 
+// pooledConn is a connection that carries no further request once retired is set.
+type pooledConn struct {
+	net.Conn
+	retired atomic.Bool
+}
+
+// Write implements net.Conn. The transport sends a request again on another connection if nothing of it was written.
+func (c *pooledConn) Write(p []byte) (int, error) {
+	if c.retired.Load() {
+		return 0, net.ErrClosed
+	}
+	return c.Conn.Write(p)
+}
+
+func (c *Client) dialPooled(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := c.dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &pooledConn{Conn: conn}, nil
+}
+
 // Send sends an idempotent request over a pooled connection. The transport may send it again if
-// the backend server closes that connection.
+// the backend server closes that connection. A connection is not used again after a refusal: responses
+// repeat no ID, so a second copy of the refusal would count as the response to the next request.
 func (c *Client) Send(ctx context.Context, address string, request *Request) (*http.Response, error) {
-	req, err := newHTTPRequest(ctx, address, request)
+	var used atomic.Pointer[pooledConn]
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		conn, _ := info.Conn.(*pooledConn)
+		used.Store(conn)
+	}}
+	req, err := newHTTPRequest(httptrace.WithClientTrace(ctx, trace), address, request)
 	if err != nil {
 		return nil, err
 	}
-	return roundTrip(c.pooled, req)
+	response, err := roundTrip(c.pooled, req)
+	if conn := used.Load(); err == nil && conn != nil && isRefusalStatus(response.StatusCode) {
+		conn.retired.Store(true)
+	}
+	return response, err
 }
 
 // SendOnce sends a request at most once over a new connection. It calls beforeSend after it has
--- a/pkg/service/headers.go
+++ b/pkg/service/headers.go
@@ -58,7 +58,7 @@
 // other response may come from a request that ran in part. Retry-After alone is no proof, because
 // a load balancer in front of the backend server can send it after the request ran.
 func isNotRunRefusal(status int, h http.Header, body []byte) bool {
-	if status != http.StatusTooManyRequests && status != http.StatusServiceUnavailable {
+	if !isRefusalStatus(status) {
 		return false
 	}
 	if h.Get(HeaderWork) != "" {
@@ -71,6 +71,11 @@
 	return false
 }
 
+// isRefusalStatus reports whether a response may say that the request was refused.
+func isRefusalStatus(status int) bool {
+	return status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
+}
+
 // isValidIdempotencyKey reports whether key has 1 to 255 visible ASCII characters and no others.
 func isValidIdempotencyKey(key string) bool {
 	if key == "" || len(key) > 255 {
