End a stream of an engine that neither continues nor ends

Seen: with an engine that fell silent after a chunk, or sent the same chunk again and again, a caller waited until it gave up; the test's callers did so after 5 minutes.

Cause: a relayed stream had no bound on the time between two chunks, only one on the time to the response's head.

Change: an attempt without a new chunk for 30 s, or 2 minutes before the first, counts as a broken stream, and is resumed or continued elsewhere as such. The time in which the caller blocks a delivery does not count. The test's two cases failed before.

--- a/pkg/stream/check.go
+++ b/pkg/stream/check.go
@@ -69,6 +69,11 @@
 	return fault.New(fault.StreamBroken, "chunk %d arrived in place of chunk %d", got, expected).WithWork(fault.Run)
 }
 
+// errStalled returns the error of a stream without new chunks. next is the sequence number of the chunk that was expected.
+func errStalled(next int) error {
+	return fault.New(fault.StreamBroken, "chunk %d did not arrive in time", next).WithWork(fault.Run)
+}
+
 // errEarlyEnd returns the error of a stream that ended without its final chunk. next is the sequence
 // number of the chunk that was expected.
 func errEarlyEnd(next int) error {
--- a/pkg/stream/relay.go
+++ b/pkg/stream/relay.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"strings"
+	"time"
 
 	"cassiawall.example/cassiawall/pkg/engine"
 	"cassiawall.example/cassiawall/pkg/fault"
@@ -108,28 +109,68 @@
 	return Position{NextSeq: r.checker.Next(), Text: r.text.String(), Tokens: r.tokens}
 }
 
+const (
+	// firstChunkTimeout is the time after the head of an engine's response in which its first new chunk must arrive: the
+	// prompt may wait in the engine's queue.
+	firstChunkTimeout = 2 * time.Minute
+	// chunkTimeout is the time between two new chunks after which a stream counts as broken. Decode steps take some tens of
+	// milliseconds, and the prefills between them a few seconds.
+	chunkTimeout = 30 * time.Second
+)
+
 // attempt relays one stream. It returns nil only if the final chunk has been delivered.
 func (r *relay) attempt(ctx context.Context, source Source) error {
-	s, err := source.Open(ctx, r.position())
+	attemptCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s, err := source.Open(attemptCtx, r.position())
 	if err != nil {
 		return err
 	}
 	defer func() { _ = s.Close() }()
+	stall := newStallTimer(cancel)
+	defer stall.stop()
 	for !r.checker.Done() {
 		chunk, err := s.Next()
-		if errors.Is(err, io.EOF) {
+		// The time for which the caller blocks a delivery does not count.
+		stall.stop()
+		switch {
+		case err != nil && attemptCtx.Err() != nil && ctx.Err() == nil:
+			return errStalled(r.checker.Next())
+		case errors.Is(err, io.EOF):
 			return errEarlyEnd(r.checker.Next())
-		}
-		if err != nil {
+		case err != nil:
 			return err
 		}
+		expected := r.checker.Next()
 		if err := r.handleChunk(chunk); err != nil {
 			return err
 		}
+		stall.restart(r.checker.Next() > expected)
 	}
 	return nil
 }
 
+// stallTimer cancels an attempt without a new chunk for too long. Chunks that are dropped do not count: an engine could send
+// them without end.
+type stallTimer struct {
+	timer    *time.Timer
+	deadline time.Time
+}
+
+func newStallTimer(cancel func()) *stallTimer {
+	return &stallTimer{timer: time.AfterFunc(firstChunkTimeout, cancel), deadline: time.Now().Add(firstChunkTimeout)}
+}
+
+func (s *stallTimer) stop() { s.timer.Stop() }
+
+// restart continues the time, or starts a new one after a new chunk.
+func (s *stallTimer) restart(newChunk bool) {
+	if newChunk {
+		s.deadline = time.Now().Add(chunkTimeout)
+	}
+	s.timer.Reset(time.Until(s.deadline))
+}
+
 // handleChunk verifies a received chunk and delivers it. Chunks that are dropped return no error.
 func (r *relay) handleChunk(chunk engine.Chunk) error {
 	expected := r.checker.Next()
--- a/pkg/stream/stream_test.go
+++ b/pkg/stream/stream_test.go
@@ -5,6 +5,8 @@
 	"errors"
 	"io"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -133,3 +135,88 @@
 	assert.True(t, fault.Is(err, fault.SlowReader))
 	assert.Len(t, source.positions, 1)
 }
+
+// stallingStream returns one chunk and then, without end, a chunk that was delivered before, or blocks if it is nil.
+type stallingStream struct {
+	ctx      context.Context
+	first    engine.Chunk
+	started  bool
+	repeated *engine.Chunk
+}
+
+func (s *stallingStream) Next() (engine.Chunk, error) {
+	if !s.started {
+		s.started = true
+		return s.first, nil
+	}
+	pause := time.After(time.Second)
+	if s.repeated == nil {
+		pause = nil
+	}
+	select {
+	case <-s.ctx.Done():
+		return engine.Chunk{}, s.ctx.Err()
+	case <-pause:
+		return *s.repeated, nil
+	}
+}
+
+func (s *stallingStream) Close() error { return nil }
+
+// stallingSource opens a stalling stream and then a complete one.
+type stallingSource struct {
+	repeated *engine.Chunk
+	opened   int
+	failure  error
+}
+
+func (s *stallingSource) Open(ctx context.Context, _ Position) (engine.Stream, error) {
+	s.opened++
+	if s.opened == 1 {
+		return &stallingStream{ctx: ctx, first: chunk("r", 0, "a"), repeated: s.repeated}, nil
+	}
+	return &scriptedStream{chunks: []engine.Chunk{final("r", 1, "b")}}, nil
+}
+
+func (s *stallingSource) Retry(err error, _ bool) bool {
+	s.failure = err
+	return true
+}
+
+// slowSink takes longer than chunkTimeout for each chunk.
+type slowSink struct{ collectingSink }
+
+func (s *slowSink) Deliver(c engine.Chunk) error {
+	time.Sleep(2 * chunkTimeout)
+	return s.collectingSink.Deliver(c)
+}
+
+// Guards against a caller that waits for ever for a stream that an engine neither continues nor ends, and against a stream
+// that counts as stalled because its caller reads slowly.
+func TestStalledStreamContinuesElsewhere(t *testing.T) {
+	repeated := chunk("r", 0, "a")
+	for name, chunks := range map[string]*engine.Chunk{"silent": nil, "repeats a chunk": &repeated} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				source, sink, startedAt := &stallingSource{repeated: chunks}, &collectingSink{}, time.Now()
+				ctx, cancel := context.WithTimeout(t.Context(), 10*chunkTimeout)
+				defer cancel()
+				_, err := Relay(ctx, "r", source, sink)
+				require.NoError(t, err)
+				assert.Equal(t, "ab", sink.text)
+				assert.Equal(t, chunkTimeout, time.Since(startedAt))
+				assert.True(t, fault.Is(source.failure, fault.StreamBroken), "%v", source.failure)
+			})
+		})
+	}
+	t.Run("slow caller", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			source := &scriptedSource{attempts: []*scriptedStream{{chunks: []engine.Chunk{chunk("r", 0, "a"), chunk("r", 1, "b"), final("r", 2, "c")}}}}
+			sink := &slowSink{}
+			_, err := Relay(t.Context(), "r", source, sink)
+			require.NoError(t, err)
+			assert.Equal(t, "abc", sink.text)
+			assert.Len(t, source.positions, 1)
+		})
+	})
+}
