Bound the heads of responses on the product's own node

Seen: one response whose head does not end made the node allocate 73 MB, for an engine and for a plain service; the platform's node has a bound since its own case of this.

Cause: net/http allows 10 MB, and the buffers of a line double up to there. All transports of the node and the command line allow 64 KB now.

--- a/pkg/cli/apply.go
+++ b/pkg/cli/apply.go
@@ -12,6 +12,7 @@
 	"cassiawall.example/cassiawall/pkg/config"
 	"cassiawall.example/cassiawall/pkg/configsync"
 	"cassiawall.example/cassiawall/pkg/controller/configwatch"
+	"cassiawall.example/cassiawall/pkg/defaults"
 	"cassiawall.example/cassiawall/pkg/fault"
 	"cassiawall.example/cassiawall/pkg/objects"
 	"cassiawall.example/cassiawall/pkg/status"
@@ -91,7 +92,7 @@
 func (c *applyCommand) storeDocument(ctx context.Context, document []byte) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	client := &http.Client{Transport: &http.Transport{}}
+	client := &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: defaults.MaxResponseHeadBytes}}
 	defer client.CloseIdleConnections()
 	store := objects.NewClient(c.Objects, client)
 	ifVersion, err := c.storedVersion(ctx, store)
--- a/pkg/cli/nodeclient.go
+++ b/pkg/cli/nodeclient.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"cassiawall.example/cassiawall/pkg/defaults"
 	"cassiawall.example/cassiawall/pkg/fault"
 )
 
@@ -46,7 +47,7 @@
 		}
 		tlsConfig.Certificates = []tls.Certificate{certificate}
 	}
-	return &http.Client{Transport: &http.Transport{TLSClientConfig: tlsConfig}}, nil
+	return &http.Client{Transport: &http.Transport{TLSClientConfig: tlsConfig, MaxResponseHeaderBytes: defaults.MaxResponseHeadBytes}}, nil
 }
 
 // getJSON gets the JSON document at path from the node and decodes it into v. timeout bounds the
--- a/pkg/node/assemble.go
+++ b/pkg/node/assemble.go
@@ -18,6 +18,7 @@
 	"cassiawall.example/cassiawall/pkg/controller/limitshare"
 	"cassiawall.example/cassiawall/pkg/controller/owner"
 	"cassiawall.example/cassiawall/pkg/controller/rollout"
+	"cassiawall.example/cassiawall/pkg/defaults"
 	"cassiawall.example/cassiawall/pkg/engine"
 	"cassiawall.example/cassiawall/pkg/entry"
 	"cassiawall.example/cassiawall/pkg/event"
@@ -61,7 +62,7 @@
 // connectPlatform creates the clients of the platform's services, and discovery.
 func (n *Node) connectPlatform() {
 	s := n.opt.Settings
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: platformMaxIdleConnsPerHost, IdleConnTimeout: engineIdleTimeout}}
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: platformMaxIdleConnsPerHost, IdleConnTimeout: engineIdleTimeout, MaxResponseHeaderBytes: defaults.MaxResponseHeadBytes}}
 	n.store = objects.NewClient(s.Platform.Objects, client)
 	options := discovery.Options{Board: n.board, EngineRole: s.Engines.VMRole, Static: staticEngines(s), Logger: n.opt.Logger, Now: time.Now}
 	if s.Platform.VMs != "" {
--- a/pkg/node/engines.go
+++ b/pkg/node/engines.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"cassiawall.example/cassiawall/pkg/defaults"
 	"cassiawall.example/cassiawall/pkg/engine"
 )
 
@@ -32,6 +33,8 @@
 		IdleConnTimeout:       engineIdleTimeout,
 		ResponseHeaderTimeout: engineResponseHeaderTimeout,
 		DisableCompression:    true,
+
+		MaxResponseHeaderBytes: defaults.MaxResponseHeadBytes,
 	}
 	return &engineClients{http: &http.Client{Transport: transport}, byAddress: map[string]*engine.Client{}}
 }
--- a/pkg/peer/pool.go
+++ b/pkg/peer/pool.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"cassiawall.example/cassiawall/pkg/defaults"
 	"cassiawall.example/cassiawall/pkg/fault"
 	"cassiawall.example/cassiawall/pkg/peer/peerpb"
 )
@@ -67,6 +68,8 @@
 			MaxIdleConnsPerHost: maxIdleConnsPerNode,
 			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true,
+
+			MaxResponseHeaderBytes: defaults.MaxResponseHeadBytes,
 		},
 		auth:      auth,
 		canceller: newCallCanceller(),
--- a/pkg/service/client.go
+++ b/pkg/service/client.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"cassiawall.example/cassiawall/pkg/defaults"
 	"cassiawall.example/cassiawall/pkg/fault"
 )
 
@@ -48,6 +49,8 @@
 		MaxIdleConnsPerHost: maxIdleConnsPerBackend,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: defaults.MaxResponseHeadBytes,
 	}
 	return c
 }
@@ -135,6 +138,8 @@
 	transport := &http.Transport{
 		DisableKeepAlives:  true,
 		DisableCompression: true,
+
+		MaxResponseHeaderBytes: defaults.MaxResponseHeadBytes,
 		DialContext: func(context.Context, string, string) (net.Conn, error) {
 			if dialled {
 				return nil, fault.New(fault.Internal, "transport opened a second connection for a request that may be sent only once")
