Keep a panic over one message or response from ending the product's own node

Change: gossip messages and ticks, the loops of owned engines and of the configuration, and each controller run under recovery.Guard. Calls of leases, rollouts, claims and slot reports have none yet.

--- a/pkg/controller/configwatch/configwatch.go
+++ b/pkg/controller/configwatch/configwatch.go
@@ -13,7 +13,6 @@
 	"time"
 
 	gometrics "github.com/rcrowley/go-metrics"
-	"golang.org/x/sync/errgroup"
 
 	"cassiawall.example/cassiawall/pkg/blackboard"
 	"cassiawall.example/cassiawall/pkg/configsync"
@@ -23,6 +22,7 @@
 	"cassiawall.example/cassiawall/pkg/objects"
 	"cassiawall.example/cassiawall/pkg/peer"
 	"cassiawall.example/cassiawall/pkg/peer/peerpb"
+	"cassiawall.example/cassiawall/pkg/recovery"
 	"cassiawall.example/cassiawall/pkg/wait"
 )
 
@@ -118,13 +118,15 @@
 
 // Run obtains the first configuration and follows changes until ctx ends. It then returns nil.
 func (c *Controller) Run(ctx context.Context) error {
-	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { c.bootstrap(ctx); return nil })
-	group.Go(func() error { c.fetchLoop(ctx); return nil })
+	guard := recovery.Guard{Logger: c.options.Logger, Metrics: c.options.Metrics}
+	var loops sync.WaitGroup
+	loops.Go(func() { guard.Loop(ctx, "configuration bootstrap", c.bootstrap) })
+	loops.Go(func() { guard.Loop(ctx, "configuration fetches", c.fetchLoop) })
 	if c.options.Store != nil {
-		group.Go(func() error { c.watcherLoop(ctx); return nil })
+		loops.Go(func() { guard.Loop(ctx, "configuration watch", c.watcherLoop) })
 	}
-	return group.Wait()
+	loops.Wait()
+	return nil
 }
 
 // Ready reports whether the node has a configuration to serve with; see configsync.Startup.Ready.
--- a/pkg/controller/gossip/gossip.go
+++ b/pkg/controller/gossip/gossip.go
@@ -20,6 +20,7 @@
 	"cassiawall.example/cassiawall/pkg/metrics"
 	"cassiawall.example/cassiawall/pkg/peer"
 	"cassiawall.example/cassiawall/pkg/peer/peerpb"
+	"cassiawall.example/cassiawall/pkg/recovery"
 )
 
 // EvidenceSource is the evidence source of blackboard entries that were received by gossip.
@@ -74,6 +75,7 @@
 // Controller maintains this node's view of the fleet.
 type Controller struct {
 	options Options
+	guard   recovery.Guard
 
 	mu                sync.Mutex
 	machine           *membership.Machine
@@ -113,6 +115,7 @@
 	}
 	c := &Controller{
 		options:   options,
+		guard:     recovery.Guard{Logger: options.Logger, Metrics: options.Metrics},
 		machine:   membership.New(options.Membership, now),
 		summaries: newSummaryQueue(options.Name),
 		demands:   newDemandExchange(limits.NewAllocator()),
@@ -140,7 +143,9 @@
 func (c *Controller) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error {
-		return c.options.Transport.Run(ctx, func(from string, message *peerpb.Gossip) { c.receive(ctx, from, message) })
+		return c.options.Transport.Run(ctx, func(from string, message *peerpb.Gossip) {
+			c.guard.Run("gossip message", func() { c.receive(ctx, from, message) })
+		})
 	})
 	group.Go(func() error {
 		c.tickLoop(ctx)
@@ -153,7 +158,7 @@
 	ticker := time.NewTicker(membership.DefaultTickInterval)
 	defer ticker.Stop()
 	for {
-		c.tick(ctx)
+		c.guard.Run("gossip tick", func() { c.tick(ctx) })
 		select {
 		case <-ctx.Done():
 			return
--- a/pkg/controller/gossip/gossip_test.go
+++ b/pkg/controller/gossip/gossip_test.go
@@ -32,6 +32,7 @@
 
 type packet struct {
 	from string
+	// data is the encoded message, or nil for a message that no handler expects.
 	data []byte
 }
 
@@ -81,6 +82,10 @@
 		case <-ctx.Done():
 			return nil
 		case in := <-t.inbox:
+			if in.data == nil {
+				handle(in.from, nil)
+				continue
+			}
 			var message peerpb.Gossip
 			if err := proto.Unmarshal(in.data, &message); err != nil {
 				return err
@@ -365,3 +370,18 @@
 		cancel()
 	})
 }
+
+// Guards against a node that ends because one message makes the handling of it panic.
+func TestPanicOverAMessageSkipsIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network, nodes := startNodes(t, 3)
+		defer stopNodes(nodes)
+		time.Sleep(10 * time.Second)
+		network.inboxes["g1"] <- packet{from: "g0"}
+		nodes[2].board.Summaries.Put("e1", summaryEntry("n2", 1), blackboard.Evidence{Writer: "owner/n2", ObservedAt: time.Now()})
+		time.Sleep(10 * time.Second)
+		_, known := nodes[1].board.Summaries.Get("e1")
+		assert.True(t, known)
+		assert.EqualValues(t, 1, nodes[1].options.Metrics.Counter("task_panics", "task", "gossip message").Count())
+	})
+}
--- a/pkg/controller/owner/loops.go
+++ b/pkg/controller/owner/loops.go
@@ -41,16 +41,25 @@
 		}
 		cancel()
 	}()
-	e.readState(ctx)
-	e.loadSnapshot(ctx)
+	e.owner.guard.Run("engine state", func() { e.readState(ctx) })
+	e.owner.guard.Run("engine snapshot", func() { e.loadSnapshot(ctx) })
 	var loops sync.WaitGroup
-	loops.Go(func() { e.eventLoop(ctx) })
-	loops.Go(func() { wait.Every(ctx, e.owner.options.LoadInterval, e.readLoad) })
-	loops.Go(func() { wait.Every(ctx, e.owner.options.StateInterval, e.readState) })
-	loops.Go(func() { wait.Every(ctx, e.owner.options.TickInterval, e.tick) })
+	for task, loop := range map[string]func(context.Context){
+		"engine events": e.eventLoop,
+		"engine load":   every(e.owner.options.LoadInterval, e.readLoad),
+		"engine state":  every(e.owner.options.StateInterval, e.readState),
+		"engine queue":  every(e.owner.options.TickInterval, e.tick),
+	} {
+		loops.Go(func() { e.owner.guard.Loop(ctx, task, loop) })
+	}
 	loops.Wait()
 }
 
+// every returns a loop that calls f once per interval.
+func every(interval time.Duration, f func(context.Context)) func(context.Context) {
+	return func(ctx context.Context) { wait.Every(ctx, interval, f) }
+}
+
 // eventLoop applies cache events to the index and reloads the snapshot when the index needs repair.
 func (e *ownedEngine) eventLoop(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -115,22 +124,26 @@
 	if ctx.Err() != nil {
 		return
 	}
-	e.mu.Lock()
-	failed := err != nil
-	if failed {
-		e.index.RepairFailed(e.now())
-	} else {
-		e.handleRestart(ctx, e.index.LoadSnapshot(e.now(), snapshot), snapshot.Incarnation)
-		e.missingTokensStale = true
-		e.markSnapshotLoaded()
-	}
-	e.mu.Unlock()
+	e.applySnapshot(ctx, snapshot, err)
 	e.recordCallResult(ctx, err)
-	if failed {
+	if err != nil {
 		wait.Pause(ctx, retryDelay)
 	}
 }
 
+// applySnapshot passes the result of a snapshot call to the index.
+func (e *ownedEngine) applySnapshot(ctx context.Context, snapshot engine.CacheSnapshot, err error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if err != nil {
+		e.index.RepairFailed(e.now())
+		return
+	}
+	e.handleRestart(ctx, e.index.LoadSnapshot(e.now(), snapshot), snapshot.Incarnation)
+	e.missingTokensStale = true
+	e.markSnapshotLoaded()
+}
+
 func (e *ownedEngine) markSnapshotLoaded() {
 	select {
 	case <-e.snapshotLoaded:
@@ -211,13 +224,7 @@
 
 // applyState applies a state report to the index and the queue and writes it to the board.
 func (e *ownedEngine) applyState(ctx context.Context, state engine.State) {
-	e.mu.Lock()
-	change := cacheindex.UpdateResult{Restarted: e.index.Reset(state.Incarnation)}
-	e.handleRestart(ctx, change, state.Incarnation)
-	e.state = state
-	e.queue.SetMaxBatch(state.MaxBatch)
-	e.grantWaiting(e.now())
-	e.mu.Unlock()
+	e.setState(ctx, state)
 	e.owner.options.Board.Engines.Update(e.id, e.evidence("engine state"),
 		func(old blackboard.Entry[blackboard.EngineEntry], ok bool) (blackboard.EngineEntry, bool) {
 			v := old.Value
@@ -233,6 +240,16 @@
 		})
 }
 
+func (e *ownedEngine) setState(ctx context.Context, state engine.State) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	change := cacheindex.UpdateResult{Restarted: e.index.Reset(state.Incarnation)}
+	e.handleRestart(ctx, change, state.Incarnation)
+	e.state = state
+	e.queue.SetMaxBatch(state.MaxBatch)
+	e.grantWaiting(e.now())
+}
+
 func sameState(a, b engine.State) bool {
 	return a.Incarnation == b.Incarnation && a.Model == b.Model && a.WeightsVersion == b.WeightsVersion &&
 		a.Role == b.Role && a.FencingToken == b.FencingToken && a.Loading == b.Loading && a.Leaving == b.Leaving
--- a/pkg/controller/owner/owner.go
+++ b/pkg/controller/owner/owner.go
@@ -15,7 +15,9 @@
 	"cassiawall.example/cassiawall/pkg/cacheindex"
 	"cassiawall.example/cassiawall/pkg/engine"
 	"cassiawall.example/cassiawall/pkg/event"
+	"cassiawall.example/cassiawall/pkg/metrics"
 	"cassiawall.example/cassiawall/pkg/peer/peerpb"
+	"cassiawall.example/cassiawall/pkg/recovery"
 )
 
 // Options configures an Owner. Zero intervals and timeouts are replaced by the defaults.
@@ -26,6 +28,8 @@
 	// Self is this node's member name.
 	Self   string
 	Logger *slog.Logger
+	// Metrics is the registry of the counter task_panics. Default: a new registry.
+	Metrics *metrics.Registry
 	// Now is the clock. Default time.Now.
 	Now func() time.Time
 	// CopySource returns an engine other than except that caches leading pieces of the prompt, and
@@ -63,6 +67,7 @@
 // Owner runs the engines that this node owns. It is safe for concurrent use.
 type Owner struct {
 	options Options
+	guard   recovery.Guard
 	curves  *admission.SurvivalCurves
 	mu      sync.Mutex
 	engines map[string]*ownedEngine
@@ -76,6 +81,9 @@
 	if o.Logger == nil {
 		o.Logger = slog.New(slog.DiscardHandler)
 	}
+	if o.Metrics == nil {
+		o.Metrics = metrics.New()
+	}
 	if o.Now == nil {
 		o.Now = time.Now
 	}
@@ -83,7 +91,10 @@
 	o.StateInterval = orDefault(o.StateInterval, DefaultStateInterval)
 	o.TickInterval = orDefault(o.TickInterval, DefaultTickInterval)
 	o.SnapshotTimeout = orDefault(o.SnapshotTimeout, DefaultSnapshotTimeout)
-	return &Owner{options: o, curves: admission.NewSurvivalCurves(), engines: map[string]*ownedEngine{}}
+	return &Owner{
+		options: o, guard: recovery.Guard{Logger: o.Logger, Metrics: o.Metrics},
+		curves: admission.NewSurvivalCurves(), engines: map[string]*ownedEngine{},
+	}
 }
 
 func orDefault(d, fallback time.Duration) time.Duration {
@@ -144,7 +155,7 @@
 		}
 		e := newOwnedEngine(o, id, address, reporter)
 		o.engines[id] = e
-		o.running.Go(func() { e.run(ctx) })
+		o.running.Go(func() { o.guard.Run("engine", func() { e.run(ctx) }) })
 		event.EngineOwnershipTaken.Log(ctx, o.options.Logger, slog.String("engine", id))
 	}
 	if complete {
--- a/pkg/node/assemble.go
+++ b/pkg/node/assemble.go
@@ -124,7 +124,7 @@
 	n.metrics.GaugeFunc("soft_prefixes", func() float64 { return float64(len(n.placer.CachedPrefixes(maxBootstrapPrefixes))) })
 	n.feeder = engineview.New(engineview.Options{Board: n.board, DataCentre: s.DataCentre, Region: s.Region}, n.placer)
 	n.owner = owner.New(owner.Options{
-		Board: n.board, Engines: n.engineReporter, Self: s.Name, Logger: n.opt.Logger, CopySource: n.copySource,
+		Board: n.board, Engines: n.engineReporter, Self: s.Name, Logger: n.opt.Logger, Metrics: n.metrics, CopySource: n.copySource,
 		Copy: owner.CopyOptions{TokensPerSecond: copyTokensPerSecond, Overhead: copyFixedTime},
 	})
 	return nil
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -30,6 +30,7 @@
 	"cassiawall.example/cassiawall/pkg/objects"
 	"cassiawall.example/cassiawall/pkg/peer"
 	"cassiawall.example/cassiawall/pkg/placement"
+	"cassiawall.example/cassiawall/pkg/recovery"
 	"cassiawall.example/cassiawall/pkg/report"
 	"cassiawall.example/cassiawall/pkg/routing"
 	"cassiawall.example/cassiawall/pkg/service"
@@ -154,8 +155,12 @@
 	defer cancel()
 	event.NodeStarted.Log(ctx, n.opt.Logger, slog.String("node", n.opt.Settings.Name))
 	group, groupCtx := errgroup.WithContext(ctx)
-	for _, controller := range n.controllers() {
-		group.Go(func() error { return controller(groupCtx) })
+	guard := recovery.Guard{Logger: n.opt.Logger, Metrics: n.metrics}
+	for task, controller := range n.controllers() {
+		group.Go(func() (err error) {
+			guard.Loop(groupCtx, task, func(ctx context.Context) { err = controller(ctx) })
+			return err
+		})
 	}
 	peers := &http.Server{Handler: peer.NewServer(&rpcServer{node: n}, n.auth), ReadHeaderTimeout: headerTimeout}
 	peer.Configure(peers)
@@ -178,10 +183,11 @@
 	return err
 }
 
-// controllers returns the background loops, which run until their context ends.
-func (n *Node) controllers() []func(context.Context) error {
-	return []func(context.Context) error{
-		n.discovery.Run, n.gossip.Run, n.followMembers, n.config.Run, n.shares.Run, n.owner.Run, n.services.Run, n.leases.Run, n.rollouts.Run,
-		n.refreshLoop, n.followConfig,
+// controllers returns the background loops by name. They run until their context ends, and again after a panic.
+func (n *Node) controllers() map[string]func(context.Context) error {
+	return map[string]func(context.Context) error{
+		"discovery": n.discovery.Run, "gossip": n.gossip.Run, "members": n.followMembers, "configuration": n.config.Run, "limits": n.shares.Run,
+		"engines": n.owner.Run, "services": n.services.Run, "leases": n.leases.Run, "rollouts": n.rollouts.Run, "placement": n.refreshLoop,
+		"workspaces": n.followConfig,
 	}
 }
