--- a/test/soak/notices_test.go
+++ b/test/soak/notices_test.go
@@ -9,8 +9,17 @@
 	"cassiawall.example/cassiawall/platform/standin"
 )
 
-// firstNoticeSeed is the first seed whose schedule also has laterFaults. The schedules of the seeds below stay as they were.
-const firstNoticeSeed = 1000
+// firstNoticeSeed is the first seed whose schedule also has laterFaults, and firstEndlessSeed the first one with endlessFaults.
+// The schedules of the seeds below stay as they were.
+const (
+	firstNoticeSeed  = 1000
+	firstEndlessSeed = 2003
+)
+
+// endlessFaults are further faults, like faults.
+var endlessFaults = map[string]func(f *fleet, target int, duration time.Duration){
+	"engine sends endless responses": engineFault(standin.EngineFaults{EndlessShare: 0.5}),
+}
 
 // laterFaults are further faults, like faults.
 var laterFaults = map[string]func(f *fleet, target int, duration time.Duration){
@@ -82,12 +91,17 @@
 	if seed >= firstNoticeSeed {
 		kinds = append(kinds, slices.Sorted(maps.Keys(laterFaults))...)
 	}
+	if seed >= firstEndlessSeed {
+		kinds = append(kinds, slices.Sorted(maps.Keys(endlessFaults))...)
+	}
 	return kinds
 }
 
 func injectorOf(kind string) func(f *fleet, target int, duration time.Duration) {
-	if inject, ok := faults[kind]; ok {
-		return inject
+	for _, known := range []map[string]func(*fleet, int, time.Duration){faults, laterFaults, endlessFaults} {
+		if inject, ok := known[kind]; ok {
+			return inject
+		}
 	}
-	return laterFaults[kind]
+	return nil
 }
