--- a/pkg/bench/scale/scale_test.go
+++ b/pkg/bench/scale/scale_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"sync"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -23,15 +24,20 @@
 	assert.InDelta(t, 0.9627, f.R2, 1e-4)
 }
 
+// registerTestRole registers a role whose cost is three times its size, once for all runs of the test.
+var registerTestRole = sync.OnceFunc(func() {
+	Register(Role{Name: "test", TargetSize: 8, Sizes: []int{1, 2, 3, 4}, Measure: func(_ context.Context, size int) (map[string]float64, error) {
+		return map[string]float64{"cost": float64(3 * size)}, nil
+	}})
+})
+
 // Guards against a fit through too few sizes and against unknown roles that are accepted.
 func TestMeasureRejectsInvalidInput(t *testing.T) {
 	_, err := Measure(t.Context(), "nope", nil)
 	require.Error(t, err)
 	_, err = Measure(t.Context(), "gossip", []int{1, 2, 3})
 	require.Error(t, err)
-	Register(Role{Name: "test", TargetSize: 8, Sizes: []int{1, 2, 3, 4}, Measure: func(_ context.Context, size int) (map[string]float64, error) {
-		return map[string]float64{"cost": float64(3 * size)}, nil
-	}})
+	registerTestRole()
 	s, err := Measure(t.Context(), "test", nil)
 	require.NoError(t, err)
 	assert.InDelta(t, 24, s.Fits["cost"].AtTarget, 1e-9)
