--- a/pkg/engine/second_copy_test.go
+++ b/pkg/engine/second_copy_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"cassiawall.example/cassiawall/pkg/fault"
+	"cassiawall.example/cassiawall/pkg/standin/rawserver"
 )
 
 // Guards against a second copy of a refusal, on a connection that was kept, that is taken for the refusal of the next request,
@@ -21,12 +22,8 @@
 	for _, body := range []string{`{"error":{"message":"full"}}`, ""} {
 		for _, repeatsID := range []bool{true, false} {
 			t.Run(fmt.Sprintf("body of %d bytes, repeats the ID %t", len(body), repeatsID), func(t *testing.T) {
-				l, err := net.Listen("tcp4", "127.0.0.1:0")
-				require.NoError(t, err)
-				defer l.Close()
 				var runs atomic.Int32
-				serve := func(c net.Conn) {
-					defer c.Close()
+				address := rawserver.Serve(t, func(c net.Conn) {
 					reader := bufio.NewReader(c)
 					refusal := ""
 					for {
@@ -48,18 +45,9 @@
 						refusal = fmt.Sprintf("HTTP/1.1 503 Full\r\n%sContent-Length: %d\r\n\r\n%s", id, len(body), body)
 						_, _ = io.WriteString(c, refusal)
 					}
-				}
-				go func() {
-					for {
-						c, err := l.Accept()
-						if err != nil {
-							return
-						}
-						go serve(c)
-					}
-				}()
-				client := NewClient("http://"+l.Addr().String(), &http.Client{Transport: &http.Transport{}})
-				_, err = client.Generate(t.Context(), &Request{ID: "r1"})
+				})
+				client := NewClient("http://"+address, &http.Client{Transport: &http.Transport{}})
+				_, err := client.Generate(t.Context(), &Request{ID: "r1"})
 				assert.True(t, fault.Is(err, fault.Overloaded), "%v", err)
 				assert.Equal(t, fault.NotRun, fault.As(err).Work)
 				_, err = client.Generate(t.Context(), &Request{ID: "r2"})
--- a/pkg/gateway/forward/second_copy_test.go
+++ b/pkg/gateway/forward/second_copy_test.go
@@ -12,18 +12,15 @@
 	"github.com/stretchr/testify/require"
 
 	"cassiawall.example/cassiawall/pkg/gateway/routes"
+	"cassiawall.example/cassiawall/pkg/standin/rawserver"
 )
 
 // Guards against a second copy of a refusal, on a connection that was kept, that is taken for the response to the same
 // request sent again: the client would be told that the request was not run while the server runs it.
 func TestSecondCopyOfARefusalIsNotTheResponseToTheRequestSentAgain(t *testing.T) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { l.Close() })
 	var mu sync.Mutex
 	seen, runs := 0, 0
-	serve := func(c net.Conn) {
-		defer c.Close()
+	address := rawserver.Serve(t, func(c net.Conn) {
 		reader := bufio.NewReader(c)
 		refused := false
 		for {
@@ -49,17 +46,8 @@
 				return
 			}
 		}
-	}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go serve(c)
-		}
-	}()
-	s := startGateway(t, routes.Unsafe, nil, &fakeBackend{address: l.Addr().String()})
+	})
+	s := startGateway(t, routes.Unsafe, nil, &fakeBackend{address: address})
 	r := postRequest(t, s, "/p/x", http.Header{"Wait": {"1500"}})
 	require.NoError(t, r.err)
 	assert.Equal(t, http.StatusOK, r.status)
--- a/pkg/service/second_copy_test.go
+++ b/pkg/service/second_copy_test.go
@@ -10,18 +10,16 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"cassiawall.example/cassiawall/pkg/standin/rawserver"
 )
 
 // serveRefusals refuses requests for /refuse. To others it writes the refusal of the last one on the connection once more,
 // if there was one, and the answer "run".
 func serveRefusals(t *testing.T, status int) (address string) {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
 	refusal := fmt.Sprintf("HTTP/1.1 %d Refused\r\nX-Work: not_run\r\nContent-Length: 4\r\n\r\nfull", status)
-	serve := func(c net.Conn) {
-		defer c.Close()
+	return rawserver.Serve(t, func(c net.Conn) {
 		earlier, reader := "", bufio.NewReader(c)
 		for {
 			r, err := http.ReadRequest(reader)
@@ -36,17 +34,7 @@
 			}
 			_, _ = io.WriteString(c, earlier+"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nrun")
 		}
-	}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go serve(c)
-		}
-	}()
-	return l.Addr().String()
+	})
 }
 
 // Guards against a second copy of a refusal, on a connection that was kept, that is passed on as the answer to the next
