--- a/pkg/controller/lease/lease.go
+++ b/pkg/controller/lease/lease.go
@@ -37,7 +37,7 @@
 	Logger *slog.Logger
 }
 
-// Controller acquires and renews the leases of one node. Run may be called only once.
+// Controller acquires and renews the leases of one node. Run may be called again only after a panic has ended it.
 type Controller struct {
 	opt Options
 	// instance identifies this start of the process: a restarted process counts as another holder.
--- a/pkg/controller/rollout/rollout.go
+++ b/pkg/controller/rollout/rollout.go
@@ -55,7 +55,7 @@
 	Logger   *slog.Logger
 }
 
-// Controller runs rollouts. Run may be called only once.
+// Controller runs rollouts. Run may be called again only after a panic has ended it.
 type Controller struct {
 	opt Options
 	// terms holds the state of the models whose leases this node holds, by model name.
