Read the lease again when the leader falls silent

Cause: the leader had renewed its lease once more and not announced it, since heartbeats come every 0.8 s and renewals every 0.6 s. The other nodes learnt of the renewal only by the conflict of the write that should have acquired the lease, and waited for its whole time again.

Change: a standby reads the record once when the leader falls silent. An unchanged or older record does not restart the wait.

--- a/pkg/gateway/node/board.go
+++ b/pkg/gateway/node/board.go
@@ -291,6 +291,9 @@
 		b.wasFollower = follower
 		event.CoverageChanged.Emit(b.node.opt.Logger, "follower", follower, "leader", b.node.controller.Leader(),
 			"heartbeat_age_ms", age.Milliseconds(), "nodes", b.nodeCount)
+		if !follower && b.node.link.IsStandby() {
+			b.node.controller.RecheckLease()
+		}
 	}
 	return follower
 }
--- a/pkg/gateway/weights/holder.go
+++ b/pkg/gateway/weights/holder.go
@@ -68,6 +68,13 @@
 	c.lease.ObserveRemote(record, version, now)
 }
 
+// RecheckLease reads the lease again if another node holds it. It is for a leader that has fallen silent.
+func (c *Controller) RecheckLease() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lease.Recheck()
+}
+
 // advanceLease starts the next call to acquire, renew or release the lease, if one is due. desired is
 // set if this node should hold the lease.
 func (c *Controller) advanceLease(ctx context.Context, desired bool) {
--- a/pkg/gateway/weights/weights_test.go
+++ b/pkg/gateway/weights/weights_test.go
@@ -338,6 +338,39 @@
 	})
 }
 
+// Guards against a takeover that takes twice its time if the leader fails between a renewal and the heartbeat that announces
+// it.
+func TestUnannouncedRenewalDoesNotDoubleTheTakeover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		var wg sync.WaitGroup
+		ctx, cancel := context.WithCancel(t.Context())
+		first, second := f.node("a"), f.node("b")
+		stop := run(ctx, &wg, first)
+		time.Sleep(time.Second)
+		run(ctx, &wg, second)
+		for range 10 {
+			time.Sleep(200 * time.Millisecond)
+			value, version := first.LeaseRecord()
+			second.ObserveLease(value, version, time.Now())
+		}
+		time.Sleep(700 * time.Millisecond)
+		f.store.set(true, false)
+		stop()
+		time.Sleep(100 * time.Millisecond)
+		f.store.set(false, false)
+		failedAt := time.Now()
+		second.RecheckLease()
+		for !second.HoldsLease() {
+			time.Sleep(50 * time.Millisecond)
+		}
+		timing := LeaseTiming(3 * time.Second)
+		assert.LessOrEqual(t, time.Since(failedAt), timing.TTL+timing.MaxDeliveryDelay+2*decisionInterval)
+		cancel()
+		wg.Wait()
+	})
+}
+
 // Guards against a long time without a leader after a planned stop: the stopped leader sends the release to
 // the other nodes and acts as leader until another node holds the lease.
 func TestStoppedLeaderHandsOver(t *testing.T) {
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -135,6 +135,8 @@
 	minVersion, minToken uint64
 	// recordMayBeLost is set if the store was restored from a copy, so that a lease without a record may have a holder.
 	recordMayBeLost bool
+	// recheck is set if the record is to be read again although recordCurrent is set, and rechecking while that is done.
+	recheck, rechecking bool
 	// retryAt is the time before which no call is made, after a failed one.
 	retryAt time.Time
 }
@@ -189,8 +191,8 @@
 		return l.write(now, l.nextRecord(max(l.lastRecord.FencingToken, l.minToken+1)))
 	case l.held || !shouldHold:
 		return Action{}
-	case !l.recordCurrent:
-		l.callInProgress = true
+	case !l.recordCurrent, l.recheck:
+		l.callInProgress, l.rechecking, l.recheck = true, l.recordCurrent, false
 		return Action{Kind: Read}
 	case now.Sub(l.observedAt) >= l.acquireWait():
 		return l.write(now, l.nextRecord(max(l.lastRecord.FencingToken, minFencingToken, l.minToken)+1))
@@ -243,7 +245,13 @@
 // damaged. Until it is repaired, the record is read again and the lease is not acquired.
 func (l *Lease) ReadDone(o objects.Object, err error, now time.Time) error {
 	l.callInProgress = false
+	// A read may also be stale.
+	unchanged := l.rechecking && err == nil && o.Version <= l.version
+	l.rechecking = false
 	switch {
+	case unchanged:
+		// The wait for the lease's end goes on from the first observation of the record.
+		return nil
 	case fault.Is(err, fault.NotFound):
 		l.minToken = max(l.minToken, l.lastRecord.FencingToken)
 		l.observe(Record{}, 0, now)
@@ -292,6 +300,10 @@
 	l.observe(r, version, now)
 }
 
+// Recheck makes a contender read the record again, once. It is for a holder that has fallen silent: a renewal that it did not
+// announce would be found only by the write that acquires the lease, and the wait would start again then.
+func (l *Lease) Recheck() { l.recheck = !l.held && l.recordCurrent }
+
 // Restored handles that the store was restored from a copy, so that the lease's object does not exist. minVersion is the
 // lowest version that the restored store gives, and minToken a fencing token that is at least as high as all tokens before.
 // The call in progress, if any, has ended without a valid result. A lease that this instance holds stays held for its time:
--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -120,6 +120,9 @@
 	case action < 4:
 		sim.poll(n)
 		sim.execute(len(sim.calls) - 1)
+	case action == 4:
+		n.lease.Recheck()
+		sim.poll(n)
 	case action < 6:
 		sim.poll(n)
 	case action < 9 && len(sim.calls) > 0:
