Keep the wait of a contender that finds no lease record twice

The read of the record that a silent leader triggers restarted the wait if the store had lost the record and still has none. Seen by reading; TestRecheckRestartsTheWaitForANewerRecordOnly covers this and the other results of that read.

--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -246,7 +246,7 @@
 func (l *Lease) ReadDone(o objects.Object, err error, now time.Time) error {
 	l.callInProgress = false
 	// A read may also be stale.
-	unchanged := l.rechecking && err == nil && o.Version <= l.version
+	unchanged := l.rechecking && (err == nil && o.Version <= l.version || l.version == 0 && fault.Is(err, fault.NotFound))
 	l.rechecking = false
 	switch {
 	case unchanged:
