Make sure at a stop that the lease is released and announced

Cause, shown by a test and consistent with the finding, not proved for it: the stopped leader makes one call to release its lease. If the response to it or to the renewal before is lost, it does not announce the release, or makes none. The others find it when they try to acquire the lease 4.5 s later, and wait for the handover from then on: 9 s in the test.

Change: a stopping leader waits out the pause after a failed renewal, reads the record if the response to the release is lost, and repeats the release if it was not stored, for up to 1.5 s.

--- a/pkg/gateway/weights/controller.go
+++ b/pkg/gateway/weights/controller.go
@@ -92,6 +92,8 @@
 	decisionInterval = 100 * time.Millisecond
 	// leaseCallTimeout bounds one read or write of the lease. It is below the renewal interval.
 	leaseCallTimeout = 550 * time.Millisecond
+	// releaseTimeout bounds the calls that release the lease at a stop.
+	releaseTimeout = 1500 * time.Millisecond
 	// engineCallTimeout bounds one call to an engine.
 	engineCallTimeout = 700 * time.Millisecond
 	// orderTimeout bounds the first call with an order. Engines respond at once and carry out the order afterwards.
@@ -191,12 +193,29 @@
 func (c *Controller) Run(ctx context.Context) {
 	wait.Every(ctx, decisionInterval, c.reconcile)
 	c.inFlight.Wait()
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), leaseCallTimeout)
+	c.releaseLease(context.WithoutCancel(ctx))
+	// The heartbeat with the released lease spares the other nodes the wait for its expiry.
+	c.opt.AnnounceLease()
+}
+
+// releaseLease releases the lease if this node holds it, also if the call has to wait after a failed renewal. If the response
+// is lost, it reads whether the release was stored: the other nodes must learn of it from this one. They would find it only
+// when the lease would have ended, and wait for the handover then.
+func (c *Controller) releaseLease(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
 	c.advanceLease(ctx, false)
 	c.inFlight.Wait()
-	// The heartbeat with the released lease spares the other nodes the wait for its expiry.
-	c.opt.AnnounceLease()
+	for c.needsRelease() && wait.Pause(ctx, c.opt.Timing.RetryInterval) {
+		c.advanceLease(ctx, false)
+		c.inFlight.Wait()
+	}
+}
+
+func (c *Controller) needsRelease() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lease.NeedsRelease()
 }
 
 // reconcile makes the next lease call and orders the next loads of each model.
--- a/pkg/gateway/weights/weights_test.go
+++ b/pkg/gateway/weights/weights_test.go
@@ -408,6 +408,36 @@
 	})
 }
 
+// Guards against a takeover that takes more than twice its time if the response to the release of a stopped leader is lost.
+func TestReleaseWithoutResponseIsRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		var wg sync.WaitGroup
+		ctx, cancel := context.WithCancel(t.Context())
+		first, second := f.node("a"), f.node("b")
+		first.opt.AnnounceLease = func() {
+			value, version := first.LeaseRecord()
+			second.ObserveLease(value, version, time.Now())
+		}
+		stop := run(ctx, &wg, first)
+		time.Sleep(time.Second)
+		run(ctx, &wg, second)
+		time.Sleep(time.Second)
+		require.True(t, first.HoldsLease())
+		f.store.set(false, true)
+		stop()
+		time.Sleep(100 * time.Millisecond)
+		f.store.set(false, false)
+		stopped := time.Now()
+		for !second.HoldsLease() {
+			time.Sleep(50 * time.Millisecond)
+		}
+		assert.LessOrEqual(t, time.Since(stopped), LeaseTiming(3*time.Second).HandoverDelay+5*decisionInterval)
+		cancel()
+		wg.Wait()
+	})
+}
+
 // restart lets an engine start again under its ID, with a version and without its orders.
 func (e *fakeEngines) restart(id string, version int) {
 	e.mu.Lock()
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -129,7 +129,10 @@
 	// later write makes the lease usable again.
 	minValidSequence uint64
 	pendingWrite     Record
-	callInProgress   bool
+	// releaseUnknown is set from the write of a release until it is known that it was stored, has failed, or that another
+	// instance has the lease.
+	releaseUnknown bool
+	callInProgress bool
 	// minVersion is the lowest version of a record that the store may still hold, and minToken the highest fencing token that
 	// may have been given before. They rise when the store is restored.
 	minVersion, minToken uint64
@@ -189,12 +192,18 @@
 		return l.release(now)
 	case l.held && now.Sub(l.heldFrom) >= l.timing.RenewInterval:
 		return l.write(now, l.nextRecord(max(l.lastRecord.FencingToken, l.minToken+1)))
+	case !shouldHold && l.releaseUnknown && l.recordCurrent:
+		return l.release(now)
+	case !shouldHold && l.releaseUnknown:
+		l.callInProgress = true
+		return Action{Kind: Read}
 	case l.held || !shouldHold:
 		return Action{}
 	case !l.recordCurrent, l.recheck:
 		l.callInProgress, l.rechecking, l.recheck = true, l.recordCurrent, false
 		return Action{Kind: Read}
 	case now.Sub(l.observedAt) >= l.acquireWait():
+		l.releaseUnknown = false
 		return l.write(now, l.nextRecord(max(l.lastRecord.FencingToken, minFencingToken, l.minToken)+1))
 	}
 	return Action{}
@@ -226,7 +235,7 @@
 	record := l.nextRecord(l.lastRecord.FencingToken)
 	record.Released = true
 	l.minValidSequence = record.Sequence + 1
-	l.held = false
+	l.held, l.releaseUnknown = false, true
 	return l.write(now, record)
 }
 
@@ -273,6 +282,8 @@
 // at which the write was sent.
 func (l *Lease) observe(r Record, version uint64, now time.Time) {
 	l.lastRecord, l.version, l.observedAt, l.recordCurrent = r, version, now, true
+	// An own record that is not released is a renewal before the release whose response was lost.
+	l.releaseUnknown = l.releaseUnknown && r.Instance == l.instance && !r.Released
 	sent, own := l.sentAt[r.Sequence]
 	l.held = own && r.Instance == l.instance && !r.Released && r.Sequence >= l.minValidSequence
 	if l.held {
@@ -284,6 +295,10 @@
 // LastRecord returns the last record that was read, written or reported, and its object version.
 func (l *Lease) LastRecord() (Record, uint64) { return l.lastRecord, l.version }
 
+// NeedsRelease reports whether this instance holds the lease, or has released it and does not know whether that was stored.
+// If it should not hold the lease, Next then releases it, or reads the record and repeats the release if it was not stored.
+func (l *Lease) NeedsRelease() bool { return l.held || l.releaseUnknown }
+
 // Released reports whether this instance has released the lease and has observed no later
 // acquisition by another instance.
 func (l *Lease) Released() bool {
@@ -350,7 +365,9 @@
 		return
 	}
 	l.retryAt = now.Add(l.timing.RetryInterval)
-	if !l.held && fault.As(err).Work == fault.Unknown {
+	unknown := fault.As(err).Work == fault.Unknown
+	l.releaseUnknown = l.releaseUnknown && unknown
+	if !l.held && unknown {
 		l.recordCurrent = false
 	}
 }
