Wait until each node has heard of a departure itself

Cause, from the log: node-1 learnt of the departure in the leader's states, so that it sent the engine nothing and heard nothing itself within the test's 1.5 s of requests. The leader lost its lease with the store, its states lapsed, and node-1 sent one request, the response to which then told it.

--- a/test/fleet/notice_test.go
+++ b/test/fleet/notice_test.go
@@ -1,12 +1,14 @@
 package fleet
 
 import (
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"cassiawall.example/cassiawall/pkg/event"
 	"cassiawall.example/cassiawall/platform/standin"
 )
 
@@ -14,12 +16,16 @@
 // lists it as ready.
 func TestEngineThatStatesItsDepartureGetsNothingWhileTheStoreIsAway(t *testing.T) {
 	t.Parallel()
-	f := startFleet(t, 3, func(f *fleet) { f.addPlain(3) })
+	const nodes, maxHearTime = 3, 20 * time.Second
+	f := startFleet(t, nodes, func(f *fleet) { f.addPlain(3) })
 	leaving := f.engines[0]
 	leaving.StateLeaving()
 	f.store.SetFault(standin.StoreUnresponsive)
-	f.load(standin.Safe, 1500*time.Millisecond, 10*time.Millisecond)
-	require.NotEmpty(t, leaving.Arrivals(), "the nodes have got responses of the engine")
+	// A node that has learnt of the departure from the leader gets a response of its own when the leader's states have lapsed.
+	for started := time.Now(); strings.Count(f.logs.String(), event.BackendLeaves.Name) < nodes; {
+		require.Less(t, time.Since(started), maxHearTime, "all nodes have got a response of the engine")
+		f.load(standin.Safe, 500*time.Millisecond, 10*time.Millisecond)
+	}
 	time.Sleep(standin.DrainBound)
 	heard := time.Now()
 	served, asked := f.load(standin.Safe, 3*time.Second, 10*time.Millisecond)
