--- a/pkg/controller/gossip/summaries.go
+++ b/pkg/controller/gossip/summaries.go
@@ -207,8 +207,11 @@
 		return cmp.Or(cmp.Compare(a.timesSent, b.timesSent), cmp.Compare(a.engine, b.engine))
 	})
 	for _, e := range s.pending {
+		if e.isRedundantFor(send.Name, others) {
+			continue
+		}
 		update := e.toProto(send.Name, withLoads)
-		if update == nil || e.isRedundantFor(send.Name, others) {
+		if update == nil {
 			continue
 		}
 		size := proto.Size(update) + summaryOverheadBytes
