--- a/pkg/gateway/exchange/exchange_test.go
+++ b/pkg/gateway/exchange/exchange_test.go
@@ -13,27 +13,14 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"cassiawall.example/cassiawall/pkg/standin/rawserver"
 )
 
 // startServer starts a server that runs script on each connection, and returns its address.
 func startServer(t *testing.T, script func(c net.Conn, r *bufio.Reader)) string {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				script(c, bufio.NewReader(c))
-			}()
-		}
-	}()
-	return l.Addr().String()
+	return rawserver.Serve(t, func(c net.Conn) { script(c, bufio.NewReader(c)) })
 }
 
 // readRequest reads one request and returns its body, or false at the end of the connection.
