--- /dev/null
+++ b/review/testdata/cases/server.go
@@ -0,0 +1,162 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"cassiawall.example/cassiawall/platform"
+	"cassiawall.example/cassiawall/platform/standin"
+)
+
+// server is a sound server: an engine if it has a model. It never breaks a request off by itself.
+type server struct {
+	id, service, model, address string
+	d                           *deployment
+	http                        *http.Server
+	born                        int64
+	// events and gap are the length of a stream and the time between its events; pauseAfter is the event after which a
+	// stream pauses once for pause, because its request is preempted.
+	events     int
+	gap        time.Duration
+	pauseAfter int
+	pause      time.Duration
+	// work is the time that a plain request takes.
+	work time.Duration
+	// arrived is called for each request that the server runs.
+	arrived func(s *server, id string, at time.Time)
+
+	mu    sync.Mutex
+	state string
+	seq   int
+	ended map[string]runEnd
+}
+
+// runEnd is how a run ended at its server.
+type runEnd struct {
+	at time.Time
+	// complete is set if the server has written its whole answer. Otherwise the node has closed the connection.
+	complete bool
+}
+
+func (d *deployment) addServer(s *server) error {
+	d.mu.Lock()
+	d.port++
+	address := fmt.Sprintf("%s.2:%d", d.prefix, d.port)
+	d.mu.Unlock()
+	listener, err := net.Listen("tcp4", address)
+	if err != nil {
+		return fmt.Errorf("%w: %w", errHarness, err)
+	}
+	s.d, s.address, s.state, s.born, s.ended = d, address, "ready", time.Now().UnixMilli(), map[string]runEnd{}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/report", s.report)
+	mux.HandleFunc("/", s.handle)
+	s.http = &http.Server{Handler: mux}
+	go func() { _ = s.http.Serve(listener) }()
+	s.publish()
+	d.mu.Lock()
+	d.servers = append(d.servers, s)
+	d.mu.Unlock()
+	return nil
+}
+
+// publish writes the server's entry to the store.
+func (s *server) publish() {
+	s.mu.Lock()
+	s.seq++
+	entry := map[string]any{
+		"service": s.service, "address": s.address, "zone": "a", "version": "v1", "slots": 48, "state": s.state, "coldLeftMs": 0,
+		"seq": s.seq, "born": s.born,
+	}
+	if s.model != "" {
+		entry["stage"], entry["models"] = "both", []any{map[string]any{"name": s.model, "version": 1, "adapters": []string{}}}
+	}
+	s.mu.Unlock()
+	s.d.objects.Put(platform.KindServers, s.id, entry)
+}
+
+// setDraining writes that the server leaves.
+func (s *server) setDraining() {
+	s.mu.Lock()
+	s.state = "draining"
+	s.mu.Unlock()
+	s.publish()
+}
+
+func (s *server) report(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(map[string]any{
+		"stage": "both", "models": []any{map[string]any{"name": s.model, "version": 1, "adapters": []string{}}}, "busy": false, "seq": 0,
+		"waiting": 0, "running": 0, "kvUsed": 0, "kvTotal": 90000, "handles": 0, "born": s.born,
+	})
+}
+
+func (s *server) handle(w http.ResponseWriter, req *http.Request) {
+	if _, err := io.Copy(io.Discard, req.Body); err != nil {
+		return
+	}
+	id := req.Header.Get("Request-Id")
+	w.Header().Set("Request-Id", id)
+	if expected := req.Header.Get("Expect-Instance"); expected != "" && expected != s.id {
+		w.Header().Set("Instance-Id", s.id)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	s.arrived(s, id, time.Now())
+	w.Header().Set("Server-Stamp", "stamp-"+id)
+	if s.model == "" {
+		if wait(req, s.work) {
+			fmt.Fprintf(w, "answer to %s", id)
+			s.end(id, true)
+			return
+		}
+		s.end(id, false)
+		return
+	}
+	w.Header().Set("Weight-Versions", "1")
+	w.Header().Set("Content-Type", "text/event-stream")
+	// Without a valid id the stream starts with the first event.
+	after, _ := strconv.Atoi(req.Header.Get("Last-Event-Id"))
+	for n := after + 1; n <= s.events; n++ {
+		gap := s.gap
+		if s.pause > 0 && n == after+s.pauseAfter+1 {
+			gap = s.pause
+		}
+		if !wait(req, gap) {
+			s.end(id, false)
+			return
+		}
+		if _, err := io.WriteString(w, standin.EventText(id, n)); err != nil {
+			s.end(id, false)
+			return
+		}
+		_ = http.NewResponseController(w).Flush()
+	}
+	s.end(id, true)
+}
+
+// end records the end of a run.
+func (s *server) end(id string, complete bool) {
+	s.mu.Lock()
+	s.ended[id] = runEnd{at: time.Now(), complete: complete}
+	s.mu.Unlock()
+	if s.model != "" {
+		s.d.rec.note("request %s: run at %s ends, whole answer written: %t", id, s.id, complete)
+	}
+}
+
+// wait waits for d. It returns false at once if the caller closes the connection.
+func wait(req *http.Request, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-req.Context().Done():
+		return false
+	}
+}
