--- a/review/testdata/cases/deployment.go
+++ b/review/testdata/cases/deployment.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -39,6 +40,8 @@
 	dir     string
 	prefix  string
 	nodes   []*node
+	// maxBody is maxBodyBytes of the configuration.
+	maxBody int
 
 	mu      sync.Mutex
 	port    int
@@ -61,8 +64,9 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &deployment{rec: rec, objects: standin.NewStore(), dir: dir, port: 7100}
+	d := &deployment{rec: rec, objects: standin.NewStore(), dir: dir, port: 7100, maxBody: 1 << 20}
 	d.store = wrap(d.objects)
+	d.stopOnSignal()
 	for try := 0; ; try++ {
 		d.prefix = fmt.Sprintf("127.%d.%d", 64+(os.Getpid()+try)%64, os.Getpid()>>6&255)
 		if d.free(nodes) {
@@ -227,6 +231,17 @@
 	}
 }
 
+// stopOnSignal ends all processes if this one is interrupted or terminated.
+func (d *deployment) stopOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-signals
+		d.stop()
+		os.Exit(2)
+	}()
+}
+
 // stop ends all processes that were started.
 func (d *deployment) stop() {
 	for _, n := range d.nodes {
@@ -255,7 +270,7 @@
 			map[string]any{"name": "engines", "engine": map[string]any{"slots": 48}, "maxConns": 643},
 			map[string]any{"name": "plain", "maxConns": 214},
 		},
-		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": d.maxBody, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 	})
 	d.objects.Put(platform.KindVersions, standin.Model, map[string]any{"model": standin.Model, "version": 1})
 }
--- a/review/testdata/cases/pages.go
+++ b/review/testdata/cases/pages.go
@@ -27,7 +27,7 @@
 	// reports no draining.
 	leaveShare    = 0.15
 	leaveInterval = 3500 * time.Millisecond
-	leaveSpread   = 50 * time.Millisecond
+	leaveSpread   = 100 * time.Millisecond
 	// serveOn is the time for which a server serves after its entry was removed.
 	serveOn = 9 * time.Second
 	rounds  = 24
@@ -177,10 +177,12 @@
 			time.AfterFunc(serveOn, func() { s.http.Close() })
 		})
 	}
-	time.Sleep(time.Second)
 	for range leaving {
-		// A port in use leaves the service one server smaller.
-		_ = add()
+		group.Go(func() {
+			time.Sleep(rand.N(leaveSpread))
+			// A port in use leaves the service one server smaller.
+			_ = add()
+		})
 	}
 	group.Wait()
 	time.Sleep(time.Until(began.Add(leaveInterval)))
--- a/review/testdata/cases/server.go
+++ b/review/testdata/cases/server.go
@@ -28,6 +28,8 @@
 	pause      time.Duration
 	// work is the time that a plain request takes.
 	work time.Duration
+	// limit is the Server-Limit that the server states in its answers, or "".
+	limit string
 	// arrived is called for each request that the server runs.
 	arrived func(s *server, id string, at time.Time)
 
@@ -103,6 +105,9 @@
 	}
 	id := req.Header.Get("Request-Id")
 	w.Header().Set("Request-Id", id)
+	if s.limit != "" {
+		w.Header().Set("Server-Limit", s.limit)
+	}
 	if expected := req.Header.Get("Expect-Instance"); expected != "" && expected != s.id {
 		w.Header().Set("Instance-Id", s.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
