--- a/review/testdata/cases/lost.go
+++ b/review/testdata/cases/lost.go
@@ -47,6 +47,15 @@
 
 // send sends a request on a connection of its own and reads the answer to its end.
 func (a *attempts) send(rec *recorder, address, path, id string, deadline time.Duration, stream bool) {
+	parts := ""
+	if stream {
+		parts = "aa:100," + id + ":100"
+	}
+	a.sendParts(rec, address, path, id, deadline, parts)
+}
+
+// sendParts is send for a request with the parts of a prompt, or "" for a plain request.
+func (a *attempts) sendParts(rec *recorder, address, path, id string, deadline time.Duration, parts string) {
 	r := &attempt{id: id, sentAt: time.Now(), deadline: deadline}
 	a.mu.Lock()
 	a.byID[id] = r
@@ -62,10 +71,10 @@
 	req.Header.Set("Request-Id", id)
 	req.Header.Set("Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
 	req.Header.Set("Authorization", "Bearer key-north")
-	if stream {
+	if parts != "" {
 		req.Header.Set("Model", standin.Model)
 		req.Header.Set("Token-Count", "200,60")
-		req.Header.Set("Prefix-Hash", "aa:100,"+id+":100")
+		req.Header.Set("Prefix-Hash", parts)
 	}
 	transport := &http.Transport{}
 	defer transport.CloseIdleConnections()
--- a/review/testdata/cases/main.go
+++ b/review/testdata/cases/main.go
@@ -19,6 +19,7 @@
 	"pages":   runPages,
 	"bodies":  runBodies,
 	"order":   runOrder,
+	"poison":  runPoison,
 }
 
 func main() {
--- a/review/testdata/cases/server.go
+++ b/review/testdata/cases/server.go
@@ -30,6 +30,9 @@
 	work time.Duration
 	// leavesFirst is set if an engine leaves its first order unanswered and carries it out late.
 	leavesFirst bool
+	// firstEvent and arrivedRequest are called, unless nil, when an engine has written the first event of an answer, and for
+	// each request that it runs.
+	firstEvent, arrivedRequest func(req *http.Request)
 	// arrived is called for each request that the server runs.
 	arrived func(s *server, id string, at time.Time)
 
@@ -60,6 +63,11 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", errHarness, err)
 	}
+	return d.addServerAt(s, listener, address)
+}
+
+// addServerAt is addServer with a listener.
+func (d *deployment) addServerAt(s *server, listener net.Listener, address string) error {
 	s.d, s.address, s.state, s.born, s.version, s.ended = d, address, "ready", time.Now().UnixMilli(), 1, map[string]runEnd{}
 	s.serve(listener)
 	s.publish()
@@ -129,6 +137,9 @@
 		return
 	}
 	s.arrived(s, id, time.Now())
+	if s.arrivedRequest != nil {
+		s.arrivedRequest(req)
+	}
 	w.Header().Set("Server-Stamp", "stamp-"+id)
 	if s.model == "" {
 		if wait(req, s.work) {
@@ -157,6 +168,9 @@
 			return
 		}
 		_ = http.NewResponseController(w).Flush()
+		if s.firstEvent != nil && n == after+1 {
+			s.firstEvent(req)
+		}
 	}
 	s.end(id, true)
 }
@@ -172,7 +186,7 @@
 	s.mu.Lock()
 	s.ended[id] = runEnd{at: time.Now(), complete: complete}
 	s.mu.Unlock()
-	if s.model != "" {
+	if s.model != "" && s.arrivedRequest == nil {
 		s.d.rec.note("request %s: run at %s ends, whole answer written: %t", id, s.id, complete)
 	}
 }
