Handle SIGHUP from the start of a process until its exit

Cause: the reload loop ended with the context that SIGTERM cancels; its deferred signal.Stop restored the default action, which ends the process. The exit status ("signal: hangup") rules out a panic and the end of the grace. Same class: a SIGHUP before the first Notify, one before the node is connected (nil pointer), and cassiawall serve, which never handled it.

Change: pkg/hangup receives SIGHUP from its initialization until the exit. Reload waits for the connection. serve logs event 105. Other commands keep the default action.

--- a/cmd/cassiawall-node/main.go
+++ b/cmd/cassiawall-node/main.go
@@ -19,6 +19,7 @@
 	"cassiawall.example/cassiawall/pkg/event"
 	"cassiawall.example/cassiawall/pkg/gateway/decisions"
 	"cassiawall.example/cassiawall/pkg/gateway/node"
+	"cassiawall.example/cassiawall/pkg/hangup"
 	"cassiawall.example/cassiawall/pkg/metrics"
 	"cassiawall.example/cassiawall/platform"
 )
@@ -83,22 +84,14 @@
 	})
 	stop, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer cancel()
-	go reloadOnHangup(stop, path, n, logger)
+	go reloadOnHangup(path, n, logger)
 	return n.Run(stop)
 }
 
-// reloadOnHangup reloads the settings file on each SIGHUP until ctx ends. The settings in use stay if the
-// file is invalid.
-func reloadOnHangup(ctx context.Context, path string, n *node.Node, logger *slog.Logger) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hangups:
-		}
+// reloadOnHangup reloads the settings file on each SIGHUP until the process exits, also during shutdown. The
+// settings in use stay if the file is invalid.
+func reloadOnHangup(path string, n *node.Node, logger *slog.Logger) {
+	for range hangup.Received() {
 		s, err := platform.LoadSettings(path)
 		if err != nil {
 			event.SettingsRefused.Emit(logger, "error", err.Error())
--- /dev/null
+++ b/cmd/cassiawall-node/main_test.go
@@ -0,0 +1,145 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"cassiawall.example/cassiawall/platform/standin"
+)
+
+// programVariable is the environment variable that makes the test binary run the program.
+const programVariable = "CASSIAWALL_TEST_NODE"
+
+// waitTimeout is the time within which a process must be ready, or read its settings.
+const waitTimeout = 15 * time.Second
+
+func TestMain(m *testing.M) {
+	if os.Getenv(programVariable) != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// process is a node in a process of its own.
+type process struct {
+	*exec.Cmd
+	output *bytes.Buffer
+	ended  chan struct{}
+	err    error
+}
+
+// startProcess starts a node with a settings file that the environment variable names. It ends with the test.
+func startProcess(t *testing.T, variable string) *process {
+	t.Helper()
+	p := &process{Cmd: exec.Command(os.Args[0]), output: &bytes.Buffer{}, ended: make(chan struct{})}
+	p.Env = append(os.Environ(), programVariable+"=1", variable)
+	p.Stdout, p.Stderr = p.output, p.output
+	require.NoError(t, p.Start())
+	go func() {
+		defer close(p.ended)
+		p.err = p.Wait()
+	}()
+	t.Cleanup(func() {
+		// The process may have ended.
+		_ = p.Process.Kill()
+		<-p.ended
+		if t.Failed() {
+			t.Log(p.output.String())
+		}
+	})
+	return p
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// startNode starts a node beside a store and an engine, and waits until it is ready.
+func startNode(t *testing.T) (p *process, clientAddress string) {
+	t.Helper()
+	store := standin.NewStore()
+	server := httptest.NewServer(store)
+	t.Cleanup(server.CloseClientConnections)
+	standin.Configure(store, standin.Config{Version: 1, Timeout: 4 * time.Second, Tenants: []standin.Tenant{{Name: "north", Key: "key-north"}}})
+	standin.SetDesiredVersion(store, 1)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	engine := standin.StartEngine(standin.EngineOptions{
+		ID: "engine-1", Service: standin.EngineService, Model: standin.Model, Version: 1, Store: store, Journal: standin.NewJournal(), Listener: l,
+	})
+	t.Cleanup(engine.Crash)
+	settings := standin.NodeSettings{
+		Name: "node-1", IP: "127.0.0.1", ClientAddress: freeAddress(t), ReadyAddress: freeAddress(t), PeerAddress: freeAddress(t),
+		StoreAddress: strings.TrimPrefix(server.URL, "http://"),
+	}
+	variable, err := standin.WriteSettings(filepath.Join(t.TempDir(), "settings"), settings)
+	require.NoError(t, err)
+	p = startProcess(t, variable)
+	require.Eventually(t, func() bool { return standin.IsReady(t.Context(), http.DefaultClient, settings.ReadyAddress) }, waitTimeout, 20*time.Millisecond)
+	return p, settings.ClientAddress
+}
+
+// Guards against a SIGHUP that ends a node during its shutdown, and cuts its running requests.
+func TestHangupDuringShutdownCutsNoRequest(t *testing.T) {
+	p, address := startNode(t)
+	require.NoError(t, p.Process.Signal(syscall.SIGTERM))
+	var group sync.WaitGroup
+	responses := make([]standin.Response, 20)
+	for i := range responses {
+		group.Go(func() {
+			responses[i] = standin.Send(t.Context(), http.DefaultClient, address, standin.Request{
+				ID: fmt.Sprint("r", i), Kind: standin.Stream, Key: "key-north", Deadline: 3 * time.Second,
+			})
+		})
+		time.Sleep(20 * time.Millisecond)
+		require.NoError(t, p.Process.Signal(syscall.SIGHUP))
+	}
+	group.Wait()
+	for i, r := range responses {
+		assert.Truef(t, r.Complete && r.Status == http.StatusOK, "request %d: status %d: %v", i, r.Status, r.Err)
+	}
+	<-p.ended
+	assert.NoError(t, p.err)
+}
+
+// Guards against a SIGHUP that ends a process before it has read its settings.
+func TestHangupBeforeTheSettingsAreReadDoesNotEndTheProcess(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings")
+	require.NoError(t, syscall.Mkfifo(path, 0o600))
+	variable, err := standin.WriteSettings(filepath.Join(t.TempDir(), "settings"), standin.NodeSettings{})
+	require.NoError(t, err)
+	name, _, _ := strings.Cut(variable, "=")
+	p := startProcess(t, name+"="+path)
+	// The open blocks until the process reads.
+	settings, err := os.OpenFile(path, os.O_WRONLY, 0)
+	require.NoError(t, err)
+	require.NoError(t, p.Process.Signal(syscall.SIGHUP))
+	select {
+	case <-p.ended:
+	case <-time.After(500 * time.Millisecond):
+	}
+	_, err = settings.WriteString("invalid")
+	assert.NoError(t, err)
+	settings.Close()
+	<-p.ended
+	assert.EqualError(t, p.err, "exit status 1", "the settings are refused")
+}
--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -10,6 +10,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"cassiawall.example/cassiawall/pkg/fault"
+	"cassiawall.example/cassiawall/pkg/hangup"
 )
 
 // Exit codes of the program.
@@ -38,9 +39,21 @@
 
 func newParser(specs []commandSpec) (*flags.Parser, error) {
 	parser := flags.NewNamedParser("cassiawall", flags.HelpFlag|flags.PassDoubleDash)
+	parser.CommandHandler = execute
 	return parser, addCommands(parser.Command, specs)
 }
 
+// execute runs a command. All commands but serve end on SIGHUP, which a terminal sends when it closes.
+func execute(command flags.Commander, args []string) error {
+	if command == nil {
+		return nil
+	}
+	if _, isNode := command.(*serveCommand); !isNode {
+		hangup.RestoreDefault()
+	}
+	return command.Execute(args)
+}
+
 func addCommands(parent *flags.Command, specs []commandSpec) error {
 	for _, spec := range specs {
 		command, err := parent.AddCommand(spec.name, spec.short, spec.long, spec.data)
--- a/pkg/cli/serve.go
+++ b/pkg/cli/serve.go
@@ -6,6 +6,8 @@
 	"os/signal"
 	"syscall"
 
+	"cassiawall.example/cassiawall/pkg/event"
+	"cassiawall.example/cassiawall/pkg/hangup"
 	"cassiawall.example/cassiawall/pkg/logging"
 	"cassiawall.example/cassiawall/pkg/node"
 	"cassiawall.example/cassiawall/pkg/settings"
@@ -14,7 +16,7 @@
 func serveSpec(s streams) commandSpec {
 	return commandSpec{
 		name: "serve", short: "Run a node",
-		long: "Run a node: entry for callers, peer of the other nodes and controller. The first SIGTERM or SIGINT starts a graceful shutdown that lets running requests finish; the second stops at once.\n\n" +
+		long: "Run a node: entry for callers, peer of the other nodes and controller. The first SIGTERM or SIGINT starts a graceful shutdown that lets running requests finish; the second stops at once. SIGHUP is logged and changes nothing: settings are read at the start only.\n\n" +
 			"Example: cassiawall serve --settings /etc/cassiawall/settings.yaml",
 		data: &serveCommand{streams: s},
 	}
@@ -36,7 +38,8 @@
 	if err != nil {
 		return err
 	}
-	n, err := node.New(node.Options{Settings: s, PeerKeys: keys, Logger: logging.New(c.streams.err, s.SlogLevel(), keys...)})
+	logger := logging.New(c.streams.err, s.SlogLevel(), keys...)
+	n, err := node.New(node.Options{Settings: s, PeerKeys: keys, Logger: logger})
 	if err != nil {
 		return err
 	}
@@ -45,6 +48,11 @@
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
 	defer signal.Stop(signals)
+	go func() {
+		for range hangup.Received() {
+			event.ReloadIgnored.Log(ctx, logger)
+		}
+	}()
 	go func() {
 		<-signals
 		n.Shutdown()
--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -10,6 +10,8 @@
 	NodeReady    = define(102, "node ready", slog.LevelInfo, "none")
 	NodeDraining = define(103, "node draining", slog.LevelInfo, "none")
 	NodeStopped  = define(104, "node stopped", slog.LevelInfo, "none")
+	// ReloadIgnored is logged by a node that reads its settings only at its start.
+	ReloadIgnored = define(105, "reload ignored", slog.LevelInfo, "restart the node to apply changed settings")
 
 	RequestRefused = define(201, "request refused", slog.LevelInfo, "look up the kind in docs/ERRORS.md")
 	RequestFailed  = define(202, "request failed", slog.LevelWarn, "look up the kind in docs/ERRORS.md")
--- a/pkg/gateway/node/node.go
+++ b/pkg/gateway/node/node.go
@@ -110,7 +110,8 @@
 	// prefixCounts counts the requests by shared prefix, and prefixRates are the rates that the leader announced.
 	prefixCounts *popularity.Counter
 	prefixRates  *popularity.Rates
-	// controller and link are set by connect.
+	// controller and link are set by connect, which then closes connected.
+	connected  chan struct{}
 	controller *weights.Controller
 	board      *board
 	link       *peers.Link
@@ -128,6 +129,7 @@
 		config:      &configTarget{decoder: opt.Decoder, logger: opt.Logger},
 		fetcher:     peers.NewFetcher(),
 		prefixes:    cachemap.New(),
+		connected:   make(chan struct{}),
 
 		prefixCounts: popularity.NewCounter(), prefixRates: popularity.NewRates(),
 	}
@@ -188,8 +190,12 @@
 		ActingLeader: n.controller.ActingLeader,
 		Board:        n.board, Logger: n.opt.Logger, Guard: n.guard(),
 	})
+	if err != nil {
+		return err
+	}
 	n.link = link
-	return err
+	close(n.connected)
+	return nil
 }
 
 // Run serves requests until the context stop ends, then shuts down gracefully within Settings.ShutdownGrace.
@@ -236,8 +242,10 @@
 	return nil
 }
 
-// Reload applies the settings that can change at run time: the seeds, which are added to the known nodes.
+// Reload applies the settings that can change at run time: the seeds, which are added to the known nodes. It waits
+// until Run has opened the connection to the other nodes.
 func (n *Node) Reload(s Settings) {
+	<-n.connected
 	n.link.AddPeers(s.Seeds)
 	event.SettingsRead.Emit(n.opt.Logger, "seeds", s.Seeds)
 }
