Count crashes in the first second of a stream as evidence against its prompt parts

Cause: the first event of a stream voided all evidence against its parts, and the end of a stream that had an event was no evidence.

Change: a part is sound after a complete response, or an event one second after the first one; until then the end of the connection is evidence.

--- a/pkg/gateway/forward/active_request.go
+++ b/pkg/gateway/forward/active_request.go
@@ -78,8 +78,11 @@
 	// prefixHashes caches the result of sharedPrefixHashes for prefixHashesVersion.
 	prefixHashes        []cachemap.Key
 	prefixHashesVersion int
-	// eventDelivered is set once the current send has delivered a complete event.
+	// eventDelivered is set once the current send has delivered a complete event, at firstEventAt on the clock of the
+	// quarantine. shownSound is set once it has shown that the engine survives the request's parts.
 	eventDelivered bool
+	firstEventAt   time.Time
+	shownSound     bool
 	// partHashes caches the result of hashedParts. waiting is the current send until its first event. trial is set
 	// if the request may be sent although a part is quarantined. retryAfter is the time until such a part may be
 	// sent again, if the request is refused because of it.
@@ -233,7 +236,7 @@
 	}
 	defer untrack()
 	a.sends++
-	a.eventDelivered = false
+	a.eventDelivered, a.shownSound = false, false
 	a.tried = append(a.tried, c.ID)
 	backendReq := a.backendRequest(c, sentAt)
 	a.traceBackendChosen(c, backendReq)
--- a/pkg/gateway/forward/quarantine.go
+++ b/pkg/gateway/forward/quarantine.go
@@ -147,7 +147,7 @@
 	delete(q.waiting, s)
 }
 
-// recordCrash records that an engine ended while a request with parts had got no event. It reports whether one of
+// recordCrash records that an engine ended before it had survived the parts of a request. It reports whether one of
 // the parts was in doubt in another crash too.
 func (q *Quarantine) recordCrash(parts []quarantine.Part, engine uint32) (inDoubt bool) {
 	now := q.opt.Now()
@@ -158,7 +158,7 @@
 	return q.table.InDoubt(parts, engine, now)
 }
 
-// recordSuccess records that a request with parts has got an event or a complete response.
+// recordSuccess records that an engine has survived the parts of a request.
 func (q *Quarantine) recordSuccess(parts []quarantine.Part) {
 	if q.table.RecordSuccess(parts, q.opt.Now()) {
 		q.apply()
@@ -251,27 +251,49 @@
 	}, true
 }
 
-// recordFirstEvent records that the engine has delivered an event or a complete response, and so has not crashed on
-// one of the request's parts. A header alone is no sign of that: the process that accepts requests may outlive the one
-// that generates.
-func (a *activeRequest) recordFirstEvent(c *backends.Choice) {
-	a.eventDelivered = true
+// minSoundStream is the time from the first event of a stream to a later one after which its parts count as sound. An
+// engine that crashes on a part does so as it begins to write the answer, which may be some events later.
+const minSoundStream = time.Second
+
+// recordEvent records that the engine has delivered an event or a complete response. An event shows that the engine
+// has survived what came before the request, and only after minSoundStream that it survives the request's parts. A
+// header alone is no sign of either: the process that accepts requests may outlive the one that generates.
+func (a *activeRequest) recordEvent(c *backends.Choice) {
+	now := a.router.opt.Quarantine.opt.Now()
+	if a.eventDelivered {
+		if now.Sub(a.firstEventAt) >= minSoundStream {
+			a.recordSound()
+		}
+		return
+	}
+	a.eventDelivered, a.firstEventAt = true, now
 	if a.waiting != nil {
 		a.router.opt.Quarantine.untrack(a.waiting)
 		a.waiting = nil
 	}
 	a.router.opt.Quarantine.recordResponse(engineHash(&c.Backend), a.quarantineSentAt)
-	if parts := a.hashedParts(); len(parts) > 0 {
+}
+
+// recordComplete records that the engine has delivered a complete response.
+func (a *activeRequest) recordComplete(c *backends.Choice) {
+	a.recordEvent(c)
+	a.recordSound()
+}
+
+// recordSound records that the engine has survived the request's parts.
+func (a *activeRequest) recordSound() {
+	if parts := a.hashedParts(); len(parts) > 0 && !a.shownSound {
 		a.router.opt.Quarantine.recordSuccess(parts)
 	}
+	a.shownSound = true
 }
 
-// recordEnd records that an engine ended the connection of a send before the first event. It reports whether the
-// request should not go to a further engine, because it was a trial or one of its parts was in doubt in another crash
-// too.
+// recordEnd records that an engine ended the connection of a send before it was shown to survive the request's parts.
+// It reports whether the request should not go to a further engine, because it was a trial or one of its parts was in
+// doubt in another crash too.
 func (a *activeRequest) recordEnd(ctx context.Context, c *backends.Choice, err error) (inDoubt bool) {
 	parts := a.hashedParts()
-	if len(parts) == 0 || a.eventDelivered || context.Cause(ctx) != nil || a.req.Context().Err() != nil || !endedByBackend(err) {
+	if len(parts) == 0 || a.shownSound || context.Cause(ctx) != nil || a.req.Context().Err() != nil || !endedByBackend(err) {
 		return false
 	}
 	inDoubt = a.router.opt.Quarantine.recordCrash(parts, engineHash(&c.Backend))
--- a/pkg/gateway/forward/relay.go
+++ b/pkg/gateway/forward/relay.go
@@ -34,7 +34,7 @@
 	if len(body) > maxBufferedBytes {
 		c.Done(backends.Success, latency)
 		if response.Status < 300 {
-			a.recordFirstEvent(c)
+			a.recordComplete(c)
 		}
 		return a.relayOversized(stored, response)
 	}
@@ -47,7 +47,7 @@
 	c.Done(backends.Success, latency)
 	// An engine that crashes after the header also leaves an empty body without length.
 	if response.Status < 300 && (response.Framed || len(body) > 0) {
-		a.recordFirstEvent(c)
+		a.recordComplete(c)
 	}
 	a.writeBuffered(stored)
 	return outcomeDone
@@ -146,9 +146,7 @@
 			events := a.events.push(buffer[:n])
 			if len(events) > 0 {
 				lastEventAt = time.Now()
-				if !a.eventDelivered {
-					a.recordFirstEvent(c)
-				}
+				a.recordEvent(c)
 			}
 			if !a.relayEvents(flusher, response, events) {
 				c.Done(backends.Neutral, 0)
@@ -169,8 +167,8 @@
 		case err == io.EOF:
 			c.Done(backends.Success, latency)
 			// An engine that crashes after the header also leaves an empty body without length.
-			if !a.eventDelivered && (response.Framed || latency > 0) {
-				a.recordFirstEvent(c)
+			if a.eventDelivered || response.Framed || latency > 0 {
+				a.recordComplete(c)
 			}
 			if !a.headerWritten {
 				a.writeStreamHeader(response)
@@ -187,7 +185,8 @@
 			if !a.eventDelivered {
 				return outcome
 			}
-			// The first event arrived as the send was cancelled. It shows that the parts are sound.
+			// The first event arrived as the send was cancelled. Unless the part is still quarantined, the stream
+			// continues elsewhere.
 			a.events.reset()
 			return a.retryAfterRun()
 		default:
--- a/pkg/gateway/quarantine/table.go
+++ b/pkg/gateway/quarantine/table.go
@@ -1,5 +1,5 @@
 // Package quarantine finds prompt parts on which engines crash. The evidence is a pair of a part and an engine
-// incarnation: the engine's connection ended while a request with the part had got no event. A crash leaves such a pair
+// incarnation: the engine's connection ended before it had survived a request with the part. A crash leaves such a pair
 // for each part of each request in doubt, most of them sound. What tells the sound parts apart is that requests
 // with them succeed elsewhere, which voids their pairs. A part that collects pairs at several engines and succeeds
 // nowhere is quarantined: requests with it are refused. An engine that serves a request that was sent just after the
@@ -140,7 +140,7 @@
 	return &Table{records: map[Part]*record{}, suspects: map[Part][]Part{}, sound: map[Part]time.Time{}, ended: map[uint32]time.Time{}}
 }
 
-// RecordCrash records that an engine ended while a request with parts had got no event. It reports whether the
+// RecordCrash records that an engine ended before it had survived a request with parts. It reports whether the
 // quarantined parts have changed.
 func (t *Table) RecordCrash(parts []Part, crash Crash, now time.Time) (changed bool) {
 	t.mu.Lock()
@@ -222,7 +222,7 @@
 	return deleted
 }
 
-// RecordSuccess records that a request with parts has got an event or a complete response. It reports whether the
+// RecordSuccess records that an engine has survived a request with parts. It reports whether the
 // quarantined parts have changed.
 func (t *Table) RecordSuccess(parts []Part, now time.Time) (changed bool) {
 	t.mu.Lock()
