Let a later statement of an engine replace a higher version of its weights

Cause: the known version was the maximum over all listings and responses since the engine's start, so the leader took the engines for up to date and never ordered them again. Log of the case: listings with version 2, no order after them.

Change: the newest listing counts, a response to a request that was sent after the higher version was known, and the leader's states some seconds later.

Calls of ObserveVersion in older tests got the time of the request as a further argument.

--- a/pkg/gateway/backends/backends.go
+++ b/pkg/gateway/backends/backends.go
@@ -77,8 +77,9 @@
 	// assignment is that of the last leader heartbeat, valid until assignmentExpiry.
 	assignment       Assignment
 	assignmentExpiry time.Time
-	// observedVersions are versions that the engine's responses have reported and that its listing lacks.
-	observedVersions map[string]int
+	// versions are those of the models' weights, and newestHeartbeat is the highest Heartbeat of the listings.
+	versions        map[string]knownVersion
+	newestHeartbeat int64
 	// pausedUntil is the time until which requests go to the server only if no other one is available.
 	pausedUntil time.Time
 	// unreachableUntil is the time until which the node reports that it cannot connect.
@@ -95,12 +96,6 @@
 	suspectSince, relistedAt time.Time
 }
 
-// version returns the highest version that the listing or a response has reported. The weights of an engine
-// never go back to an older version between restarts.
-func (m *member) version(model string) int {
-	return max(m.Backend.version(model), m.observedVersions[model])
-}
-
 // leaves reports whether the server's listing or one of its responses states that it will stop.
 func (m *member) leaves() bool { return m.Leaving || !m.statedLeavingAt.IsZero() }
 
@@ -182,15 +177,12 @@
 	delete(r.departed, b.ID)
 	old := r.members[b.ID]
 	if old != nil && old.sameGeneration(&b) {
-		// Within one start, a server that leaves never stays and its weights never go back, whatever an older listing says.
+		// Within one start, a server that leaves never stays, whatever an older listing says.
 		b.Leaving = b.Leaving || old.Leaving
-		before := old.Models
 		changed := old.Leaving != b.Leaving || !slices.Equal(old.Models, b.Models)
 		relisted := !old.suspectSince.IsZero() && b.saysNothingNewerThan(&old.Backend)
 		old.Backend = b
-		for _, model := range before {
-			old.observeVersion(model.Name, model.Version)
-		}
+		old.applyListedVersions()
 		if relisted {
 			old.relistedAt = clock.Now()
 		} else {
@@ -201,7 +193,8 @@
 	if old != nil {
 		r.removeLocked(old)
 	}
-	m := &member{Backend: b, generationRevision: b.Revision, listedAt: clock.Now(), rendezvousHash: rendezvous.Hash(b.ID), dataCentreHash: rendezvous.Hash(b.DataCentre), idHash: cachemap.EngineHash(b.ID), pool: exchange.NewPool(b.Address), observedVersions: map[string]int{}}
+	m := &member{Backend: b, generationRevision: b.Revision, listedAt: clock.Now(), rendezvousHash: rendezvous.Hash(b.ID), dataCentreHash: rendezvous.Hash(b.DataCentre), idHash: cachemap.EngineHash(b.ID), pool: exchange.NewPool(b.Address), versions: map[string]knownVersion{}}
+	m.applyListedVersions()
 	r.members[b.ID], r.byHash[m.idHash] = m, m
 	list := append(r.byService[b.Service], m)
 	slices.SortFunc(list, func(a, c *member) int { return cmp.Compare(a.ID, c.ID) })
@@ -250,8 +243,10 @@
 	ID, Address string
 	// Started is Backend.Started.
 	Started int64
-	// Version is that of the model's weights.
-	Version int
+	// Version is that of the model's weights, and ListedVersion the one in the engine's listing.
+	Version, ListedVersion int
+	// Unconfirmed is set if Version is higher than ListedVersion and the engine has not stated it for some seconds.
+	Unconfirmed bool
 	// Long and Short are the requests that run on it.
 	Long, Short int
 	// Down is set if it cannot be connected to.
@@ -265,30 +260,13 @@
 	var found []Engine
 	for _, m := range r.members {
 		if v := m.version(model); v > 0 && !m.leaves() && m.suspectSince.IsZero() {
-			found = append(found, Engine{ID: m.ID, Address: m.Address, Started: m.Started, Version: v, Long: m.runningLong(now), Short: m.running(now) - m.runningLong(now), Down: m.isDown(now)})
+			found = append(found, Engine{ID: m.ID, Address: m.Address, Started: m.Started, Version: v, ListedVersion: m.Backend.version(model), Unconfirmed: m.isUnconfirmed(model), Long: m.runningLong(now), Short: m.running(now) - m.runningLong(now), Down: m.isDown(now)})
 		}
 	}
 	slices.SortFunc(found, func(a, b Engine) int { return cmp.Compare(a.ID, b.ID) })
 	return found
 }
 
-// ObserveVersion records a version of a model's weights that an engine's response has reported. Versions that are
-// not newer than the known one are ignored, and so are those of an engine that has restarted since. started is the
-// Backend.Started of the engine that responded, or 0 if it is not known.
-func (r *Registry) ObserveVersion(id string, started int64, model string, version int) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if m := r.members[id]; m != nil && (started == 0 || m.Started == 0 || started == m.Started) {
-		m.observeVersion(model, version)
-	}
-}
-
-func (m *member) observeVersion(model string, version int) {
-	if version > m.version(model) {
-		m.observedVersions[model] = version
-	}
-}
-
 // Loading reports whether an engine of a service loads new weights.
 func (r *Registry) Loading(service string, now time.Time) bool {
 	r.mu.Lock()
@@ -355,22 +333,6 @@
 	}
 }
 
-// ObservedVersions returns, by engine ID, the versions of weights that neither the listings nor State have:
-// those of further models.
-func (r *Registry) ObservedVersions() map[string][]Model {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	observed := map[string][]Model{}
-	for id, m := range r.members {
-		for model, version := range m.observedVersions {
-			if version > m.Backend.version(model) && (len(m.Models) == 0 || model != m.Models[0].Name) {
-				observed[id] = append(observed[id], Model{Name: model, Version: version})
-			}
-		}
-	}
-	return observed
-}
-
 // Sweep closes connections that have been idle for too long.
 func (r *Registry) Sweep(now time.Time) {
 	r.mu.Lock()
--- a/pkg/gateway/backends/backends_test.go
+++ b/pkg/gateway/backends/backends_test.go
@@ -75,18 +75,18 @@
 		"suspect entry":   {func(r *Registry) { r.MarkSuspect([]string{"e0"}, now) }, q, []string{"e1", "e2"}},
 		"all suspect":     {func(r *Registry) { r.MarkSuspect([]string{"e0", "e1", "e2"}, now) }, q, []string{"e0", "e1", "e2"}},
 		"excluded":        {func(*Registry) {}, Query{Service: "s", Exclude: []string{"e0", "e1"}}, []string{"e2"}},
-		"too old weights": {func(r *Registry) { r.ObserveVersion("e1", 0, "m", 2) }, Query{Service: "s", Model: "m", MinVersion: 2}, []string{"e1"}},
+		"too old weights": {func(r *Registry) { r.ObserveVersion("e1", 0, "m", 2, time.Time{}) }, Query{Service: "s", Model: "m", MinVersion: 2}, []string{"e1"}},
 		"other model":     {func(*Registry) {}, Query{Service: "s", Model: "x"}, nil},
 		"other service":   {func(*Registry) {}, Query{Service: "x"}, nil},
 		"newest if many": {func(r *Registry) {
-			r.ObserveVersion("e1", 0, "m", 2)
-			r.ObserveVersion("e2", 0, "m", 2)
+			r.ObserveVersion("e1", 0, "m", 2, time.Time{})
+			r.ObserveVersion("e2", 0, "m", 2, time.Time{})
 			for i := 3; i < 10; i++ {
 				b := engine(fmt.Sprint("e", i), 2)
 				r.Put(b)
 			}
 		}, Query{Service: "s", Model: "m", PreferVersion: 2}, []string{"e1", "e2", "e3", "e4", "e5"}},
-		"all if few new": {func(r *Registry) { r.ObserveVersion("e1", 0, "m", 2); r.ObserveVersion("e2", 0, "m", 2) }, Query{Service: "s", Model: "m", PreferVersion: 2}, []string{"e0", "e1", "e2"}},
+		"all if few new": {func(r *Registry) { r.ObserveVersion("e1", 0, "m", 2, time.Time{}); r.ObserveVersion("e2", 0, "m", 2, time.Time{}) }, Query{Service: "s", Model: "m", PreferVersion: 2}, []string{"e0", "e1", "e2"}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -101,7 +101,7 @@
 // weights nor the connections of the old one.
 func TestNewGenerationStartsWithoutState(t *testing.T) {
 	r := newRegistry(1, nil)
-	r.ObserveVersion("e0", 0, "m", 5)
+	r.ObserveVersion("e0", 0, "m", 5, time.Time{})
 	r.Pause("e0", now.Add(time.Hour))
 	pool := r.members["e0"].pool
 	b := engine("e0", 1)
@@ -159,7 +159,7 @@
 	for id := range long {
 		assert.Zero(t, short[id])
 	}
-	r.ObserveVersion("e5", 0, "m", 2)
+	r.ObserveVersion("e5", 0, "m", 2, time.Time{})
 	r.ApplyAssignments(r.ComputeAssignments(map[string]Load{"e2": {Backend: "e2", Long: 5}}, now), now)
 	assert.Equal(t, []string{"e5"}, pickedIDs(countPicks(r, Query{Service: "s", Model: "m", Long: true})), "the newest weights come first")
 }
--- a/pkg/gateway/backends/states.go
+++ b/pkg/gateway/backends/states.go
@@ -188,16 +188,6 @@
 	return states
 }
 
-// ApplyVersion records the version of a model's weights that the leader announced for an engine, when it had the listings
-// up to revision. It is ignored if the engine has restarted since.
-func (r *Registry) ApplyVersion(id, model string, version int, revision int64) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if m := r.members[id]; m != nil && m.generationRevision <= revision {
-		m.observeVersion(model, version)
-	}
-}
-
 // ApplyStates stores states that the leader announced and read at readAt or later, when it had the listings up to
 // revision. States of a server that has restarted since are ignored. The earlier states of other servers stay valid.
 func (r *Registry) ApplyStates(states []State, revision int64, readAt, now time.Time) {
@@ -221,7 +211,7 @@
 		}
 		m.limit.Announce(s.Limited, r.permits.authoritative, announcedAt)
 		if len(m.Models) > 0 {
-			m.observeVersion(m.Models[0].Name, s.Version)
+			m.observeAnnouncedVersion(m.Models[0].Name, s.Version, revision, announcedAt)
 		}
 	}
 }
--- a/pkg/gateway/backends/states_test.go
+++ b/pkg/gateway/backends/states_test.go
@@ -72,7 +72,7 @@
 	b.Leaving = true
 	leader.Put(b)
 	leader.SetLoading("e1", now.Add(1e9))
-	leader.ObserveVersion("e2", 0, "m", 2)
+	leader.ObserveVersion("e2", 0, "m", 2, time.Time{})
 	states := leader.States(map[string]Load{"e3": {Unreachable: minDownReports}}, now)
 	follower.ApplyStates(DecodeStates(EncodeStates(states)), 0, now, now)
 	q := Query{Service: "s", Model: "m"}
@@ -91,7 +91,7 @@
 func TestStatesCountFromTheTimeAtWhichTheyWereRead(t *testing.T) {
 	leader, follower := newRegistry(2, nil), newRegistry(2, nil)
 	leader.SetLoading("e1", now.Add(time.Hour))
-	leader.ObserveVersion("e0", 0, "m", 2)
+	leader.ObserveVersion("e0", 0, "m", 2, time.Time{})
 	states := leader.States(map[string]Load{"e0": {Long: 3}}, now)
 	isLoading := func(at time.Time) bool { return follower.members["e1"].isLoading(at) }
 	later := now.Add(4 * time.Second)
@@ -115,7 +115,7 @@
 	r.Put(restarted)
 	state := []State{{Hash: r.members["e0"].idHash, Assignment: Assignment{Long: 3}, Version: 2}}
 	version := func() int { return r.members["e0"].version("m") }
-	r.ObserveVersion("e0", 7, "m", 2)
+	r.ObserveVersion("e0", 7, "m", 2, time.Time{})
 	assert.Equal(t, 1, version(), "response of before the restart")
 	r.ApplyStates(state, 19, now, now)
 	assert.Equal(t, 1, version(), "state of before the restart")
@@ -127,7 +127,7 @@
 	r.Put(renewed)
 	r.ApplyStates(state, 20, now, now)
 	assert.Equal(t, 2, version(), "the leader had the listing of the restart")
-	r.ObserveVersion("e0", 8, "m", 3)
+	r.ObserveVersion("e0", 8, "m", 3, time.Time{})
 	assert.Equal(t, 3, version())
 }
 
--- a/pkg/gateway/forward/active_request.go
+++ b/pkg/gateway/forward/active_request.go
@@ -268,7 +268,12 @@
 		a.router.notices.Observe(c.ID, c.Started, a.router.opt.Protocol.DecodeNotice(response.Status, response.Header), sendTime, a.request.ID)
 	}
 	if a.request.Model != "" && info.WeightsVersion > 0 {
-		a.router.opt.Backends.ObserveVersion(c.ID, c.Started, a.request.Model, info.WeightsVersion)
+		sentAt := sendTime
+		if response.Status == http.StatusMisdirectedRequest {
+			// A version of another server must not replace the engine's own.
+			sentAt = time.Time{}
+		}
+		a.router.opt.Backends.ObserveVersion(c.ID, c.Started, a.request.Model, info.WeightsVersion, sentAt)
 	}
 	if info.NotRun || response.Status == http.StatusMisdirectedRequest {
 		return a.handleRefusal(c, response, info)
--- a/pkg/gateway/weights/controller.go
+++ b/pkg/gateway/weights/controller.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"cassiawall.example/cassiawall/pkg/clock"
 	"cassiawall.example/cassiawall/pkg/event"
 	"cassiawall.example/cassiawall/pkg/gateway/backends"
 	"cassiawall.example/cassiawall/pkg/lease"
@@ -244,7 +245,7 @@
 	}
 	now := time.Now()
 	engines := c.opt.Backends.Engines(model, now)
-	targets := map[string]Target{}
+	targets, unconfirmed := map[string]Target{}, map[string]bool{}
 	candidates := make([]Candidate, 0, len(engines))
 	for _, e := range engines {
 		targets[e.ID] = Target{ID: e.ID, Address: e.Address, Started: e.Started}
@@ -252,6 +253,10 @@
 		if o != nil && !o.pending && now.Before(o.retryAt) {
 			continue
 		}
+		if e.Unconfirmed {
+			e.Version = e.ListedVersion
+			unconfirmed[e.ID] = true
+		}
 		candidates = append(candidates, Candidate{ID: e.ID, Version: e.Version, LongRequests: e.Long, ShortRequests: e.Short, Unreachable: e.Down || o != nil && o.lastFailed, OrderPending: o != nil && o.pending})
 	}
 	for _, id := range Plan(candidates, version) {
@@ -261,6 +266,8 @@
 			c.engineOrders[id] = o
 		}
 		o.pending = true
+		// The engine's state shows whether it still has the version.
+		o.acceptedOrdersKnown = o.acceptedOrdersKnown && !unconfirmed[id]
 		c.start(func() { c.runOrder(ctx, targets[id], model, version, o) })
 	}
 }
@@ -300,6 +307,7 @@
 // the reason for the failure.
 func (c *Controller) loadVersion(ctx context.Context, t Target, model string, version int, o *engineOrder) string {
 	if !o.acceptedOrdersKnown {
+		sentAt := clock.Now()
 		state, err := c.engineState(ctx, t)
 		if err != nil {
 			return err.Error()
@@ -308,8 +316,10 @@
 			return "engine is busy with another order"
 		}
 		o.acceptedOrders, o.acceptedOrdersKnown, o.started = state.AcceptedOrders, true, state.Started
+		if loaded := state.Versions[model]; loaded > 0 {
+			c.opt.Backends.ObserveVersion(t.ID, cmp.Or(state.Started, t.Started), model, loaded, sentAt)
+		}
 		if state.Versions[model] >= version {
-			c.opt.Backends.ObserveVersion(t.ID, cmp.Or(state.Started, t.Started), model, state.Versions[model])
 			return outcomeDone
 		}
 	}
@@ -322,7 +332,7 @@
 	}
 	switch reply {
 	case AlreadyLoaded:
-		c.opt.Backends.ObserveVersion(t.ID, t.Started, model, version)
+		c.opt.Backends.ObserveVersion(t.ID, t.Started, model, version, time.Time{})
 		return outcomeDone
 	case Accepted:
 		o.acceptedOrders++
@@ -350,7 +360,7 @@
 			return outcomeRefused
 		}
 		if !state.Busy && state.Versions[model] >= version {
-			c.opt.Backends.ObserveVersion(t.ID, cmp.Or(state.Started, t.Started), model, state.Versions[model])
+			c.opt.Backends.ObserveVersion(t.ID, cmp.Or(state.Started, t.Started), model, state.Versions[model], time.Time{})
 			o.acceptedOrders, o.acceptedOrdersKnown = state.AcceptedOrders, true
 			return outcomeDone
 		}
--- a/pkg/gateway/weights/weights_test.go
+++ b/pkg/gateway/weights/weights_test.go
@@ -413,3 +413,29 @@
 		wg.Wait()
 	})
 }
+
+// Guards against an engine that carries out an order of before its restart and is not ordered to load the newest weights
+// again, because the leader still counts it as having them.
+func TestEngineThatHasGoneBackIsOrderedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		var wg sync.WaitGroup
+		ctx, cancel := context.WithCancel(t.Context())
+		run(ctx, &wg, f.node("a"))
+		time.Sleep(time.Second)
+		f.versions.Add("m", 2, 0, time.Now())
+		time.Sleep(5 * time.Second)
+		f.engines.mu.Lock()
+		require.Equal(t, 2, f.engines.versions["e0"])
+		// The engine restarts with its version, and the late order is carried out before any listing of it is known.
+		f.engines.orders["e0"], f.engines.versions["e0"] = 1, 1
+		f.engines.mu.Unlock()
+		// The platform judges after 1.5 times the limit for older versions.
+		time.Sleep(12 * time.Second)
+		f.engines.mu.Lock()
+		assert.Equal(t, 2, f.engines.versions["e0"])
+		f.engines.mu.Unlock()
+		cancel()
+		wg.Wait()
+	})
+}
