Keep the stream of a silent engine until another engine is reserved for it

Cause: the send ended after 1.5 s without an event, before it was known whether attempts, retry budget and engines allow another one. The trace shows 1.505 s; changes of the configuration are not needed for it.

Change: the next engine is reserved first. A read deadline no longer ends the chunked reader.

--- a/pkg/gateway/backends/backends_test.go
+++ b/pkg/gateway/backends/backends_test.go
@@ -86,7 +86,10 @@
 				r.Put(b)
 			}
 		}, Query{Service: "s", Model: "m", PreferVersion: 2}, []string{"e1", "e2", "e3", "e4", "e5"}},
-		"all if few new": {func(r *Registry) { r.ObserveVersion("e1", 0, "m", 2, time.Time{}); r.ObserveVersion("e2", 0, "m", 2, time.Time{}) }, Query{Service: "s", Model: "m", PreferVersion: 2}, []string{"e0", "e1", "e2"}},
+		"all if few new": {func(r *Registry) {
+			r.ObserveVersion("e1", 0, "m", 2, time.Time{})
+			r.ObserveVersion("e2", 0, "m", 2, time.Time{})
+		}, Query{Service: "s", Model: "m", PreferVersion: 2}, []string{"e0", "e1", "e2"}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/pkg/gateway/exchange/conn.go
+++ b/pkg/gateway/exchange/conn.go
@@ -10,6 +10,7 @@
 	"io"
 	"math"
 	"net"
+	"os"
 	"slices"
 	"sync"
 	"syscall"
@@ -90,10 +91,12 @@
 	return pooled
 }
 
-// limitedReader fails with errHeadTooLong once it has read a number of bytes.
+// limitedReader fails with errHeadTooLong once it has read a number of bytes. The readers above it keep an error, so that
+// a read that is to continue after its deadline must not fail: onTimeout, unless nil, then sets a new one.
 type limitedReader struct {
-	reader io.Reader
-	left   int64
+	reader    io.Reader
+	left      int64
+	onTimeout func() error
 }
 
 // Read implements io.Reader.
@@ -101,9 +104,16 @@
 	if r.left <= 0 {
 		return 0, errHeadTooLong
 	}
-	n, err := r.reader.Read(p[:min(int64(len(p)), r.left)])
-	r.left -= int64(n)
-	return n, err
+	for {
+		n, err := r.reader.Read(p[:min(int64(len(p)), r.left)])
+		r.left -= int64(n)
+		if n > 0 || r.onTimeout == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		if err := r.onTimeout(); err != nil {
+			return 0, err
+		}
+	}
 }
 
 // isClean reports whether the connection is open and has no unread data. Data on an idle connection
--- a/pkg/gateway/exchange/exchange.go
+++ b/pkg/gateway/exchange/exchange.go
@@ -96,14 +96,17 @@
 	return n, err
 }
 
-// SetReadTimeout limits the time that the following calls of Read wait, counted from now. 0 means no
-// limit.
-func (r *Response) SetReadTimeout(timeout time.Duration) error {
-	var deadline time.Time
-	if timeout > 0 {
-		deadline = time.Now().Add(timeout)
+// SetReadTimeout limits the time that the following calls of Read wait, counted from now. Then onTimeout is called:
+// it returns the time until its next call, or the error with which Read fails.
+func (r *Response) SetReadTimeout(timeout time.Duration, onTimeout func() (next time.Duration, err error)) error {
+	r.conn.limit.onTimeout = func() error {
+		next, err := onTimeout()
+		if err != nil {
+			return err
+		}
+		return r.conn.SetReadDeadline(time.Now().Add(next))
 	}
-	return r.conn.SetReadDeadline(deadline)
+	return r.conn.SetReadDeadline(time.Now().Add(timeout))
 }
 
 // MarkRefused records that the server has refused the request, so that the request is not sent again on the same
@@ -120,6 +123,7 @@
 func (r *Response) Close() {
 	r.once.Do(func() {
 		active := r.stopWatching()
+		r.conn.limit.onTimeout = nil
 		if r.bodyRead && r.reusable && active && r.bodyWriter.done() && r.conn.reader.Buffered() == 0 &&
 			r.conn.SetDeadline(time.Time{}) == nil {
 			r.pool.put(r.conn)
--- a/pkg/gateway/forward/active_request.go
+++ b/pkg/gateway/forward/active_request.go
@@ -95,6 +95,8 @@
 	// affinity caches the result of affinityKey once affinityKnown is set.
 	affinity      uint64
 	affinityKnown bool
+	// reserved is the backend server of the next send, or nil if it has yet to be picked.
+	reserved *backends.Choice
 	// failedResponse is the last complete response with a 5xx status, or nil. It is relayed if no
 	// retry succeeds.
 	failedResponse *bufferedResponse
@@ -125,20 +127,23 @@
 // response.
 func (a *activeRequest) sendWithRetries() {
 	defer a.cancelUnusedTrial()
+	defer a.releaseReserved()
 	for {
 		if a.isQuarantined() {
 			a.failRequest(causeQuarantined)
 			return
 		}
-		choice := a.pickBackend()
+		choice := a.takeReserved()
 		if choice == nil {
-			a.failRequest(a.noBackendCause())
-			return
-		}
-		if a.sends > 0 && !a.allowRetry() {
-			choice.Done(backends.Neutral, 0)
-			a.failRequest(causeRetryBudget)
-			return
+			if choice = a.pickBackend(); choice == nil {
+				a.failRequest(a.noBackendCause())
+				return
+			}
+			if a.sends > 0 && !a.allowRetry() {
+				choice.Done(backends.Neutral, 0)
+				a.failRequest(causeRetryBudget)
+				return
+			}
 		}
 		switch a.send(choice) {
 		case outcomeDone:
--- a/pkg/gateway/forward/choose.go
+++ b/pkg/gateway/forward/choose.go
@@ -16,31 +16,16 @@
 // Otherwise it waits for an eighth only: after an early refusal the client still has time to try another
 // node.
 func (a *activeRequest) pickBackend() *backends.Choice {
-	query := backends.Query{Service: a.service, Model: a.request.Model, Exclude: a.tried, Affinity: a.affinityKey(), HomeDataCentre: a.homeDataCentre(), Long: a.isDecodeHeavy()}
-	prefixVersion := 0
+	query := a.newQuery()
 	for {
 		now := time.Now()
 		if a.ctx.Err() != nil || a.req.Context().Err() != nil || a.remaining(now) < minRemaining {
 			return nil
 		}
-		if a.request.Model != "" {
-			weightsNow := clock.Now()
-			newest, since, lowest := a.router.opt.Weights.DesiredVersions(a.request.Model, weightsNow)
-			query.MinVersion = lowest
-			query.PreferVersion = 0
-			prefixVersion = newest
-			if weightsNow.Sub(since) >= preferNewestDelay {
-				query.PreferVersion = newest
-			}
-		}
-		query.PrefixEngine = a.engineWithPrefix(prefixVersion, now)
-		query.PrefixRate = a.router.opt.PrefixRates.Rate(popularity.Key(query.Affinity), now)
-		c, considered := a.router.opt.Backends.Pick(query, now)
-		if c != nil {
+		if c := a.tryPick(query, now); c != nil {
 			return c
 		}
-		a.excluded = considered
-		a.traceNoBackend(considered)
+		a.traceNoBackend(a.excluded)
 		if a.runs == 0 {
 			// A backend server that refused the request may accept it now.
 			query.Exclude = nil
@@ -49,7 +34,7 @@
 		if a.router.opt.Backends.Loading(a.service, now) {
 			maxWait = a.route.LatencyObjective / 2
 		}
-		if isPausedBeyond(considered, maxWait-now.Sub(a.receivedAt)) {
+		if isPausedBeyond(a.excluded, maxWait-now.Sub(a.receivedAt)) {
 			return nil
 		}
 		if now.Sub(a.receivedAt) > maxWait || !wait.Pause(a.ctx, pickInterval) {
@@ -58,6 +43,32 @@
 	}
 }
 
+// newQuery returns the part of a query that stays the same while the request waits.
+func (a *activeRequest) newQuery() backends.Query {
+	return backends.Query{Service: a.service, Model: a.request.Model, Exclude: a.tried, Affinity: a.affinityKey(), HomeDataCentre: a.homeDataCentre(), Long: a.isDecodeHeavy()}
+}
+
+// tryPick returns a backend server that is available now, or nil. In that case, a.excluded tells why.
+func (a *activeRequest) tryPick(query backends.Query, now time.Time) *backends.Choice {
+	prefixVersion := 0
+	if a.request.Model != "" {
+		weightsNow := clock.Now()
+		newest, since, lowest := a.router.opt.Weights.DesiredVersions(a.request.Model, weightsNow)
+		query.MinVersion = lowest
+		prefixVersion = newest
+		if weightsNow.Sub(since) >= preferNewestDelay {
+			query.PreferVersion = newest
+		}
+	}
+	query.PrefixEngine = a.engineWithPrefix(prefixVersion, now)
+	query.PrefixRate = a.router.opt.PrefixRates.Rate(popularity.Key(query.Affinity), now)
+	c, considered := a.router.opt.Backends.Pick(query, now)
+	if c == nil {
+		a.excluded = considered
+	}
+	return c
+}
+
 // noBackendCause returns the cause of a request for which no backend server was available.
 func (a *activeRequest) noBackendCause() string {
 	switch {
--- a/pkg/gateway/forward/quarantine.go
+++ b/pkg/gateway/forward/quarantine.go
@@ -223,6 +223,12 @@
 	return verdict.Refuse
 }
 
+// mustNotBeSent reports whether one of the request's parts is quarantined, and the request is no trial.
+func (a *activeRequest) mustNotBeSent() bool {
+	q := a.router.opt.Quarantine
+	return !a.trial && q.table.Judge(a.hashedParts(), false, q.opt.Now()).Refuse
+}
+
 // cancelUnusedTrial allows a further trial if this one has reached no engine.
 func (a *activeRequest) cancelUnusedTrial() {
 	if a.trial && a.sends == 0 {
--- a/pkg/gateway/forward/relay.go
+++ b/pkg/gateway/forward/relay.go
@@ -112,24 +112,18 @@
 
 var (
 	errEventTooLong = fmt.Errorf("an event is longer than %d bytes", maxEventBytes)
-	errStreamIdle   = fmt.Errorf("no complete event for %v", streamIdleTimeout)
 	errInsideEvent  = errors.New("the stream ended inside an event")
 	errNoEvent      = errors.New("the connection was closed before the first event")
 	errNoField      = errors.New("the stream has a line that is no field of an event")
 	errOtherType    = errors.New("the continuation of a stream of events has another type")
 )
 
-// streamIdleTimeout is the time without a complete event after which a resumable stream continues at another
-// engine. Engines send an event at least every few hundred milliseconds, and clients time out after two
-// seconds.
-const streamIdleTimeout = 1500 * time.Millisecond
-
 // relayStream relays complete events as they arrive.
 func (a *activeRequest) relayStream(ctx context.Context, c *backends.Choice, response *exchange.Response, sentAt time.Time) sendOutcome {
 	flusher := http.NewResponseController(a.w)
 	var buffer [streamReadBytes]byte
 	var latency time.Duration
-	lastEventAt := time.Now()
+	idle := newIdleWatch(a)
 	a.events.strict = a.events.strict || isEventStream(response.Header)
 	if a.headerWritten && a.events.strict && !isEventStream(response.Header) {
 		c.Done(backends.Failure, 0)
@@ -137,7 +131,7 @@
 		return a.retryAfterRun()
 	}
 	for {
-		n, err := a.readStream(response, buffer[:], lastEventAt)
+		n, err := idle.read(response, buffer[:])
 		if n > 0 {
 			if latency == 0 {
 				latency = time.Since(sentAt)
@@ -145,7 +139,7 @@
 			}
 			events := a.events.push(buffer[:n])
 			if len(events) > 0 {
-				lastEventAt = time.Now()
+				idle.eventArrived()
 				a.recordEvent(c)
 			}
 			if !a.relayEvents(flusher, response, events) {
@@ -237,22 +231,6 @@
 	return mediaType == "text/event-stream"
 }
 
-// readStream reads from a stream. A resumable stream without a complete event since streamIdleTimeout fails,
-// also if other bytes arrive: it can continue at another engine. Any other stream may take until the timeout.
-func (a *activeRequest) readStream(response *exchange.Response, buffer []byte, lastEventAt time.Time) (int, error) {
-	if !a.route.Resumable {
-		return response.Read(buffer)
-	}
-	left := streamIdleTimeout - time.Since(lastEventAt)
-	if left <= 0 {
-		return 0, errStreamIdle
-	}
-	if err := response.SetReadTimeout(left); err != nil {
-		return 0, fmt.Errorf("set read deadline: %w", err)
-	}
-	return response.Read(buffer)
-}
-
 // writeStreamHeader writes the header of the first engine's response. It is also the header of a stream
 // that continues at another engine.
 func (a *activeRequest) writeStreamHeader(response *exchange.Response) {
--- /dev/null
+++ b/pkg/gateway/forward/silence_test.go
@@ -0,0 +1,81 @@
+package forward
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"cassiawall.example/cassiawall/pkg/gateway/routes"
+)
+
+// startSilentEngine starts an engine whose first stream pauses after its first event. Every stream has four events and continues
+// after the last one that the request names.
+func startSilentEngine(t *testing.T, silence time.Duration) (b *fakeBackend, sends *atomic.Int64) {
+	t.Helper()
+	sends = &atomic.Int64{}
+	return startWriter(t, func(c net.Conn, req *http.Request) {
+		first := sends.Add(1) == 1
+		writeStreamHead(c, req)
+		after, _ := strconv.Atoi(req.Header.Get("After"))
+		for n := after + 1; n <= 4; n++ {
+			fmt.Fprintf(c, "id: %d\ndata: x\n\n", n)
+			if first && n == after+1 {
+				time.Sleep(silence)
+			}
+		}
+	}), sends
+}
+
+// Guards against a stream that is cut because its engine is silent for a moment, although no other engine can continue it.
+func TestStreamOfSilentEngineIsKeptUntilAnotherCanContinueIt(t *testing.T) {
+	const silence = streamIdleTimeout + 400*time.Millisecond
+	tests := map[string]struct {
+		engines  int
+		change   func(*routes.Config, *Options)
+		attempts int
+	}{
+		"only engine":       {1, nil, 2},
+		"the other one too": {2, nil, 2},
+		"no attempt left":   {2, nil, 1},
+		"no retry budget": {2, func(_ *routes.Config, opt *Options) {
+			opt.RetryBudget = NewRetryBudget(RetryBudgetLimits{Window: 10 * time.Second})
+		}, 2},
+		"the other one loads weights": {2, func(_ *routes.Config, opt *Options) {
+			for i := range 2 {
+				// The first send happens before.
+				time.AfterFunc(300*time.Millisecond, func() { opt.Backends.SetLoading(fmt.Sprint("b", i), time.Now().Add(time.Minute)) })
+			}
+		}, 2},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var engines []*fakeBackend
+			for range test.engines {
+				engine, _ := startSilentEngine(t, silence)
+				engines = append(engines, engine)
+			}
+			checkCompleteStream(t, test.attempts, test.change, engines...)
+		})
+	}
+}
+
+// checkCompleteStream sends a resumable stream and asserts that the client gets each of its events once.
+func checkCompleteStream(t *testing.T, attempts int, change func(*routes.Config, *Options), engines ...*fakeBackend) {
+	t.Helper()
+	s := startGateway(t, routes.Stream, func(c *routes.Config, opt *Options) {
+		c.Routes[0].Resumable, c.Routes[0].MaxAttempts, c.Routes[0].Timeout = true, attempts, 8*time.Second
+		if change != nil {
+			change(c, opt)
+		}
+	}, engines...)
+	r := postRequest(t, s, "/p/x", http.Header{"Wait": {"7000"}})
+	assert.NoError(t, r.err)
+	assert.Equal(t, "id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\nid: 4\ndata: x\n\n", r.body)
+}
