Let begun streams wait for the next engine instead of cutting them

Callers would see: a stream cut in the middle because its engine has ended while no engine or retry budget is available at that moment.

Cause: the short waits and few refusals of requests that can still be refused applied to responses that have begun, which are older than all of these waits.

Change: a response that has begun waits for an engine, for the retry budget and through refusals until its timeout or until its client leaves. Budget and attempts are as before.

--- a/pkg/gateway/forward/active_request.go
+++ b/pkg/gateway/forward/active_request.go
@@ -141,6 +141,9 @@
 			}
 			if a.sends > 0 && !a.allowRetry() {
 				choice.Done(backends.Neutral, 0)
+				if a.headerWritten && wait.Pause(a.ctx, refusedBackoff) {
+					continue
+				}
 				a.failRequest(causeRetryBudget)
 				return
 			}
@@ -323,7 +326,7 @@
 	if !mayHaveRun {
 		a.sends--
 		a.router.opt.Backends.MarkUnreachable(c.ID, time.Now().Add(unreachableBackoff))
-		return a.retryIf(len(a.tried) < maxRefusedSends+a.route.MaxAttempts)
+		return a.retryAfterRefusal()
 	}
 	if a.recordEnd(ctx, c, err) {
 		return outcomeInDoubt
@@ -350,7 +353,16 @@
 	c.Done(backends.Neutral, 0)
 	a.recordSendFailed(c, phaseRefused, "refused", response.Status)
 	a.router.opt.Backends.Pause(c.ID, time.Now().Add(refusedBackoff))
-	return a.retryIf(len(a.tried) < maxRefusedSends+a.route.MaxAttempts)
+	return a.retryAfterRefusal()
+}
+
+// retryAfterRefusal returns the next step after a send that was not run. A response that has begun can no longer be
+// refused: it is sent further, at intervals, until the timeout.
+func (a *activeRequest) retryAfterRefusal() sendOutcome {
+	if len(a.tried) < maxRefusedSends+a.route.MaxAttempts {
+		return a.retryIf(true)
+	}
+	return a.retryIf(a.headerWritten && wait.Pause(a.ctx, refusedBackoff))
 }
 
 // retryAfterRun returns the next step after a send that may have run and has not produced a complete
