Limit TCP_USER_TIMEOUT to requests that their host has not acknowledged

Callers saw: 502 or a cut stream at servers that are silent for a second: while a large body is on its way, or, host and all, on a quiet connection.

Cause: TCP_USER_TIMEOUT (0.9 s) also ends connections whose receive window stays closed, and with it one keep-alive probe without response ends a connection.

Change: 0.9 s until the request is acknowledged, 3 s for bodies over 64 KB, off afterwards; keep-alive then finds a dead host within 3 s.

--- a/pkg/gateway/exchange/conn.go
+++ b/pkg/gateway/exchange/conn.go
@@ -15,8 +15,6 @@
 	"sync"
 	"syscall"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 // Timing of connections.
@@ -27,8 +25,14 @@
 	// tcpUserTimeout is the TCP_USER_TIMEOUT: the time after which unacknowledged data closes the
 	// connection. It leaves time for two retransmissions on a lossy link.
 	tcpUserTimeout = 900 * time.Millisecond
+	// largeBodyTimeout is the TCP_USER_TIMEOUT while a body is written that does not fit into the server's receive
+	// buffer. It then also ends a connection whose server does not read, which may be silent for a second or two.
+	largeBodyTimeout = 3 * time.Second
+	// maxFittingBodyBytes is the size up to which a body fits into the receive buffer of a server that does not read.
+	maxFittingBodyBytes = 64 << 10
 	// keepAliveIdle, keepAliveInterval and keepAliveCount detect a dead connection within 3 s. For
-	// that time after a disturbance, the platform does not enforce its time limits.
+	// that time after a disturbance, the platform does not enforce its time limits. They count only without a
+	// TCP_USER_TIMEOUT: with it, a single probe without response ends the connection.
 	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
 	keepAliveCount    = 2
@@ -52,13 +56,7 @@
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 		},
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			var failed error
-			err := raw.Control(func(fd uintptr) {
-				failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(tcpUserTimeout.Milliseconds()))
-			})
-			return errors.Join(err, failed)
-		},
+		Control: func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw, tcpUserTimeout) },
 	}
 	return d.DialContext(ctx, "tcp4", address)
 }
@@ -70,7 +68,8 @@
 	// limit bounds the bytes that reader may read next.
 	limit *limitedReader
 	// rawConn allows a non-blocking read in isClean. It is nil if the connection does not support it.
-	rawConn syscall.RawConn
+	rawConn  syscall.RawConn
+	patience patience
 	// idleTimeout is the time for which the idle connection may be reused.
 	idleTimeout time.Duration
 	idleSince   time.Time
@@ -87,6 +86,7 @@
 	if s, ok := c.(syscall.Conn); ok {
 		// On an error rawConn stays nil, and isClean skips its check of the socket.
 		pooled.rawConn, _ = s.SyscallConn()
+		pooled.patience = patience{conn: pooled.rawConn, timeout: tcpUserTimeout}
 	}
 	return pooled
 }
--- a/pkg/gateway/exchange/exchange.go
+++ b/pkg/gateway/exchange/exchange.go
@@ -123,6 +123,7 @@
 func (r *Response) Close() {
 	r.once.Do(func() {
 		active := r.stopWatching()
+		r.conn.patience.stop()
 		r.conn.limit.onTimeout = nil
 		if r.bodyRead && r.reusable && active && r.bodyWriter.done() && r.conn.reader.Buffered() == 0 &&
 			r.conn.SetDeadline(time.Time{}) == nil {
@@ -165,9 +166,13 @@
 	stopWatching := context.AfterFunc(ctx, func() { c.Conn.Close() })
 	fail := func(err error) (*Response, error) {
 		stopWatching()
+		c.patience.stop()
 		c.Conn.Close()
 		return nil, &Error{Sent: true, cause: err}
 	}
+	if err := c.patience.start(len(req.Body)); err != nil {
+		return fail(err)
+	}
 	writer, err := writeRequest(c, req)
 	if err != nil {
 		return fail(err)
