Count a list of several pages as complete up to its first page only

Cause: the mirror took such a list as complete up to the highest revision among its entries, so that a removal between two pages, which the watch brings with a lower revision, did not reach followers. A removal of an object that the list lacked already was ignored in the same way.

Change: entries newer than the list's revision wait for the watch. A removal of an unknown object raises the revision and is recorded for followers.

--- a/pkg/gateway/mirror/mirror.go
+++ b/pkg/gateway/mirror/mirror.go
@@ -263,6 +263,7 @@
 		m.completeRevision = m.revision
 		m.confirmLocked(calledAt, "list")
 	}()
+	entries = m.atRevisionLocked(entries, revision)
 	if !m.differsLocked(entries) {
 		return true
 	}
@@ -280,6 +281,23 @@
 	return true
 }
 
+// atRevisionLocked returns a list without the changes after revision, which later pages of the list may have: changes
+// before them may be missing from earlier pages. The watch that continues from revision brings all of them.
+func (m *Mirror) atRevisionLocked(entries []Entry, revision int64) []Entry {
+	listed := make([]Entry, 0, len(entries))
+	for _, e := range entries {
+		if e.Revision > revision {
+			known, ok := m.entries[e.Name]
+			if !ok {
+				continue
+			}
+			e = known
+		}
+		listed = append(listed, e)
+	}
+	return listed
+}
+
 // notifyChange calls OnChange, if it is set, without waiting for it.
 func (m *Mirror) notifyChange() {
 	if m.opt.OnChange != nil {
@@ -365,17 +383,21 @@
 
 func (m *Mirror) applyLocked(c Change, freshness Freshness) {
 	known, ok := m.entries[c.Name]
-	if ok && c.Revision < known.Revision || !ok && (c.Deleted || c.Revision <= m.tombstones[c.Name]) {
+	switch {
+	case ok && c.Revision < known.Revision, !ok && !c.Deleted && c.Revision <= m.tombstones[c.Name]:
+		return
+	case !ok && c.Deleted:
+		// A list may have lacked the object already, but a follower may still hold it.
+		if c.Revision > m.revision {
+			m.revision = c.Revision
+			m.recordDeletionLocked(c.Name)
+		}
 		return
 	}
 	m.revision = max(m.revision, c.Revision)
 	if c.Deleted {
 		delete(m.entries, c.Name)
-		if len(m.tombstones) >= maxTombstones {
-			clear(m.tombstones)
-			m.compactedRevision = m.revision
-		}
-		m.tombstones[c.Name] = m.revision
+		m.recordDeletionLocked(c.Name)
 	} else {
 		m.entries[c.Name] = c.Entry
 		delete(m.tombstones, c.Name)
@@ -383,6 +405,15 @@
 	m.opt.Target.Apply(c, freshness)
 }
 
+// recordDeletionLocked records that an object was deleted at the present revision.
+func (m *Mirror) recordDeletionLocked(name string) {
+	if len(m.tombstones) >= maxTombstones {
+		clear(m.tombstones)
+		m.compactedRevision = m.revision
+	}
+	m.tombstones[name] = m.revision
+}
+
 // backOff logs the first of several failed calls in a row and pauses before the next call. It returns false if
 // ctx ends.
 func (m *Mirror) backOff(ctx context.Context, err error, pause *time.Duration) bool {
