Keep what a server has stated when its entry lapses and returns

Cause: limit, pause and the time since which the start is known were dropped with the entry; a returning server was a new member.

Change: they are kept with the departure and restored for the same start.

Test: TestStatementsOutliveALapsedEntry; the case of the same start fails before.

--- a/pkg/gateway/backends/backends.go
+++ b/pkg/gateway/backends/backends.go
@@ -68,9 +68,7 @@
 	idHash uint32
 	// generationRevision is the revision of the first listing since the server's last restart that this node has received.
 	generationRevision int64
-	// listedAt is the time on the clock of clock.Now at which it was received.
-	listedAt time.Time
-	pool     *exchange.Pool
+	pool               *exchange.Pool
 
 	// ownLong and ownShort count this node's running requests by their expected duration.
 	ownLong, ownShort int
@@ -87,15 +85,22 @@
 	// loadingUntil is the time until which the engine gets no requests because it loads new weights.
 	loadingUntil time.Time
 	score        score
-	limit        quota.Server
-	// statedLeavingAt is the time at which a response stated that the server will stop, and statedPauseUntil the time until
-	// which it wants no requests from this node. Both are on the clock of clock.Now.
-	statedLeavingAt, statedPauseUntil time.Time
+	statements
 	// suspectSince is set while the entry is missing after an outage of the store. relistedAt is set if the same entry has
 	// been listed again since.
 	suspectSince, relistedAt time.Time
 }
 
+// statements are what a backend server has stated in its responses since its start. Times are on the clock of clock.Now.
+type statements struct {
+	// knownSince is the time since which this node knows the server's present start.
+	knownSince time.Time
+	limit      quota.Server
+	// statedLeavingAt is the time at which a response stated that the server will stop, and statedPauseUntil the time until
+	// which it wants no requests from this node.
+	statedLeavingAt, statedPauseUntil time.Time
+}
+
 // leaves reports whether the server's listing or one of its responses states that it will stop.
 func (m *member) leaves() bool { return m.Leaving || !m.statedLeavingAt.IsZero() }
 
@@ -174,6 +179,7 @@
 }
 
 func (r *Registry) putLocked(b Backend) bool {
+	d := r.departed[b.ID]
 	delete(r.departed, b.ID)
 	old := r.members[b.ID]
 	if old != nil && old.sameGeneration(&b) {
@@ -193,8 +199,11 @@
 	if old != nil {
 		r.removeLocked(old)
 	}
-	m := &member{Backend: b, generationRevision: b.Revision, listedAt: clock.Now(), rendezvousHash: rendezvous.Hash(b.ID), dataCentreHash: rendezvous.Hash(b.DataCentre), idHash: cachemap.EngineHash(b.ID), pool: exchange.NewPool(b.Address), versions: map[string]knownVersion{}}
+	m := &member{Backend: b, generationRevision: b.Revision, rendezvousHash: rendezvous.Hash(b.ID), dataCentreHash: rendezvous.Hash(b.DataCentre), idHash: cachemap.EngineHash(b.ID), pool: exchange.NewPool(b.Address), versions: map[string]knownVersion{}}
 	m.applyListedVersions()
+	if m.knownSince = clock.Now(); d.restores(&b) {
+		m.statements = d.stated
+	}
 	r.members[b.ID], r.byHash[m.idHash] = m, m
 	list := append(r.byService[b.Service], m)
 	slices.SortFunc(list, func(a, c *member) int { return cmp.Compare(a.ID, c.ID) })
--- a/pkg/gateway/backends/departures.go
+++ b/pkg/gateway/backends/departures.go
@@ -22,6 +22,8 @@
 type departure struct {
 	Backend
 	at time.Time
+	// stated is what the server has stated in its responses.
+	stated statements
 	// relisted is a listing that came after the departure and precedes it, since relistedAt.
 	relisted   *Backend
 	relistedAt time.Time
@@ -42,6 +44,12 @@
 	return b.Heartbeat > 0 && b.Heartbeat <= other.Heartbeat
 }
 
+// restores reports whether a listing is of the same start as the departure: the entry had only lapsed, so that what the
+// server stated still counts.
+func (d *departure) restores(b *Backend) bool {
+	return d != nil && d.sameGeneration(b) && clock.Since(d.at) < departureTTL
+}
+
 func (d *departure) relist(b Backend) {
 	if d.relisted == nil {
 		d.relistedAt = clock.Now()
@@ -56,7 +64,7 @@
 		maps.DeleteFunc(r.departed, func(_ string, d *departure) bool { return clock.Since(d.at) >= departureTTL })
 	}
 	if len(r.departed) < maxDepartures {
-		d := &departure{Backend: m.Backend, at: clock.Now()}
+		d := &departure{Backend: m.Backend, at: clock.Now(), stated: m.statements}
 		d.Leaving = m.leaves()
 		if !m.relistedAt.IsZero() {
 			d.relisted, d.relistedAt = &d.Backend, m.relistedAt
--- a/pkg/gateway/backends/departures_test.go
+++ b/pkg/gateway/backends/departures_test.go
@@ -5,6 +5,9 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+
+	"cassiawall.example/cassiawall/pkg/clock"
+	"cassiawall.example/cassiawall/pkg/gateway/quota"
 )
 
 // Guards against a server that comes back by a listing of before it announced its stop or before it left, which a store
@@ -86,3 +89,31 @@
 	c, _ = r.Pick(Query{Service: "s", Model: "m"}, now)
 	assert.Equal(t, 2, c.Version)
 }
+
+// Guards against requests over the limit of a server, or during the pause that it has asked for, after its entry has lapsed and
+// returned because it was cut off from the store, and against statements of before a restart.
+func TestStatementsOutliveALapsedEntry(t *testing.T) {
+	for name, test := range map[string]struct {
+		startedAgain int64
+		kept         bool
+	}{
+		"the same start": {7, true},
+		"restarted":      {8, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			listing := Backend{ID: "e", Service: "s", Address: "127.0.0.1:1", Started: 7, Heartbeat: 5}
+			r := NewRegistry("dc")
+			r.Put(listing)
+			knownSince := r.LimitableServers()[0].ListedAt
+			sentAt := clock.Now()
+			r.ObserveLimit("e", 7, quota.Statement{Limited: true, Rate: 3}, sentAt, sentAt)
+			until := r.ObservePause("e", 7, 2*time.Second)
+			r.Remove("e")
+			listing.Heartbeat, listing.Started = 9, test.startedAgain
+			r.Put(listing)
+			assert.Equal(t, test.kept, len(r.LimitedHashes()) == 1)
+			assert.Equal(t, test.kept, r.members["e"].statedPauseUntil.Equal(until))
+			assert.Equal(t, test.kept, r.LimitableServers()[0].ListedAt.Equal(knownSince), "the leader counts the observations of before")
+		})
+	}
+}
--- a/pkg/gateway/backends/limits.go
+++ b/pkg/gateway/backends/limits.go
@@ -71,7 +71,7 @@
 	for service, members := range r.byService {
 		hash := cachemap.EngineHash(service)
 		for _, m := range members {
-			servers = append(servers, quota.ServerInfo{ID: m.idHash, Service: hash, ListedAt: m.listedAt})
+			servers = append(servers, quota.ServerInfo{ID: m.idHash, Service: hash, ListedAt: m.knownSince})
 		}
 	}
 	return servers
