Bound the memory of all request bodies of a node

Cause: each body was bounded, their sum was not.

Change: bodies may take a quarter of the process's memory. What does not fit is refused with 503 before it is read; small bodies keep a part for themselves.

--- /dev/null
+++ b/pkg/gateway/forward/body_memory.go
@@ -0,0 +1,111 @@
+package forward
+
+import (
+	"errors"
+	"io"
+	"sync"
+)
+
+// A request's body is kept until its response ends, because the request may be sent again. Large bodies of many slow requests
+// would take the memory that the process may use, and the process would end with the requests of all clients. A request that does not
+// fit is refused before it is read: it has not run, and its client can use another node.
+
+const (
+	// smallBodyBytes is the size up to which a body may use all of the memory for bodies. Larger ones may use
+	// largeBodyShare of it, so that they do not crowd out the others.
+	smallBodyBytes = 32 << 10
+	largeBodyShare = 0.75
+	// initialBodyBytes is the memory that is reserved at first for a body whose length is not known.
+	initialBodyBytes = 8 << 10
+)
+
+// errBodyMemory is the cause of a request that is refused because its body does not fit into the memory for bodies.
+var errBodyMemory = errors.New(causeBodyMemory)
+
+// BodyMemory bounds the memory of the request bodies that a node holds. It is safe for concurrent use.
+type BodyMemory struct {
+	// max is the bound in bytes, or 0 for none.
+	max int64
+
+	mu   sync.Mutex
+	used int64
+}
+
+// NewBodyMemory returns a bound in bytes, or none for 0.
+func NewBodyMemory(maxBytes int64) *BodyMemory { return &BodyMemory{max: maxBytes} }
+
+// Used returns the size of the bodies in bytes.
+func (m *BodyMemory) Used() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.used
+}
+
+// reserve reserves n more bytes for a body that then has total bytes. It reports whether they are available, which they
+// always are for the only body.
+func (m *BodyMemory) reserve(n, total int64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	available := m.max
+	if total > smallBodyBytes {
+		available = int64(largeBodyShare * float64(m.max))
+	}
+	isOnly := m.used == total-n
+	if m.max > 0 && m.used+n > available && !isOnly {
+		return false
+	}
+	m.used += n
+	return true
+}
+
+func (m *BodyMemory) release(n int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.used -= n
+}
+
+// bodyReservation is the memory of one request's body.
+type bodyReservation struct {
+	memory   *BodyMemory
+	reserved int64
+}
+
+// reserve makes room for a body of total bytes.
+func (b *bodyReservation) reserve(total int64) error {
+	if total <= b.reserved {
+		return nil
+	}
+	if !b.memory.reserve(total-b.reserved, total) {
+		return errBodyMemory
+	}
+	b.reserved = total
+	return nil
+}
+
+func (b *bodyReservation) release() {
+	b.memory.release(b.reserved)
+	b.reserved = 0
+}
+
+// readAll reads a body whose length is not known, up to maxBytes + 1 bytes.
+func (b *bodyReservation) readAll(r io.Reader, maxBytes int64) ([]byte, error) {
+	var body []byte
+	for int64(len(body)) <= maxBytes {
+		if len(body) == cap(body) {
+			size := max(2*len(body), initialBodyBytes)
+			if err := b.reserve(int64(size)); err != nil {
+				return nil, err
+			}
+			body = append(make([]byte, 0, size), body...)
+		}
+		n, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if err == io.EOF {
+			return body, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	return body, nil
+}
--- a/pkg/gateway/forward/errors.go
+++ b/pkg/gateway/forward/errors.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"cassiawall.example/cassiawall/pkg/event"
+	"cassiawall.example/cassiawall/pkg/retry"
 )
 
 // failRequest ends a request that has no successful response. Status 503 states that the request was
@@ -60,15 +61,27 @@
 
 // refuseWithoutConfig refuses a request that arrives before the first configuration.
 func (r *Router) refuseWithoutConfig(w http.ResponseWriter, req *http.Request, receivedAt time.Time) {
-	r.count("requests", "outcome", "refused")
-	r.count("not_served", "cause", causeNoConfig)
 	// The ID is logged if it can be decoded.
 	request, _ := r.opt.Protocol.DecodeRequest(req.Header)
+	r.refuse(w, req, request.ID, causeNoConfig, refusalRetryAfter, receivedAt)
+}
+
+// refuseBody refuses a request whose body does not fit into memory, and closes the connection: the rest of the body is not
+// read.
+func (r *Router) refuseBody(w http.ResponseWriter, req *http.Request, id string, receivedAt time.Time) {
+	w.Header().Set("Connection", "close")
+	r.refuse(w, req, id, causeBodyMemory, retry.SpreadPause(bodyRetryAfter), receivedAt)
+}
+
+// refuse refuses a request that has not been sent to any backend server. The log lines are limited in rate.
+func (r *Router) refuse(w http.ResponseWriter, req *http.Request, id, cause string, retryAfter time.Duration, receivedAt time.Time) {
+	r.count("requests", "outcome", "refused")
+	r.count("not_served", "cause", cause)
 	if r.rejectionLogLimiter.Allow() {
-		event.RequestNotServed.Emit(r.opt.Logger, "request", request.ID, "host", req.Host, "path", req.URL.Path, "outcome", "refused",
-			"reason", causeNoConfig, "sends", 0, "runs", 0, "age_ms", time.Since(receivedAt).Milliseconds())
+		event.RequestNotServed.Emit(r.opt.Logger, "request", id, "host", req.Host, "path", req.URL.Path, "outcome", "refused",
+			"reason", cause, "sends", 0, "runs", 0, "age_ms", time.Since(receivedAt).Milliseconds())
 	}
-	writeRefusal(w, causeNoConfig, refusalRetryAfter)
+	writeRefusal(w, cause, retryAfter)
 }
 
 // reject responds to a malformed request or one that the configuration does not allow. The log lines of
--- a/pkg/gateway/forward/forward_test.go
+++ b/pkg/gateway/forward/forward_test.go
@@ -181,7 +181,7 @@
 		Protocol: testProtocol{}, Backends: registry, Weights: fixedWeights{newest: 3}, Prefixes: cachemap.New(),
 		RetryBudget: NewRetryBudget(RetryBudgetLimits{BaseRetries: 1000, Window: 10 * time.Second}), Config: func() *routes.Config { return config },
 		PrefixCounts: popularity.NewCounter(), PrefixRates: popularity.NewRates(),
-		Shutdown: NewShutdown(), Logger: slog.New(slog.DiscardHandler), Metrics: metrics.New(),
+		Shutdown: NewShutdown(), BodyMemory: NewBodyMemory(0), Logger: slog.New(slog.DiscardHandler), Metrics: metrics.New(),
 	}
 	opt.RetryBudget.SetNodes(40, time.Now())
 	if change != nil {
--- a/pkg/gateway/forward/router.go
+++ b/pkg/gateway/forward/router.go
@@ -43,6 +43,8 @@
 	Quarantine   *Quarantine
 	// Config returns the configuration in force, or nil before the first one.
 	Config func() *routes.Config
+	// BodyMemory bounds the memory of request bodies.
+	BodyMemory *BodyMemory
 	// Shutdown is the state of the node's shutdown.
 	Shutdown *Shutdown
 	Logger   *slog.Logger
@@ -85,6 +87,7 @@
 	causeInDoubt     = "engines crash on requests like this"
 	causeShedding    = "backend servers have asked this node for a pause"
 	causeShutdown    = "this node shuts down before the timeout of the request"
+	causeBodyMemory  = "this node holds too many large request bodies"
 	causeLimited     = "backend servers are at the limits that they state"
 )
 
@@ -94,6 +97,10 @@
 // refusalRetryAfter is the longest Retry-After of a request that was not run.
 const refusalRetryAfter = 250 * time.Millisecond
 
+// bodyRetryAfter is the Retry-After of a request whose body does not fit into memory: responses to large requests take about
+// a second.
+const bodyRetryAfter = time.Second
+
 // minQuarantineRetryAfter is the shortest Retry-After of a request with a quarantined part.
 const minQuarantineRetryAfter = time.Second
 
@@ -127,7 +134,13 @@
 	if route.Public {
 		workspace = nil
 	}
-	body, status, err := readBody(req, config.Limits)
+	memory := bodyReservation{memory: r.opt.BodyMemory}
+	defer memory.release()
+	body, status, err := readBody(req, config.Limits, &memory)
+	if errors.Is(err, errBodyMemory) {
+		r.refuseBody(w, req, request.ID, receivedAt)
+		return
+	}
 	if err != nil {
 		if status == 0 {
 			// The client disconnected, so no response is possible.
@@ -189,9 +202,9 @@
 // errBodyTooLarge is returned for a request body over the limit.
 var errBodyTooLarge = errors.New("the body is over the limit of the configuration")
 
-// readBody reads the whole request body. On an error, status is the response status, or 0 if the client
-// disconnected.
-func readBody(req *http.Request, limits routes.Limits) (body []byte, status int, err error) {
+// readBody reads the whole request body into memory that it reserves. On an error, status is the response status, or 0 if
+// the client disconnected. The error is errBodyMemory if the body does not fit.
+func readBody(req *http.Request, limits routes.Limits, memory *bodyReservation) (body []byte, status int, err error) {
 	maxBytes := limits.MaxBodyBytes
 	if maxBytes == 0 {
 		maxBytes = defaultMaxBodyBytes
@@ -200,13 +213,16 @@
 		return nil, http.StatusRequestEntityTooLarge, errBodyTooLarge
 	}
 	if req.ContentLength > 0 {
+		if err := memory.reserve(req.ContentLength); err != nil {
+			return nil, 0, err
+		}
 		body = make([]byte, req.ContentLength)
 		if _, err := io.ReadFull(req.Body, body); err != nil {
 			return nil, 0, err
 		}
 		return body, 0, nil
 	}
-	body, err = io.ReadAll(io.LimitReader(req.Body, maxBytes+1))
+	body, err = memory.readAll(req.Body, maxBytes)
 	if err != nil {
 		return nil, 0, err
 	}
--- a/pkg/gateway/node/node.go
+++ b/pkg/gateway/node/node.go
@@ -87,6 +87,8 @@
 	outOfRotationDelay = 2500 * time.Millisecond
 	// shutdownMargin is the part of the shutdown grace that is left for the process to end.
 	shutdownMargin = 700 * time.Millisecond
+	// bodyMemoryShare is the share of the process's memory that request bodies may use.
+	bodyMemoryShare = 0.25
 	// answerMargin is the time before that in which unfinished requests are answered.
 	answerMargin = 200 * time.Millisecond
 	// idleTimeout bounds the time of a client's connection without a request, headerTimeout the time to
@@ -118,6 +120,7 @@
 	link       *peers.Link
 	quarantine *forward.Quarantine
 	stopping   *forward.Shutdown
+	bodyMemory *forward.BodyMemory
 }
 
 // New returns a node. It makes no calls before Run.
@@ -132,6 +135,7 @@
 		prefixes:    cachemap.New(),
 		connected:   make(chan struct{}),
 		stopping:    forward.NewShutdown(),
+		bodyMemory:  forward.NewBodyMemory(int64(bodyMemoryShare * opt.Settings.MemoryMB * (1 << 20))),
 
 		prefixCounts: popularity.NewCounter(), prefixRates: popularity.NewRates(),
 	}
@@ -301,7 +305,7 @@
 		Protocol: n.opt.Protocol, Backends: n.registry, Weights: n.versions, RetryBudget: n.retryBudget, Prefixes: n.prefixes,
 		PrefixCounts: n.prefixCounts, PrefixRates: n.prefixRates, Quarantine: n.quarantine,
 		Config:   func() *routes.Config { return n.config.current.Load() },
-		Shutdown: n.stopping, Logger: n.opt.Logger, Metrics: n.opt.Metrics,
+		Shutdown: n.stopping, BodyMemory: n.bodyMemory, Logger: n.opt.Logger, Metrics: n.opt.Metrics,
 	})
 }
 
