Rank an engine last for 3 s only after a failed order

Cause: an engine whose last order failed came after all others until an order succeeded, and others are always outdated then.

Change: it comes last for 3 s.

--- a/pkg/gateway/weights/controller.go
+++ b/pkg/gateway/weights/controller.go
@@ -111,6 +111,9 @@
 	heartbeatDelay = 6 * time.Millisecond
 	// retryPause is the pause after a failed order before the same engine gets another.
 	retryPause = 300 * time.Millisecond
+	// failedOrderDelay is the time after a failed order for which other engines come first. It is limited, because others
+	// are always outdated while new versions go on being set.
+	failedOrderDelay = 3 * time.Second
 	// leaseObjectName is the name of the lease object in the store in era 0.
 	leaseObjectName = "leases/weights"
 	// tokensPerEra is the number of fencing tokens of an era. Those of the next one are above them, so that a node that knows
@@ -178,8 +181,9 @@
 	acceptedOrdersKnown bool
 	// started is the start time that the engine reported with acceptedOrders.
 	started int64
-	// lastFailed is set if the last order failed, so that it does not delay orders to other engines.
-	lastFailed bool
+	// deferUntil is the time until which other engines come first and further orders do not count as loads, because the
+	// last order failed.
+	deferUntil time.Time
 	// retryAt is the earliest time of the next order.
 	retryAt time.Time
 }
@@ -257,7 +261,7 @@
 			e.Version = e.ListedVersion
 			unconfirmed[e.ID] = true
 		}
-		candidates = append(candidates, Candidate{ID: e.ID, Version: e.Version, LongRequests: e.Long, ShortRequests: e.Short, Unreachable: e.Down || o != nil && o.lastFailed, OrderPending: o != nil && o.pending})
+		candidates = append(candidates, Candidate{ID: e.ID, Version: e.Version, LongRequests: e.Long, ShortRequests: e.Short, Unreachable: e.Down || o != nil && now.Before(o.deferUntil), OrderPending: o != nil && o.pending})
 	}
 	for _, id := range Plan(candidates, version) {
 		o := c.engineOrders[id]
@@ -290,9 +294,10 @@
 	c.opt.Metrics.Histogram("order_ms", "result", result).Update(time.Since(start).Milliseconds())
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	o.pending, o.lastFailed = false, outcome != outcomeDone
+	o.pending, o.deferUntil = false, time.Time{}
 	if outcome != outcomeDone {
 		o.acceptedOrdersKnown = false
+		o.deferUntil = time.Now().Add(failedOrderDelay)
 		o.retryAt = time.Now().Add(retryPause)
 	}
 }
--- a/pkg/gateway/weights/plan.go
+++ b/pkg/gateway/weights/plan.go
@@ -19,7 +19,7 @@
 	// LongRequests and ShortRequests are the numbers of running requests, which the engine finishes
 	// before it loads.
 	LongRequests, ShortRequests int
-	// Unreachable is set if the engine could not be reached or its last order failed.
+	// Unreachable is set if the engine could not be reached or its last order failed a moment ago.
 	Unreachable bool
 	// OrderPending is set from the time an order is sent until the engine has loaded the version or the
 	// order has failed.
--- a/pkg/gateway/weights/weights_test.go
+++ b/pkg/gateway/weights/weights_test.go
@@ -439,3 +439,36 @@
 		wg.Wait()
 	})
 }
+
+// Guards against an engine whose order has failed once and that gets no further one while new versions go on being set: the
+// other engines are then always outdated, too.
+func TestEngineWithAFailedOrderIsOrderedAgainWhileVersionsGoOn(t *testing.T) {
+	// Two of the six engines load at a time, for 0.7 s, so that some are outdated at all times.
+	const bumpInterval, oldVersionLimit = time.Second, 8 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		// The calls of one order.
+		f.engines.unanswered, f.engines.lateBy = map[string]int{"e0": 3}, time.Hour
+		var wg sync.WaitGroup
+		ctx, cancel := context.WithCancel(t.Context())
+		run(ctx, &wg, f.node("a"))
+		time.Sleep(time.Second)
+		started := time.Now()
+		lastLoad, longest, last := started, time.Duration(0), 1
+		for version := 2; time.Since(started) < 40*time.Second; version++ {
+			f.versions.Add("m", version, 0, time.Now())
+			for range bumpInterval / (50 * time.Millisecond) {
+				time.Sleep(50 * time.Millisecond)
+				f.engines.mu.Lock()
+				if v := f.engines.versions["e0"]; v != last {
+					lastLoad, last = time.Now(), v
+				}
+				f.engines.mu.Unlock()
+				longest = max(longest, time.Since(lastLoad))
+			}
+		}
+		assert.Less(t, longest, oldVersionLimit)
+		cancel()
+		wg.Wait()
+	})
+}
