--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -250,6 +250,17 @@
 	return m.exited
 }
 
+// signalWhileStopping sends a signal that does not make the process exit, if a fault terminates the process: its successor may
+// not handle the signal yet.
+func (m *member) signalWhileStopping(s syscall.Signal) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.process != nil && m.stopping {
+		// The process may have ended.
+		_ = m.process.Process.Signal(s)
+	}
+}
+
 // suspend suspends the process with SIGSTOP. It continues when resume has ended each of the overlapping suspensions.
 func (m *member) suspend() {
 	m.mu.Lock()
--- a/test/soak/notices_test.go
+++ b/test/soak/notices_test.go
@@ -3,19 +3,55 @@
 import (
 	"maps"
 	"slices"
+	"syscall"
 	"time"
 
 	"cassiawall.example/cassiawall/platform"
 	"cassiawall.example/cassiawall/platform/standin"
 )
 
-// firstNoticeSeed is the first seed whose schedule also has laterFaults, and firstEndlessSeed the first one with endlessFaults.
-// The schedules of the seeds below stay as they were.
+// firstNoticeSeed is the first seed whose schedule also has laterFaults, firstEndlessSeed the first one with endlessFaults, and
+// firstSilenceSeed the first one with silenceFaults. The schedules of the seeds below stay as they were.
 const (
 	firstNoticeSeed  = 1000
 	firstEndlessSeed = 2003
+	firstSilenceSeed = 3000
 )
 
+// momentOfSilence is the time for which sound servers may be silent, and hangupInterval that between two signals of a series.
+const (
+	momentOfSilence = 1800 * time.Millisecond
+	hangupInterval  = 100 * time.Millisecond
+)
+
+// silenceFaults are further faults, like faults.
+var silenceFaults = map[string]func(f *fleet, target int, duration time.Duration){
+	"all servers silent for a moment": func(f *fleet, _ int, _ time.Duration) {
+		f.mu.Lock()
+		for _, b := range f.backends {
+			b.engine.FallSilent(momentOfSilence)
+		}
+		f.mu.Unlock()
+		time.Sleep(momentOfSilence)
+	},
+	"node stopped with a series of SIGHUP": func(f *fleet, target int, _ time.Duration) {
+		m := f.members[target%nodeCount]
+		restarted := make(chan struct{})
+		go func() {
+			defer close(restarted)
+			f.restart(m, syscall.SIGTERM)
+		}()
+		for {
+			select {
+			case <-restarted:
+				return
+			case <-time.After(hangupInterval):
+				m.signalWhileStopping(syscall.SIGHUP)
+			}
+		}
+	},
+}
+
 // endlessFaults are further faults, like faults.
 var endlessFaults = map[string]func(f *fleet, target int, duration time.Duration){
 	"engine sends endless responses": engineFault(standin.EngineFaults{EndlessShare: 0.5}),
@@ -94,11 +130,14 @@
 	if seed >= firstEndlessSeed {
 		kinds = append(kinds, slices.Sorted(maps.Keys(endlessFaults))...)
 	}
+	if seed >= firstSilenceSeed {
+		kinds = append(kinds, slices.Sorted(maps.Keys(silenceFaults))...)
+	}
 	return kinds
 }
 
 func injectorOf(kind string) func(f *fleet, target int, duration time.Duration) {
-	for _, known := range []map[string]func(*fleet, int, time.Duration){faults, laterFaults, endlessFaults} {
+	for _, known := range []map[string]func(*fleet, int, time.Duration){faults, laterFaults, endlessFaults, silenceFaults} {
 		if inject, ok := known[kind]; ok {
 			return inject
 		}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -46,7 +46,7 @@
 // of old weights, orders of two leaders under one fencing token, and nodes that do not recover.
 func TestSoak(t *testing.T) {
 	binary := buildNode(t)
-	selected := []uint64{defaultSeed, firstNoticeSeed, firstEndlessSeed}
+	selected := []uint64{defaultSeed, firstNoticeSeed, firstEndlessSeed, firstSilenceSeed}
 	for seed := range regressions {
 		selected = append(selected, seed)
 	}
