--- a/pkg/gateway/exchange/conn.go
+++ b/pkg/gateway/exchange/conn.go
@@ -56,7 +56,7 @@
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 		},
-		Control: func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw, tcpUserTimeout) },
+		Control: func(_, _ string, raw syscall.RawConn) error { return setTCPUserTimeout(raw, tcpUserTimeout) },
 	}
 	return d.DialContext(ctx, "tcp4", address)
 }
@@ -68,8 +68,8 @@
 	// limit bounds the bytes that reader may read next.
 	limit *limitedReader
 	// rawConn allows a non-blocking read in isClean. It is nil if the connection does not support it.
-	rawConn  syscall.RawConn
-	patience patience
+	rawConn     syscall.RawConn
+	userTimeout userTimeout
 	// idleTimeout is the time for which the idle connection may be reused.
 	idleTimeout time.Duration
 	idleSince   time.Time
@@ -86,7 +86,7 @@
 	if s, ok := c.(syscall.Conn); ok {
 		// On an error rawConn stays nil, and isClean skips its check of the socket.
 		pooled.rawConn, _ = s.SyscallConn()
-		pooled.patience = patience{conn: pooled.rawConn, timeout: tcpUserTimeout}
+		pooled.userTimeout = userTimeout{conn: pooled.rawConn, timeout: tcpUserTimeout}
 	}
 	return pooled
 }
--- a/pkg/gateway/exchange/exchange.go
+++ b/pkg/gateway/exchange/exchange.go
@@ -123,7 +123,7 @@
 func (r *Response) Close() {
 	r.once.Do(func() {
 		active := r.stopWatching()
-		r.conn.patience.stop()
+		r.conn.userTimeout.stop()
 		r.conn.limit.onTimeout = nil
 		if r.bodyRead && r.reusable && active && r.bodyWriter.done() && r.conn.reader.Buffered() == 0 &&
 			r.conn.SetDeadline(time.Time{}) == nil {
@@ -166,11 +166,11 @@
 	stopWatching := context.AfterFunc(ctx, func() { c.Conn.Close() })
 	fail := func(err error) (*Response, error) {
 		stopWatching()
-		c.patience.stop()
+		c.userTimeout.stop()
 		c.Conn.Close()
 		return nil, &Error{Sent: true, cause: err}
 	}
-	if err := c.patience.start(len(req.Body)); err != nil {
+	if err := c.userTimeout.start(len(req.Body)); err != nil {
 		return fail(err)
 	}
 	writer, err := writeRequest(c, req)
--- a/pkg/gateway/exchange/patience.go
+++ b/pkg/gateway/exchange/user_timeout.go
@@ -17,71 +17,71 @@
 // second keep-alive probe.
 const unackedInterval = keepAliveIdle
 
-// patience sets the TCP_USER_TIMEOUT of a connection. It is safe for concurrent use.
-type patience struct {
+// userTimeout sets the TCP_USER_TIMEOUT of a connection. It is safe for concurrent use.
+type userTimeout struct {
 	// conn is nil if the connection has no file descriptor, and so no TCP_USER_TIMEOUT.
 	conn syscall.RawConn
 
 	mu sync.Mutex
-	// timeout is the TCP_USER_TIMEOUT, or 0 if it is off.
+	// timeout is the present value, or 0 if it is off.
 	timeout time.Duration
 	// timer calls check while a request waits for its response, and is nil otherwise.
 	timer *time.Timer
 }
 
 // start sets the timeout for a request with a body of bodyBytes that is about to be written.
-func (p *patience) start(bodyBytes int) error {
-	if p.conn == nil {
+func (u *userTimeout) start(bodyBytes int) error {
+	if u.conn == nil {
 		return nil
 	}
 	timeout := tcpUserTimeout
 	if bodyBytes > maxFittingBodyBytes {
 		timeout = largeBodyTimeout
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.timeout != timeout {
-		if err := setUserTimeout(p.conn, timeout); err != nil {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.timeout != timeout {
+		if err := setTCPUserTimeout(u.conn, timeout); err != nil {
 			return err
 		}
-		p.timeout = timeout
+		u.timeout = timeout
 	}
-	p.timer = time.AfterFunc(unackedInterval, p.check)
+	u.timer = time.AfterFunc(unackedInterval, u.check)
 	return nil
 }
 
 // check switches the timeout off once the host has acknowledged all data.
-func (p *patience) check() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.timer == nil {
+func (u *userTimeout) check() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.timer == nil {
 		return
 	}
 	var info *unix.TCPInfo
 	var failed error
-	err := p.conn.Control(func(fd uintptr) { info, failed = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
+	err := u.conn.Control(func(fd uintptr) { info, failed = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
 	switch {
 	case err != nil || failed != nil:
 		// The connection has been closed.
 	case info.Unacked > 0 || info.Notsent_bytes > 0:
-		p.timer.Reset(unackedInterval)
-	case setUserTimeout(p.conn, 0) == nil:
-		p.timeout = 0
+		u.timer.Reset(unackedInterval)
+	case setTCPUserTimeout(u.conn, 0) == nil:
+		u.timeout = 0
 	}
 }
 
 // stop ends the checks.
-func (p *patience) stop() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.timer != nil {
-		p.timer.Stop()
-		p.timer = nil
+func (u *userTimeout) stop() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.timer != nil {
+		u.timer.Stop()
+		u.timer = nil
 	}
 }
 
-// setUserTimeout sets the TCP_USER_TIMEOUT of a connection, or none for 0.
-func setUserTimeout(raw syscall.RawConn, timeout time.Duration) error {
+// setTCPUserTimeout sets the TCP_USER_TIMEOUT of a connection, or none for 0.
+func setTCPUserTimeout(raw syscall.RawConn, timeout time.Duration) error {
 	var failed error
 	err := raw.Control(func(fd uintptr) {
 		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
--- a/pkg/gateway/forward/active_request.go
+++ b/pkg/gateway/forward/active_request.go
@@ -133,7 +133,7 @@
 			a.failRequest(causeQuarantined)
 			return
 		}
-		if a.mayOutliveNode() {
+		if a.exceedsShutdown() {
 			a.failRequest(causeShutdown)
 			return
 		}
--- a/pkg/gateway/forward/idle.go
+++ b/pkg/gateway/forward/idle.go
@@ -69,7 +69,7 @@
 // reserveBackend reserves a backend server for the next send, if the route, the retry budget and the servers allow one
 // now. It reports whether it has.
 func (a *activeRequest) reserveBackend() bool {
-	if a.retryAfterRun() != outcomeRetry || a.mustNotBeSent() {
+	if a.retryAfterRun() != outcomeRetry || a.hasQuarantinedPart() {
 		return false
 	}
 	choice := a.tryPick(a.newQuery(), time.Now())
--- a/pkg/gateway/forward/quarantine.go
+++ b/pkg/gateway/forward/quarantine.go
@@ -223,8 +223,8 @@
 	return verdict.Refuse
 }
 
-// mustNotBeSent reports whether one of the request's parts is quarantined, and the request is no trial.
-func (a *activeRequest) mustNotBeSent() bool {
+// hasQuarantinedPart reports whether one of the request's parts is quarantined, and the request is no trial.
+func (a *activeRequest) hasQuarantinedPart() bool {
 	q := a.router.opt.Quarantine
 	return !a.trial && q.table.Judge(a.hashedParts(), false, q.opt.Now()).Refuse
 }
--- a/pkg/gateway/forward/shutdown.go
+++ b/pkg/gateway/forward/shutdown.go
@@ -63,8 +63,8 @@
 	}
 }
 
-// mayOutliveNode reports whether the request must not be sent because the node may stop before its response is complete.
+// exceedsShutdown reports whether the request must not be sent because the node may stop before its response is complete.
 // A request that may run only once is then better sent to another node.
-func (a *activeRequest) mayOutliveNode() bool {
+func (a *activeRequest) exceedsShutdown() bool {
 	return a.route.Kind == routes.Unsafe && a.runs == 0 && a.router.opt.Shutdown.endsBefore(a.receivedAt.Add(a.timeout))
 }
