Keep a node running when the reader of its log ends

Callers would see: all requests of a node cut when the process that reads its log ends.

Cause: a write to a closed pipe on standard output or error raises SIGPIPE.

Change: both programs ignore SIGPIPE; log lines are then lost.

Test: TestNodeOutlivesTheReaderOfItsLog, before "signal: broken pipe". The product's own node has the same line, without a test.

--- a/cmd/cassiawall-node/main.go
+++ b/cmd/cassiawall-node/main.go
@@ -39,6 +39,8 @@
 const logFlushTimeout = 200 * time.Millisecond
 
 func main() {
+	// Without this, the end of the process that reads the log would end this one at its next line.
+	signal.Ignore(syscall.SIGPIPE)
 	var o options
 	if _, err := flags.Parse(&o); err != nil {
 		var usage *flags.Error
--- a/cmd/cassiawall-node/main_test.go
+++ b/cmd/cassiawall-node/main_test.go
@@ -43,12 +43,16 @@
 	err    error
 }
 
-// startProcess starts a node with a settings file that the environment variable names. It ends with the test.
-func startProcess(t *testing.T, variable string) *process {
+// startProcess starts a node with a settings file that the environment variable names, and with a standard output, unless it
+// is nil. It ends with the test.
+func startProcess(t *testing.T, variable string, stdout *os.File) *process {
 	t.Helper()
 	p := &process{Cmd: exec.Command(os.Args[0]), output: &bytes.Buffer{}, ended: make(chan struct{})}
 	p.Env = append(os.Environ(), programVariable+"=1", variable)
 	p.Stdout, p.Stderr = p.output, p.output
+	if stdout != nil {
+		p.Stdout = stdout
+	}
 	require.NoError(t, p.Start())
 	go func() {
 		defer close(p.ended)
@@ -74,7 +78,7 @@
 }
 
 // startNode starts a node beside a store, an engine and a server of the plain service, with a timeout of all routes, and waits until it is ready.
-func startNode(t *testing.T, timeout time.Duration) (p *process, clientAddress string, plain *standin.Engine, journal *standin.Journal) {
+func startNode(t *testing.T, timeout time.Duration, stdout *os.File) (p *process, clientAddress string, plain *standin.Engine, journal *standin.Journal) {
 	t.Helper()
 	store := standin.NewStore()
 	server := httptest.NewServer(store)
@@ -97,14 +101,14 @@
 	}
 	variable, err := standin.WriteSettings(filepath.Join(t.TempDir(), "settings"), settings)
 	require.NoError(t, err)
-	p = startProcess(t, variable)
+	p = startProcess(t, variable, stdout)
 	require.Eventually(t, func() bool { return standin.IsReady(t.Context(), http.DefaultClient, settings.ReadyAddress) }, waitTimeout, 20*time.Millisecond)
 	return p, settings.ClientAddress, plain, journal
 }
 
 // Guards against a SIGHUP that ends a node during its shutdown, and cuts its running requests.
 func TestHangupDuringShutdownCutsNoRequest(t *testing.T) {
-	p, address, _, _ := startNode(t, 4*time.Second)
+	p, address, _, _ := startNode(t, 4*time.Second, nil)
 	require.NoError(t, p.Process.Signal(syscall.SIGTERM))
 	var group sync.WaitGroup
 	responses := make([]standin.Response, 20)
@@ -132,7 +136,7 @@
 	variable, err := standin.WriteSettings(filepath.Join(t.TempDir(), "settings"), standin.NodeSettings{})
 	require.NoError(t, err)
 	name, _, _ := strings.Cut(variable, "=")
-	p := startProcess(t, name+"="+path)
+	p := startProcess(t, name+"="+path, nil)
 	// The open blocks until the process reads.
 	settings, err := os.OpenFile(path, os.O_WRONLY, 0)
 	require.NoError(t, err)
@@ -152,7 +156,7 @@
 // only once and are sent although the node may stop before their responses.
 func TestRequestsThatOutliveTheNodeAreAnswered(t *testing.T) {
 	const routeTimeout = 30 * time.Second
-	p, address, plain, journal := startNode(t, routeTimeout)
+	p, address, plain, journal := startNode(t, routeTimeout, nil)
 	send := func(id string, kind standin.Kind, deadline time.Duration) standin.Response {
 		return standin.Send(t.Context(), http.DefaultClient, address, standin.Request{ID: id, Kind: kind, Key: "key-north", Deadline: deadline})
 	}
@@ -178,3 +182,25 @@
 	assert.NoError(t, p.err)
 	assert.NotContains(t, journal.Executions(), "long", "the refusal states that it has not run")
 }
+
+// Guards against a node that ends, with its requests, because the process that reads its log has ended.
+func TestNodeOutlivesTheReaderOfItsLog(t *testing.T) {
+	reader, writer, err := os.Pipe()
+	require.NoError(t, err)
+	p, address, _, _ := startNode(t, 4*time.Second, writer)
+	reader.Close()
+	writer.Close()
+	for i := range 20 {
+		// A rejected request writes a log line at once.
+		rejected := standin.Send(t.Context(), http.DefaultClient, address, standin.Request{ID: fmt.Sprint("x", i), Kind: standin.Safe, Path: "/none", Deadline: 3 * time.Second})
+		assert.Equal(t, http.StatusNotFound, rejected.Status)
+		time.Sleep(10 * time.Millisecond)
+	}
+	served := standin.Send(t.Context(), http.DefaultClient, address, standin.Request{ID: "r", Kind: standin.Stream, Key: "key-north", Deadline: 3 * time.Second})
+	assert.True(t, served.Complete && served.Status == http.StatusOK, "status %d: %v", served.Status, served.Err)
+	select {
+	case <-p.ended:
+		t.Error("the process has ended: ", p.err)
+	default:
+	}
+}
--- a/pkg/cli/serve.go
+++ b/pkg/cli/serve.go
@@ -30,6 +30,8 @@
 // Execute runs the node until a signal stops it: the first signal starts a graceful shutdown, the
 // second stops the node at once.
 func (c *serveCommand) Execute([]string) error {
+	// Without this, the end of the process that reads the log would end the node at its next line.
+	signal.Ignore(syscall.SIGPIPE)
 	s, err := settings.Load(c.Settings)
 	if err != nil {
 		return err
