Log why an idle stream stays at its engine, and when it goes on

Event 943 names the obstacle (attempts, time, quarantine, no backend, retry budget), 944 the end of the silence, 924 the time since the last event; idle_streams{result} counts them. No decision changes.

--- a/pkg/gateway/forward/active_request.go
+++ b/pkg/gateway/forward/active_request.go
@@ -69,6 +69,8 @@
 	trace         *decisions.Trace
 	// firstByteAt is the time at which the response to the client began, or zero.
 	firstByteAt time.Time
+	// wasIdle is set once the trace records that the stream was idle and stayed at its engine.
+	wasIdle bool
 	// noBackendTraced is set once the trace records that no backend server was available.
 	noBackendTraced bool
 	// excluded counts why the last pick found no backend server.
--- a/pkg/gateway/forward/idle.go
+++ b/pkg/gateway/forward/idle.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"cassiawall.example/cassiawall/pkg/event"
 	"cassiawall.example/cassiawall/pkg/gateway/backends"
 	"cassiawall.example/cassiawall/pkg/gateway/exchange"
 )
@@ -24,19 +25,56 @@
 // errStreamIdle is the error of a stream that moves because its engine is silent.
 var errStreamIdle = fmt.Errorf("no complete event for %v", streamIdleTimeout)
 
+// moveObstacle is the reason why an idle stream stays at its engine, in log lines and metric labels.
+type moveObstacle string
+
+const (
+	// noObstacle is the value for a stream that moves.
+	noObstacle          moveObstacle = ""
+	obstacleAttempts    moveObstacle = "attempts"
+	obstacleTime        moveObstacle = "time"
+	obstacleQuarantined moveObstacle = "quarantined"
+	obstacleNoBackend   moveObstacle = "no backend"
+	obstacleBudget      moveObstacle = "retry budget"
+)
+
 // idleWatch reads from a stream and decides when it moves. Other bytes than events do not count.
 type idleWatch struct {
-	a *activeRequest
+	a       *activeRequest
+	backend string
+	// lastEventAt is the time of the last complete event, or of the response header before the first one.
+	lastEventAt time.Time
 	// moveAt is the time of the next try to move the stream.
 	moveAt time.Time
+	// obstacle is why the last try since lastEventAt did not move the stream.
+	obstacle moveObstacle
 }
 
-func newIdleWatch(a *activeRequest) *idleWatch {
-	return &idleWatch{a: a, moveAt: time.Now().Add(streamIdleTimeout)}
+func newIdleWatch(a *activeRequest, backend string) *idleWatch {
+	now := time.Now()
+	return &idleWatch{a: a, backend: backend, lastEventAt: now, moveAt: now.Add(streamIdleTimeout)}
 }
 
 // eventArrived records that a complete event has arrived.
-func (w *idleWatch) eventArrived() { w.moveAt = time.Now().Add(streamIdleTimeout) }
+func (w *idleWatch) eventArrived() {
+	now := time.Now()
+	if w.obstacle != noObstacle {
+		w.a.trace.Add(event.StreamResumed, "backend", w.backend, "idle_ms", now.Sub(w.lastEventAt).Milliseconds(), "obstacle", w.obstacle)
+		w.a.router.count("idle_streams", "result", "resumed")
+		w.obstacle = noObstacle
+	}
+	w.lastEventAt, w.moveAt = now, now.Add(streamIdleTimeout)
+}
+
+// idleTime returns the time since the last complete event.
+func (w *idleWatch) idleTime() time.Duration { return time.Since(w.lastEventAt) }
+
+// ended records that the stream ends while it is idle, without having moved.
+func (w *idleWatch) ended() {
+	if w.obstacle != noObstacle {
+		w.a.router.count("idle_streams", "result", "ended")
+	}
+}
 
 // read reads from the stream. It fails with errStreamIdle once the stream is idle and another engine is reserved for it.
 // Streams that are not resumable cannot move.
@@ -59,29 +97,41 @@
 
 // tryMove returns errStreamIdle if another engine is reserved for the stream, and the time until the next try otherwise.
 func (w *idleWatch) tryMove() (next time.Duration, err error) {
-	if w.a.reserveBackend() {
+	obstacle := w.a.reserveBackend()
+	if obstacle == noObstacle {
+		w.obstacle = noObstacle
+		w.a.router.count("idle_streams", "result", "moved")
 		return 0, errStreamIdle
 	}
+	if w.obstacle != obstacle {
+		w.a.traceIdle(w.backend, w.idleTime(), obstacle)
+	}
+	w.obstacle = obstacle
 	w.moveAt = time.Now().Add(moveInterval)
 	return moveInterval, nil
 }
 
 // reserveBackend reserves a backend server for the next send, if the route, the retry budget and the servers allow one
-// now. It reports whether it has.
-func (a *activeRequest) reserveBackend() bool {
-	if a.retryAfterRun() != outcomeRetry || a.hasQuarantinedPart() {
-		return false
+// now. Otherwise it returns the reason why not.
+func (a *activeRequest) reserveBackend() moveObstacle {
+	switch {
+	case a.runs >= a.route.MaxAttempts:
+		return obstacleAttempts
+	case a.retryAfterRun() != outcomeRetry:
+		return obstacleTime
+	case a.hasQuarantinedPart():
+		return obstacleQuarantined
 	}
 	choice := a.tryPick(a.newQuery(), time.Now())
 	if choice == nil {
-		return false
+		return obstacleNoBackend
 	}
 	if !a.allowRetry() {
 		choice.Done(backends.Neutral, 0)
-		return false
+		return obstacleBudget
 	}
 	a.reserved = choice
-	return true
+	return noObstacle
 }
 
 // takeReserved returns the reserved backend server, or nil if there is none.
--- a/pkg/gateway/forward/relay.go
+++ b/pkg/gateway/forward/relay.go
@@ -123,7 +123,8 @@
 	flusher := http.NewResponseController(a.w)
 	var buffer [streamReadBytes]byte
 	var latency time.Duration
-	idle := newIdleWatch(a)
+	idle := newIdleWatch(a, c.ID)
+	defer idle.ended()
 	a.events.strict = a.events.strict || isEventStream(response.Header)
 	if a.headerWritten && a.events.strict && !isEventStream(response.Header) {
 		c.Done(backends.Failure, 0)
@@ -185,7 +186,7 @@
 			return a.retryAfterRun()
 		default:
 			c.Done(backends.Failure, 0)
-			a.recordSendFailed(c, a.streamPhase(), "stream was cut: "+err.Error(), response.Status)
+			a.recordSendFailed(c, a.streamPhase(), "stream was cut: "+err.Error(), response.Status, "idle_ms", idle.idleTime().Milliseconds())
 			a.events.reset()
 			if a.recordEnd(ctx, c, err) {
 				return outcomeInDoubt
--- a/pkg/gateway/forward/silence_test.go
+++ b/pkg/gateway/forward/silence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"net"
 	"net/http"
 	"strconv"
@@ -11,6 +12,7 @@
 
 	"github.com/stretchr/testify/assert"
 
+	"cassiawall.example/cassiawall/pkg/event"
 	"cassiawall.example/cassiawall/pkg/gateway/routes"
 )
 
@@ -32,26 +34,28 @@
 	}), sends
 }
 
-// Guards against a stream that is cut because its engine is silent for a moment, although no other engine can continue it.
+// Guards against a stream that is cut because its engine is silent for a moment, although no other engine can continue it, and
+// against a log that does not tell why the stream stayed.
 func TestStreamOfSilentEngineIsKeptUntilAnotherCanContinueIt(t *testing.T) {
 	const silence = streamIdleTimeout + 400*time.Millisecond
 	tests := map[string]struct {
 		engines  int
 		change   func(*routes.Config, *Options)
 		attempts int
+		obstacle moveObstacle
 	}{
-		"only engine":       {1, nil, 2},
-		"the other one too": {2, nil, 2},
-		"no attempt left":   {2, nil, 1},
+		"only engine":       {1, nil, 2, obstacleNoBackend},
+		"the other one too": {2, nil, 2, obstacleAttempts},
+		"no attempt left":   {2, nil, 1, obstacleAttempts},
 		"no retry budget": {2, func(_ *routes.Config, opt *Options) {
 			opt.RetryBudget = NewRetryBudget(RetryBudgetLimits{Window: 10 * time.Second})
-		}, 2},
+		}, 2, obstacleBudget},
 		"the other one loads weights": {2, func(_ *routes.Config, opt *Options) {
 			for i := range 2 {
 				// The first send happens before.
 				time.AfterFunc(300*time.Millisecond, func() { opt.Backends.SetLoading(fmt.Sprint("b", i), time.Now().Add(time.Minute)) })
 			}
-		}, 2},
+		}, 2, obstacleNoBackend},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -61,7 +65,18 @@
 				engine, _ := startSilentEngine(t, silence)
 				engines = append(engines, engine)
 			}
-			checkCompleteStream(t, test.attempts, test.change, engines...)
+			log := &logBuffer{}
+			checkCompleteStream(t, test.attempts, func(c *routes.Config, opt *Options) {
+				opt.Logger = slog.New(slog.NewJSONHandler(log, nil))
+				if test.change != nil {
+					test.change(c, opt)
+				}
+			}, engines...)
+			lines := log.byEvent(t)
+			idle, resumed := lines[event.StreamIdle.Number], lines[event.StreamResumed.Number]
+			assert.Equal(t, string(test.obstacle), idle["obstacle"])
+			assert.GreaterOrEqual(t, idle["idle_ms"], float64(streamIdleTimeout.Milliseconds()))
+			assert.GreaterOrEqual(t, resumed["idle_ms"], idle["idle_ms"])
 		})
 	}
 }
--- a/pkg/gateway/forward/trace.go
+++ b/pkg/gateway/forward/trace.go
@@ -62,15 +62,28 @@
 	phaseResponse sendPhase = "response"
 )
 
-// recordSendFailed records a send that did not return a complete response.
-func (a *activeRequest) recordSendFailed(c *backends.Choice, phase sendPhase, reason string, status int) {
+// traceIdle records that a stream has been idle for a time and why it does not move to another engine.
+func (a *activeRequest) traceIdle(backend string, idle time.Duration, obstacle moveObstacle) {
+	a.wasIdle = true
+	args := []any{"backend", backend, "idle_ms", idle.Milliseconds(), "obstacle", obstacle, "begun", a.headerWritten, "runs", a.runs,
+		"age_ms", time.Since(a.receivedAt).Milliseconds()}
+	if obstacle == obstacleNoBackend {
+		args = append(args, "leaving", a.excluded.Leaving, "loading", a.excluded.Loading, "tried", a.excluded.Tried,
+			"old_weights", a.excluded.OldWeights, "limited", a.excluded.Limited, "shedding", a.excluded.Shedding)
+	}
+	a.trace.Add(event.StreamIdle, args...)
+}
+
+// recordSendFailed records a send that did not return a complete response. details are further attributes of the log line.
+func (a *activeRequest) recordSendFailed(c *backends.Choice, phase sendPhase, reason string, status int, details ...any) {
 	a.router.count("sends_failed", "phase", string(phase))
-	a.trace.Add(event.SendFailed, "backend", c.ID, "started", c.Started, "status", status, "phase", string(phase), "reason", reason,
-		"sends", a.sends, "runs", a.runs, "version", c.Version, "parts", a.leadingPartIDs(), "age_ms", time.Since(a.receivedAt).Milliseconds())
+	args := []any{"backend", c.ID, "started", c.Started, "status", status, "phase", string(phase), "reason", reason,
+		"sends", a.sends, "runs", a.runs, "version", c.Version, "parts", a.leadingPartIDs(), "age_ms", time.Since(a.receivedAt).Milliseconds()}
+	a.trace.Add(event.SendFailed, append(args, details...)...)
 }
 
 // recordAnswered records metrics of a request with a response and ends its trace. The trace is always
-// written if the response was late or the request was sent more than once; others are sampled.
+// written if the response was late, its stream was idle or the request was sent more than once; others are sampled.
 func (a *activeRequest) recordAnswered() {
 	now := time.Now()
 	firstByteAt := now
@@ -86,7 +99,7 @@
 	if a.sends > 1 {
 		a.router.count("requests_sent_again")
 	}
-	a.trace.End(timeToFirstByte > a.route.LatencyObjective || a.sends > 1)
+	a.trace.End(timeToFirstByte > a.route.LatencyObjective || a.sends > 1 || a.wasIdle)
 }
 
 // recordNotServed records a request without a successful response and writes its trace.
