Do not give up a stream that moved before its first event

Callers got 502 after 1.5 s although their engine was only silent for a moment. TestStreamThatMovedBeforeItsFirstEventIsNotGivenUp failed with "the backend server failed; the request may have run". Such a stream is now sent on until its timeout, as one that has begun, also to the engine that it left.

--- a/pkg/gateway/forward/active_request.go
+++ b/pkg/gateway/forward/active_request.go
@@ -69,6 +69,8 @@
 	trace         *decisions.Trace
 	// firstByteAt is the time at which the response to the client began, or zero.
 	firstByteAt time.Time
+	// moved is set once the stream has left an engine that was silent.
+	moved bool
 	// wasIdle is set once the trace records that the stream was idle and stayed at its engine.
 	wasIdle bool
 	// noBackendTraced is set once the trace records that no backend server was available.
@@ -147,7 +149,7 @@
 			}
 			if a.sends > 0 && !a.allowRetry() {
 				choice.Done(backends.Neutral, 0)
-				if a.headerWritten && wait.Pause(a.ctx, refusedBackoff) {
+				if a.mustContinue() && wait.Pause(a.ctx, refusedBackoff) {
 					continue
 				}
 				a.failRequest(causeRetryBudget)
@@ -362,13 +364,17 @@
 	return a.retryAfterRefusal()
 }
 
-// retryAfterRefusal returns the next step after a send that was not run. A response that has begun can no longer be
-// refused: it is sent further, at intervals, until the timeout.
+// mustContinue reports whether the request waits for a backend server until its timeout. A response that has begun can no
+// longer be refused, and a stream that moved has left an engine that might have completed it.
+func (a *activeRequest) mustContinue() bool { return a.headerWritten || a.moved }
+
+// retryAfterRefusal returns the next step after a send that was not run. A request that must continue is sent further, at
+// intervals, until the timeout.
 func (a *activeRequest) retryAfterRefusal() sendOutcome {
 	if len(a.tried) < maxRefusedSends+a.route.MaxAttempts {
 		return a.retryIf(true)
 	}
-	return a.retryIf(a.headerWritten && wait.Pause(a.ctx, refusedBackoff))
+	return a.retryIf(a.mustContinue() && wait.Pause(a.ctx, refusedBackoff))
 }
 
 // retryAfterRun returns the next step after a send that may have run and has not produced a complete
--- a/pkg/gateway/forward/choose.go
+++ b/pkg/gateway/forward/choose.go
@@ -14,7 +14,7 @@
 // pickBackend returns a backend server, or nil if none becomes available in time. It waits for up to
 // half of the latency objective while engines load new weights, because they are soon available again.
 // Otherwise it waits for an eighth only: after an early refusal the client still has time to try another
-// node. A response that has begun can no longer be refused, and waits until the timeout.
+// node. A request that must continue waits until the timeout.
 func (a *activeRequest) pickBackend() *backends.Choice {
 	query := a.newQuery()
 	for {
@@ -26,11 +26,11 @@
 			return c
 		}
 		a.traceNoBackend(a.excluded)
-		if a.runs == 0 || a.headerWritten {
+		if a.runs == 0 || a.mustContinue() {
 			// A backend server that refused the request may accept it now.
 			query.Exclude = nil
 		}
-		if a.headerWritten {
+		if a.mustContinue() {
 			if !wait.Pause(a.ctx, pickInterval) {
 				return nil
 			}
--- a/pkg/gateway/forward/idle.go
+++ b/pkg/gateway/forward/idle.go
@@ -130,7 +130,7 @@
 		choice.Done(backends.Neutral, 0)
 		return obstacleBudget
 	}
-	a.reserved = choice
+	a.reserved, a.moved = choice, true
 	return noObstacle
 }
 
--- a/pkg/gateway/forward/silence_test.go
+++ b/pkg/gateway/forward/silence_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -81,6 +82,28 @@
 	}
 }
 
+// Guards against a stream that is answered with 502 because the engine it moves to refuses it before the first event, although
+// its own engine was only silent for a moment.
+func TestStreamThatMovedBeforeItsFirstEventIsNotGivenUp(t *testing.T) {
+	t.Parallel()
+	var sends atomic.Int64
+	// The engines are alike, so that it does not matter which is picked first: the first send is silent, the second refused.
+	respond := func(c net.Conn, req *http.Request) {
+		switch sends.Add(1) {
+		case 1:
+			writeStreamHead(c, req)
+			time.Sleep(streamIdleTimeout + 400*time.Millisecond)
+		case 2:
+			fmt.Fprint(c, strings.Replace(refusal(req), "\r\n\r\n", "\r\nConnection: close\r\n\r\n", 1))
+			return
+		default:
+			writeStreamHead(c, req)
+		}
+		fmt.Fprint(c, "id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\nid: 4\ndata: x\n\n")
+	}
+	checkCompleteStream(t, 2, nil, startWriter(t, respond), startWriter(t, respond))
+}
+
 // checkCompleteStream sends a resumable stream and asserts that the client gets each of its events once.
 func checkCompleteStream(t *testing.T, attempts int, change func(*routes.Config, *Options), engines ...*fakeBackend) {
 	t.Helper()
