Log the timeout of a response that the node ends in the middle

Event 924 said "use of closed network connection" for streams and buffered responses that the node ends at their timeout, at its shutdown or for a quarantine, which looks like a fault of the connection. It now states the cause of the end, as sends without a response do. TestResponseThatEndsAtItsTimeoutLogsTheTimeout failed in both cases.

--- a/pkg/gateway/forward/active_request.go
+++ b/pkg/gateway/forward/active_request.go
@@ -325,12 +325,7 @@
 		return a.endQuarantined(c, phase, 0)
 	}
 	c.Done(backends.Failure, 0)
-	reason := err.Error()
-	if cause != nil {
-		// The error only reports that the connection was closed; the cause is the end of the context.
-		reason = cause.Error()
-	}
-	a.recordSendFailed(c, phase, reason, 0)
+	a.recordSendFailed(c, phase, failureReason(ctx, err), 0)
 	if !mayHaveRun {
 		a.sends--
 		a.router.opt.Backends.MarkUnreachable(c.ID, time.Now().Add(unreachableBackoff))
@@ -342,6 +337,15 @@
 	return a.retryAfterRun()
 }
 
+// failureReason returns why a send with the context ctx failed. If the context has ended, err only reports that the
+// connection was closed.
+func failureReason(ctx context.Context, err error) string {
+	if cause := context.Cause(ctx); cause != nil {
+		return cause.Error()
+	}
+	return err.Error()
+}
+
 // endQuarantined ends a send that was cancelled because a part of the request is quarantined.
 func (a *activeRequest) endQuarantined(c *backends.Choice, phase sendPhase, status int) sendOutcome {
 	c.Done(backends.Neutral, 0)
--- a/pkg/gateway/forward/relay.go
+++ b/pkg/gateway/forward/relay.go
@@ -24,7 +24,7 @@
 			return a.endQuarantined(c, phaseResponse, response.Status)
 		}
 		c.Done(backends.Failure, 0)
-		a.recordSendFailed(c, phaseResponse, "response truncated: "+err.Error(), response.Status)
+		a.recordSendFailed(c, phaseResponse, "response truncated: "+failureReason(ctx, err), response.Status)
 		if a.recordEnd(ctx, c, err) {
 			return outcomeInDoubt
 		}
@@ -186,7 +186,7 @@
 			return a.retryAfterRun()
 		default:
 			c.Done(backends.Failure, 0)
-			a.recordSendFailed(c, a.streamPhase(), "stream was cut: "+err.Error(), response.Status, "idle_ms", idle.idleTime().Milliseconds())
+			a.recordSendFailed(c, a.streamPhase(), "stream was cut: "+failureReason(ctx, err), response.Status, "idle_ms", idle.idleTime().Milliseconds())
 			a.events.reset()
 			if a.recordEnd(ctx, c, err) {
 				return outcomeInDoubt
--- a/pkg/gateway/forward/trace_test.go
+++ b/pkg/gateway/forward/trace_test.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"log/slog"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -14,6 +16,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"cassiawall.example/cassiawall/pkg/event"
 	"cassiawall.example/cassiawall/pkg/gateway/routes"
 )
 
@@ -76,6 +79,38 @@
 	}
 }
 
+// Guards against a log that reports a closed connection where the node has ended a response at its timeout.
+func TestResponseThatEndsAtItsTimeoutLogsTheTimeout(t *testing.T) {
+	tests := map[string]struct {
+		kind   routes.Kind
+		prefix string
+	}{
+		"stream":   {routes.Stream, "stream was cut: "},
+		"buffered": {routes.Unsafe, "response truncated: "},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			log, release := &logBuffer{}, make(chan struct{})
+			defer close(release)
+			b := startWriter(t, func(c net.Conn, req *http.Request) {
+				fmt.Fprint(c, eventStream(req, 1, 2, false))
+				<-release
+			})
+			s := startGateway(t, test.kind, func(_ *routes.Config, o *Options) {
+				o.Logger = slog.New(slog.NewJSONHandler(log, nil))
+			}, b)
+			postRequest(t, s, "/p/x", http.Header{"Wait": {"150"}})
+			var found map[int]map[string]any
+			require.Eventually(t, func() bool {
+				found = log.byEvent(t)
+				return found[event.RequestNotServed.Number] != nil
+			}, 5*time.Second, time.Millisecond)
+			assert.Equal(t, test.prefix+context.DeadlineExceeded.Error(), found[event.SendFailed.Number]["reason"])
+		})
+	}
+}
+
 // Guards against refusals, retries and failures that are not logged, or logged without the request ID, the
 // cause and the age of the data that the decision was based on.
 func TestFailedRequestsAreLogged(t *testing.T) {
