Measure the heap under endless bodies without garbage of former tests

Cause, in the test: HeapInuse counts garbage. TestLargeBodiesTakeBoundedMemory, the test before it, leaves bodies of 4 MB; if they are live at the last collection, the next one begins only when the heap has doubled (GOGC=100), and the first sample is taken before that. The node's own memory does not grow.

Change: each part of the test begins with a collection. The figure, the bound and the bodies are the same, and no memory limit helps the test.

--- a/pkg/gateway/forward/endless_test.go
+++ b/pkg/gateway/forward/endless_test.go
@@ -119,6 +119,8 @@
 	}
 	for _, kind := range []routes.Kind{routes.Safe, routes.Stream} {
 		started.Store(0)
+		// HeapInuse counts what is not collected yet, also the bodies of the test before this one.
+		runtime.GC()
 		sound := startBackend(t, okResponse)
 		s := startGateway(t, kind, func(c *routes.Config, o *Options) {
 			c.Routes[0].MaxAttempts, c.Routes[0].Timeout = 1, 8*time.Second
