Leave a silent engine only once the next one is connected to

Callers saw streams that ended in the middle, at their timeout, although their engine had only been silent for a moment. A stream moved once another engine was reserved and the retry budget had granted the send; if that engine could then not be connected to, the grant was used up for nothing, and with the budget spent no engine could take the stream.

The connection to the next engine is now opened before the stream leaves the former one, and stays open for the send. A grant of the retry budget whose send reaches no server counts once with the next send: the budget bounds what arrives at servers.

--- a/pkg/gateway/exchange/conn.go
+++ b/pkg/gateway/exchange/conn.go
@@ -211,8 +211,26 @@
 	return nil
 }
 
+// Connect makes sure that the pool has a connection for the request with that ID, and opens one if it has none.
+func (p *Pool) Connect(ctx context.Context, requestID string) error {
+	c, err := p.get(ctx, requestID)
+	if err != nil {
+		return err
+	}
+	if c.idleSince.IsZero() {
+		c.idleSince, c.idleTimeout = time.Now(), defaultIdleTimeout
+	}
+	p.putIdle(c)
+	return nil
+}
+
 func (p *Pool) put(c *conn) {
 	c.idleSince = time.Now()
+	p.putIdle(c)
+}
+
+// putIdle adds a connection that is idle since c.idleSince.
+func (p *Pool) putIdle(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
--- a/pkg/gateway/exchange/exchange_test.go
+++ b/pkg/gateway/exchange/exchange_test.go
@@ -229,3 +229,29 @@
 		})
 	}
 }
+
+// Guards against a connection that is opened in advance and not used, and against one that is kept beyond the server's idle
+// timeout because it was asked for in between.
+func TestConnectOpensAConnectionOnlyIfThereIsNone(t *testing.T) {
+	p := NewPool(startServer(t, func(c net.Conn, r *bufio.Reader) {
+		for range 2 {
+			readRequest(r)
+			_, _ = io.WriteString(c, keepAliveHeader+"Id: 1\r\n\r\nok")
+		}
+		// The connection stays open.
+		readRequest(r)
+	}))
+	require.NoError(t, p.Connect(t.Context(), "1"))
+	for range 2 {
+		response, err := Do(t.Context(), p, Request{ID: "1", Method: http.MethodPost, Target: "/", Host: "h"}, hasRequestID("1"))
+		require.NoError(t, err)
+		_, err = io.Copy(io.Discard, response)
+		require.NoError(t, err)
+		response.Close()
+		idleSince, idleTimeout := p.idle[0].idleSince, p.idle[0].idleTimeout
+		require.NoError(t, p.Connect(t.Context(), "1"))
+		assert.Equal(t, idleSince, p.idle[0].idleSince)
+		assert.Equal(t, idleTimeout, p.idle[0].idleTimeout)
+	}
+	assert.Equal(t, 1, p.Dialed())
+}
--- a/pkg/gateway/forward/active_request.go
+++ b/pkg/gateway/forward/active_request.go
@@ -101,6 +101,8 @@
 	affinityKnown bool
 	// reserved is the backend server of the next send, or nil if it has yet to be picked.
 	reserved *backends.Choice
+	// retryGranted is set if the retry budget has granted a send that has not reached a backend server yet.
+	retryGranted bool
 	// failedResponse is the last complete response with a 5xx status, or nil. It is relayed if no
 	// retry succeeds.
 	failedResponse *bufferedResponse
@@ -182,10 +184,15 @@
 	return causeBackend
 }
 
-// allowRetry reports whether the retry budget allows a retry, and counts it.
+// allowRetry reports whether the retry budget allows a retry, and counts it. A retry that reaches no backend server, because it
+// cannot be connected to, is counted once with the next one.
 func (a *activeRequest) allowRetry() bool {
+	if a.retryGranted {
+		return true
+	}
 	if a.router.opt.RetryBudget.AllowRetry(a.service, time.Now()) {
 		a.router.count("further_sends", "budget", "granted")
+		a.retryGranted = true
 		return true
 	}
 	a.router.count("further_sends", "budget", "spent")
@@ -273,6 +280,9 @@
 		return a.router.opt.Protocol.DecodeResponse(h).RequestID == a.request.ID
 	})
 	stopTimer()
+	if reachedBackend(err) {
+		a.retryGranted = false
+	}
 	if err != nil {
 		return a.handleNoResponse(ctx, c, err)
 	}
@@ -306,11 +316,16 @@
 	return a.relayBuffered(ctx, c, response, sentAt)
 }
 
+// reachedBackend reports whether a send with the result err may have reached its backend server.
+func reachedBackend(err error) bool {
+	var exchangeErr *exchange.Error
+	return !errors.As(err, &exchangeErr) || exchangeErr.Sent
+}
+
 // handleNoResponse returns the next step after a send that got no response. ctx is the context of the
 // send.
 func (a *activeRequest) handleNoResponse(ctx context.Context, c *backends.Choice, err error) sendOutcome {
-	var exchangeErr *exchange.Error
-	mayHaveRun := !errors.As(err, &exchangeErr) || exchangeErr.Sent
+	mayHaveRun := reachedBackend(err)
 	phase := phaseConnect
 	if mayHaveRun {
 		a.runs++
@@ -328,7 +343,7 @@
 	a.recordSendFailed(c, phase, failureReason(ctx, err), 0)
 	if !mayHaveRun {
 		a.sends--
-		a.router.opt.Backends.MarkUnreachable(c.ID, time.Now().Add(unreachableBackoff))
+		a.markUnreachable(c)
 		return a.retryAfterRefusal()
 	}
 	if a.recordEnd(ctx, c, err) {
@@ -346,6 +361,11 @@
 	return err.Error()
 }
 
+// markUnreachable makes this node prefer other backend servers to one that cannot be connected to.
+func (a *activeRequest) markUnreachable(c *backends.Choice) {
+	a.router.opt.Backends.MarkUnreachable(c.ID, time.Now().Add(unreachableBackoff))
+}
+
 // endQuarantined ends a send that was cancelled because a part of the request is quarantined.
 func (a *activeRequest) endQuarantined(c *backends.Choice, phase sendPhase, status int) sendOutcome {
 	c.Done(backends.Neutral, 0)
--- a/pkg/gateway/forward/begun_test.go
+++ b/pkg/gateway/forward/begun_test.go
@@ -80,3 +80,25 @@
 		})
 	}
 }
+
+// Guards against a stream that is cut because a send that reached no engine has used the retry budget.
+func TestUnreachableEngineUsesNoRetryBudget(t *testing.T) {
+	t.Parallel()
+	var sends atomic.Int64
+	options := make(chan *Options, 1)
+	engine := startWriter(t, func(c net.Conn, req *http.Request) {
+		if sends.Add(1) == 1 {
+			opt := <-options
+			opt.Backends.SetLoading("b0", time.Now().Add(700*time.Millisecond))
+			opt.Backends.Put(unreachableBackend(t, "unreachable"))
+			fmt.Fprint(c, eventStream(req, 1, 2, false))
+			return
+		}
+		writeStreamHead(c, req)
+		fmt.Fprint(c, "id: 2\ndata: x\n\nid: 3\ndata: x\n\nid: 4\ndata: x\n\n")
+	})
+	checkCompleteStream(t, 2, func(_ *routes.Config, opt *Options) {
+		opt.RetryBudget = oneRetry()
+		options <- opt
+	}, engine)
+}
--- a/pkg/gateway/forward/idle.go
+++ b/pkg/gateway/forward/idle.go
@@ -36,6 +36,7 @@
 	obstacleQuarantined moveObstacle = "quarantined"
 	obstacleNoBackend   moveObstacle = "no backend"
 	obstacleBudget      moveObstacle = "retry budget"
+	obstacleUnreachable moveObstacle = "unreachable"
 )
 
 // idleWatch reads from a stream and decides when it moves. Other bytes than events do not count.
@@ -112,7 +113,7 @@
 }
 
 // reserveBackend reserves a backend server for the next send, if the route, the retry budget and the servers allow one
-// now. Otherwise it returns the reason why not.
+// now and the server can be connected to. Otherwise it returns the reason why not.
 func (a *activeRequest) reserveBackend() moveObstacle {
 	switch {
 	case a.runs >= a.route.MaxAttempts:
@@ -130,6 +131,11 @@
 		choice.Done(backends.Neutral, 0)
 		return obstacleBudget
 	}
+	if err := choice.Pool.Connect(a.ctx, a.request.ID); err != nil {
+		choice.Done(backends.Failure, 0)
+		a.markUnreachable(choice)
+		return obstacleUnreachable
+	}
 	a.reserved, a.moved = choice, true
 	return noObstacle
 }
