Send the trial of a quarantined part to one engine only

A request that is sent on trial, to see whether engines still crash on a quarantined prompt part, could end two engines: a stream that was idle for 1.5 s, or that ended without an event and without a reset, went on to a second one. A trial now goes to a further engine only if the first one has survived the part.

--- a/pkg/gateway/forward/active_request.go
+++ b/pkg/gateway/forward/active_request.go
@@ -402,9 +402,9 @@
 }
 
 // retryAfterRun returns the next step after a send that may have run and has not produced a complete
-// response.
+// response. A trial of a quarantined part goes to one engine only, unless that has survived the part.
 func (a *activeRequest) retryAfterRun() sendOutcome {
-	return a.retryIf(a.route.Repeatable() && a.runs < a.route.MaxAttempts)
+	return a.retryIf(a.route.Repeatable() && a.runs < a.route.MaxAttempts && (!a.trial || a.shownSound))
 }
 
 // retryIf returns outcomeRetry if a retry is allowed, the client still waits and enough time remains,
--- a/pkg/gateway/forward/idle.go
+++ b/pkg/gateway/forward/idle.go
@@ -118,10 +118,10 @@
 	switch {
 	case a.runs >= a.route.MaxAttempts:
 		return obstacleAttempts
+	case a.trial, a.hasQuarantinedPart():
+		return obstacleQuarantined
 	case a.retryAfterRun() != outcomeRetry:
 		return obstacleTime
-	case a.hasQuarantinedPart():
-		return obstacleQuarantined
 	}
 	choice := a.tryPick(a.newQuery(), time.Now())
 	if choice == nil {
--- a/pkg/gateway/forward/quarantine_test.go
+++ b/pkg/gateway/forward/quarantine_test.go
@@ -318,3 +318,32 @@
 	assert.Equal(t, http.StatusOK, r.status)
 	assert.Equal(t, int64(2), sends.Load())
 }
+
+// Guards against a trial of a quarantined part that reaches a second engine because the first one is silent.
+func TestIdleTrialStaysAtItsEngine(t *testing.T) {
+	t.Parallel()
+	var clockMS atomic.Int64
+	clockMS.Store(1_000_000)
+	now := func() time.Time { return time.UnixMilli(clockMS.Load()) }
+	var sends atomic.Int64
+	respond := func(c net.Conn, req *http.Request) {
+		sends.Add(1)
+		writeStreamHead(c, req)
+		time.Sleep(streamIdleTimeout + 300*time.Millisecond)
+	}
+	q := NewQuarantine(QuarantineOptions{Node: "n", MayTry: func() bool { return true }, Announce: func() {}, Now: now, Logger: slog.New(slog.DiscardHandler)})
+	s := startGateway(t, routes.Stream, func(c *routes.Config, opt *Options) {
+		c.Routes[0].Resumable, c.Routes[0].Timeout = true, 4*time.Second
+		opt.Quarantine = q
+	}, startWriter(t, respond), startWriter(t, respond))
+	parts := []quarantine.Part{quarantine.PartOf("", "bad")}
+	q.recordSuccess(parts)
+	for engine := range uint32(5) {
+		clockMS.Add(1000)
+		q.recordCrash(parts, 100+engine)
+	}
+	require.True(t, q.admit(parts).Refuse)
+	clockMS.Add(20_000)
+	postRequest(t, s, "/p/x", http.Header{"Prompt": {"bad,own"}, "Wait": {"3500"}})
+	assert.EqualValues(t, 1, sends.Load())
+}
