Log idle streams whose clients leave, and streams that an error response ends

Two ends of streams left no line: a client that leaves while its stream is idle, for which event 943 was meant, and a begun stream whose next engine answers with an error of its own, which was not counted either.

--- a/pkg/gateway/forward/errors.go
+++ b/pkg/gateway/forward/errors.go
@@ -19,7 +19,7 @@
 	switch {
 	case a.req.Context().Err() != nil:
 		a.router.count("requests", "outcome", "abandoned")
-		a.trace.End(false)
+		a.trace.End(a.wasIdle)
 		panic(http.ErrAbortHandler)
 	case a.headerWritten:
 		a.recordNotServed(reason, "cut")
--- a/pkg/gateway/forward/relay.go
+++ b/pkg/gateway/forward/relay.go
@@ -56,7 +56,7 @@
 // writeBuffered writes a complete response to the client.
 func (a *activeRequest) writeBuffered(stored *bufferedResponse) {
 	if a.headerWritten {
-		panic(http.ErrAbortHandler)
+		a.abortBegun()
 	}
 	a.router.opt.Protocol.CopyResponseHeader(a.w.Header(), stored.header)
 	if length := stored.contentLength(a.req.Method); length != "" {
@@ -68,6 +68,12 @@
 	}
 }
 
+// abortBegun ends a response that has begun and that its next engine answers with another response, such as an error.
+func (a *activeRequest) abortBegun() {
+	a.recordNotServed(causeBackend, "cut")
+	panic(http.ErrAbortHandler)
+}
+
 // contentLength returns the Content-Length of the response to a request with the given method, or "" for none. In a
 // response to HEAD it is the length that the backend server states for GET.
 func (r *bufferedResponse) contentLength(method string) string {
@@ -90,7 +96,7 @@
 // the remainder.
 func (a *activeRequest) relayOversized(read *bufferedResponse, remainder *exchange.Response) sendOutcome {
 	if a.headerWritten {
-		panic(http.ErrAbortHandler)
+		a.abortBegun()
 	}
 	a.router.opt.Protocol.CopyResponseHeader(a.w.Header(), read.header)
 	a.writeHeader(read.status)
--- a/pkg/gateway/forward/trace_test.go
+++ b/pkg/gateway/forward/trace_test.go
@@ -5,11 +5,13 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -175,3 +177,51 @@
 		})
 	}
 }
+
+// Guards against a begun stream that ends without a line in the log and a count, because the engine that continues it answers
+// with an error of its own.
+func TestCutOfABegunStreamByAnErrorResponseIsLogged(t *testing.T) {
+	t.Parallel()
+	var sends atomic.Int64
+	log := &logBuffer{}
+	respond := func(req *http.Request) string {
+		if sends.Add(1) == 1 {
+			return eventStream(req, 1, 2, false)
+		}
+		return signedResponse(req, http.StatusGone, "cannot be resumed")
+	}
+	s := startGateway(t, routes.Stream, func(c *routes.Config, opt *Options) {
+		c.Routes[0].Resumable = true
+		opt.Logger = slog.New(slog.NewJSONHandler(log, nil))
+	}, startBackend(t, respond), startBackend(t, respond))
+	r := postRequest(t, s, "/p/x", http.Header{"Wait": {"1500"}})
+	require.Error(t, r.err)
+	assert.Eventually(t, func() bool { return log.byEvent(t)[event.RequestNotServed.Number] != nil }, time.Second, 10*time.Millisecond)
+}
+
+// Guards against an idle stream that leaves no line in the log because its client gave up while it was idle, which is the case
+// that event 943 is for.
+func TestIdleStreamWhoseClientLeavesIsLogged(t *testing.T) {
+	t.Parallel()
+	log := &logBuffer{}
+	engine := startWriter(t, func(c net.Conn, req *http.Request) {
+		writeStreamHead(c, req)
+		fmt.Fprint(c, "id: 1\ndata: x\n\n")
+		_, _ = io.Copy(io.Discard, c)
+	})
+	s := startGateway(t, routes.Stream, func(c *routes.Config, opt *Options) {
+		c.Routes[0].Resumable, c.Routes[0].Timeout = true, 8*time.Second
+		opt.Logger = slog.New(slog.NewJSONHandler(log, nil))
+	}, engine)
+	ctx, cancel := context.WithTimeout(t.Context(), streamIdleTimeout+400*time.Millisecond)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, s.URL+"/p/x", strings.NewReader("body"))
+	require.NoError(t, err)
+	req.Host, req.Header = "h", http.Header{"Id": {"i1"}, "Wait": {"7000"}}
+	response, err := testClient.Do(req)
+	require.NoError(t, err)
+	_, err = io.ReadAll(response.Body)
+	response.Body.Close()
+	require.Error(t, err)
+	assert.Eventually(t, func() bool { return log.byEvent(t)[event.StreamIdle.Number] != nil }, time.Second, 10*time.Millisecond)
+}
