Read what an engine has sent before its stream counts as idle

A stream left its sound engine, and used up a retry and an attempt, because its own client or the node was slow: the idle time ran while a write to the client blocked, and a read deadline that passed while the process stood still ended the stream before the events in the socket were read. After a pause of a node, all of its streams could move at once. The time now starts after the delivery, and a stream is read once more before it moves.

--- a/pkg/gateway/forward/idle.go
+++ b/pkg/gateway/forward/idle.go
@@ -20,6 +20,9 @@
 	streamIdleTimeout = 1500 * time.Millisecond
 	// moveInterval is the time between two tries to move a stream that is idle for longer.
 	moveInterval = 250 * time.Millisecond
+	// lastReadTime is the time in which a stream is read once more before it moves: events may have arrived while this
+	// process stood still, or while its client blocked a write.
+	lastReadTime = 5 * time.Millisecond
 )
 
 // errStreamIdle is the error of a stream that moves because its engine is silent.
@@ -47,6 +50,8 @@
 	lastEventAt time.Time
 	// moveAt is the time of the next try to move the stream.
 	moveAt time.Time
+	// readOnce is set once the stream has been read for lastReadTime after moveAt.
+	readOnce bool
 	// obstacle is why the last try since lastEventAt did not move the stream.
 	obstacle moveObstacle
 }
@@ -64,7 +69,7 @@
 		w.a.router.count("idle_streams", "result", "resumed")
 		w.obstacle = noObstacle
 	}
-	w.lastEventAt, w.moveAt = now, now.Add(streamIdleTimeout)
+	w.lastEventAt, w.moveAt, w.readOnce = now, now.Add(streamIdleTimeout), false
 }
 
 // idleTime returns the time since the last complete event.
@@ -86,16 +91,25 @@
 	left := time.Until(w.moveAt)
 	if left <= 0 {
 		var err error
-		if left, err = w.tryMove(); err != nil {
+		if left, err = w.timedOut(); err != nil {
 			return 0, err
 		}
 	}
-	if err := response.SetReadTimeout(left, w.tryMove); err != nil {
+	if err := response.SetReadTimeout(left, w.timedOut); err != nil {
 		return 0, fmt.Errorf("set read deadline: %w", err)
 	}
 	return response.Read(buffer)
 }
 
+// timedOut is called when the time to move has come. It returns the time for the next read, or errStreamIdle.
+func (w *idleWatch) timedOut() (next time.Duration, err error) {
+	w.readOnce = !w.readOnce
+	if w.readOnce {
+		return lastReadTime, nil
+	}
+	return w.tryMove()
+}
+
 // tryMove returns errStreamIdle if another engine is reserved for the stream, and the time until the next try otherwise.
 func (w *idleWatch) tryMove() (next time.Duration, err error) {
 	obstacle := w.a.reserveBackend()
--- a/pkg/gateway/forward/relay.go
+++ b/pkg/gateway/forward/relay.go
@@ -146,13 +146,16 @@
 			}
 			events := a.events.push(buffer[:n])
 			if len(events) > 0 {
-				idle.eventArrived()
 				a.recordEvent(c)
 			}
 			if !a.relayEvents(flusher, response, events) {
 				c.Done(backends.Neutral, 0)
 				panic(http.ErrAbortHandler)
 			}
+			if len(events) > 0 {
+				// The time for which the client blocks a write does not count.
+				idle.eventArrived()
+			}
 		}
 		if err == nil && len(a.events.pending) > maxEventBytes {
 			err = errEventTooLong
--- a/pkg/gateway/forward/silence_test.go
+++ b/pkg/gateway/forward/silence_test.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -146,3 +147,45 @@
 	assert.NoError(t, r.err)
 	assert.Equal(t, "id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\nid: 4\ndata: x\n\n", r.body)
 }
+
+// blockingWriter is a response writer whose client does not read for a time after the first event.
+type blockingWriter struct {
+	*httptest.ResponseRecorder
+	block   time.Duration
+	blocked bool
+}
+
+func (w *blockingWriter) Write(p []byte) (int, error) {
+	if !w.blocked {
+		w.blocked = true
+		time.Sleep(w.block)
+	}
+	return w.ResponseRecorder.Write(p)
+}
+
+// Guards against a stream that leaves a sound engine because its client, not the engine, was slow: the events of the time in
+// which the write to the client blocked have arrived and only have to be read.
+func TestStreamOfSlowClientStaysAtItsEngine(t *testing.T) {
+	t.Parallel()
+	var sends atomic.Int64
+	respond := func(c net.Conn, req *http.Request) {
+		sends.Add(1)
+		writeStreamHead(c, req)
+		for n := 1; n <= 20; n++ {
+			if _, err := fmt.Fprintf(c, "id: %d\ndata: x\n\n", n); err != nil {
+				return
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+	var handler http.Handler
+	s := startGateway(t, routes.Stream, func(c *routes.Config, _ *Options) {
+		c.Routes[0].Resumable, c.Routes[0].Timeout = true, 8*time.Second
+	}, startWriter(t, respond), startWriter(t, respond))
+	handler = s.Config.Handler
+	req := httptest.NewRequest(http.MethodPost, "/p/x", strings.NewReader("body"))
+	req.Host = "h"
+	req.Header = http.Header{"Id": {"i1"}, "Wait": {"7000"}}
+	handler.ServeHTTP(&blockingWriter{ResponseRecorder: httptest.NewRecorder(), block: streamIdleTimeout + 100*time.Millisecond}, req)
+	assert.EqualValues(t, 1, sends.Load())
+}
