Keep servers whose entries lapsed in an outage at followers too

When the platform's store returned from an outage, nodes refused requests with 503 "no backend server" for up to two seconds, until the servers had written their entries again. The servers served all the while.

Cause: entries that are missing after an outage only put their servers in doubt, but a node knew of the outage from its own calls alone. Followers make none. A follower took the leader's deletions as final, also one that had called the store itself and became a follower again before its own call succeeded. Each follower so gave up all servers before the platform had said that they are gone.

Content that a node relays now states whether that node's own content is interrupted, and the follower takes it over. The deletions are final again 2.5 s after the return, as at the leader. Nodes of the previous version ignore the field, and state no interruption.

--- a/pkg/gateway/mirror/content.go
+++ b/pkg/gateway/mirror/content.go
@@ -17,6 +17,8 @@
 	Complete bool `msgpack:"Whole"`
 	Entries  []Entry
 	Deleted  []string
+	// Interrupted is the Freshness.Interrupted of the node's own content at the time of the export.
+	Interrupted bool
 }
 
 // Export returns the changes since a revision, or all objects if since is 0 or older than the recorded
@@ -24,7 +26,7 @@
 func (m *Mirror) Export(since int64) Content {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	c := Content{Revision: m.revision, Complete: since < m.compactedRevision || since == 0}
+	c := Content{Revision: m.revision, Complete: since < m.compactedRevision || since == 0, Interrupted: m.interruptedLocked()}
 	for _, e := range m.entries {
 		if c.Complete || e.Revision > since {
 			c.Entries = append(c.Entries, e)
@@ -43,8 +45,9 @@
 
 // Import applies the content of another node, all of it or the changes since CompleteRevision, if it is newer, and
 // reports whether it was. relayed is set if that node relays store changes to this one, so that the content is as
-// current as the store's own; otherwise the target receives it with Freshness.Interrupted set. Relayed content of the
-// same revision adds changes that a watch has missed.
+// current as the store's own; otherwise the target receives it with Freshness.Interrupted set. Only the node that relays
+// may have seen an outage of the store, so that its content tells of it. Relayed content of the same revision adds changes
+// that a watch has missed.
 func (m *Mirror) Import(c Content, relayed bool) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -55,7 +58,7 @@
 		defer func() { m.completeRevision = c.Revision }()
 	}
 	m.enterEraLocked(c.Revision)
-	freshness := m.freshnessLocked(!relayed || m.restoredLocked())
+	freshness := m.freshnessLocked(!relayed || c.Interrupted || m.restoredLocked())
 	if c.Complete {
 		m.resetLocked(c.Entries, c.Revision, freshness)
 		return true
--- a/pkg/gateway/mirror/mirror.go
+++ b/pkg/gateway/mirror/mirror.go
@@ -367,6 +367,13 @@
 	return !m.reachedAt.IsZero() && m.now().Sub(m.reachedAt) < limit
 }
 
+// Interrupted reports whether entries may be missing for a moment; see Freshness.
+func (m *Mirror) Interrupted() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.interruptedLocked()
+}
+
 // interruptedLocked reports whether an outage of the store ended less than recoveryDuration ago.
 func (m *Mirror) interruptedLocked() bool {
 	return m.restoredLocked() || !m.recoveredAt.IsZero() && m.now().Sub(m.recoveredAt) < recoveryDuration
