Keep requests that nobody may send again at hosts that are silent

When the host of a server acknowledged nothing for some seconds and then went on, callers of unsafe requests got 502 0.9 to 3 s after the send, and streams that are not resumable were cut or got 502, long before their deadlines. The server's answer was lost: neither the node nor the client may send such a request again.

Cause: TCP_USER_TIMEOUT (0.9 s until the request is acknowledged) and three keep-alive probes end the connection so that the request can be sent elsewhere. They did so too for requests that must not be sent elsewhere.

Such a request is now sent with a TCP_USER_TIMEOUT beyond every request, which also replaces the count of probes, and ends with its own timeout or its client. After the response, the connection has the short time-out again. Requests that may be sent elsewhere, or that clients repeat, are unchanged: an early end lets them.

--- a/pkg/gateway/exchange/exchange.go
+++ b/pkg/gateway/exchange/exchange.go
@@ -39,6 +39,12 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// LastSend is set if nobody may send the request again once it is sent. Do then waits for the response until the end
+	// of its context, also if the server's host acknowledges nothing.
+	LastSend bool
+	// OnSilentHost is called if the host has not acknowledged the request for about a second, and may be called again. It
+	// may be nil.
+	OnSilentHost func()
 }
 
 // Error is returned by Do if there is no response.
@@ -170,7 +176,7 @@
 		c.Conn.Close()
 		return nil, &Error{Sent: true, cause: err}
 	}
-	if err := c.userTimeout.start(len(req.Body)); err != nil {
+	if err := c.userTimeout.start(req); err != nil {
 		return fail(err)
 	}
 	writer, err := writeRequest(c, req)
--- a/pkg/gateway/exchange/silence_test.go
+++ b/pkg/gateway/exchange/silence_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -112,3 +113,65 @@
 		})
 	}
 }
+
+// Guards against a request that is given up because its server's host acknowledges nothing for some seconds, although nobody may
+// send it again, and against an idle connection that keeps the longer time-out of such a request.
+func TestLastSendOutlivesASilenceOfItsHost(t *testing.T) {
+	tests := map[string]struct {
+		// readsLast is set if the host falls silent after it has read the last request.
+		readsLast bool
+		silence   time.Duration
+		// told is set if the caller must learn that the host does not acknowledge the request.
+		told bool
+	}{
+		"before the request is acknowledged": {false, 3 * tcpUserTimeout, true},
+		"afterwards":                         {true, keepAliveIdle + (keepAliveCount+2)*keepAliveInterval, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := NewPool(startServer(t, func(c net.Conn, r *bufio.Reader) {
+				readRequest(r)
+				_, _ = io.WriteString(c, keepAliveHeader+"Id: 1\r\n\r\nok")
+				if test.readsLast {
+					readRequest(r)
+				}
+				stop := dropPackets(t, c)
+				time.Sleep(test.silence)
+				stop()
+				if !test.readsLast {
+					readRequest(r)
+				}
+				_, _ = io.WriteString(c, keepAliveHeader+"Id: 1\r\n\r\nok")
+				_, _ = readRequest(r)
+			}))
+			var told atomic.Int64
+			for range 2 {
+				response, err := Do(t.Context(), p, Request{
+					Method: http.MethodPost, Target: "/", Host: "h", LastSend: true, OnSilentHost: func() { told.Add(1) },
+				}, hasRequestID("1"))
+				require.NoError(t, err)
+				body, err := io.ReadAll(response)
+				require.NoError(t, err)
+				assert.Equal(t, "ok", string(body))
+				response.Close()
+				assert.Equal(t, tcpUserTimeout, kernelUserTimeout(t, p.idle[0]))
+				// The server falls silent.
+				time.Sleep(50 * time.Millisecond)
+			}
+			assert.Equal(t, test.told, told.Load() > 0)
+			assert.Equal(t, 1, p.Dialed())
+		})
+	}
+}
+
+// kernelUserTimeout returns the TCP_USER_TIMEOUT of a connection.
+func kernelUserTimeout(t *testing.T, c *conn) time.Duration {
+	var ms int
+	assert.NoError(t, c.rawConn.Control(func(fd uintptr) {
+		var err error
+		ms, err = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
+		assert.NoError(t, err)
+	}))
+	return time.Duration(ms) * time.Millisecond
+}
--- a/test/fleet/restored_test.go
+++ b/test/fleet/restored_test.go
@@ -24,6 +24,19 @@
 	return standin.Send(context.Background(), f.client, f.clientAddresses[node], request).Status == http.StatusOK
 }
 
+// setTimeout configures another timeout of the routes and waits until all nodes use it, however busy the machine is.
+func (f *fleet) setTimeout(timeout time.Duration) {
+	f.t.Helper()
+	standin.Configure(f.store, standin.Config{Version: 2, Extra: true, Timeout: timeout, Tenants: []standin.Tenant{{Name: "north", Key: "key-north"}}})
+	for node := range f.clientAddresses {
+		tries := 0
+		require.Eventually(f.t, func() bool {
+			tries++
+			return f.servesExtra(node, fmt.Sprintf("%s-timeout-%d-%d", f.t.Name(), node, tries))
+		}, startTimeout, 20*time.Millisecond, "node %d has the configuration", node)
+	}
+}
+
 // requireExtra checks that all nodes serve the added route within the platform's bound from now.
 func (f *fleet) requireExtra(what string) {
 	f.t.Helper()
