--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -40,8 +40,10 @@
 	engines []*standin.Engine
 	// clientAddresses are those at which the nodes accept requests.
 	clientAddresses []string
-	client          *http.Client
-	logs            *logBuffer
+	// peerAddresses are those at which the nodes exchange messages with each other.
+	peerAddresses []string
+	client        *http.Client
+	logs          *logBuffer
 	// listen replaces the listener of a server, unless it is nil.
 	listen func(net.Listener) net.Listener
 	// cancels stop the nodes, which then send their results to ended.
@@ -163,7 +165,7 @@
 	stop, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- n.Run(stop) }()
-	f.clientAddresses = append(f.clientAddresses, s.ClientAddress)
+	f.clientAddresses, f.peerAddresses = append(f.clientAddresses, s.ClientAddress), append(f.peerAddresses, s.PeerAddress)
 	f.cancels, f.ended = append(f.cancels, cancel), append(f.ended, ended)
 }
 
