--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -40,8 +40,12 @@
 	engines []*standin.Engine
 	// clientAddresses are those at which the nodes accept requests.
 	clientAddresses []string
-	client          *http.Client
-	logs            *logBuffer
+	// peerAddresses are those at which the nodes exchange messages with each other.
+	peerAddresses []string
+	client        *http.Client
+	logs          *logBuffer
+	// listen replaces the listener of a server, unless it is nil.
+	listen func(net.Listener) net.Listener
 	// cancels stop the nodes, which then send their results to ended.
 	cancels []context.CancelFunc
 	ended   []chan error
@@ -128,8 +132,14 @@
 }
 
 func (f *fleet) addBackend(service, model string) *standin.Engine {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	var config net.ListenConfig
+	// Sockets of Multipath TCP take no filter.
+	config.SetMultipathTCP(false)
+	l, err := config.Listen(f.t.Context(), "tcp4", "127.0.0.1:0")
 	require.NoError(f.t, err)
+	if f.listen != nil {
+		l = f.listen(l)
+	}
 	e := standin.StartEngine(standin.EngineOptions{
 		ID: fmt.Sprintf("engine-%d", len(f.engines)), Service: service, Model: model, Version: 1, Store: f.store, Journal: f.journal, Listener: l,
 	})
@@ -155,7 +165,7 @@
 	stop, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- n.Run(stop) }()
-	f.clientAddresses = append(f.clientAddresses, s.ClientAddress)
+	f.clientAddresses, f.peerAddresses = append(f.clientAddresses, s.ClientAddress), append(f.peerAddresses, s.PeerAddress)
 	f.cancels, f.ended = append(f.cancels, cancel), append(f.ended, ended)
 }
 
