Bound the doubt about servers that only the relaying node has reported

A follower keeps servers whose entries are missing after an outage that its leader has seen. If the leader alone was cut off from the store, the entries may have been removed as usual, and the servers, which need not announce that they leave, must get no requests after the change deadline (2 s in the smallest deployments). Such servers now get no requests 0.6 of that deadline after the follower learns of it; an outage that the follower has seen itself is handled as before.

--- a/pkg/gateway/backends/backends.go
+++ b/pkg/gateway/backends/backends.go
@@ -89,6 +89,8 @@
 	// suspectSince is set while the entry is missing after an outage of the store. relistedAt is set if the same entry has
 	// been listed again since.
 	suspectSince, relistedAt time.Time
+	// suspectUntil is the time from which the server gets no request unless it is listed again, or zero if there is none.
+	suspectUntil time.Time
 }
 
 // statements are what a backend server has stated in its responses since its start. Times are on the clock of clock.Now.
@@ -192,7 +194,7 @@
 		if relisted {
 			old.relistedAt = clock.Now()
 		} else {
-			old.suspectSince = time.Time{}
+			old.suspectSince, old.suspectUntil = time.Time{}, time.Time{}
 		}
 		return changed
 	}
--- a/pkg/gateway/backends/departures.go
+++ b/pkg/gateway/backends/departures.go
@@ -100,6 +100,11 @@
 // MarkSuspect marks backend servers that are missing from a list which followed an outage of the store. Put
 // clears the mark.
 func (r *Registry) MarkSuspect(ids []string, now time.Time) {
+	r.MarkSuspectUntil(ids, now, time.Time{})
+}
+
+// MarkSuspectUntil is like MarkSuspect. The servers get no request from until on, unless it is zero.
+func (r *Registry) MarkSuspectUntil(ids []string, now, until time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, id := range ids {
@@ -107,7 +112,7 @@
 			d.relisted = nil
 		}
 		if m := r.members[id]; m != nil && m.suspectSince.IsZero() {
-			m.suspectSince, m.relistedAt = now, time.Time{}
+			m.suspectSince, m.suspectUntil, m.relistedAt = now, until, time.Time{}
 		}
 	}
 }
--- a/pkg/gateway/backends/pick.go
+++ b/pkg/gateway/backends/pick.go
@@ -264,7 +264,7 @@
 	for _, m := range r.byService[q.Service] {
 		leaving := r.statedLeaving(m, noticeNow)
 		switch {
-		case m.isLeaving(now), leaving == left:
+		case m.isLeaving(now), leaving == left, !m.suspectUntil.IsZero() && !now.Before(m.suspectUntil):
 			counts.Leaving++
 		case m.isLoading(now):
 			counts.Loading++
--- a/pkg/gateway/mirror/content.go
+++ b/pkg/gateway/mirror/content.go
@@ -59,6 +59,7 @@
 	}
 	m.enterEraLocked(c.Revision)
 	freshness := m.freshnessLocked(!relayed || c.Interrupted || m.restoredLocked())
+	freshness.SeenByRelayOnly = relayed && c.Interrupted && !m.interruptedLocked()
 	if c.Complete {
 		m.resetLocked(c.Entries, c.Revision, freshness)
 		return true
--- a/pkg/gateway/mirror/interrupted_test.go
+++ b/pkg/gateway/mirror/interrupted_test.go
@@ -49,6 +49,7 @@
 				assert.True(t, m.Import(leader.Export(m.CompleteRevision()), true))
 				assert.Equal(t, []string{"b"}, following.sortedNames())
 				assert.Equal(t, test.want, following.last.Interrupted)
+				assert.Equal(t, test.want, following.last.SeenByRelayOnly)
 				cancel()
 				synctest.Wait()
 			})
--- a/pkg/gateway/mirror/mirror.go
+++ b/pkg/gateway/mirror/mirror.go
@@ -51,6 +51,9 @@
 	// Interrupted is set if entries may be missing for a moment: the store was unavailable or restored from a copy
 	// shortly before, or the content comes from a node that may not reach the store either.
 	Interrupted bool
+	// SeenByRelayOnly is set if only the node that relays the content has seen the interruption. It alone may have been cut
+	// off from the store, in which case the missing entries have been removed as usual.
+	SeenByRelayOnly bool
 	// CurrentAt is the last time, on the clock of clock.Now, at which the mirror is known to have held all changes. It is
 	// zero before the first.
 	CurrentAt time.Time
--- a/pkg/gateway/node/mirrors.go
+++ b/pkg/gateway/node/mirrors.go
@@ -73,6 +73,9 @@
 	decoder  Decoder
 	logger   *slog.Logger
 	registry *backends.Registry
+	// maxRelayedDoubt is the time for which servers may get requests whose entries are missing after an interruption that
+	// only the relaying node has seen.
+	maxRelayedDoubt time.Duration
 }
 
 // Reset implements mirror.Target.
@@ -82,13 +85,13 @@
 		t.put(e)
 		missing = slices.DeleteFunc(missing, func(id string) bool { return id == e.Name })
 	}
-	t.remove(missing, freshness.Interrupted)
+	t.remove(missing, freshness)
 }
 
 // Apply implements mirror.Target.
 func (t *backendTarget) Apply(c mirror.Change, freshness mirror.Freshness) {
 	if c.Deleted {
-		t.remove([]string{c.Name}, freshness.Interrupted)
+		t.remove([]string{c.Name}, freshness)
 		return
 	}
 	t.put(c.Entry)
@@ -111,12 +114,16 @@
 
 // remove removes backend servers. After an interruption of the store it only marks them as suspect, because
 // their entries may reappear.
-func (t *backendTarget) remove(ids []string, interrupted bool) {
+func (t *backendTarget) remove(ids []string, freshness mirror.Freshness) {
 	if len(ids) == 0 {
 		return
 	}
-	if interrupted {
-		t.registry.MarkSuspect(ids, time.Now())
+	if freshness.Interrupted {
+		now, until := time.Now(), time.Time{}
+		if freshness.SeenByRelayOnly {
+			until = now.Add(t.maxRelayedDoubt)
+		}
+		t.registry.MarkSuspectUntil(ids, now, until)
 		event.BackendsInDoubt.Emit(t.logger, "backends", ids)
 		return
 	}
--- a/pkg/gateway/node/node.go
+++ b/pkg/gateway/node/node.go
@@ -82,6 +82,10 @@
 	// suspectTimeout is the time after which suspect backend servers are removed. The platform states
 	// that missing entries reappear within about two seconds after an outage of the store.
 	suspectTimeout = 2200 * time.Millisecond
+	// relayedDoubtShare is the time for which servers may get requests whose entries are missing after an interruption that
+	// only the relaying node has seen, as a share of Settings.ChangeDeadline. The rest is for the delay of the relay: if
+	// that node alone was cut off from the store, the servers are gone, and must get no requests after that deadline.
+	relayedDoubtShare = 0.6
 	// outOfRotationDelay is the time from a failing readiness check until the platform sends no new
 	// connections: two checks a second apart, and the network delay.
 	outOfRotationDelay = 2500 * time.Millisecond
@@ -152,7 +156,10 @@
 	n.quarantine = n.newQuarantine()
 	n.mirrors = []*mirror.Mirror{
 		n.newMirror(opt.Kinds.Config, n.config, 0),
-		n.newMirror(opt.Kinds.Backends, &backendTarget{decoder: opt.Decoder, logger: opt.Logger, registry: n.registry}, backendBatchDelay),
+		n.newMirror(opt.Kinds.Backends, &backendTarget{
+			decoder: opt.Decoder, logger: opt.Logger, registry: n.registry,
+			maxRelayedDoubt: time.Duration(relayedDoubtShare * float64(opt.Settings.ChangeDeadline)),
+		}, backendBatchDelay),
 		n.newMirror(opt.Kinds.Versions, &versionTarget{decoder: opt.Decoder, logger: opt.Logger, versions: n.versions}, 0),
 	}
 	return n
