Let a begun response wait for its next engine, without the first token's deadline

Callers of the product's own node saw streams that ended in the middle with a typed error, although another engine was free, or became free a moment later.

Cause: rules for requests that can still be refused were applied to a response that has begun. Its continuation was routed with the deadline of the first token (30 s by default, X-Deadline-Ms of the caller otherwise), so that no engine crash after that time could be survived. A full queue, a pause, an engine that its owner holds for unreachable or a spent retry budget cut it at once.

Evidence: e2e TestStreamContinuesAfterItsFirstTokenDeadline failed 3 of 3 times before with "deadline_unreachable: the deadline passed while the request was queued", work "run". All five cases of TestBegunResponseWaitsForTheNextEngine ended with an error event after the first chunk (deadline_unreachable, no_engine, overloaded, engines_paused, engine_failed).

A begun response now searches its next engine for up to 30 s, every 0.25 s, within the retry budget and with the end of the search as its deadline; the next chunk ends the search. It still runs on a second engine at most, is cut at once if no engine is left that has not failed it, and is not sent after a second engine may have run it. TestBegunResponseWithoutNextEngineEnds holds the bounds.

Checked: vet, staticcheck, tests of entry, stream, node, reference and e2e with the race detector.

--- a/pkg/entry/generate.go
+++ b/pkg/entry/generate.go
@@ -13,7 +13,6 @@
 	"cassiawall.example/cassiawall/pkg/prefix"
 	"cassiawall.example/cassiawall/pkg/routing"
 	"cassiawall.example/cassiawall/pkg/stream"
-	"cassiawall.example/cassiawall/pkg/wait"
 )
 
 func (s *Server) chat(w http.ResponseWriter, r *http.Request, id string) error {
@@ -75,7 +74,7 @@
 // the request is sent at most once.
 func (s *Server) relayGeneration(ctx context.Context, g *generation, out responder, permit sendPermit) error {
 	src := &source{server: s, g: g, failed: map[string]bool{}, permit: permit}
-	sink := &latencySink{responder: out, now: s.opt.Now, arrived: g.arrived, onChunk: src.reportFirstToken}
+	sink := &latencySink{responder: out, now: s.opt.Now, arrived: g.arrived, onChunk: src.recordChunk}
 	result, err := stream.Relay(ctx, g.id, src, sink)
 	if cause := context.Cause(ctx); err != nil && cause != nil {
 		err = cancellationError(cause, err)
@@ -148,6 +147,8 @@
 	// set once that has been tried.
 	resuming bool
 	resumed  bool
+	// continuation is the search for the next engine of a begun response.
+	continuation continuation
 }
 
 // Open implements stream.Source.
@@ -169,7 +170,9 @@
 	}
 	src.resuming = false
 	target := src.slot.Target()
-	return src.server.opt.Engines(target.Address).Generate(ctx, src.engineRequest(target, from))
+	s, err := src.server.opt.Engines(target.Address).Generate(ctx, src.engineRequest(target, from))
+	src.recordSend(err)
+	return s, err
 }
 
 // maxRefusals bounds how often a request that no engine has run is routed again. A refusal costs an
@@ -177,23 +180,21 @@
 // change weights.
 const maxRefusals = 4
 
-// Retry implements stream.Source. An interrupted stream is first resumed on its engine, which keeps
-// the request running for a while, and then continued on another engine. A request that must be sent
-// at most once is never retried: an engine that has discarded it would run it again.
+// Retry implements stream.Source. A request that must be sent at most once is never retried: an engine
+// that has discarded it would run it again.
 func (src *source) Retry(err error, delivered bool) bool {
 	if src.permit != nil {
 		return false
 	}
-	if fault.Is(err, fault.EnginesPaused) {
-		return !delivered && src.pickOtherVersion()
+	if delivered {
+		return src.retryBegun(err)
 	}
-	if delivered && !src.resumed && src.slot != nil && fault.Is(err, fault.StreamBroken) {
-		src.resuming, src.resumed = true, true
-		return true
+	if fault.Is(err, fault.EnginesPaused) {
+		return src.pickOtherVersion()
 	}
 	refused := fault.Is(err, fault.NoEngine) || src.slot != nil && fault.As(err).Work == fault.NotRun
 	src.excludeEngine(err)
-	if !delivered && refused && src.refusals < maxRefusals {
+	if refused && src.refusals < maxRefusals {
 		src.refusals++
 		src.retryDelay = src.server.retries.rerouteDelay()
 		src.server.splitPrompt(src.g, src.failed)
@@ -243,23 +244,28 @@
 
 // awaitRetryDelay waits for the delay of a retry. It records a first attempt in the retry budget.
 func (src *source) awaitRetryDelay(ctx context.Context) error {
+	if src.continuation.isActive() {
+		return src.awaitContinuation(ctx)
+	}
 	if src.retryDelay == 0 {
 		src.server.retries.recordAttempt(src.server.opt.Now())
 		return nil
 	}
 	delay := src.retryDelay
 	src.retryDelay = 0
-	if !wait.Pause(ctx, delay) {
-		return fault.Wrap(context.Cause(ctx), fault.Abandoned, "the caller left before a retry")
-	}
-	return nil
+	return pauseRetry(ctx, delay)
 }
 
 func (src *source) routingRequest() *routing.Request {
 	g := src.g
+	// The deadline of a request is that of its first token, which the caller of a begun response has.
+	deadline := g.deadline
+	if src.continuation.isActive() {
+		deadline = src.continuation.until
+	}
 	return &routing.Request{
 		RequestID: g.id, Workspace: g.workspace, Model: g.model, Policy: g.config.Policy, Caller: g.caller,
-		Pieces: g.pieces, Prompt: g.prompt, MaxTokens: g.maxTokens, Arrived: g.arrived, Deadline: g.deadline, FailedEngines: src.failed,
+		Pieces: g.pieces, Prompt: g.prompt, MaxTokens: g.maxTokens, Arrived: g.arrived, Deadline: deadline, FailedEngines: src.failed,
 	}
 }
 
@@ -273,6 +279,12 @@
 	}
 }
 
+// recordChunk ends the search for an engine, and reports the first token.
+func (src *source) recordChunk(c *engine.Chunk) {
+	src.continuation = continuation{}
+	src.reportFirstToken(c)
+}
+
 // reportFirstToken reports the token counts of the prefill, which engines send with the first chunk,
 // to the router.
 func (src *source) reportFirstToken(c *engine.Chunk) {
