Let a begun response go on at an engine that has refused it before

Callers of the product's own node saw a begun stream end with "overloaded" when the engine that was to continue it refused it once: the engine counted as failed and was left out of the search for the next one.

--- a/pkg/entry/continuation.go
+++ b/pkg/entry/continuation.go
@@ -38,7 +38,12 @@
 		return true
 	}
 	refused, chosen := fault.As(err).Work == fault.NotRun, src.slot != nil
-	src.excludeEngine(err)
+	if refused && src.continuation.isActive() {
+		// An engine that refuses the response now may take it a moment later.
+		src.releaseSlot(err)
+	} else {
+		src.excludeEngine(err)
+	}
 	now := src.server.opt.Now()
 	switch {
 	case !src.continuation.isActive():
--- a/pkg/entry/generate.go
+++ b/pkg/entry/generate.go
@@ -220,10 +220,17 @@
 	if src.slot == nil {
 		return
 	}
-	src.slot.Done(routing.Outcome{Failed: true, Pause: requestedPause(err)})
 	src.failed[src.slot.Target().Engine] = true
 	src.lastFailedEngine = src.slot.Target().Engine
-	src.slot = nil
+	src.releaseSlot(err)
+}
+
+// releaseSlot gives up the engine of the last attempt, which failed with err.
+func (src *source) releaseSlot(err error) {
+	if src.slot != nil {
+		src.slot.Done(routing.Outcome{Failed: true, Pause: requestedPause(err)})
+		src.slot = nil
+	}
 }
 
 // retryOnSecondEngine reports whether the retry budget allows a retry on a second engine, and sets
--- a/pkg/entry/next_engine_test.go
+++ b/pkg/entry/next_engine_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -187,3 +190,35 @@
 		})
 	}
 }
+
+// Guards against a begun stream that ends with an error because the engine that is to continue it refuses it once, although it
+// would take it a moment later.
+func TestBegunStreamIsContinuedAfterRefusals(t *testing.T) {
+	var sends atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/v1/completions" {
+			return
+		}
+		id := r.Header.Get(engine.HeaderRequestID)
+		switch n := sends.Add(1); {
+		case n == 1:
+			w.Header().Set("Content-Type", "text/event-stream")
+			_, _ = fmt.Fprintf(w, `data: {"id":%q,"seq":0,"tokens":1,"choices":[{"text":"haba"}]}`+"\n\n", id)
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		case n <= 3:
+			http.Error(w, "busy", http.StatusServiceUnavailable)
+		default:
+			w.Header().Set("Content-Type", "text/event-stream")
+			_, _ = fmt.Fprintf(w, `data: {"id":%q,"seq":1,"tokens":1,"choices":[{"text":"ri","finish_reason":"stop"}]}`+"\n\ndata: [DONE]\n\n", id)
+		}
+	}))
+	defer server.Close()
+	s := testServer(t, &fakeEngine{})
+	s.opt.Engines = func(string) engine.Generator { return engine.NewClient(server.URL, server.Client()) }
+	e, _ := s.opt.Board.Engines.Get("e1")
+	e.Value.ID = "e2"
+	s.opt.Board.Engines.Put("e2", e.Value, blackboard.Evidence{})
+	w := post(t.Context(), s, testKey, "/v1/completions", `{"model":"lugha","prompt":"slot?","stream":true}`)
+	assert.NotContains(t, w.Body.String(), `"error"`)
+}
