--- a/pkg/gateway/forward/active_request.go
+++ b/pkg/gateway/forward/active_request.go
@@ -255,11 +255,9 @@
 	}
 	request := exchange.Request{
 		ID: a.request.ID, Method: a.req.Method, Target: a.req.RequestURI, Host: a.req.Host, Body: a.body,
-		Header:   a.router.opt.Protocol.EncodeRequest(a.req.Header, backendReq),
-		LastSend: !a.route.Repeatable(),
-		OnSilentHost: func() {
-			a.router.opt.Backends.MarkUnreachable(c.ID, time.Now().Add(unreachableBackoff))
-		},
+		Header:       a.router.opt.Protocol.EncodeRequest(a.req.Header, backendReq),
+		LastSend:     !a.route.Repeatable(),
+		OnSilentHost: func() { a.markUnreachable(c) },
 	}
 	ctx, stopTimer := a.withStartDeadline(tracked, c)
 	a.quarantineSentAt = a.router.opt.Quarantine.opt.Now()
--- a/pkg/gateway/forward/trace.go
+++ b/pkg/gateway/forward/trace.go
@@ -68,7 +68,7 @@
 	args := []any{"backend", backend, "idle_ms", idle.Milliseconds(), "obstacle", obstacle, "begun", a.headerWritten, "runs", a.runs,
 		"age_ms", time.Since(a.receivedAt).Milliseconds()}
 	if obstacle == obstacleNoBackend {
-		args = append(args, "leaving", a.excluded.Leaving, "loading", a.excluded.Loading, "tried", a.excluded.Tried,
+		args = append(args, "paused", a.excluded.Paused, "leaving", a.excluded.Leaving, "loading", a.excluded.Loading, "tried", a.excluded.Tried,
 			"old_weights", a.excluded.OldWeights, "limited", a.excluded.Limited, "shedding", a.excluded.Shedding)
 	}
 	a.trace.Add(event.StreamIdle, args...)
