Send enough rare requests for the evidence of five engines

Cause, in the test: one node refuses a part once five engines have ended under it. The engines are picked at random out of six, and 12 requests do not always reach five of them and one more request.

The test now sends 40 requests in both cases.

--- a/pkg/gateway/forward/quarantine_test.go
+++ b/pkg/gateway/forward/quarantine_test.go
@@ -206,7 +206,8 @@
 // Guards against sound parts that are refused because engines end single connections, but go on to serve other requests.
 // An engine that serves them seconds later may have restarted.
 func TestEngineThatGoesOnServingHasNotCrashed(t *testing.T) {
-	const engineCount, rareRequests = 6, 12
+	// Engines are picked at random, and five of them must end for one node to refuse the part.
+	const engineCount, rareRequests = 6, 40
 	tests := map[string]struct {
 		nextAfter time.Duration
 		refuses   bool
