Wait for the owner before the test reads the board

Cause, in the test: the owner replies to the queued requests first and updates the board after that, in a goroutine that runs beside the one that reads it. The time of the bubble does not advance meanwhile, so the check is as strict.

--- a/pkg/controller/owner/owner_test.go
+++ b/pkg/controller/owner/owner_test.go
@@ -208,6 +208,8 @@
 		n.setDown(true)
 		assert.Equal(t, peerpb.AcquireReply_ENGINE_LEAVING, (<-done).GetVerdict())
 		assert.Equal(t, peerpb.AcquireReply_ENGINE_LEAVING, n.acquire(t, acquireRequest("r2", 1)).GetVerdict())
+		// The owner replies before it updates the board.
+		synctest.Wait()
 		entry, _ := n.board.Engines.Get("e")
 		assert.False(t, entry.Value.Reachable)
 		n.setDown(false)
