Do not cut a request that starts as its start deadline passes

The engine began it at 11.298 s, and at 11.305 s the node closed the connection: event 924 "request did not start before the deadline for requests on older weights", phase stream, runs 1. The client had its first event already.

Cause: the timer of the start deadline closed the connection without a look at whether the response had begun. The header was being read, or waited in the socket of a node without processor time.

The deadline now only ends the wait for a response of which no byte has arrived, nor does within 5 ms. Bytes of another response do not count. A request that starts in the milliseconds in which the close is on its way is still cut.

--- a/pkg/gateway/exchange/conn.go
+++ b/pkg/gateway/exchange/conn.go
@@ -13,6 +13,7 @@
 	"os"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -97,6 +98,8 @@
 	reader    io.Reader
 	left      int64
 	onTimeout func() error
+	// begun is set once bytes have arrived since it was last cleared.
+	begun atomic.Bool
 }
 
 // Read implements io.Reader.
@@ -107,6 +110,9 @@
 	for {
 		n, err := r.reader.Read(p[:min(int64(len(p)), r.left)])
 		r.left -= int64(n)
+		if n > 0 {
+			r.begun.Store(true)
+		}
 		if n > 0 || r.onTimeout == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
--- a/pkg/gateway/exchange/exchange.go
+++ b/pkg/gateway/exchange/exchange.go
@@ -25,6 +25,8 @@
 	// MaxHeadBytes limits the status line and the headers of a response. A faulty server may send bytes
 	// without end.
 	MaxHeadBytes = 64 << 10
+	// startGrace is the time for the first bytes of a response that began before the end of Request.Start.
+	startGrace = 5 * time.Millisecond
 	// maxInformational limits the informational responses (1xx) before a response.
 	maxInformational = 8
 )
@@ -42,6 +44,9 @@
 	// LastSend is set if nobody may send the request again once it is sent. Do then waits for the response until the end
 	// of its context, also if the server's host acknowledges nothing.
 	LastSend bool
+	// Start, unless nil, ends the wait for a response that has not begun. A response whose first bytes have arrived by then,
+	// or do so within startGrace, goes on.
+	Start context.Context
 	// OnSilentHost is called if the host has not acknowledged the request for about a second, and may be called again. It
 	// may be nil.
 	OnSilentHost func()
@@ -176,6 +181,16 @@
 		c.Conn.Close()
 		return nil, &Error{Sent: true, cause: err}
 	}
+	c.limit.begun.Store(false)
+	if req.Start != nil {
+		defer context.AfterFunc(req.Start, func() {
+			// Bytes may wait in the socket if the process got no processor time.
+			time.Sleep(startGrace)
+			if !c.limit.begun.Load() {
+				c.Conn.Close()
+			}
+		})()
+	}
 	if err := c.userTimeout.start(req); err != nil {
 		return fail(err)
 	}
@@ -207,6 +222,11 @@
 		if n == maxSkippedBytes {
 			return fail(errForeignResponses)
 		}
+		// Its bytes were no sign of the request's own response.
+		c.limit.begun.Store(false)
+		if req.Start != nil && req.Start.Err() != nil {
+			return fail(context.Cause(req.Start))
+		}
 	}
 }
 
--- a/pkg/gateway/forward/active_request.go
+++ b/pkg/gateway/forward/active_request.go
@@ -259,13 +259,14 @@
 		LastSend:     !a.route.Repeatable(),
 		OnSilentHost: func() { a.markUnreachable(c) },
 	}
-	ctx, stopTimer := a.withStartDeadline(tracked, c)
+	var stopTimer func()
+	request.Start, stopTimer = a.withStartDeadline(tracked, c)
 	a.quarantineSentAt = a.router.opt.Quarantine.opt.Now()
 	sendTime := clock.Now()
 	if c.Limited {
 		a.router.count("sends_to_limited_backends")
 	}
-	response, err := exchange.Do(ctx, c.Pool, request, func(h http.Header) bool {
+	response, err := exchange.Do(tracked, c.Pool, request, func(h http.Header) bool {
 		return a.router.opt.Protocol.DecodeResponse(h).RequestID == a.request.ID
 	})
 	stopTimer()
@@ -273,7 +274,7 @@
 		a.useRetry()
 	}
 	if err != nil {
-		return a.handleNoResponse(ctx, c, err)
+		return a.handleNoResponse(request.Start, c, err)
 	}
 	defer response.Close()
 	a.router.observe("backend_first_byte_ms", time.Since(sentAt))
@@ -302,9 +303,9 @@
 		return a.retryAfterRun()
 	}
 	if a.route.Kind == routes.Stream && response.Status < 300 {
-		return a.relayStream(ctx, c, response, sentAt)
+		return a.relayStream(tracked, c, response, sentAt)
 	}
-	return a.relayBuffered(ctx, c, response, sentAt)
+	return a.relayBuffered(tracked, c, response, sentAt)
 }
 
 // reachedBackend reports whether a send with the result err may have reached its backend server.
--- a/pkg/gateway/forward/start_deadline.go
+++ b/pkg/gateway/forward/start_deadline.go
@@ -29,8 +29,8 @@
 }
 
 // withStartDeadline returns a context that is cancelled at the latest time at which the request may
-// start on the weights of the chosen engine. The end of the context closes the connection, and the
-// engine then drops a request that is still in its queue. stopTimer must be called once the engine has
+// start on the weights of the chosen engine. Unless the response has begun, its end closes the connection, and
+// the engine then drops a request that is still in its queue. stopTimer must be called once the engine has
 // responded.
 func (a *activeRequest) withStartDeadline(parent context.Context, c *backends.Choice) (ctx context.Context, stopTimer func()) {
 	if a.request.Model == "" {
