--- a/pkg/gateway/forward/active_request.go
+++ b/pkg/gateway/forward/active_request.go
@@ -274,7 +274,12 @@
 		a.useRetry()
 	}
 	if err != nil {
-		return a.handleNoResponse(request.Start, c, err)
+		ended := tracked
+		if ended.Err() == nil {
+			// A context that was derived may end a moment after its parent.
+			ended = request.Start
+		}
+		return a.handleNoResponse(ended, c, err)
 	}
 	defer response.Close()
 	a.router.observe("backend_first_byte_ms", time.Since(sentAt))
