Keep an interruption of the store that a relay has told of

A standby that begins to call the store just after an outage has seen no failed call of its own, and dropped all servers whose entries had lapsed, although the leader's heartbeats had told it of the outage. Mirrors now keep such an interruption for 2.5 s, for their own lists and for what they relay. One that was taken over is not taken over again.

--- a/pkg/gateway/mirror/content.go
+++ b/pkg/gateway/mirror/content.go
@@ -19,6 +19,8 @@
 	Deleted  []string
 	// Interrupted is the Freshness.Interrupted of the node's own content at the time of the export.
 	Interrupted bool
+	// TakenOver is set if the node has learned of that interruption from another node.
+	TakenOver bool
 }
 
 // Export returns the changes since a revision, or all objects if since is 0 or older than the recorded
@@ -26,7 +28,11 @@
 func (m *Mirror) Export(since int64) Content {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	c := Content{Revision: m.revision, Complete: since < m.compactedRevision || since == 0, Interrupted: m.interruptedLocked()}
+	interruption := m.interruptionLocked()
+	c := Content{
+		Revision: m.revision, Complete: since < m.compactedRevision || since == 0,
+		Interrupted: interruption.Known, TakenOver: interruption.TakenOver,
+	}
 	for _, e := range m.entries {
 		if c.Complete || e.Revision > since {
 			c.Entries = append(c.Entries, e)
@@ -58,8 +64,7 @@
 		defer func() { m.completeRevision = c.Revision }()
 	}
 	m.enterEraLocked(c.Revision)
-	freshness := m.freshnessLocked(!relayed || c.Interrupted || m.restoredLocked())
-	freshness.SeenByRelayOnly = relayed && c.Interrupted && !m.interruptedLocked()
+	freshness := m.importFreshnessLocked(c, relayed)
 	if c.Complete {
 		m.resetLocked(c.Entries, c.Revision, freshness)
 		return true
@@ -89,9 +94,3 @@
 	event.StoreRestored.Emit(m.opt.Logger, "kind", m.opt.Kind, "era", objects.EraOf(revision), "revision", objects.RevisionOf(revision),
 		"known_era", objects.EraOf(m.revision), "known_revision", objects.RevisionOf(m.revision))
 }
-
-// restoredLocked reports whether it has become known less than recoveryDuration ago that the store was restored. Its
-// writers then store again what it has lost.
-func (m *Mirror) restoredLocked() bool {
-	return !m.restoredAt.IsZero() && m.now().Sub(m.restoredAt) < recoveryDuration
-}
--- a/pkg/gateway/mirror/list.go
+++ b/pkg/gateway/mirror/list.go
@@ -60,7 +60,7 @@
 		// Only deletions differ; the revision of the newest of them is not known.
 		newest = revision
 	}
-	m.resetLocked(entries, newest, m.freshnessLocked(m.interruptedLocked()))
+	m.resetLocked(entries, newest, m.freshnessLocked())
 	m.notifyChange()
 	return true
 }
--- a/pkg/gateway/mirror/mirror.go
+++ b/pkg/gateway/mirror/mirror.go
@@ -51,8 +51,8 @@
 	// Interrupted is set if entries may be missing for a moment: the store was unavailable or restored from a copy
 	// shortly before, or the content comes from a node that may not reach the store either.
 	Interrupted bool
-	// SeenByRelayOnly is set if only the node that relays the content has seen the interruption. It alone may have been cut
-	// off from the store, in which case the missing entries have been removed as usual.
+	// SeenByRelayOnly is set if this node knows of the interruption only from a node that relays store changes. That node
+	// alone may have been cut off from the store, in which case the missing entries have been removed as usual.
 	SeenByRelayOnly bool
 	// CurrentAt is the last time, on the clock of clock.Now, at which the mirror is known to have held all changes. It is
 	// zero before the first.
@@ -89,9 +89,6 @@
 	// minRetryPause and maxRetryPause bound the pause after a failed call.
 	minRetryPause = 80 * time.Millisecond
 	maxRetryPause = 500 * time.Millisecond
-	// recoveryDuration is the time after an outage of the store within which entries that expired during the
-	// outage are written again.
-	recoveryDuration = 2500 * time.Millisecond
 )
 
 // Options configures a Mirror.
@@ -129,6 +126,8 @@
 	recoveredAt time.Time
 	// restoredAt is the time at which a restoration of the store became known.
 	restoredAt time.Time
+	// takenOverAt is the time at which another node last told of an interruption that this node had not seen.
+	takenOverAt time.Time
 	// reachedAt is the last time at which the store is known to have responded.
 	reachedAt time.Time
 	// latency is the time that the last list took, at most maxLatency.
@@ -207,11 +206,6 @@
 	}
 }
 
-// freshnessLocked returns the freshness of content that arrives now.
-func (m *Mirror) freshnessLocked(interrupted bool) Freshness {
-	return Freshness{Interrupted: interrupted, CurrentAt: m.currentAt, ConfirmedBy: m.currentBy}
-}
-
 // Run replicates the store until ctx ends.
 func (m *Mirror) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -278,7 +272,7 @@
 func (m *Mirror) apply(changes []Change) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	before, freshness := m.revision, m.freshnessLocked(m.interruptedLocked())
+	before, freshness := m.revision, m.freshnessLocked()
 	for _, c := range changes {
 		m.applyLocked(c, freshness)
 	}
@@ -369,15 +363,3 @@
 	defer m.mu.Unlock()
 	return !m.reachedAt.IsZero() && m.now().Sub(m.reachedAt) < limit
 }
-
-// Interrupted reports whether entries may be missing for a moment; see Freshness.
-func (m *Mirror) Interrupted() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.interruptedLocked()
-}
-
-// interruptedLocked reports whether an outage of the store ended less than recoveryDuration ago.
-func (m *Mirror) interruptedLocked() bool {
-	return m.restoredLocked() || !m.recoveredAt.IsZero() && m.now().Sub(m.recoveredAt) < recoveryDuration
-}
--- a/pkg/gateway/node/board.go
+++ b/pkg/gateway/node/board.go
@@ -259,6 +259,10 @@
 		b.nodeCount = heartbeat.Nodes
 		b.mu.Unlock()
 		b.RenewFollower(readAt)
+	} else if !b.node.controller.ActingLeader() {
+		for _, m := range b.node.mirrors {
+			m.MarkRelayInterrupted(readAt)
+		}
 	}
 	if heartbeat.NodesSettled {
 		b.node.retryBudget.SetNodes(heartbeat.Nodes, time.Now())
--- a/pkg/gateway/peers/objects.go
+++ b/pkg/gateway/peers/objects.go
@@ -74,16 +74,17 @@
 }
 
 type exportKey struct {
-	kind                    string
-	since, revision         int64
-	compressed, interrupted bool
+	kind            string
+	since, revision int64
+	compressed      bool
+	interruption    mirror.Interruption
 }
 
 // get returns what a mirror holds beyond a revision in encoded form.
 func (c *exportCache) get(m *mirror.Mirror, since int64, compressed bool) ([]byte, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	key := exportKey{kind: m.Kind(), since: since, revision: m.Revision(), compressed: compressed, interrupted: m.Interrupted()}
+	key := exportKey{kind: m.Kind(), since: since, revision: m.Revision(), compressed: compressed, interruption: m.Interruption()}
 	if data, ok := c.exports[key]; ok {
 		return data, nil
 	}
@@ -100,7 +101,7 @@
 	if len(c.exports) >= maxExports || c.exports == nil {
 		c.exports = make(map[exportKey][]byte, maxExports)
 	}
-	key.revision, key.interrupted = content.Revision, content.Interrupted
+	key.revision, key.interruption = content.Revision, mirror.Interruption{Known: content.Interrupted, TakenOver: content.TakenOver}
 	c.exports[key] = data
 	return data, nil
 }
