--- a/pkg/gateway/backends/backends_test.go
+++ b/pkg/gateway/backends/backends_test.go
@@ -72,12 +72,12 @@
 			r.ApplyAssignments(map[string]Assignment{"e0": {Loading: true}}, now.Add(-2*assignmentTTL))
 		}, q, []string{"e0", "e1", "e2"}},
 		"paused":        {func(r *Registry) { r.Pause("e0", now.Add(time.Second)) }, q, []string{"e1", "e2"}},
-		"suspect entry": {func(r *Registry) { r.MarkSuspect([]string{"e0"}, now) }, q, []string{"e1", "e2"}},
+		"suspect entry": {func(r *Registry) { r.MarkSuspectUntil([]string{"e0"}, now, time.Time{}) }, q, []string{"e1", "e2"}},
 		"suspects, one past its time": {func(r *Registry) {
 			r.MarkSuspectUntil([]string{"e0"}, now.Add(-time.Second), now)
 			r.MarkSuspectUntil([]string{"e1", "e2"}, now.Add(-time.Second), now.Add(time.Second))
 		}, q, []string{"e1", "e2"}},
-		"all suspect":     {func(r *Registry) { r.MarkSuspect([]string{"e0", "e1", "e2"}, now) }, q, []string{"e0", "e1", "e2"}},
+		"all suspect":     {func(r *Registry) { r.MarkSuspectUntil([]string{"e0", "e1", "e2"}, now, time.Time{}) }, q, []string{"e0", "e1", "e2"}},
 		"excluded":        {func(*Registry) {}, Query{Service: "s", Exclude: []string{"e0", "e1"}}, []string{"e2"}},
 		"too old weights": {func(r *Registry) { r.ObserveVersion("e1", 0, "m", 2, time.Time{}) }, Query{Service: "s", Model: "m", MinVersion: 2}, []string{"e1"}},
 		"other model":     {func(*Registry) {}, Query{Service: "s", Model: "x"}, nil},
@@ -124,7 +124,7 @@
 // or removed.
 func TestSuspectIsRelistedOrRemoved(t *testing.T) {
 	r := newRegistry(2, nil)
-	r.MarkSuspect([]string{"e0", "e1"}, now)
+	r.MarkSuspectUntil([]string{"e0", "e1"}, now, time.Time{})
 	r.Put(engine("e0", 1))
 	assert.Empty(t, r.RemoveSuspects(now.Add(time.Second), 2*time.Second))
 	assert.Equal(t, []string{"e1"}, r.RemoveSuspects(now.Add(2*time.Second), 2*time.Second))
--- a/pkg/gateway/backends/departures.go
+++ b/pkg/gateway/backends/departures.go
@@ -97,13 +97,8 @@
 	return ids
 }
 
-// MarkSuspect marks backend servers that are missing from a list which followed an outage of the store. Put
-// clears the mark.
-func (r *Registry) MarkSuspect(ids []string, now time.Time) {
-	r.MarkSuspectUntil(ids, now, time.Time{})
-}
-
-// MarkSuspectUntil is like MarkSuspect. The servers get no request from until on, unless it is zero.
+// MarkSuspectUntil marks backend servers that are missing from a list which followed an outage of the store. They get no
+// request from until on, unless it is zero. Put clears the mark.
 func (r *Registry) MarkSuspectUntil(ids []string, now, until time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/pkg/gateway/backends/departures_test.go
+++ b/pkg/gateway/backends/departures_test.go
@@ -66,7 +66,7 @@
 	t.Run("in doubt", func(t *testing.T) {
 		r := NewRegistry("dc")
 		r.Put(listing(5))
-		r.MarkSuspect([]string{"e"}, time.Now().Add(-time.Minute))
+		r.MarkSuspectUntil([]string{"e"}, time.Now().Add(-time.Minute), time.Time{})
 		r.Put(listing(5))
 		assert.Equal(t, []string{"e"}, r.RemoveSuspects(time.Now(), time.Second))
 		assert.False(t, used(r))
