Let exchange.Do report why a send was ended

Request.Start becomes Request.StartDeadline. Error.Ended is the cause of the context that ended the send, so that the caller does not choose between two contexts. No change of behaviour.

--- a/pkg/gateway/exchange/exchange.go
+++ b/pkg/gateway/exchange/exchange.go
@@ -25,7 +25,7 @@
 	// MaxHeadBytes limits the status line and the headers of a response. A faulty server may send bytes
 	// without end.
 	MaxHeadBytes = 64 << 10
-	// startGrace is the time for the first bytes of a response that began before the end of Request.Start.
+	// startGrace is the time for the first bytes of a response that began before the end of Request.StartDeadline.
 	startGrace = 5 * time.Millisecond
 	// maxInformational limits the informational responses (1xx) before a response.
 	maxInformational = 8
@@ -44,9 +44,9 @@
 	// LastSend is set if nobody may send the request again once it is sent. Do then waits for the response until the end
 	// of its context, also if the server's host acknowledges nothing.
 	LastSend bool
-	// Start, unless nil, ends the wait for a response that has not begun. A response whose first bytes have arrived by then,
-	// or do so within startGrace, goes on.
-	Start context.Context
+	// StartDeadline, unless nil, ends the wait for a response that has not begun. A response whose first bytes have arrived by
+	// then, or do so within startGrace, goes on.
+	StartDeadline context.Context
 	// OnSilentHost is called if the host has not acknowledged the request for about a second, and may be called again. It
 	// may be nil.
 	OnSilentHost func()
@@ -56,7 +56,10 @@
 type Error struct {
 	// Sent is set if any byte of the request may have reached the server. Without it, the connection
 	// could not be opened.
-	Sent  bool
+	Sent bool
+	// Ended is the cause of the end of Do's context or, if that has not ended, of Request.StartDeadline. It is nil if neither
+	// has. The cause that Unwrap returns is then only that the connection was closed.
+	Ended error
 	cause error
 }
 
@@ -172,18 +175,18 @@
 func Do(ctx context.Context, p *Pool, req Request, accept func(http.Header) bool) (*Response, error) {
 	c, err := p.get(ctx, req.ID)
 	if err != nil {
-		return nil, &Error{cause: err}
+		return nil, &Error{Ended: req.ended(ctx), cause: err}
 	}
 	stopWatching := context.AfterFunc(ctx, func() { c.Conn.Close() })
 	fail := func(err error) (*Response, error) {
 		stopWatching()
 		c.userTimeout.stop()
 		c.Conn.Close()
-		return nil, &Error{Sent: true, cause: err}
+		return nil, &Error{Sent: true, Ended: req.ended(ctx), cause: err}
 	}
 	c.limit.begun.Store(false)
-	if req.Start != nil {
-		defer context.AfterFunc(req.Start, func() {
+	if req.StartDeadline != nil {
+		defer context.AfterFunc(req.StartDeadline, func() {
 			// Bytes may wait in the socket if the process got no processor time.
 			time.Sleep(startGrace)
 			if !c.limit.begun.Load() {
@@ -224,12 +227,21 @@
 		}
 		// Its bytes were no sign of the request's own response.
 		c.limit.begun.Store(false)
-		if req.Start != nil && req.Start.Err() != nil {
-			return fail(context.Cause(req.Start))
+		if req.StartDeadline != nil && req.StartDeadline.Err() != nil {
+			return fail(context.Cause(req.StartDeadline))
 		}
 	}
 }
 
+// ended returns the Error.Ended of a request that was sent with ctx. A context that is derived from ctx may end a moment
+// after it, so that ctx counts first.
+func (req *Request) ended(ctx context.Context) error {
+	if ctx.Err() == nil && req.StartDeadline != nil {
+		ctx = req.StartDeadline
+	}
+	return context.Cause(ctx)
+}
+
 // setIdleTimeout sets the idle timeout from the server's Keep-Alive header. It reports whether the
 // connection may be reused at all.
 func (c *conn) setIdleTimeout(h http.Header) bool {
--- a/pkg/gateway/forward/active_request.go
+++ b/pkg/gateway/forward/active_request.go
@@ -260,7 +260,7 @@
 		OnSilentHost: func() { a.markUnreachable(c) },
 	}
 	var stopTimer func()
-	request.Start, stopTimer = a.withStartDeadline(tracked, c)
+	request.StartDeadline, stopTimer = a.withStartDeadline(tracked, c)
 	a.quarantineSentAt = a.router.opt.Quarantine.opt.Now()
 	sendTime := clock.Now()
 	if c.Limited {
@@ -274,12 +274,7 @@
 		a.useRetry()
 	}
 	if err != nil {
-		ended := tracked
-		if ended.Err() == nil {
-			// A context that was derived may end a moment after its parent.
-			ended = request.Start
-		}
-		return a.handleNoResponse(ended, c, err)
+		return a.handleNoResponse(c, err)
 	}
 	defer response.Close()
 	a.router.observe("backend_first_byte_ms", time.Since(sentAt))
@@ -319,9 +314,8 @@
 	return !errors.As(err, &exchangeErr) || exchangeErr.Sent
 }
 
-// handleNoResponse returns the next step after a send that got no response. ctx is the context of the
-// send.
-func (a *activeRequest) handleNoResponse(ctx context.Context, c *backends.Choice, err error) sendOutcome {
+// handleNoResponse returns the next step after a send that got no response.
+func (a *activeRequest) handleNoResponse(c *backends.Choice, err error) sendOutcome {
 	mayHaveRun := reachedBackend(err)
 	phase := phaseConnect
 	if mayHaveRun {
@@ -332,28 +326,37 @@
 		c.Done(backends.Neutral, 0)
 		return outcomeFail
 	}
-	cause := context.Cause(ctx)
-	if cause == errQuarantined {
+	ended := endOf(err)
+	if ended == errQuarantined {
 		return a.endQuarantined(c, phase, 0)
 	}
 	c.Done(backends.Failure, 0)
-	a.recordSendFailed(c, phase, failureReason(ctx, err), 0)
+	a.recordSendFailed(c, phase, failureReason(ended, err), 0)
 	if !mayHaveRun {
 		a.sends--
 		a.markUnreachable(c)
 		return a.retryAfterRefusal()
 	}
-	if a.recordEnd(ctx, c, err) {
+	if a.recordEnd(ended, c, err) {
 		return outcomeInDoubt
 	}
 	return a.retryAfterRun()
 }
 
-// failureReason returns why a send with the context ctx failed. If the context has ended, err only reports that the
-// connection was closed.
-func failureReason(ctx context.Context, err error) string {
-	if cause := context.Cause(ctx); cause != nil {
-		return cause.Error()
+// endOf returns why this node ended a send that got no response, or nil if it did not end it.
+func endOf(err error) error {
+	var exchangeErr *exchange.Error
+	if errors.As(err, &exchangeErr) {
+		return exchangeErr.Ended
+	}
+	return nil
+}
+
+// failureReason returns why a send failed. ended is why this node ended it, or nil if it did not; otherwise err only reports
+// that the connection was closed.
+func failureReason(ended, err error) string {
+	if ended != nil {
+		return ended.Error()
 	}
 	return err.Error()
 }
--- a/pkg/gateway/forward/quarantine.go
+++ b/pkg/gateway/forward/quarantine.go
@@ -300,10 +300,10 @@
 
 // recordEnd records that an engine ended the connection of a send before it was shown to survive the request's parts.
 // It reports whether the request should not go to a further engine, because it was a trial or one of its parts was in
-// doubt in another crash too.
-func (a *activeRequest) recordEnd(ctx context.Context, c *backends.Choice, err error) (inDoubt bool) {
+// doubt in another crash too. ended is why this node ended the send, or nil if it did not.
+func (a *activeRequest) recordEnd(ended error, c *backends.Choice, err error) (inDoubt bool) {
 	parts := a.hashedParts()
-	if len(parts) == 0 || a.shownSound || context.Cause(ctx) != nil || a.req.Context().Err() != nil || !endedByBackend(err) {
+	if len(parts) == 0 || a.shownSound || ended != nil || a.req.Context().Err() != nil || !endedByBackend(err) {
 		return false
 	}
 	inDoubt = a.router.opt.Quarantine.recordCrash(parts, engineHash(&c.Backend))
--- a/pkg/gateway/forward/relay.go
+++ b/pkg/gateway/forward/relay.go
@@ -24,8 +24,8 @@
 			return a.endQuarantined(c, phaseResponse, response.Status)
 		}
 		c.Done(backends.Failure, 0)
-		a.recordSendFailed(c, phaseResponse, "response truncated: "+failureReason(ctx, err), response.Status)
-		if a.recordEnd(ctx, c, err) {
+		a.recordSendFailed(c, phaseResponse, "response truncated: "+failureReason(context.Cause(ctx), err), response.Status)
+		if a.recordEnd(context.Cause(ctx), c, err) {
 			return outcomeInDoubt
 		}
 		return a.retryAfterRun()
@@ -195,9 +195,9 @@
 			return a.retryAfterRun()
 		default:
 			c.Done(backends.Failure, 0)
-			a.recordSendFailed(c, a.streamPhase(), "stream was cut: "+failureReason(ctx, err), response.Status, "idle_ms", idle.idleTime().Milliseconds())
+			a.recordSendFailed(c, a.streamPhase(), "stream was cut: "+failureReason(context.Cause(ctx), err), response.Status, "idle_ms", idle.idleTime().Milliseconds())
 			a.events.reset()
-			if a.recordEnd(ctx, c, err) {
+			if a.recordEnd(context.Cause(ctx), c, err) {
 				return outcomeInDoubt
 			}
 			return a.retryAfterRun()
