--- a/test/fleet/long_silence_test.go
+++ b/test/fleet/long_silence_test.go
@@ -30,18 +30,8 @@
 	)
 	f := startFleet(t, nodes, func(f *fleet) { f.addEngines(4); f.addPlain(4) })
 	f.setTimeout(timeout)
-	var sending, changing sync.WaitGroup
-	ended := make(chan struct{})
-	changing.Go(func() {
-		for version := int64(3); ; version++ {
-			select {
-			case <-ended:
-				return
-			case <-time.After(configureInterval):
-				standin.Configure(f.store, standin.Config{Version: version, Extra: version%2 == 0, Timeout: timeout, Tenants: []standin.Tenant{{Name: "north", Key: "key-north"}}})
-			}
-		}
-	})
+	var sending sync.WaitGroup
+	stopConfiguring := f.configureEvery(configureInterval, timeout)
 	kinds := []standin.Kind{standin.Resumable, standin.Stream, standin.Safe, standin.Unsafe}
 	var served [4]atomic.Int64
 	// Each node is cut off from its peers once, so that the leader is, too.
@@ -76,8 +66,7 @@
 		f.store.SetFault(standin.StoreHealthy)
 	}
 	sending.Wait()
-	close(ended)
-	changing.Wait()
+	stopConfiguring()
 	for i, kind := range kinds {
 		assert.Positive(t, served[i].Load(), kind)
 	}
--- a/test/fleet/restored_test.go
+++ b/test/fleet/restored_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"regexp"
+	"sync"
 	"testing"
 	"time"
 
@@ -26,6 +27,27 @@
 	return standin.Send(context.Background(), f.client, f.clientAddresses[node], request).Status == http.StatusOK
 }
 
+// configureEvery configures the next version from 3 on, with and without the added route in turns, at each interval until the
+// returned function is called.
+func (f *fleet) configureEvery(interval, timeout time.Duration) (stop func()) {
+	var configuring sync.WaitGroup
+	ended := make(chan struct{})
+	configuring.Go(func() {
+		for version := int64(3); ; version++ {
+			select {
+			case <-ended:
+				return
+			case <-time.After(interval):
+				standin.Configure(f.store, standin.Config{Version: version, Extra: version%2 == 0, Timeout: timeout, Tenants: []standin.Tenant{{Name: "north", Key: "key-north"}}})
+			}
+		}
+	})
+	return func() {
+		close(ended)
+		configuring.Wait()
+	}
+}
+
 // setTimeout configures another timeout of the routes and waits until all nodes use it, however busy the machine is.
 func (f *fleet) setTimeout(timeout time.Duration) {
 	f.t.Helper()
--- a/test/fleet/silence_test.go
+++ b/test/fleet/silence_test.go
@@ -25,23 +25,10 @@
 		timeout = 15 * time.Second
 	)
 	f := startFleet(t, 3, func(f *fleet) { f.addEngines(2); f.addPlain(2) })
-	configure := func(version int64) {
-		standin.Configure(f.store, standin.Config{Version: version, Extra: version%2 == 0, Timeout: timeout, Tenants: []standin.Tenant{{Name: "north", Key: "key-north"}}})
-	}
-	configure(2)
+	standin.Configure(f.store, standin.Config{Version: 2, Extra: true, Timeout: timeout, Tenants: []standin.Tenant{{Name: "north", Key: "key-north"}}})
 	f.requireExtra("the timeout")
-	var sending, changing sync.WaitGroup
-	ended := make(chan struct{})
-	changing.Go(func() {
-		for version := int64(3); ; version++ {
-			select {
-			case <-ended:
-				return
-			case <-time.After(configureInterval):
-				configure(version)
-			}
-		}
-	})
+	var sending sync.WaitGroup
+	stopConfiguring := f.configureEvery(configureInterval, timeout)
 	for round := range rounds {
 		for i, kind := range []standin.Kind{standin.Resumable, standin.Stream, standin.Safe, standin.Unsafe} {
 			sending.Go(func() {
@@ -64,6 +51,5 @@
 		time.Sleep(silence)
 	}
 	sending.Wait()
-	close(ended)
-	changing.Wait()
+	stopConfiguring()
 }
