Count a part of a response without length as truncated

An engine that answered a long upload at once with a response without length, sent a part of it and reset the connection gave its client that part as a complete response: the write that fails at the reset uses up the socket's error, so that the read after it returns a regular end.

A status outside 100 to 599 is no response. One below 100 counted as informational, so that the next response was read from its body; one over 599 reached the client.

--- a/pkg/gateway/exchange/exchange.go
+++ b/pkg/gateway/exchange/exchange.go
@@ -81,8 +81,9 @@
 type Response struct {
 	Status int
 	Header http.Header
-	// Framed is set if the body has a content length or is chunked. Otherwise it ends when the
-	// connection is closed, and a truncated body cannot be detected.
+	// Framed is set if the body has a content length or is chunked. Otherwise it ends when the connection is closed. It then
+	// counts as truncated if the connection was reset or ended before the request was written. If its server closes the
+	// connection as after a complete body, a truncated body cannot be detected.
 	Framed bool
 
 	requestID string
@@ -104,6 +105,9 @@
 // Read reads the body. io.EOF means that the body is complete.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
+	if err == io.EOF && !r.Framed && !r.bodyRead && r.body != http.NoBody {
+		err = r.checkUnframedEnd()
+	}
 	if err == io.EOF {
 		r.bodyRead = true
 	}
@@ -314,6 +318,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := checkStatus(response); err != nil {
+			return nil, err
+		}
 		if response.StatusCode >= 200 || response.StatusCode == http.StatusSwitchingProtocols {
 			return response, nil
 		}
