Refuse incomplete responses and invalid statuses of plain services

The product's own node relayed a part of a response without length as complete if the backend server had answered a long upload at once and ended the connection while it was being written, and recorded it as the outcome of a non-idempotent call. A status below 100 made its handler panic; one over 599 reached the caller.

--- a/pkg/gateway/exchange/truncation.go
+++ b/pkg/gateway/exchange/truncation.go
@@ -8,7 +8,7 @@
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"cassiawall.example/cassiawall/pkg/tcpstate"
 )
 
 // A body without length or chunks ends with its connection, so that only the way in which the connection ends tells whether
@@ -18,10 +18,6 @@
 // ends may close its sending side first.
 const resetGrace = 5 * time.Millisecond
 
-// tcpClosed is the TCP_INFO state of a connection that was reset or has timed out. One whose server has only closed it is in
-// another state.
-const tcpClosed = 7
-
 // errReset is the cause for which a body without length is truncated although a read returned io.EOF: a write that fails at a
 // reset uses up the socket's error, so that the reads after it report a regular end.
 var errReset = fmt.Errorf("the connection was reset: %w", syscall.ECONNRESET)
@@ -53,13 +49,7 @@
 
 // wasReset reports whether the connection was reset or has timed out.
 func (c *conn) wasReset() bool {
-	if c.rawConn == nil {
-		return false
-	}
-	var info *unix.TCPInfo
-	var failed error
-	err := c.rawConn.Control(func(fd uintptr) { info, failed = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
-	return err != nil || failed == nil && info.State == tcpClosed
+	return c.rawConn != nil && tcpstate.WasReset(c.rawConn)
 }
 
 const (
--- a/pkg/service/client.go
+++ b/pkg/service/client.go
@@ -33,7 +33,8 @@
 	Body   []byte
 }
 
-// Client is the HTTP client for backend servers. Errors are of kind fault.BackendUnavailable
+// Client is the HTTP client for backend servers. A response whose status HTTP does not define is an error, and a body without
+// length or chunks is truncated unless its end shows that it is complete. Errors are of kind fault.BackendUnavailable
 // with fault.NotRun if no byte was sent, else of kind fault.BackendFailed with fault.Unknown. It is
 // safe for concurrent use.
 type Client struct {
@@ -91,7 +92,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &pooledConn{Conn: conn}, nil
+	return &pooledConn{Conn: endCheckedConn{conn}}, nil
 }
 
 // Send sends an idempotent request over a pooled connection. The transport may send it again if
@@ -145,7 +146,7 @@
 				return nil, fault.New(fault.Internal, "transport opened a second connection for a request that may be sent only once")
 			}
 			dialled = true
-			return conn, nil
+			return endCheckedConn{conn}, nil
 		},
 	}
 	return roundTrip(transport, req)
@@ -164,10 +165,12 @@
 // before: the transport also dials to send a request again whose pooled connection broke.
 func roundTrip(t http.RoundTripper, req *http.Request) (*http.Response, error) {
 	var written atomic.Bool
-	trace := &httptrace.ClientTrace{WroteHeaders: func() { written.Store(true) }}
+	up := newUpload()
+	trace := up.trace()
+	trace.WroteHeaders = func() { written.Store(true) }
 	response, err := t.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err == nil {
-		return response, nil
+		return checkResponse(response, up)
 	}
 	if isDialError(err) && !written.Load() {
 		return nil, fault.Wrap(err, fault.BackendUnavailable, "backend server is unreachable")
