--- a/pkg/gateway/exchange/truncation.go
+++ b/pkg/gateway/exchange/truncation.go
@@ -57,6 +57,9 @@
 	maxStatus = 599
 )
 
+// IsFinalStatus reports whether a status is one that HTTP defines for a response that is not informational.
+func IsFinalStatus(status int) bool { return status >= http.StatusOK && status <= maxStatus }
+
 // errInvalidStatus is the cause of an Error after a response with a status that HTTP does not define.
 var errInvalidStatus = errors.New("the status is not between 100 and 599")
 
