--- a/pkg/engine/client.go
+++ b/pkg/engine/client.go
@@ -195,7 +195,9 @@
 	defer response.Body.Close()
 	limited := io.LimitReader(response.Body, maxResponseBytes)
 	if into == nil {
-		_, _ = io.Copy(io.Discard, limited)
+		if _, err := io.Copy(io.Discard, limited); err != nil {
+			return fault.Wrap(err, fault.EngineFailed, "reply of engine %s was cut", c.baseURL).WithWork(fault.Unknown)
+		}
 		return nil
 	}
 	if err := json.NewDecoder(limited).Decode(into); err != nil {
