--- a/pkg/gateway/forward/router.go
+++ b/pkg/gateway/forward/router.go
@@ -18,6 +18,7 @@
 	"cassiawall.example/cassiawall/pkg/gateway/routes"
 	"cassiawall.example/cassiawall/pkg/metrics"
 	"cassiawall.example/cassiawall/pkg/recovery"
+	"cassiawall.example/cassiawall/pkg/tcpstate"
 )
 
 // DesiredWeights provides the desired versions of model weights. Its times are on the clock of clock.Now.
@@ -106,7 +107,7 @@
 
 // ServeHTTP implements http.Handler.
 func (r *Router) ServeHTTP(w http.ResponseWriter, req *http.Request) {
-	defer r.containPanic()
+	defer r.containPanic(w, req)
 	receivedAt := time.Now()
 	if r.opt.Shutdown.Began() {
 		w.Header().Set("Connection", "close")
@@ -156,8 +157,9 @@
 	})
 }
 
-// containPanic closes the client's connection after an unexpected panic, without a response that could be wrong.
-func (r *Router) containPanic() {
+// containPanic ends the client's connection after an unexpected panic, without a response that could be wrong, and after
+// http.ErrAbortHandler.
+func (r *Router) containPanic(w http.ResponseWriter, req *http.Request) {
 	cause := recover()
 	if cause == nil {
 		return
@@ -165,6 +167,7 @@
 	if cause != http.ErrAbortHandler {
 		recovery.Guard{Logger: r.opt.Logger, Metrics: r.opt.Metrics}.Report("request", cause)
 	}
+	tcpstate.ResetUnframed(w, req)
 	panic(http.ErrAbortHandler)
 }
 
--- a/pkg/service/dispatch.go
+++ b/pkg/service/dispatch.go
@@ -18,6 +18,7 @@
 	"cassiawall.example/cassiawall/pkg/fault"
 	"cassiawall.example/cassiawall/pkg/metrics"
 	"cassiawall.example/cassiawall/pkg/retry"
+	"cassiawall.example/cassiawall/pkg/tcpstate"
 	"cassiawall.example/cassiawall/pkg/wait"
 )
 
@@ -148,7 +149,7 @@
 		response, err := d.send(ctx, c.address, request)
 		if err == nil {
 			defer response.Body.Close()
-			return relayResponse(w, response, call.RequestID)
+			return relayResponse(w, r, response, call.RequestID)
 		}
 		failure = mergeFailure(failure, fault.As(err))
 		d.recordFailure(call, c.address, err)
@@ -222,10 +223,11 @@
 
 // relayResponse relays a response. If the response is truncated, it aborts the caller's connection,
 // so that the caller does not mistake the part for a complete response.
-func relayResponse(w http.ResponseWriter, response *http.Response, requestID string) error {
+func relayResponse(w http.ResponseWriter, r *http.Request, response *http.Response, requestID string) error {
 	copyResponseHeader(w.Header(), response.Header, requestID)
 	w.WriteHeader(response.StatusCode)
 	if _, err := io.Copy(flushWriter{w, http.NewResponseController(w)}, response.Body); err != nil {
+		tcpstate.ResetUnframed(w, r)
 		panic(http.ErrAbortHandler)
 	}
 	return nil
--- a/pkg/service/truncation_test.go
+++ b/pkg/service/truncation_test.go
@@ -5,11 +5,13 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"cassiawall.example/cassiawall/pkg/blackboard"
 	"cassiawall.example/cassiawall/pkg/fault"
@@ -86,3 +88,29 @@
 		}
 	}
 }
+
+// Guards against a cut response that looks complete to a caller of HTTP/1.0, for which a response without length ends with its
+// connection.
+func TestCutResponseToACallerOfHTTP10IsReset(t *testing.T) {
+	for name, end := range map[string]string{"cut": "", "complete": "0\r\n\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			env := newTestEnv(t)
+			env.rawBackend(func(c net.Conn) {
+				var head [4096]byte
+				if _, err := c.Read(head[:]); err == nil {
+					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n"+end)
+				}
+			})
+			env.call.Route.NonIdempotent = false
+			node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { env.dispatcher.Dispatch(w, r, env.call) }))
+			defer node.Close()
+			caller, err := net.Dial("tcp4", node.Listener.Addr().String())
+			require.NoError(t, err)
+			defer caller.Close()
+			require.NoError(t, caller.SetDeadline(time.Now().Add(10*time.Second)))
+			_, _ = io.WriteString(caller, "POST /list HTTP/1.0\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody")
+			_, err = io.ReadAll(caller)
+			assert.Equal(t, name == "cut", err != nil, "%v", err)
+		})
+	}
+}
