Exchange the speeds of engines between the nodes

Streams are observed at their first event, reports and heartbeats carry the samples and the factors, and the registry holds the factor of each engine. It does not change which engine is picked.

--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -109,6 +109,8 @@
 	PauseInvalid       = define(942, "pause invalid", slog.LevelWarn, "correct the Retry-After of the backend server")
 	StreamIdle         = define(943, "stream idle", slog.LevelInfo, "look up why no other engine takes the stream, and what its engine does")
 	StreamResumed      = define(944, "stream resumed", slog.LevelInfo, "check the engine if it is silent often")
+	EngineSlow         = define(960, "engine slow", slog.LevelInfo, "check the engine and its VM if it stays slow")
+	EngineUsual        = define(961, "engine no longer slow", slog.LevelInfo, "none")
 	StoreBehind        = define(938, "list is older than the mirror", slog.LevelInfo, "none; the objects are listed again")
 	StoreRestored      = define(939, "store restored from a copy", slog.LevelWarn, "check that the operator's objects written since the copy are stored again")
 	RequestNotServed   = define(926, "request not served", slog.LevelInfo, "run cassiawall explain with the request's id")
--- a/pkg/gateway/backends/backends.go
+++ b/pkg/gateway/backends/backends.go
@@ -12,6 +12,7 @@
 	"cassiawall.example/cassiawall/pkg/gateway/cachemap"
 	"cassiawall.example/cassiawall/pkg/gateway/exchange"
 	"cassiawall.example/cassiawall/pkg/gateway/quota"
+	"cassiawall.example/cassiawall/pkg/gateway/speed"
 	"cassiawall.example/cassiawall/pkg/rendezvous"
 )
 
@@ -85,6 +86,10 @@
 	// loadingUntil is the time until which the engine gets no requests because it loads new weights.
 	loadingUntil time.Time
 	score        score
+	// speedKey is the speed.Key, and speedFactor how many times longer than the others of its service an engine takes to
+	// the first event of a prompt.
+	speedKey    uint32
+	speedFactor float64
 	statements
 	// suspectSince is set while the entry is missing after an outage of the store. relistedAt is set if the same entry has
 	// been listed again since.
@@ -201,7 +206,7 @@
 	if old != nil {
 		r.removeLocked(old)
 	}
-	m := &member{Backend: b, generationRevision: b.Revision, rendezvousHash: rendezvous.Hash(b.ID), dataCentreHash: rendezvous.Hash(b.DataCentre), idHash: cachemap.EngineHash(b.ID), pool: exchange.NewPool(b.Address), versions: map[string]knownVersion{}}
+	m := &member{Backend: b, generationRevision: b.Revision, rendezvousHash: rendezvous.Hash(b.ID), dataCentreHash: rendezvous.Hash(b.DataCentre), idHash: cachemap.EngineHash(b.ID), speedKey: speed.Key(b.ID, b.Started), speedFactor: 1, pool: exchange.NewPool(b.Address), versions: map[string]knownVersion{}}
 	m.applyListedVersions()
 	if m.knownSince = clock.Now(); d.restores(&b) {
 		m.statements = d.stated
--- a/pkg/gateway/forward/active_request.go
+++ b/pkg/gateway/forward/active_request.go
@@ -96,6 +96,10 @@
 	trial            bool
 	retryAfter       time.Duration
 	quarantineSentAt time.Time
+	// tokensToRead is the part of the prompt that the engine of the current send is assumed to read, because it neither has
+	// the tokens in memory nor fetches them.
+	tokensToRead int
+	speedSample  speedSample
 	// affinity caches the result of affinityKey once affinityKnown is set.
 	affinity      uint64
 	affinityKnown bool
@@ -249,6 +253,7 @@
 	a.eventDelivered, a.shownSound = false, false
 	a.tried = append(a.tried, c.ID)
 	backendReq := a.backendRequest(c, sentAt)
+	a.beginSpeedSample(c, clock.Now())
 	a.traceBackendChosen(c, backendReq)
 	if a.sends == 1 {
 		a.router.observe("queue_wait_ms", sentAt.Sub(a.receivedAt))
--- a/pkg/gateway/forward/cache.go
+++ b/pkg/gateway/forward/cache.go
@@ -169,8 +169,9 @@
 }
 
 // planCacheTransfers returns the addresses that the engine should fetch shared parts of the prompt from
-// and save them to. "" means none.
+// and save them to. "" means none. It also sets a.tokensToRead.
 func (a *activeRequest) planCacheTransfers(c *backends.Choice, now time.Time) (fetchFrom, saveTo string) {
+	a.tokensToRead = a.request.PromptTokens
 	hashes := a.sharedPrefixHashes(c.Version)
 	if len(hashes) == 0 {
 		return "", ""
@@ -191,7 +192,10 @@
 	engineAddress := func(engine uint32) string {
 		return a.router.opt.Backends.CacheSource(engine, a.request.Model, c.Version, now)
 	}
-	return fetchSource(prefixes, cachemap.EngineHash(c.ID), engineAddress, storeAddress), saveTo
+	chosen := cachemap.EngineHash(c.ID)
+	fetchFrom = fetchSource(prefixes, chosen, engineAddress, storeAddress)
+	a.tokensToRead = max(a.tokensToRead-a.cachedTokens(prefixes, chosen, fetchFrom, storeAddress), 0)
+	return fetchFrom, saveTo
 }
 
 // fetchSource returns the address of the engine or of the KV cache store that the chosen engine should fetch the
--- a/pkg/gateway/forward/forward_test.go
+++ b/pkg/gateway/forward/forward_test.go
@@ -23,6 +23,7 @@
 	"cassiawall.example/cassiawall/pkg/gateway/cachemap"
 	"cassiawall.example/cassiawall/pkg/gateway/popularity"
 	"cassiawall.example/cassiawall/pkg/gateway/routes"
+	"cassiawall.example/cassiawall/pkg/gateway/speed"
 	"cassiawall.example/cassiawall/pkg/metrics"
 )
 
@@ -180,7 +181,7 @@
 	opt := Options{
 		Protocol: testProtocol{}, Backends: registry, Weights: fixedWeights{newest: 3}, Prefixes: cachemap.New(),
 		RetryBudget: NewRetryBudget(RetryBudgetLimits{BaseRetries: 1000, Window: 10 * time.Second}), Config: func() *routes.Config { return config },
-		PrefixCounts: popularity.NewCounter(), PrefixRates: popularity.NewRates(),
+		PrefixCounts: popularity.NewCounter(), PrefixRates: popularity.NewRates(), Speeds: speed.NewTracker(),
 		Shutdown: NewShutdown(), BodyMemory: NewBodyMemory(0), Logger: slog.New(slog.DiscardHandler), Metrics: metrics.New(),
 	}
 	opt.RetryBudget.SetNodes(40, time.Now())
--- a/pkg/gateway/forward/relay.go
+++ b/pkg/gateway/forward/relay.go
@@ -146,6 +146,7 @@
 			}
 			events := a.events.push(buffer[:n])
 			if len(events) > 0 {
+				a.recordFirstEvent(c, time.Since(sentAt))
 				a.recordEvent(c)
 			}
 			if !a.relayEvents(flusher, response, events) {
--- a/pkg/gateway/forward/router.go
+++ b/pkg/gateway/forward/router.go
@@ -16,6 +16,7 @@
 	"cassiawall.example/cassiawall/pkg/gateway/decisions"
 	"cassiawall.example/cassiawall/pkg/gateway/popularity"
 	"cassiawall.example/cassiawall/pkg/gateway/routes"
+	"cassiawall.example/cassiawall/pkg/gateway/speed"
 	"cassiawall.example/cassiawall/pkg/metrics"
 	"cassiawall.example/cassiawall/pkg/recovery"
 )
@@ -41,6 +42,8 @@
 	PrefixCounts *popularity.Counter
 	PrefixRates  *popularity.Rates
 	Quarantine   *Quarantine
+	// Speeds models the time to the first event of a prompt on each engine.
+	Speeds *speed.Tracker
 	// Config returns the configuration in force, or nil before the first one.
 	Config func() *routes.Config
 	// BodyMemory bounds the memory of request bodies.
--- a/pkg/gateway/forward/trace.go
+++ b/pkg/gateway/forward/trace.go
@@ -35,7 +35,8 @@
 	a.trace.Add(event.BackendChosen, "backend", c.ID, "address", c.Address, "version", c.Version, "running", counts.Running,
 		"heartbeat_age_ms", counts.HeartbeatAge.Milliseconds(), "available", counts.Available, "paused", counts.Paused, "leaving", counts.Leaving, "loading", counts.Loading,
 		"tried", counts.Tried, "old_weights", counts.OldWeights, "left_ms", backendReq.Timeout.Milliseconds(), "fetch_from", backendReq.FetchFrom,
-		"save_to", backendReq.SaveTo, "salt", backendReq.CacheSalt, "prefix", partSizes(a.sharedParts()), "resume_after", backendReq.LastEventID, "send", a.sends)
+		"save_to", backendReq.SaveTo, "salt", backendReq.CacheSalt, "prefix", partSizes(a.sharedParts()), "resume_after", backendReq.LastEventID, "send", a.sends,
+		"tokens_to_read", a.tokensToRead, "expected_first_ms", a.speedSample.expected.Milliseconds())
 }
 
 // traceNoBackend records, once for a request, why no backend server is available.
--- a/pkg/gateway/node/metrics.go
+++ b/pkg/gateway/node/metrics.go
@@ -20,6 +20,7 @@
 	registry.GaugeFunc("cache_store_up", func() float64 { return float64(n.countStoresUp()) })
 	registry.GaugeFunc("log_lines_dropped", func() float64 { return float64(n.opt.LinesDropped()) })
 	registry.GaugeFunc("quarantined_parts", func() float64 { return float64(len(n.quarantine.Suspects())) })
+	registry.GaugeFunc("slow_engines", func() float64 { return float64(n.registry.CountSlow()) })
 	registry.GaugeFunc("request_body_bytes", func() float64 { return float64(n.bodyMemory.Used()) })
 	for _, m := range n.mirrors {
 		registry.GaugeFunc("mirror_revision", func() float64 { return float64(m.Revision()) }, "kind", m.Kind())
--- a/pkg/gateway/node/node.go
+++ b/pkg/gateway/node/node.go
@@ -17,6 +17,7 @@
 	"cassiawall.example/cassiawall/pkg/gateway/peers"
 	"cassiawall.example/cassiawall/pkg/gateway/popularity"
 	"cassiawall.example/cassiawall/pkg/gateway/routes"
+	"cassiawall.example/cassiawall/pkg/gateway/speed"
 	"cassiawall.example/cassiawall/pkg/gateway/weights"
 	"cassiawall.example/cassiawall/pkg/metrics"
 	"cassiawall.example/cassiawall/pkg/recovery"
@@ -123,8 +124,11 @@
 	board      *board
 	link       *peers.Link
 	quarantine *forward.Quarantine
-	stopping   *forward.Shutdown
-	bodyMemory *forward.BodyMemory
+	// speeds models the time to the first event on each engine. speedCombiner is in use while this node acts as the leader.
+	speeds        *speed.Tracker
+	speedCombiner *speed.Combiner
+	stopping      *forward.Shutdown
+	bodyMemory    *forward.BodyMemory
 }
 
 // New returns a node. It makes no calls before Run.
@@ -142,6 +146,7 @@
 		bodyMemory:  forward.NewBodyMemory(int64(bodyMemoryShare * opt.Settings.MemoryMB * (1 << 20))),
 
 		prefixCounts: popularity.NewCounter(), prefixRates: popularity.NewRates(),
+		speeds: speed.NewTracker(), speedCombiner: speed.NewCombiner(),
 	}
 	n.registry.SetDrainLimit(opt.Settings.ChangeDeadline)
 	if source, ok := opt.Engines.(noticeSource); ok {
@@ -293,6 +298,7 @@
 		now := time.Now()
 		n.registry.Sweep(now)
 		n.quarantine.Expire()
+		n.refreshSpeedFactors()
 		if back := n.registry.AdmitRelisted(); len(back) > 0 {
 			event.BackendListed.Emit(n.opt.Logger, "backends", back, "without_news", true)
 		}
@@ -310,7 +316,7 @@
 func (n *Node) router() *forward.Router {
 	return forward.NewRouter(forward.Options{
 		Protocol: n.opt.Protocol, Backends: n.registry, Weights: n.versions, RetryBudget: n.retryBudget, Prefixes: n.prefixes,
-		PrefixCounts: n.prefixCounts, PrefixRates: n.prefixRates, Quarantine: n.quarantine,
+		PrefixCounts: n.prefixCounts, PrefixRates: n.prefixRates, Quarantine: n.quarantine, Speeds: n.speeds,
 		Config:   func() *routes.Config { return n.config.current.Load() },
 		Shutdown: n.stopping, BodyMemory: n.bodyMemory, Logger: n.opt.Logger, Metrics: n.opt.Metrics,
 	})
--- a/pkg/gateway/peers/leader.go
+++ b/pkg/gateway/peers/leader.go
@@ -115,6 +115,7 @@
 	l.opt.Board.ApplyFrequent(m.Frequent)
 	m.States, m.PrefixUpdates = l.opt.Board.States(total, ForHeartbeat), l.opt.Board.TakePrefixUpdates()
 	l.addEvidenceToHeartbeat(m)
+	l.addSpeedsToHeartbeat(m, readAt)
 	permits := l.opt.Board.IssuePermits(append(addresses(targets), l.opt.Address))
 	for i := range targets {
 		targets[i].echo.Permits = permits[targets[i].address]
--- a/pkg/gateway/peers/link.go
+++ b/pkg/gateway/peers/link.go
@@ -54,6 +54,7 @@
 // Board is the state of a node that its link reads and updates. The times that it receives are on the clock of
 // clock.Now.
 type Board interface {
+	SpeedBoard
 	// Loads returns this node's running requests.
 	Loads() []backends.Load
 	// TakePrefixUpdates returns and clears this node's pending entries of cached prefixes. MergePrefixUpdates
@@ -262,7 +263,7 @@
 // sendReport reports this node's running requests to the leader. While the leader is silent, it queries the
 // standbys and reports to random peers.
 func (l *Link) sendReport() {
-	m := &message{From: l.opt.Address, Revisions: l.opt.Board.Revisions(), Loads: l.opt.Board.Loads(), PrefixUpdates: l.opt.Board.TakePrefixUpdates(), Counts: l.opt.Board.TakeCounts(), Quota: l.opt.Board.QuotaReport()}
+	m := &message{From: l.opt.Address, Revisions: l.opt.Board.Revisions(), Loads: l.opt.Board.Loads(), PrefixUpdates: l.opt.Board.TakePrefixUpdates(), Counts: l.opt.Board.TakeCounts(), Quota: l.opt.Board.QuotaReport(), Speeds: l.opt.Board.SpeedReport()}
 	targets, replyRequested := l.reportTargets()
 	m.ReplyRequested = replyRequested
 	m.SentAt = l.timestamps.next()
--- a/pkg/gateway/peers/message.go
+++ b/pkg/gateway/peers/message.go
@@ -62,6 +62,8 @@
 	Evidence []byte
 	// Quota is the encoded quota.Report of a report's node.
 	Quota []byte
+	// Speeds are the encoded samples of a report's node, or the factors in a heartbeat; see package speed.
+	Speeds []byte
 
 	// echo follows the message in the datagram, because it differs between the receivers of a message. It is zero
 	// in reports and in messages of earlier versions.
--- a/pkg/gateway/peers/peers_test.go
+++ b/pkg/gateway/peers/peers_test.go
@@ -21,6 +21,7 @@
 
 // fakeBoard records what a link passes to it.
 type fakeBoard struct {
+	speedBoard
 	mu        sync.Mutex
 	loads     []backends.Load
 	prefixes  []byte
--- a/pkg/gateway/peers/receive.go
+++ b/pkg/gateway/peers/receive.go
@@ -69,6 +69,7 @@
 		l.opt.Board.ApplyHeartbeat(m.Heartbeat, m.Revisions, readAt)
 		l.opt.Board.ApplyStates(m.States, m.Revisions, readAt)
 		l.opt.Board.ApplyFrequent(m.Frequent)
+		l.opt.Board.ApplySpeeds(m.Speeds, readAt)
 		l.opt.Board.MergePrefixUpdates(m.PrefixUpdates, false)
 	}
 	// Evidence holds whoever sends it.
@@ -170,6 +171,7 @@
 	l.opt.Board.MergeEvidence(m.Evidence, true, time.Time{})
 	if leading {
 		l.opt.Board.AddCounts(m.Counts)
+		l.opt.Board.AddSpeedReport(m.Speeds)
 		if l.opt.Board.AddQuotaReport(m.From, m.Quota) {
 			l.RequestUpdate()
 		}
--- a/pkg/gateway/speed/combine.go
+++ b/pkg/gateway/speed/combine.go
@@ -47,10 +47,13 @@
 	takeoverGap = 5 * time.Second
 	// changeRepeats is the number of further announcements with a changed factor, because messages may be lost.
 	changeRepeats = 2
-	// slowFactor is the factor from which an engine counts as slow, and usualFactor the one below which it no longer does.
-	slowFactor, usualFactor = 1.5, 1.4
+	// usualFactor is the factor below which an engine no longer counts as slow.
+	usualFactor = 1.4
 )
 
+// SlowFactor is the factor above which an engine counts as slow.
+const SlowFactor = 1.5
+
 // Combiner combines the reports of all nodes at the leader. It is safe for concurrent use.
 type Combiner struct {
 	mu          sync.Mutex
@@ -167,7 +170,7 @@
 			e.repeats = changeRepeats + 1
 		}
 		factor := math.Exp2(e.announced)
-		if slow := factor > slowFactor || e.slow && factor > usualFactor; slow != e.slow {
+		if slow := factor > SlowFactor || e.slow && factor > usualFactor; slow != e.slow {
 			e.slow = slow
 			changes = append(changes, Change{Engine: key, Slow: slow, Factor: factor, Samples: e.weight})
 		}
@@ -186,7 +189,7 @@
 	clear(c.engines)
 	for key := range services {
 		e := &combined{announced: decodeOctaves(encodeOctaves(math.Log2(known(key))))}
-		e.slow = math.Exp2(e.announced) > slowFactor
+		e.slow = math.Exp2(e.announced) > SlowFactor
 		e.average.add(e.announced, seedSamples, combinedHalfLife, now)
 		c.engines[key] = e
 	}
--- a/pkg/gateway/speed/simulation_test.go
+++ b/pkg/gateway/speed/simulation_test.go
@@ -271,7 +271,7 @@
 						continue
 					}
 					if p.name == "a third slower" && isSlowThird(i) {
-						assert.Greater(t, f, slowFactor, "engine %d after %v", i, elapsed)
+						assert.Greater(t, f, SlowFactor, "engine %d after %v", i, elapsed)
 						continue
 					}
 					usual++
@@ -284,7 +284,7 @@
 			s.run(60 * time.Second)
 			t.Logf("%d of %d factors of usual engines are not 1, highest %.2f", changed, usual, highest)
 			assert.Less(t, float64(changed), 0.02*float64(usual))
-			assert.Less(t, highest, slowFactor)
+			assert.Less(t, highest, SlowFactor)
 		})
 	}
 }
