Keep the factors within the budget of a heartbeat

With 256 factors a heartbeat exceeded the control traffic of a node, which the test of the traffic did not show because its heartbeat had no factors. At most 80 are announced now, and they take the place of cached prefixes.

--- a/pkg/gateway/peers/evidence.go
+++ b/pkg/gateway/peers/evidence.go
@@ -3,8 +3,9 @@
 import "time"
 
 const (
-	// maxHintBytes bounds what the leader's messages hold, from one heartbeat to the next, of cached prefixes and of
-	// evidence about prompt parts. Evidence takes the place of prefixes, which only save work.
+	// maxHintBytes bounds what the leader's messages hold, from one heartbeat to the next, of cached prefixes, of the
+	// factors of engines (at most speed.MaxAnnouncementBytes) and of evidence about prompt parts. Factors and evidence
+	// take the place of prefixes, which only save work.
 	maxHintBytes = 1872
 	// maxEvidenceBytes bounds the evidence in a heartbeat or a report, about 30 prompt parts in doubt at three
 	// engines, and maxUpdateEvidenceBytes that in all updates between two heartbeats.
@@ -39,11 +40,12 @@
 	l.pace(&l.reportPacer, gap, l.sendReport)
 }
 
-// addEvidenceToHeartbeat adds all evidence that counts, and shortens the prefixes accordingly.
+// addEvidenceToHeartbeat adds all evidence that counts, and shortens the prefixes according to its size and that of the
+// factors.
 func (l *Link) addEvidenceToHeartbeat(m *message) {
 	data, changes := l.opt.Board.Evidence(0, maxEvidenceBytes)
 	l.mu.Lock()
-	left := max(0, maxHintBytes-len(data)-l.evidenceBudget.updateBytes)
+	left := max(0, maxHintBytes-len(data)-len(m.Speeds)-l.evidenceBudget.updateBytes)
 	l.evidenceBudget = evidenceBudget{sent: changes}
 	l.mu.Unlock()
 	m.Evidence = data
--- a/pkg/gateway/peers/leader.go
+++ b/pkg/gateway/peers/leader.go
@@ -114,8 +114,8 @@
 	m.Frequent = l.opt.Board.Frequent()
 	l.opt.Board.ApplyFrequent(m.Frequent)
 	m.States, m.PrefixUpdates = l.opt.Board.States(total, ForHeartbeat), l.opt.Board.TakePrefixUpdates()
-	l.addEvidenceToHeartbeat(m)
 	l.addSpeedsToHeartbeat(m, readAt)
+	l.addEvidenceToHeartbeat(m)
 	permits := l.opt.Board.IssuePermits(append(addresses(targets), l.opt.Address))
 	for i := range targets {
 		targets[i].echo.Permits = permits[targets[i].address]
--- a/pkg/gateway/peers/peers_test.go
+++ b/pkg/gateway/peers/peers_test.go
@@ -15,6 +15,7 @@
 	"cassiawall.example/cassiawall/pkg/clock"
 	"cassiawall.example/cassiawall/pkg/gateway/backends"
 	"cassiawall.example/cassiawall/pkg/gateway/mirror"
+	"cassiawall.example/cassiawall/pkg/gateway/speed"
 	"cassiawall.example/cassiawall/pkg/metrics"
 	"cassiawall.example/cassiawall/pkg/recovery"
 )
@@ -431,6 +432,7 @@
 		heartbeat := &message{
 			From: "10.200.100.100:8000", Leader: true, Revisions: []Revision{{"config", 1 << 30, 5000}, {"servers", 1 << 30, 5000}, {"versions", 1 << 30, 5000}},
 			PrefixUpdates: make([]byte, 240*8), States: make([]byte, min(size.engines, backends.MaxStates)*9), Frequent: make([]byte, 64*6),
+			Speeds: make([]byte, speed.MaxAnnouncementBytes),
 			Heartbeat: Heartbeat{
 				Nodes: size.nodes, Lease: make([]byte, 160), LeaseVersion: 1 << 30, Synced: true, NodesSettled: true,
 				Standbys: []string{"10.200.100.101:8000", "10.200.100.102:8000", "10.200.100.103:8000"},
--- a/pkg/gateway/speed/combine.go
+++ b/pkg/gateway/speed/combine.go
@@ -153,7 +153,7 @@
 // Announce returns the encoded factors for a message of the leader, and the engines that have become slow or are no longer.
 // services holds the service of each engine by its key; others are dropped. known returns the factor that the previous
 // leader announced.
-func (c *Combiner) Announce(services map[uint32]string, known func(engine uint32) float64, now time.Time) (announcement []byte, changes []Change) {
+func (c *Combiner) Announce(services map[uint32]string, known func(engine uint32, now time.Time) float64, now time.Time) (announcement []byte, changes []Change) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if now.Sub(c.announcedAt) > takeoverGap {
@@ -187,10 +187,10 @@
 }
 
 // seedLocked replaces the state by the factors that the previous leader announced.
-func (c *Combiner) seedLocked(services map[uint32]string, known func(engine uint32) float64, now time.Time) {
+func (c *Combiner) seedLocked(services map[uint32]string, known func(engine uint32, now time.Time) float64, now time.Time) {
 	clear(c.engines)
 	for key := range services {
-		e := &combined{announced: decodeOctaves(encodeOctaves(math.Log2(known(key))))}
+		e := &combined{announced: decodeOctaves(encodeOctaves(math.Log2(known(key, now))))}
 		e.slow = math.Exp2(e.announced) > SlowFactor
 		e.average.add(e.announced, seedSamples, combinedHalfLife, now)
 		c.engines[key] = e
--- a/pkg/gateway/speed/encoding.go
+++ b/pkg/gateway/speed/encoding.go
@@ -11,10 +11,11 @@
 const (
 	// maxReported bounds the engines in a report, to 384 bytes.
 	maxReported = 64
-	// maxAnnounced bounds the engines in an announcement, to 1,281 bytes, and maxRefreshed those whose factor has not
-	// changed: they are repeated for nodes that have started or missed a message.
-	maxAnnounced = 256
-	maxRefreshed = 64
+	// maxAnnounced bounds the engines in an announcement, so that it has at most MaxAnnouncementBytes, and maxRefreshed
+	// those whose factor has not changed: they are repeated for nodes that have started or missed a message. 790 engines
+	// have their turn in 25 announcements, before factorTTL at one a second.
+	maxAnnounced = 80
+	maxRefreshed = 32
 	// reportBytes is the size of a reported engine: its key, the number of samples, and their mean.
 	reportBytes = 6
 	// factorBytes is the size of an announced factor: the key of the engine, and the factor.
@@ -25,6 +26,9 @@
 	formatVersion = 1
 )
 
+// MaxAnnouncementBytes is the size of the largest announcement.
+const MaxAnnouncementBytes = 1 + maxAnnounced*factorBytes
+
 func encodeOctaves(octaves float64) byte {
 	return byte(int8(min(max(math.Round(octaves*stepsPerOctave), -math.MaxInt8), math.MaxInt8)))
 }
--- a/pkg/gateway/speed/speed.go
+++ b/pkg/gateway/speed/speed.go
@@ -39,8 +39,8 @@
 	// significance is the deviation from which a difference counts, in standard errors. Samples of a few requests that
 	// wait in the same queue are not independent: with 3, twice as many engines under high load got a factor.
 	significance = 4.0
-	// minDifference is the difference from 1, in octaves, from which a factor counts. 0.25 is 19%: an
-	// engine with 3 times the load of the others takes up to 17% longer than expected for its running requests.
+	// minDifference is the difference from 1, in octaves, from which a factor counts. 0.25 is 19%: with 0.2, engines with
+	// three times the load of the others got factors of 1.19 in a replay.
 	minDifference = 0.25
 	// maxRatio bounds the ratio of a sample, in octaves.
 	maxRatio = 3.0
@@ -180,11 +180,11 @@
 	return math.Exp2(t.octavesLocked(e, now))
 }
 
-// Announced returns the factor that the leader announced for an engine, or 1.
-func (t *Tracker) Announced(engine uint32) float64 {
+// Announced returns the factor that the leader announced for an engine in the last factorTTL, or 1.
+func (t *Tracker) Announced(engine uint32, now time.Time) float64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if e := t.engines[engine]; e != nil {
+	if e := t.engines[engine]; e != nil && now.Sub(e.announcedAt) < factorTTL {
 		return math.Exp2(e.announced)
 	}
 	return 1
