Let few nodes call the store without a leader and during an outage

After a restart of all nodes, the seeds relay store changes to the others until there is a leader, as the standbys do while a leader is silent. A store that does not respond is tried with one call at a time for all kinds of objects and growing pauses, whose length depends on the node's role. A node competes for the lease only while the store is known to respond, and learns of a newer lease from replies.

The leader lists each 0.8 s at most: with a change deadline of 3 s it listed each 1.05 s, counted as out of sync for 0.15 s of that, and the standbys called the store as well.

TestStoppedLeaderHandsOver expects two announcements in place of one: the leader also announces that it has taken the lease.

--- a/pkg/gateway/mirror/list.go
+++ b/pkg/gateway/mirror/list.go
@@ -8,29 +8,24 @@
 	"cassiawall.example/cassiawall/pkg/wait"
 )
 
-// list retries until the store has listed the objects. It returns false if ctx ends first.
+// list lists the objects. It returns false after a pause if the store did not list them, or as they were before newer content
+// that arrived from a peer.
 func (m *Mirror) list(ctx context.Context) (int64, bool) {
-	pause := minRetryPause
-	for {
-		calledAt := m.now()
-		callCtx, cancel := context.WithTimeout(ctx, listTimeout)
-		entries, revision, err := m.opt.Source.List(callCtx, m.opt.Kind)
-		cancel()
-		if err == nil {
-			m.recordSuccess(calledAt)
-			m.recordLatency(m.now().Sub(calledAt))
-			if m.applyList(entries, revision, calledAt) {
-				return revision, true
-			}
-			if !wait.Pause(ctx, minRetryPause) {
-				return 0, false
-			}
-			continue
-		}
-		if !m.backOff(ctx, err, &pause) {
-			return 0, false
-		}
+	calledAt := m.now()
+	callCtx, cancel := context.WithTimeout(ctx, listTimeout)
+	entries, revision, err := m.opt.Source.List(callCtx, m.opt.Kind)
+	cancel()
+	if err != nil {
+		m.backOff(ctx, err)
+		return 0, false
+	}
+	m.recordSuccess(calledAt)
+	m.recordLatency(m.now().Sub(calledAt))
+	if !m.applyList(entries, revision, calledAt) {
+		wait.Pause(ctx, minRetryPause)
+		return 0, false
 	}
+	return revision, true
 }
 
 // applyList replaces the content by a list from the store if they differ. The list was requested at calledAt and has
--- a/pkg/gateway/mirror/mirror.go
+++ b/pkg/gateway/mirror/mirror.go
@@ -109,7 +109,8 @@
 	// IsFollower reports whether another node relays store changes to this one, which then need not call the
 	// store.
 	IsFollower func() bool
-	// MayCall reports whether the store may be called. A node that has just started first asks its peers.
+	// MayCall reports whether the store may be called. A node that has just started first asks its peers, and a node whose
+	// calls fail makes few. It is asked immediately before each list, and before no watch that follows a successful call.
 	MayCall func() bool
 	// OnChange is called in a goroutine of its own after a change from the store. It may be nil.
 	OnChange func()
@@ -122,11 +123,14 @@
 	// now is clock.Now: ages count the time for which the VM was suspended.
 	now func() time.Time
 
+	// retryPause is the pause after the next failed call. Only Run uses it.
+	retryPause time.Duration
+
+	mu sync.Mutex
+	// failing is set since failingSince while calls fail.
 	failing      bool
 	failingSince time.Time
-
-	mu          sync.Mutex
-	recoveredAt time.Time
+	recoveredAt  time.Time
 	// restoredAt is the time at which a restoration of the store became known.
 	restoredAt time.Time
 	// reachedAt is the last time at which the store is known to have responded.
@@ -215,13 +219,13 @@
 // Run replicates the store until ctx ends.
 func (m *Mirror) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if !m.opt.MayCall() || m.Revision() > 0 && m.opt.IsFollower() {
+		if m.Revision() > 0 && m.opt.IsFollower() || !m.opt.MayCall() {
 			wait.Pause(ctx, followerPollInterval)
 			continue
 		}
 		revision, ok := m.list(ctx)
 		if !ok {
-			return
+			continue
 		}
 		m.watch(ctx, revision, m.now().Add(m.opt.ListInterval()))
 	}
@@ -236,7 +240,6 @@
 
 // watch applies changes until the objects should be listed again, this node becomes a follower, or ctx ends.
 func (m *Mirror) watch(ctx context.Context, revision int64, deadline time.Time) {
-	pause := minRetryPause
 	for ctx.Err() == nil {
 		left := deadline.Sub(m.now())
 		if left <= 0 || m.opt.IsFollower() {
@@ -253,10 +256,9 @@
 			wait.Pause(ctx, minRetryPause)
 			return
 		case err != nil:
-			if !m.backOff(ctx, err, &pause) {
-				return
-			}
-			continue
+			// A list shows at once whether the store responds again, a watch only after its wait.
+			m.backOff(ctx, err)
+			return
 		}
 		respondedAt := calledAt
 		if len(changes) == 0 && m.now().Sub(calledAt) >= left {
@@ -264,7 +266,6 @@
 			respondedAt = calledAt.Add(left.Truncate(time.Millisecond))
 		}
 		m.recordSuccess(respondedAt)
-		pause = minRetryPause
 		m.apply(changes)
 		revision = next
 		if m.opt.BatchDelay > 0 && len(changes) > 0 && !wait.Pause(ctx, m.opt.BatchDelay) {
@@ -320,32 +321,38 @@
 	m.tombstones[name] = m.revision
 }
 
-// backOff logs the first of several failed calls in a row and pauses before the next call. It returns false if
-// ctx ends.
-func (m *Mirror) backOff(ctx context.Context, err error, pause *time.Duration) bool {
+// backOff logs the first of several failed calls in a row and pauses before the next call.
+func (m *Mirror) backOff(ctx context.Context, err error) {
 	if ctx.Err() != nil {
-		return false
+		return
 	}
-	if !m.failing {
-		m.failing, m.failingSince = true, m.now()
+	if m.recordFailure() {
 		event.StoreLost.Emit(m.opt.Logger, "kind", m.opt.Kind, "error", err.Error())
 	}
-	ok := wait.Pause(ctx, *pause/2+rand.N(*pause/2))
-	*pause = min(*pause*2, maxRetryPause)
-	return ok
+	m.retryPause = max(m.retryPause, minRetryPause)
+	wait.Pause(ctx, m.retryPause/2+rand.N(m.retryPause/2))
+	m.retryPause = min(m.retryPause*2, maxRetryPause)
+}
+
+// recordFailure reports whether a failed call is the first of several in a row.
+func (m *Mirror) recordFailure() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.failing {
+		return false
+	}
+	m.failing, m.failingSince = true, m.now()
+	return true
 }
 
 // recordSuccess records that the store responded at a time or later, and logs the end of an outage.
 func (m *Mirror) recordSuccess(at time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.reachedAt = at
-	if !m.failing {
-		return
+	m.reachedAt, m.retryPause = at, 0
+	if m.failing {
+		m.recordRecoveryLocked()
 	}
-	m.failing = false
-	m.recoveredAt = m.now()
-	event.StoreRegained.Emit(m.opt.Logger, "kind", m.opt.Kind, "outage_ms", m.now().Sub(m.failingSince).Milliseconds())
 }
 
 func (m *Mirror) recordLatency(took time.Duration) {
--- a/pkg/gateway/node/board.go
+++ b/pkg/gateway/node/board.go
@@ -72,6 +72,10 @@
 	// node, was known to be in sync with the store.
 	lastSyncedHeartbeat time.Time
 	nodeCount           int
+	// calls decides when this node may call the store. competesFrom is the time from which it may compete for the lease, or
+	// zero while the store is not known to respond.
+	calls        *storeCalls
+	competesFrom time.Time
 	// wasFollower is the last result of isFollower, whose changes are logged.
 	wasFollower bool
 }
@@ -84,6 +88,8 @@
 	since     time.Time
 	fetching  bool
 	lastFetch time.Time
+	// retrying is set while a fetch is scheduled that could not be made at once.
+	retrying bool
 	// fetchFailed is set if the last fetch from a peer that relays store changes failed. This node then calls the store
 	// until it has reached revision.
 	fetchFailed bool
@@ -92,12 +98,12 @@
 var _ peers.Board = (*board)(nil)
 
 func newBoard(n *Node) *board {
-	b := &board{node: n, lagByKind: map[string]lag{}, announcer: backends.NewAnnouncer(), prefixTotals: popularity.NewTotals(), distributor: quota.NewDistributor()}
+	b := &board{node: n, lagByKind: map[string]lag{}, announcer: backends.NewAnnouncer(), prefixTotals: popularity.NewTotals(), distributor: quota.NewDistributor(), calls: newStoreCalls()}
 	s := n.opt.Settings
 	isOther := func(seed string) bool { return seed != s.PeerAddress }
 	// The seeds themselves, and at the first start the nodes that are suited as leaders, get the objects from
 	// the store for the others.
-	first := slices.Contains(s.Seeds, s.PeerAddress) || s.FirstStart && s.LinkMbps >= minLeaderLinkMbps
+	first := n.isSeed() || s.FirstStart && s.LinkMbps >= minLeaderLinkMbps
 	if first || !slices.ContainsFunc(s.Seeds, isOther) {
 		return b
 	}
@@ -291,6 +297,7 @@
 		b.wasFollower = follower
 		event.CoverageChanged.Emit(b.node.opt.Logger, "follower", follower, "leader", b.node.controller.Leader(),
 			"heartbeat_age_ms", age.Milliseconds(), "nodes", b.nodeCount)
+		b.recordRelayed(follower)
 		if !follower && b.node.link.IsStandby() {
 			b.node.controller.RecheckLease()
 		}
@@ -354,17 +361,31 @@
 	now := time.Now()
 	l, ok := b.lagByKind[kind]
 	if !ok || held() >= l.revision {
-		l = lag{revision: revision, since: now, lastFetch: l.lastFetch}
+		l = lag{revision: revision, since: now, lastFetch: l.lastFetch, retrying: l.retrying}
 	}
 	interval := max(minFetchInterval, time.Duration(b.nodeCount)*fetchIntervalPerNode)
 	due := relayed || awaiting || now.Sub(l.since) >= peerFetchDelay
 	if !l.fetching && now.Sub(l.lastFetch) >= interval && due {
 		l.fetching, l.lastFetch = true, now
 		go b.node.guard().Run("fetch from a peer", func() { b.fetchFromPeer(peer, m, relayed) })
+	} else if relayed && !l.retrying {
+		// Without another message, the last of several changes would be fetched with the next heartbeat only.
+		l.retrying = true
+		time.AfterFunc(max(interval-now.Sub(l.lastFetch), minFetchInterval), func() { b.retryFetch(peer, kind, revision) })
 	}
 	b.lagByKind[kind] = l
 }
 
+// retryFetch fetches the objects up to a revision that a relaying peer has announced if the mirror still lacks them.
+func (b *board) retryFetch(peer, kind string, revision int64) {
+	b.mu.Lock()
+	l := b.lagByKind[kind]
+	l.retrying = false
+	b.lagByKind[kind] = l
+	b.mu.Unlock()
+	b.node.guard().Run("fetch from a peer", func() { b.HandlePeerRevision(peer, kind, revision, true, time.Time{}) })
+}
+
 // fetchFromPeer imports the objects that changed since the mirror's complete revision from a peer.
 func (b *board) fetchFromPeer(peer string, m *mirror.Mirror, relayed bool) {
 	failed := false
--- a/pkg/gateway/node/node.go
+++ b/pkg/gateway/node/node.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
@@ -74,6 +75,9 @@
 	// any other node that watches the store. A watch can miss changes, so these bound the delay of a change.
 	leaderListIntervalShare = 0.35
 	listIntervalShare       = 0.55
+	// maxLeaderListInterval is below syncedTTL: with a longer interval, the leader would count as out of sync at the end of each
+	// watch without changes, and the standbys would call the store as well.
+	maxLeaderListInterval = 800 * time.Millisecond
 	// minLeaderLinkMbps is the link bandwidth in Mbit/s at which a node can send loads and objects to 150
 	// others without saturating the link. Nodes below it wait slowLinkLeaseDelay longer before they
 	// acquire the lease.
@@ -104,16 +108,24 @@
 	maxHeaderBytes = 32 << 10
 )
 
+// objectFetcher fetches mirrored objects from other nodes.
+type objectFetcher interface {
+	Fetch(ctx context.Context, address, kind string, since int64) (mirror.Content, error)
+}
+
 // Node is one process of the gateway. Run may be called once.
 type Node struct {
 	opt         Options
+	store       *storeClient
 	registry    *backends.Registry
 	versions    *weights.Versions
 	config      *configTarget
 	retryBudget *forward.RetryBudget
 	mirrors     []*mirror.Mirror
-	fetcher     *peers.Fetcher
-	prefixes    *cachemap.Map
+	fetcher     objectFetcher
+	// listen opens the link to the other nodes. It is replaced in tests without a network.
+	listen   func(peers.Options) (*peers.Link, error)
+	prefixes *cachemap.Map
 	// prefixCounts counts the requests by shared prefix, and prefixRates are the rates that the leader announced.
 	prefixCounts *popularity.Counter
 	prefixRates  *popularity.Rates
@@ -136,6 +148,7 @@
 		retryBudget: forward.NewRetryBudget(opt.Settings.RetryBudget),
 		config:      &configTarget{decoder: opt.Decoder, logger: opt.Logger},
 		fetcher:     peers.NewFetcher(),
+		listen:      peers.Listen,
 		prefixes:    cachemap.New(),
 		connected:   make(chan struct{}),
 		stopping:    forward.NewShutdown(),
@@ -143,6 +156,7 @@
 
 		prefixCounts: popularity.NewCounter(), prefixRates: popularity.NewRates(),
 	}
+	n.store = &storeClient{Store: opt.Store, node: n}
 	n.registry.SetDrainLimit(opt.Settings.ChangeDeadline)
 	if source, ok := opt.Engines.(noticeSource); ok {
 		notices := forward.NewNotices(n.registry, opt.Logger, opt.Metrics)
@@ -168,16 +182,16 @@
 // newMirror returns a mirror of one kind of objects. batchDelay is the pause after a watch that returned changes.
 func (n *Node) newMirror(kind string, target mirror.Target, batchDelay time.Duration) *mirror.Mirror {
 	return mirror.New(mirror.Options{
-		Kind: kind, Source: n.opt.Store, Target: target, Logger: n.opt.Logger, BatchDelay: batchDelay,
+		Kind: kind, Source: n.store, Target: target, Logger: n.opt.Logger, BatchDelay: batchDelay,
 		IsFollower: func() bool { return n.board.isRelayed(n.mirrorByKind(kind)) },
-		MayCall:    func() bool { return !n.board.awaitsPeers() },
+		MayCall:    func() bool { return n.board.mayCallStore() },
 		OnChange:   func() { n.link.RequestUpdate() },
 		ListInterval: func() time.Duration {
-			share := listIntervalShare
+			deadline := float64(n.opt.Settings.ChangeDeadline)
 			if n.controller.ActingLeader() || n.link.IsStandby() {
-				share = leaderListIntervalShare
+				return min(time.Duration(leaderListIntervalShare*deadline), maxLeaderListInterval)
 			}
-			return time.Duration(share * float64(n.opt.Settings.ChangeDeadline))
+			return time.Duration(listIntervalShare * deadline)
 		},
 	})
 }
@@ -191,14 +205,17 @@
 	if s.LinkMbps < minLeaderLinkMbps {
 		timing.AcquireDelay = slowLinkLeaseDelay
 	}
+	if !n.isSeed() {
+		timing.AcquireDelay += rand.N(leaseSpread)
+	}
 	n.controller = weights.New(weights.Options{
 		PeerAddress: s.PeerAddress, Instance: fmt.Sprint(s.Name, "/", time.Now().UnixNano()),
 		Timing: timing, Versions: n.versions, Backends: n.registry, Engines: n.opt.Engines,
-		Leases: n.opt.Store, NotifyPeers: func() time.Duration { return n.link.RequestUpdate() },
-		AnnounceLease: func() { n.link.RequestHeartbeat() }, MayCallStore: func() bool { return !n.board.awaitsPeers() },
+		Leases: n.store, NotifyPeers: func() time.Duration { return n.link.RequestUpdate() },
+		AnnounceLease: func() { n.link.RequestHeartbeat() }, MayCallStore: n.board.mayCompete,
 		Logger: n.opt.Logger, Metrics: n.opt.Metrics,
 	})
-	link, err := peers.Listen(peers.Options{
+	link, err := n.listen(peers.Options{
 		Address: s.PeerAddress, Seeds: s.Seeds, Leader: n.controller.Leader, HoldsLease: n.controller.HoldsLease,
 		ActingLeader: n.controller.ActingLeader,
 		Board:        n.board, Logger: n.opt.Logger, Guard: n.guard(),
--- a/pkg/gateway/node/quarantine.go
+++ b/pkg/gateway/node/quarantine.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"cassiawall.example/cassiawall/pkg/clock"
@@ -23,7 +22,7 @@
 func (n *Node) keepQuarantine(ctx context.Context) {
 	k := &quarantineKeeper{
 		store: n.opt.Store, quarantine: n.quarantine, holdsLease: n.controller.HoldsLease,
-		readsAtStart: slices.Contains(n.opt.Settings.Seeds, n.opt.Settings.PeerAddress),
+		readsAtStart: n.isSeed(),
 		announce:     func() { n.link.AnnounceEvidence() }, logger: n.opt.Logger,
 	}
 	k.step(ctx, time.Now())
--- a/pkg/gateway/peers/leader.go
+++ b/pkg/gateway/peers/leader.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"slices"
 	"time"
 
 	"cassiawall.example/cassiawall/pkg/clock"
@@ -14,8 +15,14 @@
 }
 
 // RequestUpdate is like RequestHeartbeat for an update, which contains the changed states of backend servers and
-// the revisions only.
+// the revisions only. On a relay it sends the revisions to the nodes that query it.
 func (l *Link) RequestUpdate() time.Duration {
+	if !l.opt.ActingLeader() && l.IsStandby() {
+		l.mu.Lock()
+		gap := time.Duration(len(l.reports)) * minUpdateGapPerNode
+		l.mu.Unlock()
+		return l.pace(&l.changesPacer, gap, l.sendRelayedChanges)
+	}
 	return l.request(&l.updates, minUpdateGapPerNode, l.sendUpdate)
 }
 
@@ -90,13 +97,29 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	targets, total = l.collectReportsLocked(now)
+	first := l.leadingSince.IsZero()
 	l.countNodesLocked(len(targets), now)
 	l.heartbeats.sentAt = now
 	l.heartbeatsSent++
 	l.standbys = pickEvenly(addresses(targets), standbyCount)
+	if first {
+		targets = l.addKnownPeersLocked(targets)
+	}
 	return targets, total, l.heartbeatsSent%heartbeatsPerPeerList == 0
 }
 
+// addKnownPeersLocked adds the known nodes that do not report to this one. They get the first heartbeat of a leader, so that
+// they need not compete for the lease.
+func (l *Link) addKnownPeersLocked(targets []target) []target {
+	reporting := addresses(targets)
+	for _, a := range l.knownPeers {
+		if !slices.Contains(reporting, a) {
+			targets = append(targets, target{address: a})
+		}
+	}
+	return targets
+}
+
 // collectReports is collectReportsLocked for messages between heartbeats.
 func (l *Link) collectReports() (targets []target, total map[string]backends.Load) {
 	l.mu.Lock()
--- a/pkg/gateway/peers/link.go
+++ b/pkg/gateway/peers/link.go
@@ -39,10 +39,8 @@
 	reportTTL = 3 * time.Second
 	// leaderTimeout is the time without a leader heartbeat after which a node also reports to random peers.
 	leaderTimeout = 1500 * time.Millisecond
-	// randomPeerCount is the number of random peers that a node without a leader reports to, and startPeerCount
-	// that of a node which has never had a leader, so that one of the seeds responds.
+	// randomPeerCount is the number of random peers that a node without a leader reports to.
 	randomPeerCount = 2
-	startPeerCount  = 3
 	// maxDatagramBytes is the size of the receive buffer. Longer datagrams are truncated and fail to decode.
 	maxDatagramBytes = 60 << 10
 	// Every heartbeatsPerPeerList-th heartbeat lists addresses of nodes.
@@ -145,7 +143,7 @@
 // Link exchanges datagrams with other nodes. Run may be called once.
 type Link struct {
 	opt        Options
-	conn       *net.UDPConn
+	conn       Conn
 	timestamps timestamps
 
 	mu         sync.Mutex
@@ -158,6 +156,10 @@
 	syncedHeartbeatAt time.Time
 	// standbys are those that the last leader heartbeat lists.
 	standbys []string
+	// relayedBy is the relay that was last known, at relayedAt, to relay store changes to this node. relayHeardAt is the time
+	// of the last message of the leader or of a relay.
+	relayedBy               string
+	relayedAt, relayHeardAt time.Time
 	// nodes is the number of nodes in the last heartbeat, sent or received. nodesSettled is set once it is not
 	// too low.
 	nodes          int
@@ -169,6 +171,8 @@
 	heartbeats, updates pacer
 	// reportPacer paces the reports between the regular ones.
 	reportPacer pacer
+	// changesPacer paces the messages of a relay about changes.
+	changesPacer pacer
 	// evidenceBudget is what the messages of the leader have used since the last heartbeat.
 	evidenceBudget evidenceBudget
 	// announcedRevisions are those in the last message of the leader to all nodes.
@@ -189,6 +193,8 @@
 	// sentAt is the timestamp of the report, and receivedAt the time of its receipt on the clock of clock.Now.
 	sentAt     int64
 	receivedAt time.Time
+	// replyRequested is set if the node queried this one.
+	replyRequested bool
 }
 
 // echo returns what a message in return states about the report, if its content is read from now on.
@@ -209,9 +215,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen on peer address: %w; check that no other process uses it", err)
 	}
-	l := &Link{opt: opt, conn: conn, timestamps: newTimestamps(), reports: map[string]loadReport{}, nodes: 1}
-	l.AddPeers(opt.Seeds)
-	return l, nil
+	return New(opt, conn), nil
 }
 
 // Run exchanges reports and heartbeats until ctx ends.
@@ -239,6 +243,9 @@
 	interval := Interval(l.nodes)
 	if l.heartbeatAt.IsZero() && !l.opt.ActingLeader() {
 		interval = startInterval
+		if l.isRelayedLocked() {
+			interval = relayedStartInterval
+		}
 	}
 	if untilQuery := clock.Until(l.syncedHeartbeatAt.Add(heartbeatsDuration(minQueryTimeout, queryTimeoutHeartbeats, l.nodes))); untilQuery > 0 {
 		return min(interval, untilQuery)
@@ -287,20 +294,19 @@
 	if leader != "" && leader != l.opt.Address {
 		addresses = append(addresses, leader)
 	}
-	if clock.Since(l.syncedHeartbeatAt) > heartbeatsDuration(minQueryTimeout, queryTimeoutHeartbeats, l.nodes) && !slices.Contains(l.standbys, l.opt.Address) {
+	if clock.Since(l.syncedHeartbeatAt) > heartbeatsDuration(minQueryTimeout, queryTimeoutHeartbeats, l.nodes) && !l.isRelayLocked() {
 		replyRequested = true
-		addresses = append(addresses, l.standbys...)
+		addresses = append(addresses, l.relaysToQueryLocked()...)
 	}
 	if leaderSilent {
 		replyRequested = true
-		count := randomPeerCount
-		if l.heartbeatAt.IsZero() {
-			count = startPeerCount
-		}
-		addresses = append(addresses, pickRandom(l.knownPeers, count)...)
+		addresses = append(addresses, pickRandom(l.knownPeers, randomPeerCount)...)
 	}
 	slices.Sort(addresses)
 	for _, a := range slices.Compact(addresses) {
+		if a == l.opt.Address {
+			continue
+		}
 		targets = append(targets, target{address: a})
 	}
 	return targets, replyRequested
--- a/pkg/gateway/peers/receive.go
+++ b/pkg/gateway/peers/receive.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"cassiawall.example/cassiawall/pkg/clock"
@@ -84,6 +83,7 @@
 		return false
 	}
 	l.heartbeatAt, l.heartbeatFrom, l.standbys = time.Now(), m.From, m.Heartbeat.Standbys
+	l.relayHeardAt = clock.Now()
 	l.nodes, l.nodesSettled = m.Heartbeat.Nodes, m.Heartbeat.NodesSettled
 	if m.Heartbeat.Synced {
 		l.recordSyncedLocked(readAt)
@@ -105,7 +105,7 @@
 	if l.opt.HoldsLease() || m.From != l.heartbeatFrom {
 		return false
 	}
-	l.heartbeatAt = time.Now()
+	l.heartbeatAt, l.relayHeardAt = time.Now(), clock.Now()
 	if m.Synced {
 		l.recordSyncedLocked(readAt)
 	}
@@ -129,24 +129,26 @@
 	l.opt.Board.MergeEvidence(m.Evidence, false, readAt)
 }
 
-// handleReply makes this node a follower if the reply comes from a standby in sync with the store. Standbys
-// are not followers of each other.
+// handleReply makes this node a follower if the reply comes from a relay in sync with the store. Relays are not
+// followers of each other.
 func (l *Link) handleReply(m *message) {
+	readAt := l.timestamps.readAt(m.echo, clock.Now())
 	l.mu.Lock()
-	relayed := m.Synced && slices.Contains(l.standbys, m.From) && !slices.Contains(l.standbys, l.opt.Address)
+	relayed := l.recordReplyLocked(m, readAt)
 	l.mu.Unlock()
-	readAt := l.timestamps.readAt(m.echo, clock.Now())
 	if relayed {
 		l.opt.Board.RenewFollower(readAt)
 	}
 	l.compareRevisions(m, relayed, readAt)
 	l.opt.Board.MergeEvidence(m.Evidence, false, readAt)
-	if m.Heartbeat.LeaseVersion == 0 || l.opt.Leader() != "" {
+	if m.Heartbeat.LeaseVersion == 0 {
 		return
 	}
-	// A node that has just started learns who the leader is, and reports to it at once.
+	// A node that has just started, or has lost its leader, learns who the leader is, and reports to it at once. Otherwise
+	// it would compete for the lease when that of the former leader ends.
+	before := l.opt.Leader()
 	l.opt.Board.ObserveLease(m.Heartbeat.Lease, m.Heartbeat.LeaseVersion)
-	if l.opt.Leader() != "" {
+	if leader := l.opt.Leader(); leader != "" && leader != before {
 		l.sendReport()
 	}
 }
@@ -154,7 +156,7 @@
 // handleReport records another node's load and replies if that node requests it.
 func (l *Link) handleReport(m *message) {
 	l.compareRevisions(m, false, time.Time{})
-	report := loadReport{at: time.Now(), loads: m.Loads, sentAt: m.SentAt, receivedAt: clock.Now()}
+	report := loadReport{at: time.Now(), loads: m.Loads, sentAt: m.SentAt, receivedAt: clock.Now(), replyRequested: m.ReplyRequested}
 	sender := target{address: m.From, echo: report.echo()}
 	l.mu.Lock()
 	_, known := l.reports[m.From]
@@ -175,9 +177,8 @@
 		}
 	}
 	if m.ReplyRequested && !leading {
-		reply := &message{From: l.opt.Address, IsReply: true, Synced: l.opt.Board.Synced(), Revisions: l.opt.Board.Revisions(), Peers: peers}
-		reply.Heartbeat.Lease, reply.Heartbeat.LeaseVersion = l.opt.Board.Lease()
-		reply.Evidence, _ = l.opt.Board.Evidence(0, maxEvidenceBytes)
+		reply := l.buildReply()
+		reply.Peers = peers
 		l.send(reply, sender)
 	}
 }
--- a/pkg/gateway/peers/standbys.go
+++ b/pkg/gateway/peers/standbys.go
@@ -30,11 +30,12 @@
 	return heartbeatsDuration(minStandbyTimeout, standbyTimeoutHeartbeats, nodes)
 }
 
-// IsStandby reports whether the last leader heartbeat lists this node as a standby.
+// IsStandby reports whether this node relays store changes to others without a leader in sync with the store: it is a standby
+// by the last leader heartbeat, or a seed that takes the place of the standbys.
 func (l *Link) IsStandby() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return slices.Contains(l.standbys, l.opt.Address)
+	return l.isRelayLocked()
 }
 
 // pickEvenly returns n of the addresses at even distances in sorted order, so that they are not all close to
--- a/pkg/gateway/weights/holder.go
+++ b/pkg/gateway/weights/holder.go
@@ -143,6 +143,8 @@
 	clear(c.engineOrders)
 	if held {
 		event.LeaseTaken.Emit(c.opt.Logger, "fencing", fencingToken)
+		// The other nodes compete for the lease until they learn who holds it.
+		c.start(c.opt.AnnounceLease)
 	} else {
 		event.LeaseLost.Emit(c.opt.Logger, "holder", c.lease.Holder())
 	}
--- a/pkg/gateway/weights/takeover_test.go
+++ b/pkg/gateway/weights/takeover_test.go
@@ -111,11 +111,13 @@
 	}
 	runTakeover(t, prepare, func(t *testing.T, x *takeover) {
 		time.Sleep(time.Second)
+		synctest.Wait()
 		require.True(t, x.leader.HoldsLease())
+		require.Equal(t, 1, notifications, "the leader announces that it has taken the lease")
 		x.stopLeader()
 		stopped := time.Now()
 		synctest.Wait()
-		require.Equal(t, 1, notifications)
+		require.Equal(t, 2, notifications, "and that it has released it")
 		assert.False(t, x.leader.HoldsLease())
 		x.awaitSuccessor(func() { assert.True(t, x.leader.ActingLeader()) })
 		assert.LessOrEqual(t, time.Since(stopped), LeaseTiming(3*time.Second).HandoverDelay+2*decisionInterval)
