--- a/pkg/gateway/mirror/mirror.go
+++ b/pkg/gateway/mirror/mirror.go
@@ -86,9 +86,11 @@
 	// maxLatency bounds the time that InSync allows for a call, so that a paused node or a store that hardly responds
 	// does not count as in sync.
 	maxLatency = 300 * time.Millisecond
-	// minRetryPause and maxRetryPause bound the pause after a failed call.
+	// minRetryPause and maxRetryPause bound the pause after a failed call. Options.MayCall bounds the calls to a store that
+	// does not respond. With a longer pause, a relay is in sync late after the store's return, because one of its mirrors
+	// still pauses, and other nodes call the store meanwhile.
 	minRetryPause = 80 * time.Millisecond
-	maxRetryPause = 500 * time.Millisecond
+	maxRetryPause = 250 * time.Millisecond
 	// recoveryDuration is the time after an outage of the store within which entries that expired during the
 	// outage are written again.
 	recoveryDuration = 2500 * time.Millisecond
--- a/pkg/gateway/peers/link.go
+++ b/pkg/gateway/peers/link.go
@@ -243,8 +243,8 @@
 	interval := Interval(l.nodes)
 	if l.heartbeatAt.IsZero() && !l.opt.ActingLeader() {
 		interval = startInterval
-		if l.isRelayedLocked() {
-			interval = relayedStartInterval
+		if clock.Since(l.relayHeardAt) < leaderTimeout {
+			interval = heardStartInterval
 		}
 	}
 	if untilQuery := clock.Until(l.syncedHeartbeatAt.Add(heartbeatsDuration(minQueryTimeout, queryTimeoutHeartbeats, l.nodes))); untilQuery > 0 {
--- a/pkg/gateway/peers/relays.go
+++ b/pkg/gateway/peers/relays.go
@@ -13,9 +13,9 @@
 // until there is a leader.
 
 const (
-	// relayedStartInterval is the time between the reports of a node that has received no heartbeat since its start while a
-	// relay relays store changes to it. The relays send it changes in between.
-	relayedStartInterval = 500 * time.Millisecond
+	// heardStartInterval is the time between the reports of a node that has received no heartbeat since its start, but a reply
+	// of a relay. It bounds the queries that the seeds get from a large fleet; they send changes in between.
+	heardStartInterval = 500 * time.Millisecond
 	// relayFreshTime is the time after a relay's last reply for which it is queried instead of all relays. It is longer than
 	// the longest report interval.
 	relayFreshTime = 1500 * time.Millisecond
