--- /dev/null
+++ b/pkg/limits/agent_parts.go
@@ -0,0 +1,173 @@
+package limits
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// lead begins and ends the leader's ledger, and sends the appointments.
+func (a *Agent) lead(env Env, now time.Time) {
+	if !env.ActingLeader {
+		a.owner, a.ledger = nil, nil
+		a.noteLeader(0)
+		return
+	}
+	if a.owner == nil {
+		a.owner = newOwner(now)
+		a.ledger = NewLedger(a.opt.Bounds, rand.Uint32(), true, now)
+		a.ledger.SetQuotas(a.quotas, a.version, now)
+	}
+	for _, part := range a.owner.assign(a.opt.Self, env.Standbys, now) {
+		a.ledger.Withdraw(part, now)
+		holder := a.owner.parts[part].holder
+		if holder != a.opt.Self {
+			// The new holder may use the part as soon as it is told.
+			a.trustee.drop(part)
+			a.syncInterim(now)
+		}
+		a.note(Note{Role: "holder", Part: part, Holder: holder})
+	}
+	for _, to := range a.appointees(env) {
+		a.send(to, &Message{Appointment: a.owner.appointment(to, env.LeaseVersion, a.stamp(now), now)})
+	}
+	a.noteLeader(a.ledger.Lent(now))
+}
+
+// appointees returns the nodes that hold parts, and those that may hold or get some if there are others.
+func (a *Agent) appointees(env Env) []string {
+	list := []string{a.opt.Self}
+	for _, p := range a.owner.parts {
+		if p.holder != "" {
+			list = append(list, p.holder)
+		}
+		if p.holder == "" || p.holder == a.opt.Self || p.birth {
+			list = append(list, env.Standbys...)
+			list = append(list, a.trustees...)
+		}
+		if p.holder == "" {
+			list = append(list, a.seeds...)
+		}
+	}
+	for address, p := range a.owner.peers {
+		if p.drop != 0 {
+			list = append(list, address)
+		}
+	}
+	slices.Sort(list)
+	return slices.DeleteFunc(slices.Compact(list), func(s string) bool { return s == "" })
+}
+
+func (a *Agent) handleAppointment(from string, ap *Appointment, now time.Time) {
+	lent, ok := a.trustee.appoint(from, ap, a.stampTime(ap.Echo, now), now)
+	if !ok {
+		return
+	}
+	// What is lent must not be granted here from now on.
+	a.syncInterim(now)
+	a.send(from, &Message{Ack: a.newAck(ap.Stamp, lent, now)})
+}
+
+func (a *Agent) newAck(echo int64, lent bool, now time.Time) *Ack {
+	return &Ack{Echo: echo, Stamp: a.stamp(now), Held: a.trustee.held(now), Birth: a.trustee.birth, Lent: lent}
+}
+
+func (a *Agent) handleAck(from string, m *Message, now time.Time) {
+	if a.owner == nil || !a.opt.Env().ActingLeader {
+		return
+	}
+	askedAt := a.stampTime(m.Ack.Echo, now)
+	birth := birthUnknown
+	switch {
+	case a.foreign || a.firstLeader != a.opt.Self:
+		birth = birthDropped
+	case now.Sub(a.startedAt) >= birthDelay:
+		birth = birthAccepted
+	}
+	held, freed := a.owner.ack(from, m.Start, m.Ack, askedAt, birth, now)
+	for _, part := range freed {
+		a.ledger.Withdraw(part, now)
+	}
+	if !m.Ack.Lent || askedAt.IsZero() {
+		return
+	}
+	for _, part := range held {
+		a.ledger.Lend(part, askedAt.Add(loanTTL), now)
+	}
+	a.noteLeader(a.ledger.Lent(now))
+}
+
+// holdParts grants from the parts that this node holds and that are lent to nobody, and tells a leader of them that does not
+// appoint this node.
+func (a *Agent) holdParts(env Env, now time.Time) {
+	a.syncInterim(now)
+	held := a.trustee.held(now)
+	if held == 0 || env.ActingLeader || now.Sub(a.trustee.appointedAt) < loanTTL {
+		return
+	}
+	leader := env.Leader
+	if leader == "" {
+		leader = env.Heard
+	}
+	if leader != "" && leader != a.opt.Self {
+		a.send(leader, &Message{Ack: a.newAck(0, false, now)})
+	}
+}
+
+// syncInterim makes the ledger of this node's own parts hold those that it may grant from now.
+func (a *Agent) syncInterim(now time.Time) {
+	usable := a.trustee.usable(now)
+	if a.opt.Env().ActingLeader {
+		usable = 0
+	}
+	if a.firstLeader != "" || a.foreign || now.Sub(a.startedAt) < birthDelay {
+		// Parts that nobody has appointed this node to count only if there has been no leader.
+		usable &^= a.trustee.birth
+	}
+	if usable == 0 {
+		a.interim = nil
+		a.noteInterim(0)
+		return
+	}
+	if a.interim == nil {
+		a.interim = NewLedger(a.opt.Bounds, rand.Uint32(), false, now)
+		a.interim.SetQuotas(a.quotas, a.version, now)
+	}
+	for i := range Parts {
+		switch {
+		case usable&bit(i) == 0:
+			a.interim.Withdraw(i, now)
+		case a.trustee.birth&bit(i) != 0:
+			a.interim.Lend(i, now.Add(loanTTL), now)
+		default:
+			a.interim.Lend(i, a.trustee.termUntil[i], now)
+		}
+	}
+	a.noteInterim(a.interim.Lent(now))
+}
+
+// drop ends the holding of a part.
+func (t *trustee) drop(part int) {
+	t.termUntil[part] = time.Time{}
+	t.birth &^= bit(part)
+}
+
+func (a *Agent) note(n Note) {
+	if a.opt.Note != nil {
+		a.opt.Note(n)
+	}
+}
+
+func (a *Agent) noteLeader(parts int) {
+	if parts != a.notedLeader {
+		a.notedLeader = parts
+		a.note(Note{Role: "leader", Parts: parts})
+	}
+}
+
+func (a *Agent) noteInterim(parts int) {
+	if parts != a.notedInterim {
+		a.notedInterim = parts
+		a.note(Note{Role: "interim", Parts: parts})
+	}
+}
--- /dev/null
+++ b/pkg/limits/owner.go
@@ -0,0 +1,203 @@
+package limits
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// silentAfter is the time without an answer after which a holder of a part is no longer appointed.
+	silentAfter = 1500 * time.Millisecond
+)
+
+// owner is the leader's record of the parts and their holders.
+type owner struct {
+	parts [Parts]ownedPart
+	peers map[string]*ownerPeer
+}
+
+// ownedPart is one part of the quotas.
+type ownedPart struct {
+	// holder is "" if the part is held by nobody, or by a node that is not known until unknownUntil.
+	holder       string
+	unknownUntil time.Time
+	// chosenAt is the time at which the holder was chosen, and holdSentAt that of the last appointment that can have made it
+	// hold the part, or zero.
+	chosenAt, holdSentAt time.Time
+	// birth is set if the holder, a seed, was not chosen: seeds may all be in one data centre. Once a better node is known,
+	// the holder is told to drop the part, first at dropSentAt.
+	birth      bool
+	dropSentAt time.Time
+}
+
+// ownerPeer is what the leader knows of a node that has answered an appointment or holds parts.
+type ownerPeer struct {
+	start uint64
+	// stamp is the newest Ack.Stamp. askedAt is the time of the newest appointment that was answered, and ackedAt that of the
+	// last answer.
+	stamp            int64
+	askedAt, ackedAt time.Time
+	drop             uint8
+}
+
+// newOwner returns the record of a new leader. Parts to which an earlier leader has appointed nodes are held for up to Term.
+func newOwner(now time.Time) *owner {
+	o := &owner{peers: map[string]*ownerPeer{}}
+	for i := range o.parts {
+		o.parts[i].unknownUntil = now.Add(Term + clockMargin)
+	}
+	return o
+}
+
+// birthRule tells what a leader does with parts that seeds hold since their start.
+type birthRule int
+
+const (
+	// birthUnknown applies to a leader that has just started: it has not heard yet whether there was another leader.
+	birthUnknown birthRule = iota
+	// birthAccepted applies to the first leader since the start of all nodes.
+	birthAccepted
+	// birthDropped applies to any other leader.
+	birthDropped
+)
+
+func (o *owner) peer(address string) *ownerPeer {
+	p := o.peers[address]
+	if p == nil {
+		p = &ownerPeer{}
+		o.peers[address] = p
+	}
+	return p
+}
+
+// silent reports whether a holder has not answered for a while.
+func (o *owner) silent(part *ownedPart, now time.Time) bool {
+	last := part.chosenAt
+	if p := o.peers[part.holder]; p != nil && p.ackedAt.After(last) {
+		last = p.ackedAt
+	}
+	return now.Sub(last) > silentAfter
+}
+
+// assign gives the parts that are free to candidates, and to this node if there is none. It returns the parts whose holder
+// changed.
+func (o *owner) assign(self string, candidates []string, now time.Time) (changed []int) {
+	for i := range o.parts {
+		p := &o.parts[i]
+		if p.holder != "" && p.holder != self && o.silent(p, now) && (p.holdSentAt.IsZero() || now.Sub(p.holdSentAt) > Term+clockMargin) {
+			*p = ownedPart{}
+			changed = append(changed, i)
+		}
+		if p.birth && p.holder != self && p.dropSentAt.IsZero() && !slices.Contains(candidates, p.holder) && o.candidate(self, candidates, now) != self {
+			p.dropSentAt = now
+			// One part moves at a time.
+			break
+		}
+		if p.holder == "" && now.Before(p.unknownUntil) || p.holder != "" && p.holder != self {
+			continue
+		}
+		next := o.candidate(self, candidates, now)
+		if next == p.holder {
+			continue
+		}
+		*p = ownedPart{holder: next, chosenAt: now}
+		changed = append(changed, i)
+	}
+	return changed
+}
+
+// candidate returns the first candidate that holds no part and has not failed to answer, or this node.
+func (o *owner) candidate(self string, candidates []string, now time.Time) string {
+	for _, c := range candidates {
+		if c == self || o.holds(c) {
+			continue
+		}
+		if p := o.peers[c]; p != nil && now.Sub(p.ackedAt) <= silentAfter {
+			return c
+		}
+	}
+	return self
+}
+
+func (o *owner) holds(address string) bool {
+	return slices.ContainsFunc(o.parts[:], func(p ownedPart) bool { return p.holder == address })
+}
+
+// appointment returns the parts that a node should hold, and records that it is told so. It is told only once it has
+// answered: only then can it date the appointment.
+func (o *owner) appointment(to string, version uint64, stamp int64, now time.Time) *Appointment {
+	peer := o.peer(to)
+	ap := &Appointment{Version: version, Stamp: stamp, Echo: peer.stamp, Drop: peer.drop}
+	peer.drop = 0
+	for i := range o.parts {
+		p := &o.parts[i]
+		if p.holder != to || o.silent(p, now) {
+			continue
+		}
+		if !p.dropSentAt.IsZero() {
+			ap.Drop |= bit(i)
+			continue
+		}
+		ap.Hold |= bit(i)
+		if peer.stamp != 0 {
+			p.holdSentAt = now
+		}
+	}
+	ap.Drop &^= ap.Hold
+	return ap
+}
+
+// ack records an answer to the appointment that was sent at askedAt, which is zero if it is not an answer or that is not
+// known. It returns the parts that the sender holds and the parts that have become free. Parts held since the start of the
+// sender are accepted as birth says.
+func (o *owner) ack(from string, start uint64, ack *Ack, askedAt time.Time, birth birthRule, now time.Time) (held, freed []int) {
+	peer := o.peer(from)
+	if start != peer.start && peer.start != 0 {
+		// An answer of an earlier process may arrive late.
+		if !askedAt.After(peer.askedAt) {
+			return nil, nil
+		}
+		// The restarted process holds what the answer states only.
+		for i := range o.parts {
+			if o.parts[i].holder == from {
+				o.parts[i] = ownedPart{}
+				freed = append(freed, i)
+			}
+		}
+		*peer = ownerPeer{}
+	}
+	peer.start, peer.stamp, peer.ackedAt = start, max(peer.stamp, ack.Stamp), now
+	if askedAt.After(peer.askedAt) {
+		peer.askedAt = askedAt
+	}
+	for i := range o.parts {
+		p := &o.parts[i]
+		if p.holder == from && !p.dropSentAt.IsZero() && askedAt.After(p.dropSentAt) && ack.Held&bit(i) == 0 {
+			*p = ownedPart{}
+			freed = append(freed, i)
+		}
+		isBirth := ack.Birth&bit(i) != 0
+		if ack.Held&bit(i) == 0 || isBirth && birth == birthUnknown {
+			continue
+		}
+		if p.holder == "" && now.Before(p.unknownUntil) && (!isBirth || birth == birthAccepted) {
+			// Its term may have been extended a moment ago.
+			*p = ownedPart{holder: from, chosenAt: now, holdSentAt: now, birth: isBirth}
+		}
+		if p.holder != from {
+			peer.drop |= bit(i)
+			continue
+		}
+		held = append(held, i)
+	}
+	return held, freed
+}
+
+// holders returns the holder of each part, or "".
+func (o *owner) holders() []string {
+	list := make([]string, Parts)
+	for i := range o.parts {
+		list[i] = o.parts[i].holder
+	}
+	return list
+}
--- /dev/null
+++ b/pkg/limits/trustee.go
@@ -0,0 +1,81 @@
+package limits
+
+import "time"
+
+const (
+	// Term is the time for which a node holds a part after its last appointment. It covers the change of the leader, which
+	// takes 3 to 4.4 s. A part whose holder is gone is not used until the end of its term.
+	Term = 8 * time.Second
+	// loanTTL is the time for which the leader uses a part after it has sent the appointment that the holder answered. It
+	// covers the loss of two answers.
+	loanTTL = 400 * time.Millisecond
+	// clockMargin allows for clocks that do not run equally fast.
+	clockMargin = 20 * time.Millisecond
+	// AppointmentInterval is the time between appointments, and the longest time between calls of Agent.Tick.
+	AppointmentInterval = 150 * time.Millisecond
+	// birthDelay is the time after its start after which a seed may hold parts that nobody has appointed it to: in this time,
+	// it hears of a leader if there is one.
+	birthDelay = 500 * time.Millisecond
+)
+
+// trustee is what a node knows of the parts that it holds.
+type trustee struct {
+	// termUntil is the time until which the node holds each part. birth marks parts that it holds since its start.
+	termUntil [Parts]time.Time
+	birth     uint8
+	// leader is the node whose appointment was accepted last, at appointedAt, with the lease version.
+	leader      string
+	version     uint64
+	appointedAt time.Time
+	// lentUntil is the time until which the parts are lent to the leader.
+	lentUntil time.Time
+}
+
+func bit(part int) uint8 { return 1 << part }
+
+// held returns the parts that the node holds.
+func (t *trustee) held(now time.Time) uint8 {
+	mask := t.birth
+	for i, until := range t.termUntil {
+		if now.Before(until) {
+			mask |= bit(i)
+		}
+	}
+	return mask
+}
+
+// appoint handles an appointment by a leader. echoAt is the time at which this node sent the answer that the appointment
+// repeats, or zero. lent is set if the parts are lent to that leader. ok is false if a newer leader is known.
+func (t *trustee) appoint(from string, ap *Appointment, echoAt, now time.Time) (lent, ok bool) {
+	if from != t.leader {
+		if ap.Version < t.version {
+			return false, false
+		}
+		if now.Before(t.lentUntil) {
+			return false, true
+		}
+	}
+	t.leader, t.version, t.appointedAt = from, max(t.version, ap.Version), now
+	for i := range Parts {
+		switch {
+		case ap.Drop&bit(i) != 0:
+			t.termUntil[i] = time.Time{}
+			t.birth &^= bit(i)
+		case ap.Hold&bit(i) != 0 && !echoAt.IsZero():
+			if until := echoAt.Add(Term); until.After(t.termUntil[i]) {
+				t.termUntil[i] = until
+			}
+			t.birth &^= bit(i)
+		}
+	}
+	t.lentUntil = now.Add(loanTTL + clockMargin)
+	return true, true
+}
+
+// usable returns the parts that the node may grant from itself, because they are lent to nobody.
+func (t *trustee) usable(now time.Time) uint8 {
+	if now.Before(t.lentUntil) {
+		return 0
+	}
+	return t.held(now)
+}
