--- a/pkg/gateway/forward/protocol.go
+++ b/pkg/gateway/forward/protocol.go
@@ -45,6 +45,8 @@
 	// tokens. 0 means unspecified.
 	PromptTokens    int
 	MaxOutputTokens int
+	// StatesTokens is set if the client states both.
+	StatesTokens bool
 	// ExpectedOutputTokens is the client's estimate of the length of the output in tokens. 0 means
 	// unspecified.
 	ExpectedOutputTokens int
--- a/pkg/gateway/node/settings.go
+++ b/pkg/gateway/node/settings.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cassiawall.example/cassiawall/pkg/gateway/forward"
+	"cassiawall.example/cassiawall/pkg/limits"
 )
 
 // Settings are the settings of one node process.
@@ -42,4 +43,6 @@
 	OldVersionLimit time.Duration
 	// RetryBudget bounds the retries of all nodes together.
 	RetryBudget forward.RetryBudgetLimits
+	// Quotas state how far the use of the workspaces' quotas may exceed them. The zero value means that there are no quotas.
+	Quotas limits.QuotaBounds
 }
--- a/pkg/gateway/routes/routes.go
+++ b/pkg/gateway/routes/routes.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"cassiawall.example/cassiawall/pkg/limits"
 	"cassiawall.example/cassiawall/pkg/rendezvous"
 )
 
@@ -103,6 +104,33 @@
 	HasPriority bool
 	// Isolated workspaces share no KV cache entries with others.
 	Isolated bool
+	// Quota limits the workspace's requests over all nodes together, or is nil.
+	Quota *Quota
+}
+
+// Quota is the limit of a workspace's requests over all nodes together.
+type Quota struct {
+	limits.Quota
+	// Hash identifies the workspace in messages between nodes.
+	Hash uint64
+	// DefaultWeight is the weight in tokens of a request that states no numbers of tokens, if Tokens is set.
+	DefaultWeight int64
+}
+
+// maxWeight bounds the weight of a request in tokens, so that sums do not overflow. No request is that heavy.
+const maxWeight = 1 << 40
+
+// Weight returns the weight of a request with the stated numbers of tokens of its prompt and output. stated is set if it
+// states them.
+func (q *Quota) Weight(promptTokens, outputTokens int, stated bool) int64 {
+	if !q.Tokens {
+		return 1
+	}
+	prompt, output := min(int64(promptTokens), maxWeight), min(int64(outputTokens), maxWeight)
+	if !stated || prompt < 0 || output < 0 {
+		return q.DefaultWeight
+	}
+	return prompt + output
 }
 
 // Limits restrict what clients may send. The node's own limits of headers and idle connections are higher
@@ -148,10 +176,27 @@
 		for _, k := range c.Workspaces[i].APIKeys {
 			c.byKey[k] = &c.Workspaces[i]
 		}
+		if q := c.Workspaces[i].Quota; q != nil {
+			q.Hash = rendezvous.Hash(c.Workspaces[i].Name)
+		}
 	}
 	return c
 }
 
+// Quotas returns the quotas by the hash of their workspace. Two workspaces with the same hash share the lower one.
+func (c *Config) Quotas() map[uint64]limits.Quota {
+	quotas := map[uint64]limits.Quota{}
+	for _, w := range c.Workspaces {
+		if w.Quota == nil {
+			continue
+		}
+		if other, ok := quotas[w.Quota.Hash]; !ok || w.Quota.Rate < other.Rate {
+			quotas[w.Quota.Hash] = w.Quota.Quota
+		}
+	}
+	return quotas
+}
+
 // Match returns the route of host with the longest path prefix that matches path, or nil.
 func (c *Config) Match(host, path string) *Route {
 	for _, r := range c.byHost[host] {
--- a/pkg/limits/account.go
+++ b/pkg/limits/account.go
@@ -36,7 +36,7 @@
 
 // Charge is the tokens of a request that may be sent.
 type Charge struct {
-	Workspace uint32
+	Workspace uint64
 	Tokens    int64
 	// until is the time at which the charge ends, on the clock of clock.Now.
 	until time.Time
@@ -66,7 +66,7 @@
 	Level int64
 
 	weight    int64
-	workspace uint32
+	workspace uint64
 }
 
 func (w *Waiter) decide(o Outcome) {
@@ -110,7 +110,7 @@
 
 // sentQuery is remembered as long as a grant in the reply could be used.
 type sentQuery struct {
-	workspace uint32
+	workspace uint64
 	needs     []int64
 	sentAt    time.Time
 	target    string
@@ -153,7 +153,7 @@
 }
 
 // serve decides on the waiting requests, in order, as far as the lots and the last denial allow.
-func (c *account) serve(workspace uint32, now time.Time) {
+func (c *account) serve(workspace uint64, now time.Time) {
 	c.dropSpent(now)
 	for len(c.waiting) > 0 {
 		w := c.waiting[0]
--- a/pkg/limits/agent.go
+++ b/pkg/limits/agent.go
@@ -60,7 +60,7 @@
 	startedAt time.Time
 	seeds     []string
 
-	quotas  map[uint32]Quota
+	quotas  map[uint64]Quota
 	version int64
 
 	// firstLeader is the first leader that this node has heard since its start. foreign is set once another node has heard of
@@ -75,7 +75,7 @@
 	// noted are the last parts that a Note has stated, by role.
 	notedLeader, notedInterim int
 
-	accounts   map[uint32]*account
+	accounts   map[uint64]*account
 	sent       map[uint64]sentQuery
 	nextNumber uint64
 	// trustees are the last known holders of the parts, and preferred the node among them that answered last.
@@ -89,7 +89,7 @@
 // NewAgent returns an agent without quotas.
 func NewAgent(opt AgentOptions, now time.Time) *Agent {
 	a := &Agent{
-		opt: opt, startedAt: now, accounts: map[uint32]*account{}, sent: map[uint64]sentQuery{},
+		opt: opt, startedAt: now, accounts: map[uint64]*account{}, sent: map[uint64]sentQuery{},
 		// The lowest bits stay free, so that stamps do not overflow.
 		start: 1 + uint64(rand.Int64N(1<<60)),
 	}
@@ -107,7 +107,7 @@
 
 // SetQuotas sets the quotas by workspace hash and the version of their configuration. Tokens that were granted under
 // another limit are dropped.
-func (a *Agent) SetQuotas(quotas map[uint32]Quota, version int64, now time.Time) {
+func (a *Agent) SetQuotas(quotas map[uint64]Quota, version int64, now time.Time) {
 	old := a.quotas
 	a.quotas, a.version = quotas, version
 	for id, c := range a.accounts {
--- a/pkg/limits/agent_requests.go
+++ b/pkg/limits/agent_requests.go
@@ -7,7 +7,7 @@
 
 // Acquire asks for the weight of a request. The decision may be there on return. Otherwise Done is closed later, by a call of
 // Receive, Tick or Retry, or by Cancel.
-func (a *Agent) Acquire(workspace uint32, weight int64, now time.Time) *Waiter {
+func (a *Agent) Acquire(workspace uint64, weight int64, now time.Time) *Waiter {
 	w := &Waiter{Done: make(chan struct{}), weight: weight, workspace: workspace}
 	c := a.accounts[workspace]
 	if c == nil {
@@ -60,7 +60,7 @@
 }
 
 // query sends a query for the waiting requests of a workspace, unless there is one.
-func (a *Agent) query(workspace uint32, c *account, now time.Time) {
+func (a *Agent) query(workspace uint64, c *account, now time.Time) {
 	if len(c.waiting) == 0 {
 		c.flight = nil
 		return
@@ -72,7 +72,7 @@
 }
 
 // ask sends the query of a flight to the owner of its step.
-func (a *Agent) ask(workspace uint32, c *account, now time.Time) {
+func (a *Agent) ask(workspace uint64, c *account, now time.Time) {
 	f := c.flight
 	f.sentAt = now
 	owners := a.owners(now)
@@ -97,7 +97,7 @@
 }
 
 // advanceFlight asks the next owner for the waiting requests.
-func (a *Agent) advanceFlight(workspace uint32, c *account, now time.Time) {
+func (a *Agent) advanceFlight(workspace uint64, c *account, now time.Time) {
 	f := c.flight
 	if len(c.waiting) == 0 {
 		c.flight = nil
@@ -189,7 +189,7 @@
 
 // skipOwner asks the next owner at once, because the last one has nothing to grant, but each of them only once. It reports
 // whether it has.
-func (a *Agent) skipOwner(workspace uint32, c *account, now time.Time) bool {
+func (a *Agent) skipOwner(workspace uint64, c *account, now time.Time) bool {
 	f := c.flight
 	f.refusals++
 	owners := a.owners(now)
@@ -207,7 +207,7 @@
 }
 
 // giveBack returns the tokens that are not kept for further requests.
-func (a *Agent) giveBack(workspace uint32, c *account, now time.Time) {
+func (a *Agent) giveBack(workspace uint64, c *account, now time.Time) {
 	if len(c.waiting) > 0 {
 		return
 	}
--- a/pkg/limits/ledger.go
+++ b/pkg/limits/ledger.go
@@ -28,7 +28,7 @@
 	bounds    QuotaBounds
 	epoch     uint32
 	startedAt time.Time
-	quotas    map[uint32]Quota
+	quotas    map[uint64]Quota
 	version   int64
 	// useInitial is set if buckets start at bucketLimits.initial.
 	useInitial bool
@@ -41,7 +41,7 @@
 	lentUntil [Parts]time.Time
 	// base is the credit from which buckets that do not exist yet have filled.
 	base    float64
-	buckets map[uint32]*bucket
+	buckets map[uint64]*bucket
 	seen    map[process]*seenWindow
 	sweptAt time.Time
 }
@@ -73,13 +73,13 @@
 func NewLedger(bounds QuotaBounds, epoch uint32, useInitial bool, now time.Time) *Ledger {
 	return &Ledger{
 		bounds: bounds, epoch: epoch, useInitial: useInitial, startedAt: now, at: now, sweptAt: now,
-		buckets: map[uint32]*bucket{}, seen: map[process]*seenWindow{},
+		buckets: map[uint64]*bucket{}, seen: map[process]*seenWindow{},
 	}
 }
 
 // SetQuotas sets the quotas by workspace hash and the version of the configuration that they are from. Lower limits take
 // effect at once.
-func (l *Ledger) SetQuotas(quotas map[uint32]Quota, version int64, now time.Time) {
+func (l *Ledger) SetQuotas(quotas map[uint64]Quota, version int64, now time.Time) {
 	l.advance(now)
 	old := l.quotas
 	l.quotas, l.version = quotas, version
@@ -190,7 +190,7 @@
 }
 
 // bucket returns the bucket of a workspace with a quota.
-func (l *Ledger) bucket(workspace uint32, q Quota) *bucket {
+func (l *Ledger) bucket(workspace uint64, q Quota) *bucket {
 	b := l.buckets[workspace]
 	if b == nil {
 		b = &bucket{limits: l.bounds.bucketLimits(q), credit: l.base, grantedAt: l.base}
--- a/pkg/limits/messages.go
+++ b/pkg/limits/messages.go
@@ -20,7 +20,7 @@
 type Query struct {
 	// Number differs between the queries and returns of a process, and grows.
 	Number    uint64
-	Workspace uint32
+	Workspace uint64
 	// Version is that of the node's configuration, and Rate and Burst are the limits in it.
 	Version     int64
 	Rate, Burst float64
@@ -32,7 +32,7 @@
 // Reply is the decision of an owner.
 type Reply struct {
 	Number    uint64
-	Workspace uint32
+	Workspace uint64
 	// Refused is set if the receiver is not an owner. Nothing has been decided then.
 	Refused bool
 	// Interim is set if the owner is not the leader.
@@ -55,7 +55,7 @@
 // Return gives unused tokens of a grant back to the ledger that granted them.
 type Return struct {
 	Number    uint64
-	Workspace uint32
+	Workspace uint64
 	Epoch     uint32
 	StampMS   int64
 	Tokens    int64
--- a/pkg/limits/quota_sim_test.go
+++ b/pkg/limits/quota_sim_test.go
@@ -13,7 +13,7 @@
 type quotaSim struct {
 	rand   *rand.Rand
 	bounds QuotaBounds
-	quotas map[uint32]Quota
+	quotas map[uint64]Quota
 	now    time.Time
 	events simEvents
 	nodes  []*simNode
@@ -29,13 +29,13 @@
 	// arrivals are what the backend servers got.
 	arrivals []simArrival
 	// offered, admitted, denied and unavailable are sums of weights by workspace.
-	offered, admitted, denied, unavailable map[uint32]int64
+	offered, admitted, denied, unavailable map[uint64]int64
 	messages, scheduled                    int
 }
 
 type simArrival struct {
 	at        time.Time
-	workspace uint32
+	workspace uint64
 	tokens    int64
 }
 
@@ -72,10 +72,10 @@
 
 var simStart = time.Unix(1000, 0)
 
-func newQuotaSim(seed uint64, nodes int, bounds QuotaBounds, quotas map[uint32]Quota) *quotaSim {
+func newQuotaSim(seed uint64, nodes int, bounds QuotaBounds, quotas map[uint64]Quota) *quotaSim {
 	s := &quotaSim{
 		rand: rand.New(rand.NewPCG(seed, 1)), bounds: bounds, quotas: quotas, now: simStart, lease: 1, slowShare: 4, byAddress: map[string]*simNode{},
-		offered: map[uint32]int64{}, admitted: map[uint32]int64{}, denied: map[uint32]int64{}, unavailable: map[uint32]int64{},
+		offered: map[uint64]int64{}, admitted: map[uint64]int64{}, denied: map[uint64]int64{}, unavailable: map[uint64]int64{},
 	}
 	for i := range nodes {
 		n := &simNode{index: i, address: fmt.Sprintf("10.0.%d.%d:7000", i/50, i%50)}
@@ -227,7 +227,7 @@
 }
 
 // request lets a node handle one request.
-func (s *quotaSim) request(n *simNode, workspace uint32, weight int64) {
+func (s *quotaSim) request(n *simNode, workspace uint64, weight int64) {
 	if n.down {
 		return
 	}
@@ -236,7 +236,7 @@
 	s.onNode(n, func() { s.acquire(n, life, workspace, weight) })
 }
 
-func (s *quotaSim) acquire(n *simNode, life int, workspace uint32, weight int64) {
+func (s *quotaSim) acquire(n *simNode, life int, workspace uint64, weight int64) {
 	w := n.agent.Acquire(workspace, weight, s.now)
 	began := s.now
 	var poll func()
@@ -259,7 +259,7 @@
 	poll()
 }
 
-func (s *quotaSim) finish(n *simNode, life int, w *Waiter, workspace uint32, weight int64) {
+func (s *quotaSim) finish(n *simNode, life int, w *Waiter, workspace uint64, weight int64) {
 	switch w.Outcome {
 	case Denied:
 		s.denied[workspace] += weight
@@ -300,7 +300,7 @@
 }
 
 // load sends requests of a workspace at a rate in tokens per second for a time. Most go to few nodes.
-func (s *quotaSim) load(workspace uint32, rate float64, weight func() int64, d time.Duration) {
+func (s *quotaSim) load(workspace uint64, rate float64, weight func() int64, d time.Duration) {
 	var next func()
 	end := s.now.Add(d)
 	next = func() {
@@ -330,7 +330,7 @@
 
 // worst returns the highest use in a window by workspace, as a proportion of what is allowed.
 func (s *quotaSim) worst() (worst float64) {
-	byWorkspace := map[uint32][]simArrival{}
+	byWorkspace := map[uint64][]simArrival{}
 	for _, a := range s.arrivals {
 		byWorkspace[a.workspace] = append(byWorkspace[a.workspace], a)
 	}
--- a/pkg/limits/quota_test.go
+++ b/pkg/limits/quota_test.go
@@ -15,7 +15,7 @@
 // messages are lost, late and duplicated, and the leader changes, also to one that does not reach the holders of the parts.
 func TestQuotaIsKeptInAnyWindowUnderFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		s := newQuotaSim(rapid.Uint64().Draw(t, "seed"), 9, testBounds, map[uint32]Quota{1: {Rate: 824739, Burst: 824739, Tokens: true}, 2: {Rate: 57000, Burst: 57000, Tokens: true}})
+		s := newQuotaSim(rapid.Uint64().Draw(t, "seed"), 9, testBounds, map[uint64]Quota{1: {Rate: 824739, Burst: 824739, Tokens: true}, 2: {Rate: 57000, Burst: 57000, Tokens: true}})
 		s.loss = rapid.SampledFrom([]float64{0, 0.02, 0.2}).Draw(t, "loss")
 		const length = 16 * time.Second
 		s.leader = s.nodes[0]
@@ -101,8 +101,8 @@
 const replayLength = 20 * time.Second
 
 func replayDeployment(killLeader bool) *quotaSim {
-	quotas := map[uint32]Quota{}
-	for id := range uint32(16) {
+	quotas := map[uint64]Quota{}
+	for id := range uint64(16) {
 		rate := 57000.0
 		if id < 3 {
 			rate = 824739
@@ -114,7 +114,7 @@
 	s.leader = s.nodes[60]
 	s.heartbeats(replayLength + 2*time.Second)
 	s.run(2 * time.Second)
-	for id := range uint32(len(quotas)) {
+	for id := range uint64(len(quotas)) {
 		weight := func() int64 { return 1000 + s.rand.Int64N(3000) }
 		if id < 3 {
 			weight = func() int64 { return 1000 + min(56000, int64(s.rand.ExpFloat64()*8200)) }
@@ -151,7 +151,7 @@
 func soleAgent(q Quota) (a *Agent, now *time.Time) {
 	at := simStart
 	a = NewAgent(AgentOptions{Self: "a", Bounds: testBounds, Env: func() Env { return Env{ActingLeader: true, LeaseVersion: 1, Leader: "a"} }, Send: func(string, *Message) {}}, at)
-	a.SetQuotas(map[uint32]Quota{1: q}, 1, at)
+	a.SetQuotas(map[uint64]Quota{1: q}, 1, at)
 	for range 40 {
 		at = at.Add(AppointmentInterval)
 		a.Tick(at)
@@ -205,10 +205,10 @@
 	q.Number, q.Rate, q.Burst = 2, 5000, 5000
 	reply, _ = a.ledger.Query("b", 1, q, *now)
 	assert.Equal(t, 1, reply.Granted, "the owner's limit is lower")
-	a.SetQuotas(map[uint32]Quota{1: {Rate: 100, Burst: 100, Tokens: true}}, 2, *now)
+	a.SetQuotas(map[uint64]Quota{1: {Rate: 100, Burst: 100, Tokens: true}}, 2, *now)
 	requireGranted(t, a.Acquire(1, 100, *now))
 	assert.Equal(t, Denied, a.Acquire(1, 50, *now).Outcome)
-	a.SetQuotas(map[uint32]Quota{1: {Rate: 1000, Burst: 1000, Tokens: true}}, 3, *now)
+	a.SetQuotas(map[uint64]Quota{1: {Rate: 1000, Burst: 1000, Tokens: true}}, 3, *now)
 	assert.Equal(t, Denied, a.Acquire(1, 900, *now).Outcome, "a higher limit fills at its rate")
 }
 
@@ -217,7 +217,7 @@
 func TestRepeatedQueriesAndReturnsCountOnce(t *testing.T) {
 	now := simStart
 	l := NewLedger(testBounds, 7, false, now)
-	l.SetQuotas(map[uint32]Quota{1: {Rate: 1, Burst: 1000, Tokens: true}}, 1, now)
+	l.SetQuotas(map[uint64]Quota{1: {Rate: 1, Burst: 1000, Tokens: true}}, 1, now)
 	for part := range Parts {
 		l.Lend(part, now.Add(time.Hour), now)
 	}
@@ -248,7 +248,7 @@
 	var sent []*Message
 	now := simStart
 	a := NewAgent(AgentOptions{Self: "a", Seeds: []string{"b"}, Bounds: testBounds, Env: func() Env { return Env{Leader: "b", Heard: "b"} }, Send: func(_ string, m *Message) { sent = append(sent, m) }}, now)
-	a.SetQuotas(map[uint32]Quota{1: {Rate: 1000, Burst: 1000, Tokens: true}}, 1, now)
+	a.SetQuotas(map[uint64]Quota{1: {Rate: 1000, Burst: 1000, Tokens: true}}, 1, now)
 	w := a.Acquire(1, 10, now)
 	require.Len(t, sent, 1)
 	a.Retry(now.Add(replyTimeout))
