Admit requests of workspaces with a quota by the ledger of its owner

A request over the quota gets 429 with a Retry-After, one without a decision 503; neither has run. Each send that may have run uses a charge, and a charge of a request that no backend server has run is returned.

--- a/pkg/gateway/exchange/exchange.go
+++ b/pkg/gateway/exchange/exchange.go
@@ -47,6 +47,8 @@
 	// Start, unless nil, ends the wait for a response that has not begun. A response whose first bytes have arrived by then,
 	// or do so within startGrace, goes on.
 	Start context.Context
+	// BeforeWrite, unless nil, is called once the connection is open. If it fails, nothing is sent.
+	BeforeWrite func() error
 	// OnSilentHost is called if the host has not acknowledged the request for about a second, and may be called again. It
 	// may be nil.
 	OnSilentHost func()
@@ -174,6 +176,12 @@
 	if err != nil {
 		return nil, &Error{cause: err}
 	}
+	if req.BeforeWrite != nil {
+		if err := req.BeforeWrite(); err != nil {
+			c.Conn.Close()
+			return nil, &Error{cause: err}
+		}
+	}
 	stopWatching := context.AfterFunc(ctx, func() { c.Conn.Close() })
 	fail := func(err error) (*Response, error) {
 		stopWatching()
--- a/pkg/gateway/forward/active_request.go
+++ b/pkg/gateway/forward/active_request.go
@@ -99,6 +99,8 @@
 	// affinity caches the result of affinityKey once affinityKnown is set.
 	affinity      uint64
 	affinityKnown bool
+	// quota is what the request has been charged.
+	quota quotaCharge
 	// reserved is the backend server of the next send, or nil if it has yet to be picked.
 	reserved *backends.Choice
 	// retryGrants is the number of further sends that the retry budget has granted and that have not reached a backend
@@ -136,6 +138,7 @@
 	defer a.cancelUnusedTrial()
 	defer a.releaseReserved()
 	defer a.refundRetries()
+	defer a.refundCharge()
 	for {
 		if a.isQuarantined() {
 			a.failRequest(causeQuarantined)
@@ -145,6 +148,13 @@
 			a.failRequest(causeShutdown)
 			return
 		}
+		if cause := a.takeCharge(); cause != "" {
+			if a.mustContinue() && wait.Pause(a.ctx, refusedBackoff) {
+				continue
+			}
+			a.failRequest(cause)
+			return
+		}
 		choice := a.takeReserved()
 		if choice == nil {
 			if choice = a.pickBackend(); choice == nil {
@@ -262,6 +272,7 @@
 	var stopTimer func()
 	request.Start, stopTimer = a.withStartDeadline(tracked, c)
 	a.quarantineSentAt = a.router.opt.Quarantine.opt.Now()
+	returnCharge := a.useCharge(&request)
 	sendTime := clock.Now()
 	if c.Limited {
 		a.router.count("sends_to_limited_backends")
@@ -272,6 +283,14 @@
 	stopTimer()
 	if reachedBackend(err) {
 		a.useRetry()
+	} else {
+		returnCharge()
+	}
+	if errors.Is(err, errChargeEnded) {
+		a.sends--
+		a.tried = a.tried[:len(a.tried)-1]
+		c.Done(backends.Neutral, 0)
+		return a.retryIf(true)
 	}
 	if err != nil {
 		ended := tracked
@@ -297,6 +316,7 @@
 		a.router.opt.Backends.ObserveVersion(c.ID, c.Started, a.request.Model, info.WeightsVersion, sentAt)
 	}
 	if info.NotRun || response.Status == http.StatusMisdirectedRequest {
+		returnCharge()
 		return a.handleRefusal(c, response, info)
 	}
 	a.runs++
--- a/pkg/gateway/forward/errors.go
+++ b/pkg/gateway/forward/errors.go
@@ -37,6 +37,10 @@
 		case causeShedding:
 			retryAfter = retryAfterPause(a.excluded.SheddingUntil)
 		}
+		if reason == causeOverQuota {
+			writeNotRun(a.w, http.StatusTooManyRequests, reason, a.quota.retryAfter)
+			return
+		}
 		writeRefusal(a.w, reason, retryAfter)
 	case a.failedResponse != nil:
 		a.recordNotServed(reason, "failed")
@@ -55,8 +59,12 @@
 
 // writeRefusal responds that the request was not run and sets Retry-After to at least 10 ms.
 func writeRefusal(w http.ResponseWriter, reason string, retryAfter time.Duration) {
+	writeNotRun(w, http.StatusServiceUnavailable, reason, retryAfter)
+}
+
+func writeNotRun(w http.ResponseWriter, status int, reason string, retryAfter time.Duration) {
 	w.Header().Set("Retry-After", strconv.FormatFloat(max(retryAfter, 10*time.Millisecond).Seconds(), 'f', 3, 64))
-	writeError(w, http.StatusServiceUnavailable, "not run: "+reason)
+	writeError(w, status, "not run: "+reason)
 }
 
 // refuseWithoutConfig refuses a request that arrives before the first configuration.
--- a/pkg/gateway/forward/router.go
+++ b/pkg/gateway/forward/router.go
@@ -30,7 +30,7 @@
 	StartDeadline(model string, version int) time.Time
 }
 
-// Options holds the dependencies of a Router. All are required.
+// Options holds the dependencies of a Router. All are required unless stated otherwise.
 type Options struct {
 	Protocol    Protocol
 	Backends    *backends.Registry
@@ -41,6 +41,8 @@
 	PrefixCounts *popularity.Counter
 	PrefixRates  *popularity.Rates
 	Quarantine   *Quarantine
+	// Quotas may be nil: no workspace has a quota then.
+	Quotas Quotas
 	// Config returns the configuration in force, or nil before the first one.
 	Config func() *routes.Config
 	// BodyMemory bounds the memory of request bodies.
@@ -89,6 +91,8 @@
 	causeShutdown    = "this node shuts down before the timeout of the request"
 	causeBodyMemory  = "this node holds too many large request bodies"
 	causeLimited     = "backend servers are at the limits that they state"
+	causeOverQuota   = "workspace is over its quota"
+	causeNoQuota     = "no owner of the quotas answered in time"
 )
 
 // defaultMaxBodyBytes limits a request body if the configuration sets no limit.
--- a/pkg/gateway/forward/trace.go
+++ b/pkg/gateway/forward/trace.go
@@ -108,5 +108,6 @@
 		"runs", a.runs, "tried", a.tried, "age_ms", time.Since(a.receivedAt).Milliseconds())
 	a.router.count("requests", "outcome", outcome)
 	a.router.count("not_served", "cause", reason)
-	a.trace.End(true)
+	// A workspace far over its quota would fill the log.
+	a.trace.End(reason != causeOverQuota || a.router.rejectionLogLimiter.Allow())
 }
--- a/pkg/gateway/node/metrics.go
+++ b/pkg/gateway/node/metrics.go
@@ -21,6 +21,10 @@
 	registry.GaugeFunc("log_lines_dropped", func() float64 { return float64(n.opt.LinesDropped()) })
 	registry.GaugeFunc("quarantined_parts", func() float64 { return float64(len(n.quarantine.Suspects())) })
 	registry.GaugeFunc("request_body_bytes", func() float64 { return float64(n.bodyMemory.Used()) })
+	if n.quotas != nil {
+		registry.GaugeFunc("quota_parts", func() float64 { leader, _ := n.quotas.lent(); return float64(leader) }, "role", "leader")
+		registry.GaugeFunc("quota_parts", func() float64 { _, interim := n.quotas.lent(); return float64(interim) }, "role", "interim")
+	}
 	for _, m := range n.mirrors {
 		registry.GaugeFunc("mirror_revision", func() float64 { return float64(m.Revision()) }, "kind", m.Kind())
 	}
--- a/pkg/gateway/node/mirrors.go
+++ b/pkg/gateway/node/mirrors.go
@@ -28,6 +28,8 @@
 type configTarget struct {
 	decoder Decoder
 	logger  *slog.Logger
+	// onAccept, unless nil, is called with each new configuration.
+	onAccept func(c *routes.Config)
 	// current is nil before the first configuration.
 	current atomic.Pointer[routes.Config]
 }
@@ -64,6 +66,9 @@
 	}
 	c.AppliedAt = time.Now()
 	t.current.Store(c)
+	if t.onAccept != nil {
+		t.onAccept(c)
+	}
 	event.ConfigAccepted.Emit(t.logger, "version", c.Version, "revision", e.Revision, "routes", len(c.Routes),
 		"tenants", len(c.Workspaces))
 }
--- a/pkg/gateway/node/node.go
+++ b/pkg/gateway/node/node.go
@@ -18,6 +18,7 @@
 	"cassiawall.example/cassiawall/pkg/gateway/popularity"
 	"cassiawall.example/cassiawall/pkg/gateway/routes"
 	"cassiawall.example/cassiawall/pkg/gateway/weights"
+	"cassiawall.example/cassiawall/pkg/limits"
 	"cassiawall.example/cassiawall/pkg/metrics"
 	"cassiawall.example/cassiawall/pkg/recovery"
 	"cassiawall.example/cassiawall/pkg/wait"
@@ -122,6 +123,8 @@
 	controller *weights.Controller
 	board      *board
 	link       *peers.Link
+	// quotas is nil in a deployment without quotas. It is set by connect.
+	quotas     *quotas
 	quarantine *forward.Quarantine
 	stopping   *forward.Shutdown
 	bodyMemory *forward.BodyMemory
@@ -198,15 +201,23 @@
 		AnnounceLease: func() { n.link.RequestHeartbeat() }, MayCallStore: func() bool { return !n.board.awaitsPeers() },
 		Logger: n.opt.Logger, Metrics: n.opt.Metrics,
 	})
-	link, err := peers.Listen(peers.Options{
+	opt := peers.Options{
 		Address: s.PeerAddress, Seeds: s.Seeds, Leader: n.controller.Leader, HoldsLease: n.controller.HoldsLease,
 		ActingLeader: n.controller.ActingLeader,
 		Board:        n.board, Logger: n.opt.Logger, Guard: n.guard(),
-	})
+	}
+	if s.Quotas.Enabled() {
+		opt.OnQuota = func(from string, m *limits.Message) { n.quotas.receive(from, m) }
+	}
+	link, err := peers.Listen(opt)
 	if err != nil {
 		return err
 	}
 	n.link = link
+	if s.Quotas.Enabled() {
+		n.quotas = newQuotas(n)
+		n.config.onAccept = n.quotas.apply
+	}
 	close(n.connected)
 	return nil
 }
@@ -275,6 +286,9 @@
 	go guard.Loop(ctx, "sweep", n.sweep)
 	go guard.Loop(ctx, "pauses", n.watchPauses)
 	go guard.Loop(ctx, "quarantine", n.keepQuarantine)
+	if n.quotas != nil {
+		go guard.Loop(ctx, "quotas", n.quotas.run)
+	}
 	controllerCtx, cancel := context.WithCancel(ctx)
 	done := make(chan struct{})
 	go func() {
@@ -308,12 +322,16 @@
 }
 
 func (n *Node) router() *forward.Router {
-	return forward.NewRouter(forward.Options{
+	opt := forward.Options{
 		Protocol: n.opt.Protocol, Backends: n.registry, Weights: n.versions, RetryBudget: n.retryBudget, Prefixes: n.prefixes,
 		PrefixCounts: n.prefixCounts, PrefixRates: n.prefixRates, Quarantine: n.quarantine,
 		Config:   func() *routes.Config { return n.config.current.Load() },
 		Shutdown: n.stopping, BodyMemory: n.bodyMemory, Logger: n.opt.Logger, Metrics: n.opt.Metrics,
-	})
+	}
+	if n.quotas != nil {
+		opt.Quotas = n.quotas
+	}
+	return forward.NewRouter(opt)
 }
 
 // clientServer returns the server for clients. Its limits exceed those of the configuration, which clients
--- a/pkg/gateway/peers/link.go
+++ b/pkg/gateway/peers/link.go
@@ -13,6 +13,7 @@
 	"cassiawall.example/cassiawall/pkg/clock"
 	"cassiawall.example/cassiawall/pkg/event"
 	"cassiawall.example/cassiawall/pkg/gateway/backends"
+	"cassiawall.example/cassiawall/pkg/limits"
 	"cassiawall.example/cassiawall/pkg/recovery"
 	"cassiawall.example/cassiawall/pkg/wait"
 )
@@ -137,7 +138,9 @@
 	HoldsLease   func() bool
 	ActingLeader func() bool
 	Board        Board
-	Logger       *slog.Logger
+	// OnQuota handles messages about the workspaces' quotas. It is nil if there are none.
+	OnQuota func(from string, m *limits.Message)
+	Logger  *slog.Logger
 	// Guard contains panics while messages are handled.
 	Guard recovery.Guard
 }
--- a/pkg/gateway/peers/receive.go
+++ b/pkg/gateway/peers/receive.go
@@ -14,7 +14,7 @@
 func (l *Link) receive(ctx context.Context) {
 	buffer := make([]byte, maxDatagramBytes)
 	for {
-		n, _, err := l.conn.ReadFromUDP(buffer)
+		n, from, err := l.conn.ReadFromUDPAddrPort(buffer)
 		if ctx.Err() != nil {
 			return
 		}
@@ -27,6 +27,9 @@
 			continue
 		}
 		l.opt.Guard.Run("peer message", func() {
+			if l.handleQuota(from, buffer[:n]) {
+				return
+			}
 			m, err := decode(buffer[:n])
 			if err != nil {
 				event.PeerMessageSkipped.Emit(l.opt.Logger, "error", err.Error())
--- a/pkg/gateway/weights/holder.go
+++ b/pkg/gateway/weights/holder.go
@@ -55,6 +55,14 @@
 	return value, version
 }
 
+// LeaseVersion returns the version of the last known lease record.
+func (c *Controller) LeaseVersion() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, version := c.lease.LastRecord()
+	return version
+}
+
 // ObserveLease applies a lease record in stored form that the leader has sent, as if it had been read
 // from the store. A record that does not decode is logged and ignored.
 func (c *Controller) ObserveLease(value []byte, version uint64, now time.Time) {
--- a/pkg/limits/account.go
+++ b/pkg/limits/account.go
@@ -26,7 +26,7 @@
 const (
 	// Undecided requests wait for a reply.
 	Undecided Outcome = iota
-	// Granted requests may be sent while Agent.Valid holds for their Charge.
+	// Granted requests may be sent while their Charge is valid.
 	Granted
 	// Denied requests are over the quota.
 	Denied
@@ -43,6 +43,9 @@
 	grant grant
 }
 
+// Valid reports whether a request may be sent with the charge.
+func (c Charge) Valid(now time.Time) bool { return now.Before(c.until) }
+
 // grant identifies where tokens come from.
 type grant struct {
 	owner   string
--- a/pkg/limits/agent_requests.go
+++ b/pkg/limits/agent_requests.go
@@ -43,9 +43,6 @@
 	w.decide(Unavailable)
 }
 
-// Valid reports whether a request may be sent with the charge.
-func (a *Agent) Valid(c Charge, now time.Time) bool { return now.Before(c.until) }
-
 // Refund takes back the charge of a request that no backend server has got. The tokens go to a waiting request, or back to
 // their owner.
 func (a *Agent) Refund(charge Charge, now time.Time) {
--- a/pkg/limits/quota_sim_test.go
+++ b/pkg/limits/quota_sim_test.go
@@ -289,7 +289,7 @@
 			if n.life != life {
 				return
 			}
-			if !n.agent.Valid(w.Charge, s.now) {
+			if !w.Charge.Valid(s.now) {
 				s.acquire(n, life, workspace, weight)
 				return
 			}
--- a/pkg/limits/quota_test.go
+++ b/pkg/limits/quota_test.go
@@ -184,11 +184,11 @@
 func TestQuotaRefund(t *testing.T) {
 	a, now := soleAgent(Quota{Rate: 10, Burst: 1000, Tokens: true})
 	first := requireGranted(t, a.Acquire(1, 1000, *now))
-	assert.True(t, a.Valid(first, *now))
+	assert.True(t, first.Valid(*now))
 	a.Refund(first, *now)
 	second := requireGranted(t, a.Acquire(1, 1000, *now))
 	late := now.Add(GrantTTL)
-	assert.False(t, a.Valid(second, late), "a process that was paused must not use the charge")
+	assert.False(t, second.Valid(late), "a process that was paused must not use the charge")
 	a.Refund(second, late)
 	a.Tick(late)
 	assert.Equal(t, Denied, a.Acquire(1, 500, late).Outcome)
