--- a/pkg/limits/account.go
+++ b/pkg/limits/account.go
@@ -142,8 +142,9 @@
 	return weight >= c.deniedWeight && now.Before(c.deniedUntil)
 }
 
-func (c *account) denyLocally(w *Waiter, now time.Time) {
-	w.Local, w.Owner, w.Level = true, c.deniedBy, c.deniedLevel
+// deny denies a request by the last denial, which is for another request if local is set.
+func (c *account) deny(w *Waiter, local bool, now time.Time) {
+	w.Local, w.Owner, w.Level = local, c.deniedBy, c.deniedLevel
 	w.RetryAfter = later(c.retryAt, c.deniedUntil).Sub(now)
 	w.decide(Denied)
 }
@@ -173,7 +174,7 @@
 		if !c.deniesLocally(w.weight, now) {
 			return false
 		}
-		c.denyLocally(w, now)
+		c.deny(w, true, now)
 		return true
 	})
 }
--- a/pkg/limits/agent_requests.go
+++ b/pkg/limits/agent_requests.go
@@ -19,7 +19,7 @@
 	c.weight.add(now, float64(weight))
 	c.dropSpent(now)
 	if c.deniesLocally(weight, now) {
-		c.denyLocally(w, now)
+		c.deny(w, true, now)
 		return w
 	}
 	c.waiting = append(c.waiting, w)
@@ -180,8 +180,7 @@
 		return
 	}
 	c.waiting = slices.DeleteFunc(c.waiting, func(w *Waiter) bool { return w == denied })
-	c.denyLocally(denied, now)
-	denied.Local = false
+	c.deny(denied, false, now)
 }
 
 // skipOwner asks the next owner at once, because the last one has nothing to grant, but each of them only once. It reports
--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -44,6 +44,8 @@
 	peerAddresses []string
 	client        *http.Client
 	logs          *logBuffer
+	// quotas is set if the deployment has quotas of workspaces.
+	quotas bool
 	// listen replaces the listener of a server, unless it is nil.
 	listen func(net.Listener) net.Listener
 	// cancels stop the nodes, which then send their results to ended.
@@ -89,7 +91,7 @@
 	for i := range settings {
 		settings[i] = standin.NodeSettings{
 			Name: fmt.Sprintf("node-%d", i), IP: f.host, ClientAddress: f.nextAddress(), ReadyAddress: f.nextAddress(), PeerAddress: f.nextAddress(),
-			StoreAddress: strings.TrimPrefix(storeServer.URL, "http://"),
+			StoreAddress: strings.TrimPrefix(storeServer.URL, "http://"), Quotas: f.quotas,
 		}
 		seeds = append(seeds, settings[i].PeerAddress)
 	}
