Bound the changes of owners and holders of the quotas' parts

A part ends a minute after its last appointment, or at once when its holder restarts or stops. Seeds use parts from their start only while most seeds have heard of no leader. Late appointments do not undo newer ones. The test checks that no two nodes can use the same part at the same time.

--- a/pkg/gateway/node/node.go
+++ b/pkg/gateway/node/node.go
@@ -366,6 +366,9 @@
 	end := began.Add(n.opt.Settings.ShutdownGrace - shutdownMargin)
 	n.stopping.Begin(end.Add(-answerMargin))
 	event.NodeDraining.Emit(n.opt.Logger)
+	if n.quotas != nil {
+		n.quotas.release()
+	}
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
--- a/pkg/gateway/node/quotas.go
+++ b/pkg/gateway/node/quotas.go
@@ -34,7 +34,7 @@
 	q := &quotas{node: n}
 	s := n.opt.Settings
 	q.agent = limits.NewAgent(limits.AgentOptions{
-		Self: s.PeerAddress, Seeds: s.Seeds, Bounds: s.Quotas, Env: q.envLocked, Send: q.send, Note: q.note,
+		Self: s.PeerAddress, Seeds: s.Seeds, Bounds: s.Quotas, FirstStart: s.FirstStart, Env: q.envLocked, Send: q.send, Note: q.note,
 	}, clock.Now())
 	return q
 }
@@ -56,9 +56,20 @@
 	q.agent.SetQuotas(c.Quotas(), c.Version, clock.Now())
 }
 
+// release gives up this node's parts of the quotas because it stops.
+func (q *quotas) release() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.agent.Release(clock.Now())
+}
+
 func (q *quotas) receive(from string, m *limits.Message) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	if !q.env.ActingLeader && m.FirstLeader == q.node.opt.Settings.PeerAddress {
+		// This node may have become the leader a moment ago.
+		q.envAt = time.Time{}
+	}
 	q.agent.Receive(from, m, clock.Now())
 }
 
@@ -74,7 +85,7 @@
 		return q.env
 	}
 	c := q.node.controller
-	e := limits.Env{ActingLeader: c.ActingLeader(), Leader: c.Leader()}
+	e := limits.Env{ActingLeader: c.ActingLeader(), HoldsLease: c.HoldsLease(), Leader: c.Leader()}
 	if e.ActingLeader {
 		e.LeaseVersion = c.LeaseVersion()
 	}
--- a/pkg/limits/agent.go
+++ b/pkg/limits/agent.go
@@ -13,9 +13,10 @@
 
 // Env is what an Agent knows about the other nodes.
 type Env struct {
-	// ActingLeader is set if this node is the leader, with a lease of version LeaseVersion.
-	ActingLeader bool
-	LeaseVersion uint64
+	// ActingLeader is set if this node is the leader, with a lease of version LeaseVersion. HoldsLease is not set once it has
+	// released the lease, and another node may be the leader as well.
+	ActingLeader, HoldsLease bool
+	LeaseVersion             uint64
 	// Leader is the address of the leader, or "". Heard is the sender of the last heartbeat since the start, or "".
 	Leader, Heard string
 	// Standbys are the nodes that hold the parts, in order of preference.
@@ -31,6 +32,11 @@
 	// Seeds are the addresses that all nodes know at their start.
 	Seeds  []string
 	Bounds QuotaBounds
+	// Term is the time for which a node holds a part after its last appointment. All nodes must have the same. 0 means
+	// DefaultTerm.
+	Term time.Duration
+	// FirstStart is set if all nodes start for the first time.
+	FirstStart bool
 	// Env returns the present state of the other nodes.
 	Env func() Env
 	// Send sends a message to another node. It must not call the agent.
@@ -64,10 +70,13 @@
 	version int64
 
 	// firstLeader is the first leader that this node has heard since its start. foreign is set once another node has heard of
-	// a leader that is not this node.
+	// a leader that is not this process.
 	firstLeader string
 	foreign     bool
 
+	// freshAt is the time at which each other seed was last asked that had heard of no leader.
+	freshAt map[string]time.Time
+
 	trustee trustee
 	interim *Ledger
 	owner   *owner
@@ -89,10 +98,13 @@
 // NewAgent returns an agent without quotas.
 func NewAgent(opt AgentOptions, now time.Time) *Agent {
 	a := &Agent{
-		opt: opt, startedAt: now, accounts: map[uint64]*account{}, sent: map[uint64]sentQuery{},
+		opt: opt, startedAt: now, accounts: map[uint64]*account{}, sent: map[uint64]sentQuery{}, freshAt: map[string]time.Time{},
 		// The lowest bits stay free, so that stamps do not overflow.
 		start: 1 + uint64(rand.Int64N(1<<60)),
 	}
+	if opt.Term == 0 {
+		a.opt.Term = DefaultTerm
+	}
 	a.seeds = slices.Compact(slices.Sorted(slices.Values(opt.Seeds)))
 	if len(a.seeds) == 0 {
 		a.seeds = []string{opt.Self}
@@ -163,15 +175,21 @@
 }
 
 func (a *Agent) handle(from string, m *Message, now time.Time) {
-	if m.FirstLeader != "" && m.FirstLeader != a.opt.Self {
+	a.hear(a.opt.Env())
+	// Until this node is the leader, its own address stands for an earlier process.
+	if m.FirstLeader != "" && (m.FirstLeader != a.opt.Self || a.firstLeader != a.opt.Self) {
 		a.foreign = true
 	}
 	if from == a.opt.Env().Leader {
 		a.suspectUntil = time.Time{}
 	}
 	switch {
-	case m.Probe:
-		a.send(from, &Message{})
+	case m.Probe != 0:
+		a.send(from, &Message{ProbeEcho: m.Probe})
+	case m.ProbeEcho != 0:
+		if at := a.stampTime(m.ProbeEcho, now); m.FirstLeader == "" && slices.Contains(a.seeds, from) {
+			a.freshAt[from] = later(a.freshAt[from], at)
+		}
 	case m.Query != nil:
 		a.handleQuery(from, m, now)
 	case m.Return != nil:
@@ -183,7 +201,7 @@
 	case m.Reply != nil:
 		a.handleReply(from, m.Reply, now)
 	case m.Appointment != nil:
-		a.handleAppointment(from, m.Appointment, now)
+		a.handleAppointment(from, m.Start, m.Appointment, now)
 	case m.Ack != nil:
 		a.handleAck(from, m, now)
 	}
@@ -193,10 +211,10 @@
 func (a *Agent) Tick(now time.Time) {
 	env := a.opt.Env()
 	a.hear(env)
-	if a.firstLeader == "" && now.Sub(a.startedAt) < birthDelay {
-		for _, to := range slices.Compact(slices.Sorted(slices.Values(slices.Concat(a.seeds, env.Peers)))) {
+	if a.firstLeader == "" && !a.foreign && (now.Sub(a.startedAt) < birthDelay || a.trustee.birth != 0) {
+		for _, to := range dedupe(slices.Concat(a.seeds, env.Peers)) {
 			if to != a.opt.Self {
-				a.send(to, &Message{Probe: true})
+				a.send(to, &Message{Probe: a.stamp(now)})
 			}
 		}
 	}
@@ -243,10 +261,7 @@
 func (a *Agent) owners(now time.Time) []string {
 	env := a.opt.Env()
 	a.hear(env)
-	interim := slices.Clone(a.trustees)
-	if len(interim) == 0 {
-		interim = slices.Clone(env.Standbys)
-	}
+	interim := slices.Concat(a.trustees, env.Standbys)
 	if a.firstLeader == "" || len(interim) == 0 {
 		interim = append(interim, a.seeds...)
 	}
--- a/pkg/limits/agent_parts.go
+++ b/pkg/limits/agent_parts.go
@@ -14,11 +14,19 @@
 		return
 	}
 	if a.owner == nil {
-		a.owner = newOwner(now)
+		unknown := a.opt.Term
+		if a.opt.FirstStart && !a.foreign && a.firstLeader == a.opt.Self {
+			unknown = firstClaims
+		}
+		a.owner = newOwner(a.opt.Term, now.Add(unknown+clockMargin))
 		a.ledger = NewLedger(a.opt.Bounds, rand.Uint32(), true, now)
 		a.ledger.SetQuotas(a.quotas, a.version, now)
 	}
-	for _, part := range a.owner.assign(a.opt.Self, env.Standbys, now) {
+	var changed []int
+	if env.HoldsLease {
+		changed = a.owner.assign(a.opt.Self, env.Standbys, a.owner.heardMost(a.seeds, now), now)
+	}
+	for _, part := range changed {
 		a.ledger.Withdraw(part, now)
 		holder := a.owner.parts[part].holder
 		if holder != a.opt.Self {
@@ -29,7 +37,7 @@
 		a.note(Note{Role: "holder", Part: part, Holder: holder})
 	}
 	for _, to := range a.appointees(env) {
-		a.send(to, &Message{Appointment: a.owner.appointment(to, env.LeaseVersion, a.stamp(now), now)})
+		a.send(to, &Message{Appointment: a.owner.appointment(to, env, a.stamp(now), now)})
 	}
 	a.noteLeader(a.ledger.Lent(now))
 }
@@ -58,18 +66,35 @@
 	return slices.DeleteFunc(slices.Compact(list), func(s string) bool { return s == "" })
 }
 
-func (a *Agent) handleAppointment(from string, ap *Appointment, now time.Time) {
-	lent, ok := a.trustee.appoint(from, ap, a.stampTime(ap.Echo, now), now)
+func (a *Agent) handleAppointment(from string, start uint64, ap *Appointment, now time.Time) {
+	lent, ok := a.trustee.appoint(from, start, ap, a.stampTime(ap.Echo, now), a.opt.Term, now)
 	if !ok {
 		return
 	}
+	if a.firstLeader == "" {
+		a.firstLeader = from
+	}
 	// What is lent must not be granted here from now on.
 	a.syncInterim(now)
 	a.send(from, &Message{Ack: a.newAck(ap.Stamp, lent, now)})
 }
 
 func (a *Agent) newAck(echo int64, lent bool, now time.Time) *Ack {
-	return &Ack{Echo: echo, Stamp: a.stamp(now), Held: a.trustee.held(now), Birth: a.trustee.birth, Lent: lent}
+	return &Ack{Echo: echo, Stamp: a.stamp(now), Held: a.trustee.held(now), Birth: a.trustee.birth, Lent: lent, Released: a.trustee.released}
+}
+
+// Release gives up the parts that this node holds, because it stops, and tells the leader.
+func (a *Agent) Release(now time.Time) {
+	held := a.trustee.held(now)
+	a.trustee.released = true
+	for i := range Parts {
+		a.trustee.drop(i)
+	}
+	a.syncInterim(now)
+	if leader := a.opt.Env().Leader; held != 0 && leader != "" {
+		a.send(leader, &Message{Ack: a.newAck(0, false, now)})
+	}
+	a.flush(now)
 }
 
 func (a *Agent) handleAck(from string, m *Message, now time.Time) {
@@ -120,8 +145,8 @@
 	if a.opt.Env().ActingLeader {
 		usable = 0
 	}
-	if a.firstLeader != "" || a.foreign || now.Sub(a.startedAt) < birthDelay {
-		// Parts that nobody has appointed this node to count only if there has been no leader.
+	birthUntil := a.birthUntil(now)
+	if !birthUntil.After(now) {
 		usable &^= a.trustee.birth
 	}
 	if usable == 0 {
@@ -138,7 +163,7 @@
 		case usable&bit(i) == 0:
 			a.interim.Withdraw(i, now)
 		case a.trustee.birth&bit(i) != 0:
-			a.interim.Lend(i, now.Add(loanTTL), now)
+			a.interim.Lend(i, birthUntil, now)
 		default:
 			a.interim.Lend(i, a.trustee.termUntil[i], now)
 		}
@@ -146,6 +171,31 @@
 	a.noteInterim(a.interim.Lent(now))
 }
 
+// birthUntil returns the time until which this node may use the parts that nobody has appointed it to, or the zero time: it
+// and most seeds, which it has asked, have heard of no leader since their start. No part of a network that is cut in two has
+// most seeds, unless most of them restart while they are cut off from all nodes that have run longer.
+func (a *Agent) birthUntil(now time.Time) time.Time {
+	if a.firstLeader != "" || a.foreign || now.Sub(a.startedAt) < birthDelay {
+		return time.Time{}
+	}
+	needed := len(a.seeds)/2 + 1
+	if slices.Contains(a.seeds, a.opt.Self) {
+		needed--
+	}
+	if needed == 0 {
+		return now.Add(loanTTL)
+	}
+	var times []time.Time
+	for _, at := range a.freshAt {
+		times = append(times, at)
+	}
+	if len(times) < needed {
+		return time.Time{}
+	}
+	slices.SortFunc(times, func(x, y time.Time) int { return y.Compare(x) })
+	return times[needed-1].Add(loanTTL)
+}
+
 // drop ends the holding of a part.
 func (t *trustee) drop(part int) {
 	t.termUntil[part] = time.Time{}
--- a/pkg/limits/ledger.go
+++ b/pkg/limits/ledger.go
@@ -69,7 +69,8 @@
 	at      time.Time
 }
 
-// NewLedger returns a ledger that has been lent nothing. epoch must differ between ledgers.
+// NewLedger returns a ledger that has been lent nothing and does not know what has been used: its buckets are empty, or, with
+// useInitial, at a level that the tolerance allows. epoch must differ between ledgers.
 func NewLedger(bounds QuotaBounds, epoch uint32, useInitial bool, now time.Time) *Ledger {
 	return &Ledger{
 		bounds: bounds, epoch: epoch, useInitial: useInitial, startedAt: now, at: now, sweptAt: now,
--- a/pkg/limits/messages.go
+++ b/pkg/limits/messages.go
@@ -7,13 +7,14 @@
 	Start uint64
 	// FirstLeader is the address of the first leader that the sender has heard since its start, or "".
 	FirstLeader string
-	// Probe asks for a message in return, which shows the receiver's FirstLeader.
-	Probe       bool
-	Query       *Query
-	Reply       *Reply
-	Return      *Return
-	Appointment *Appointment
-	Ack         *Ack
+	// Probe is a time of the sender's clock. The receiver repeats it as ProbeEcho in a message in return, which shows its
+	// FirstLeader.
+	Probe, ProbeEcho int64
+	Query            *Query
+	Reply            *Reply
+	Return           *Return
+	Appointment      *Appointment
+	Ack              *Ack
 }
 
 // Query asks an owner for tokens of a workspace.
@@ -79,4 +80,6 @@
 	Held, Birth uint8
 	// Lent is set if Held is lent to the receiver for loanTTL from the time Echo.
 	Lent bool
+	// Released is set if the sender stops and will hold no parts any more.
+	Released bool
 }
--- a/pkg/limits/owner.go
+++ b/pkg/limits/owner.go
@@ -8,17 +8,21 @@
 const (
 	// silentAfter is the time without an answer after which a holder of a part is no longer appointed.
 	silentAfter = 1500 * time.Millisecond
+	// seedsGoneTerms is the number of further terms after which a leader that does not reach most seeds uses the parts whose
+	// holders it does not know: the seeds may be gone for good, or hold the parts in another part of a network cut in two.
+	seedsGoneTerms = 10
 )
 
 // owner is the leader's record of the parts and their holders.
 type owner struct {
+	term  time.Duration
 	parts [Parts]ownedPart
 	peers map[string]*ownerPeer
 }
 
 // ownedPart is one part of the quotas.
 type ownedPart struct {
-	// holder is "" if the part is held by nobody, or by a node that is not known until unknownUntil.
+	// holder is "" if the part is held by nobody, or, until unknownUntil, by a node that is not known.
 	holder       string
 	unknownUntil time.Time
 	// chosenAt is the time at which the holder was chosen, and holdSentAt that of the last appointment that can have made it
@@ -33,6 +37,8 @@
 // ownerPeer is what the leader knows of a node that has answered an appointment or holds parts.
 type ownerPeer struct {
 	start uint64
+	// firstAckAt is the time of the first answer.
+	firstAckAt time.Time
 	// stamp is the newest Ack.Stamp. askedAt is the time of the newest appointment that was answered, and ackedAt that of the
 	// last answer.
 	stamp            int64
@@ -40,11 +46,12 @@
 	drop             uint8
 }
 
-// newOwner returns the record of a new leader. Parts to which an earlier leader has appointed nodes are held for up to Term.
-func newOwner(now time.Time) *owner {
-	o := &owner{peers: map[string]*ownerPeer{}}
+// newOwner returns the record of a new leader. Nodes to which an earlier leader has given parts may hold them until
+// unknownUntil.
+func newOwner(term time.Duration, unknownUntil time.Time) *owner {
+	o := &owner{term: term, peers: map[string]*ownerPeer{}}
 	for i := range o.parts {
-		o.parts[i].unknownUntil = now.Add(Term + clockMargin)
+		o.parts[i].unknownUntil = unknownUntil
 	}
 	return o
 }
@@ -79,12 +86,24 @@
 	return now.Sub(last) > silentAfter
 }
 
+// heardMost reports whether most seeds have heard of this leader for long enough that no seed uses parts that it holds since
+// its start.
+func (o *owner) heardMost(seeds []string, now time.Time) bool {
+	heard := 0
+	for _, s := range seeds {
+		if p := o.peers[s]; p != nil && !p.firstAckAt.IsZero() && now.Sub(p.firstAckAt) > loanTTL+clockMargin {
+			heard++
+		}
+	}
+	return heard > len(seeds)/2
+}
+
 // assign gives the parts that are free to candidates, and to this node if there is none. It returns the parts whose holder
-// changed.
-func (o *owner) assign(self string, candidates []string, now time.Time) (changed []int) {
+// changed. Parts whose holder was not known are free if heardMost is set, and otherwise after seedsGoneTerms.
+func (o *owner) assign(self string, candidates []string, heardMost bool, now time.Time) (changed []int) {
 	for i := range o.parts {
 		p := &o.parts[i]
-		if p.holder != "" && p.holder != self && o.silent(p, now) && (p.holdSentAt.IsZero() || now.Sub(p.holdSentAt) > Term+clockMargin) {
+		if p.holder != "" && p.holder != self && o.silent(p, now) && (p.holdSentAt.IsZero() || now.Sub(p.holdSentAt) > o.term+clockMargin) {
 			*p = ownedPart{}
 			changed = append(changed, i)
 		}
@@ -93,7 +112,11 @@
 			// One part moves at a time.
 			break
 		}
-		if p.holder == "" && now.Before(p.unknownUntil) || p.holder != "" && p.holder != self {
+		unknownUntil := p.unknownUntil
+		if !unknownUntil.IsZero() && !heardMost {
+			unknownUntil = unknownUntil.Add(seedsGoneTerms * o.term)
+		}
+		if p.holder == "" && now.Before(unknownUntil) || p.holder != "" && p.holder != self {
 			continue
 		}
 		next := o.candidate(self, candidates, now)
@@ -124,11 +147,14 @@
 }
 
 // appointment returns the parts that a node should hold, and records that it is told so. It is told only once it has
-// answered: only then can it date the appointment.
-func (o *owner) appointment(to string, version uint64, stamp int64, now time.Time) *Appointment {
+// answered: only then can it date the appointment. A leader that has released its lease extends no term.
+func (o *owner) appointment(to string, env Env, stamp int64, now time.Time) *Appointment {
 	peer := o.peer(to)
-	ap := &Appointment{Version: version, Stamp: stamp, Echo: peer.stamp, Drop: peer.drop}
+	ap := &Appointment{Version: env.LeaseVersion, Stamp: stamp, Echo: peer.stamp, Drop: peer.drop}
 	peer.drop = 0
+	if !env.HoldsLease {
+		return ap
+	}
 	for i := range o.parts {
 		p := &o.parts[i]
 		if p.holder != to || o.silent(p, now) {
@@ -166,6 +192,19 @@
 		}
 		*peer = ownerPeer{}
 	}
+	for i := range o.parts {
+		if o.parts[i].holder == from && ack.Released {
+			o.parts[i] = ownedPart{}
+			freed = append(freed, i)
+		}
+	}
+	if ack.Released {
+		peer.ackedAt = time.Time{}
+		return nil, freed
+	}
+	if peer.firstAckAt.IsZero() && !askedAt.IsZero() {
+		peer.firstAckAt = now
+	}
 	peer.start, peer.stamp, peer.ackedAt = start, max(peer.stamp, ack.Stamp), now
 	if askedAt.After(peer.askedAt) {
 		peer.askedAt = askedAt
@@ -180,7 +219,7 @@
 		if ack.Held&bit(i) == 0 || isBirth && birth == birthUnknown {
 			continue
 		}
-		if p.holder == "" && now.Before(p.unknownUntil) && (!isBirth || birth == birthAccepted) {
+		if p.holder == "" && !p.unknownUntil.IsZero() && (!isBirth || birth == birthAccepted) {
 			// Its term may have been extended a moment ago.
 			*p = ownedPart{holder: from, chosenAt: now, holdSentAt: now, birth: isBirth}
 		}
--- a/pkg/limits/quota.go
+++ b/pkg/limits/quota.go
@@ -11,11 +11,12 @@
 	returnTTL = 500 * time.Millisecond
 	// sendDelay allows for the time from the last check of a grant until the request arrives at its backend server.
 	sendDelay = 100 * time.Millisecond
-	// oversizeShare and initialShare are the parts of the remaining tolerance that requests heavier than a bucket and new
-	// ledgers may use. Two new ledgers fit into one window.
-	oversizeShare = 0.75
-	initialShare  = 0.125
-	// initialBurstShare and initialSlackShare bound the level at which a new ledger starts its buckets.
+	// oversizeShare and initialShare are the parts of the remaining tolerance that a request heavier than its bucket and the
+	// initial level of a new leader's bucket may use. New ledgers do not know of the deficits of others, so that the sum of
+	// three of each must fit into one window. A lease changes its holder at most every 3 s.
+	oversizeShare = 0.15
+	initialShare  = 0.15
+	// initialBurstShare and initialSlackShare bound the initial level.
 	initialBurstShare = 0.1
 	initialSlackShare = 0.25
 )
@@ -46,7 +47,7 @@
 	rate, depth float64
 	// oversize is how much heavier than depth a request may be.
 	oversize float64
-	// initial is the level of a bucket of a new ledger.
+	// initial is the level of the buckets of a new leader.
 	initial float64
 	// idle is the time in seconds without a grant after which even heavier requests are granted, up to that time times rate.
 	idle float64
--- a/pkg/limits/quota_sim_test.go
+++ b/pkg/limits/quota_sim_test.go
@@ -13,6 +13,7 @@
 type quotaSim struct {
 	rand   *rand.Rand
 	bounds QuotaBounds
+	term   time.Duration
 	quotas map[uint64]Quota
 	now    time.Time
 	events simEvents
@@ -26,6 +27,8 @@
 	loss float64
 	// One of slowShare requests waits for a backend server for up to 0.7 s.
 	slowShare int
+	// shared is set once two nodes could use the same part.
+	shared bool
 	// arrivals are what the backend servers got.
 	arrivals []simArrival
 	// offered, admitted, denied and unavailable are sums of weights by workspace.
@@ -120,7 +123,7 @@
 		seeds = []string{"10.0.0.0:7000", "10.0.0.1:7000", "10.0.0.2:7000"}
 	}
 	n.agent = NewAgent(AgentOptions{
-		Self: n.address, Seeds: seeds, Bounds: s.bounds, Env: func() Env { return s.env(n) },
+		Self: n.address, Seeds: seeds, Bounds: s.bounds, Term: s.term, Env: func() Env { return s.env(n) },
 		Send: func(to string, m *Message) { s.send(n, to, m) },
 	}, s.now)
 	n.agent.SetQuotas(s.quotas, 1, s.now)
@@ -141,7 +144,7 @@
 }
 
 func (s *quotaSim) env(n *simNode) Env {
-	e := Env{ActingLeader: s.leader == n, LeaseVersion: s.lease}
+	e := Env{ActingLeader: s.leader == n, HoldsLease: s.leader == n, LeaseVersion: s.lease}
 	if n.heard != nil {
 		e.Heard, e.Leader = n.heard.address, n.heard.address
 	}
@@ -328,6 +331,28 @@
 	s.now = end
 }
 
+// checkParts records whether two nodes may grant from the same part at the same time, every 20 ms for a time.
+func (s *quotaSim) checkParts(d time.Duration) {
+	for at := time.Duration(0); at < d; at += 20 * time.Millisecond {
+		s.after(at, func() {
+			var users [Parts]int
+			for _, n := range s.nodes {
+				for _, l := range []*Ledger{n.agent.ledger, n.agent.interim} {
+					if l == nil || n.down {
+						continue
+					}
+					for part, until := range l.lentUntil {
+						if until.After(s.now) {
+							users[part]++
+						}
+					}
+				}
+			}
+			s.shared = s.shared || slices.Max(users[:]) > 1
+		})
+	}
+}
+
 // worst returns the highest use in a window by workspace, as a proportion of what is allowed.
 func (s *quotaSim) worst() (worst float64) {
 	byWorkspace := map[uint64][]simArrival{}
--- a/pkg/limits/quota_test.go
+++ b/pkg/limits/quota_test.go
@@ -16,6 +16,10 @@
 func TestQuotaIsKeptInAnyWindowUnderFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newQuotaSim(rapid.Uint64().Draw(t, "seed"), 9, testBounds, map[uint64]Quota{1: {Rate: 824739, Burst: 824739, Tokens: true}, 2: {Rate: 57000, Burst: 57000, Tokens: true}})
+		s.term = rapid.SampledFrom([]time.Duration{3 * time.Second, 8 * time.Second, DefaultTerm}).Draw(t, "term")
+		for _, n := range s.nodes {
+			s.startNode(n)
+		}
 		s.loss = rapid.SampledFrom([]float64{0, 0.02, 0.2}).Draw(t, "loss")
 		const length = 16 * time.Second
 		s.leader = s.nodes[0]
@@ -26,7 +30,7 @@
 			at := time.Duration(rapid.IntRange(0, 16000).Draw(t, "at")) * time.Millisecond
 			took := time.Duration(rapid.IntRange(100, 12000).Draw(t, "took")) * time.Millisecond
 			n := s.nodes[rapid.IntRange(0, 8).Draw(t, "node")]
-			switch rapid.SampledFrom([]string{"kill", "pause", "partition", "lease", "kill leader", "kill holder"}).Draw(t, "fault") {
+			switch rapid.SampledFrom([]string{"kill", "pause", "partition", "lease", "kill leader", "kill holder", "kill all", "release"}).Draw(t, "fault") {
 			case "kill":
 				s.after(at, func() { s.killIfUp(n, took/4) })
 			case "pause":
@@ -45,6 +49,20 @@
 				})
 			case "lease":
 				s.after(at, func() { s.elect(50 * time.Millisecond) })
+			case "kill all":
+				s.after(at, func() {
+					for _, n := range s.nodes {
+						s.killIfUp(n, time.Duration(s.rand.Int64N(int64(took/4))))
+					}
+				})
+			case "release":
+				// The process stops, and another one takes its place.
+				s.after(at, func() {
+					if !n.down && !s.now.Before(n.pausedUntil) {
+						n.agent.Release(s.now)
+						s.after(took/8, func() { s.killIfUp(n, took/4) })
+					}
+				})
 			case "kill leader":
 				s.after(at, func() {
 					if s.leader != nil {
@@ -62,7 +80,11 @@
 				})
 			}
 		}
+		s.checkParts(length)
 		s.run(length + time.Second)
+		if s.shared {
+			t.Fatal("two nodes could use the same part of the quotas")
+		}
 		if worst := s.worst(); worst > 1 {
 			t.Fatalf("a window had %.3f of what is allowed", worst)
 		}
@@ -150,7 +172,7 @@
 // soleAgent returns an agent that is the leader of a deployment of one node and has quotas, and its clock.
 func soleAgent(q Quota) (a *Agent, now *time.Time) {
 	at := simStart
-	a = NewAgent(AgentOptions{Self: "a", Bounds: testBounds, Env: func() Env { return Env{ActingLeader: true, LeaseVersion: 1, Leader: "a"} }, Send: func(string, *Message) {}}, at)
+	a = NewAgent(AgentOptions{Self: "a", Bounds: testBounds, Env: func() Env { return Env{ActingLeader: true, HoldsLease: true, LeaseVersion: 1, Leader: "a"} }, Send: func(string, *Message) {}}, at)
 	a.SetQuotas(map[uint64]Quota{1: q}, 1, at)
 	for range 40 {
 		at = at.Add(AppointmentInterval)
@@ -274,7 +296,7 @@
 			allowed += b.Slack
 		}
 		seconds := (b.Window + GrantTTL + returnTTL + sendDelay).Seconds()
-		if used := l.rate*seconds + l.depth + l.oversize + 2*l.initial; used > allowed*(1+1e-9) || l.rate <= 0 {
+		if used := l.rate*seconds + l.depth + 3*(l.oversize+l.initial); used > allowed*(1+1e-9) || l.rate <= 0 {
 			t.Fatalf("%+v may use %f of %f", l, used, allowed)
 		}
 	})
--- a/pkg/limits/trustee.go
+++ b/pkg/limits/trustee.go
@@ -3,9 +3,12 @@
 import "time"
 
 const (
-	// Term is the time for which a node holds a part after its last appointment. It covers the change of the leader, which
-	// takes 3 to 4.4 s. A part whose holder is gone is not used until the end of its term.
-	Term = 8 * time.Second
+	// DefaultTerm is the time for which a node holds a part after its last appointment. While there is no leader, as in an
+	// outage of the platform's store, the quotas can be used until then. A part whose holder is gone, and neither restarts nor
+	// releases it, is not used until the end of its term.
+	DefaultTerm = time.Minute
+	// firstClaims is the time within which a leader hears of the seeds' parts when all nodes start for the first time.
+	firstClaims = 2 * time.Second
 	// loanTTL is the time for which the leader uses a part after it has sent the appointment that the holder answered. It
 	// covers the loss of two answers.
 	loanTTL = 400 * time.Millisecond
@@ -27,8 +30,13 @@
 	leader      string
 	version     uint64
 	appointedAt time.Time
+	// leaderStart identifies the leader's process, and stamp is that of its newest appointment.
+	leaderStart uint64
+	stamp       int64
 	// lentUntil is the time until which the parts are lent to the leader.
 	lentUntil time.Time
+	// released is set once the node stops: it holds no parts any more.
+	released bool
 }
 
 func bit(part int) uint8 { return 1 << part }
@@ -45,8 +53,9 @@
 }
 
 // appoint handles an appointment by a leader. echoAt is the time at which this node sent the answer that the appointment
-// repeats, or zero. lent is set if the parts are lent to that leader. ok is false if a newer leader is known.
-func (t *trustee) appoint(from string, ap *Appointment, echoAt, now time.Time) (lent, ok bool) {
+// repeats, or zero. lent is set if the parts are lent to that leader. ok is false if a newer leader or appointment is known: an
+// earlier one that arrives late must not undo it.
+func (t *trustee) appoint(from string, start uint64, ap *Appointment, echoAt time.Time, term time.Duration, now time.Time) (lent, ok bool) {
 	if from != t.leader {
 		if ap.Version < t.version {
 			return false, false
@@ -54,15 +63,18 @@
 		if now.Before(t.lentUntil) {
 			return false, true
 		}
+	} else if start == t.leaderStart && ap.Stamp <= t.stamp {
+		return false, false
 	}
+	t.leaderStart, t.stamp = start, ap.Stamp
 	t.leader, t.version, t.appointedAt = from, max(t.version, ap.Version), now
 	for i := range Parts {
 		switch {
 		case ap.Drop&bit(i) != 0:
 			t.termUntil[i] = time.Time{}
 			t.birth &^= bit(i)
-		case ap.Hold&bit(i) != 0 && !echoAt.IsZero():
-			if until := echoAt.Add(Term); until.After(t.termUntil[i]) {
+		case ap.Hold&bit(i) != 0 && !echoAt.IsZero() && !t.released:
+			if until := echoAt.Add(term); until.After(t.termUntil[i]) {
 				t.termUntil[i] = until
 			}
 			t.birth &^= bit(i)
