--- a/pkg/gateway/node/quotas.go
+++ b/pkg/gateway/node/quotas.go
@@ -16,8 +16,8 @@
 	// quotaEnvTTL is the time for which the agent uses the same state of the other nodes. It changes with the leader only, and
 	// a former leader lends nothing.
 	quotaEnvTTL = 20 * time.Millisecond
-	// quotaRetryInterval is the time after which queries without a reply are sent again.
-	quotaRetryInterval = 60 * time.Millisecond
+	// quotaRetryInterval is the time between checks for queries without a reply while a request waits.
+	quotaRetryInterval = 20 * time.Millisecond
 )
 
 // quotas guards a limits.Agent and connects it to the node. It implements forward.Quotas.
--- a/pkg/gateway/peers/quota_test.go
+++ b/pkg/gateway/peers/quota_test.go
@@ -35,6 +35,7 @@
 		require.NoError(t, err)
 		assert.False(t, l.handleQuota(netip.AddrPort{}, report))
 	}
+	t.Logf("a query and its reply have %d bytes", size)
 	assert.Less(t, size, 300)
 }
 
--- a/pkg/limits/account.go
+++ b/pkg/limits/account.go
@@ -106,9 +106,10 @@
 	// asked are the requests in the query.
 	asked  []*Waiter
 	sentAt time.Time
-	// step is the number of owners that were asked or asked again, and refusals how many of them are none.
-	step, refusals int
-	target         string
+	// step is the number of owners that were asked or asked again, refusals how many of them had nothing to grant, and denials
+	// how many were interim owners.
+	step, refusals, denials int
+	target                  string
 }
 
 // sentQuery is remembered as long as a grant in the reply could be used.
--- a/pkg/limits/agent.go
+++ b/pkg/limits/agent.go
@@ -11,6 +11,9 @@
 // leaderSuspectTime is the time for which other owners are asked before a leader that has not answered.
 const leaderSuspectTime = 3 * time.Second
 
+// unknownLeader stands in Message.FirstLeader for a leader that the sender knows from other nodes only.
+const unknownLeader = "unknown"
+
 // Env is what an Agent knows about the other nodes.
 type Env struct {
 	// ActingLeader is set if this node is the leader, with a lease of version LeaseVersion. HoldsLease is not set once it has
@@ -149,6 +152,9 @@
 
 func (a *Agent) send(to string, m *Message) {
 	m.Start, m.FirstLeader = a.start, a.firstLeader
+	if m.FirstLeader == "" && a.foreign {
+		m.FirstLeader = unknownLeader
+	}
 	if to == a.opt.Self {
 		a.local = append(a.local, m)
 		return
--- a/pkg/limits/agent_requests.go
+++ b/pkg/limits/agent_requests.go
@@ -135,7 +135,8 @@
 	if current && r.Interim && r.Granted < len(sent.needs) {
 		// Another holder may have what this one lacks.
 		c.serve(r.Workspace, now)
-		if len(c.waiting) > 0 && a.skipOwner(r.Workspace, c, now) {
+		c.flight.denials++
+		if len(c.waiting) > 0 && c.flight.denials < a.interimOwners() && a.skipOwner(r.Workspace, c, now) {
 			return
 		}
 	}
@@ -183,6 +184,17 @@
 	c.deny(denied, false, now)
 }
 
+// interimOwners returns the number of known nodes that grant from the parts that they hold.
+func (a *Agent) interimOwners() int {
+	n := 0
+	for _, t := range dedupe(a.trustees) {
+		if t != "" {
+			n++
+		}
+	}
+	return n
+}
+
 // skipOwner asks the next owner at once, because the last one has nothing to grant, but each of them only once. It reports
 // whether it has.
 func (a *Agent) skipOwner(workspace uint64, c *account, now time.Time) bool {
--- a/pkg/limits/messages.go
+++ b/pkg/limits/messages.go
@@ -5,7 +5,7 @@
 type Message struct {
 	// Start identifies the start of the sender's process.
 	Start uint64
-	// FirstLeader is the address of the first leader that the sender has heard since its start, or "".
+	// FirstLeader is the address of the first leader that the sender has heard since its start, or unknownLeader, or "".
 	FirstLeader string
 	// Probe is a time of the sender's clock. The receiver repeats it as ProbeEcho in a message in return, which shows its
 	// FirstLeader.
