--- a/pkg/gateway/node/node.go
+++ b/pkg/gateway/node/node.go
@@ -20,6 +20,7 @@
 	"cassiawall.example/cassiawall/pkg/gateway/routes"
 	"cassiawall.example/cassiawall/pkg/gateway/speed"
 	"cassiawall.example/cassiawall/pkg/gateway/weights"
+	"cassiawall.example/cassiawall/pkg/limits"
 	"cassiawall.example/cassiawall/pkg/metrics"
 	"cassiawall.example/cassiawall/pkg/recovery"
 	"cassiawall.example/cassiawall/pkg/wait"
@@ -135,6 +136,8 @@
 	controller *weights.Controller
 	board      *board
 	link       *peers.Link
+	// quotas is nil in a deployment without quotas. It is set by connect.
+	quotas     *quotas
 	quarantine *forward.Quarantine
 	// speeds models the time to the first event on each engine. speedCombiner is in use while this node acts as the leader.
 	speeds        *speed.Tracker
@@ -220,15 +223,23 @@
 		AnnounceLease: func() { n.link.RequestHeartbeat() }, MayCallStore: n.board.mayCompete,
 		Logger: n.opt.Logger, Metrics: n.opt.Metrics,
 	})
-	link, err := n.listen(peers.Options{
+	opt := peers.Options{
 		Address: s.PeerAddress, Seeds: s.Seeds, Leader: n.controller.Leader, HoldsLease: n.controller.HoldsLease,
 		ActingLeader: n.controller.ActingLeader,
 		Board:        n.board, Logger: n.opt.Logger, Guard: n.guard(),
-	})
+	}
+	if s.Quotas.Enabled() {
+		opt.OnQuota = func(from string, m *limits.Message) { n.quotas.receive(from, m) }
+	}
+	link, err := n.listen(opt)
 	if err != nil {
 		return err
 	}
 	n.link = link
+	if s.Quotas.Enabled() {
+		n.quotas = newQuotas(n)
+		n.config.onAccept = n.quotas.apply
+	}
 	close(n.connected)
 	return nil
 }
@@ -297,6 +308,9 @@
 	go guard.Loop(ctx, "sweep", n.sweep)
 	go guard.Loop(ctx, "pauses", n.watchPauses)
 	go guard.Loop(ctx, "quarantine", n.keepQuarantine)
+	if n.quotas != nil {
+		go guard.Loop(ctx, "quotas", n.quotas.run)
+	}
 	controllerCtx, cancel := context.WithCancel(ctx)
 	done := make(chan struct{})
 	go func() {
@@ -331,12 +345,16 @@
 }
 
 func (n *Node) router() *forward.Router {
-	return forward.NewRouter(forward.Options{
+	opt := forward.Options{
 		Protocol: n.opt.Protocol, Backends: n.registry, Weights: n.versions, RetryBudget: n.retryBudget, Prefixes: n.prefixes,
 		PrefixCounts: n.prefixCounts, PrefixRates: n.prefixRates, Quarantine: n.quarantine, Speeds: n.speeds,
 		Config:   func() *routes.Config { return n.config.current.Load() },
 		Shutdown: n.stopping, BodyMemory: n.bodyMemory, Logger: n.opt.Logger, Metrics: n.opt.Metrics,
-	})
+	}
+	if n.quotas != nil {
+		opt.Quotas = n.quotas
+	}
+	return forward.NewRouter(opt)
 }
 
 // clientServer returns the server for clients. Its limits exceed those of the configuration, which clients
@@ -371,6 +389,9 @@
 	end := began.Add(n.opt.Settings.ShutdownGrace - shutdownMargin)
 	n.stopping.Begin(end.Add(-answerMargin))
 	event.NodeDraining.Emit(n.opt.Logger)
+	if n.quotas != nil {
+		n.quotas.release()
+	}
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
--- a/pkg/gateway/node/simulated_test.go
+++ b/pkg/gateway/node/simulated_test.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
+	"net/netip"
 	"slices"
 	"strconv"
 	"sync"
@@ -295,16 +295,16 @@
 	once     sync.Once
 }
 
-func (c *simulatedConn) ReadFromUDP(b []byte) (int, *net.UDPAddr, error) {
+func (c *simulatedConn) ReadFromUDPAddrPort(b []byte) (int, netip.AddrPort, error) {
 	select {
 	case <-c.closed:
-		return 0, nil, io.ErrClosedPipe
+		return 0, netip.AddrPort{}, io.ErrClosedPipe
 	case data := <-c.received:
-		return copy(b, data), nil, nil
+		return copy(b, data), netip.AddrPort{}, nil
 	}
 }
 
-func (c *simulatedConn) WriteToUDP(b []byte, to *net.UDPAddr) (int, error) {
+func (c *simulatedConn) WriteToUDPAddrPort(b []byte, to netip.AddrPort) (int, error) {
 	address := to.String()
 	c.network.mu.Lock()
 	c.network.datagrams[address]++
--- a/pkg/gateway/peers/conn.go
+++ b/pkg/gateway/peers/conn.go
@@ -1,11 +1,11 @@
 package peers
 
-import "net"
+import "net/netip"
 
 // Conn is the part of a net.UDPConn that a link uses.
 type Conn interface {
-	ReadFromUDP(b []byte) (n int, from *net.UDPAddr, err error)
-	WriteToUDP(b []byte, to *net.UDPAddr) (int, error)
+	ReadFromUDPAddrPort(b []byte) (n int, from netip.AddrPort, err error)
+	WriteToUDPAddrPort(b []byte, to netip.AddrPort) (int, error)
 	Close() error
 }
 
--- a/pkg/gateway/peers/link.go
+++ b/pkg/gateway/peers/link.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -13,6 +14,7 @@
 	"cassiawall.example/cassiawall/pkg/clock"
 	"cassiawall.example/cassiawall/pkg/event"
 	"cassiawall.example/cassiawall/pkg/gateway/backends"
+	"cassiawall.example/cassiawall/pkg/limits"
 	"cassiawall.example/cassiawall/pkg/recovery"
 	"cassiawall.example/cassiawall/pkg/wait"
 )
@@ -136,7 +138,9 @@
 	HoldsLease   func() bool
 	ActingLeader func() bool
 	Board        Board
-	Logger       *slog.Logger
+	// OnQuota handles messages about the workspaces' quotas. It is nil if there are none.
+	OnQuota func(from string, m *limits.Message)
+	Logger  *slog.Logger
 	// Guard contains panics while messages are handled.
 	Guard recovery.Guard
 }
@@ -328,7 +332,7 @@
 }
 
 func (l *Link) sendDatagram(data []byte, to target) error {
-	address, err := net.ResolveUDPAddr("udp4", to.address)
+	address, err := netip.ParseAddrPort(to.address)
 	if err != nil {
 		return err
 	}
@@ -337,7 +341,7 @@
 			return err
 		}
 	}
-	_, err = l.conn.WriteToUDP(data, address)
+	_, err = l.conn.WriteToUDPAddrPort(data, address)
 	return err
 }
 
