Hold the replay with a killed leader to the stated target

Callers within their quota are refused 2.5 to 2.7% of their tokens in a replay of 20 s in which the leader is killed once. The stated target is 2%, and the test had a bound of 4% that came from the measurement.

--- a/pkg/limits/quota_test.go
+++ b/pkg/limits/quota_test.go
@@ -97,27 +97,38 @@
 	}
 }
 
+// maxRefusedWithin is the share of the tokens within the quotas that may be refused.
+const maxRefusedWithin = 0.02
+
 // Guards against refusals within the quota at the size of a deployment, and against an excess there: 145 nodes, uneven
-// arrivals, one workspace with seven times its usual load, and a data centre that is cut off from the others; also with the
-// leader killed, which leaves the quotas without any owner for 0.4 s of the 20 s.
+// arrivals, one workspace with seven times its usual load, and a data centre that is cut off from the others.
 func TestQuotaReplayOfADeployment(t *testing.T) {
-	for name, c := range map[string]struct {
-		killLeader bool
-		most       float64
-	}{"partition": {false, 0.02}, "partition and killed leader": {true, 0.04}} {
-		t.Run(name, func(t *testing.T) {
-			s := replayDeployment(c.killLeader)
-			var within, refused float64
-			for id, q := range s.quotas {
-				allowed := min(float64(s.offered[id]), q.Rate*replayLength.Seconds())
-				within += allowed
-				refused += max(allowed-float64(s.admitted[id]), 0)
-			}
-			t.Logf("refused within the quota: %.2f%%, worst window %.3f of the bound, %d messages", 100*refused/within, s.worst(), s.messages)
-			assert.Less(t, refused/within, c.most)
-			assert.LessOrEqual(t, s.worst(), 1.0)
-		})
+	s := replayDeployment(false)
+	assert.Less(t, s.refusedWithin(t), maxRefusedWithin)
+	assert.LessOrEqual(t, s.worst(), 1.0)
+}
+
+// Guards against an excess in the same replay if the leader is killed, which leaves the quotas without any owner for 0.4 s of
+// the 20 s.
+func TestQuotaReplayWithAKilledLeaderStaysWithinTheBound(t *testing.T) {
+	assert.LessOrEqual(t, replayDeployment(true).worst(), 1.0)
+}
+
+// Guards against refusals within the quota if the leader is killed.
+func TestQuotaReplayWithAKilledLeaderRefusesLittle(t *testing.T) {
+	assert.Less(t, replayDeployment(true).refusedWithin(t), maxRefusedWithin)
+}
+
+// refusedWithin returns the share of the tokens within the quotas that were refused.
+func (s *quotaSim) refusedWithin(t *testing.T) float64 {
+	var within, refused float64
+	for id, q := range s.quotas {
+		allowed := min(float64(s.offered[id]), q.Rate*replayLength.Seconds())
+		within += allowed
+		refused += max(allowed-float64(s.admitted[id]), 0)
 	}
+	t.Logf("refused within the quota: %.2f%%, worst window %.3f of the bound, %d messages", 100*refused/within, s.worst(), s.messages)
+	return refused / within
 }
 
 const replayLength = 20 * time.Second
