Bound what clients' connections hold in nodes of the platform

A quarter of the memory in the settings is for the connections of all listeners, the heads of their requests and running requests. A head is passed to net/http when it is complete, since net/http takes up to ten times its bytes. Beyond the bound the connection that holds most is closed, the oldest of similar ones first. Listeners have shares of limits.maxFds, and bodies that have stalled give way to others.

The tests' settings and the endless engine move to platform/standin, where the platform's names are allowed; crowds and bounds are unchanged.

--- /dev/null
+++ b/pkg/clientconn/body.go
@@ -0,0 +1,32 @@
+package clientconn
+
+import (
+	"errors"
+	"io"
+)
+
+// ErrMemory is returned for the body of a request that does not fit into the memory of the process's connections. The request
+// has not run.
+var ErrMemory = errors.New("the connections of this node hold too much memory")
+
+// body is the body of a request. It reports its end and, if they are charged, its bytes.
+type body struct {
+	io.ReadCloser
+	conn          *conn
+	unknownLength bool
+}
+
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if b.unknownLength {
+		b.conn.bodyBytes.Add(int64(n))
+	}
+	if b.conn.listener.opt.ChargeBodies && !b.conn.charge(2*int64(n)) {
+		return n, ErrMemory
+	}
+	if err == io.EOF && b.conn.phase.CompareAndSwap(phaseBody, phaseRun) {
+		b.conn.since.Store(int64(b.conn.listener.budget.now()))
+	}
+	return n, err
+}
--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -112,4 +112,5 @@
 	StoreBehind        = define(938, "list is older than the mirror", slog.LevelInfo, "none; the objects are listed again")
 	StoreRestored      = define(939, "store restored from a copy", slog.LevelWarn, "check that the operator's objects written since the copy are stored again")
 	RequestNotServed   = define(926, "request not served", slog.LevelInfo, "run cassiawall explain with the request's id")
+	ConnectionsClosed  = define(965, "client connections closed", slog.LevelWarn, "find the clients that hold many connections, large heads or unfinished bodies; see the runbook")
 )
--- a/pkg/gateway/forward/body_memory.go
+++ b/pkg/gateway/forward/body_memory.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"sync"
+	"time"
 )
 
 // A request's body is kept until its response ends, because the request may be sent again. Large bodies of many slow requests
@@ -26,13 +27,22 @@
 type BodyMemory struct {
 	// max is the bound in bytes, or 0 for none.
 	max int64
+	// makeRoom is set by SetMakeRoom. released gets a value when memory is released.
+	makeRoom func(n int64) bool
+	released chan struct{}
 
 	mu   sync.Mutex
 	used int64
 }
 
 // NewBodyMemory returns a bound in bytes, or none for 0.
-func NewBodyMemory(maxBytes int64) *BodyMemory { return &BodyMemory{max: maxBytes} }
+func NewBodyMemory(maxBytes int64) *BodyMemory {
+	return &BodyMemory{max: maxBytes, released: make(chan struct{}, 1)}
+}
+
+// SetMakeRoom sets a function that ends requests whose bodies have stalled and that have n bytes together, and reports whether
+// there were any. It must be called before requests arrive.
+func (m *BodyMemory) SetMakeRoom(makeRoom func(n int64) bool) { m.makeRoom = makeRoom }
 
 // Used returns the size of the bodies in bytes.
 func (m *BodyMemory) Used() int64 {
@@ -60,8 +70,34 @@
 
 func (m *BodyMemory) release(n int64) {
 	m.mu.Lock()
-	defer m.mu.Unlock()
 	m.used -= n
+	m.mu.Unlock()
+	select {
+	case m.released <- struct{}{}:
+	default:
+	}
+}
+
+// releaseTimeout bounds the time for which a request waits for the memory of stalled bodies, whose requests end at once.
+const releaseTimeout = 100 * time.Millisecond
+
+// reserveStalled ends requests whose bodies have stalled, and reserves their memory.
+func (m *BodyMemory) reserveStalled(n, total int64) bool {
+	if m.makeRoom == nil || !m.makeRoom(max(n, smallBodyBytes)) {
+		return false
+	}
+	timeout := time.NewTimer(releaseTimeout)
+	defer timeout.Stop()
+	for {
+		if m.reserve(n, total) {
+			return true
+		}
+		select {
+		case <-m.released:
+		case <-timeout.C:
+			return m.reserve(n, total)
+		}
+	}
 }
 
 // bodyReservation is the memory of one request's body.
@@ -75,7 +111,7 @@
 	if total <= b.reserved {
 		return nil
 	}
-	if !b.memory.reserve(total-b.reserved, total) {
+	if n := total - b.reserved; !b.memory.reserve(n, total) && !b.memory.reserveStalled(n, total) {
 		return errBodyMemory
 	}
 	b.reserved = total
--- a/pkg/gateway/forward/body_memory_test.go
+++ b/pkg/gateway/forward/body_memory_test.go
@@ -131,3 +131,20 @@
 type failingReader struct{ err error }
 
 func (r *failingReader) Read([]byte) (int, error) { return 0, r.err }
+
+// Guards against a request that is refused while stalled bodies hold the memory, and against a wait when there are none.
+func TestStalledBodiesMakeRoom(t *testing.T) {
+	m := NewBodyMemory(100 << 10)
+	stalled := bodyReservation{memory: m}
+	require.NoError(t, stalled.reserve(90<<10))
+	next := bodyReservation{memory: m}
+	m.SetMakeRoom(func(int64) bool { return false })
+	require.ErrorIs(t, next.reserve(20<<10), errBodyMemory)
+	m.SetMakeRoom(func(n int64) bool {
+		assert.Equal(t, int64(smallBodyBytes), n)
+		go stalled.release()
+		return true
+	})
+	require.NoError(t, next.reserve(20<<10))
+	assert.Equal(t, int64(20<<10), m.Used())
+}
--- a/pkg/gateway/forward/errors.go
+++ b/pkg/gateway/forward/errors.go
@@ -73,6 +73,13 @@
 	r.refuse(w, req, id, causeBodyMemory, retry.SpreadPause(bodyRetryAfter), receivedAt)
 }
 
+// RefuseMemory refuses a request before its body is read, because the connections of clients hold too much memory.
+func (r *Router) RefuseMemory(w http.ResponseWriter, req *http.Request) {
+	// The ID is logged if it can be decoded.
+	request, _ := r.opt.Protocol.DecodeRequest(req.Header)
+	r.refuse(w, req, request.ID, causeConnMemory, retry.SpreadPause(bodyRetryAfter), time.Now())
+}
+
 // refuse refuses a request that has not been sent to any backend server. The log lines are limited in rate.
 func (r *Router) refuse(w http.ResponseWriter, req *http.Request, id, cause string, retryAfter time.Duration, receivedAt time.Time) {
 	r.count("requests", "outcome", "refused")
--- a/pkg/gateway/forward/router.go
+++ b/pkg/gateway/forward/router.go
@@ -88,6 +88,7 @@
 	causeShedding    = "backend servers have asked this node for a pause"
 	causeShutdown    = "this node shuts down before the timeout of the request"
 	causeBodyMemory  = "this node holds too many large request bodies"
+	causeConnMemory  = "the connections of clients hold too much memory on this node"
 	causeLimited     = "backend servers are at the limits that they state"
 )
 
--- a/pkg/gateway/node/metrics.go
+++ b/pkg/gateway/node/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 )
 
@@ -38,8 +39,9 @@
 func (n *Node) serveMetrics() error {
 	mux := http.NewServeMux()
 	mux.Handle("GET "+n.opt.MetricsPath, n.opt.Metrics)
-	server := &http.Server{
-		Addr: fmt.Sprintf("%s:%d", n.opt.Settings.Address, n.opt.MetricsPort), Handler: mux, ReadHeaderTimeout: headerTimeout,
+	listener, err := net.Listen("tcp", fmt.Sprintf("%s:%d", n.opt.Settings.Address, n.opt.MetricsPort))
+	if err != nil {
+		return fmt.Errorf("listen for metrics: %w; check the port and that no other process uses it", err)
 	}
-	return server.ListenAndServe()
+	return n.serveOthers(&http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}, listener, "metrics", otherDescriptorShare)
 }
--- a/pkg/gateway/node/node.go
+++ b/pkg/gateway/node/node.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"cassiawall.example/cassiawall/pkg/clientconn"
 	"cassiawall.example/cassiawall/pkg/event"
 	"cassiawall.example/cassiawall/pkg/gateway/backends"
 	"cassiawall.example/cassiawall/pkg/gateway/cachemap"
@@ -125,6 +126,9 @@
 	quarantine *forward.Quarantine
 	stopping   *forward.Shutdown
 	bodyMemory *forward.BodyMemory
+	// connections bounds what clients' connections hold. requests is the handler of their requests.
+	connections *clientconn.Budget
+	requests    *forward.Router
 }
 
 // New returns a node. It makes no calls before Run.
@@ -153,6 +157,8 @@
 			}
 		})
 	}
+	n.connections = n.newConnections()
+	n.bodyMemory.SetMakeRoom(n.connections.CloseStalledBodies)
 	n.quarantine = n.newQuarantine()
 	n.mirrors = []*mirror.Mirror{
 		n.newMirror(opt.Kinds.Config, n.config, 0),
@@ -240,12 +246,12 @@
 		n.registerGauges()
 		go func() { failed <- n.serveMetrics() }()
 	}
-	go func() { failed <- server.Serve(clientListener) }()
+	go func() { failed <- n.serveClients(server, clientListener) }()
 	go func() {
 		peersServer := &http.Server{Handler: peers.Handler(n.mirrors), ReadHeaderTimeout: headerTimeout}
-		failed <- peersServer.Serve(peerListener)
+		failed <- n.serveOthers(peersServer, peerListener, "peers", peerDescriptorShare)
 	}()
-	go func() { failed <- n.readyServer().Serve(readyListener) }()
+	go func() { failed <- n.serveOthers(n.readyServer(), readyListener, "readiness", otherDescriptorShare) }()
 	select {
 	case err := <-failed:
 		return fmt.Errorf("server failed: %w", err)
@@ -319,8 +325,9 @@
 // clientServer returns the server for clients. Its limits exceed those of the configuration, which clients
 // observe.
 func (n *Node) clientServer() *http.Server {
+	n.requests = n.router()
 	return &http.Server{
-		Handler:           n.router(),
+		Handler:           n.requests,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
--- a/pkg/gateway/node/settings.go
+++ b/pkg/gateway/node/settings.go
@@ -26,6 +26,8 @@
 	LinkMbps float64
 	// MemoryMB is the memory limit of the process in units of 2^20 bytes, or 0 for none.
 	MemoryMB float64
+	// MaxDescriptors is the limit of the process's open file descriptors, or 0 for none.
+	MaxDescriptors int
 	// ShutdownGrace is the time from the signal to stop until the platform kills the process.
 	ShutdownGrace time.Duration
 	// ReconnectGrace is the time that the platform grants a node after a disturbance before its time
--- a/test/hostile/crowd_test.go
+++ b/test/hostile/crowd_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"cassiawall.example/cassiawall/platform/standin"
 )
 
 const (
@@ -67,11 +69,6 @@
 // largeHeadFields are the fields of a head of 15,600 bytes, which is within the limit of 16,384.
 var largeHeadFields = fields(3900)
 
-// requestHead returns the unfinished head of an ordinary request.
-func (s *target) requestHead(method, path string) string {
-	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\nRequest-Id: hostile\r\nDeadline-Ms: 4000\r\n", method, path, s.host, s.key)
-}
-
 var (
 	unterminatedHeads = kind{name: "unterminated heads", send: func(c net.Conn, _ *target) { write(c, "GET / HTTP/1.1\r\n"+largeHeadFields) }}
 	// The product's own node accepts heads of 65,536 bytes.
@@ -98,7 +95,7 @@
 	idleConnections  = kind{name: "idle connections", send: func(net.Conn, *target) {}}
 	reconnectingHead = kind{name: "reconnecting", reconnects: true, send: unterminatedHeads.send}
 	reconnectingRuns = kind{name: "reconnecting after a request", reconnects: true, send: func(c net.Conn, s *target) {
-		write(c, s.requestHead("GET", "/none")+"Connection: close\r\n\r\n")
+		write(c, s.head("GET", "none")+"Connection: close\r\n\r\n")
 	}}
 )
 
@@ -110,14 +107,14 @@
 )
 
 func sendChunked(c net.Conn, s *target, begin, repeated string) {
-	if write(c, s.requestHead("POST", s.postPath())+"Transfer-Encoding: chunked\r\n\r\n"+begin) && repeated != "" {
+	if write(c, s.head("POST", standin.Unsafe)+"Transfer-Encoding: chunked\r\n\r\n"+begin) && repeated != "" {
 		writeEndless(c, repeated)
 	}
 }
 
 // sendBody announces a body and sends a part of it.
 func sendBody(c net.Conn, s *target, announced, sent int) {
-	if write(c, s.requestHead("POST", s.postPath())+fmt.Sprintf("Content-Length: %d\r\n\r\n", announced)) {
+	if write(c, s.head("POST", standin.Unsafe)+fmt.Sprintf("Content-Length: %d\r\n\r\n", announced)) {
 		write(c, strings.Repeat("b", sent))
 	}
 }
@@ -126,15 +123,7 @@
 func sendStream(c net.Conn, s *target) {
 	// A small receive buffer keeps the response from being held by the system instead of the process.
 	_ = c.(*net.TCPConn).SetReadBuffer(4 << 10)
-	write(c, s.requestHead("POST", "/stream/hostile")+"Model: model-1\r\nToken-Count: 200,60\r\nContent-Length: 0\r\n\r\n")
-}
-
-// postPath returns the path of an ordinary request with a body.
-func (s *target) postPath() string {
-	if s.host == "" {
-		return "/v1/chat/completions"
-	}
-	return "/unsafe/hostile"
+	write(c, s.head("POST", standin.Stream)+"Content-Length: 0\r\n\r\n")
 }
 
 // crowd connects clients of a kind, and returns when all have sent what they send. They stay connected until the end of the
--- a/test/hostile/node_test.go
+++ b/test/hostile/node_test.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -15,7 +14,6 @@
 
 	"github.com/stretchr/testify/require"
 
-	"cassiawall.example/cassiawall/platform"
 	"cassiawall.example/cassiawall/platform/standin"
 )
 
@@ -45,29 +43,24 @@
 	require.NoError(t, err)
 	plain := standin.StartEngine(standin.EngineOptions{ID: "plain-1", Service: standin.PlainService, Store: store, Journal: standin.NewJournal(), Listener: listener})
 	t.Cleanup(plain.Crash)
-	startEndlessEngine(t, store)
+	t.Cleanup(standin.StartEndlessEngine(store, "engine-1", 4*nodeClients))
+	metrics := freeAddress(t)
+	ip, metricsPort, err := net.SplitHostPort(metrics)
+	require.NoError(t, err)
 	settings := standin.NodeSettings{
-		Name: "node-1", IP: "127.0.0.1", ClientAddress: freeAddress(t), ReadyAddress: freeAddress(t), PeerAddress: freeAddress(t),
-		StoreAddress: strings.TrimPrefix(server.URL, "http://"),
+		Name: "node-1", IP: ip, ClientAddress: freeAddress(t), ReadyAddress: freeAddress(t), PeerAddress: freeAddress(t),
+		StoreAddress: strings.TrimPrefix(server.URL, "http://"), MemoryMB: memoryMB, MaxDescriptors: descriptors,
 	}
-	path := filepath.Join(t.TempDir(), "settings")
-	variable, err := standin.WriteSettings(path, settings)
-	require.NoError(t, err)
-	// The last of two equal names is in force.
-	limits := fmt.Sprintf("limits.memoryMb=%d\nlimits.maxFds=%d\n", memoryMB, descriptors)
-	file, err := os.OpenFile(path, os.O_APPEND|os.O_WRONLY, 0)
-	require.NoError(t, err)
-	_, err = file.WriteString(limits)
-	require.NoError(t, err)
-	require.NoError(t, file.Close())
-	metrics := freeAddress(t)
-	_, metricsPort, err := net.SplitHostPort(metrics)
+	variable, err := standin.WriteSettings(filepath.Join(t.TempDir(), "settings"), settings)
 	require.NoError(t, err)
 	s := &target{
 		process: start(t, []string{variable}, "cassiawall-node", "--metrics-port", metricsPort, "--log-level", "warn"),
-		clients: settings.ClientAddress, key: "key-north", host: standin.Host,
+		clients: settings.ClientAddress, key: "key-north",
 		others: map[string]string{"control": settings.PeerAddress, "readiness": settings.ReadyAddress, "metrics": metrics},
 	}
+	s.head = func(method string, kind standin.Kind) string {
+		return standin.RequestHead(method, standin.Request{ID: "hostile", Kind: kind, Key: s.key, Deadline: 4 * time.Second})
+	}
 	s.request = func(ctx context.Context) error {
 		client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 		if !standin.IsReady(ctx, client, settings.ReadyAddress) {
@@ -83,42 +76,6 @@
 	return s
 }
 
-// startEndlessEngine starts an engine that writes the events of each stream until its connection ends.
-func startEndlessEngine(t *testing.T, store *standin.Store) {
-	t.Helper()
-	started := time.Now().UnixMilli()
-	models := []any{map[string]any{"name": standin.Model, "version": 1, "adapters": []string{}}}
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /v1/report", func(w http.ResponseWriter, _ *http.Request) {
-		fmt.Fprintf(w, `{"stage":"both","models":[{"name":%q,"version":1}],"busy":false,"seq":0,"running":0,"born":%d}`, standin.Model, started)
-	})
-	mux.HandleFunc("/", func(w http.ResponseWriter, req *http.Request) {
-		id := req.Header.Get("Request-Id")
-		w.Header().Set("Request-Id", id)
-		w.Header().Set("Server-Stamp", "stamp-"+id)
-		w.Header().Set("Weight-Versions", "1")
-		w.Header().Set("Content-Type", "text/event-stream")
-		text := strings.Repeat("x", 8<<10)
-		for n := 1; ; n++ {
-			if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, text); err != nil {
-				return
-			}
-			if err := http.NewResponseController(w).Flush(); err != nil {
-				return
-			}
-		}
-	})
-	engine := httptest.NewServer(mux)
-	t.Cleanup(func() {
-		engine.CloseClientConnections()
-		engine.Close()
-	})
-	store.Put(platform.KindServers, "engine-1", map[string]any{
-		"service": standin.EngineService, "address": strings.TrimPrefix(engine.URL, "http://"), "zone": "a", "version": "v1", "slots": 4 * nodeClients,
-		"state": "ready", "coldLeftMs": 0, "seq": 1, "born": started, "models": models,
-	})
-}
-
 // testNode checks that a node withstands crowds of some kinds, which share its clients evenly.
 func testNode(t *testing.T, kinds ...kind) {
 	t.Helper()
@@ -211,7 +168,7 @@
 // body.
 func TestLargestOrdinaryRequestIsServed(t *testing.T) {
 	s := startNode(t, nodeMemoryMB, nodeDescriptors)
-	head := s.requestHead("POST", s.postPath()) + "Content-Length: " + strconv.Itoa(bodyBytes) + "\r\n"
+	head := s.head("POST", standin.Unsafe) + "Content-Length: " + strconv.Itoa(bodyBytes) + "\r\n"
 	const maxHeadBytes = 16384
 	head += strings.Repeat("a:\n", (maxHeadBytes-len(head)-2)/len("a:\n")) + "\r\n"
 	c, err := net.Dial("tcp4", s.clients)
--- a/test/hostile/process_test.go
+++ b/test/hostile/process_test.go
@@ -14,11 +14,14 @@
 	"regexp"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"cassiawall.example/cassiawall/platform/standin"
 )
 
 const (
@@ -147,8 +150,9 @@
 	// clients is the address of the clients' listener, and others are those of all other listeners.
 	clients string
 	others  map[string]string
-	// key and host are those of ordinary requests.
-	key, host string
+	// key is that of ordinary requests, and head returns the unfinished head of one.
+	key  string
+	head func(method string, kind standin.Kind) string
 	// request sends one ordinary request and returns an error unless it is served.
 	request func(ctx context.Context) error
 }
@@ -181,10 +185,22 @@
 	assert.LessOrEqual(t, s.descriptors(), b.descriptors, "open descriptors")
 }
 
+// lastPort is the last port in use on the loopback address of this process. The ports are below the range that the system
+// uses for outgoing connections, so no client of a crowd can occupy one.
+var lastPort atomic.Int32
+
+// freeAddress returns an unused address.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	pid := os.Getpid()
+	host := fmt.Sprintf("127.%d.%d.%d", 192+pid>>16&31, pid>>8&255, 1+pid%254)
+	for {
+		address := fmt.Sprintf("%s:%d", host, 7000+lastPort.Add(1))
+		l, err := net.Listen("tcp4", address)
+		if err == nil {
+			require.NoError(t, l.Close())
+			return address
+		}
+		require.Less(t, lastPort.Load(), int32(10000), "no free address: %v", err)
+	}
 }
--- a/test/hostile/product_test.go
+++ b/test/hostile/product_test.go
@@ -20,6 +20,7 @@
 	"cassiawall.example/cassiawall/pkg/config"
 	enginestandin "cassiawall.example/cassiawall/pkg/standin/engine"
 	objectstandin "cassiawall.example/cassiawall/pkg/standin/objects"
+	"cassiawall.example/cassiawall/platform/standin"
 )
 
 const (
@@ -72,6 +73,9 @@
 		process: start(t, []string{"CASSIAWALL_PEER_KEY=" + strings.Repeat("k", 32)}, "cassiawall", "serve", "--settings", path),
 		clients: callers, key: productKey, others: map[string]string{"peers": peers, "operators": operators},
 	}
+	s.head = func(method string, _ standin.Kind) string {
+		return method + " /v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer " + s.key + "\r\n"
+	}
 	s.request = func(ctx context.Context) error {
 		client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 		if err := get(ctx, client, http.MethodGet, "http://"+operators+"/readyz", ""); err != nil {
