Bound what clients' connections hold in the product's own node

The settings client_memory_mb and max_connections apply to the listeners of callers, peers and operators; bodies are part of the memory. TestNodeMetricsAreDocumented also reads the metrics of pkg/clientconn, which the node of the platform registers. The test's settings give 64 MB; crowds and bounds are unchanged.

--- a/pkg/clientconn/budget.go
+++ b/pkg/clientconn/budget.go
@@ -136,6 +136,13 @@
 	b.recordLocked(c.listener, reason)
 }
 
+// record counts a refused request as recordLocked.
+func (b *Budget) record(l *Listener, reason string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.recordLocked(l, reason)
+}
+
 // recordLocked counts a closed connection and logs it at most once in logInterval.
 func (b *Budget) recordLocked(l *Listener, reason string) {
 	b.opt.Metrics.Counter("client_connections_closed", "listener", l.opt.Name, "reason", reason).Inc(1)
--- a/pkg/clientconn/listener.go
+++ b/pkg/clientconn/listener.go
@@ -153,6 +153,7 @@
 		c.multiplex()
 	default:
 		if !c.begin(r) {
+			h.listener.budget.record(h.listener, reasonMemory)
 			w.Header().Set("Connection", "close")
 			h.listener.opt.Refuse(w, r)
 			return
--- a/pkg/clientconn/read_head.go
+++ b/pkg/clientconn/read_head.go
@@ -109,13 +109,10 @@
 
 // refuse writes a response. The error is the one that makes net/http close the connection without another response.
 func (c *conn) refuse(response, reason string) error {
-	b := c.listener.budget
 	_ = c.SetWriteDeadline(time.Now().Add(refuseWriteTimeout))
 	// The client may have closed the connection.
 	_, _ = io.WriteString(c.Conn, response)
-	b.mu.Lock()
-	b.recordLocked(c.listener, reason)
-	b.mu.Unlock()
+	c.listener.budget.record(c.listener, reason)
 	_ = c.CloseWrite()
 	_ = c.SetReadDeadline(time.Now().Add(refuseReadTimeout))
 	var discarded [512]byte
--- a/pkg/entry/parse.go
+++ b/pkg/entry/parse.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"cassiawall.example/cassiawall/pkg/clientconn"
 	"cassiawall.example/cassiawall/pkg/config"
 	"cassiawall.example/cassiawall/pkg/fault"
 	"cassiawall.example/cassiawall/pkg/openai"
@@ -98,12 +99,28 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		return nil, fault.New(fault.BodyTooLarge, "the body is longer than %d bytes", maxBytes)
+	case errors.Is(err, clientconn.ErrMemory):
+		return nil, memoryRefusal()
 	case err != nil:
 		return nil, fault.Wrap(err, fault.RequestTimeout, "the body did not arrive whole")
 	}
 	return body, nil
 }
 
+// memoryRetryAfter is the Retry-After of a request for which there is no memory: stalled bodies are closed after a second.
+const memoryRetryAfter = time.Second
+
+// memoryRefusal is the error of a request for which there is no memory.
+func memoryRefusal() error {
+	return fault.New(fault.Overloaded, "the connections of callers hold too much memory on this node").WithRetryAfter(memoryRetryAfter)
+}
+
+// RefuseMemory refuses a request before its body is read, because the connections of callers hold too much memory. It does not
+// log, because a crowd of callers would flood the log.
+func (s *Server) RefuseMemory(w http.ResponseWriter, _ *http.Request) {
+	fault.WriteHTTP(w, memoryRefusal(), s.opt.RequestID())
+}
+
 func (g *generation) readChat(r *http.Request) error {
 	var request openai.ChatRequest
 	if err := decode(g.body, &request); err != nil {
--- a/pkg/node/listen.go
+++ b/pkg/node/listen.go
@@ -7,6 +7,7 @@
 	"net"
 	"time"
 
+	"cassiawall.example/cassiawall/pkg/clientconn"
 	"cassiawall.example/cassiawall/pkg/settings"
 	"cassiawall.example/cassiawall/pkg/tlsconfig"
 )
@@ -14,34 +15,47 @@
 // listeners are the TCP listeners of a node.
 type listeners struct {
 	callers, peers, operators net.Listener
+	bounded                   boundedListeners
 }
 
-// listen binds the listeners of the settings. After an error, none is left open.
-func listen(s *settings.Settings, logger *slog.Logger) (listeners, error) {
+// listen binds the listeners of the settings and bounds their connections. After an error, none is left open.
+func (n *Node) listen(budget *clientconn.Budget) (listeners, error) {
 	var l listeners
+	s := n.opt.Settings
+	callers, peers, operators := n.listenerOptions()
 	for _, entry := range []struct {
 		settings settings.Listener
+		options  clientconn.ListenerOptions
 		listener *net.Listener
-	}{{s.Callers, &l.callers}, {s.Peers, &l.peers}, {s.Operators, &l.operators}} {
-		bound, err := bind(&entry.settings, logger)
+		bounded  **clientconn.Listener
+	}{
+		{s.Callers, callers, &l.callers, &l.bounded.callers}, {s.Peers, peers, &l.peers, &l.bounded.peers},
+		{s.Operators, operators, &l.operators, &l.bounded.operators},
+	} {
+		bound, err := net.Listen("tcp", entry.settings.Address)
 		if err != nil {
 			return listeners{}, errors.Join(err, l.close())
 		}
-		*entry.listener = bound
+		o := entry.options
+		o.TLS, o.MaxHeadBytes, o.MaxFields, o.HeadTimeout = entry.settings.TLS.Enabled(), maxHeaderBytes+headerMargin, maxFields, headerTimeout
+		*entry.bounded = budget.Listen(bound, o)
+		if *entry.listener, err = encrypt(*entry.bounded, entry.settings.TLS, n.opt.Logger); err != nil {
+			return listeners{}, errors.Join(err, bound.Close(), l.close())
+		}
 	}
 	return l, nil
 }
 
-func bind(s *settings.Listener, logger *slog.Logger) (net.Listener, error) {
-	bound, err := net.Listen("tcp", s.Address)
-	if err != nil || !s.TLS.Enabled() {
-		return bound, err
+// encrypt returns a listener that serves TLS if the settings enable it.
+func encrypt(l net.Listener, s settings.TLS, logger *slog.Logger) (net.Listener, error) {
+	if !s.Enabled() {
+		return l, nil
 	}
-	source, err := tlsconfig.New(s.TLS, logger, time.Now)
+	source, err := tlsconfig.New(s, logger, time.Now)
 	if err != nil {
-		return nil, errors.Join(err, bound.Close())
+		return nil, err
 	}
-	return tls.NewListener(bound, source.Server()), nil
+	return tls.NewListener(l, source.Server()), nil
 }
 
 func (l *listeners) close() error {
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -100,7 +100,7 @@
 func New(opt Options) (*Node, error) {
 	n := &Node{opt: opt, board: blackboard.New(), metrics: metrics.New(), engines: newEngineClients(), stop: make(chan struct{})}
 	var err error
-	if n.listeners, err = listen(opt.Settings, opt.Logger); err != nil {
+	if n.listeners, err = n.listen(newConnections(opt.Settings, opt.Logger, n.metrics)); err != nil {
 		return nil, err
 	}
 	if err := n.assemble(); err != nil {
@@ -162,11 +162,16 @@
 			return err
 		})
 	}
-	peers := &http.Server{Handler: peer.NewServer(&rpcServer{node: n}, n.auth), ReadHeaderTimeout: headerTimeout}
+	peers := &http.Server{
+		Handler: peer.NewServer(&rpcServer{node: n}, n.auth), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
 	peer.Configure(peers)
+	n.listeners.bounded.peers.Configure(peers)
 	group.Go(func() error { return serve(peers, n.listeners.peers) })
 	callers := n.callersServer()
-	operators := &http.Server{Handler: n.operatorsHandler(), ReadHeaderTimeout: headerTimeout}
+	n.listeners.bounded.callers.Configure(callers)
+	operators := &http.Server{Handler: n.operatorsHandler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+	n.listeners.bounded.operators.Configure(operators)
 	group.Go(func() error { return serve(operators, n.listeners.operators) })
 	group.Go(func() error {
 		defer cancel()
--- a/pkg/reference/pages_test.go
+++ b/pkg/reference/pages_test.go
@@ -43,7 +43,7 @@
 func TestNodeMetricsAreDocumented(t *testing.T) {
 	registered := map[string]bool{}
 	registration := regexp.MustCompile(`(?:Counter|Histogram|Gauge|GaugeFunc|\.count|\.observe)\("([a-z_]+)"`)
-	for _, root := range []string{"../gateway", "../../cmd/cassiawall-node", "../../platform"} {
+	for _, root := range []string{"../gateway", "../clientconn", "../../cmd/cassiawall-node", "../../platform"} {
 		require.NoError(t, filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
 			if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
 				return err
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -52,6 +52,13 @@
 	// while its readiness check already fails. Effect: load balancers stop sending requests before
 	// the listener closes. Default: 2s. Unit: duration.
 	DrainNotice config.Duration `yaml:"drain_notice,omitempty" min:"0s" max:"10m"`
+	// ClientMemoryMB bounds the memory that the connections of callers, peers and operators hold, with the heads and bodies of
+	// their requests. Effect: beyond it, the connection that holds most is closed, or a request is refused with 503. Default:
+	// 256, which is enough for about 3,000 running requests. Unit: 2^20 bytes.
+	ClientMemoryMB int `yaml:"client_memory_mb,omitempty" min:"16" max:"1000000"`
+	// MaxConnections is the maximum number of open connections of callers. Effect: beyond it, unfinished requests and idle
+	// connections are closed, the oldest first. Default: half of the process's limit of open files. Unit: connections.
+	MaxConnections int `yaml:"max_connections,omitempty" min:"16" max:"1000000"`
 	// LogLevel is the minimum severity of log records. Effect: less severe records are dropped.
 	// Default: info. Unit: none.
 	LogLevel string `yaml:"log_level,omitempty" oneof:"debug,info,warn,error"`
@@ -149,6 +156,8 @@
 	DefaultDrainNotice = 2 * time.Second
 	DefaultLogLevel    = "info"
 	DefaultVMRole      = "engine"
+	// DefaultClientMemoryMB is in units of 2^20 bytes.
+	DefaultClientMemoryMB = 256
 )
 
 func (s *Settings) setDefaults() {
@@ -164,6 +173,9 @@
 	if s.LogLevel == "" {
 		s.LogLevel = DefaultLogLevel
 	}
+	if s.ClientMemoryMB == 0 {
+		s.ClientMemoryMB = DefaultClientMemoryMB
+	}
 	if s.Engines.VMRole == "" {
 		s.Engines.VMRole = DefaultVMRole
 	}
--- a/test/hostile/product_test.go
+++ b/test/hostile/product_test.go
@@ -29,7 +29,7 @@
 	productClients = 400
 )
 
-// productBounds hold with the default settings, which have no limit of the process's memory.
+// productBounds hold with 64 MB for connections. There is no limit of the process's memory.
 var productBounds = bounds{memoryMB: 200, descriptors: productClients + 100}
 
 // startProduct starts the product's own node beside an object API and an engine.
@@ -68,6 +68,7 @@
 engines: {static: [{id: engine-1, address: %q}]}
 peer_keys: [{env: CASSIAWALL_PEER_KEY}]
 log_level: warn
+client_memory_mb: 64
 `, callers, peers, gossip, operators, objectServer.URL, strings.TrimPrefix(engine.URL(), "http://")), 0o600))
 	s := &target{
 		process: start(t, []string{"CASSIAWALL_PEER_KEY=" + strings.Repeat("k", 32)}, "cassiawall", "serve", "--settings", path),
