--- a/test/hostile/node_test.go
+++ b/test/hostile/node_test.go
@@ -121,6 +121,19 @@
 	}
 }
 
+// Guards against large bodies that stall and keep out those of ordinary requests.
+func TestLargeBodyBesideStalledOnes(t *testing.T) {
+	s := startNode(t, nodeMemoryMB, nodeDescriptors)
+	crowd(t, s, s.clients, nodeClients/20, stalledBodies)
+	require.Eventually(t, func() bool {
+		r := standin.Send(t.Context(), http.DefaultClient, s.clients, standin.Request{
+			ID: fmt.Sprint("r", time.Now().UnixNano()), Kind: standin.Unsafe, Key: s.key, Deadline: 4 * time.Second, Body: strings.Repeat("b", bodyBytes),
+		})
+		return r.Status == http.StatusOK && r.Complete
+	}, answerTimeout, 100*time.Millisecond)
+	s.withstands(t, nodeBounds)
+}
+
 // Guards against streams that are requested and not read.
 func TestUnreadStreams(t *testing.T) { testNode(t, unreadStreams) }
 
