Tell other nodes which leader a node has heard of from others

Cause: a seed that learns of the first leader from a third node passed that on as "unknown", and the leader took it for another leader, so that it did not accept the parts that the seeds hold since their start and waited for the end of a term. The seed now passes on the address. TestFirstLeaderOfWhichSeedsHearFromOthersGetsTheParts failed before (0 of 3 parts).

--- a/pkg/limits/agent.go
+++ b/pkg/limits/agent.go
@@ -11,9 +11,6 @@
 // leaderSuspectTime is the time for which other owners are asked before a leader that has not answered.
 const leaderSuspectTime = 3 * time.Second
 
-// unknownLeader stands in Message.FirstLeader for a leader that the sender knows from other nodes only.
-const unknownLeader = "unknown"
-
 // Env is what an Agent knows about the other nodes.
 type Env struct {
 	// ActingLeader is set if this node is the leader, with a lease of version LeaseVersion. HoldsLease is not set once it has
@@ -76,6 +73,9 @@
 	// a leader that is not this process.
 	firstLeader string
 	foreign     bool
+	// foreignLeader is the leader of which the first of these nodes has told. It is passed on under its address, because the
+	// node that is this leader must not take it for another one.
+	foreignLeader string
 
 	// freshAt is the time at which each other seed was last asked that had heard of no leader.
 	freshAt map[string]time.Time
@@ -153,7 +153,7 @@
 func (a *Agent) send(to string, m *Message) {
 	m.Start, m.FirstLeader = a.start, a.firstLeader
 	if m.FirstLeader == "" && a.foreign {
-		m.FirstLeader = unknownLeader
+		m.FirstLeader = a.foreignLeader
 	}
 	if to == a.opt.Self {
 		a.local = append(a.local, m)
@@ -184,6 +184,9 @@
 	a.hear(a.opt.Env())
 	// Until this node is the leader, its own address stands for an earlier process.
 	if m.FirstLeader != "" && (m.FirstLeader != a.opt.Self || a.firstLeader != a.opt.Self) {
+		if !a.foreign {
+			a.foreignLeader = m.FirstLeader
+		}
 		a.foreign = true
 	}
 	if from == a.opt.Env().Leader {
--- a/pkg/limits/messages.go
+++ b/pkg/limits/messages.go
@@ -5,7 +5,8 @@
 type Message struct {
 	// Start identifies the start of the sender's process.
 	Start uint64
-	// FirstLeader is the address of the first leader that the sender has heard since its start, or unknownLeader, or "".
+	// FirstLeader is the address of the first leader that the sender has heard since its start or, without one, of the first
+	// that another node has told it of, or "".
 	FirstLeader string
 	// Probe is a time of the sender's clock. The receiver repeats it as ProbeEcho in a message in return, which shows its
 	// FirstLeader.
