--- a/test/soak/checks_test.go
+++ b/test/soak/checks_test.go
@@ -43,6 +43,7 @@
 	}
 	checkCacheSalts(f, executions)
 	checkFencingTokens(f, f.journal.Orders())
+	checkQuota(f, requests)
 }
 
 func checkResponse(f *fleet, s sentRequest, executions []standin.Execution) {
@@ -124,7 +125,7 @@
 			}
 			continue
 		}
-		if s.extraRoute {
+		if s.extraRoute || overQuota(s) {
 			continue
 		}
 		due++
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -104,13 +104,18 @@
 	config         standin.Config
 	port           int
 	findings       []string
+	// quotas is set if a workspace has a quota.
+	quotas bool
 }
 
-func newFleet(t *testing.T, binary string) *fleet {
+func newFleet(t *testing.T, binary string, seed uint64) *fleet {
 	f := &fleet{
 		t: t, binary: binary, host: loopbackAddress(), store: standin.NewStore(), journal: standin.NewJournal(), version: 1, port: 7000,
 		config: standin.Config{Version: 1, Timeout: 4 * time.Second, Tenants: []standin.Tenant{{Name: "north", Key: "key-north"}, {Name: "south", Key: "key-south"}}},
 	}
+	if seed >= firstQuotaSeed {
+		f.setQuota()
+	}
 	listener, err := net.Listen("tcp4", f.nextAddress())
 	require.NoError(t, err)
 	f.server = &http.Server{Handler: f.store, ReadHeaderTimeout: time.Minute}
@@ -136,7 +141,7 @@
 	}
 	dir := t.TempDir()
 	for _, m := range f.members {
-		m.settings.Seeds = seeds
+		m.settings.Seeds, m.settings.Quotas = seeds, f.quotas
 		m.logPath = filepath.Join(dir, m.settings.Name+".log")
 		m.environment, err = standin.WriteSettings(filepath.Join(dir, m.settings.Name+".conf"), m.settings)
 		require.NoError(t, err)
--- a/test/soak/pause_test.go
+++ b/test/soak/pause_test.go
@@ -41,7 +41,7 @@
 // that waited in its sockets are dated by the time at which it reads them. Requests then begin on old weights.
 func TestPauseCountsInTheAgeOfWeights(t *testing.T) {
 	t.Parallel()
-	f, _ := startFleet(t, buildNode(t))
+	f, _ := startFleet(t, buildNode(t), defaultSeed)
 	// The leader takes the lease and the others become followers.
 	time.Sleep(5 * time.Second)
 	for _, m := range f.members {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -46,7 +46,7 @@
 // of old weights, orders of two leaders under one fencing token, and nodes that do not recover.
 func TestSoak(t *testing.T) {
 	binary := buildNode(t)
-	selected := []uint64{defaultSeed, firstNoticeSeed, firstEndlessSeed, firstSilenceSeed}
+	selected := []uint64{defaultSeed, firstNoticeSeed, firstEndlessSeed, firstSilenceSeed, firstQuotaSeed}
 	for seed := range regressions {
 		selected = append(selected, seed)
 	}
@@ -75,8 +75,8 @@
 }
 
 // startFleet starts a fleet and waits until it is ready. The fleet stops, and the context ends, at the end of the test.
-func startFleet(t *testing.T, binary string) (*fleet, context.Context) {
-	f := newFleet(t, binary)
+func startFleet(t *testing.T, binary string, seed uint64) (*fleet, context.Context) {
+	f := newFleet(t, binary, seed)
 	t.Cleanup(f.stop)
 	for _, m := range f.members {
 		require.NoError(t, f.start(m))
@@ -93,7 +93,7 @@
 func runSeed(t *testing.T, binary string, seed uint64) {
 	random := rand.New(rand.NewPCG(seed, 0))
 	scheduled := drawSchedule(random, kindsOf(seed), *faultPeriod)
-	f, ctx := startFleet(t, binary)
+	f, ctx := startFleet(t, binary, seed)
 	load := &traffic{}
 	trafficCtx, endTraffic := context.WithCancel(ctx)
 	var group sync.WaitGroup
