--- a/pkg/gateway/peers/quota_test.go
+++ b/pkg/gateway/peers/quota_test.go
@@ -14,7 +14,7 @@
 // requests/s), are taken for others, or are not ignored in a deployment without quotas.
 func TestQuotaMessages(t *testing.T) {
 	query := &limits.Message{Start: 1 << 59, FirstLeader: "10.0.0.1:7000", Query: &limits.Query{Number: 12345, Workspace: 1 << 63, Version: 12, Rate: 824739, Burst: 824739, Needs: []int64{9200}}}
-	reply := &limits.Message{Start: 1 << 59, FirstLeader: "10.0.0.1:7000", Reply: &limits.Reply{Number: 12345, Workspace: 1 << 63, Granted: 1, Epoch: 1 << 31, StampMS: 1e7, Level: 800000, Trustees: []string{"10.0.0.1:7000", "10.0.0.2:7000", "10.0.0.3:7000"}}}
+	reply := &limits.Message{Start: 1 << 59, FirstLeader: "10.0.0.1:7000", Reply: &limits.Reply{Number: 12345, Workspace: 1 << 63, Granted: 1, Epoch: 1 << 31, StampMS: 1e7, Level: 800000, Holders: []string{"10.0.0.1:7000", "10.0.0.2:7000", "10.0.0.3:7000"}}}
 	size := 0
 	for _, m := range []*limits.Message{query, reply, {Return: &limits.Return{Tokens: 5}}, {Appointment: &limits.Appointment{Hold: 5}}, {Ack: &limits.Ack{Lent: true}}, {Probe: 7}} {
 		data, err := appendEncoded([]byte{quotaMark}, m)
--- a/pkg/limits/agent.go
+++ b/pkg/limits/agent.go
@@ -69,18 +69,18 @@
 	quotas  map[uint64]Quota
 	version int64
 
-	// firstLeader is the first leader that this node has heard since its start. foreign is set once another node has heard of
+	// firstLeader is the first leader that this node has heard since its start. heardOther is set once another node has heard of
 	// a leader that is not this process.
 	firstLeader string
-	foreign     bool
-	// foreignLeader is the leader of which the first of these nodes has told. It is passed on under its address, because the
+	heardOther  bool
+	// otherLeader is the leader of which the first of these nodes has told. It is passed on under its address, because the
 	// node that is this leader must not take it for another one.
-	foreignLeader string
+	otherLeader string
 
 	// freshAt is the time at which each other seed was last asked that had heard of no leader.
 	freshAt map[string]time.Time
 
-	trustee trustee
+	parts   partHolder
 	interim *Ledger
 	owner   *owner
 	ledger  *Ledger
@@ -90,8 +90,8 @@
 	accounts   map[uint64]*account
 	sent       map[uint64]sentQuery
 	nextNumber uint64
-	// trustees are the last known holders of the parts, and preferred the node among them that answered last.
-	trustees     []string
+	// partHolders are the last known holders of the parts, and preferred the node among them that answered last.
+	partHolders  []string
 	preferred    string
 	suspectUntil time.Time
 	// local are messages to this node itself.
@@ -114,7 +114,7 @@
 	}
 	for i := range Parts {
 		if a.seeds[i%len(a.seeds)] == opt.Self {
-			a.trustee.birth |= bit(i)
+			a.parts.initial |= bit(i)
 		}
 	}
 	return a
@@ -152,8 +152,8 @@
 
 func (a *Agent) send(to string, m *Message) {
 	m.Start, m.FirstLeader = a.start, a.firstLeader
-	if m.FirstLeader == "" && a.foreign {
-		m.FirstLeader = a.foreignLeader
+	if m.FirstLeader == "" && a.heardOther {
+		m.FirstLeader = a.otherLeader
 	}
 	if to == a.opt.Self {
 		a.local = append(a.local, m)
@@ -184,10 +184,10 @@
 	a.hear(a.opt.Env())
 	// Until this node is the leader, its own address stands for an earlier process.
 	if m.FirstLeader != "" && (m.FirstLeader != a.opt.Self || a.firstLeader != a.opt.Self) {
-		if !a.foreign {
-			a.foreignLeader = m.FirstLeader
+		if !a.heardOther {
+			a.otherLeader = m.FirstLeader
 		}
-		a.foreign = true
+		a.heardOther = true
 	}
 	if from == a.opt.Env().Leader {
 		a.suspectUntil = time.Time{}
@@ -220,7 +220,7 @@
 func (a *Agent) Tick(now time.Time) {
 	env := a.opt.Env()
 	a.hear(env)
-	if a.firstLeader == "" && !a.foreign && (now.Sub(a.startedAt) < birthDelay || a.trustee.birth != 0) {
+	if a.firstLeader == "" && !a.heardOther && (now.Sub(a.startedAt) < initialPartsDelay || a.parts.initial != 0) {
 		for _, to := range dedupe(slices.Concat(a.seeds, env.Peers)) {
 			if to != a.opt.Self {
 				a.send(to, &Message{Probe: a.stamp(now)})
@@ -270,7 +270,7 @@
 func (a *Agent) owners(now time.Time) []string {
 	env := a.opt.Env()
 	a.hear(env)
-	interim := slices.Concat(a.trustees, env.Standbys)
+	interim := slices.Concat(a.partHolders, env.Standbys)
 	if a.firstLeader == "" || len(interim) == 0 {
 		interim = append(interim, a.seeds...)
 	}
--- a/pkg/limits/agent_parts.go
+++ b/pkg/limits/agent_parts.go
@@ -15,7 +15,7 @@
 	}
 	if a.owner == nil {
 		unknown := a.opt.Term
-		if a.opt.FirstStart && !a.foreign && a.firstLeader == a.opt.Self {
+		if a.opt.FirstStart && !a.heardOther && a.firstLeader == a.opt.Self {
 			unknown = firstClaims
 		}
 		a.owner = newOwner(a.opt.Term, now.Add(unknown+clockMargin))
@@ -31,7 +31,7 @@
 		holder := a.owner.parts[part].holder
 		if holder != a.opt.Self {
 			// The new holder may use the part as soon as it is told.
-			a.trustee.drop(part)
+			a.parts.drop(part)
 			a.syncInterim(now)
 		}
 		a.note(Note{Role: "holder", Part: part, Holder: holder})
@@ -49,9 +49,9 @@
 		if p.holder != "" {
 			list = append(list, p.holder)
 		}
-		if p.holder == "" || p.holder == a.opt.Self || p.birth {
+		if p.holder == "" || p.holder == a.opt.Self || p.initial {
 			list = append(list, env.Standbys...)
-			list = append(list, a.trustees...)
+			list = append(list, a.partHolders...)
 		}
 		if p.holder == "" {
 			list = append(list, a.seeds...)
@@ -67,7 +67,7 @@
 }
 
 func (a *Agent) handleAppointment(from string, start uint64, ap *Appointment, now time.Time) {
-	lent, ok := a.trustee.appoint(from, start, ap, a.stampTime(ap.Echo, now), a.opt.Term, now)
+	lent, ok := a.parts.appoint(from, start, ap, a.stampTime(ap.Echo, now), a.opt.Term, now)
 	if !ok {
 		return
 	}
@@ -80,15 +80,15 @@
 }
 
 func (a *Agent) newAck(echo int64, lent bool, now time.Time) *Ack {
-	return &Ack{Echo: echo, Stamp: a.stamp(now), Held: a.trustee.held(now), Birth: a.trustee.birth, Lent: lent, Released: a.trustee.released}
+	return &Ack{Echo: echo, Stamp: a.stamp(now), Held: a.parts.held(now), Initial: a.parts.initial, Lent: lent, Released: a.parts.released}
 }
 
 // Release gives up the parts that this node holds, because it stops, and tells the leader.
 func (a *Agent) Release(now time.Time) {
-	held := a.trustee.held(now)
-	a.trustee.released = true
+	held := a.parts.held(now)
+	a.parts.released = true
 	for i := range Parts {
-		a.trustee.drop(i)
+		a.parts.drop(i)
 	}
 	a.syncInterim(now)
 	if leader := a.opt.Env().Leader; held != 0 && leader != "" {
@@ -102,14 +102,14 @@
 		return
 	}
 	askedAt := a.stampTime(m.Ack.Echo, now)
-	birth := birthUnknown
+	initial := initialUnknown
 	switch {
-	case a.foreign || a.firstLeader != a.opt.Self:
-		birth = birthDropped
-	case now.Sub(a.startedAt) >= birthDelay:
-		birth = birthAccepted
+	case a.heardOther || a.firstLeader != a.opt.Self:
+		initial = initialDropped
+	case now.Sub(a.startedAt) >= initialPartsDelay:
+		initial = initialAccepted
 	}
-	held, freed := a.owner.ack(from, m.Start, m.Ack, askedAt, birth, now)
+	held, freed := a.owner.ack(from, m.Start, m.Ack, askedAt, initial, now)
 	for _, part := range freed {
 		a.ledger.Withdraw(part, now)
 	}
@@ -126,8 +126,8 @@
 // appoint this node.
 func (a *Agent) holdParts(env Env, now time.Time) {
 	a.syncInterim(now)
-	held := a.trustee.held(now)
-	if held == 0 || env.ActingLeader || now.Sub(a.trustee.appointedAt) < loanTTL {
+	held := a.parts.held(now)
+	if held == 0 || env.ActingLeader || now.Sub(a.parts.appointedAt) < loanTTL {
 		return
 	}
 	leader := env.Leader
@@ -141,13 +141,13 @@
 
 // syncInterim makes the ledger of this node's own parts hold those that it may grant from now.
 func (a *Agent) syncInterim(now time.Time) {
-	usable := a.trustee.usable(now)
+	usable := a.parts.usable(now)
 	if a.opt.Env().ActingLeader {
 		usable = 0
 	}
-	birthUntil := a.birthUntil(now)
-	if !birthUntil.After(now) {
-		usable &^= a.trustee.birth
+	initialPartsUntil := a.initialPartsUntil(now)
+	if !initialPartsUntil.After(now) {
+		usable &^= a.parts.initial
 	}
 	if usable == 0 {
 		a.interim = nil
@@ -162,20 +162,20 @@
 		switch {
 		case usable&bit(i) == 0:
 			a.interim.Withdraw(i, now)
-		case a.trustee.birth&bit(i) != 0:
-			a.interim.Lend(i, birthUntil, now)
+		case a.parts.initial&bit(i) != 0:
+			a.interim.Lend(i, initialPartsUntil, now)
 		default:
-			a.interim.Lend(i, a.trustee.termUntil[i], now)
+			a.interim.Lend(i, a.parts.termUntil[i], now)
 		}
 	}
 	a.noteInterim(a.interim.Lent(now))
 }
 
-// birthUntil returns the time until which this node may use the parts that nobody has appointed it to, or the zero time: it
+// initialPartsUntil returns the time until which this node may use the parts that nobody has appointed it to, or the zero time: it
 // and most seeds, which it has asked, have heard of no leader since their start. No part of a network that is cut in two has
 // most seeds, unless most of them restart while they are cut off from all nodes that have run longer.
-func (a *Agent) birthUntil(now time.Time) time.Time {
-	if a.firstLeader != "" || a.foreign || now.Sub(a.startedAt) < birthDelay {
+func (a *Agent) initialPartsUntil(now time.Time) time.Time {
+	if a.firstLeader != "" || a.heardOther || now.Sub(a.startedAt) < initialPartsDelay {
 		return time.Time{}
 	}
 	needed := len(a.seeds)/2 + 1
@@ -197,9 +197,9 @@
 }
 
 // drop ends the holding of a part.
-func (t *trustee) drop(part int) {
-	t.termUntil[part] = time.Time{}
-	t.birth &^= bit(part)
+func (h *partHolder) drop(part int) {
+	h.termUntil[part] = time.Time{}
+	h.initial &^= bit(part)
 }
 
 func (a *Agent) note(n Note) {
--- a/pkg/limits/agent_requests.go
+++ b/pkg/limits/agent_requests.go
@@ -127,8 +127,8 @@
 		return
 	}
 	delete(a.sent, r.Number)
-	if len(r.Trustees) > 0 {
-		a.trustees = r.Trustees
+	if len(r.Holders) > 0 {
+		a.partHolders = r.Holders
 	}
 	a.preferred = from
 	a.addGrant(from, r, sent, c, now)
@@ -187,7 +187,7 @@
 // interimOwners returns the number of known nodes that grant from the parts that they hold.
 func (a *Agent) interimOwners() int {
 	n := 0
-	for _, t := range dedupe(a.trustees) {
+	for _, t := range dedupe(a.partHolders) {
 		if t != "" {
 			n++
 		}
@@ -260,9 +260,9 @@
 	if !ok {
 		return
 	}
-	reply.Interim, reply.Trustees = true, a.trustees
+	reply.Interim, reply.Holders = true, a.partHolders
 	if env.ActingLeader && a.owner != nil {
-		reply.Interim, reply.Trustees = false, a.owner.holders()
+		reply.Interim, reply.Holders = false, a.owner.holders()
 	}
 	a.send(from, &Message{Reply: &reply})
 }
--- a/pkg/limits/trustee.go
+++ b/pkg/limits/holder.go
@@ -16,16 +16,16 @@
 	clockMargin = 20 * time.Millisecond
 	// AppointmentInterval is the time between appointments, and the longest time between calls of Agent.Tick.
 	AppointmentInterval = 150 * time.Millisecond
-	// birthDelay is the time after its start after which a seed may hold parts that nobody has appointed it to: in this time,
+	// initialPartsDelay is the time after its start after which a seed may hold parts that nobody has appointed it to: in this time,
 	// it hears of a leader if there is one.
-	birthDelay = 500 * time.Millisecond
+	initialPartsDelay = 500 * time.Millisecond
 )
 
-// trustee is what a node knows of the parts that it holds.
-type trustee struct {
-	// termUntil is the time until which the node holds each part. birth marks parts that it holds since its start.
+// partHolder is what a node knows of the parts that it holds.
+type partHolder struct {
+	// termUntil is the time until which the node holds each part. initial marks parts that it holds since its start without an appointment.
 	termUntil [Parts]time.Time
-	birth     uint8
+	initial   uint8
 	// leader is the node whose appointment was accepted last, at appointedAt, with the lease version.
 	leader      string
 	version     uint64
@@ -42,9 +42,9 @@
 func bit(part int) uint8 { return 1 << part }
 
 // held returns the parts that the node holds.
-func (t *trustee) held(now time.Time) uint8 {
-	mask := t.birth
-	for i, until := range t.termUntil {
+func (h *partHolder) held(now time.Time) uint8 {
+	mask := h.initial
+	for i, until := range h.termUntil {
 		if now.Before(until) {
 			mask |= bit(i)
 		}
@@ -55,39 +55,39 @@
 // appoint handles an appointment by a leader. echoAt is the time at which this node sent the answer that the appointment
 // repeats, or zero. lent is set if the parts are lent to that leader. ok is false if a newer leader or appointment is known: an
 // earlier one that arrives late must not undo it.
-func (t *trustee) appoint(from string, start uint64, ap *Appointment, echoAt time.Time, term time.Duration, now time.Time) (lent, ok bool) {
-	if from != t.leader {
-		if ap.Version < t.version {
+func (h *partHolder) appoint(from string, start uint64, ap *Appointment, echoAt time.Time, term time.Duration, now time.Time) (lent, ok bool) {
+	if from != h.leader {
+		if ap.Version < h.version {
 			return false, false
 		}
-		if now.Before(t.lentUntil) {
+		if now.Before(h.lentUntil) {
 			return false, true
 		}
-	} else if start == t.leaderStart && ap.Stamp <= t.stamp {
+	} else if start == h.leaderStart && ap.Stamp <= h.stamp {
 		return false, false
 	}
-	t.leaderStart, t.stamp = start, ap.Stamp
-	t.leader, t.version, t.appointedAt = from, max(t.version, ap.Version), now
+	h.leaderStart, h.stamp = start, ap.Stamp
+	h.leader, h.version, h.appointedAt = from, max(h.version, ap.Version), now
 	for i := range Parts {
 		switch {
 		case ap.Drop&bit(i) != 0:
-			t.termUntil[i] = time.Time{}
-			t.birth &^= bit(i)
-		case ap.Hold&bit(i) != 0 && !echoAt.IsZero() && !t.released:
-			if until := echoAt.Add(term); until.After(t.termUntil[i]) {
-				t.termUntil[i] = until
+			h.termUntil[i] = time.Time{}
+			h.initial &^= bit(i)
+		case ap.Hold&bit(i) != 0 && !echoAt.IsZero() && !h.released:
+			if until := echoAt.Add(term); until.After(h.termUntil[i]) {
+				h.termUntil[i] = until
 			}
-			t.birth &^= bit(i)
+			h.initial &^= bit(i)
 		}
 	}
-	t.lentUntil = now.Add(loanTTL + clockMargin)
+	h.lentUntil = now.Add(loanTTL + clockMargin)
 	return true, true
 }
 
 // usable returns the parts that the node may grant from itself, because they are lent to nobody.
-func (t *trustee) usable(now time.Time) uint8 {
-	if now.Before(t.lentUntil) {
+func (h *partHolder) usable(now time.Time) uint8 {
+	if now.Before(h.lentUntil) {
 		return 0
 	}
-	return t.held(now)
+	return h.held(now)
 }
--- a/pkg/limits/messages.go
+++ b/pkg/limits/messages.go
@@ -50,8 +50,8 @@
 	WaitMS, RetryMS int64
 	// Level is the level of the bucket afterwards.
 	Level int64
-	// Trustees are the holders of the parts that the owner knows of, by part.
-	Trustees []string
+	// Holders are the holders of the parts that the owner knows of, by part.
+	Holders []string
 }
 
 // Return gives unused tokens of a grant back to the ledger that granted them.
@@ -77,8 +77,8 @@
 type Ack struct {
 	// Echo is Appointment.Stamp, or 0, and Stamp the time of the sender's clock.
 	Echo, Stamp int64
-	// Held are the parts that the sender holds, and Birth those among them that it holds since its start as a seed.
-	Held, Birth uint8
+	// Held are the parts that the sender holds, and Initial those among them that it holds since its start as a seed.
+	Held, Initial uint8
 	// Lent is set if Held is lent to the receiver for loanTTL from the time Echo.
 	Lent bool
 	// Released is set if the sender stops and will hold no parts any more.
--- a/pkg/limits/owner.go
+++ b/pkg/limits/owner.go
@@ -28,9 +28,9 @@
 	// chosenAt is the time at which the holder was chosen, and holdSentAt that of the last appointment that can have made it
 	// hold the part, or zero.
 	chosenAt, holdSentAt time.Time
-	// birth is set if the holder, a seed, was not chosen: seeds may all be in one data centre. Once a better node is known,
+	// initial is set if the holder, a seed, was not chosen: seeds may all be in one data centre. Once a better node is known,
 	// the holder is told to drop the part, first at dropSentAt.
-	birth      bool
+	initial    bool
 	dropSentAt time.Time
 }
 
@@ -56,16 +56,16 @@
 	return o
 }
 
-// birthRule tells what a leader does with parts that seeds hold since their start.
-type birthRule int
+// initialRule tells what a leader does with parts that seeds hold since their start.
+type initialRule int
 
 const (
-	// birthUnknown applies to a leader that has just started: it has not heard yet whether there was another leader.
-	birthUnknown birthRule = iota
-	// birthAccepted applies to the first leader since the start of all nodes.
-	birthAccepted
-	// birthDropped applies to any other leader.
-	birthDropped
+	// initialUnknown applies to a leader that has just started: it has not heard yet whether there was another leader.
+	initialUnknown initialRule = iota
+	// initialAccepted applies to the first leader since the start of all nodes.
+	initialAccepted
+	// initialDropped applies to any other leader.
+	initialDropped
 )
 
 func (o *owner) peer(address string) *ownerPeer {
@@ -107,7 +107,7 @@
 			*p = ownedPart{}
 			changed = append(changed, i)
 		}
-		if p.birth && p.holder != self && p.dropSentAt.IsZero() && !slices.Contains(candidates, p.holder) && o.candidate(self, candidates, now) != self {
+		if p.initial && p.holder != self && p.dropSentAt.IsZero() && !slices.Contains(candidates, p.holder) && o.candidate(self, candidates, now) != self {
 			p.dropSentAt = now
 			// One part moves at a time.
 			break
@@ -175,8 +175,8 @@
 
 // ack records an answer to the appointment that was sent at askedAt, which is zero if it is not an answer or that is not
 // known. It returns the parts that the sender holds and the parts that have become free. Parts held since the start of the
-// sender are accepted as birth says.
-func (o *owner) ack(from string, start uint64, ack *Ack, askedAt time.Time, birth birthRule, now time.Time) (held, freed []int) {
+// sender are accepted as initial says.
+func (o *owner) ack(from string, start uint64, ack *Ack, askedAt time.Time, initial initialRule, now time.Time) (held, freed []int) {
 	peer := o.peer(from)
 	if start != peer.start && peer.start != 0 {
 		// An answer of an earlier process may arrive late.
@@ -215,13 +215,13 @@
 			*p = ownedPart{}
 			freed = append(freed, i)
 		}
-		isBirth := ack.Birth&bit(i) != 0
-		if ack.Held&bit(i) == 0 || isBirth && birth == birthUnknown {
+		isInitial := ack.Initial&bit(i) != 0
+		if ack.Held&bit(i) == 0 || isInitial && initial == initialUnknown {
 			continue
 		}
-		if p.holder == "" && !p.unknownUntil.IsZero() && (!isBirth || birth == birthAccepted) {
+		if p.holder == "" && !p.unknownUntil.IsZero() && (!isInitial || initial == initialAccepted) {
 			// Its term may have been extended a moment ago.
-			*p = ownedPart{holder: from, chosenAt: now, holdSentAt: now, birth: isBirth}
+			*p = ownedPart{holder: from, chosenAt: now, holdSentAt: now, initial: isInitial}
 		}
 		if p.holder != from {
 			peer.drop |= bit(i)
--- a/pkg/limits/owner_test.go
+++ b/pkg/limits/owner_test.go
@@ -23,7 +23,7 @@
 	assert.Equal(t, Parts, lent)
 	var holder *simNode
 	for _, n := range s.nodes {
-		if n != s.leader && n.agent.trustee.held(s.now) != 0 {
+		if n != s.leader && n.agent.parts.held(s.now) != 0 {
 			holder = n
 		}
 	}
@@ -36,7 +36,7 @@
 	former.life, former.down = former.life+1, true
 	s.leader, s.lease = nil, s.lease+1
 	for _, n := range s.nodes {
-		if n != holder && n != former && n.agent.trustee.held(s.now) == 0 {
+		if n != holder && n != former && n.agent.parts.held(s.now) == 0 {
 			s.leader = n
 		}
 	}
--- a/pkg/limits/quota_test.go
+++ b/pkg/limits/quota_test.go
@@ -72,7 +72,7 @@
 			case "kill holder":
 				s.after(at, func() {
 					for _, o := range s.nodes {
-						if !o.down && o != s.leader && o.agent.trustee.held(s.now) != 0 {
+						if !o.down && o != s.leader && o.agent.parts.held(s.now) != 0 {
 							s.killIfUp(o, took/4)
 							return
 						}
