Wait until the nodes know the servers before the test takes the store away

The log shows that the store was taken away between the list of the configuration, after which a node is ready, and that of the servers. The test now waits for a served request at each node first; its checks stay as they were.

--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -111,6 +111,19 @@
 	return f
 }
 
+// waitForServers waits until all nodes serve a request. A node is ready once it has a configuration, and may not know the
+// backend servers then.
+func (f *fleet) waitForServers(nodes int) {
+	f.t.Helper()
+	for node := range nodes {
+		tries := 0
+		require.Eventually(f.t, func() bool {
+			tries++
+			return f.send(node, standin.Safe, fmt.Sprintf("%s-first-%d-%d", f.t.Name(), node, tries)).Status == http.StatusOK
+		}, startTimeout, 20*time.Millisecond)
+	}
+}
+
 // fleetCount is the number of fleets that this process has started.
 var fleetCount atomic.Int32
 
--- a/test/fleet/notice_test.go
+++ b/test/fleet/notice_test.go
@@ -18,6 +18,7 @@
 	t.Parallel()
 	const nodes, maxHearTime = 3, 20 * time.Second
 	f := startFleet(t, nodes, func(f *fleet) { f.addPlain(3) })
+	f.waitForServers(nodes)
 	leaving := f.engines[0]
 	leaving.StateLeaving()
 	f.store.SetFault(standin.StoreUnresponsive)
