--- a/pkg/limits/holder.go
+++ b/pkg/limits/holder.go
@@ -6,7 +6,7 @@
 	// DefaultTerm is the time for which a node holds a part after its last appointment. While there is no leader, as in an
 	// outage of the platform's store, the quotas can be used until then. A part whose holder is gone, and neither restarts nor
 	// releases it, is not used until the end of its term.
-	DefaultTerm = time.Minute
+	DefaultTerm = 12 * time.Second
 	// firstClaims is the time within which a leader hears of the seeds' parts when all nodes start for the first time.
 	firstClaims = 2 * time.Second
 	// loanTTL is the time for which the leader uses a part after it has sent the appointment that the holder answered. It
--- a/pkg/limits/owner.go
+++ b/pkg/limits/owner.go
@@ -10,7 +10,7 @@
 	silentAfter = 1500 * time.Millisecond
 	// seedsGoneTerms is the number of further terms after which a leader that does not reach most seeds uses the parts whose
 	// holders it does not know: the seeds may be gone for good, or hold the parts in another part of a network cut in two.
-	seedsGoneTerms = 10
+	seedsGoneTerms = 50
 )
 
 // owner is the leader's record of the parts and their holders.
