--- a/pkg/limits/holder.go
+++ b/pkg/limits/holder.go
@@ -23,7 +23,8 @@
 
 // partHolder is what a node knows of the parts that it holds.
 type partHolder struct {
-	// termUntil is the time until which the node holds each part. initial marks parts that it holds since its start without an appointment.
+	// termUntil is the time until which the node holds each part. initial marks parts that it holds since its start, without
+	// an appointment.
 	termUntil [Parts]time.Time
 	initial   uint8
 	// leader is the node whose appointment was accepted last, at appointedAt, with the lease version.
--- a/pkg/tcpstate/tcpstate.go
+++ b/pkg/tcpstate/tcpstate.go
@@ -1,7 +1,6 @@
 // Package tcpstate tells a TCP connection that was reset from one that its peer has closed, and resets connections, for bodies
-// that end with their connection. A reset is not always an error of
-// the next read: a write that fails at it uses up the socket's error, and a read after the end of the peer's data returns a
-// regular end whatever follows.
+// that end with their connection. A reset is not always an error of the next read: a write that fails at it uses up the
+// socket's error, and a read after the end of the peer's data returns a regular end whatever follows.
 package tcpstate
 
 import (
