Add crowds with bodies of any framing, on slow processes too, and what the system holds for them

The crowds of test/hostile had neither whole bodies, nor bodies in pieces, nor chunked bodies, and counted resident memory only. Bytes that the system has received and the process has not read, or that are written and not acknowledged, count toward a machine's memory as well. Such bytes gather when a process gets a small share of a processor.

They sample the sum of resident, unread and unsent bytes, and end with an ordinary request.

--- a/test/hostile/crowd_test.go
+++ b/test/hostile/crowd_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"cassiawall.example/cassiawall/platform/standin"
@@ -24,6 +26,9 @@
 	settleTimeout = 60 * time.Second
 	// holdTime is the time for which a settled crowd stays before the checks.
 	holdTime = time.Second
+	// crowdHoldTime is the time for which crowds go on whose memory is sampled each memorySampleInterval.
+	crowdHoldTime        = 6 * time.Second
+	memorySampleInterval = 25 * time.Millisecond
 )
 
 // kind is what the clients of a crowd do with each connection.
@@ -34,6 +39,8 @@
 	unread bool
 	// reconnects is set if a client connects again as soon as its connection has ended.
 	reconnects bool
+	// repeats is set if send goes on until the connection ends. Such a client has settled once it has connected.
+	repeats bool
 }
 
 func write(c net.Conn, text string) bool {
@@ -172,6 +179,9 @@
 	}
 	defer c.Close()
 	defer context.AfterFunc(ctx, func() { c.Close() })()
+	if k.repeats {
+		sent()
+	}
 	k.send(c, s)
 	sent()
 	if k.unread {
@@ -180,3 +190,45 @@
 	}
 	_, _ = io.Copy(io.Discard, c)
 }
+
+// attackers are a crowd of one kind at one listener.
+type attackers struct {
+	kind
+	address string
+	clients int
+}
+
+// withstandsCrowds lets crowds attack the process, and checks that it lives and stays within its bounds, with what the system
+// holds for it, and that it serves an ordinary request afterwards. ended is called before that request.
+func (s *target) withstandsCrowds(t *testing.T, b bounds, ended func(), crowds ...attackers) {
+	t.Helper()
+	listeners := map[string]bool{s.clients: true}
+	for address := range maps.Values(s.others) {
+		listeners[address] = true
+	}
+	var peaks memoryPeaks
+	sampled := make(chan struct{})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() {
+		defer close(sampled)
+		// The process ends only if it fails, which the checks report.
+		for ctx.Err() == nil && peaks.sampleMemory(s.command.Process.Pid, listeners) == nil {
+			time.Sleep(memorySampleInterval)
+		}
+	}()
+	var ends []func()
+	for _, c := range crowds {
+		ends = append(ends, crowd(t, s, c.address, c.clients, c.kind))
+	}
+	time.Sleep(crowdHoldTime)
+	for _, end := range ends {
+		end()
+	}
+	ended()
+	cancel()
+	<-sampled
+	t.Logf("peaks in MB: resident %.0f, not read %.0f, not sent %.0f, together %.0f", peaks.resident, peaks.unread, peaks.unsent, peaks.together)
+	assert.LessOrEqual(t, peaks.together, b.memoryMB, "memory in MB: resident, received and not read, or written and not sent")
+	s.withstands(t, b)
+}
--- a/test/hostile/process_test.go
+++ b/test/hostile/process_test.go
@@ -153,6 +153,8 @@
 	// key is that of ordinary requests, and head returns the unfinished head of one.
 	key  string
 	head func(method string, kind standin.Kind) string
+	// stream is a request for a long stream.
+	stream string
 	// request sends one ordinary request and returns an error unless it is served.
 	request func(ctx context.Context) error
 }
