Bound what the system holds for the connections of a node's listeners

Callers saw a process end: clients that send faster than a node with a small share of a processor reads fill the machine's memory.

Cause: the bounds of pkg/clientconn cover what the process has allocated. The system's buffers had a bound for each connection (256 KB a direction, set after the connection was accepted) and none for their sum; up to 4,096 connections waited to be accepted with at least 64 KB each.

Fix: the listeners set small buffers (16 KB, 4 KB to receive at listeners that are not for clients) before they accept, so that the first packet of a connection states a small window, and bound the connections that wait (256 and 128). The buffers are part of what a connection and a running request are charged; the share of connections is 30% of the memory instead of 25%. A connection gets 64 KB for each direction from the first body or response over 64 KB on, within 8% of the memory; from three quarters of that on, such connections end with their request, so that others can have them. The soft limit of the heap is 60% of the memory instead of 65%.

--- a/cmd/cassiawall-node/main.go
+++ b/cmd/cassiawall-node/main.go
@@ -32,8 +32,8 @@
 }
 
 // memoryLimitShare is the share of the process's memory that is set as the soft memory limit of the Go
-// runtime. The rest is for memory that the runtime does not count, such as socket buffers.
-const memoryLimitShare = 0.65
+// runtime. The rest is for memory that the runtime does not count: the program and the system's socket buffers.
+const memoryLimitShare = 0.6
 
 // logFlushTimeout bounds the time to write the remaining log lines when the process ends.
 const logFlushTimeout = 200 * time.Millisecond
--- a/pkg/clientconn/body.go
+++ b/pkg/clientconn/body.go
@@ -21,6 +21,7 @@
 	n, err := b.ReadCloser.Read(p)
 	if b.unknownLength {
 		b.conn.bodyBytes.Add(int64(n))
+		b.conn.enlargeForBody()
 	}
 	if b.conn.listener.opt.ChargeBodies && !b.conn.charge(2*int64(n)) {
 		return n, ErrMemory
--- a/pkg/clientconn/budget.go
+++ b/pkg/clientconn/budget.go
@@ -37,8 +37,10 @@
 type Options struct {
 	// MaxBytes bounds the estimated memory of all connections, in bytes; 0 for no bound.
 	MaxBytes int64
-	Logger   *slog.Logger
-	Metrics  *metrics.Registry
+	// MaxLargeBytes bounds the large socket buffers of all connections, in bytes; 0 for no bound.
+	MaxLargeBytes int64
+	Logger        *slog.Logger
+	Metrics       *metrics.Registry
 }
 
 // Budget is the memory of the connections of all listeners of a process. It is safe for concurrent use.
@@ -47,18 +49,23 @@
 	started time.Time
 	// used is the estimated memory of all connections, in bytes.
 	used atomic.Int64
+	// large is the size of the large socket buffers of all connections, in bytes.
+	large atomic.Int64
 
 	mu        sync.Mutex
 	listeners []*Listener
 	// closed counts the connections closed since the last log line, by reason.
 	closed   map[string]int
 	loggedAt time.Duration
+	// buffersLoggedAt is the time of the last log line about large socket buffers.
+	buffersLoggedAt time.Duration
 }
 
 // New returns a budget without listeners.
 func New(opt Options) *Budget {
-	b := &Budget{opt: opt, started: time.Now(), closed: map[string]int{}, loggedAt: -logInterval}
+	b := &Budget{opt: opt, started: time.Now(), closed: map[string]int{}, loggedAt: -logInterval, buffersLoggedAt: -logInterval}
 	opt.Metrics.GaugeFunc("client_connection_bytes", func() float64 { return float64(b.Used()) })
+	opt.Metrics.GaugeFunc("client_large_buffer_bytes", func() float64 { return float64(b.large.Load()) })
 	return b
 }
 
@@ -165,6 +172,9 @@
 // removeLocked ends the charge of a connection.
 func (b *Budget) removeLocked(c *conn) {
 	l := c.listener
+	if c.large.Swap(false) {
+		b.releaseLarge(c.largeCost())
+	}
 	if c.index < 0 {
 		return
 	}
--- a/pkg/clientconn/conn.go
+++ b/pkg/clientconn/conn.go
@@ -39,6 +39,10 @@
 	held atomic.Int64
 	// bodyBytes is the stated length of the request's body, or what has arrived of a body without a stated length.
 	bodyBytes atomic.Int64
+	// written is what the response has so far in large writes, in bytes. large is set while the connection has large buffers, and
+	// refusedLarge once its request has not got them.
+	written             atomic.Int64
+	large, refusedLarge atomic.Bool
 	// head is used by the goroutine that reads only. net/http reads a connection from one goroutine at a time.
 	head headCounter
 	// pending is what was read of a head of several parts and is not returned yet, and pendingErr the error after it.
@@ -73,6 +77,7 @@
 
 // Write implements net.Conn. It records how long the client lets it wait.
 func (c *conn) Write(p []byte) (int, error) {
+	c.enlargeForWrite(len(p))
 	c.writeAt.Store(int64(c.listener.budget.now()))
 	n, err := c.Conn.Write(p)
 	c.writeAt.Store(0)
@@ -132,10 +137,13 @@
 
 // settle returns the connection to what it holds at rest.
 func (c *conn) settle() {
-	if held := c.held.Load(); held > connBytes {
-		if c.held.CompareAndSwap(held, connBytes) {
-			c.listener.budget.used.Add(connBytes - held)
+	atRest := c.listener.atRest()
+	if held := c.held.Load(); held > atRest {
+		if c.held.CompareAndSwap(held, atRest) {
+			c.listener.budget.used.Add(atRest - held)
 		}
 	}
 	c.bodyBytes.Store(0)
+	c.written.Store(0)
+	c.refusedLarge.Store(false)
 }
--- a/pkg/clientconn/listener.go
+++ b/pkg/clientconn/listener.go
@@ -24,8 +24,8 @@
 	TLS bool
 	// HTTP2 is set if the server accepts HTTP/2 without TLS.
 	HTTP2 bool
-	// SocketBytes bounds the buffers that the system keeps for each direction of a connection; 0 for the system's bounds.
-	SocketBytes int
+	// Sockets are the bounds that the listener was opened with.
+	Sockets Sockets
 	// RunBytes is what a running request holds besides its head and body, in bytes. If it is not 0, requests are refused while
 	// the connections of the process hold too much.
 	RunBytes int64
@@ -50,6 +50,9 @@
 	return len(l.conns)
 }
 
+// atRest is what a connection holds at rest, in bytes.
+func (l *Listener) atRest() int64 { return connBytes + int64(l.opt.Sockets.ReceiveBytes) }
+
 // Accept implements net.Listener. At the bound of connections it closes another one, or the new one if the requests of all
 // others run.
 func (l *Listener) Accept() (net.Conn, error) {
@@ -72,14 +75,10 @@
 
 // admit returns nil if there is no place for a new connection.
 func (l *Listener) admit(inner net.Conn) *conn {
-	if tcp, ok := inner.(*net.TCPConn); ok && l.opt.SocketBytes > 0 {
-		// A connection without these bounds still works.
-		_, _ = tcp.SetReadBuffer(l.opt.SocketBytes), tcp.SetWriteBuffer(l.opt.SocketBytes)
-	}
 	b := l.budget
 	c := &conn{Conn: inner, listener: l}
 	c.enter(phaseHead)
-	c.held.Store(connBytes)
+	c.held.Store(l.atRest())
 	b.mu.Lock()
 	if l.opt.MaxConns > 0 && len(l.conns) >= l.opt.MaxConns {
 		victim := choose([]*Listener{l}, b.now())
@@ -92,7 +91,7 @@
 	}
 	c.index = len(l.conns)
 	l.conns = append(l.conns, c)
-	b.used.Add(connBytes)
+	b.used.Add(l.atRest())
 	b.mu.Unlock()
 	if b.exceeded() {
 		b.makeRoom(c)
@@ -158,6 +157,9 @@
 			h.listener.opt.Refuse(w, r)
 			return
 		}
+		if c.shouldEnd() {
+			w.Header().Set("Connection", "close")
+		}
 	}
 	h.next.ServeHTTP(w, r)
 }
@@ -168,6 +170,7 @@
 		c.enter(phaseRun)
 	} else {
 		c.bodyBytes.Store(max(r.ContentLength, 0))
+		c.enlargeForBody()
 		r.Body = &body{ReadCloser: r.Body, conn: c, unknownLength: r.ContentLength < 0}
 		c.enter(phaseBody)
 	}
--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -118,4 +118,5 @@
 	StoreRestored      = define(939, "store restored from a copy", slog.LevelWarn, "check that the operator's objects written since the copy are stored again")
 	RequestNotServed   = define(926, "request not served", slog.LevelInfo, "run cassiawall explain with the request's id")
 	ConnectionsClosed  = define(965, "client connections closed", slog.LevelWarn, "find the clients that hold many connections, large heads or unfinished bodies; see the runbook")
+	BuffersUsedUp      = define(966, "large socket buffers used up", slog.LevelInfo, "give the nodes more memory if large requests are to stay fast at this load")
 )
--- a/pkg/gateway/node/clients.go
+++ b/pkg/gateway/node/clients.go
@@ -9,20 +9,18 @@
 
 const (
 	// connMemoryShare is the share of the process's memory that clients' connections, the heads of requests and running
-	// requests may use. With bodyMemoryShare it leaves 45% for the objects, the heap's overhead and the program: a node of
-	// 120 MB has 36 MB for connections, which is 430 running requests.
-	connMemoryShare = 0.25
+	// requests may use, with the system's buffers for them, and largeBufferShare that of large buffers. A node of 120 MB has 36 MB
+	// for connections, which is 317 running requests or 1,024 connections. With bodyMemoryShare they leave 37% for the
+	// connections that wait to be accepted, the objects, the heap's overhead and the program.
+	connMemoryShare  = 0.3
+	largeBufferShare = 0.08
 	// runBytes is what a running request holds besides its head and body, in bytes: its goroutines, the connection to the
-	// backend server, and buffers. 200 unread streams held 65 KB each.
+	// backend server, and buffers. 200 unread streams held 65 KB each. The system's buffers for its response are added.
 	runBytes = 64 << 10
 	// maxFields bounds the fields of a head. Heads of 16,384 bytes, the limit of the configurations, have at most 5,461.
 	maxFields = 5500
 	// headerMargin is what net/http allows above the bound of a head, in bytes.
 	headerMargin = 4 << 10
-	// socketBytes bounds the system's buffers of a connection for each direction. Linux lets them grow to several MB for a
-	// client that does not read, or that sends while its request runs; 256 KB carry 8 MB/s at a round trip of 30 ms.
-	socketBytes = 256 << 10
-
 	// fileDescriptors are the descriptors for files. The rest of Settings.MaxDescriptors is shared between the listeners and
 	// the connections that the node opens.
 	fileDescriptors = 200
@@ -39,10 +37,29 @@
 // newConnections returns the bound of what clients' connections hold.
 func (n *Node) newConnections() *clientconn.Budget {
 	return clientconn.New(clientconn.Options{
-		MaxBytes: int64(connMemoryShare * n.opt.Settings.MemoryMB * (1 << 20)), Logger: n.opt.Logger, Metrics: n.opt.Metrics,
+		MaxBytes: int64(connMemoryShare * n.opt.Settings.MemoryMB * (1 << 20)), MaxLargeBytes: int64(largeBufferShare * n.opt.Settings.MemoryMB * (1 << 20)),
+		Logger: n.opt.Logger, Metrics: n.opt.Metrics,
 	})
 }
 
+// otherSockets are the bounds of the listeners that are not for clients.
+var otherSockets = clientconn.Sockets{ReceiveBytes: 4 << 10, SendBytes: 16 << 10, LargeBytes: 64 << 10, Backlog: 128}
+
+// listen opens a listener whose connections have the given bounds, if the process's memory is limited.
+func (n *Node) listen(network, address string, sockets clientconn.Sockets) (listener, error) {
+	if n.opt.Settings.MemoryMB == 0 {
+		sockets = clientconn.Sockets{}
+	}
+	l, err := clientconn.ListenTCP(network, address, sockets)
+	return listener{Listener: l, sockets: sockets}, err
+}
+
+// listener is an open listener with the bounds of its connections.
+type listener struct {
+	net.Listener
+	sockets clientconn.Sockets
+}
+
 // connLimit returns the bound of the connections of a listener with a share of the descriptors, or 0 for none.
 func (n *Node) connLimit(share float64) int {
 	if n.opt.Settings.MaxDescriptors == 0 {
@@ -52,24 +69,22 @@
 }
 
 // serveClients serves requests of clients.
-func (n *Node) serveClients(s *http.Server, l net.Listener) error {
+func (n *Node) serveClients(s *http.Server, l listener) error {
 	return n.serve(s, l, clientconn.ListenerOptions{
-		Name: "clients", MaxConns: n.connLimit(clientDescriptorShare), MaxFields: maxFields, RunBytes: runBytes,
-		Refuse: n.requests.RefuseMemory,
+		Name: "clients", MaxConns: n.connLimit(clientDescriptorShare), MaxFields: maxFields,
+		RunBytes: int64(runBytes + clientconn.ClientSockets.SendBytes), Refuse: n.requests.RefuseMemory,
 	})
 }
 
 // serveOthers serves a listener that is not for clients, and to which they may connect nevertheless.
-func (n *Node) serveOthers(s *http.Server, l net.Listener, name string, share float64) error {
+func (n *Node) serveOthers(s *http.Server, l listener, name string, share float64) error {
 	return n.serve(s, l, clientconn.ListenerOptions{Name: name, MaxConns: n.connLimit(share), MaxFields: maxFields})
 }
 
-func (n *Node) serve(s *http.Server, l net.Listener, opt clientconn.ListenerOptions) error {
+func (n *Node) serve(s *http.Server, l listener, opt clientconn.ListenerOptions) error {
 	s.MaxHeaderBytes, opt.MaxHeadBytes, opt.HeadTimeout = maxHeaderBytes, maxHeaderBytes+headerMargin, headerTimeout
-	if n.opt.Settings.MemoryMB > 0 {
-		opt.SocketBytes = socketBytes
-	}
-	bounded := n.connections.Listen(l, opt)
+	opt.Sockets = l.sockets
+	bounded := n.connections.Listen(l.Listener, opt)
 	bounded.Configure(s)
 	return s.Serve(bounded)
 }
--- a/pkg/gateway/node/metrics.go
+++ b/pkg/gateway/node/metrics.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 )
 
@@ -44,7 +43,7 @@
 func (n *Node) serveMetrics() error {
 	mux := http.NewServeMux()
 	mux.Handle("GET "+n.opt.MetricsPath, n.opt.Metrics)
-	listener, err := net.Listen("tcp", fmt.Sprintf("%s:%d", n.opt.Settings.Address, n.opt.MetricsPort))
+	listener, err := n.listen("tcp", fmt.Sprintf("%s:%d", n.opt.Settings.Address, n.opt.MetricsPort), otherSockets)
 	if err != nil {
 		return fmt.Errorf("listen for metrics: %w; check the port and that no other process uses it", err)
 	}
--- a/pkg/gateway/node/node.go
+++ b/pkg/gateway/node/node.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"time"
 
@@ -125,8 +124,8 @@
 	retryBudget *forward.RetryBudget
 	mirrors     []*mirror.Mirror
 	fetcher     objectFetcher
-	// listen opens the link to the other nodes. It is replaced in tests without a network.
-	listen   func(peers.Options) (*peers.Link, error)
+	// openLink opens the link to the other nodes. It is replaced in tests without a network.
+	openLink func(peers.Options) (*peers.Link, error)
 	prefixes *cachemap.Map
 	// prefixCounts counts the requests by shared prefix, and prefixRates are the rates that the leader announced.
 	prefixCounts *popularity.Counter
@@ -158,7 +157,7 @@
 		retryBudget: forward.NewRetryBudget(opt.Settings.RetryBudget),
 		config:      &configTarget{decoder: opt.Decoder, logger: opt.Logger},
 		fetcher:     peers.NewFetcher(),
-		listen:      peers.Listen,
+		openLink:    peers.Listen,
 		prefixes:    cachemap.New(),
 		connected:   make(chan struct{}),
 		stopping:    forward.NewShutdown(),
@@ -236,7 +235,7 @@
 	if s.Quotas.Enabled() {
 		opt.OnQuota = func(from string, m *limits.Message) { n.quotas.receive(from, m) }
 	}
-	link, err := n.listen(opt)
+	link, err := n.openLink(opt)
 	if err != nil {
 		return err
 	}
@@ -254,15 +253,15 @@
 func (n *Node) Run(stop context.Context) error {
 	s := n.opt.Settings
 	event.NodeStarted.Emit(n.opt.Logger, "node", s.Name, "data_centre", s.DataCentre, "front", s.ClientAddress, "store", s.StoreAddress)
-	clientListener, err := net.Listen("tcp4", s.ClientAddress)
+	clientListener, err := n.listen("tcp4", s.ClientAddress, clientconn.ClientSockets)
 	if err != nil {
 		return fmt.Errorf("listen for clients: %w; check the address and that no other process uses it", err)
 	}
-	readyListener, err := net.Listen("tcp4", s.ReadyAddress)
+	readyListener, err := n.listen("tcp4", s.ReadyAddress, otherSockets)
 	if err != nil {
 		return fmt.Errorf("listen for readiness checks: %w; check the address and that no other process uses it", err)
 	}
-	peerListener, err := net.Listen("tcp4", s.PeerAddress)
+	peerListener, err := n.listen("tcp4", s.PeerAddress, otherSockets)
 	if err != nil {
 		return fmt.Errorf("listen for other nodes: %w; check the address and that no other process uses it", err)
 	}
--- a/pkg/gateway/node/simulated_test.go
+++ b/pkg/gateway/node/simulated_test.go
@@ -387,7 +387,7 @@
 		Logger: slog.New(slog.DiscardHandler), Metrics: metrics.New(),
 	})
 	conn := &simulatedConn{network: f.network, address: address, received: make(chan []byte, 4096), closed: make(chan struct{})}
-	n.listen = func(o peers.Options) (*peers.Link, error) { return peers.New(o, conn), nil }
+	n.openLink = func(o peers.Options) (*peers.Link, error) { return peers.New(o, conn), nil }
 	n.fetcher = &simulatedFetcher{network: f.network, address: address}
 	if err := n.connect(); err != nil {
 		f.t.Fatal(err)
