Bound what the system holds for connections to backend servers

A client that does not read its stream made the system hold what the engine had sent meanwhile: its buffers grow to several MB while the response is read fast. The same holds for bodies that a server does not read.

Cause: connections to backend servers had the system's sizes.

Fix: 32 KB to receive and 64 KB to send, set before the connection is opened; a running request is charged for the first. The bytes to send are bounded by the bodies, which are bounded.

--- a/pkg/gateway/exchange/conn.go
+++ b/pkg/gateway/exchange/conn.go
@@ -16,6 +16,9 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"cassiawall.example/cassiawall/pkg/defaults"
+	"cassiawall.example/cassiawall/pkg/tcpbuffer"
 )
 
 // Timing of connections.
@@ -52,12 +55,23 @@
 
 // Dial opens a TCP connection that is closed when its peer stops responding.
 func Dial(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
+	return dial(ctx, address, timeout, func(raw syscall.RawConn) error { return setTCPUserTimeout(raw, tcpUserTimeout) })
+}
+
+// dialBackend is Dial for a connection whose buffers are bounded.
+func dialBackend(ctx context.Context, address string) (net.Conn, error) {
+	return dial(ctx, address, DialTimeout, func(raw syscall.RawConn) error {
+		return errors.Join(setTCPUserTimeout(raw, tcpUserTimeout), tcpbuffer.Set(raw, defaults.BackendReceiveBytes, defaults.BackendSendBytes))
+	})
+}
+
+func dial(ctx context.Context, address string, timeout time.Duration, prepare func(raw syscall.RawConn) error) (net.Conn, error) {
 	d := net.Dialer{
 		Timeout: timeout,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 		},
-		Control: func(_, _ string, raw syscall.RawConn) error { return setTCPUserTimeout(raw, tcpUserTimeout) },
+		Control: func(_, _ string, raw syscall.RawConn) error { return prepare(raw) },
 	}
 	return d.DialContext(ctx, "tcp4", address)
 }
@@ -195,7 +209,7 @@
 		}
 		c.Conn.Close()
 	}
-	raw, err := Dial(ctx, p.address, DialTimeout)
+	raw, err := dialBackend(ctx, p.address)
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/gateway/node/clients.go
+++ b/pkg/gateway/node/clients.go
@@ -5,12 +5,13 @@
 	"net/http"
 
 	"cassiawall.example/cassiawall/pkg/clientconn"
+	"cassiawall.example/cassiawall/pkg/defaults"
 )
 
 const (
 	// connMemoryShare is the share of the process's memory that clients' connections, the heads of requests and running
 	// requests may use, with the system's buffers for them, and largeBufferShare that of large buffers. A node of 120 MB has 36 MB
-	// for connections, which is 317 running requests or 1,024 connections. With bodyMemoryShare they leave 37% for the
+	// for connections, which is 249 running requests or 1,024 connections. With bodyMemoryShare they leave 37% for the
 	// connections that wait to be accepted, the objects, the heap's overhead and the program.
 	connMemoryShare  = 0.3
 	largeBufferShare = 0.08
@@ -72,7 +73,7 @@
 func (n *Node) serveClients(s *http.Server, l listener) error {
 	return n.serve(s, l, clientconn.ListenerOptions{
 		Name: "clients", MaxConns: n.connLimit(clientDescriptorShare), MaxFields: maxFields,
-		RunBytes: int64(runBytes + clientconn.ClientSockets.SendBytes), Refuse: n.requests.RefuseMemory,
+		RunBytes: int64(runBytes + defaults.BackendReceiveBytes + clientconn.ClientSockets.SendBytes), Refuse: n.requests.RefuseMemory,
 	})
 }
 
--- a/pkg/node/engines.go
+++ b/pkg/node/engines.go
@@ -8,6 +8,7 @@
 
 	"cassiawall.example/cassiawall/pkg/defaults"
 	"cassiawall.example/cassiawall/pkg/engine"
+	"cassiawall.example/cassiawall/pkg/tcpbuffer"
 )
 
 // Limits of connections to engines.
@@ -28,7 +29,7 @@
 
 func newEngineClients() *engineClients {
 	transport := &http.Transport{
-		DialContext:           (&net.Dialer{Timeout: engineDialTimeout}).DialContext,
+		DialContext:           (&net.Dialer{Timeout: engineDialTimeout, Control: tcpbuffer.Control(defaults.BackendReceiveBytes, defaults.BackendSendBytes)}).DialContext,
 		MaxIdleConnsPerHost:   engineMaxIdleConnsPerHost,
 		IdleConnTimeout:       engineIdleTimeout,
 		ResponseHeaderTimeout: engineResponseHeaderTimeout,
--- a/pkg/service/client.go
+++ b/pkg/service/client.go
@@ -15,6 +15,7 @@
 
 	"cassiawall.example/cassiawall/pkg/defaults"
 	"cassiawall.example/cassiawall/pkg/fault"
+	"cassiawall.example/cassiawall/pkg/tcpbuffer"
 )
 
 // Connection limits of a Client.
@@ -44,7 +45,9 @@
 
 // NewClient returns a client with its own connection pool.
 func NewClient() *Client {
-	c := &Client{dialer: net.Dialer{Timeout: dialTimeout}}
+	c := &Client{dialer: net.Dialer{
+		Timeout: dialTimeout, Control: tcpbuffer.Control(defaults.BackendReceiveBytes, defaults.BackendSendBytes),
+	}}
 	c.pooled = &http.Transport{
 		DialContext:         c.dialPooled,
 		MaxIdleConnsPerHost: maxIdleConnsPerBackend,
