Keep bodies in chunks in the parts in which they were read

A body without a length took three times its size while it was read: a buffer that is full is copied to one of twice its size, and another one is allocated to find the end of a body that fills it. Only the size of the newer buffer was reserved.

Evidence: 16,774,600 bytes were allocated and 8,388,608 reserved for a body of 4 MiB.

Fix: the parts, of up to 256 KB, are kept and written one after the other. TestBodyWithoutLengthIsNotCopied allows an eighth more than the size.

--- a/pkg/gateway/exchange/exchange.go
+++ b/pkg/gateway/exchange/exchange.go
@@ -31,6 +31,18 @@
 	maxInformational = 8
 )
 
+// Body is the body of a request. Its parts are as they were read, because a copy to join them would take as much memory again.
+type Body [][]byte
+
+// Len returns the length in bytes.
+func (b Body) Len() int {
+	n := 0
+	for _, part := range b {
+		n += len(part)
+	}
+	return n
+}
+
 // Request is a request to a server. Its fields are written as they are.
 type Request struct {
 	// ID identifies the request among those to the server; see Response.MarkRefused.
@@ -40,7 +52,7 @@
 	Target string
 	Host   string
 	Header http.Header
-	Body   []byte
+	Body   Body
 	// LastSend is set if nobody may send the request again once it is sent. Do then waits for the response until the end
 	// of its context, also if the server's host acknowledges nothing.
 	LastSend bool
@@ -274,7 +286,8 @@
 // bodyWriter is returned; otherwise the bodyWriter is nil.
 func writeRequest(c *conn, req Request) (*bodyWriter, error) {
 	var b bytes.Buffer
-	b.Grow(1024 + min(len(req.Body), maxInlineBodyBytes))
+	bodyBytes := req.Body.Len()
+	b.Grow(1024 + min(bodyBytes, maxInlineBodyBytes))
 	b.WriteString(req.Method)
 	b.WriteByte(' ')
 	b.WriteString(req.Target)
@@ -289,14 +302,16 @@
 			b.WriteString("\r\n")
 		}
 	}
-	if len(req.Body) > 0 || req.Method != http.MethodGet && req.Method != http.MethodHead && req.Method != http.MethodDelete {
+	if bodyBytes > 0 || req.Method != http.MethodGet && req.Method != http.MethodHead && req.Method != http.MethodDelete {
 		b.WriteString("Content-Length: ")
-		b.WriteString(strconv.Itoa(len(req.Body)))
+		b.WriteString(strconv.Itoa(bodyBytes))
 		b.WriteString("\r\n")
 	}
 	b.WriteString("\r\n")
-	if len(req.Body) <= maxInlineBodyBytes {
-		b.Write(req.Body)
+	if bodyBytes <= maxInlineBodyBytes {
+		for _, part := range req.Body {
+			b.Write(part)
+		}
 		_, err := c.Write(b.Bytes())
 		return nil, err
 	}
@@ -306,7 +321,11 @@
 	w := &bodyWriter{finished: make(chan struct{})}
 	go func() {
 		defer close(w.finished)
-		_, w.err = c.Write(req.Body)
+		for _, part := range req.Body {
+			if _, w.err = c.Write(part); w.err != nil {
+				return
+			}
+		}
 	}()
 	return w, nil
 }
--- a/pkg/gateway/exchange/exchange_test.go
+++ b/pkg/gateway/exchange/exchange_test.go
@@ -41,7 +41,7 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	t.Cleanup(cancel)
-	req := Request{Method: http.MethodPost, Target: "/x?y=%20", Host: "h", Header: http.Header{"A": {"1", "2"}}, Body: []byte("body")}
+	req := Request{Method: http.MethodPost, Target: "/x?y=%20", Host: "h", Header: http.Header{"A": {"1", "2"}}, Body: Body{[]byte("body")}}
 	return Do(ctx, p, req, hasRequestID(id))
 }
 
@@ -184,7 +184,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	body := []byte(strings.Repeat("x", 64<<20))
-	response, err := Do(ctx, p, Request{Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Body: body}, hasRequestID("1"))
+	response, err := Do(ctx, p, Request{Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Body: Body{body}}, hasRequestID("1"))
 	require.NoError(t, err)
 	read, err := io.ReadAll(response)
 	require.NoError(t, err)
--- a/pkg/gateway/exchange/silence_test.go
+++ b/pkg/gateway/exchange/silence_test.go
@@ -62,7 +62,7 @@
 				}
 			}))
 			for range 2 {
-				response, err := Do(t.Context(), p, Request{Method: http.MethodPost, Target: "/", Host: "h", Body: make([]byte, test.bodyBytes)}, hasRequestID("1"))
+				response, err := Do(t.Context(), p, Request{Method: http.MethodPost, Target: "/", Host: "h", Body: Body{make([]byte, test.bodyBytes)}}, hasRequestID("1"))
 				require.NoError(t, err)
 				body, err := io.ReadAll(response)
 				require.NoError(t, err)
--- a/pkg/gateway/exchange/truncation_test.go
+++ b/pkg/gateway/exchange/truncation_test.go
@@ -20,7 +20,7 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	t.Cleanup(cancel)
-	req := Request{Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Body: []byte(strings.Repeat("x", 64<<20))}
+	req := Request{Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Body: Body{[]byte(strings.Repeat("x", 64<<20))}}
 	response, err := Do(ctx, p, req, hasRequestID("1"))
 	require.NoError(t, err)
 	t.Cleanup(response.Close)
--- a/pkg/gateway/exchange/user_timeout.go
+++ b/pkg/gateway/exchange/user_timeout.go
@@ -46,7 +46,7 @@
 	switch {
 	case req.LastSend:
 		timeout = lastSendTimeout
-	case len(req.Body) > maxFittingBodyBytes:
+	case req.Body.Len() > maxFittingBodyBytes:
 		timeout = largeBodyTimeout
 	}
 	u.mu.Lock()
--- a/pkg/gateway/forward/active_request.go
+++ b/pkg/gateway/forward/active_request.go
@@ -51,7 +51,7 @@
 	workspace  *routes.Workspace
 	request    Request
 	service    string
-	body       []byte
+	body       exchange.Body
 	receivedAt time.Time
 
 	w       http.ResponseWriter
--- a/pkg/gateway/forward/body_memory.go
+++ b/pkg/gateway/forward/body_memory.go
@@ -5,6 +5,8 @@
 	"io"
 	"sync"
 	"time"
+
+	"cassiawall.example/cassiawall/pkg/gateway/exchange"
 )
 
 // A request's body is kept until its response ends, because the request may be sent again. Large bodies of many slow requests
@@ -18,6 +20,8 @@
 	largeBodyShare = 0.75
 	// initialBodyBytes is the memory that is reserved at first for a body whose length is not known.
 	initialBodyBytes = 8 << 10
+	// maxPartBytes is the size of the largest part in which such a body is kept.
+	maxPartBytes = 256 << 10
 )
 
 // errBodyMemory is the cause of a request that is refused because its body does not fit into the memory for bodies.
@@ -123,19 +127,19 @@
 	b.reserved = 0
 }
 
-// readAll reads a body whose length is not known, up to maxBytes + 1 bytes.
-func (b *bodyReservation) readAll(r io.Reader, maxBytes int64) ([]byte, error) {
-	var body []byte
-	for int64(len(body)) <= maxBytes {
-		if len(body) == cap(body) {
-			size := max(2*len(body), initialBodyBytes)
-			if err := b.reserve(int64(size)); err != nil {
-				return nil, err
-			}
-			body = append(make([]byte, 0, size), body...)
+// readAll reads a body whose length is not known, up to maxBytes + 1 bytes. It reads it into parts, each as long as those before
+// together: a single buffer that grows would take three times its size while it is copied.
+func (b *bodyReservation) readAll(r io.Reader, maxBytes int64) (exchange.Body, error) {
+	var body exchange.Body
+	for total := int64(0); total <= maxBytes; {
+		size := min(max(total, initialBodyBytes), maxPartBytes, maxBytes+1-total)
+		if err := b.reserve(total + size); err != nil {
+			return nil, err
+		}
+		part, err := readPart(r, size)
+		if total += int64(len(part)); len(part) > 0 {
+			body = append(body, part)
 		}
-		n, err := r.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
 		if err == io.EOF {
 			return body, nil
 		}
@@ -145,3 +149,17 @@
 	}
 	return body, nil
 }
+
+// readPart reads up to size bytes, and fewer only with an error. Unlike io.ReadFull, it tells the end of the body from one that
+// was cut.
+func readPart(r io.Reader, size int64) ([]byte, error) {
+	part := make([]byte, 0, size)
+	for len(part) < cap(part) {
+		n, err := r.Read(part[len(part):cap(part)])
+		part = part[:len(part)+n]
+		if err != nil {
+			return part, err
+		}
+	}
+	return part, nil
+}
--- a/pkg/gateway/forward/body_memory_test.go
+++ b/pkg/gateway/forward/body_memory_test.go
@@ -17,6 +17,7 @@
 	"github.com/stretchr/testify/require"
 
 	"cassiawall.example/cassiawall/pkg/gateway/routes"
+	"cassiawall.example/cassiawall/pkg/standin/rawserver"
 )
 
 // Guards against a node that runs out of memory because clients send large bodies whose responses take long, with a length and
@@ -114,7 +115,7 @@
 		b := bodyReservation{memory: NewBodyMemory(0)}
 		body, err := b.readAll(bytes.NewReader(content), 100_000)
 		require.NoError(t, err)
-		assert.True(t, bytes.Equal(content, body))
+		assert.True(t, bytes.Equal(content, bytes.Join(body, nil)))
 	}
 	cut := errors.New("cut")
 	for _, err := range []error{cut, io.ErrUnexpectedEOF} {
@@ -125,7 +126,22 @@
 	b := bodyReservation{memory: NewBodyMemory(0)}
 	body, err := b.readAll(bytes.NewReader(make([]byte, 200)), 100)
 	require.NoError(t, err)
-	assert.Greater(t, len(body), 100, "the caller sees that it is too long")
+	assert.Greater(t, body.Len(), 100, "the caller sees that it is too long")
+}
+
+// Guards against a body in chunks that takes a multiple of its size while it is read.
+func TestBodyWithoutLengthIsNotCopied(t *testing.T) {
+	const bodyBytes = 4 << 20
+	b := bodyReservation{memory: NewBodyMemory(0)}
+	content := bytes.NewReader(make([]byte, bodyBytes))
+	allocated := rawserver.AllocatedBytes(func() {
+		body, err := b.readAll(content, bodyBytes)
+		require.NoError(t, err)
+		require.Equal(t, bodyBytes, body.Len())
+	})
+	const slack = bodyBytes / 8
+	assert.LessOrEqual(t, allocated, uint64(bodyBytes+slack))
+	assert.LessOrEqual(t, b.reserved, int64(bodyBytes+slack))
 }
 
 type failingReader struct{ err error }
--- a/pkg/gateway/forward/router.go
+++ b/pkg/gateway/forward/router.go
@@ -14,6 +14,7 @@
 	"cassiawall.example/cassiawall/pkg/gateway/backends"
 	"cassiawall.example/cassiawall/pkg/gateway/cachemap"
 	"cassiawall.example/cassiawall/pkg/gateway/decisions"
+	"cassiawall.example/cassiawall/pkg/gateway/exchange"
 	"cassiawall.example/cassiawall/pkg/gateway/popularity"
 	"cassiawall.example/cassiawall/pkg/gateway/routes"
 	"cassiawall.example/cassiawall/pkg/gateway/speed"
@@ -215,7 +216,7 @@
 
 // readBody reads the whole request body into memory that it reserves. On an error, status is the response status, or 0 if
 // the client disconnected. The error is errBodyMemory if the body does not fit.
-func readBody(req *http.Request, limits routes.Limits, memory *bodyReservation) (body []byte, status int, err error) {
+func readBody(req *http.Request, limits routes.Limits, memory *bodyReservation) (body exchange.Body, status int, err error) {
 	maxBytes := limits.MaxBodyBytes
 	if maxBytes == 0 {
 		maxBytes = defaultMaxBodyBytes
@@ -227,17 +228,17 @@
 		if err := memory.reserve(req.ContentLength); err != nil {
 			return nil, 0, err
 		}
-		body = make([]byte, req.ContentLength)
-		if _, err := io.ReadFull(req.Body, body); err != nil {
+		whole := make([]byte, req.ContentLength)
+		if _, err := io.ReadFull(req.Body, whole); err != nil {
 			return nil, 0, err
 		}
-		return body, 0, nil
+		return exchange.Body{whole}, 0, nil
 	}
 	body, err = memory.readAll(req.Body, maxBytes)
 	if err != nil {
 		return nil, 0, err
 	}
-	if int64(len(body)) > maxBytes {
+	if int64(body.Len()) > maxBytes {
 		return nil, http.StatusRequestEntityTooLarge, errBodyTooLarge
 	}
 	return body, 0, nil
--- a/pkg/gateway/forward/trace.go
+++ b/pkg/gateway/forward/trace.go
@@ -17,7 +17,7 @@
 	}
 	args := []any{
 		"route", a.route.Name, "workspace", workspace, "service", a.service, "deadline_ms", a.request.Timeout.Milliseconds(),
-		"limit_ms", a.timeout.Milliseconds(), "body_bytes", len(a.body), "config", a.config.Version,
+		"limit_ms", a.timeout.Milliseconds(), "body_bytes", a.body.Len(), "config", a.config.Version,
 		"config_age_ms", a.receivedAt.Sub(a.config.AppliedAt).Milliseconds(),
 	}
 	if a.request.Model != "" {
