Answer a request that is not forwarded before its body has arrived

A client whose request was rejected (404, 401, 413) or came before the first configuration got its answer after net/http had read up to 256 KB of the body, and never if it had stopped sending. Its connection stayed.

Fix: with a body over 16 KB or of unknown length, the response closes the connection, and net/http then writes it at once. That held already for bodies that do not fit into memory.

--- a/pkg/gateway/forward/errors.go
+++ b/pkg/gateway/forward/errors.go
@@ -74,10 +74,8 @@
 	r.refuse(w, req, request.ID, causeNoConfig, refusalRetryAfter, receivedAt)
 }
 
-// refuseBody refuses a request whose body does not fit into memory, and closes the connection: the rest of the body is not
-// read.
+// refuseBody refuses a request whose body does not fit into memory.
 func (r *Router) refuseBody(w http.ResponseWriter, req *http.Request, id string, receivedAt time.Time) {
-	w.Header().Set("Connection", "close")
 	r.refuse(w, req, id, causeBodyMemory, retry.SpreadPause(bodyRetryAfter), receivedAt)
 }
 
@@ -90,6 +88,7 @@
 
 // refuse refuses a request that has not been sent to any backend server. The log lines are limited in rate.
 func (r *Router) refuse(w http.ResponseWriter, req *http.Request, id, cause string, retryAfter time.Duration, receivedAt time.Time) {
+	closeAtBody(w, req)
 	r.count("requests", "outcome", "refused")
 	r.count("not_served", "cause", cause)
 	if r.rejectionLogLimiter.Allow() {
@@ -99,10 +98,22 @@
 	writeRefusal(w, cause, retryAfter)
 }
 
+// awaitedBodyBytes is the size up to which the body of a request that is not forwarded is read, so that its connection can be kept.
+const awaitedBodyBytes = 16 << 10
+
+// closeAtBody closes the connection of a request that is not forwarded if its body is larger or of unknown length. net/http would read
+// up to 256 KB of the body before it writes the response, and wait for a client that has stopped sending.
+func closeAtBody(w http.ResponseWriter, req *http.Request) {
+	if req.ContentLength < 0 || req.ContentLength > awaitedBodyBytes {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // reject responds to a malformed request or one that the configuration does not allow. The log lines of
 // rejections are limited in rate.
 func (r *Router) reject(w http.ResponseWriter, req *http.Request, id string, status int, reason string) {
 	defer writeError(w, status, reason)
+	closeAtBody(w, req)
 	r.count("requests", "outcome", "rejected")
 	if !r.rejectionLogLimiter.Allow() {
 		return
