Bound what the system holds for callers of the product's own node

The node's listeners had the system's buffer sizes, which grow to several MB for each connection that is read too slowly.

Fix: the listeners are opened with the bounds of the users' platform; 64 KB for other nodes, whose connections carry many calls. The buffers are part of client_memory_mb, and an eighth of it is added for large ones.

--- a/pkg/node/clients.go
+++ b/pkg/node/clients.go
@@ -7,6 +7,7 @@
 	"syscall"
 
 	"cassiawall.example/cassiawall/pkg/clientconn"
+	"cassiawall.example/cassiawall/pkg/defaults"
 	"cassiawall.example/cassiawall/pkg/metrics"
 	"cassiawall.example/cassiawall/pkg/settings"
 )
@@ -16,8 +17,11 @@
 	maxFields = 22_000
 	// headerMargin is what net/http allows above maxHeaderBytes, in bytes.
 	headerMargin = 4 << 10
-	// runBytes is the estimate of what a running request holds besides its head and body, in bytes.
+	// runBytes is the estimate of what a running request holds besides its head and body, in bytes. The system's buffers for its
+	// response are added.
 	runBytes = 64 << 10
+	// largeBufferShare is the size of large socket buffers as a share of what the connections may hold.
+	largeBufferShare = 0.125
 	// callersFileShare is the part of the process's limit of open files that the callers' listener gets by default, and
 	// peersFileShare and operatorsFileShare those of the other listeners. The rest is for connections that the node opens.
 	callersFileShare   = 0.5
@@ -31,7 +35,8 @@
 	if maxMB == 0 {
 		maxMB = settings.DefaultClientMemoryMB
 	}
-	return clientconn.New(clientconn.Options{MaxBytes: maxMB << 20, Logger: logger, Metrics: m})
+	maxBytes := maxMB << 20
+	return clientconn.New(clientconn.Options{MaxBytes: maxBytes, MaxLargeBytes: int64(largeBufferShare * float64(maxBytes)), Logger: logger, Metrics: m})
 }
 
 // connLimit returns a share of the process's limit of open files, or 0 if the limit is not known.
@@ -43,6 +48,9 @@
 	return int(share * min(float64(files.Cur), math.MaxInt32))
 }
 
+// peerSockets are the bounds of the connections of other nodes, which carry many calls at once.
+var peerSockets = clientconn.Sockets{ReceiveBytes: 64 << 10, SendBytes: 64 << 10, Backlog: 128}
+
 // boundedListeners are the listeners with their bounds, below TLS.
 type boundedListeners struct{ callers, peers, operators *clientconn.Listener }
 
@@ -50,15 +58,17 @@
 func (n *Node) listenerOptions() (callers, peers, operators clientconn.ListenerOptions) {
 	s := n.opt.Settings
 	callers = clientconn.ListenerOptions{
-		Name: "callers", MaxConns: s.MaxConnections, RunBytes: runBytes, ChargeBodies: true,
-		Refuse: func(w http.ResponseWriter, r *http.Request) { n.entry.RefuseMemory(w, r) },
+		Name: "callers", MaxConns: s.MaxConnections, ChargeBodies: true, Sockets: clientconn.ClientSockets,
+		RunBytes: int64(runBytes + defaults.BackendReceiveBytes + clientconn.ClientSockets.SendBytes),
+		Refuse:   func(w http.ResponseWriter, r *http.Request) { n.entry.RefuseMemory(w, r) },
 	}
 	if callers.MaxConns == 0 {
 		callers.MaxConns = connLimit(callersFileShare)
 	}
 	peers = clientconn.ListenerOptions{
 		Name: "peers", MaxConns: connLimit(peersFileShare), ChargeBodies: true, HTTP2: !s.Peers.TLS.Enabled(),
+		Sockets: peerSockets,
 	}
-	operators = clientconn.ListenerOptions{Name: "operators", MaxConns: connLimit(operatorsFileShare)}
+	operators = clientconn.ListenerOptions{Name: "operators", MaxConns: connLimit(operatorsFileShare), Sockets: clientconn.ClientSockets}
 	return callers, peers, operators
 }
--- a/pkg/node/listen.go
+++ b/pkg/node/listen.go
@@ -32,11 +32,11 @@
 		{s.Callers, callers, &l.callers, &l.bounded.callers}, {s.Peers, peers, &l.peers, &l.bounded.peers},
 		{s.Operators, operators, &l.operators, &l.bounded.operators},
 	} {
-		bound, err := net.Listen("tcp", entry.settings.Address)
+		o := entry.options
+		bound, err := clientconn.ListenTCP("tcp", entry.settings.Address, o.Sockets)
 		if err != nil {
 			return listeners{}, errors.Join(err, l.close())
 		}
-		o := entry.options
 		o.TLS, o.MaxHeadBytes, o.MaxFields, o.HeadTimeout = entry.settings.TLS.Enabled(), maxHeaderBytes+headerMargin, maxFields, headerTimeout
 		if o.HTTP2 {
 			// With bounds, calls between nodes over HTTP/2 without TLS were delayed by 10 s in TestOwnersReachableFromOtherNodes.
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -52,9 +52,9 @@
 	// while its readiness check already fails. Effect: load balancers stop sending requests before
 	// the listener closes. Default: 2s. Unit: duration.
 	DrainNotice config.Duration `yaml:"drain_notice,omitempty" min:"0s" max:"10m"`
-	// ClientMemoryMB bounds the memory that the connections of callers and operators, and of peers with TLS, hold with the heads
-	// and bodies of their requests. Effect: beyond it, the connection that holds most is closed, or a request is refused with 503. Default:
-	// 256, which is enough for about 3,000 running requests. Unit: 2^20 bytes.
+	// ClientMemoryMB bounds the memory that the connections of callers, operators and peers hold with the heads and bodies of their
+	// requests and the system's buffers; an eighth more is for large buffers. Effect: beyond it, the connection that holds most is
+	// closed, or a request is refused with 503. Default: 256, which is enough for about 1,700 running requests. Unit: 2^20 bytes.
 	ClientMemoryMB int `yaml:"client_memory_mb,omitempty" min:"16" max:"1000000"`
 	// MaxConnections is the maximum number of open connections of callers. Effect: beyond it, unfinished requests and idle
 	// connections are closed, the oldest first. Default: half of the process's limit of open files. Unit: connections.
