Bound the peers' listener without TLS

The product's own node read bodies of up to 4 MiB of any number of clients at its peers' listener before it checked their signature.

Cause: the listener was left without bounds, since calls over HTTP/2 were delayed by 10 s under them. net/http reads the preface of HTTP/2 in two parts. The first did not match the whole preface, so the frames that followed were held back as an unfinished head until its timeout. Besides, the bodies of HTTP/2 requests were not charged at any listener.

Fix: the first line of the preface is enough to recognise HTTP/2, and the bodies of HTTP/2 requests are charged until the request ends.

--- a/pkg/clientconn/body.go
+++ b/pkg/clientconn/body.go
@@ -31,3 +31,23 @@
 	}
 	return n, err
 }
+
+// multiplexedBody is the body of one of the requests on an HTTP/2 connection. It charges its bytes until the request ends.
+type multiplexedBody struct {
+	io.ReadCloser
+	conn    *conn
+	charged int64
+}
+
+// Read implements io.Reader.
+func (b *multiplexedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	cost := 2 * int64(n)
+	b.charged += cost
+	if !b.conn.charge(cost) {
+		return n, ErrMemory
+	}
+	return n, err
+}
+
+func (b *multiplexedBody) release() { b.conn.charge(-b.charged) }
--- a/pkg/clientconn/conn.go
+++ b/pkg/clientconn/conn.go
@@ -1,6 +1,7 @@
 package clientconn
 
 import (
+	"bytes"
 	"math"
 	"net"
 	"sync/atomic"
@@ -101,9 +102,17 @@
 	return c.Conn.Close()
 }
 
-// http2Preface begins an HTTP/2 connection without TLS.
+// http2Preface begins an HTTP/2 connection without TLS. http2LineBytes is the length of its first line, which net/http reads by
+// itself.
 var http2Preface = []byte("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n")
 
+const http2LineBytes = len("PRI * HTTP/2.0")
+
+// isHTTP2 reports whether the first bytes of a connection begin the preface of HTTP/2.
+func isHTTP2(first []byte) bool {
+	return len(first) >= http2LineBytes && bytes.HasPrefix(http2Preface, first[:min(len(first), len(http2Preface))])
+}
+
 // multiplexedBytes is what an HTTP/2 connection holds besides connBytes: the state of its requests, which net/http bounds.
 const multiplexedBytes = 64 << 10
 
--- a/pkg/clientconn/listener.go
+++ b/pkg/clientconn/listener.go
@@ -150,6 +150,11 @@
 	case !ok:
 	case r.ProtoMajor > 1:
 		c.multiplex()
+		if h.listener.opt.ChargeBodies {
+			b := &multiplexedBody{ReadCloser: r.Body, conn: c}
+			defer b.release()
+			r.Body = b
+		}
 	default:
 		if !c.begin(r) {
 			h.listener.budget.record(h.listener, reasonMemory)
--- a/pkg/clientconn/read_head.go
+++ b/pkg/clientconn/read_head.go
@@ -1,7 +1,6 @@
 package clientconn
 
 import (
-	"bytes"
 	"io"
 	"time"
 )
@@ -17,7 +16,7 @@
 		c.charge(int64(n) * opaqueFactor)
 		return n, err
 	}
-	if opt.HTTP2 && bytes.HasPrefix(p[:n], http2Preface) {
+	if opt.HTTP2 && isHTTP2(p[:n]) {
 		c.multiplex()
 		return n, err
 	}
--- a/pkg/node/listen.go
+++ b/pkg/node/listen.go
@@ -38,12 +38,6 @@
 			return listeners{}, errors.Join(err, l.close())
 		}
 		o.TLS, o.MaxHeadBytes, o.MaxFields, o.HeadTimeout = entry.settings.TLS.Enabled(), maxHeaderBytes+headerMargin, maxFields, headerTimeout
-		if o.HTTP2 {
-			// With bounds, calls between nodes over HTTP/2 without TLS were delayed by 10 s in TestOwnersReachableFromOtherNodes.
-			// The cause is not known yet; MaxHeaderBytes still applies.
-			*entry.listener = bound
-			continue
-		}
 		*entry.bounded = budget.Listen(bound, o)
 		if *entry.listener, err = encrypt(*entry.bounded, entry.settings.TLS, n.opt.Logger); err != nil {
 			return listeners{}, errors.Join(err, bound.Close(), l.close())
