Reset a cut response without length through the wrapper of its connection

A client of HTTP/1.0 got the beginning of a response that had no length, and a regular end, where the response had been cut.

Fix: the wrapper has SetLinger, and ResetUnframed uses it.

--- a/pkg/clientconn/conn.go
+++ b/pkg/clientconn/conn.go
@@ -102,6 +102,14 @@
 	return c.Conn.Close()
 }
 
+// SetLinger sets what Close does with bytes that are not sent, as that of net.TCPConn.
+func (c *conn) SetLinger(seconds int) error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.SetLinger(seconds)
+	}
+	return nil
+}
+
 // http2Preface begins an HTTP/2 connection without TLS. http2LineBytes is the length of its first line, which net/http reads by
 // itself.
 var http2Preface = []byte("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n")
