Keep a closed connection charged until its client has the response

A client that requests responses on connections that end, and reads none, leaves them to the system. It tries for minutes to deliver them, with up to 16 KB each (64 KB for a large one), and they count for no descriptor and no bound of the process.

Evidence: a trial with one such connection: 8,398 bytes were still held 40 s after its end, without a descriptor.

Fix: a connection whose client has not received everything stays open and charged, and may be closed in favour of others, as one that is not read. A connection that is closed in favour of others is reset also while it is idle, if something is not delivered.

--- a/pkg/clientconn/budget.go
+++ b/pkg/clientconn/budget.go
@@ -59,11 +59,13 @@
 	loggedAt time.Duration
 	// buffersLoggedAt is the time of the last log line about large socket buffers.
 	buffersLoggedAt time.Duration
+	// drainStall is defaultDrainStall except in tests.
+	drainStall time.Duration
 }
 
 // New returns a budget without listeners.
 func New(opt Options) *Budget {
-	b := &Budget{opt: opt, started: time.Now(), closed: map[string]int{}, loggedAt: -logInterval, buffersLoggedAt: -logInterval}
+	b := &Budget{opt: opt, started: time.Now(), closed: map[string]int{}, loggedAt: -logInterval, buffersLoggedAt: -logInterval, drainStall: defaultDrainStall}
 	opt.Metrics.GaugeFunc("client_connection_bytes", func() float64 { return float64(b.Used()) })
 	opt.Metrics.GaugeFunc("client_large_buffer_bytes", func() float64 { return float64(b.large.Load()) })
 	return b
@@ -127,16 +129,15 @@
 	reasonCount       = "count"
 	reasonStalledBody = "stalled_body"
 	reasonHead        = "head"
+	reasonUnread      = "unread"
 )
 
 // closeLocked closes a connection in favour of others.
 func (b *Budget) closeLocked(c *conn, reason string) {
 	b.removeLocked(c)
-	if c.phase.Load() != phaseIdle {
+	if c.phase.Load() != phaseIdle || c.unsent() > 0 {
 		// A reset discards what the system still holds for the connection, and a truncated response cannot look complete.
-		if tcp, ok := c.Conn.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0)
-		}
+		_ = c.SetLinger(0)
 	}
 	// The client may have closed the connection.
 	_ = c.Conn.Close()
@@ -160,7 +161,7 @@
 	}
 	b.loggedAt = now
 	attrs := []slog.Attr{slog.String("listener", l.opt.Name), slog.Int64("bytes", b.used.Load()), slog.Int64("max_bytes", b.opt.MaxBytes)}
-	for _, r := range []string{reasonMemory, reasonCount, reasonStalledBody, reasonHead} {
+	for _, r := range []string{reasonMemory, reasonCount, reasonStalledBody, reasonHead, reasonUnread} {
 		if n := b.closed[r]; n > 0 {
 			attrs = append(attrs, slog.Int(r, n))
 		}
--- a/pkg/clientconn/conn.go
+++ b/pkg/clientconn/conn.go
@@ -44,6 +44,8 @@
 	// refusedLarge once its request has not got them.
 	written             atomic.Int64
 	large, refusedLarge atomic.Bool
+	// draining is set once the connection is closed and its client has not received the whole response.
+	draining atomic.Bool
 	// head is used by the goroutine that reads only. net/http reads a connection from one goroutine at a time.
 	head headCounter
 	// pending is what was read of a head of several parts and is not returned yet, and pendingErr the error after it.
@@ -93,15 +95,6 @@
 	return nil
 }
 
-// Close implements net.Conn.
-func (c *conn) Close() error {
-	b := c.listener.budget
-	b.mu.Lock()
-	b.removeLocked(c)
-	b.mu.Unlock()
-	return c.Conn.Close()
-}
-
 // SetLinger sets what Close does with bytes that are not sent, as that of net.TCPConn.
 func (c *conn) SetLinger(seconds int) error {
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
--- a/pkg/tcpbuffer/tcpbuffer.go
+++ b/pkg/tcpbuffer/tcpbuffer.go
@@ -43,6 +43,15 @@
 	return control(raw, func(fd int) error { return unix.Listen(fd, backlog) })
 }
 
+// Unsent returns the bytes that are written and not acknowledged.
+func Unsent(raw syscall.RawConn) (n int, err error) {
+	err = control(raw, func(fd int) (err error) {
+		n, err = unix.IoctlGetInt(fd, unix.SIOCOUTQ)
+		return err
+	})
+	return n, err
+}
+
 func control(raw syscall.RawConn, f func(fd int) error) error {
 	var failed error
 	err := raw.Control(func(fd uintptr) { failed = f(int(fd)) })
